--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+
+.PHONY: setup test demo bench capacity format docs
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet -r requirements.txt
+	$(VENV)/bin/pip install --quiet --no-deps -e .
+	touch $@
+
+test: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(PYTHON) -m pytest
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+demo: setup
+	$(PYTHON) -m emulator.demo
+
+bench: setup
+	$(PYTHON) -m bench.runner
+
+capacity: setup
+	$(PYTHON) -m bench.capacity
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with bounds from the stated targets."""
--- /dev/null
+++ b/hemlockstand/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet capacity and maintenance manager."""
--- /dev/null
+++ b/hemlockstand/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Versioned configuration: changes, commits and the daemon's copy."""
--- /dev/null
+++ b/hemlockstand/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts that other programs can embed."""
--- /dev/null
+++ b/hemlockstand/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The hemlockctl command-line tool."""
--- /dev/null
+++ b/hemlockstand/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Schedules, placement and accounting of batch jobs."""
--- /dev/null
+++ b/hemlockstand/logs.py
@@ -0,0 +1,33 @@
+"""Structured logs on standard error, as JSON lines or text."""
+
+import json
+import sys
+
+from loguru import logger
+
+from hemlockstand.settings import LogSettings
+
+TEXT_FORMAT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {extra[module]}: {message}"
+
+
+def configure_logs(settings: LogSettings, daemon: str) -> None:
+    """Send log lines of the set level and above to standard error."""
+    logger.remove()
+    logger.configure(extra={"module": "hemlockstand", "daemon": daemon})
+    if settings.format == "json":
+        logger.add(_write_json, level=settings.level, catch=True)
+    else:
+        logger.add(sys.stderr, level=settings.level, format=TEXT_FORMAT)
+
+
+def _write_json(message) -> None:
+    record = message.record
+    line = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "message": record["message"],
+        **record["extra"],
+    }
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    print(json.dumps(line, default=str), file=sys.stderr)
--- /dev/null
+++ b/hemlockstand/maintenance/__init__.py
@@ -0,0 +1,1 @@
+"""Availability budgets, moves, maintenance waves and buffers."""
--- /dev/null
+++ b/hemlockstand/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for operators and its client."""
--- /dev/null
+++ b/hemlockstand/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons."""
--- /dev/null
+++ b/hemlockstand/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The interface to the platform and its adapters."""
--- /dev/null
+++ b/hemlockstand/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a caller's request to an upstream."""
--- /dev/null
+++ b/hemlockstand/settings.py
@@ -0,0 +1,362 @@
+"""Settings: attrs classes per section, read from INI files and checked.
+
+The shipped ``defaults.ini`` lies under the user's file. All problems are
+found before anything starts and reported together, each with file, section,
+key and value::
+
+    settings = load_settings("entry-1.ini")
+    settings.keys.freshness_seconds
+"""
+
+from collections.abc import Iterator
+from configparser import ConfigParser, Error as ConfigParserError
+from pathlib import Path
+from typing import Any, get_type_hints
+
+import attrs
+from attrs import Attribute, field, frozen
+
+from hemlockstand.errors import SettingsError
+
+DEFAULTS_FILE = Path(__file__).with_name("defaults.ini")
+
+_BOOLEANS = {"yes": True, "true": True, "on": True, "1": True} | {
+    "no": False,
+    "false": False,
+    "off": False,
+    "0": False,
+}
+
+
+def option(
+    doc: str,
+    minimum: float | None = None,
+    maximum: float | None = None,
+    choices: tuple[str, ...] = (),
+    secret: bool = False,
+) -> Any:
+    """Declare a setting with its description and its allowed values."""
+    return field(
+        metadata={
+            "doc": doc,
+            "minimum": minimum,
+            "maximum": maximum,
+            "choices": choices,
+            "secret": secret,
+        }
+    )
+
+
+@frozen
+class DaemonSettings:
+    """Identity of this daemon."""
+
+    name: str = option("Unique name of the daemon, as in the instance list.")
+    region: str = option("Region of the daemon.")
+    data_centre: str = option("Data centre of the daemon.")
+    data_centres: tuple[str, ...] = option(
+        "All data centres that run entry instances, separated by commas."
+    )
+    balancer_lag_seconds: float = option(
+        "Time the balancer may go on sending to a daemon that is not ready.", 0, 120
+    )
+
+
+@frozen
+class ListenSettings:
+    """Addresses the daemon listens on."""
+
+    host: str = option("IP address to listen on and to announce to peers.")
+    caller_port: int = option("TCP port for callers.", 0, 65535)
+    operator_port: int = option("TCP port for operators and metrics.", 0, 65535)
+    peer_port: int = option("TCP port for other daemons.", 0, 65535)
+
+
+@frozen
+class PlatformSettings:
+    """How to reach the platform."""
+
+    url: str = option("Base URL of the platform's service.")
+    timeout_seconds: float = option("Timeout of one platform call.", 0.05, 60)
+    instance_poll_seconds: float = option(
+        "Interval between reads of the instance list.", 0.1, 60
+    )
+
+
+@frozen
+class PeerSettings:
+    """Messages between daemons."""
+
+    secret: str = option(
+        "Shared secret of the deployment, 16 characters or more.", secret=True
+    )
+    interval_seconds: float = option("Interval between heartbeats.", 0.1, 30)
+    timeout_seconds: float = option("Timeout of one peer call.", 0.05, 30)
+    suspect_after_seconds: float = option(
+        "Silence after which a peer counts as gone.", 0.5, 300
+    )
+
+
+@frozen
+class ConfigurationSettings:
+    """The daemon's copy of the configuration."""
+
+    poll_seconds: float = option("Interval between reads of new changes.", 0.1, 60)
+    snapshot_every: int = option("Changes between two snapshots.", 10, 100_000)
+    drop_fraction: float = option(
+        "Part of teams, pools or wanted jobs that a sheet may drop without "
+        "confirmation.",
+        0,
+        1,
+    )
+
+
+@frozen
+class KeySettings:
+    """Validity of keys."""
+
+    freshness_seconds: float = option(
+        "Age of the newest freshness proof above which keyed work is refused.", 1, 60
+    )
+
+
+@frozen
+class LimitSettings:
+    """Escrowed slots of the teams' limits."""
+
+    lease_seconds: float = option("Validity of the holder row.", 1, 600)
+    renew_seconds: float = option("Interval between renewals.", 0.2, 300)
+    margin_seconds: float = option(
+        "Added to lease and longest deadline before slots are reclaimed.", 0.1, 60
+    )
+    reserved_fraction: float = option(
+        "Part of each limit that is reserved for data centres.", 0, 1
+    )
+    rebalance_seconds: float = option(
+        "Shortest time between two slot transactions for a team.", 0.05, 60
+    )
+
+
+@frozen
+class RequestSettings:
+    """The path of a request."""
+
+    max_body_bytes: int = option("Largest request body.", 1, 1 << 30)
+    max_deadline_seconds: float = option("Longest deadline granted.", 0.1, 3600)
+    queue_length: int = option("Longest queue of one pool.", 1, 1_000_000)
+    batch_fraction: float = option(
+        "Part of a full pool that batch queues get at least.", 0, 0.9
+    )
+    retry_fraction: float = option("Retries allowed per first try.", 0, 1)
+    claim_batch_seconds: float = option(
+        "Time for which claims are collected into one transaction.", 0, 1
+    )
+    result_keep_seconds: float = option(
+        "Time for which results are kept for callers who ask again.", 1, 86_400
+    )
+    max_kept_results: int = option("Largest number of kept results.", 1, 1_000_000)
+
+
+@frozen
+class JobSettings:
+    """Placement of jobs."""
+
+    enabled: bool = option("Whether this daemon places jobs.")
+    interval_seconds: float = option("Interval between placement rounds.", 0.05, 60)
+    lease_seconds: float = option("Lease of a running task.", 2, 3600)
+    headroom: float = option("Factor on observed usage when sizing tasks.", 1, 4)
+    writes_per_second: float = option("Largest rate of table writes.", 1, 1000)
+
+
+@frozen
+class MaintenanceSettings:
+    """Maintenance waves, moves and buffers."""
+
+    enabled: bool = option("Whether this daemon maintains instances.")
+    interval_seconds: float = option("Interval between steps.", 0.05, 300)
+    max_bad_instances: int = option(
+        "Instances that come back bad before a wave halts itself.", 1, 100
+    )
+    health_wait_seconds: float = option(
+        "Time an instance may take to become healthy after a reboot.", 1, 86_400
+    )
+    share_weight: float = option("Weight of share error in the policy.", 0, 100)
+    buffer_weight: float = option("Weight of idle instances in the policy.", 0, 100)
+    move_weight: float = option("Weight of moves in the policy.", 0, 100)
+
+
+@frozen
+class OperatorSettings:
+    """Operator interface."""
+
+    token: str = option("Bearer token of the operators.", secret=True)
+
+
+@frozen
+class LogSettings:
+    """Logs."""
+
+    level: str = option(
+        "Lowest level that is written.",
+        choices=("DEBUG", "INFO", "WARNING", "ERROR"),
+    )
+    format: str = option("Form of a line.", choices=("json", "text"))
+
+
+@frozen
+class TraceSettings:
+    """Traces."""
+
+    export: str = option("Where finished spans go.", choices=("none", "log", "file"))
+    file: str = option("File for spans if export is file.")
+    sample_fraction: float = option("Part of new traces that is recorded.", 0, 1)
+
+
+@frozen
+class Settings:
+    """All sections."""
+
+    daemon: DaemonSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    peers: PeerSettings
+    configuration: ConfigurationSettings
+    keys: KeySettings
+    limits: LimitSettings
+    requests: RequestSettings
+    jobs: JobSettings
+    maintenance: MaintenanceSettings
+    operators: OperatorSettings
+    log: LogSettings
+    trace: TraceSettings
+
+
+def load_settings(path: str | Path) -> Settings:
+    """Read the defaults and the user's file and check everything.
+
+    Raises ``SettingsError`` with all problems found.
+    """
+    parser = ConfigParser(interpolation=None)
+    problems: list[str] = []
+    for source in (DEFAULTS_FILE, Path(path)):
+        problems.extend(_read_file(parser, source))
+    problems.extend(_find_unknown(parser, Path(path)))
+    sections: dict[str, Any] = {}
+    for section, kind in get_type_hints(Settings).items():
+        values, found = _read_section(parser, section, kind, Path(path))
+        problems.extend(found)
+        if not found:
+            sections[section] = kind(**values)
+    if not problems:
+        problems.extend(_check_relations(sections, Path(path)))
+    if problems:
+        raise SettingsError(problems)
+    return Settings(**sections)
+
+
+def _read_file(parser: ConfigParser, path: Path) -> Iterator[str]:
+    try:
+        with path.open(encoding="utf-8") as stream:
+            parser.read_file(stream, source=str(path))
+    except OSError as error:
+        yield f"{path}: cannot be read: {error.strerror}"
+    except (ConfigParserError, UnicodeDecodeError) as error:
+        yield f"{path}: {' '.join(str(error).split())}"
+
+
+def _find_unknown(parser: ConfigParser, path: Path) -> Iterator[str]:
+    kinds = get_type_hints(Settings)
+    for section in parser.sections():
+        if section not in kinds:
+            yield f"{path}: unknown section [{section}]"
+            continue
+        known = {attribute.name for attribute in attrs.fields(kinds[section])}
+        for key, value in parser.items(section):
+            if key not in known:
+                yield f"{path}: [{section}] unknown key {key!r} with value {value!r}"
+
+
+def _read_section(
+    parser: ConfigParser, section: str, kind: type, path: Path
+) -> tuple[dict[str, Any], list[str]]:
+    values: dict[str, Any] = {}
+    problems: list[str] = []
+    hints = get_type_hints(kind)
+    for attribute in attrs.fields(kind):
+        text = parser.get(section, attribute.name, fallback=None)
+        if text is None:
+            problems.append(f"{path}: [{section}] {attribute.name} is missing")
+            continue
+        try:
+            values[attribute.name] = _convert(text, hints[attribute.name], attribute)
+        except ValueError as error:
+            shown = "(hidden)" if attribute.metadata["secret"] else repr(text)
+            problems.append(f"{path}: [{section}] {attribute.name} = {shown}: {error}")
+    return values, problems
+
+
+def _convert(text: str, kind: Any, attribute: Attribute) -> Any:
+    if kind is bool:
+        return _convert_boolean(text)
+    if kind is int or kind is float:
+        return _convert_number(text, kind, attribute)
+    if kind is str:
+        return _convert_text(text, attribute)
+    parts = tuple(part.strip() for part in text.split(",") if part.strip())
+    if not parts:
+        raise ValueError("must name at least one entry")
+    return parts
+
+
+def _convert_boolean(text: str) -> bool:
+    if text.lower() not in _BOOLEANS:
+        raise ValueError("must be yes or no")
+    return _BOOLEANS[text.lower()]
+
+
+def _convert_number(text: str, kind: type, attribute: Attribute) -> float:
+    try:
+        number = kind(text)
+    except ValueError:
+        wanted = "a whole number" if kind is int else "a number"
+        raise ValueError(f"must be {wanted}") from None
+    minimum = attribute.metadata["minimum"]
+    maximum = attribute.metadata["maximum"]
+    if not minimum <= number <= maximum:
+        raise ValueError(f"must be from {minimum} to {maximum}")
+    return number
+
+
+def _convert_text(text: str, attribute: Attribute) -> str:
+    choices = attribute.metadata["choices"]
+    if choices and text not in choices:
+        raise ValueError(f"must be one of {', '.join(choices)}")
+    if attribute.metadata["secret"] and len(text) < 16:
+        raise ValueError("must have 16 characters or more")
+    return text
+
+
+def _check_relations(sections: dict[str, Any], path: Path) -> Iterator[str]:
+    daemon = sections["daemon"]
+    if not daemon.name:
+        yield f"{path}: [daemon] name is empty"
+    if daemon.data_centre not in daemon.data_centres:
+        yield (
+            f"{path}: [daemon] data_centre = {daemon.data_centre!r}: "
+            "is not among data_centres"
+        )
+    limits = sections["limits"]
+    if limits.renew_seconds * 2 > limits.lease_seconds:
+        yield (
+            f"{path}: [limits] renew_seconds = {limits.renew_seconds}: "
+            "must be at most half of lease_seconds"
+        )
+    keys = sections["keys"]
+    if sections["configuration"].poll_seconds * 2 > keys.freshness_seconds:
+        yield (
+            f"{path}: [keys] freshness_seconds = {keys.freshness_seconds}: "
+            "must be at least twice configuration.poll_seconds"
+        )
+    trace = sections["trace"]
+    if trace.export == "file" and not trace.file:
+        yield f"{path}: [trace] file is empty although export is file"
--- /dev/null
+++ b/hemlockstand/sheet/__init__.py
@@ -0,0 +1,1 @@
+"""Reading, checking and planning the planners' daily sheet."""
