Add job placement: records, fair order, placement rounds, quarantine

Ways weighed for the rows: a row per task plus a row per worker plus a team row costs three writes per placement; keeping a team's tasks in its own row costs two (team and worker) and makes the team's limit part of the same conditional write. Pending runs follow from the schedule and need no row.

Before: none.

Conclusion: the service waits for the maintenance service, which knows the members of a pool.

--- /dev/null
+++ b/hemlockstand/jobs/quarantine.py
@@ -0,0 +1,130 @@
+"""Tells a job that can never run from a worker that fails everything.
+
+A job that failed on several distinct workers, each of which runs other jobs,
+is parked. A worker on which several distinct jobs failed, each of which runs
+elsewhere or is new, is put in quarantine and probed. Both have a bounded
+number of starts whatever the order of events.
+"""
+
+from attrs import evolve
+
+from hemlockstand.jobs.records import (
+    Parked,
+    Quarantine,
+    Task,
+    TeamWork,
+    WorkerState,
+    drop_entry,
+    release_task,
+)
+
+DISTINCT_WORKERS = 3  # failures on fewer could be the workers' fault
+DISTINCT_JOBS = 3  # failures of fewer could be the jobs' fault
+MAX_JOB_STARTS = 5
+MAX_WORKER_STARTS = 5
+PROBE_SECONDS = 300.0
+UNCONFIRMED_SECONDS = 10.0
+MAX_PROBES = MAX_WORKER_STARTS - DISTINCT_JOBS
+
+
+def record_success(
+    work: TeamWork, worker: WorkerState, task: Task
+) -> tuple[TeamWork, WorkerState]:
+    """Return both records after a task finished well."""
+    return (
+        evolve(
+            work,
+            running=drop_entry(work.running, task.name),
+            last_run={**work.last_run, task.job: task.run},
+            failed_on=drop_entry(work.failed_on, task.job),
+            starts=drop_entry(work.starts, task.job),
+        ),
+        evolve(
+            release_task(worker, task),
+            failed_jobs=(),
+            failed_starts=0,
+            quarantine=None,
+        ),
+    )
+
+
+def record_failure(
+    work: TeamWork, worker: WorkerState, task: Task, now: float
+) -> tuple[TeamWork, WorkerState]:
+    """Return both records after a task failed.
+
+    ``now`` is in seconds since the epoch. The job is parked, the worker put
+    in quarantine when the evidence suffices. A failure on a worker already in
+    quarantine says nothing about the job.
+    """
+    worker_known_bad = worker.quarantine is not None
+    worker = _blame_worker(release_task(worker, task), task, now)
+    work = evolve(work, running=drop_entry(work.running, task.name))
+    if worker_known_bad:
+        return _forgive_start(work, task), worker
+    failed_on = work.failed_on.get(task.job, ())
+    if task.worker not in failed_on:
+        failed_on = (*failed_on, task.worker)
+    work = evolve(work, failed_on={**work.failed_on, task.job: failed_on})
+    return _park_if_proved(work, task, failed_on, now), worker
+
+
+def _forgive_start(work: TeamWork, task: Task) -> TeamWork:
+    starts = max(0, work.starts.get(task.job, 0) - 1)
+    return evolve(work, starts={**work.starts, task.job: starts})
+
+
+def _blame_worker(worker: WorkerState, task: Task, now: float) -> WorkerState:
+    jobs = worker.failed_jobs
+    if task.job not in jobs:
+        jobs = (*jobs, task.job)
+    worker = evolve(worker, failed_jobs=jobs, failed_starts=worker.failed_starts + 1)
+    if worker.quarantine is not None:
+        return evolve(worker, quarantine=evolve(worker.quarantine, since=now))
+    if len(jobs) >= DISTINCT_JOBS or worker.failed_starts >= MAX_WORKER_STARTS:
+        return evolve(worker, quarantine=Quarantine(jobs, now))
+    return worker
+
+
+def _park_if_proved(
+    work: TeamWork, task: Task, failed_on: tuple[str, ...], now: float
+) -> TeamWork:
+    starts = work.starts.get(task.job, 0)
+    if len(failed_on) >= DISTINCT_WORKERS:
+        reason = f"failed on {len(failed_on)} distinct workers"
+    elif starts >= MAX_JOB_STARTS:
+        reason = f"failed {starts} starts in a row"
+    else:
+        return work
+    parked = Parked(reason, failed_on, now)
+    return evolve(
+        work,
+        parked={**work.parked, task.job: parked},
+        last_run={**work.last_run, task.job: task.run},
+    )
+
+
+def count_starts_left(worker: WorkerState, now: float) -> int:
+    """Return how many more starts the worker may be given at once.
+
+    Starts that are younger than ``UNCONFIRMED_SECONDS`` may all fail, so they
+    count like failures. A worker in quarantine gets a single probe when one
+    is due.
+    """
+    if worker.quarantine is not None:
+        due = now - worker.quarantine.since >= PROBE_SECONDS
+        left = worker.quarantine.probes < MAX_PROBES
+        return int(due and left and not worker.allocations)
+    unconfirmed = sum(
+        now - allocation.started_at < UNCONFIRMED_SECONDS
+        for allocation in worker.allocations.values()
+    )
+    return max(0, MAX_WORKER_STARTS - worker.failed_starts - unconfirmed)
+
+
+def count_probe(worker: WorkerState) -> WorkerState:
+    """Return the worker with a probe counted if it is in quarantine."""
+    if worker.quarantine is None:
+        return worker
+    probes = worker.quarantine.probes + 1
+    return evolve(worker, quarantine=evolve(worker.quarantine, probes=probes))
--- /dev/null
+++ b/hemlockstand/jobs/rounds.py
@@ -0,0 +1,467 @@
+"""One placement round of one pool, written straight down.
+
+A round reads the rows and the workers' reports, settles what ended, places
+what is due, commits both in one transaction and then tells the workers. A
+daemon may die after any step: the next owner of the pool finds everything in
+the rows and sends the start of a task again with the same fence, which a
+worker accepts at most once.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
+from datetime import UTC, datetime
+from math import inf
+
+import trio
+from attrs import define, evolve, field, frozen
+from loguru import logger
+
+from hemlockstand.errors import HemlockstandError, InvalidInput
+from hemlockstand.jobs.accounting import FairOrder, Pending
+from hemlockstand.jobs.placement import Placement, PoolState, Site, Unplaced, place_runs
+from hemlockstand.jobs.quarantine import count_probe, record_failure, record_success
+from hemlockstand.jobs.records import (
+    Task,
+    TeamWork,
+    WorkerState,
+    drop_entry,
+    release_task,
+    start_task,
+)
+from hemlockstand.jobs.relief import Checkpoint, Relief, Stop, Throttle, relieve_worker
+from hemlockstand.jobs.schedules import is_wanted
+from hemlockstand.jobs.sizing import SizeBounds, estimate_shape, learn_size
+from hemlockstand.jobs.store import JobStore
+from hemlockstand.jobs.wakes import UnwantedWakes, find_due, select_unfinished
+from hemlockstand.model import Configuration, Job
+from hemlockstand.platform.interface import (
+    Shape,
+    TaskReport,
+    TaskStart,
+    TaskState,
+    WorkerReport,
+    Workers,
+)
+
+log = logger.bind(module=__name__)
+
+START_WINDOW_SECONDS = 2.0  # a start is not sent later than this after its commit
+GONE_MARGIN_SECONDS = 5.0  # added to the lease before a silent worker's tasks move
+
+
+@frozen
+class RoundOutcome:
+    """What a round did, for metrics and operators."""
+
+    placed: int
+    finished: int
+    failed: int
+    unplaced: tuple[Unplaced, ...] = ()
+
+
+@define
+class Draft:
+    """Changes of a round before they are committed."""
+
+    works: dict[str, TeamWork]
+    workers: dict[str, WorkerState]
+    starts: list[tuple[str, Task]] = field(factory=list)
+    checkpoints: list[Task] = field(factory=list)
+    finished: int = 0
+    failed: int = 0
+    placed: int = 0
+    unplaced: list[Unplaced] = field(factory=list)
+
+
+@define
+class PoolRounds:
+    """Places the jobs of one pool.
+
+    ``clock`` returns seconds since the epoch, ``list_sites`` the pool's
+    workers, ``sum_fleet`` the capacity of all workers of the fleet.
+    """
+
+    pool: str
+    store: JobStore
+    workers: Workers
+    lease_seconds: float
+    headroom: float
+    clock: Callable[[], float]
+    list_sites: Callable[[], dict[str, Site]]
+    sum_fleet: Callable[[], Shape]
+    wakes: UnwantedWakes = field(factory=UnwantedWakes)
+    _renewed: dict[tuple[str, int], float] = field(factory=dict)
+    _missing_since: dict[tuple[str, int], float] = field(factory=dict)
+    _peaks: dict[tuple[str, int], Shape] = field(factory=dict)
+
+    async def run_round(self, configuration: Configuration) -> RoundOutcome | None:
+        """Run one round; ``None`` means that another daemon came first.
+
+        Raises ``PlatformUnavailable`` when the table is down.
+        """
+        now = self.clock()
+        sites = self.list_sites()
+        await self._load(configuration, sites)
+        draft = Draft(dict(self.store.works), dict(self.store.workers))
+        for name in list(draft.workers):
+            await self._settle_worker(draft, configuration, sites, name, now)
+        self._place(draft, configuration, sites, now)
+        sent_at = trio.current_time()
+        works = draft.works.values()
+        if not await self.store.commit(works, draft.workers.values()):
+            return None
+        await self._act(draft, sent_at)
+        return RoundOutcome(
+            draft.placed, draft.finished, draft.failed, tuple(draft.unplaced)
+        )
+
+    async def _load(self, configuration: Configuration, sites: dict[str, Site]) -> None:
+        teams = {
+            job.team for job in configuration.jobs.values() if job.pool == self.pool
+        }
+        await self.store.load(sorted(teams), sorted(sites))
+        holders = {
+            allocation.team
+            for worker in self.store.workers.values()
+            for allocation in worker.allocations.values()
+        }
+        await self.store.load(sorted(holders), ())
+
+    async def _settle_worker(
+        self,
+        draft: Draft,
+        configuration: Configuration,
+        sites: dict[str, Site],
+        name: str,
+        now: float,
+    ) -> None:
+        await self._release_orphans(draft, name, now)
+        tasks = list(_list_tasks(draft, name))
+        if not tasks:
+            return
+        report = await self._read_report(name)
+        told = {(entry.task, entry.fence): entry for entry in report.tasks}
+        for team, task in tasks:
+            entry = told.get((task.name, task.fence))
+            await self._settle_task(draft, configuration, team, task, entry, now)
+        site = sites.get(name)
+        if site is not None:
+            allocations = draft.workers[name].allocations
+            for relief in relieve_worker(report, allocations, site.capacity):
+                await self._relieve(draft, name, relief)
+            if not site.open:
+                draft.checkpoints.extend(task for _, task in _list_tasks(draft, name))
+
+    async def _release_orphans(self, draft: Draft, name: str, now: float) -> None:
+        """Free what a worker holds for tasks that their team has cancelled."""
+        known = {task.name for _, task in _list_tasks(draft, name)}
+        for task, held in tuple(draft.workers[name].allocations.items()):
+            if task not in known and await self._fence_off(name, task, held.fence, now):
+                worker = draft.workers[name]
+                kept = drop_entry(worker.allocations, task)
+                draft.workers[name] = evolve(worker, allocations=kept)
+
+    async def _fence_off(self, worker: str, task: str, fence: int, now: float) -> bool:
+        """Return whether the task surely no longer runs on the worker.
+
+        The stop makes the worker refuse a start with this fence that a paused
+        daemon may still send. A worker that cannot be reached has stopped the
+        task when its lease has run out.
+        """
+        since = self._missing_since.setdefault((task, fence), now)
+        try:
+            await self.workers.stop(worker, task, fence)
+        except HemlockstandError as error:
+            if now - since < self.lease_seconds + GONE_MARGIN_SECONDS:
+                log.info("task {} may still run: {}", task, error)
+                return False
+        self._missing_since.pop((task, fence), None)
+        return True
+
+    async def _read_report(self, worker: str) -> WorkerReport:
+        try:
+            return await self.workers.report(worker)
+        except HemlockstandError as error:
+            log.info("worker {} gives no report: {}", worker, error)
+            return WorkerReport(worker, ())
+
+    async def _settle_task(
+        self,
+        draft: Draft,
+        configuration: Configuration,
+        team: str,
+        task: Task,
+        report: TaskReport | None,
+        now: float,
+    ) -> None:
+        if report is None:
+            await self._settle_missing(draft, team, task, now)
+            return
+        self._missing_since.pop((task.name, task.fence), None)
+        self._note_peak(task, report.usage)
+        match report.state:
+            case TaskState.DONE:
+                self._finish(draft, team, task, now)
+            case TaskState.FAILED:
+                self._fail(draft, team, task, report, now)
+            case TaskState.CHECKPOINTED:
+                _suspend(draft, team, task)
+            case TaskState.STOPPED:
+                _drop(draft, team, task)
+            case _:
+                await self._keep(draft, configuration, team, task, now)
+
+    def _note_peak(self, task: Task, usage: Shape) -> None:
+        key = task.name, task.fence
+        peak = self._peaks.get(key, usage)
+        self._peaks[key] = Shape(
+            max(peak.cores, usage.cores),
+            max(peak.memory_mb, usage.memory_mb),
+            task.shape.accelerators,
+        )
+
+    def _finish(self, draft: Draft, team: str, task: Task, now: float) -> None:
+        work, worker = record_success(
+            draft.works[team], draft.workers[task.worker], task
+        )
+        peak = self._peaks.pop((task.name, task.fence), task.shape)
+        size = learn_size(work.sizes.get(task.job), peak, now - task.started_at)
+        draft.works[team] = evolve(work, sizes={**work.sizes, task.job: size})
+        draft.workers[task.worker] = worker
+        draft.finished += 1
+
+    def _fail(
+        self, draft: Draft, team: str, task: Task, report: TaskReport, now: float
+    ) -> None:
+        log.info("task {} failed on {}: {}", task.name, task.worker, report.detail)
+        self._peaks.pop((task.name, task.fence), None)
+        draft.works[team], draft.workers[task.worker] = record_failure(
+            draft.works[team], draft.workers[task.worker], task, now
+        )
+        draft.failed += 1
+
+    async def _keep(
+        self,
+        draft: Draft,
+        configuration: Configuration,
+        team: str,
+        task: Task,
+        now: float,
+    ) -> None:
+        """Renew the lease of a running task, or end it if it is unwanted."""
+        day = datetime.fromtimestamp(now, UTC).date()
+        job = configuration.jobs.get(task.job)
+        if not is_wanted(job, team, self.pool, day):
+            log.info("task {} is no longer wanted", task.name)
+            draft.checkpoints.append(task)
+            return
+        key = task.name, task.fence
+        if now - self._renewed.get(key, -inf) < self.lease_seconds / 3:
+            return
+        try:
+            await self.workers.renew(
+                task.worker, task.name, task.fence, self.lease_seconds
+            )
+            self._renewed[key] = now
+        except HemlockstandError as error:
+            log.info("lease of task {} is not renewed: {}", task.name, error)
+
+    async def _settle_missing(
+        self, draft: Draft, team: str, task: Task, now: float
+    ) -> None:
+        """Decide on a task that its worker does not report.
+
+        Reports lag, so a task that has just been started is sent again with
+        the same fence; later it is fenced off and its run is due again.
+        """
+        since = self._missing_since.setdefault((task.name, task.fence), now)
+        if now - since < START_WINDOW_SECONDS:
+            draft.starts.append((team, task))
+        elif await self._fence_off(task.worker, task.name, task.fence, now):
+            _drop(draft, team, task)
+
+    async def _relieve(self, draft: Draft, worker: str, relief: Relief) -> None:
+        held = draft.workers[worker].allocations[relief.task]
+        log.info("worker {} is overcommitted: {}", worker, relief)
+        try:
+            match relief:
+                case Checkpoint(task=task):
+                    await self.workers.checkpoint(worker, task, held.fence)
+                case Throttle(task=task, fraction=fraction):
+                    await self.workers.throttle(worker, task, held.fence, fraction)
+                case Stop(task=task):
+                    await self.workers.stop(worker, task, held.fence)
+        except HemlockstandError as error:
+            log.info("relief of worker {} failed: {}", worker, error)
+
+    def _place(
+        self,
+        draft: Draft,
+        configuration: Configuration,
+        sites: dict[str, Site],
+        now: float,
+    ) -> None:
+        present = {name: site for name, site in sites.items() if name in draft.workers}
+        state = PoolState(present, draft.workers, now)
+        usage = {team: work.measure_usage() for team, work in draft.works.items()}
+        order = FairOrder(configuration.teams, usage, self.sum_fleet())
+        order.add_runs(self._list_pending(draft, configuration, present, now))
+        for decision in place_runs(order, state):
+            match decision:
+                case Placement():
+                    _apply_placement(draft, decision, now)
+                case Unplaced():
+                    draft.unplaced.append(decision)
+
+    def _list_pending(
+        self,
+        draft: Draft,
+        configuration: Configuration,
+        sites: dict[str, Site],
+        now: float,
+    ) -> Iterator[Pending]:
+        at = datetime.fromtimestamp(now, UTC)
+        jobs = [job for job in configuration.jobs.values() if job.pool == self.pool]
+        due = self.wakes.select_wanted(
+            find_due(jobs, at), configuration.teams, draft.works, at
+        )
+        bounds = SizeBounds(_find_largest(sites.values()))
+        for entry in select_unfinished(due, draft.works):
+            work = draft.works[entry.job.team]
+            yield self._make_pending(
+                entry.job, work, entry.name, entry.run, entry.due_at, bounds
+            )
+        for work in draft.works.values():
+            for name, job, run, since in _list_waiting(work, configuration):
+                if is_wanted(job, work.team, self.pool, at.date()):
+                    yield self._make_pending(job, work, name, run, since, bounds)
+
+    def _make_pending(
+        self,
+        job: Job,
+        work: TeamWork,
+        name: str,
+        run: str,
+        due_at: float,
+        bounds: SizeBounds,
+    ) -> Pending:
+        size = work.sizes.get(job.name)
+        return Pending(
+            name,
+            job.team,
+            job.name,
+            run,
+            estimate_shape(job, size, self.headroom, bounds),
+            job.priority,
+            due_at,
+            frozenset(work.failed_on.get(job.name, ())),
+            size is not None,
+        )
+
+    async def _act(self, draft: Draft, committed_at: float) -> None:
+        for task in draft.checkpoints:
+            await self._send(self.workers.checkpoint, task)
+        async with trio.open_nursery() as nursery:
+            for team, task in draft.starts:
+                nursery.start_soon(self._start, team, task, committed_at)
+
+    async def _send(self, call: Callable, task: Task) -> None:
+        try:
+            await call(task.worker, task.name, task.fence)
+        except HemlockstandError as error:
+            log.info("message about task {} failed: {}", task.name, error)
+
+    async def _start(self, team: str, task: Task, committed_at: float) -> None:
+        """Send a start unless this daemon was paused since the commit."""
+        start = TaskStart(
+            task.name,
+            task.fence,
+            self.lease_seconds,
+            task.shape,
+            task.priority,
+            {"job": task.job, "run": task.run, "team": team},
+        )
+        if trio.current_time() - committed_at > START_WINDOW_SECONDS:
+            log.warning("start of task {} is not sent late", task.name)
+            return
+        try:
+            await self.workers.start(task.worker, start)
+            self._renewed[task.name, task.fence] = self.clock()
+        except InvalidInput as error:
+            if error.code != "stale_fence":
+                log.warning("worker refuses task {}: {}", task.name, error)
+        except HemlockstandError as error:
+            log.info("start of task {} failed: {}", task.name, error)
+
+
+def _list_tasks(draft: Draft, worker: str) -> Iterator[tuple[str, Task]]:
+    for name, allocation in draft.workers[worker].allocations.items():
+        work = draft.works.get(allocation.team)
+        task = work.running.get(name) if work is not None else None
+        if task is not None and task.fence == allocation.fence:
+            yield allocation.team, task
+
+
+def _list_waiting(
+    work: TeamWork, configuration: Configuration
+) -> Iterator[tuple[str, Job | None, str, float]]:
+    """Yield checkpointed tasks and demanded runs of jobs that are not parked."""
+    for task in work.running.values():
+        if task.checkpointed:
+            job = configuration.jobs.get(task.job)
+            yield task.name, job, task.run, task.started_at
+    for name, demanded in work.demanded.items():
+        if demanded.job not in work.parked and name not in work.running:
+            job = configuration.jobs.get(demanded.job)
+            yield name, job, demanded.run, demanded.asked_at
+
+
+def _find_largest(sites: Iterable[Site]) -> Shape:
+    largest = Shape(0.0, 0, 0)
+    for site in sites:
+        largest = Shape(
+            max(largest.cores, site.capacity.cores),
+            max(largest.memory_mb, site.capacity.memory_mb),
+            max(largest.accelerators, site.capacity.accelerators),
+        )
+    return largest
+
+
+def _drop(draft: Draft, team: str, task: Task) -> None:
+    """Forget a start that no longer runs; the run is due again."""
+    work = draft.works[team]
+    draft.works[team] = evolve(work, running=drop_entry(work.running, task.name))
+    draft.workers[task.worker] = release_task(draft.workers[task.worker], task)
+
+
+def _suspend(draft: Draft, team: str, task: Task) -> None:
+    """Release the resources of a checkpointed task and keep its run."""
+    work = draft.works[team]
+    suspended = evolve(task, checkpointed=True)
+    draft.works[team] = evolve(work, running={**work.running, task.name: suspended})
+    draft.workers[task.worker] = release_task(draft.workers[task.worker], task)
+
+
+def _apply_placement(draft: Draft, placement: Placement, now: float) -> None:
+    run = placement.run
+    for victim in placement.victims:
+        team = victim.allocation.team
+        task = draft.works[team].running[victim.task]
+        _suspend(draft, team, task)
+        draft.checkpoints.append(task)
+    work = draft.works[run.team]
+    task = Task(
+        run.name,
+        run.job,
+        run.run,
+        placement.worker,
+        work.fence + 1,
+        run.shape,
+        run.priority,
+        now,
+    )
+    draft.works[run.team], worker = start_task(
+        work, draft.workers[placement.worker], task
+    )
+    draft.workers[placement.worker] = count_probe(worker)
+    draft.starts.append((run.team, task))
+    draft.placed += 1
--- /dev/null
+++ b/hemlockstand/jobs/service.py
@@ -0,0 +1,332 @@
+"""The jobs service: one task per pool that this daemon places jobs for.
+
+Rendezvous hashing over the live daemons assigns each pool to one of them.
+That is only a hint which avoids conflicts; the conditional writes keep every
+promise when two daemons believe that they own a pool.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from datetime import UTC, datetime
+from random import Random
+from time import time
+
+import trio
+from attrs import evolve, frozen
+from loguru import logger
+
+from hemlockstand.configuration.service import ConfigurationService
+from hemlockstand.errors import (
+    HemlockstandError,
+    InvalidInput,
+    NotFound,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    TableConflict,
+)
+from hemlockstand.jobs.placement import Site, Unplaced, sum_capacity
+from hemlockstand.jobs.records import (
+    WORK_PREFIX,
+    WORKER_PREFIX,
+    DemandedRun,
+    TeamWork,
+    WorkerState,
+    decode_work,
+    decode_worker,
+    drop_entry,
+    encode_work,
+    name_task,
+)
+from hemlockstand.jobs.rounds import PoolRounds, RoundOutcome
+from hemlockstand.jobs.schedules import is_wanted, name_run
+from hemlockstand.jobs.store import JobStore
+from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.maintenance.service import MaintenanceService
+from hemlockstand.model import Configuration, Job, PoolKind
+from hemlockstand.peers.service import PeersService
+from hemlockstand.platform.interface import Shape
+from hemlockstand.platform.service import PlatformService
+
+log = logger.bind(module=__name__)
+
+MAX_BACKOFF_SECONDS = 30.0
+MAX_ATTEMPTS = 8  # conditional writes that race with a round of the owner
+
+
+@frozen
+class JobStatus:
+    """A job as operators see it.
+
+    ``state`` is ``wanted``, ``retired``, ``running``, ``checkpointed`` or
+    ``parked``.
+    """
+
+    name: str
+    team: str
+    pool: str
+    state: str
+    last_run: str
+    worker: str
+    detail: str
+
+
+def choose_owner(name: str, members: Iterable[str]) -> str:
+    """Return the member that rendezvous hashing assigns the name to."""
+    return max(
+        members,
+        key=lambda member: hashlib.blake2b(
+            f"{member}/{name}".encode(), digest_size=8
+        ).digest(),
+    )
+
+
+@register
+class JobsService(Service):
+    """Places, watches and cancels jobs."""
+
+    name = "jobs"
+    needs = ("platform", "configuration", "peers", "maintenance")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.platform = kernel.find("platform", PlatformService).platform
+        self.configuration = kernel.find("configuration", ConfigurationService)
+        self.peers = kernel.find("peers", PeersService)
+        self.maintenance = kernel.find("maintenance", MaintenanceService)
+        self.rounds: dict[str, PoolRounds] = {}
+        self.outcomes: dict[str, RoundOutcome] = {}
+        self._random = Random(self.settings.daemon.name)
+        self._tasks: dict[str, trio.CancelScope] = {}
+
+    async def run(self) -> None:
+        """Start and end the tasks of the pools as ownership changes."""
+        if not self.settings.jobs.enabled:
+            return
+        async with trio.open_nursery() as nursery:
+            while True:
+                owned = set(self._list_owned())
+                for pool in owned - self._tasks.keys():
+                    scope = trio.CancelScope()
+                    self._tasks[pool] = scope
+                    nursery.start_soon(self._serve_pool, pool, scope)
+                for pool in self._tasks.keys() - owned:
+                    self._tasks.pop(pool).cancel()
+                await trio.sleep(self.settings.jobs.interval_seconds)
+
+    def _list_owned(self) -> Iterable[str]:
+        members = [
+            member.name
+            for member in self.peers.members()
+            if member.alive and not member.leaving
+        ]
+        if self.settings.daemon.name not in members:
+            members.append(self.settings.daemon.name)
+        for pool in self.configuration.current.pools.values():
+            if pool.kind is PoolKind.WORKERS:
+                if choose_owner(pool.name, members) == self.settings.daemon.name:
+                    yield pool.name
+
+    async def _serve_pool(self, pool: str, scope: trio.CancelScope) -> None:
+        section = self.settings.jobs
+        self.rounds[pool] = PoolRounds(
+            pool,
+            JobStore(self.platform.table),
+            self.platform.workers,
+            section.lease_seconds,
+            section.headroom,
+            time,
+            lambda: self._list_sites(pool),
+            self._sum_fleet,
+        )
+        with scope:
+            try:
+                await self._repeat_rounds(pool)
+            finally:
+                del self.rounds[pool]
+
+    async def _repeat_rounds(self, pool: str) -> None:
+        section = self.settings.jobs
+        backoff = section.interval_seconds
+        while True:
+            placer = self.rounds[pool]
+            before = placer.store.writes
+            try:
+                outcome = await placer.run_round(self.configuration.current)
+                if outcome is not None:
+                    self.outcomes[pool] = outcome
+                backoff = section.interval_seconds
+            except PlatformUnavailable as error:
+                # Doubles with jitter, so that all pools of all daemons do not
+                # return at the same moment when the table is back.
+                backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+                log.info("round of pool {} failed: {}", pool, error)
+            written = placer.store.writes - before
+            pause = max(
+                backoff * self._random.uniform(0.5, 1.0),
+                written / section.writes_per_second,
+            )
+            await trio.sleep(pause)
+
+    def _list_sites(self, pool: str) -> dict[str, Site]:
+        return {
+            record.id: Site(
+                record.id,
+                record.data_centre,
+                record.rack,
+                Shape(record.cores, record.memory_mb, record.accelerators),
+                self.maintenance.is_open(record.id),
+            )
+            for record in self.maintenance.members(pool)
+        }
+
+    def _sum_fleet(self) -> Shape:
+        return sum_capacity(
+            site
+            for pool in self.configuration.current.pools.values()
+            if pool.kind is PoolKind.WORKERS
+            for site in self._list_sites(pool.name).values()
+        )
+
+    async def submit(self, job: str, team: str) -> str:
+        """Ask for a run of a job now; return the name of the task.
+
+        Raises ``InvalidInput`` with code ``not_wanted`` if the configuration
+        does not want the job for the team today, and ``PlatformUnavailable``.
+        """
+        configuration = self.configuration.current
+        wanted = configuration.jobs.get(job)
+        now = datetime.now(UTC)
+        pool = wanted.pool if wanted is not None else ""
+        if not is_wanted(wanted, team, pool, now.date()):
+            raise InvalidInput(
+                f"job {job!r} of team {team!r} is not wanted today", code="not_wanted"
+            )
+        run = name_run(now)
+        asked = DemandedRun(job, run, now.timestamp())
+        task = name_task(job, run)
+
+        def add(work: TeamWork) -> TeamWork:
+            return evolve(work, demanded={**work.demanded, task: asked})
+
+        await self._change_work(team, add)
+        return task
+
+    async def cancel(self, job: str) -> list[str]:
+        """Cancel the running and due runs of a job; return the task names.
+
+        Raises ``NotFound`` and ``PlatformUnavailable``.
+        """
+        team = self._find_job(job).team
+        cancelled = {}
+        run = name_run(datetime.now(UTC))
+
+        def remove(work: TeamWork) -> TeamWork:
+            cancelled.clear()
+            cancelled.update(
+                (name, task) for name, task in work.running.items() if task.job == job
+            )
+            running = {
+                name: task for name, task in work.running.items() if task.job != job
+            }
+            demanded = {
+                name: asked for name, asked in work.demanded.items() if asked.job != job
+            }
+            return evolve(
+                work,
+                running=running,
+                demanded=demanded,
+                last_run={**work.last_run, job: run},
+            )
+
+        await self._change_work(team, remove)
+        for name, task in cancelled.items():
+            try:
+                await self.platform.workers.stop(task.worker, name, task.fence)
+            except HemlockstandError as error:
+                log.info("stop of cancelled task {} failed: {}", name, error)
+        return list(cancelled)
+
+    async def unpark(self, job: str) -> None:
+        """Return a parked job to placement.
+
+        Raises ``NotFound`` and ``PlatformUnavailable``.
+        """
+
+        def clear(work: TeamWork) -> TeamWork:
+            return evolve(
+                work,
+                parked=drop_entry(work.parked, job),
+                failed_on=drop_entry(work.failed_on, job),
+                starts=drop_entry(work.starts, job),
+            )
+
+        await self._change_work(self._find_job(job).team, clear)
+
+    async def _change_work(self, team: str, change) -> None:
+        """Apply a change to a team's row; a lost reply is read back."""
+        for _ in range(MAX_ATTEMPTS):
+            row = await self.platform.table.read(WORK_PREFIX + team)
+            changed = change(decode_work(team, row))
+            operation = encode_work(changed)
+            if operation.value == row.value:
+                return
+            try:
+                await self.platform.table.transact([operation])
+                return
+            except (TableConflict, OutcomeUnknown) as error:
+                log.info("work of team {} is read again: {}", team, error.code)
+        raise PlatformUnavailable(f"the row of team {team!r} keeps changing")
+
+    def _find_job(self, job: str) -> Job:
+        found = self.configuration.current.jobs.get(job)
+        if found is None:
+            raise NotFound(f"job {job!r} does not exist")
+        return found
+
+    async def list_jobs(self) -> list[JobStatus]:
+        """Return all jobs with their state; raises ``PlatformUnavailable``."""
+        configuration = self.configuration.current
+        teams = sorted({job.team for job in configuration.jobs.values()})
+        rows = await self.platform.table.read_many([WORK_PREFIX + t for t in teams])
+        works = {
+            team: decode_work(team, row) for team, row in zip(teams, rows, strict=True)
+        }
+        return [
+            _describe_job(job, works[job.team], configuration)
+            for job in configuration.jobs.values()
+        ]
+
+    async def show_worker(self, worker: str) -> WorkerState:
+        """Return a worker's allocations and quarantine."""
+        row = await self.platform.table.read(WORKER_PREFIX + worker)
+        return decode_worker(worker, row)
+
+    def list_unplaced(self) -> list[Unplaced]:
+        """Return the runs of this daemon's pools that found no worker."""
+        return [
+            entry for outcome in self.outcomes.values() for entry in outcome.unplaced
+        ]
+
+
+def _describe_job(job: Job, work: TeamWork, configuration: Configuration) -> JobStatus:
+    task = next((t for t in work.running.values() if t.job == job.name), None)
+    parked = work.parked.get(job.name)
+    today = datetime.now(UTC).date()
+    if parked is not None:
+        state, detail = "parked", f"{parked.reason}: {', '.join(parked.workers)}"
+    elif task is not None:
+        state = "checkpointed" if task.checkpointed else "running"
+        detail = f"fence {task.fence}"
+    elif is_wanted(job, job.team, job.pool, today):
+        state, detail = "wanted", job.schedule
+    else:
+        state, detail = "retired", f"last wanted on {job.last_day.isoformat()}"
+    return JobStatus(
+        job.name,
+        job.team,
+        job.pool,
+        state,
+        work.last_run.get(job.name, ""),
+        task.worker if task is not None else "",
+        detail,
+    )
--- /dev/null
+++ b/hemlockstand/jobs/wakes.py
@@ -0,0 +1,125 @@
+"""Runs that are due, and those that wake although nobody wants them."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from datetime import datetime
+
+from attrs import define, field, frozen
+
+from hemlockstand.jobs.records import ObservedSize, TeamWork, name_task
+from hemlockstand.jobs.schedules import (
+    find_last_due,
+    is_wanted,
+    name_run,
+    parse_schedule,
+)
+from hemlockstand.model import Job, Team
+
+SECONDS_PER_HOUR = 3600
+
+
+@frozen
+class Due:
+    """A run whose time has come."""
+
+    job: Job
+    run: str
+    due_at: float
+
+    @property
+    def name(self) -> str:
+        """The name of the task that the run becomes."""
+        return name_task(self.job.name, self.run)
+
+
+@frozen
+class Refusal:
+    """A run that woke unwanted, with what it would have cost."""
+
+    job: str
+    team: str
+    house: str
+    run: str
+    reason: str
+    instance_hours: float
+
+
+def find_due(jobs: Iterable[Job], now: datetime) -> Iterator[Due]:
+    """Yield the newest due run of each scheduled job.
+
+    Older runs that were missed are not made up for: a job that was held up
+    for a day must not start a day's worth of runs at once.
+    """
+    for job in jobs:
+        due = find_last_due(parse_schedule(job.schedule), now)
+        if due is not None:
+            yield Due(job, name_run(due), due.timestamp())
+
+
+def select_unfinished(
+    due: Iterable[Due], works: Mapping[str, TeamWork]
+) -> Iterator[Due]:
+    """Yield runs that are neither running, finished nor parked.
+
+    A job runs one at a time, so a run waits while an earlier one is running.
+    """
+    for entry in due:
+        work = works.get(entry.job.team)
+        if work is None:
+            yield entry
+            continue
+        finished = work.last_run.get(entry.job.name, "") >= entry.run
+        parked = entry.job.name in work.parked
+        running = any(task.job == entry.job.name for task in work.running.values())
+        if not (finished or parked or running):
+            yield entry
+
+
+@define
+class UnwantedWakes:
+    """Counts unwanted runs per house and what they would have cost."""
+
+    counts: dict[str, int] = field(factory=dict)
+    instance_hours: dict[str, float] = field(factory=dict)
+    newest: dict[str, Refusal] = field(factory=dict)
+
+    def select_wanted(
+        self,
+        due: Iterable[Due],
+        teams: Mapping[str, Team],
+        works: Mapping[str, TeamWork],
+        now: datetime,
+    ) -> Iterator[Due]:
+        """Pass on wanted runs and count each unwanted one once."""
+        for entry in due:
+            job = entry.job
+            if is_wanted(job, job.team, job.pool, now.date()):
+                yield entry
+                continue
+            known = self.newest.get(job.name)
+            if known is None or known.run != entry.run:
+                work = works.get(job.team)
+                size = work.sizes.get(job.name) if work is not None else None
+                self._count(_refuse(entry, teams, size))
+
+    def _count(self, refusal: Refusal) -> None:
+        house = refusal.house
+        self.newest[refusal.job] = refusal
+        self.counts[house] = self.counts.get(house, 0) + 1
+        hours = self.instance_hours.get(house, 0.0) + refusal.instance_hours
+        self.instance_hours[house] = hours
+
+
+def _refuse(
+    entry: Due, teams: Mapping[str, Team], size: ObservedSize | None
+) -> Refusal:
+    job = entry.job
+    team = teams.get(job.team)
+    seconds = job.run_minutes * 60 if size is None else size.run_seconds
+    return Refusal(
+        job.name,
+        job.team,
+        team.house if team is not None else "unknown",
+        entry.run,
+        f"last wanted on {job.last_day.isoformat()}",
+        seconds / SECONDS_PER_HOUR,
+    )
--- /dev/null
+++ b/test/test_job_rounds.py
@@ -0,0 +1,260 @@
+"""Placement rounds keep their promises through failures and races."""
+
+from datetime import UTC, date, datetime
+
+import pytest
+import trio
+from attrs import define, evolve, field
+
+from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
+from hemlockstand.jobs.placement import Site, sum_capacity
+from hemlockstand.jobs.rounds import Draft, PoolRounds
+from hemlockstand.jobs.store import JobStore
+from hemlockstand.model import Configuration, Job, Pool, PoolKind, Priority, Team
+from hemlockstand.platform.interface import Shape
+from hemlockstand.platform.memory import MemoryTable
+from test.fake_workers import FakeWorkers
+
+NOW = datetime(2026, 12, 4, 6, 0, 1, tzinfo=UTC).timestamp()
+POOL = "frame-workers"
+CAPACITY = Shape(16, 32_000)
+
+
+def make_job(name, team="frame", cores=4.0, priority=Priority.BATCH, **changes):
+    job = Job(
+        name, team, POOL, "every 1h", date(2026, 12, 31), priority, cores, 4000, 10
+    )
+    return evolve(job, **changes)
+
+
+def make_configuration(*jobs, limit=1.0):
+    teams = {
+        name: Team(name, name, share=1, request_limit=10, job_limit=limit)
+        for name in ("frame", "hinge")
+    }
+    pools = {POOL: Pool(POOL, PoolKind.WORKERS, ("dc1",), size=4, budget=1)}
+    return Configuration(1, None, teams, pools, {}, {job.name: job for job in jobs})
+
+
+def make_sites(count=4):
+    return {
+        f"w{index}": Site(f"w{index}", f"dc{index % 2}", f"r{index // 2}", CAPACITY)
+        for index in range(count)
+    }
+
+
+@define
+class SilentRounds(PoolRounds):
+    """Commits a round and is killed or paused before it tells the workers."""
+
+    kept: Draft | None = None
+
+    async def _act(self, draft, committed_at):
+        self.kept = draft
+
+
+@define
+class Bench:
+    """A pool with in-memory table and workers and a clock of its own."""
+
+    table: MemoryTable = field(factory=MemoryTable)
+    workers: FakeWorkers = field(factory=FakeWorkers)
+    sites: dict = field(factory=make_sites)
+    now: float = NOW
+
+    def make_rounds(self, kind=PoolRounds):
+        """Return the rounds of one more daemon on the same table."""
+        return kind(
+            POOL,
+            JobStore(self.table),
+            self.workers,
+            lease_seconds=30,
+            headroom=1.3,
+            clock=lambda: self.now,
+            list_sites=lambda: self.sites,
+            sum_fleet=lambda: sum_capacity(self.sites.values()),
+        )
+
+    async def repeat(self, rounds, configuration, count, seconds=1.0):
+        """Run rounds one second apart, unless stated otherwise."""
+        for _ in range(count):
+            await rounds.run_round(configuration)
+            self.now += seconds
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+async def test_due_job_starts_once_and_finishes(bench):
+    """Guards against a run that starts again after it finished."""
+    configuration = make_configuration(make_job("report"))
+    rounds = bench.make_rounds()
+    await bench.repeat(rounds, configuration, 3)
+    assert len(bench.workers.started) == 1
+    bench.workers.finish("report:20261204T060000Z")
+    await bench.repeat(rounds, configuration, 3)
+    assert len(bench.workers.started) == 1
+    bench.now += 3600
+    await bench.repeat(rounds, configuration, 2)
+    assert len(bench.workers.started) == 2
+
+
+async def test_unwanted_job_is_refused_and_counted(bench):
+    """Guards against retired jobs that hold instances."""
+    retired = make_job("old-report", last_day=date(2026, 12, 3))
+    rounds = bench.make_rounds()
+    await bench.repeat(rounds, make_configuration(retired), 3)
+    assert bench.workers.started == []
+    assert rounds.wakes.counts == {"frame": 1}
+    assert rounds.wakes.instance_hours["frame"] == pytest.approx(10 / 60)
+
+
+async def test_running_job_that_becomes_unwanted_is_checkpointed(bench):
+    """Guards against a job that outlives its last wanted day."""
+    job = make_job("report")
+    rounds = bench.make_rounds()
+    await bench.repeat(rounds, make_configuration(job), 2)
+    await bench.repeat(rounds, make_configuration(), 3)
+    assert bench.workers.count_running("report:20261204T060000Z") == 0
+    assert rounds.store.workers["w0"].allocations == {}
+
+
+async def test_two_daemons_start_a_run_once(bench):
+    """Guards against two daemons that both believe they own the pool."""
+    configuration = make_configuration(*(make_job(f"job-{n}") for n in range(6)))
+    first, second = bench.make_rounds(), bench.make_rounds()
+    for _ in range(4):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(first.run_round, configuration)
+            nursery.start_soon(second.run_round, configuration)
+        bench.now += 1
+    names = [task for _, task, _ in bench.workers.started]
+    assert sorted(names) == sorted(set(names))
+    assert len(names) == 6
+
+
+async def test_lost_reply_does_not_start_twice(bench):
+    """Guards against a commit that took effect although its reply was lost."""
+    configuration = make_configuration(make_job("report"))
+    rounds = bench.make_rounds()
+    await rounds.store.load(["frame"], sorted(bench.sites))
+    bench.table.fail_next(OutcomeUnknown("reply lost"), applied=True)
+    assert await rounds.run_round(configuration) is None
+    await bench.repeat(rounds, configuration, 4)
+    assert len(bench.workers.started) == 1
+
+
+async def test_next_daemon_sends_the_start_of_a_killed_one(bench):
+    """Guards against a run that is lost between commit and start."""
+    configuration = make_configuration(make_job("report"))
+    killed = bench.make_rounds(SilentRounds)
+    await killed.run_round(configuration)
+    assert bench.workers.started == []
+    await bench.repeat(bench.make_rounds(), configuration, 2)
+    assert len(bench.workers.started) == 1
+
+
+async def test_paused_daemon_cannot_start_a_task_that_moved_on(bench):
+    """Guards against a late start on the old worker beside the new one."""
+    configuration = make_configuration(make_job("report"))
+    paused = bench.make_rounds(SilentRounds)
+    await paused.run_round(configuration)
+    other = bench.make_rounds()
+    bench.workers.unreachable = set(bench.sites)
+    await bench.repeat(other, configuration, 2)
+    bench.workers.unreachable = set()
+    await bench.repeat(other, configuration, 3)
+    team, task = paused.kept.starts[0]
+    await paused._start(team, task, trio.current_time())
+    assert bench.workers.count_running(task.name) == 1
+
+
+async def test_outage_leaves_running_work_alone(bench):
+    """Guards against an outage that stops or repeats running tasks."""
+    configuration = make_configuration(make_job("report"))
+    rounds = bench.make_rounds()
+    await bench.repeat(rounds, configuration, 2)
+    bench.table.fail_next(PlatformUnavailable("table is down"))
+    rounds.store.forget()
+    with pytest.raises(PlatformUnavailable):
+        await rounds.run_round(configuration)
+    await bench.repeat(rounds, configuration, 2)
+    assert bench.workers.count_running("report:20261204T060000Z") == 1
+    assert len(bench.workers.started) == 1
+
+
+async def test_job_that_never_runs_is_parked(bench):
+    """Guards against a broken job that takes worker after worker."""
+    bench.workers.broken_jobs = {"broken"}
+    configuration = make_configuration(make_job("broken"), make_job("good"))
+    rounds = bench.make_rounds()
+    await bench.repeat(rounds, configuration, 40)
+    starts = [task for _, task, _ in bench.workers.started if "broken" in task]
+    assert len(starts) <= 5
+    assert "broken" in rounds.store.works["frame"].parked
+    assert all(worker.quarantine is None for worker in rounds.store.workers.values())
+
+
+async def test_worker_that_fails_everything_is_quarantined(bench):
+    """Guards against a fast failing worker that attracts all starts."""
+    bench.workers.broken = {"w1"}
+    jobs = [make_job(f"job-{n}", cores=1.0) for n in range(20)]
+    rounds = bench.make_rounds()
+    await bench.repeat(rounds, make_configuration(*jobs), 60, seconds=20)
+    starts = [worker for worker, _, _ in bench.workers.started if worker == "w1"]
+    assert 1 <= len(starts) <= 5
+    assert rounds.store.workers["w1"].quarantine is not None
+    assert rounds.store.works["frame"].parked == {}
+    running = sum(
+        bench.workers.count_running(f"job-{n}:20261204T060000Z") for n in range(20)
+    )
+    assert running == 20
+
+
+async def test_urgent_run_displaces_the_cheapest_batch_task(bench):
+    """Guards against urgent work that waits for a full pool."""
+    batch = [make_job(f"job-{n}", cores=8.0) for n in range(8)]
+    rounds = bench.make_rounds()
+    await bench.repeat(rounds, make_configuration(*batch), 2)
+    assert len(bench.workers.started) == 8
+    urgent = make_job("urgent", "hinge", 8.0, Priority.URGENT)
+    outcome = await rounds.run_round(make_configuration(*batch, urgent))
+    assert outcome.placed == 1
+    assert bench.workers.count_running("urgent:20261204T060000Z") == 1
+    for worker in rounds.store.workers.values():
+        free = worker.measure_free(CAPACITY)
+        assert free.cores >= 0
+
+
+async def test_team_limit_holds_across_daemons(bench):
+    """Guards against two daemons that pass a team's limit together."""
+    jobs = [make_job(f"job-{n}", cores=4.0) for n in range(16)]
+    configuration = make_configuration(*jobs, limit=0.25)
+    first, second = bench.make_rounds(), bench.make_rounds()
+    for _ in range(6):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(first.run_round, configuration)
+            nursery.start_soon(second.run_round, configuration)
+        bench.now += 1
+    assert len(bench.workers.started) == 4
+
+
+async def test_overcommitted_worker_checkpoints_batch_first(bench):
+    """Guards against a worker that is left overcommitted."""
+    bench.sites = make_sites(1)
+    bench.workers.usage = {"small": Shape(2, 4000), "greedy": Shape(15, 4000)}
+    jobs = [make_job("small", priority=Priority.INTERACTIVE), make_job("greedy")]
+    rounds = bench.make_rounds()
+    await bench.repeat(rounds, make_configuration(*jobs), 2)
+    assert bench.workers.count_running("greedy:20261204T060000Z") == 0
+    assert bench.workers.count_running("small:20261204T060000Z") == 1
+
+
+async def test_placement_costs_at_most_two_writes(bench):
+    """Guards against a store that is overloaded by placement."""
+    jobs = [make_job(f"job-{n}", cores=1.0) for n in range(12)]
+    rounds = bench.make_rounds()
+    await rounds.run_round(make_configuration(*jobs))
+    assert rounds.store.writes <= 2 * len(bench.workers.started)
