Add maintenance: budgets, moves and waves as conditional transactions

Ways weighed: a wave row that lists what is under way (one hot row, lost with a race) against the state in each instance's row with the pool's row in the same transaction. The second lets any daemon take the next step and needs no leader.

Before: none. After: 150 generated orders of steps by two daemons, lost replies, outages and moves keep budgets and membership; a wave reboots each of 12 instances once. A barrier after each rack was dropped, because with a budget of 3 and racks of 4 it leaves a quarter of the budget unused.

Conclusion: a reboot of an instance that has already failed is allowed, since it costs no availability.

--- a/hemlockstand/jobs/service.py
+++ b/hemlockstand/jobs/service.py
@@ -5,7 +5,6 @@
 promise when two daemons believe that they own a pool.
 """
 
-import hashlib
 from collections.abc import Iterable
 from datetime import UTC, datetime
 from random import Random
@@ -16,6 +15,7 @@
 from loguru import logger
 
 from hemlockstand.configuration.service import ConfigurationService
+from hemlockstand.coordination.rendezvous import choose_owner
 from hemlockstand.errors import (
     HemlockstandError,
     InvalidInput,
@@ -70,16 +70,6 @@
     detail: str
 
 
-def choose_owner(name: str, members: Iterable[str]) -> str:
-    """Return the member that rendezvous hashing assigns the name to."""
-    return max(
-        members,
-        key=lambda member: hashlib.blake2b(
-            f"{member}/{name}".encode(), digest_size=8
-        ).digest(),
-    )
-
-
 @register
 class JobsService(Service):
     """Places, watches and cancels jobs."""
--- /dev/null
+++ b/hemlockstand/maintenance/service.py
@@ -0,0 +1,215 @@
+"""The maintenance service: members of pools, moves, and maintenance waves.
+
+Each pool is maintained by the daemon that rendezvous hashing assigns it to.
+That is a hint; the conditional transactions keep the budgets when two daemons
+act at once.
+"""
+
+from collections.abc import Iterator
+from time import time
+
+import trio
+from attrs import evolve, frozen
+from loguru import logger
+
+from hemlockstand.configuration.service import ConfigurationService
+from hemlockstand.coordination.rendezvous import choose_owner
+from hemlockstand.errors import HemlockstandError, InvalidInput, NotFound
+from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.maintenance.records import (
+    POOL_PREFIX,
+    WAVE_PREFIX,
+    PoolState,
+    Wave,
+    WaveState,
+    decode_pool,
+    decode_wave,
+    encode_wave,
+)
+from hemlockstand.maintenance.rounds import MaintenanceRounds
+from hemlockstand.maintenance.steps import MEMBERS_KEY, InstanceSteps
+from hemlockstand.maintenance.waves import count_left
+from hemlockstand.model import Pool
+from hemlockstand.peers.service import PeersService
+from hemlockstand.platform.interface import InstanceRecord
+from hemlockstand.platform.service import PlatformService
+
+log = logger.bind(module=__name__)
+
+MEMBERS_POLL_SECONDS = 2.0
+
+
+@frozen
+class WaveStatus:
+    """A wave with what is left of it, as operators see it."""
+
+    wave: Wave
+    total: int
+    left: int
+
+
+@register
+class MaintenanceService(Service):
+    """Knows the members of pools and maintains the pools that it owns."""
+
+    name = "maintenance"
+    needs = ("platform", "configuration", "peers")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.platform = kernel.find("platform", PlatformService).platform
+        self.configuration = kernel.find("configuration", ConfigurationService)
+        self.peers = kernel.find("peers", PeersService)
+        section = self.settings.maintenance
+        self.steps = InstanceSteps(
+            self.platform.table,
+            self.platform.machines,
+            time,
+            section.health_wait_seconds,
+            section.max_bad_instances,
+        )
+        self.records: dict[str, InstanceRecord] = {}
+        self.pools: dict[str, PoolState] = {}
+        self._members_version = -1
+        self.rounds = MaintenanceRounds(self.steps, lambda: self.records)
+
+    def members(self, pool: str) -> tuple[InstanceRecord, ...]:
+        """Return the members of the pool that the instance list shows."""
+        state = self.pools.get(pool)
+        names = state.members if state is not None else ()
+        return tuple(self.records[name] for name in names if name in self.records)
+
+    def is_open(self, instance: str) -> bool:
+        """Return whether the instance takes new work."""
+        record = self.records.get(instance)
+        if record is None or record.state == "leaving":
+            return False
+        if instance in self.configuration.current.drains:
+            return False
+        return not any(instance in pool.disruptions for pool in self.pools.values())
+
+    async def start(self) -> None:
+        """Read the members once, so that dependants do not start without."""
+        try:
+            await self._refresh()
+        except HemlockstandError as error:
+            log.warning("members are not known yet: {}", error)
+
+    async def run(self) -> None:
+        """Keep the members current and step the pools that this daemon owns."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_members)
+            if self.settings.maintenance.enabled:
+                nursery.start_soon(self._maintain)
+
+    async def _follow_members(self) -> None:
+        while True:
+            await trio.sleep(MEMBERS_POLL_SECONDS)
+            try:
+                await self._refresh()
+            except HemlockstandError as error:
+                log.info("members are not refreshed: {}", error)
+
+    async def _refresh(self) -> None:
+        listed = await self.platform.instances.list()
+        self.records = {record.id: record for record in listed}
+        epoch = await self.platform.table.read(MEMBERS_KEY)
+        if epoch.version == self._members_version:
+            return
+        for row in await self.platform.table.scan(POOL_PREFIX, limit=1000):
+            name = row.key.removeprefix(POOL_PREFIX)
+            self.pools[name] = decode_pool(name, row)
+        self._members_version = epoch.version
+
+    async def _maintain(self) -> None:
+        while True:
+            await trio.sleep(self.settings.maintenance.interval_seconds)
+            try:
+                waves = await self._read_waves()
+                for pool in list(self._list_owned()):
+                    self.pools[pool.name] = await self.rounds.step_pool(pool, waves)
+                await self._finish_waves(waves)
+            except HemlockstandError as error:
+                log.info("maintenance step failed: {}", error)
+
+    def _list_owned(self) -> Iterator[Pool]:
+        members = [
+            member.name
+            for member in self.peers.members()
+            if member.alive and not member.leaving
+        ]
+        own = self.settings.daemon.name
+        for pool in self.configuration.current.pools.values():
+            if choose_owner(pool.name, {own, *members}) == own:
+                yield pool
+
+    async def _read_waves(self) -> list[Wave]:
+        rows = await self.platform.table.scan(WAVE_PREFIX)
+        waves = (decode_wave(row) for row in rows)
+        return [wave for wave in waves if wave.state is not WaveState.DONE]
+
+    async def _finish_waves(self, waves: list[Wave]) -> None:
+        """Mark waves as done that have nothing left; the first pool's owner acts."""
+        owned = {pool.name for pool in self._list_owned()}
+        for wave in waves:
+            if wave.state is not WaveState.RUNNING or wave.pools[0] not in owned:
+                continue
+            status = await self.show_wave(wave.id)
+            if status.left == 0:
+                done = evolve(status.wave, state=WaveState.DONE, finished_at=time())
+                await self.steps.commit([encode_wave(done)])
+
+    async def show_wave(self, name: str) -> WaveStatus:
+        """Return a wave and what is left of it; raises ``NotFound``."""
+        row = await self.platform.table.read(WAVE_PREFIX + name)
+        if row.version == 0:
+            raise NotFound(f"wave {name!r} does not exist")
+        wave = decode_wave(row)
+        total = left = 0
+        for pool_name in wave.pools:
+            pool = await self.steps.read_pool(pool_name)
+            instances = await self.rounds.read_instances(pool)
+            total += len(pool.members)
+            left += count_left(wave, [pool], instances)
+        return WaveStatus(wave, total, left)
+
+    async def start_wave(self, name: str, pools: tuple[str, ...]) -> Wave:
+        """Start a wave over the pools.
+
+        Raises ``InvalidInput`` with code ``unknown_pool``, ``no_budget`` or
+        ``wave_exists``.
+        """
+        known = self.configuration.current.pools
+        for pool in pools:
+            if pool not in known:
+                raise InvalidInput(f"pool {pool!r} does not exist", "unknown_pool")
+            if known[pool].budget < 1:
+                raise InvalidInput(
+                    f"pool {pool!r} has no availability budget", "no_budget"
+                )
+        wave = Wave(name, pools, time())
+        if not await self.steps.commit([encode_wave(wave)]):
+            row = await self.platform.table.read(WAVE_PREFIX + name)
+            if row.version == 0 or decode_wave(row).started_at != wave.started_at:
+                raise InvalidInput(f"wave {name!r} exists already", "wave_exists")
+        return wave
+
+    async def set_wave_state(self, name: str, state: WaveState) -> Wave:
+        """Pause, resume or halt a wave; instances under way are finished.
+
+        Raises ``NotFound``, and ``InvalidInput`` with code ``wave_done`` or
+        ``wave_changed``.
+        """
+        wave = (await self.show_wave(name)).wave
+        if wave.state is WaveState.DONE:
+            raise InvalidInput(f"wave {name!r} is done", "wave_done")
+        resumed = state is WaveState.RUNNING
+        changed = evolve(wave, state=state, bad=() if resumed else wave.bad, reason="")
+        if not await self.steps.commit([encode_wave(changed)]):
+            raise InvalidInput(f"wave {name!r} changed meanwhile", "wave_changed")
+        return changed
+
+    async def list_waves(self) -> list[Wave]:
+        """Return all waves, done ones included."""
+        rows = await self.platform.table.scan(WAVE_PREFIX)
+        return [decode_wave(row) for row in rows]
--- /dev/null
+++ b/test/test_maintenance.py
@@ -0,0 +1,275 @@
+"""Moves and waves keep budgets and pool membership through failures."""
+
+import pytest
+import trio
+from attrs import define, field
+from hypothesis import given, settings, strategies
+
+from hemlockstand.errors import HemlockstandError, InvalidInput, OutcomeUnknown
+from hemlockstand.maintenance.records import (
+    INSTANCE_PREFIX,
+    POOL_PREFIX,
+    WAVE_PREFIX,
+    Phase,
+    Wave,
+    WaveState,
+    decode_instance,
+    decode_pool,
+    decode_wave,
+    encode_wave,
+)
+from hemlockstand.maintenance.rounds import MaintenanceRounds
+from hemlockstand.maintenance.steps import InstanceSteps
+from hemlockstand.model import Pool, PoolKind
+from hemlockstand.platform.interface import MachineHealth
+from hemlockstand.platform.memory import MemoryTable
+from test.fake_machines import FakeMachines
+
+FRAME = Pool("frame", PoolKind.WORKERS, ("dc0", "dc1"), size=8, budget=2)
+LEDGER = Pool("ledger", PoolKind.WORKERS, ("dc2",), size=4, budget=1)
+POOLS = (FRAME, LEDGER)
+
+
+@define
+class Fleet:
+    """Two pools with in-memory table and machines and a clock of its own."""
+
+    table: MemoryTable = field(factory=MemoryTable)
+    machines: FakeMachines = field(init=False)
+    now: float = 1000.0
+    worst: dict = field(factory=dict)
+
+    def __attrs_post_init__(self):
+        names = {f"i{index:02}": "frame" for index in range(8)}
+        names |= {f"i{index:02}": "ledger" for index in range(8, 12)}
+        self.machines = FakeMachines(names, observe=self.note_unavailable)
+
+    def note_unavailable(self):
+        """Record the most members out of service in each pool so far."""
+        for pool in self.list_pools():
+            out = sum(not self.machines.is_serving(name) for name in pool.members)
+            self.worst[pool.name] = max(out, self.worst.get(pool.name, 0))
+
+    def make_rounds(self):
+        """Return the rounds of one more daemon on the same table."""
+        steps = InstanceSteps(
+            self.table,
+            self.machines,
+            lambda: self.now,
+            health_wait_seconds=5,
+            max_bad=2,
+        )
+        return MaintenanceRounds(steps, self.machines.list_records)
+
+    async def start_wave(self):
+        wave = Wave("w1", ("frame", "ledger"), self.now)
+        await self.table.transact([encode_wave(wave)])
+
+    async def read_wave(self):
+        return decode_wave(await self.table.read(WAVE_PREFIX + "w1"))
+
+    async def step(self, rounds):
+        """Step both pools once; a failed platform call ends the step."""
+        row = await self.table.read(WAVE_PREFIX + "w1")
+        waves = [decode_wave(row)] if row.version else []
+        for pool in POOLS:
+            try:
+                await rounds.step_pool(pool, waves)
+            except HemlockstandError:
+                pass
+
+    async def repeat(self, rounds, count):
+        for _ in range(count):
+            await self.step(rounds)
+            self.now += 1
+
+    def list_pools(self):
+        return [
+            decode_pool(key.removeprefix(POOL_PREFIX), row)
+            for key, row in self.table.rows.items()
+            if key.startswith(POOL_PREFIX)
+        ]
+
+    def read_instance(self, name):
+        return decode_instance(name, self.table.rows[INSTANCE_PREFIX + name])
+
+    def check_invariants(self):
+        """Each instance in one pool; planned disruptions within budgets."""
+        pools = self.list_pools()
+        for name in self.machines.pools:
+            homes = [p.name for p in pools if name in (*p.members, *p.joining)]
+            assert len(homes) == 1
+            assert homes == [self.read_instance(name).pool]
+        for pool in pools:
+            assert len(pool.disruptions) <= pool.budget
+        for pool in POOLS:
+            assert self.worst.get(pool.name, 0) <= pool.budget
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+async def test_wave_reboots_every_instance_once(fleet):
+    """Guards against instances that a wave misses or reboots twice."""
+    rounds = fleet.make_rounds()
+    await fleet.repeat(rounds, 1)
+    await fleet.start_wave()
+    await fleet.repeat(rounds, 40)
+    assert sorted(fleet.machines.reboots) == sorted(fleet.machines.pools)
+    fleet.check_invariants()
+
+
+async def test_two_daemons_step_one_wave(fleet):
+    """Guards against two daemons that disrupt past the budget together."""
+    first, second = fleet.make_rounds(), fleet.make_rounds()
+    await fleet.repeat(first, 1)
+    await fleet.start_wave()
+    for _ in range(30):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.step, first)
+            nursery.start_soon(fleet.step, second)
+        fleet.now += 1
+        fleet.check_invariants()
+    assert set(fleet.machines.reboots) == set(fleet.machines.pools)
+
+
+async def test_wave_halts_when_instances_come_back_bad(fleet):
+    """Guards against a bad image that is rolled over the whole fleet."""
+    fleet.machines.bad = set(fleet.machines.pools)
+    rounds = fleet.make_rounds()
+    await fleet.repeat(rounds, 1)
+    await fleet.start_wave()
+    await fleet.repeat(rounds, 40)
+    wave = await fleet.read_wave()
+    assert wave.state is WaveState.HALTED
+    assert "came back bad" in wave.reason
+    assert len(fleet.machines.reboots) <= 4
+    fleet.check_invariants()
+
+
+async def test_wave_counts_unplanned_failures(fleet):
+    """Guards against a wave that goes on while a rack is down."""
+    rounds = fleet.make_rounds()
+    await fleet.repeat(rounds, 1)
+    fleet.machines.bad = {"i00", "i01", "i08"}
+    for name in fleet.machines.bad:
+        fleet.machines.fail(name)
+    await fleet.start_wave()
+    await fleet.repeat(rounds, 10)
+    assert set(fleet.machines.reboots) <= fleet.machines.bad
+
+
+async def test_drains_are_recalled_when_failures_exceed_the_budget(fleet):
+    """Guards against planned drains that keep a pool below its budget."""
+    rounds = fleet.make_rounds()
+    await fleet.repeat(rounds, 1)
+    records = fleet.machines.list_records()
+    await rounds.steps.move("i00", "ledger", records)
+    await rounds.steps.move("i01", "ledger", records)
+    fleet.machines.states["i00"] = fleet.machines.states["i01"] = _draining("i01")
+    fleet.machines.fail("i05")
+    fleet.machines.fail("i06")
+    await fleet.repeat(rounds, 2)
+    pool = await rounds.steps.read_pool("frame")
+    assert pool.disruptions == {}
+    assert fleet.read_instance("i00").phase is Phase.SERVING
+
+
+def _draining(name):
+    return MachineHealth(name, "draining", True, 0)
+
+
+async def test_move_ends_in_exactly_one_pool(fleet):
+    """Guards against an instance that two pools or none count on."""
+    rounds = fleet.make_rounds()
+    await fleet.repeat(rounds, 1)
+    await rounds.steps.move("i00", "ledger", fleet.machines.list_records())
+    for _ in range(4):
+        await fleet.repeat(rounds, 1)
+        fleet.check_invariants()
+    ledger = await rounds.steps.read_pool("ledger")
+    assert "i00" in ledger.members
+    assert fleet.read_instance("i00").phase is Phase.SERVING
+
+
+async def test_move_is_refused_with_a_code(fleet):
+    """Guards against a bad request that changes anything."""
+    rounds = fleet.make_rounds()
+    await fleet.repeat(rounds, 1)
+    records = fleet.machines.list_records()
+    with pytest.raises(HemlockstandError, match="not_found"):
+        await rounds.steps.move("i99", "ledger", records)
+    with pytest.raises(InvalidInput, match="same_pool"):
+        await rounds.steps.move("i00", "frame", records)
+    await rounds.steps.move("i08", "frame", records)
+    with pytest.raises(InvalidInput, match="budget_exhausted"):
+        await rounds.steps.move("i09", "frame", records)
+
+
+FAULTS = strategies.lists(
+    strategies.sampled_from(["step", "lost", "down", "wait", "move", "other"]),
+    max_size=40,
+)
+
+
+@given(FAULTS)
+@settings(max_examples=150, deadline=None, derandomize=True)
+def test_budgets_hold_under_any_order_of_faults(faults):
+    """Guards against interleavings that no single test foresees."""
+    trio.run(_apply_faults, faults)
+
+
+async def _apply_faults(faults):
+    fleet = Fleet()
+    rounds = [fleet.make_rounds(), fleet.make_rounds()]
+    await fleet.repeat(rounds[0], 1)
+    await fleet.start_wave()
+    for index, fault in enumerate(faults):
+        match fault:
+            case "step":
+                await fleet.repeat(rounds[0], 1)
+            case "other":
+                await fleet.repeat(rounds[1], 1)
+            case "lost":
+                lost = OutcomeUnknown("reply lost")
+                await _step_with_lost_write(fleet, rounds[0], lost)
+            case "down":
+                fleet.machines.unreachable = True
+                await fleet.step(rounds[1])
+                fleet.machines.unreachable = False
+            case "move":
+                await _try_move(fleet, rounds[0], f"i{index % 12:02}")
+            case _:
+                fleet.now += 3
+        fleet.check_invariants()
+
+
+async def _step_with_lost_write(fleet, rounds, error):
+    transact = fleet.table.transact
+
+    async def lose(operations):
+        await transact(operations)
+        raise error
+
+    rounds.steps.table = _LossyTable(fleet.table, lose)
+    await fleet.step(rounds)
+    rounds.steps.table = fleet.table
+
+
+@define
+class _LossyTable:
+    _table: MemoryTable
+    transact: object
+
+    def __getattr__(self, name):
+        return getattr(self._table, name)
+
+
+async def _try_move(fleet, rounds, name):
+    target = "ledger" if fleet.read_instance(name).pool == "frame" else "frame"
+    try:
+        await rounds.steps.move(name, target, fleet.machines.list_records())
+    except InvalidInput:
+        pass
