--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: setup test demo bench capacity format docs
+.PHONY: setup test demo bench capacity format docs proto
 
 setup: $(VENV)/.installed
 
@@ -28,3 +28,6 @@
 
 capacity: setup
 	$(PYTHON) -m bench.capacity
+
+proto: setup
+	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. hemlockstand/peers/peer.proto
--- /dev/null
+++ b/hemlockstand/configuration/service.py
@@ -0,0 +1,266 @@
+"""The kernel service that keeps the daemon's copy of the configuration."""
+
+import trio
+from loguru import logger
+
+from hemlockstand.configuration.changes import (
+    Change,
+    CommittedChange,
+    apply_change,
+    pack_change,
+    pack_configuration,
+    unpack_change,
+    unpack_configuration,
+)
+from hemlockstand.configuration.freshness import FreshnessService
+from hemlockstand.configuration.store import (
+    HEAD_KEY,
+    ConfigurationStore,
+    decode_head,
+)
+from hemlockstand.coordination.membership import Peer
+from hemlockstand.coordination.versions import VersionedCopy, VersionGap
+from hemlockstand.errors import (
+    HemlockstandError,
+    OutcomeUnknown,
+    PlatformUnavailable,
+)
+from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.metrics import CONFIGURATION_VERSION, PLATFORM_FAILURES
+from hemlockstand.model import Configuration
+from hemlockstand.peers.peer_pb2 import FetchReply
+from hemlockstand.peers.service import PeersService
+from hemlockstand.platform.interface import Row
+from hemlockstand.platform.service import PlatformService
+
+log = logger.bind(module=__name__)
+
+
+def _apply(state: Configuration, entry: CommittedChange) -> Configuration:
+    return apply_change(state, entry.change)
+
+
+@register
+class ConfigurationService(Service):
+    """The configuration in force at this daemon.
+
+    It takes changes from the platform and from peers, whichever is first, and
+    never goes back to an older version.
+    """
+
+    name = "configuration"
+    needs = ("platform", "freshness", "peers")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        section = self.settings.configuration
+        self._freshness = kernel.find("freshness", FreshnessService)
+        self._peers = kernel.find("peers", PeersService)
+        self._store = ConfigurationStore(
+            kernel.find("platform", PlatformService).platform
+        )
+        self._copy: VersionedCopy[Configuration, CommittedChange] = VersionedCopy(
+            apply=_apply, state=Configuration(), keep=section.snapshot_every
+        )
+        self._holder_key = f"holder/{self.settings.daemon.name}"
+        self._newer_peer: Peer | None = None
+        self._newer_heard = trio.Event()
+        self.holder: Row | None = None
+        self.loaded = False
+
+    @property
+    def current(self) -> Configuration:
+        """The configuration in force here."""
+        return self._copy.state
+
+    async def start(self) -> None:
+        """Take the newest version of the table and all reachable peers."""
+        self._peers.handle_fetch(self.answer_fetch)
+        self._peers.handle_newer(self._hear_newer)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.poll)
+            nursery.start_soon(self._load_from_peers)
+        log.info("started with configuration version {}", self.current.version)
+
+    async def run(self) -> None:
+        """Follow the platform and the peers."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_platform)
+            nursery.start_soon(self._follow_peers)
+
+    async def wait_version(self, version: int) -> None:
+        """Return once this version or a later one is in force here."""
+        await self._copy.wait(version)
+
+    async def commit(self, change: Change, base: int) -> int:
+        """Commit the change that was planned on ``base``; return its version.
+
+        Raises ``ConfigurationConflict`` with the current version if another
+        change was first, ``PlatformUnavailable``, or ``OutcomeUnknown`` if
+        the change may be in force.
+        """
+        try:
+            version = await self._store.commit(change, base)
+        except OutcomeUnknown:
+            # The write may have reached the platform, so this daemon cannot
+            # vouch that nothing was committed.
+            self._freshness.record_platform_read(trio.current_time())
+            raise
+        self._offer(CommittedChange(version, change))
+        await self._peers.announce()
+        await self._save_snapshot(version)
+        return version
+
+    async def history(self, limit: int) -> list[CommittedChange]:
+        """Return the newest changes from the table, oldest first.
+
+        Raises ``PlatformUnavailable``.
+        """
+        head = await self._store.read_head()
+        return await self._store.read_changes(max(0, head.version - limit), limit)
+
+    async def poll(self) -> None:
+        """Read new changes from the platform once; failures are recorded."""
+        sent_at = trio.current_time()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._record_delays)
+                await self._read_platform(sent_at)
+                nursery.cancel_scope.cancel()
+        except* (PlatformUnavailable, OutcomeUnknown) as group:
+            self._freshness.record_platform_failure()
+            PLATFORM_FAILURES.labels(_first_error(group).code).inc()
+        except* HemlockstandError as group:
+            # The platform was within reach, but its rows cannot be used; what
+            # is in force stays in force.
+            error = _first_error(group)
+            self._freshness.record_platform_read(sent_at)
+            PLATFORM_FAILURES.labels(error.code).inc()
+            log.error("configuration cannot be read: {}", error)
+
+    async def fetch_from(self, peer: Peer) -> None:
+        """Take what the peer has beyond our version.
+
+        Raises ``PeerError``, ``PeerRefusal`` or ``InvalidInput``.
+        """
+        base = self.current.version
+        reply = await self._peers.fetch(peer, base)
+        if reply.snapshot:
+            self._replace(unpack_configuration(reply.snapshot))
+        for version, data in enumerate(reply.changes, base + 1):
+            self._offer(CommittedChange(version, unpack_change(data)))
+        self.loaded = True
+
+    async def answer_fetch(self, from_version: int) -> FetchReply:
+        """Return the changes after a version, or a snapshot."""
+        reply = FetchReply(configuration_version=self.current.version)
+        entries = self._copy.entries_after(from_version)
+        if entries is None:
+            reply.snapshot = pack_configuration(self.current)
+        else:
+            reply.changes.extend(pack_change(entry.change) for entry in entries)
+        return reply
+
+    async def _follow_platform(self) -> None:
+        while True:
+            next_at = trio.current_time() + self.settings.configuration.poll_seconds
+            await self.poll()
+            await trio.sleep_until(next_at)
+
+    async def _follow_peers(self) -> None:
+        while True:
+            await self._newer_heard.wait()
+            self._newer_heard = trio.Event()
+            peer = self._newer_peer
+            if peer is None or peer.version <= self.current.version:
+                continue
+            try:
+                await self.fetch_from(peer)
+            except HemlockstandError as error:
+                log.warning("no changes from {}: {}", peer.name, error)
+
+    def _hear_newer(self, peer: Peer) -> None:
+        """Wake the task that fetches from the peer."""
+        self._newer_peer = peer
+        self._newer_heard.set()
+
+    async def _load_from_peers(self) -> None:
+        for peer in await self._peers.probe_all():
+            if peer.version <= self.current.version and self.loaded:
+                continue
+            try:
+                await self.fetch_from(peer)
+            except HemlockstandError as error:
+                log.warning("no configuration from {}: {}", peer.name, error)
+
+    async def _record_delays(self) -> None:
+        """Record a failure for each interval that a read has no answer.
+
+        A hanging platform would otherwise be noticed only after the timeout
+        of the call, which may be longer than proofs are valid.
+        """
+        while True:
+            await trio.sleep(self.settings.configuration.poll_seconds)
+            self._freshness.record_platform_failure()
+
+    async def _read_platform(self, sent_at: float) -> None:
+        keys = [HEAD_KEY, self._holder_key]
+        head_row, holder_row = await self._store.platform.table.read_many(keys)
+        head = decode_head(head_row)
+        if head.version > self.current.version:
+            await self._catch_up(head.version)
+        self._freshness.record_platform_read(sent_at, head.version)
+        if head.version >= self.current.version:
+            self.holder = holder_row
+            self.loaded = True
+
+    async def _catch_up(self, version: int) -> None:
+        every = self.settings.configuration.snapshot_every
+        if version - self.current.version > every:
+            self._replace(await self._store.load_newest_snapshot(version, every))
+        while self.current.version < version:
+            changes = await self._store.read_changes(self.current.version)
+            if not changes:
+                raise PlatformUnavailable(
+                    f"change {self.current.version + 1} is not readable yet"
+                )
+            for entry in changes:
+                self._offer(entry)
+
+    def _offer(self, entry: CommittedChange) -> None:
+        """Apply the change if it is the next; a gap is left to the next poll."""
+        try:
+            applied = self._copy.offer(entry.version, entry)
+        except VersionGap:
+            log.debug("change {} is ahead of this daemon", entry.version)
+            self._freshness.tracker.record_version(entry.version)
+            return
+        if applied:
+            self._note_version()
+
+    def _replace(self, configuration: Configuration) -> None:
+        if self._copy.replace(configuration.version, configuration):
+            self._note_version()
+
+    def _note_version(self) -> None:
+        version = self.current.version
+        self._freshness.tracker.set_version(version)
+        CONFIGURATION_VERSION.set(version)
+
+    async def _save_snapshot(self, version: int) -> None:
+        """Store a snapshot if one is due; its lack only makes starts slower."""
+        if version % self.settings.configuration.snapshot_every:
+            return
+        if self.current.version != version:
+            return
+        try:
+            await self._store.save_snapshot(self.current)
+        except HemlockstandError as error:
+            log.warning("snapshot {} was not stored: {}", version, error)
+
+
+def _first_error(group: BaseExceptionGroup) -> HemlockstandError:
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- /dev/null
+++ b/hemlockstand/peers/service.py
@@ -0,0 +1,397 @@
+"""The kernel service that exchanges heartbeats and calls between daemons."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from secrets import token_hex
+
+import trio
+from attrs import frozen
+from loguru import logger
+
+from hemlockstand.configuration.freshness import FreshnessService
+from hemlockstand.coordination.membership import MembershipView, Peer
+from hemlockstand.errors import HemlockstandError
+from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.metrics import PEER_FAILURES, PLATFORM_FAILURES
+from hemlockstand.peers import peer_pb2
+from hemlockstand.peers.demands import Demand, DemandBoard
+from hemlockstand.peers.messages import (
+    decode_report,
+    decode_verdict,
+    encode_report,
+    encode_verdict,
+)
+from hemlockstand.peers.transport import (
+    PeerClient,
+    PeerError,
+    PeerRefusal,
+    PeerServer,
+    Traffic,
+)
+from hemlockstand.platform.interface import InstanceKind, InstanceRecord, InstanceState
+from hemlockstand.platform.service import PlatformService
+from hemlockstand.verdict import Verdict
+
+log = logger.bind(module=__name__)
+
+MEMBERS_PER_BEAT = 12
+DEMANDS_PER_BEAT = 24
+PROBE_CONCURRENCY = 16
+STOP_GRACE_SECONDS = 1.0
+
+AskFunction = Callable[[str, str], Awaitable[Verdict | None]]
+ForwardFunction = Callable[[bytes], Awaitable[Verdict]]
+FetchFunction = Callable[[int], Awaitable[peer_pb2.FetchReply]]
+NewerFunction = Callable[[Peer], None]
+
+
+@frozen
+class Member:
+    """A daemon of the fleet as seen from here."""
+
+    name: str
+    incarnation: str
+    data_centre: str
+    address: str
+    alive: bool
+    leaving: bool
+    configuration_version: int
+
+
+@register
+class PeersService(Service):
+    """Heartbeats, members, demand figures and calls between daemons."""
+
+    name = "peers"
+    needs = ("platform", "freshness")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        section = self.settings.peers
+        secret = section.secret.encode()
+        self.incarnation = f"{self.settings.daemon.name}-{token_hex(6)}"
+        self.traffic = Traffic()
+        self.leaving = False
+        self.address = ""
+        self.view = MembershipView(section.suspect_after_seconds)
+        self._tracker = kernel.find("freshness", FreshnessService).tracker
+        self._instances = kernel.find("platform", PlatformService).platform.instances
+        self._board = DemandBoard()
+        self._client = PeerClient(secret, self.traffic)
+        self._server = PeerServer(secret, self.traffic)
+        self._ask: AskFunction | None = None
+        self._forward: ForwardFunction | None = None
+        self._fetch: FetchFunction | None = None
+        self._newer: NewerFunction | None = None
+
+    async def start(self) -> None:
+        """Listen for peers and read the instance list once."""
+        self._server.handle("Exchange", self._answer_exchange)
+        self._server.handle("Fetch", self._answer_fetch)
+        self._server.handle("Ask", self._answer_ask)
+        self._server.handle("Forward", self._answer_forward)
+        listen = self.settings.listen
+        port = self._server.listen(listen.host, listen.peer_port)
+        self.address = f"{listen.host}:{port}"
+        await self._read_instances()
+
+    async def run(self) -> None:
+        """Exchange heartbeats and follow the instance list."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_instances)
+            nursery.start_soon(self._exchange_rounds)
+
+    async def stop(self) -> None:
+        """Tell some peers that this daemon leaves, then stop listening."""
+        self.leaving = True
+        await self.announce()
+        await self._server.close(STOP_GRACE_SECONDS)
+        self._client.close()
+
+    def members(self) -> list[Member]:
+        """Return all daemons that are listed or were heard of, without this."""
+        return [
+            Member(
+                name=peer.name,
+                incarnation=peer.incarnation,
+                data_centre=peer.data_centre,
+                address=peer.address,
+                alive=heard.age < self.settings.peers.suspect_after_seconds,
+                leaving=peer.leaving,
+                configuration_version=peer.version,
+            )
+            for heard in self.view.list_peers()
+            if (peer := heard.peer).name not in self.settings.peers.seeds
+        ]
+
+    def publish_demand(self, team: str, demand: Demand) -> None:
+        """Set this daemon's figures of a team for the next heartbeats."""
+        self._board.publish(team, demand)
+
+    def demands(self) -> Mapping[str, Mapping[str, Demand]]:
+        """Return the peers' figures by daemon and team."""
+        return self._board.list_peers()
+
+    def handle_ask(self, function: AskFunction) -> None:
+        """Set what answers a peer that asks for a kept outcome."""
+        self._ask = function
+
+    def handle_forward(self, function: ForwardFunction) -> None:
+        """Set what runs a message that a peer forwards."""
+        self._forward = function
+
+    def handle_fetch(self, function: FetchFunction) -> None:
+        """Set what answers a peer that lacks changes."""
+        self._fetch = function
+
+    def handle_newer(self, function: NewerFunction) -> None:
+        """Set what is called when a peer has a newer configuration."""
+        self._newer = function
+
+    async def ask(
+        self, daemon_incarnation: str, team: str, request_id: str
+    ) -> Verdict | None:
+        """Ask a daemon for the outcome that it keeps; ``None`` if it has none.
+
+        Raises ``PeerError`` with code ``peer_unknown`` if no such daemon is
+        known, ``peer_incarnation_gone`` if it has restarted, or another code.
+        """
+        peer = self._find_peer(daemon_incarnation)
+        request = peer_pb2.AskRequest(
+            team=team, request_id=request_id, incarnation=daemon_incarnation
+        )
+        timeout = self.settings.peers.timeout_seconds
+        reply = await self._client.call(peer.address, "Ask", request, timeout)
+        return decode_verdict(reply.verdict) if reply.HasField("verdict") else None
+
+    async def forward(
+        self,
+        daemon_incarnation: str,
+        message: bytes,
+        timeout_seconds: float | None = None,
+    ) -> Verdict:
+        """Let another daemon run a request and return its verdict.
+
+        Raises ``PeerError``. With codes ``peer_unknown``,
+        ``peer_incarnation_gone`` and ``peer_method_unserved`` the message was
+        certainly not taken; with any other code it may have been. The timeout
+        in seconds is the longest deadline by default.
+        """
+        peer = self._find_peer(daemon_incarnation)
+        request = peer_pb2.ForwardRequest(
+            message=message, incarnation=daemon_incarnation
+        )
+        timeout = timeout_seconds or self.settings.requests.max_deadline_seconds
+        reply = await self._client.call(peer.address, "Forward", request, timeout)
+        return decode_verdict(reply)
+
+    async def fetch(self, peer: Peer, from_version: int) -> peer_pb2.FetchReply:
+        """Return the peer's changes after a version; raises ``PeerError``."""
+        request = peer_pb2.FetchRequest(from_version=from_version)
+        timeout = self.settings.peers.timeout_seconds
+        return await self._client.call(peer.address, "Fetch", request, timeout)
+
+    async def probe_all(self) -> list[Peer]:
+        """Exchange with every known peer; return who answered, newest first."""
+        limiter = trio.CapacityLimiter(PROBE_CONCURRENCY)
+        answered: list[Peer] = []
+
+        async def probe(peer: Peer) -> None:
+            async with limiter:
+                reply = await self.exchange_with(peer)
+            if reply is not None:
+                answered.append(reply)
+
+        self._add_seeds()
+        async with trio.open_nursery() as nursery:
+            for heard in self.view.list_peers():
+                nursery.start_soon(probe, heard.peer)
+        return sorted(answered, key=lambda peer: peer.version, reverse=True)
+
+    async def announce(self) -> None:
+        """Exchange with one round of peers now; they learn of our version."""
+        async with trio.open_nursery() as nursery:
+            for peer in self._choose_targets():
+                nursery.start_soon(self.exchange_with, peer)
+
+    async def exchange_with(self, peer: Peer) -> Peer | None:
+        """Exchange heartbeats once; return the peer as it replied, if it did."""
+        sent_at = trio.current_time()
+        timeout = self.settings.peers.timeout_seconds
+        beat = self._make_beat(peer.name)
+        try:
+            reply = await self._client.call(peer.address, "Exchange", beat, timeout)
+        except HemlockstandError as error:
+            PEER_FAILURES.labels(error.code).inc()
+            log.debug("exchange with {} failed: {}", peer.name, error)
+            return None
+        if peer.name != reply.sender:
+            # The address belongs to another daemon than the list or the
+            # settings say.
+            self.view.forget(peer.name)
+        if reply.sender == self.settings.daemon.name:
+            return None
+        self._tracker.record_report(decode_report(reply), sent_at)
+        return self._take_beat(reply)
+
+    async def _follow_instances(self) -> None:
+        while True:
+            await trio.sleep(self.settings.platform.instance_poll_seconds)
+            await self._read_instances()
+
+    async def _read_instances(self) -> None:
+        try:
+            records = await self._instances.list()
+        except HemlockstandError as error:
+            PLATFORM_FAILURES.labels(error.code).inc()
+            return
+        self.view.set_candidates(
+            self._make_candidate(record)
+            for record in records
+            if record.kind is InstanceKind.ENTRY
+            and record.id != self.settings.daemon.name
+        )
+
+    def _make_candidate(self, record: InstanceRecord) -> Peer:
+        """Return the peer of a list entry.
+
+        The list gives the address for callers; all daemons of a deployment
+        use the same peer port.
+        """
+        host = record.address.rpartition(":")[0] or record.address
+        return Peer(
+            name=record.id,
+            data_centre=record.data_centre,
+            address=f"{host}:{self.settings.listen.peer_port}",
+            leaving=record.state is InstanceState.LEAVING,
+        )
+
+    async def _exchange_rounds(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._add_seeds()
+                for peer in self._choose_targets():
+                    nursery.start_soon(self.exchange_with, peer)
+                await trio.sleep(self.settings.peers.interval_seconds)
+
+    def _choose_targets(self) -> list[Peer]:
+        return self.view.choose_targets(
+            self.settings.daemon.data_centre, self._tracker.oldest_stamp()
+        )
+
+    def _add_seeds(self) -> None:
+        """Try the addresses of the settings while no peer is alive."""
+        if any(self.view.is_alive(heard.peer.name) for heard in self.view.list_peers()):
+            return
+        for address in self.settings.peers.seeds:
+            if address != self.address:
+                self.view.add_candidate(Peer(name=address, address=address))
+
+    def _make_beat(self, receiver: str) -> peer_pb2.Beat:
+        beat = peer_pb2.Beat(
+            sender=self.settings.daemon.name,
+            incarnation=self.incarnation,
+            data_centre=self.settings.daemon.data_centre,
+            address=self.address,
+            leaving=self.leaving,
+            configuration_version=self._tracker.version,
+        )
+        for team, demand in self._board.choose(DEMANDS_PER_BEAT):
+            beat.demands.add(
+                team=team,
+                waiting=demand.waiting,
+                running=demand.running,
+                idle=demand.idle,
+                served=demand.served,
+            )
+        for heard in self.view.sample_alive(MEMBERS_PER_BEAT, exclude=receiver):
+            peer = heard.peer
+            beat.members.add(
+                name=peer.name,
+                incarnation=peer.incarnation,
+                heard_age_ms=round(heard.age * 1000),
+                configuration_version=peer.version,
+                leaving=peer.leaving,
+                data_centre=peer.data_centre,
+                address=peer.address,
+            )
+        return beat
+
+    def _take_beat(self, beat: peer_pb2.Beat) -> Peer:
+        """Take what a beat says about its sender and about third daemons."""
+        sender = Peer(
+            name=beat.sender,
+            incarnation=beat.incarnation,
+            data_centre=beat.data_centre,
+            address=beat.address,
+            leaving=beat.leaving,
+            version=beat.configuration_version,
+        )
+        self.view.hear(sender)
+        demands = {
+            entry.team: Demand(entry.waiting, entry.running, entry.idle, entry.served)
+            for entry in beat.demands
+        }
+        self._board.receive(beat.sender, demands)
+        for entry in beat.members:
+            self._take_member(entry)
+        if sender.version > self._tracker.version and self._newer is not None:
+            self._newer(sender)
+        return sender
+
+    def _take_member(self, entry: peer_pb2.Member) -> None:
+        if entry.name == self.settings.daemon.name:
+            return
+        peer = Peer(
+            name=entry.name,
+            incarnation=entry.incarnation,
+            data_centre=entry.data_centre,
+            address=entry.address,
+            leaving=entry.leaving,
+            version=entry.configuration_version,
+        )
+        self.view.hear(peer, entry.heard_age_ms / 1000)
+
+    def _find_peer(self, incarnation: str) -> Peer:
+        peer = self.view.find_incarnation(incarnation)
+        if peer is None:
+            raise PeerError(f"no daemon in incarnation {incarnation}", "peer_unknown")
+        return peer
+
+    async def _answer_exchange(self, beat: peer_pb2.Beat) -> peer_pb2.Beat:
+        if beat.sender != self.settings.daemon.name:
+            self._tracker.record_version(beat.configuration_version)
+            self._take_beat(beat)
+        reply = self._make_beat(beat.sender)
+        encode_report(reply, self._tracker.make_report())
+        return reply
+
+    async def _answer_fetch(
+        self, request: peer_pb2.FetchRequest
+    ) -> peer_pb2.FetchReply:
+        if self._fetch is None:
+            raise PeerRefusal("no configuration yet", "peer_method_unserved")
+        return await self._fetch(request.from_version)
+
+    async def _answer_ask(self, request: peer_pb2.AskRequest) -> peer_pb2.AskReply:
+        self._check_incarnation(request.incarnation)
+        if self._ask is None:
+            raise PeerRefusal("Ask is not served here", "peer_method_unserved")
+        verdict = await self._ask(request.team, request.request_id)
+        if verdict is None:
+            return peer_pb2.AskReply()
+        return peer_pb2.AskReply(verdict=encode_verdict(verdict))
+
+    async def _answer_forward(
+        self, request: peer_pb2.ForwardRequest
+    ) -> peer_pb2.Verdict:
+        self._check_incarnation(request.incarnation)
+        if self._forward is None:
+            raise PeerRefusal("Forward is not served here", "peer_method_unserved")
+        return encode_verdict(await self._forward(request.message))
+
+    def _check_incarnation(self, incarnation: str) -> None:
+        if incarnation != self.incarnation:
+            raise PeerRefusal(
+                f"{incarnation} is gone, here is {self.incarnation}",
+                "peer_incarnation_gone",
+            )
--- /dev/null
+++ b/hemlockstand/peers/transport.py
@@ -0,0 +1,296 @@
+"""Signed gRPC calls between daemons, from trio.
+
+Each request carries the sender's time and an HMAC-SHA256 over method, time and
+body. Each reply carries an HMAC over the request's signature and the reply's
+body, so that an old reply cannot pass for the reply to a new request.
+"""
+
+import hashlib
+import hmac
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import grpc
+import trio
+from attrs import define, field
+from google.protobuf.message import DecodeError, Message
+from loguru import logger
+
+from hemlockstand.errors import HemlockstandError
+from hemlockstand.metrics import PEER_FAILURES
+from hemlockstand.peers import peer_pb2
+
+log = logger.bind(module=__name__)
+
+SERVICE = peer_pb2.DESCRIPTOR.services_by_name["Peers"]
+TIME_KEY = "x-time-ns"
+SIGNATURE_KEY = "x-signature"
+
+# Clocks of instances agree to a few seconds at worst; a minute leaves room and
+# still bounds how long a recorded request can be sent again.
+MAX_CLOCK_DIFFERENCE_SECONDS = 60.0
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+# A forwarded request occupies a thread until it is answered.
+SERVER_THREADS = 32
+CONNECT_BACKOFF_MS = 1000
+
+
+class PeerError(HemlockstandError):
+    """A peer could not be reached or refused the message."""
+
+    code = "peer_unreachable"
+
+
+class PeerRefusal(HemlockstandError):
+    """A message from a peer is broken, unsigned or stale."""
+
+    code = "peer_message_refused"
+
+
+Handler = Callable[[Any], Awaitable[Message]]
+
+
+@define
+class Traffic:
+    """Bytes of messages and metadata sent and received, without framing."""
+
+    sent: int = 0
+    received: int = 0
+    calls: int = 0
+
+
+def sign(secret: bytes, method: str, time_ns: str, body: bytes) -> str:
+    """Return the hexadecimal signature of a request."""
+    prefix = f"{method}\n{time_ns}\n".encode()
+    return hmac.new(secret, prefix + body, hashlib.sha256).hexdigest()
+
+
+def sign_reply(secret: bytes, request_signature: str, body: bytes) -> str:
+    """Return the hexadecimal signature of the reply to a signed request."""
+    prefix = f"reply\n{request_signature}\n".encode()
+    return hmac.new(secret, prefix + body, hashlib.sha256).hexdigest()
+
+
+def check_request(
+    secret: bytes, method: str, metadata: Mapping[str, str], body: bytes, now_ns: int
+) -> str:
+    """Return the signature of a request after checking it.
+
+    Raises ``PeerRefusal`` with code ``peer_message_unsigned``,
+    ``peer_signature_wrong`` or ``peer_message_stale``.
+    """
+    signature = metadata.get(SIGNATURE_KEY, "")
+    time_ns = metadata.get(TIME_KEY, "")
+    if not signature or not time_ns:
+        raise PeerRefusal(f"{method} has no signature", "peer_message_unsigned")
+    expected = sign(secret, method, time_ns, body)
+    if not hmac.compare_digest(signature.encode(), expected.encode()):
+        raise PeerRefusal(f"{method} is signed wrongly", "peer_signature_wrong")
+    if not time_ns.isdecimal():
+        raise PeerRefusal(f"{method} has time {time_ns!r}", "peer_message_broken")
+    difference = abs(now_ns - int(time_ns)) / 1e9
+    if difference > MAX_CLOCK_DIFFERENCE_SECONDS:
+        raise PeerRefusal(
+            f"{method} was sent {difference:.0f} s from now", "peer_message_stale"
+        )
+    return signature
+
+
+def parse_message(kind: type[Message], method: str, body: bytes) -> Message:
+    """Decode a message; raises ``PeerRefusal`` if it is broken."""
+    try:
+        return kind.FromString(body)
+    except DecodeError as error:
+        raise PeerRefusal(f"{method}: {error}", "peer_message_broken") from error
+
+
+@define
+class PeerServer:
+    """Serves signed calls on threads that enter trio for each call."""
+
+    secret: bytes
+    traffic: Traffic
+    _handlers: dict[str, Handler] = field(factory=dict, init=False)
+    _server: grpc.Server | None = field(default=None, init=False)
+    _token: trio.lowlevel.TrioToken | None = field(default=None, init=False)
+
+    def handle(self, method: str, handler: Handler) -> None:
+        """Register the coroutine function that answers a method."""
+        self._handlers[method] = handler
+
+    def listen(self, host: str, port: int) -> int:
+        """Start to serve and return the port; call it from trio.
+
+        Raises ``PeerError`` if the address cannot be bound.
+        """
+        self._token = trio.lowlevel.current_trio_token()
+        server = grpc.server(
+            ThreadPoolExecutor(SERVER_THREADS, thread_name_prefix="peer"),
+            options=[
+                ("grpc.so_reuseport", 0),
+                ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+            ],
+        )
+        methods = {
+            method.name: grpc.unary_unary_rpc_method_handler(self._bind(method))
+            for method in SERVICE.methods
+        }
+        handler = grpc.method_handlers_generic_handler(SERVICE.full_name, methods)
+        server.add_generic_rpc_handlers((handler,))
+        try:
+            bound = server.add_insecure_port(f"{host}:{port}")
+        except RuntimeError as error:
+            raise PeerError(f"{host}:{port}: {error}", "peer_port_taken") from error
+        server.start()
+        self._server = server
+        return bound
+
+    async def close(self, grace_seconds: float) -> None:
+        """Refuse new calls and give running ones some time to finish."""
+        if self._server is not None:
+            stopped = self._server.stop(grace_seconds)
+            await trio.to_thread.run_sync(stopped.wait, abandon_on_cancel=True)
+
+    def _bind(self, method: Any) -> Callable[[bytes, grpc.ServicerContext], bytes]:
+        kind = _message_class(method.input_type)
+
+        def serve(body: bytes, context: grpc.ServicerContext) -> bytes:
+            return self._serve(method.name, kind, body, context)
+
+        return serve
+
+    def _serve(
+        self,
+        method: str,
+        kind: type[Message],
+        body: bytes,
+        context: grpc.ServicerContext,
+    ) -> bytes:
+        metadata = dict(context.invocation_metadata())
+        try:
+            signature = check_request(
+                self.secret, method, metadata, body, time.time_ns()
+            )
+            message = parse_message(kind, method, body)
+            reply = trio.from_thread.run(
+                self._answer, method, message, trio_token=self._token
+            )
+        except HemlockstandError as error:
+            PEER_FAILURES.labels(error.code).inc()
+            log.warning("call from {} refused: {}", context.peer(), error)
+            context.abort(grpc.StatusCode.FAILED_PRECONDITION, str(error))
+        except (trio.RunFinishedError, trio.Cancelled):
+            context.abort(grpc.StatusCode.UNAVAILABLE, "peer_stopping: stopping")
+        data = reply.SerializeToString()
+        reply_signature = sign_reply(self.secret, signature, data)
+        context.set_trailing_metadata(((SIGNATURE_KEY, reply_signature),))
+        self._count(len(data) + len(reply_signature), len(body) + len(signature))
+        return data
+
+    async def _answer(self, method: str, message: Message) -> Message:
+        handler = self._handlers.get(method)
+        if handler is None:
+            raise PeerRefusal(f"{method} is not served here", "peer_method_unserved")
+        return await handler(message)
+
+    def _count(self, sent: int, received: int) -> None:
+        self.traffic.sent += sent
+        self.traffic.received += received
+
+
+def _message_class(descriptor: Any) -> type[Message]:
+    return getattr(peer_pb2, descriptor.name)
+
+
+@define
+class PeerClient:
+    """Calls other daemons; one channel for each address."""
+
+    secret: bytes
+    traffic: Traffic
+    _channels: dict[str, grpc.Channel] = field(factory=dict, init=False)
+
+    async def call(
+        self, address: str, method: str, message: Message, timeout_seconds: float
+    ) -> Any:
+        """Send a message and return the reply.
+
+        Raises ``PeerError`` with the peer's code if it refused, with
+        ``peer_unreachable`` if there was no answer, and ``PeerRefusal`` if the
+        answer is broken or signed wrongly.
+        """
+        body = message.SerializeToString()
+        time_ns = str(time.time_ns())
+        signature = sign(self.secret, method, time_ns, body)
+        metadata = ((TIME_KEY, time_ns), (SIGNATURE_KEY, signature))
+        invoke = self._open(address).unary_unary(f"/{SERVICE.full_name}/{method}")
+        future = invoke.future(body, timeout=timeout_seconds, metadata=metadata)
+        await _wait_future(future)
+        self.traffic.calls += 1
+        self.traffic.sent += len(body) + len(signature) + len(time_ns)
+        return self._check_reply(future, method, signature)
+
+    def _check_reply(self, future: Any, method: str, signature: str) -> Message:
+        error = future.exception()
+        if error is not None:
+            raise _translate(error, method)
+        body = future.result()
+        metadata = dict(future.trailing_metadata())
+        received = metadata.get(SIGNATURE_KEY, "")
+        self.traffic.received += len(body) + len(received)
+        expected = sign_reply(self.secret, signature, body)
+        if not hmac.compare_digest(received.encode(), expected.encode()):
+            raise PeerRefusal(f"reply to {method}", "peer_signature_wrong")
+        kind = _message_class(SERVICE.methods_by_name[method].output_type)
+        return parse_message(kind, method, body)
+
+    def forget(self, addresses: set[str]) -> None:
+        """Close the channels to these addresses."""
+        for address in addresses & self._channels.keys():
+            self._channels.pop(address).close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        self.forget(set(self._channels))
+
+    def _open(self, address: str) -> grpc.Channel:
+        if address not in self._channels:
+            self._channels[address] = grpc.insecure_channel(
+                address,
+                options=[
+                    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+                    ("grpc.max_reconnect_backoff_ms", CONNECT_BACKOFF_MS),
+                    ("grpc.enable_http_proxy", 0),
+                ],
+            )
+        return self._channels[address]
+
+
+async def _wait_future(future: Any) -> None:
+    """Wait until the future is done; cancel the call if we are cancelled."""
+    token = trio.lowlevel.current_trio_token()
+    done = trio.Event()
+
+    def wake(_: Any) -> None:
+        try:
+            token.run_sync_soon(done.set)
+        except trio.RunFinishedError:
+            return
+
+    future.add_done_callback(wake)
+    try:
+        await done.wait()
+    finally:
+        if not future.done():
+            future.cancel()
+
+
+def _translate(error: Exception, method: str) -> HemlockstandError:
+    if not isinstance(error, grpc.RpcError):
+        return PeerError(f"{method}: {error!r}")
+    if error.code() is grpc.StatusCode.FAILED_PRECONDITION:
+        code, _, detail = error.details().partition(": ")
+        return PeerError(f"{method}: {detail}", code)
+    return PeerError(f"{method}: {error.code().name} {error.details()}")
--- a/hemlockstand/settings.py
+++ b/hemlockstand/settings.py
@@ -34,6 +34,7 @@
     maximum: float | None = None,
     choices: tuple[str, ...] = (),
     secret: bool = False,
+    may_be_empty: bool = False,
 ) -> Any:
     """Declare a setting with its description and its allowed values."""
     return field(
@@ -43,6 +44,7 @@
             "maximum": maximum,
             "choices": choices,
             "secret": secret,
+            "may_be_empty": may_be_empty,
         }
     )
 
@@ -95,6 +97,11 @@
     suspect_after_seconds: float = option(
         "Silence after which a peer counts as gone.", 0.5, 300
     )
+    seeds: tuple[str, ...] = option(
+        "Peer addresses (IP:PORT) to try while no peer is known, for example at "
+        "a start when the instance list does not answer; may be empty.",
+        may_be_empty=True,
+    )
 
 
 @frozen
@@ -240,6 +247,9 @@
     problems: list[str] = []
     for source in (DEFAULTS_FILE, Path(path)):
         problems.extend(_read_file(parser, source))
+    if problems:
+        # The parser leaves unfinished values behind a line it cannot read.
+        raise SettingsError(problems)
     problems.extend(_find_unknown(parser, Path(path)))
     sections: dict[str, Any] = {}
     for section, kind in get_type_hints(Settings).items():
@@ -303,7 +313,7 @@
     if kind is str:
         return _convert_text(text, attribute)
     parts = tuple(part.strip() for part in text.split(",") if part.strip())
-    if not parts:
+    if not parts and not attribute.metadata["may_be_empty"]:
         raise ValueError("must name at least one entry")
     return parts
 
--- a/test/helper.py
+++ b/test/helper.py
@@ -2,6 +2,13 @@
 
 from pathlib import Path
 
+import trio
+from attrs import define, field
+
+from hemlockstand.errors import PlatformUnavailable
+from hemlockstand.platform.interface import InstanceRecord, Table
+from hemlockstand.platform.memory import MemoryObjects, MemoryTable
+
 MINIMAL_SETTINGS = """
 [daemon]
 name = entry-1
@@ -22,3 +29,64 @@
     path = directory / "hemlockd.ini"
     path.write_text(MINIMAL_SETTINGS + extra, encoding="utf-8")
     return path
+
+
+@define
+class ListedInstances:
+    """An instance list whose entries the test sets."""
+
+    records: list[InstanceRecord] = field(factory=list)
+    down: bool = False
+
+    async def list(self) -> list[InstanceRecord]:
+        """Return the records, or fail during an outage."""
+        if self.down:
+            raise PlatformUnavailable("instance list is down")
+        return list(self.records)
+
+
+class SwitchedTable(MemoryTable):
+    """A table that one daemon reaches over a path that can be cut."""
+
+    def __init__(self, shared: MemoryTable) -> None:
+        super().__init__(rows=shared.rows)
+        self.shared = shared
+        self.down = False
+        self.delay_seconds = 0.0
+
+    async def read_many(self, keys):
+        """Read from the shared table if the path is up."""
+        await self._pass()
+        return await self.shared.read_many(keys)
+
+    async def read(self, key):
+        """Read from the shared table if the path is up."""
+        await self._pass()
+        return await self.shared.read(key)
+
+    async def scan(self, prefix, after="", limit=500):
+        """Scan the shared table if the path is up."""
+        await self._pass()
+        return await self.shared.scan(prefix, after, limit)
+
+    async def transact(self, operations):
+        """Write to the shared table if the path is up."""
+        await self._pass()
+        return await self.shared.transact(operations)
+
+    async def _pass(self) -> None:
+        await trio.sleep(self.delay_seconds)
+        if self.down:
+            raise PlatformUnavailable("table is down")
+
+
+@define
+class MemoryPlatform:
+    """Platform of one daemon in a test; the parts may be shared."""
+
+    table: Table = field(factory=MemoryTable)
+    objects: MemoryObjects = field(factory=MemoryObjects)
+    instances: ListedInstances = field(factory=ListedInstances)
+
+    async def close(self) -> None:
+        """Close nothing."""
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -42,3 +42,10 @@
     with pytest.raises(SettingsError) as caught:
         load_settings(path)
     assert "short-one" not in str(caught.value)
+
+
+def test_unreadable_line_is_reported(tmp_path):
+    """Guards against a traceback for a section that appears twice."""
+    path = write_settings(tmp_path, "[peers]\ntimeout_seconds = 1\n")
+    with pytest.raises(SettingsError, match="section 'peers' already exists"):
+        load_settings(path)
