--- /dev/null
+++ b/hemlockstand/coordination/lease.py
@@ -0,0 +1,272 @@
+"""Leases on a holder row, and the observation that a holder has gone silent.
+
+A holder renews one row. Its own lease counts from before the renewal was
+sent, so it ends no later than an observer can assume. An observer reads all
+holder rows and may end a holder only after it saw the renewal counter
+unchanged for the holder's lease plus its longest grant plus a margin, with
+the table reachable during all of that time. Clocks are functions that return
+seconds; the clocks of two processes are never compared::
+
+    >>> import trio
+    >>> from hemlockstand.platform.memory import MemoryTable
+    >>> async def example():
+    ...     seconds = [0.0]
+    ...     clock = lambda: seconds[0]
+    ...     table = MemoryTable()
+    ...     terms = LeaseTerms(lease_seconds=10, grant_seconds=30)
+    ...     holder = HolderLease(table, "entry-1", "a1", "dc1", terms, clock)
+    ...     await holder.renew()
+    ...     watch = HolderWatch(table, margin_seconds=1, clock=clock)
+    ...     await watch.observe()
+    ...     print(holder.is_valid(), watch.silent())
+    ...     for _ in range(41):
+    ...         seconds[0] += 1.0
+    ...         await watch.observe()
+    ...     print(holder.is_valid(), watch.silent())
+    >>> trio.run(example)
+    True []
+    False ['entry-1/a1']
+"""
+
+from collections.abc import Callable, Mapping
+
+from attrs import define, field, frozen
+
+from hemlockstand.errors import (
+    HemlockstandError,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    TableConflict,
+)
+from hemlockstand.platform.interface import (
+    ABSENT,
+    ANY_VERSION,
+    Delete,
+    Operation,
+    Put,
+    Row,
+    Table,
+)
+
+HOLDER_PREFIX = "holder/"
+PAGE_ROWS = 500
+
+Clock = Callable[[], float]
+
+
+class LeaseLost(HemlockstandError):
+    """Another process ended this holder; its grants are gone."""
+
+    code = "lease_lost"
+
+
+@frozen
+class LeaseTerms:
+    """What a holder may rely on, in seconds.
+
+    ``grant_seconds`` is the longest time that work started under the lease
+    can go on after the lease has ended. ``proof_seconds`` is the age up to
+    which the holder relies on another proof than the lease.
+    """
+
+    lease_seconds: float
+    grant_seconds: float
+    proof_seconds: float = 0.0
+
+
+@define
+class HolderLease:
+    """The lease of one process.
+
+    ``session`` must be new for each start of the process, because the grants
+    of an earlier session may still be in use when the next one starts.
+    """
+
+    table: Table
+    name: str
+    session: str
+    data_centre: str
+    terms: LeaseTerms
+    clock: Clock
+    lost: bool = False
+    _counter: int = 0
+    _version: int = ABSENT
+    _first_sent_at: float | None = None
+    _valid_until: float = float("-inf")
+
+    @property
+    def holder(self) -> str:
+        """Identifier of this holder in rows that record its grants."""
+        return f"{self.name}/{self.session}"
+
+    @property
+    def key(self) -> str:
+        """Key of the holder row."""
+        return HOLDER_PREFIX + self.holder
+
+    def is_valid(self) -> bool:
+        """Return whether the lease is in force now.
+
+        Call it immediately before each use: the process may have been paused
+        since an earlier call.
+        """
+        return not self.lost and self.clock() < self._valid_until
+
+    async def renew(self) -> None:
+        """Extend the lease; a lost reply is resolved by reading the row.
+
+        Raises ``LeaseLost`` when the row was changed by another process, and
+        ``PlatformUnavailable`` or ``OutcomeUnknown`` when the lease could not
+        be extended and ends at its earlier time.
+        """
+        if self.lost:
+            raise LeaseLost(f"holder {self.holder} has ended")
+        sent_at = self.clock()
+        if self._first_sent_at is None:
+            self._first_sent_at = sent_at
+        try:
+            versions = await self.table.transact([self._make_put()])
+        except (TableConflict, OutcomeUnknown):
+            await self._adopt()
+        else:
+            self._confirm(versions[0], sent_at)
+
+    def make_release(self) -> Operation:
+        """Return the operation that ends this holder.
+
+        It is unconditional: nobody else gives meaning to a session's row.
+        """
+        return Delete(self.key, ANY_VERSION)
+
+    def end(self) -> None:
+        """End the lease locally, for example before a release is sent."""
+        self.lost = True
+
+    def _make_put(self) -> Put:
+        value = {
+            "counter": self._counter + 1,
+            "data_centre": self.data_centre,
+            "lease_seconds": self.terms.lease_seconds,
+            "grant_seconds": self.terms.grant_seconds,
+            "proof_seconds": self.terms.proof_seconds,
+            "ended_by_others": [],
+        }
+        return Put(self.key, value, self._version)
+
+    async def _adopt(self) -> None:
+        """Take over the state of the row after a lost reply or a conflict.
+
+        Only this process advances the counter, so a new version of the row is
+        one of the renewals sent since the last confirmed one. Which of them
+        is not known, hence the lease counts from the first.
+        """
+        row = await self.table.read(self.key)
+        if row.version == self._version:
+            raise OutcomeUnknown(f"renewal of {self.key} is not visible yet")
+        if row.version == ABSENT or row.value["ended_by_others"]:
+            self.lost = True
+            raise LeaseLost(f"holder {self.holder} was ended by another process")
+        self._confirm(row.version, self._first_sent_at)
+
+    def _confirm(self, version: int, sent_at: float) -> None:
+        self._counter += 1
+        self._version = version
+        self._first_sent_at = None
+        self._valid_until = max(self._valid_until, sent_at + self.terms.lease_seconds)
+
+
+@define
+class _Sighting:
+    """The last change of a holder row and the time since it is unchanged.
+
+    ``since`` is the time after the read that first showed this version, the
+    latest moment at which the change can have become visible here.
+    """
+
+    row: Row
+    since: float
+
+
+@define
+class HolderWatch:
+    """Decides when a silent holder may be ended."""
+
+    table: Table
+    margin_seconds: float
+    clock: Clock
+    max_gap_seconds: float = 5.0
+    _sightings: dict[str, _Sighting] = field(factory=dict)
+    _last_read: float | None = None
+
+    async def observe(self) -> None:
+        """Read all holder rows; a failed read restarts every observation."""
+        sent_at = self.clock()
+        if self._last_read is None or sent_at - self._last_read > self.max_gap_seconds:
+            self._sightings.clear()
+        try:
+            rows = await read_all(self.table, HOLDER_PREFIX)
+        except (PlatformUnavailable, OutcomeUnknown):
+            self.restart()
+            raise
+        self._note(rows, sent_at)
+
+    def restart(self) -> None:
+        """Forget all observations, because the table was not reachable."""
+        self._sightings.clear()
+        self._last_read = None
+
+    def silent(self) -> list[str]:
+        """Return the holders that were silent for long enough."""
+        return [
+            name
+            for name, sighting in self._sightings.items()
+            if self.silence(name) >= wait_seconds(sighting.row, self.margin_seconds)
+        ]
+
+    def silence(self, holder: str) -> float:
+        """Return for how many seconds the holder is known to be unchanged."""
+        sighting = self._sightings.get(holder)
+        if sighting is None or self._last_read is None:
+            return 0.0
+        return self._last_read - sighting.since
+
+    def row(self, holder: str) -> Row:
+        """Return the holder row as last seen; raises ``KeyError``."""
+        return self._sightings[holder].row
+
+    def holders(self) -> Mapping[str, Row]:
+        """Return all holder rows as last seen."""
+        return {name: sighting.row for name, sighting in self._sightings.items()}
+
+    def _note(self, rows: list[Row], sent_at: float) -> None:
+        arrived_at = self.clock()
+        seen: dict[str, _Sighting] = {}
+        for row in rows:
+            name = row.key.removeprefix(HOLDER_PREFIX)
+            known = self._sightings.get(name)
+            if known is not None and known.row.version == row.version:
+                seen[name] = known
+            else:
+                seen[name] = _Sighting(row, arrived_at)
+        self._sightings = seen
+        self._last_read = sent_at
+
+
+def wait_seconds(row: Row, margin_seconds: float) -> float:
+    """Return how long a holder must be silent before it may be ended.
+
+    The terms come from the holder's own row, because the observer may run
+    with other settings.
+    """
+    return row.value["lease_seconds"] + row.value["grant_seconds"] + margin_seconds
+
+
+async def read_all(table: Table, prefix: str) -> list[Row]:
+    """Return all rows with the prefix, page by page."""
+    rows: list[Row] = []
+    while True:
+        after = rows[-1].key if rows else ""
+        page = await table.scan(prefix, after, PAGE_ROWS)
+        rows.extend(page)
+        if len(page) < PAGE_ROWS:
+            return rows
--- /dev/null
+++ b/hemlockstand/requests/orders.py
@@ -0,0 +1,274 @@
+"""At-most-once handling of orders: claims, issued ids and kept results."""
+
+import hashlib
+import hmac
+from base64 import b64decode, b64encode
+from collections.abc import Mapping
+from typing import Any
+
+import trio
+from attrs import define, field, frozen
+from loguru import logger
+
+from hemlockstand.coordination.ledger import (
+    ClaimState,
+    Finished,
+    Granted,
+    GroupCommit,
+    IdIssuer,
+    Ledger,
+    Pending,
+)
+from hemlockstand.errors import HemlockstandError, InvalidInput
+from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.platform.service import PlatformService
+from hemlockstand.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
+
+log = logger.bind(module=__name__)
+
+MAX_ISSUED = 1000  # ids of one call
+MAX_INLINE_BODY = 8192  # larger bodies are kept only by the daemon that has them
+RETRY_SECONDS = 1.0
+
+
+@frozen
+class Claim:
+    """The right to run one order once; it ends with ``OrdersService.finish``."""
+
+    team: str
+    request_id: str
+    issued: bool
+
+    @property
+    def name(self) -> str:
+        """Name of the claim in the ledger."""
+        return f"{self.team}/{self.request_id}"
+
+
+@register
+class OrdersService(Service):
+    """Runs each order at most once."""
+
+    name = "orders"
+    needs = ("platform", "configuration", "peers")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        requests = self.settings.requests
+        self.peers = kernel.find("peers", Service)
+        self.table = kernel.find("platform", PlatformService).platform.table
+        self.clock = trio.current_time
+        self._commits = GroupCommit(self.table, requests.claim_batch_seconds)
+        self._ledger = Ledger(self._commits, self.peers.incarnation)
+        self._issuer = IdIssuer(self.peers.incarnation, self._derive_secret())
+        self._kept = KeptVerdicts(
+            requests.max_kept_results, requests.result_keep_seconds, self.clock
+        )
+        self._unwritten: dict[str, tuple[Claim, Verdict]] = {}
+        self._wake = trio.Event()
+
+    async def start(self) -> None:
+        """Answer other daemons that ask for outcomes."""
+        self.peers.handle_ask(self._answer)
+
+    async def run(self) -> None:
+        """Commit claims and write outcomes until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._commits.run)
+            nursery.start_soon(self._write_forever)
+
+    async def stop(self) -> None:
+        """Write the outcomes that are not written yet."""
+        with trio.move_on_after(self.settings.platform.timeout_seconds):
+            await self._write_outcomes()
+
+    def issue(self, team: str, count: int) -> list[str]:
+        """Return ids that need no table; raises ``InvalidInput``."""
+        if not 1 <= count <= MAX_ISSUED:
+            raise InvalidInput(f"count is {count}: must be from 1 to {MAX_ISSUED}")
+        return self._issuer.issue(team, count)
+
+    def owner_of(self, team: str, request_id: str) -> str | None:
+        """Return the incarnation that issued the id, or None for other ids.
+
+        A request with an id of another daemon has to be forwarded to it.
+        """
+        return self._issuer.owner_of(team, request_id)
+
+    async def claim(self, team: str, request_id: str) -> Claim | Verdict:
+        """Claim an order, or return the verdict that the caller gets."""
+        kept = self._kept.find(f"{team}/{request_id}")
+        if kept is not None:
+            return kept
+        owner = self.owner_of(team, request_id)
+        if owner is None:
+            return await self._claim_row(Claim(team, request_id, issued=False))
+        if owner != self.peers.incarnation:
+            return await self._ask(owner, team, request_id)
+        return self._claim_issued(Claim(team, request_id, issued=True))
+
+    async def finish(self, claim: Claim, verdict: Verdict) -> None:
+        """Record the verdict of a claimed order; it is written later."""
+        if claim.issued:
+            self._finish_issued(claim, verdict)
+            return
+        if not isinstance(verdict, NotRun):
+            self._kept.keep(claim.name, verdict)
+        self._unwritten[claim.name] = (claim, verdict)
+        self._wake.set()
+
+    async def look_up(self, team: str, request_id: str) -> Verdict:
+        """Return what is known of an order without running it."""
+        kept = self._kept.find(f"{team}/{request_id}")
+        if kept is not None:
+            return kept
+        owner = self.owner_of(team, request_id)
+        if owner == self.peers.incarnation:
+            return self._look_up_issued(request_id)
+        if owner is not None:
+            return await self._ask(owner, team, request_id)
+        try:
+            state = await self._ledger.look_up(f"{team}/{request_id}")
+        except HemlockstandError as error:
+            return MayHaveRun(request_id, Reason.CLAIM_UNAVAILABLE, str(error))
+        if state is None:
+            return NotRun(Reason.UNKNOWN_REQUEST, "no claim is kept", None)
+        return await self._explain(state, team, request_id)
+
+    def _derive_secret(self) -> bytes:
+        secret = self.settings.peers.secret.encode()
+        return hmac.new(secret, b"request-ids", hashlib.sha256).digest()
+
+    async def _claim_row(self, claim: Claim) -> Claim | Verdict:
+        try:
+            state = await self._ledger.claim(claim.name)
+        except HemlockstandError as error:
+            return NotRun(Reason.CLAIM_UNAVAILABLE, str(error), RETRY_SECONDS)
+        if isinstance(state, Granted):
+            return claim
+        return await self._explain(state, claim.team, claim.request_id)
+
+    def _claim_issued(self, claim: Claim) -> Claim | Verdict:
+        if self._issuer.use(claim.request_id):
+            return claim
+        return self._look_up_issued(claim.request_id)
+
+    def _finish_issued(self, claim: Claim, verdict: Verdict) -> None:
+        if isinstance(verdict, NotRun):
+            self._issuer.restore(claim.request_id)
+        else:
+            self._kept.keep(claim.name, verdict)
+
+    def _look_up_issued(self, request_id: str) -> Verdict:
+        if self._issuer.is_unused(request_id):
+            return NotRun(Reason.UNKNOWN_REQUEST, "the id was not used yet", None)
+        return MayHaveRun(
+            request_id, Reason.IN_PROGRESS, "the id was used and has no kept answer"
+        )
+
+    async def _explain(self, state: ClaimState, team: str, request_id: str) -> Verdict:
+        """Return the verdict for an order that was claimed before."""
+        match state:
+            case Finished(result=result):
+                return decode_result(request_id, result)
+            case Pending(owner=self.peers.incarnation) | Granted():
+                return MayHaveRun(request_id, Reason.IN_PROGRESS, "still running here")
+            case Pending(owner=owner):
+                return await self._ask(owner, team, request_id)
+
+    async def _ask(self, owner: str, team: str, request_id: str) -> Verdict:
+        try:
+            verdict = await self.peers.ask(owner, team, request_id)
+        except HemlockstandError as error:
+            detail = f"daemon {owner} did not answer: {error}"
+            return MayHaveRun(request_id, Reason.OWNER_UNREACHABLE, detail)
+        if verdict is None:
+            detail = f"daemon {owner} is gone or has no answer"
+            return MayHaveRun(request_id, Reason.OWNER_GONE, detail)
+        return verdict
+
+    async def _answer(self, team: str, request_id: str) -> Verdict | None:
+        """Answer another daemon from memory only."""
+        name = f"{team}/{request_id}"
+        kept = self._kept.find(name)
+        if kept is not None:
+            return kept
+        if name in self._unwritten:
+            return self._unwritten[name][1]
+        if self.owner_of(team, request_id) == self.peers.incarnation:
+            return self._look_up_issued(request_id)
+        if self._ledger.is_active(name):
+            return MayHaveRun(request_id, Reason.IN_PROGRESS, "still running")
+        return None
+
+    async def _write_forever(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            await self._write_outcomes()
+            if self._unwritten:
+                await trio.sleep(RETRY_SECONDS)
+                self._wake.set()
+
+    async def _write_outcomes(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for claim, verdict in tuple(self._unwritten.values()):
+                nursery.start_soon(self._write, claim, verdict)
+
+    async def _write(self, claim: Claim, verdict: Verdict) -> None:
+        try:
+            match verdict:
+                case NotRun():
+                    await self._ledger.release(claim.name)
+                case Answered() | MayHaveRun():
+                    await self._ledger.finish(claim.name, encode_result(verdict))
+        except HemlockstandError as error:
+            log.warning("outcome of {} is not written yet: {}", claim.name, error)
+            return
+        self._unwritten.pop(claim.name, None)
+
+
+@define
+class KeptVerdicts:
+    """Verdicts of recent orders, bounded in number and time."""
+
+    max_number: int
+    keep_seconds: float
+    clock: Any
+    _verdicts: dict[str, tuple[float, Verdict]] = field(factory=dict)
+
+    def keep(self, name: str, verdict: Verdict) -> None:
+        """Keep the verdict and drop the oldest ones above the bound."""
+        self._verdicts.pop(name, None)
+        self._verdicts[name] = (self.clock() + self.keep_seconds, verdict)
+        while len(self._verdicts) > self.max_number:
+            del self._verdicts[next(iter(self._verdicts))]
+
+    def find(self, name: str) -> Verdict | None:
+        """Return the kept verdict, or None."""
+        until, verdict = self._verdicts.get(name, (0.0, None))
+        if verdict is not None and until <= self.clock():
+            del self._verdicts[name]
+            return None
+        return verdict
+
+
+def encode_result(verdict: Answered | MayHaveRun) -> Mapping[str, Any] | None:
+    """Return the verdict as a JSON value; None when no answer can be kept."""
+    match verdict:
+        case Answered(status=status, headers=headers, body=body):
+            if len(body) > MAX_INLINE_BODY:
+                return None
+            pairs = [list(pair) for pair in headers]
+            text = b64encode(body).decode()
+            return {"status": status, "headers": pairs, "body": text}
+        case MayHaveRun():
+            return None
+
+
+def decode_result(request_id: str, result: Mapping[str, Any] | None) -> Verdict:
+    """Return the verdict of a kept result."""
+    if result is None:
+        return MayHaveRun(request_id, Reason.ANSWER_LOST, "no answer is kept")
+    headers = tuple((name, value) for name, value in result["headers"])
+    return Answered(result["status"], headers, b64decode(result["body"]))
