--- /dev/null
+++ b/hemlockstand/coordination/fairqueue.py
@@ -0,0 +1,277 @@
+"""Weighted fair queue with ranks and deadlines.
+
+Flows (teams) share the service in proportion to their weights, whatever each
+of them demands. A lower rank is served before a higher one, except that the
+last rank gets a guaranteed minimum part while it waits. The queue never
+blocks: the owner pushes when work arrives and pops when capacity is free::
+
+    >>> queue = FairQueue(capacity=100, minimum_fraction=0.1)
+    >>> for number in range(3):
+    ...     _ = queue.push(f"a{number}", "a", weight=2.0, deadline=10.0)
+    ...     _ = queue.push(f"b{number}", "b", weight=1.0, deadline=10.0)
+    >>> [queue.pop(now=0.0).item for _ in range(6)]
+    ['a0', 'b0', 'a1', 'a2', 'b1', 'b2']
+
+Each flow has a virtual finish time, the time at which an ideal server that
+divides itself by weight would finish the flow's first entry; the entry with
+the smallest one is served next (self-clocked fair queueing). A flow that was
+idle starts at the current virtual time, so it cannot save up service.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from heapq import heapify, heappop, heappush
+from itertools import count
+from typing import Generic, TypeVar
+
+from attrs import define, field
+
+from hemlockstand.errors import HemlockstandError
+
+Item = TypeVar("Item")
+
+RANKS = 3
+URGENT, INTERACTIVE, BATCH = range(RANKS)
+_ROUNDING = 1e-9  # ten tenths sum to slightly less than one
+
+
+class QueueFull(HemlockstandError):
+    """The queue holds as many entries as it may."""
+
+    code = "queue_full"
+
+
+@define(eq=False)
+class Entry(Generic[Item]):
+    """An item that waits; ``waiting`` is false once it has left the queue."""
+
+    item: Item
+    flow: str
+    rank: int
+    cost: float
+    deadline: float
+    waiting: bool = True
+
+
+@define(eq=False)
+class _Flow(Generic[Item]):
+    """The entries of one flow in one rank, oldest first."""
+
+    name: str
+    weight: float = 1.0
+    start: float = 0.0
+    finish: float = 0.0
+    stamp: int = -1
+    blocked: bool = False
+    entries: deque[Entry[Item]] = field(factory=deque)
+
+
+@define(eq=False)
+class _Rank(Generic[Item]):
+    """The flows of one rank, ordered by virtual finish time.
+
+    The heap holds the flows that wait and are not blocked, with the stamp
+    that was current when they were added. A heap element with an older stamp
+    is skipped.
+    """
+
+    virtual_time: float = 0.0
+    flows: dict[str, _Flow[Item]] = field(factory=dict)
+    heap: list[tuple[float, int, str]] = field(factory=list)
+    stamps: Iterator[int] = field(factory=count)
+
+    def push(self, entry: Entry[Item], weight: float, front: bool) -> None:
+        flow = self.flows.get(entry.flow)
+        if flow is None:
+            flow = self.flows[entry.flow] = _Flow(entry.flow)
+        flow.weight = weight
+        was_empty = not flow.entries
+        if front:
+            flow.entries.appendleft(entry)
+        else:
+            flow.entries.append(entry)
+        if was_empty:
+            flow.start = max(self.virtual_time, flow.start)
+        if was_empty or front:
+            self.schedule(flow)
+
+    def schedule(self, flow: _Flow[Item]) -> None:
+        """Put the flow in order by the virtual finish time of its first entry."""
+        flow.stamp = next(self.stamps)
+        if flow.blocked or not flow.entries:
+            return
+        flow.finish = flow.start + flow.entries[0].cost / flow.weight
+        heappush(self.heap, (flow.finish, flow.stamp, flow.name))
+
+    def first(self, now: float) -> _Flow[Item] | None:
+        """Return the flow to serve next, with a live first entry."""
+        while self.heap:
+            _, stamp, name = self.heap[0]
+            flow = self.flows.get(name)
+            if flow is None or flow.stamp != stamp:
+                heappop(self.heap)
+                continue
+            if not self._drop_dead(flow, now):
+                return flow
+            heappop(self.heap)
+            self.schedule(flow)
+            self.forget_idle(flow)
+        return None
+
+    def take(self, flow: _Flow[Item]) -> Entry[Item]:
+        """Serve the first entry of the flow."""
+        heappop(self.heap)
+        entry = flow.entries.popleft()
+        self.virtual_time = max(self.virtual_time, flow.finish)
+        flow.start = flow.finish
+        self.schedule(flow)
+        return entry
+
+    def _drop_dead(self, flow: _Flow[Item], now: float) -> bool:
+        """Remove entries that left or expired from the front of the flow."""
+        dropped = False
+        while flow.entries and not _is_live(flow.entries[0], now):
+            flow.entries.popleft()
+            dropped = True
+        return dropped
+
+    def forget_idle(self, flow: _Flow[Item]) -> None:
+        """Forget an idle flow whose start the virtual time has passed."""
+        if not flow.entries and not flow.blocked and flow.start <= self.virtual_time:
+            self.flows.pop(flow.name, None)
+
+
+def _is_live(entry: Entry, now: float) -> bool:
+    return entry.waiting and entry.deadline > now
+
+
+class FairQueue(Generic[Item]):
+    """Entries of several flows, served by weight within ranks.
+
+    ``capacity`` is the largest number of waiting entries. The last rank gets
+    at least ``minimum_fraction`` of the entries served while it waits.
+    """
+
+    def __init__(self, capacity: int, minimum_fraction: float = 0.0) -> None:
+        self.capacity = capacity
+        self.minimum_fraction = minimum_fraction
+        self._ranks: tuple[_Rank[Item], ...] = tuple(_Rank() for _ in range(RANKS))
+        self._deadlines: list[tuple[float, int, Entry[Item]]] = []
+        self._numbers = count()
+        self._credit = 0.0
+        self._length = 0
+
+    def __len__(self) -> int:
+        """Return the number of waiting entries, expired ones included."""
+        return self._length
+
+    def push(
+        self,
+        item: Item,
+        flow: str,
+        weight: float,
+        deadline: float,
+        rank: int = INTERACTIVE,
+        cost: float = 1.0,
+        front: bool = False,
+    ) -> Entry[Item]:
+        """Add an item to its flow; ``front`` puts it before the flow's others.
+
+        ``weight`` and ``cost`` are positive; the newest weight of a flow
+        holds. Raises ``QueueFull``.
+        """
+        if self._length >= self.capacity:
+            raise QueueFull(f"{self._length} entries wait, capacity {self.capacity}")
+        entry = Entry(item, flow, rank, cost, deadline)
+        self._ranks[rank].push(entry, weight, front)
+        heappush(self._deadlines, (deadline, next(self._numbers), entry))
+        self._length += 1
+        return entry
+
+    def peek(self, now: float) -> Entry[Item] | None:
+        """Return the entry that ``pop`` would take, without taking it."""
+        firsts = self._find_firsts(now)
+        rank = self._choose_rank(firsts)
+        return None if rank is None else firsts[rank].entries[0]
+
+    def pop(self, now: float) -> Entry[Item] | None:
+        """Take the entry to serve next, or ``None`` if none is ready.
+
+        Expired entries are never returned; ``expire`` lists them.
+        """
+        firsts = self._find_firsts(now)
+        rank = self._choose_rank(firsts)
+        if rank is None:
+            return None
+        self._count_served(rank, last_waits=firsts[-1] is not None)
+        entry = self._ranks[rank].take(firsts[rank])
+        entry.waiting = False
+        self._length -= 1
+        return entry
+
+    def _find_firsts(self, now: float) -> list[_Flow[Item] | None]:
+        return [rank.first(now) for rank in self._ranks]
+
+    def _choose_rank(self, firsts: list[_Flow[Item] | None]) -> int | None:
+        last = RANKS - 1
+        if firsts[last] and self._credit + self.minimum_fraction >= 1.0 - _ROUNDING:
+            return last
+        return next((rank for rank in range(RANKS) if firsts[rank]), None)
+
+    def _count_served(self, rank: int, last_waits: bool) -> None:
+        """Earn the last rank a part of each entry served while it waits."""
+        if not last_waits:
+            self._credit = 0.0
+        elif rank == RANKS - 1:
+            self._credit = max(0.0, self._credit + self.minimum_fraction - 1.0)
+        else:
+            self._credit += self.minimum_fraction
+
+    def remove(self, entry: Entry[Item]) -> None:
+        """Remove an entry that no longer wants service."""
+        if entry.waiting:
+            entry.waiting = False
+            self._length -= 1
+            self._compact()
+
+    def expire(self, now: float) -> list[Entry[Item]]:
+        """Remove and return the entries whose deadline has passed."""
+        expired = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            entry = heappop(self._deadlines)[2]
+            if entry.waiting:
+                entry.waiting = False
+                self._length -= 1
+                expired.append(entry)
+        return expired
+
+    def next_deadline(self) -> float | None:
+        """Return the earliest deadline of a waiting entry."""
+        while self._deadlines and not self._deadlines[0][2].waiting:
+            heappop(self._deadlines)
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def block(self, flow: str) -> None:
+        """Serve nothing of this flow until ``unblock``."""
+        for rank in self._ranks:
+            known = rank.flows.get(flow)
+            if known is None:
+                known = rank.flows[flow] = _Flow(flow)
+            known.blocked = True
+            rank.schedule(known)
+
+    def unblock(self, flow: str) -> None:
+        """Serve the flow again."""
+        for rank in self._ranks:
+            known = rank.flows.get(flow)
+            if known is not None and known.blocked:
+                known.blocked = False
+                known.start = max(known.start, rank.virtual_time)
+                rank.schedule(known)
+                rank.forget_idle(known)
+
+    def _compact(self) -> None:
+        """Rebuild the deadline heap when most of it has left the queue."""
+        if len(self._deadlines) > 2 * self._length + 64:
+            self._deadlines = [part for part in self._deadlines if part[2].waiting]
+            heapify(self._deadlines)
--- /dev/null
+++ b/hemlockstand/requests/admission.py
@@ -0,0 +1,321 @@
+"""The caller port: turns HTTP requests into requests and verdicts into answers.
+
+Bad input gets a response with a code and ends nothing but its own request.
+"""
+
+from collections.abc import Awaitable, Callable, Mapping
+from time import perf_counter
+
+import msgspec
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from loguru import logger
+from quart import Response, request as http_request
+from quart_trio import QuartTrio
+from werkzeug.exceptions import HTTPException, RequestEntityTooLarge, RequestTimeout
+
+from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.metrics import REFUSALS, REQUEST_SECONDS, VERDICTS
+from hemlockstand.model import Access, Configuration, Queue
+from hemlockstand.requests.callers import (
+    HttpAnswer,
+    Presented,
+    Refused,
+    check_request_id,
+    present_document,
+    present_verdict,
+    read_headers,
+    read_presented,
+    read_request_id,
+    refuse,
+)
+from hemlockstand.requests.dispatch import DispatchService
+from hemlockstand.requests.keys import KeyIndex
+from hemlockstand.requests.messages import Request
+from hemlockstand.requests.neighbours import (
+    FLEET,
+    ConfigurationSource,
+    FreshnessSource,
+    OrdersSource,
+)
+from hemlockstand.traces import record_hop
+from hemlockstand.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
+
+log = logger.bind(module=__name__)
+
+BODY_TIMEOUT_SECONDS = 10
+STOP_MARGIN_SECONDS = 2.0
+FRESHNESS_RETRY_SECONDS = 2.0
+MAX_ISSUED_IDS = 1000
+MAX_DOCUMENT_BYTES = 4096
+NO_REQUEST_ID = "none"
+
+_VERDICT_NAMES = {Answered: "answered", NotRun: "not-run", MayHaveRun: "may-have-run"}
+
+
+class IssueIds(msgspec.Struct):
+    """Body of ``POST /v1/request-ids``."""
+
+    count: int
+
+
+@register
+class AdmissionService(Service):
+    """Owns the caller port."""
+
+    name = "admission"
+    needs = ("configuration", "freshness", "orders", "dispatch")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.port = self.settings.listen.caller_port
+        self.app = self._make_app()
+        self._keys = KeyIndex()
+        self._closing = trio.Event()
+        self._closed = trio.Event()
+        self.listening = trio.Event()
+
+    async def start(self) -> None:
+        """Find the services that admission needs."""
+        find = self.kernel.find
+        self._configuration = find("configuration", ConfigurationSource)
+        self._freshness = find("freshness", FreshnessSource)
+        self._orders = find("orders", OrdersSource)
+        self._dispatch = find("dispatch", DispatchService)
+
+    async def run(self) -> None:
+        """Serve callers until ``stop`` has let the running requests finish."""
+        try:
+            async with trio.open_nursery() as nursery:
+                binds = await nursery.start(self._serve)
+                self.port = int(binds[0].rpartition(":")[2])
+                self.listening.set()
+                log.info("callers are served on {}", binds[0])
+        finally:
+            self._closed.set()
+
+    async def stop(self) -> None:
+        """Serve late arrivals, close the port, let running requests finish."""
+        await trio.sleep(self.settings.daemon.balancer_lag_seconds)
+        self._closing.set()
+        await self._closed.wait()
+
+    async def _serve(self, task_status: trio.TaskStatus) -> None:
+        listen = self.settings.listen
+        config = Config()
+        config.bind = [f"{listen.host}:{listen.caller_port}"]
+        config.accesslog = None
+        config.errorlog = None
+        config.include_server_header = False
+        config.graceful_timeout = (
+            self.settings.requests.max_deadline_seconds + STOP_MARGIN_SECONDS
+        )
+        await serve(
+            self.app,
+            config,
+            shutdown_trigger=self._closing.wait,
+            task_status=task_status,
+        )
+
+    def _make_app(self) -> QuartTrio:
+        app = QuartTrio("hemlockstand", static_folder=None)
+        app.config["MAX_CONTENT_LENGTH"] = self.settings.requests.max_body_bytes
+        app.config["BODY_TIMEOUT"] = BODY_TIMEOUT_SECONDS
+        app.config["RESPONSE_TIMEOUT"] = None
+        app.add_url_rule("/v1/queues/<queue>", view_func=self._submit, methods=["POST"])
+        app.add_url_rule("/v1/requests/<request_id>", view_func=self._look_up)
+        app.add_url_rule("/v1/request-ids", view_func=self._issue_ids, methods=["POST"])
+        app.register_error_handler(HTTPException, self._answer_error)
+        return app
+
+    async def _submit(self, queue: str) -> Response:
+        began = perf_counter()
+        headers: Mapping[str, str] = {}
+        verdict: Verdict
+        request_id = NO_REQUEST_ID
+        try:
+            headers = read_headers(http_request.scope["headers"])
+            request_id = read_request_id(headers) or NO_REQUEST_ID
+            request = await self._admit(queue, headers)
+            request_id = request.id
+            with record_hop("admission", request.trace_headers, queue=queue):
+                verdict = await self._dispatch.execute(request)
+        except Refused as error:
+            verdict = error.verdict
+        except HTTPException as error:
+            verdict = _judge_http_error(error)
+        except Exception:
+            # What failed may have failed after the send.
+            log.exception("request {} to queue {} failed", request_id, queue)
+            verdict = MayHaveRun(
+                request_id, Reason.ANSWER_LOST, "the daemon failed to complete it"
+            )
+        self._count(queue, verdict, perf_counter() - began)
+        return _make_response(present_verdict(verdict, request_id))
+
+    async def _admit(self, name: str, headers: Mapping[str, str]) -> Request:
+        """Check everything that can be checked before the request waits."""
+        arrived = trio.current_time()
+        presented = read_presented(headers)
+        configuration = self._configuration.current
+        queue = configuration.queues.get(name)
+        if queue is None:
+            raise refuse(Reason.UNKNOWN_QUEUE, f"queue {name[:160]!r} does not exist")
+        _check_team(configuration, queue, presented)
+        key = None
+        if queue.access is not Access.OPEN:
+            key = self._check_key(configuration, queue.team, presented)
+        body = await http_request.get_data()
+        request_id = presented.request_id
+        if request_id is None:
+            request_id = self._orders.issue(queue.team, 1)[0]
+        return Request(
+            id=request_id,
+            team=queue.team,
+            queue=queue.name,
+            deadline=arrived + self._grant_deadline(queue, presented),
+            body=body,
+            content_type=presented.content_type,
+            trace_headers=presented.trace_headers,
+            key=key,
+        )
+
+    def _check_key(
+        self, configuration: Configuration, team: str, presented: Presented
+    ) -> str:
+        """Return the name of the presented key; raises ``Refused``."""
+        if presented.key is None:
+            raise refuse(Reason.KEY_MISSING, "header authorization is missing")
+        if not self._freshness.is_fresh(FLEET):
+            raise refuse(
+                Reason.CONFIGURATION_NOT_FRESH,
+                "the daemon cannot tell whether the key is still granted",
+                FRESHNESS_RETRY_SECONDS,
+            )
+        key = self._keys.find(configuration.keys, team, presented.key)
+        if key is None:
+            raise refuse(Reason.KEY_REFUSED, f"the key is not granted to team {team!r}")
+        return key.name
+
+    def _grant_deadline(self, queue: Queue, presented: Presented) -> float:
+        """Return the time that the request gets, in seconds."""
+        longest = min(
+            queue.deadline_seconds, self.settings.requests.max_deadline_seconds
+        )
+        if presented.deadline_seconds is None:
+            return longest
+        return min(presented.deadline_seconds, longest)
+
+    async def _look_up(self, request_id: str) -> Response:
+        return await self._answer_team(
+            request_id, lambda team: self._look_up_checked(team, request_id)
+        )
+
+    async def _look_up_checked(self, team: str, request_id: str) -> HttpAnswer:
+        verdict = await self._orders.look_up(team, check_request_id(request_id))
+        return present_verdict(verdict, request_id)
+
+    async def _issue_ids(self) -> Response:
+        return await self._answer_team(NO_REQUEST_ID, self._issue_checked)
+
+    async def _issue_checked(self, team: str) -> HttpAnswer:
+        data = await http_request.get_data()
+        if len(data) > MAX_DOCUMENT_BYTES:
+            raise refuse(
+                Reason.BODY_TOO_LARGE,
+                f"the body has {len(data)} bytes, at most {MAX_DOCUMENT_BYTES}",
+            )
+        try:
+            wanted = msgspec.json.decode(data, type=IssueIds).count
+        except msgspec.DecodeError as error:
+            raise refuse(Reason.INVALID_REQUEST, f"body: {error}") from error
+        if not 1 <= wanted <= MAX_ISSUED_IDS:
+            raise refuse(
+                Reason.INVALID_REQUEST,
+                f"count is {wanted}, must be from 1 to {MAX_ISSUED_IDS}",
+            )
+        ids = self._orders.issue(team, wanted)
+        return present_document({"ids": ids}, NO_REQUEST_ID)
+
+    async def _answer_team(
+        self, request_id: str, answer: Callable[[str], Awaitable[HttpAnswer]]
+    ) -> Response:
+        """Check the caller's team and key, then let ``answer`` respond."""
+        try:
+            headers = read_headers(http_request.scope["headers"])
+            team = self._check_caller(read_presented(headers))
+            return _make_response(await answer(team))
+        except Refused as error:
+            return _make_response(present_verdict(error.verdict, request_id))
+
+    def _check_caller(self, presented: Presented) -> str:
+        """Return the caller's team; a team with keyed queues needs its key."""
+        configuration = self._configuration.current
+        team = presented.team
+        if team is None:
+            raise refuse(Reason.INVALID_REQUEST, "header x-team is missing")
+        if team not in configuration.teams:
+            raise refuse(Reason.UNKNOWN_TEAM, f"team {team!r} does not exist")
+        queues = configuration.queues.values()
+        own = [queue.access for queue in queues if queue.team == team]
+        if Access.KEYED in own or not own:
+            self._check_key(configuration, team, presented)
+        return team
+
+    async def _answer_error(self, error: HTTPException) -> Response:
+        """Answer what the framework refused before any handler ran."""
+        request_id = http_request.headers.get("X-Request-Id", NO_REQUEST_ID)
+        verdict = _judge_http_error(error)
+        REFUSALS.labels(verdict.reason.value).inc()
+        shown = read_request_id({"x-request-id": request_id}) or NO_REQUEST_ID
+        return _make_response(present_verdict(verdict, shown))
+
+    def _count(self, queue: str, verdict: Verdict, seconds: float) -> None:
+        # Names that do not exist share one label, or callers could create
+        # any number of time series.
+        known = queue in self._configuration.current.queues
+        label = queue if known else "unknown"
+        VERDICTS.labels(label, _VERDICT_NAMES[type(verdict)]).inc()
+        REQUEST_SECONDS.labels(label).observe(seconds)
+        if isinstance(verdict, NotRun):
+            REFUSALS.labels(verdict.reason.value).inc()
+
+
+def _check_team(
+    configuration: Configuration, queue: Queue, presented: Presented
+) -> None:
+    """Check that the request names the team that the queue belongs to."""
+    team = presented.team
+    if team is not None and team not in configuration.teams:
+        raise refuse(Reason.UNKNOWN_TEAM, f"team {team!r} does not exist")
+    if team is not None and team != queue.team:
+        raise refuse(
+            Reason.KEY_REFUSED, f"queue {queue.name!r} is not of team {team!r}"
+        )
+    if queue.team not in configuration.teams:
+        raise refuse(Reason.UNKNOWN_TEAM, f"team {queue.team!r} does not exist")
+
+
+def _judge_http_error(error: HTTPException) -> NotRun:
+    match error:
+        case RequestEntityTooLarge():
+            return NotRun(Reason.BODY_TOO_LARGE, "the body is too large", None)
+        case RequestTimeout():
+            return NotRun(
+                Reason.INVALID_REQUEST,
+                f"the body did not arrive within {BODY_TIMEOUT_SECONDS} s",
+                None,
+            )
+        case HTTPException(code=404 | 405):
+            return NotRun(Reason.UNKNOWN_QUEUE, "there is no such path or method", None)
+        case _:
+            return NotRun(Reason.INVALID_REQUEST, f"{error.name}", None)
+
+
+def _make_response(answer: HttpAnswer) -> Response:
+    response = Response(answer.body, status=answer.status)
+    response.headers.clear()
+    response.headers.extend(answer.headers)
+    response.headers["Content-Length"] = str(len(answer.body))
+    return response
--- /dev/null
+++ b/hemlockstand/requests/dispatch.py
@@ -0,0 +1,252 @@
+"""Carries a request to an executor and back, and decides the verdict.
+
+A request that is not idempotent is sent at most once unless the verdict of
+the send was ``NotRun``. All retries of a daemon are made here, within the
+retry budget of the pool.
+"""
+
+from itertools import count
+
+import trio
+from attrs import define, field
+from loguru import logger
+
+from hemlockstand.coordination.fairqueue import FairQueue, QueueFull
+from hemlockstand.coordination.retries import Backoff, RetryBudget
+from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.model import Queue
+from hemlockstand.requests.messages import Request
+from hemlockstand.requests.neighbours import (
+    FLEET,
+    ConfigurationSource,
+    FreshnessSource,
+    LimitsSource,
+    OrdersSource,
+    Slot,
+)
+from hemlockstand.requests.pools import PoolDispatcher, Waiter
+from hemlockstand.requests.upstreams import UpstreamsService
+from hemlockstand.traces import record_hop
+from hemlockstand.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
+
+log = logger.bind(module=__name__)
+
+OVERLOAD_RETRY_SECONDS = 1.0
+NO_UPSTREAM_RETRY_SECONDS = 2.0
+
+
+@define(eq=False)
+class _Outcome:
+    """The verdict of a request that runs in a task of its own."""
+
+    done: trio.Event = field(factory=trio.Event)
+    verdict: Verdict | None = None
+
+    def set(self, verdict: Verdict) -> None:
+        self.verdict = verdict
+        self.done.set()
+
+
+@register
+class DispatchService(Service):
+    """Runs requests: order of service, slot, executor, retries, verdict."""
+
+    name = "dispatch"
+    needs = ("configuration", "freshness", "limits", "orders", "upstreams")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.pools: dict[str, PoolDispatcher] = {}
+        self._backoff = Backoff()
+        self._nursery: trio.Nursery | None = None
+        self._running = trio.Event()
+
+    async def start(self) -> None:
+        """Find the services that a request needs."""
+        find = self.kernel.find
+        self._configuration = find("configuration", ConfigurationSource)
+        self._freshness = find("freshness", FreshnessSource)
+        self._limits = find("limits", LimitsSource)
+        self._orders = find("orders", OrdersSource)
+        self._upstreams = find("upstreams", UpstreamsService)
+
+    async def run(self) -> None:
+        """Hold the tasks of pools and of orders."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._running.set()
+            await trio.sleep_forever()
+
+    async def execute(self, request: Request) -> Verdict:
+        """Run the request and return its verdict.
+
+        An order goes on in a task of its own when the caller is gone, so that
+        its outcome is kept for the caller to ask for.
+        """
+        await self._running.wait()
+        queue = self._configuration.current.queues.get(request.queue)
+        if queue is None:
+            return NotRun(
+                Reason.UNKNOWN_QUEUE, f"queue {request.queue!r} does not exist", None
+            )
+        with record_hop("dispatch", queue=queue.name, team=queue.team):
+            if queue.idempotent:
+                return await self._run_tries(request, queue)
+            outcome = _Outcome()
+            self._nursery.start_soon(self._run_order, request, queue, outcome)
+            await outcome.done.wait()
+            return outcome.verdict
+
+    async def _run_order(
+        self, request: Request, queue: Queue, outcome: _Outcome
+    ) -> None:
+        """Claim the order, run it, and record what became of it."""
+        verdict: Verdict = MayHaveRun(
+            request.id, Reason.ANSWER_LOST, "the daemon failed while it ran the order"
+        )
+        try:
+            claim = await self._orders.claim(queue.team, request.id)
+            if isinstance(claim, Answered | NotRun | MayHaveRun):
+                outcome.set(claim)
+                return
+            try:
+                verdict = await self._run_tries(request, queue)
+            finally:
+                # A caller told "not run" may send the order again at once, so
+                # its claim is released first.
+                if not isinstance(verdict, NotRun):
+                    outcome.set(verdict)
+                with trio.CancelScope(shield=True):
+                    await self._orders.finish(claim, verdict)
+        except Exception:
+            log.exception("order {} of team {} failed", request.id, queue.team)
+        finally:
+            outcome.set(verdict)
+
+    async def _run_tries(self, request: Request, queue: Queue) -> Verdict:
+        """Try until there is a verdict that must not or cannot be retried."""
+        pool = self._find_pool(queue.pool)
+        pool.budget.record_first_try()
+        uncertain: MayHaveRun | None = None
+        avoid: str | None = None
+        for number in count(1):
+            waiter = self._make_waiter(request, queue, avoid)
+            verdict = await self._try_once(pool, waiter, is_retry=number > 1)
+            if isinstance(verdict, MayHaveRun):
+                uncertain = verdict
+            if not _may_retry(verdict, queue) or not pool.budget.try_spend():
+                break
+            avoid = waiter.executor.id if waiter.executor is not None else None
+            await trio.sleep(self._backoff.delay(number))
+        # "Not run" is true only if no earlier try may have run.
+        if isinstance(verdict, NotRun) and uncertain is not None:
+            return uncertain
+        return verdict
+
+    async def _try_once(
+        self, pool: PoolDispatcher, waiter: Waiter, is_retry: bool
+    ) -> Verdict:
+        refusal = await self._wait_turn(pool, waiter, is_retry)
+        if refusal is not None:
+            return refusal
+        slot = waiter.slot
+        certain = False
+        try:
+            verdict = await self._upstreams.call(
+                waiter.executor, waiter.request, lambda: self._may_send(waiter, slot)
+            )
+            certain = not isinstance(verdict, MayHaveRun)
+            return verdict
+        finally:
+            slot.release(certain)
+            pool.assign()
+
+    async def _wait_turn(
+        self, pool: PoolDispatcher, waiter: Waiter, is_retry: bool
+    ) -> NotRun | None:
+        """Wait for an executor and a slot; return a refusal if there is none."""
+        now = trio.current_time()
+        if waiter.latest_start <= now:
+            return NotRun(
+                Reason.DEADLINE_TOO_SHORT,
+                f"{waiter.request.deadline - now:.3f} s remain, the pool "
+                f"{pool.pool!r} answers more slowly",
+                OVERLOAD_RETRY_SECONDS,
+            )
+        if not pool.has_upstream(waiter.queue, now):
+            return NotRun(
+                Reason.NO_UPSTREAM,
+                f"no upstream of pool {pool.pool!r} takes work",
+                NO_UPSTREAM_RETRY_SECONDS,
+            )
+        team = self._configuration.current.teams.get(waiter.queue.team)
+        weight = team.share if team is not None else 1.0
+        try:
+            entry = pool.add(waiter, weight, front=is_retry)
+        except QueueFull as error:
+            return NotRun(Reason.OVERLOADED, error.message, OVERLOAD_RETRY_SECONDS)
+        try:
+            with trio.move_on_at(waiter.latest_start):
+                await waiter.granted.wait()
+        except trio.Cancelled:
+            pool.give_back(waiter)
+            raise
+        finally:
+            pool.waiting.remove(entry)
+        if waiter.executor is not None:
+            return None
+        return NotRun(
+            Reason.DEADLINE_EXPIRED,
+            f"the request waited too long for the pool {pool.pool!r}",
+            OVERLOAD_RETRY_SECONDS,
+        )
+
+    def _may_send(self, waiter: Waiter, slot: Slot) -> bool:
+        """Check limit and key again; called directly before the send.
+
+        A daemon that was paused finds here that its lease or the key has
+        lapsed meanwhile.
+        """
+        if not slot.may_send():
+            return False
+        if not waiter.is_keyed:
+            return True
+        if not self._freshness.is_fresh(FLEET):
+            return False
+        return waiter.request.key in self._configuration.current.keys
+
+    def _make_waiter(self, request: Request, queue: Queue, avoid: str | None) -> Waiter:
+        latency = self._upstreams.registry.expected_latency(
+            queue.pool, trio.current_time()
+        )
+        return Waiter(request, queue, request.deadline - latency, avoid)
+
+    def _find_pool(self, name: str) -> PoolDispatcher:
+        pool = self.pools.get(name)
+        if pool is None:
+            settings = self.settings.requests
+            pool = self.pools[name] = PoolDispatcher(
+                name,
+                FairQueue(settings.queue_length, settings.batch_fraction),
+                RetryBudget(settings.retry_fraction),
+                self._upstreams.registry,
+                self._limits,
+                self._nursery,
+                self._find_pool,
+            )
+            self._nursery.start_soon(pool.run)
+        return pool
+
+
+def _may_retry(verdict: Verdict, queue: Queue) -> bool:
+    match verdict:
+        case NotRun(reason=Reason.UPSTREAM_REFUSED):
+            return True
+        case MayHaveRun(reason=Reason.DEADLINE_EXPIRED):
+            return False
+        case MayHaveRun():
+            return queue.idempotent
+        case Answered(status=status):
+            return queue.idempotent and status >= 500
+        case _:
+            return False
--- /dev/null
+++ b/hemlockstand/requests/executors.py
@@ -0,0 +1,176 @@
+"""The executors of all pools with their measured state."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from random import Random
+
+from attrs import define, field
+
+from hemlockstand.coordination.concurrency import ConcurrencyWindow
+from hemlockstand.coordination.ejection import OutlierEjector
+from hemlockstand.platform.interface import (
+    InstanceKind,
+    InstanceRecord,
+    InstanceState,
+)
+
+# A leaving or unreachable executor is not tried again for this time even if
+# the lagging instance list still calls it live.
+LEAVING_SECONDS = 15.0
+UNREACHABLE_SECONDS = 2.0
+MEASUREMENT_SECONDS = 2.0
+
+
+@define(eq=False)
+class Executor:
+    """An upstream instance as this daemon sees it; times are monotonic."""
+
+    id: str
+    address: str
+    pool: str
+    window: ConcurrencyWindow = field(factory=ConcurrencyWindow)
+    listed_leaving: bool = False
+    drained: bool = False
+    avoid_until: float = float("-inf")
+
+    def takes_work(self, now: float) -> bool:
+        """Return whether no sign says that the executor is leaving or down."""
+        return not self.listed_leaving and not self.drained and now >= self.avoid_until
+
+
+@define(eq=False)
+class ExecutorPool:
+    """The executors of one pool."""
+
+    executors: dict[str, Executor] = field(factory=dict)
+    ejector: OutlierEjector = field(factory=OutlierEjector)
+
+
+@define(eq=False)
+class ExecutorRegistry:
+    """Follows the instance list and the drains, and chooses executors."""
+
+    data_centre: str
+    random: Random = field(factory=Random)
+    pools: dict[str, ExecutorPool] = field(factory=dict)
+
+    def get(self, pool: str) -> tuple[Executor, ...]:
+        """Return the known executors of the pool."""
+        known = self.pools.get(pool)
+        return tuple(known.executors.values()) if known is not None else ()
+
+    def follow_list(self, records: Iterable[InstanceRecord]) -> list[Executor]:
+        """Take over the instance list; return the executors that are gone."""
+        listed = {record.id: record for record in self._find_own(records)}
+        gone = [
+            executor
+            for executor in self._all()
+            if not _is_same(executor, listed.get(executor.id))
+        ]
+        for executor in gone:
+            self._forget(executor)
+        for record in listed.values():
+            self._add(record)
+        return gone
+
+    def follow_drains(self, drains: Mapping[str, str]) -> None:
+        """Mark the executors that the configuration drains."""
+        for executor in self._all():
+            executor.drained = executor.id in drains
+
+    def choose(
+        self, pool: str, now: float, avoid: str | None = None
+    ) -> Executor | None:
+        """Return the less loaded of two random executors that have room.
+
+        ``avoid`` names an executor that is taken only if it is the only one.
+        """
+        known = self.pools.get(pool)
+        if known is None:
+            return None
+        ready = list(_find_ready(known, now))
+        others = [executor for executor in ready if executor.id != avoid]
+        candidates = others or ready
+        if len(candidates) > 2:
+            candidates = self.random.sample(candidates, 2)
+        return min(
+            candidates,
+            key=lambda executor: _measure_load(known, executor, now),
+            default=None,
+        )
+
+    def is_idle(self, pool: str, now: float) -> bool:
+        """Return whether less than half of the pool's windows is in use."""
+        usable = [part for part in self.get(pool) if part.takes_work(now)]
+        used = sum(executor.window.in_flight for executor in usable)
+        return used < 0.5 * sum(executor.window.size for executor in usable)
+
+    def has_usable(self, pool: str, now: float) -> bool:
+        """Return whether any executor of the pool takes work at all."""
+        return any(executor.takes_work(now) for executor in self.get(pool))
+
+    def expected_latency(self, pool: str, now: float) -> float:
+        """Return the shortest time in which the pool answers, in seconds.
+
+        Without recent answers it is zero: refusing by an old measurement
+        would prevent the answers that correct it.
+        """
+        recent = [
+            executor.window.baseline
+            for executor in self.get(pool)
+            if now - executor.window.answered_at < MEASUREMENT_SECONDS
+        ]
+        return min(recent, default=0.0)
+
+    def ejector(self, pool: str) -> OutlierEjector:
+        """Return the ejector of the pool."""
+        return self.pools.setdefault(pool, ExecutorPool()).ejector
+
+    def _find_own(self, records: Iterable[InstanceRecord]) -> Iterator[InstanceRecord]:
+        for record in records:
+            if record.kind is not InstanceKind.EXECUTOR or not record.pool:
+                continue
+            if record.data_centre == self.data_centre:
+                yield record
+
+    def _all(self) -> list[Executor]:
+        return [
+            executor
+            for known in self.pools.values()
+            for executor in known.executors.values()
+        ]
+
+    def _add(self, record: InstanceRecord) -> None:
+        known = self.pools.setdefault(record.pool, ExecutorPool())
+        executor = known.executors.get(record.id)
+        if executor is None:
+            executor = Executor(record.id, record.address, record.pool)
+            known.executors[record.id] = executor
+            known.ejector.add(record.id)
+        executor.listed_leaving = record.state is InstanceState.LEAVING
+
+    def _forget(self, executor: Executor) -> None:
+        known = self.pools[executor.pool]
+        known.executors.pop(executor.id, None)
+        known.ejector.forget(executor.id)
+
+
+def _is_same(executor: Executor, record: InstanceRecord | None) -> bool:
+    """Return whether the record is the same process in the same pool."""
+    return (
+        record is not None
+        and record.address == executor.address
+        and record.pool == executor.pool
+    )
+
+
+def _find_ready(known: ExecutorPool, now: float) -> Iterator[Executor]:
+    for executor in known.executors.values():
+        if not executor.takes_work(now) or not executor.window.has_room(now):
+            continue
+        if known.ejector.may_use(executor.id, now):
+            yield executor
+
+
+def _measure_load(known: ExecutorPool, executor: Executor, now: float) -> float:
+    window = executor.window
+    return window.load() + known.ejector.penalty(executor.id, now)
--- /dev/null
+++ b/hemlockstand/requests/neighbours.py
@@ -0,0 +1,76 @@
+"""What the request path needs from services of other packages.
+
+The protocols let ``Kernel.find`` check a service by its methods, so that the
+request path does not import the modules behind them.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol, runtime_checkable
+
+from hemlockstand.model import Configuration
+from hemlockstand.verdict import Verdict
+
+
+@runtime_checkable
+class ConfigurationSource(Protocol):
+    """The configuration that is in force."""
+
+    @property
+    def current(self) -> Configuration: ...
+
+
+@runtime_checkable
+class FreshnessSource(Protocol):
+    """Whether an unknown change of the configuration can be in force."""
+
+    def is_fresh(self, scope: Any) -> bool: ...
+
+
+@runtime_checkable
+class Slot(Protocol):
+    """Permission to run one request of a team."""
+
+    def may_send(self) -> bool: ...
+
+    def release(self, certain: bool) -> None: ...
+
+
+@runtime_checkable
+class LimitsSource(Protocol):
+    """The slots that this daemon holds of each team's limit."""
+
+    def take(self, team: str, deadline: float, keyed: bool) -> Slot | None: ...
+
+    async def wait_slot(
+        self, team: str, deadline: float, keyed: bool
+    ) -> Slot | None: ...
+
+
+@runtime_checkable
+class OrdersSource(Protocol):
+    """Claims and retained results of non-idempotent requests."""
+
+    async def claim(self, team: str, request_id: str) -> Any: ...
+
+    async def finish(self, claim: Any, verdict: Verdict) -> None: ...
+
+    def issue(self, team: str, count: int) -> list[str]: ...
+
+    async def look_up(self, team: str, request_id: str) -> Verdict: ...
+
+
+@runtime_checkable
+class PeersSource(Protocol):
+    """The other daemons."""
+
+    incarnation: str
+
+    def demands(self) -> Mapping[str, Mapping[str, Any]]: ...
+
+    async def forward(self, daemon_incarnation: str, message: Any) -> Verdict: ...
+
+    def handle_forward(self, function: Callable[..., Any]) -> None: ...
+
+
+# The scope of a freshness proof that keys need.
+FLEET = "fleet"
--- /dev/null
+++ b/hemlockstand/requests/pools.py
@@ -0,0 +1,162 @@
+"""The waiting requests of one pool and their assignment to executors."""
+
+from collections.abc import Callable
+
+import trio
+from attrs import define, field
+
+from hemlockstand.coordination.fairqueue import (
+    BATCH,
+    INTERACTIVE,
+    URGENT,
+    Entry,
+    FairQueue,
+)
+from hemlockstand.coordination.retries import RetryBudget
+from hemlockstand.model import Access, Priority, Queue
+from hemlockstand.requests.executors import Executor, ExecutorRegistry
+from hemlockstand.requests.messages import Request
+from hemlockstand.requests.neighbours import LimitsSource, Slot
+
+RANKS = {
+    Priority.URGENT: URGENT,
+    Priority.INTERACTIVE: INTERACTIVE,
+    Priority.BATCH: BATCH,
+}
+
+# Longest time until room that appears without an event is noticed: a paced
+# window, the end of an ejection, idle capacity of the spare pool.
+TICK_SECONDS = 0.02
+SLOT_RETRY_SECONDS = 0.05
+
+
+@define(eq=False)
+class Waiter:
+    """A request that waits for an executor and a slot."""
+
+    request: Request
+    queue: Queue
+    latest_start: float
+    avoid: str | None
+    granted: trio.Event = field(factory=trio.Event)
+    executor: Executor | None = None
+    slot: Slot | None = None
+
+    @property
+    def is_keyed(self) -> bool:
+        """Return whether the queue accepts work with a key only."""
+        return self.queue.access is Access.KEYED
+
+
+@define(eq=False)
+class PoolDispatcher:
+    """Assigns waiting requests to executors in the order of the fair queue."""
+
+    pool: str
+    waiting: FairQueue[Waiter]
+    budget: RetryBudget
+    _registry: ExecutorRegistry
+    _limits: LimitsSource
+    _nursery: trio.Nursery
+    _find_spare: Callable[[str], "PoolDispatcher"]
+    _added: trio.Event = field(factory=trio.Event)
+    _awaiting_slot: set[str] = field(factory=set)
+    _reserved: dict[str, Slot] = field(factory=dict)
+
+    def add(self, waiter: Waiter, weight: float, front: bool) -> Entry[Waiter]:
+        """Let a request wait; raises ``QueueFull``."""
+        entry = self.waiting.push(
+            waiter,
+            waiter.queue.team,
+            weight,
+            waiter.latest_start,
+            rank=RANKS[waiter.queue.priority],
+            front=front,
+        )
+        self.assign()
+        if entry.waiting:
+            self._added.set()
+        return entry
+
+    def has_upstream(self, queue: Queue, now: float) -> bool:
+        """Return whether any executor takes work of the queue."""
+        pools = (queue.pool, queue.spare_pool)
+        return any(
+            pool is not None and self._registry.has_usable(pool, now) for pool in pools
+        )
+
+    def give_back(self, waiter: Waiter) -> None:
+        """Return what a request was given whose caller is gone."""
+        if waiter.executor is not None:
+            waiter.executor.window.record_nothing()
+            waiter.slot.release(certain=True)
+            self.assign()
+
+    def assign(self) -> None:
+        """Give executors to waiting requests while there is room."""
+        now = trio.current_time()
+        while (entry := self.waiting.peek(now)) is not None:
+            waiter = entry.item
+            executor = self._choose(waiter, now)
+            if executor is None:
+                return
+            slot = self._take_slot(waiter)
+            if slot is None:
+                self._wait_for_slot(waiter)
+                continue
+            self.waiting.pop(now)
+            executor.window.acquire(now)
+            waiter.executor = executor
+            waiter.slot = slot
+            waiter.granted.set()
+
+    async def run(self) -> None:
+        """Look for room that appears without an event."""
+        while True:
+            await self._added.wait()
+            await trio.sleep(TICK_SECONDS)
+            self.waiting.expire(trio.current_time())
+            self.assign()
+            if not len(self.waiting):
+                self._added = trio.Event()
+
+    def _choose(self, waiter: Waiter, now: float) -> Executor | None:
+        executor = self._registry.choose(self.pool, now, waiter.avoid)
+        spare = waiter.queue.spare_pool
+        if executor is not None or spare is None or spare == self.pool:
+            return executor
+        if len(self._find_spare(spare).waiting):
+            return None
+        if not self._registry.is_idle(spare, now):
+            return None
+        return self._registry.choose(spare, now, waiter.avoid)
+
+    def _take_slot(self, waiter: Waiter) -> Slot | None:
+        reserved = self._reserved.pop(waiter.queue.team, None)
+        if reserved is not None:
+            return reserved
+        return self._limits.take(
+            waiter.queue.team, waiter.request.deadline, waiter.is_keyed
+        )
+
+    def _wait_for_slot(self, waiter: Waiter) -> None:
+        """Let the other teams pass while this one is at its limit."""
+        team = waiter.queue.team
+        self.waiting.block(team)
+        if team not in self._awaiting_slot:
+            self._awaiting_slot.add(team)
+            self._nursery.start_soon(self._reserve_slot, waiter)
+
+    async def _reserve_slot(self, waiter: Waiter) -> None:
+        team = waiter.queue.team
+        slot = await self._limits.wait_slot(team, waiter.latest_start, waiter.is_keyed)
+        if slot is None:
+            await trio.sleep(SLOT_RETRY_SECONDS)
+        else:
+            self._reserved[team] = slot
+        self._awaiting_slot.discard(team)
+        self.waiting.unblock(team)
+        self.assign()
+        unused = self._reserved.pop(team, None)
+        if unused is not None:
+            unused.release(certain=True)
--- /dev/null
+++ b/hemlockstand/requests/upstreams.py
@@ -0,0 +1,324 @@
+"""How an upstream is called, and the service that follows the upstreams.
+
+This module alone knows the protocol towards upstreams; replace it to speak
+another one. A call ends with a verdict: ``NotRun`` only if the request was
+not sent or the upstream said so, ``Answered`` only with the complete response
+to this very request, ``MayHaveRun`` otherwise.
+"""
+
+from collections.abc import Callable
+
+import httpx
+import trio
+from attrs import define
+from loguru import logger
+
+from hemlockstand.errors import HemlockstandError
+from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.platform.service import PlatformService
+from hemlockstand.requests.executors import (
+    LEAVING_SECONDS,
+    UNREACHABLE_SECONDS,
+    Executor,
+    ExecutorRegistry,
+)
+from hemlockstand.requests.messages import Request
+from hemlockstand.requests.neighbours import ConfigurationSource
+from hemlockstand.traces import inject_context, record_hop
+from hemlockstand.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
+
+log = logger.bind(module=__name__)
+
+# Shorter than the five seconds after which common servers close an idle
+# connection: a request sent into a closing connection may or may not have run.
+KEEP_ALIVE_SECONDS = 3.0
+CONNECT_SECONDS = 1.0
+MAX_ANSWER_BYTES = 16 << 20
+DRAIN_CHECK_SECONDS = 0.1
+REFUSAL_RETRY_SECONDS = 1.0
+# A call that ends at its deadline counts as a failure of the upstream only if
+# it took this many times the usual latency; a short deadline is no failure.
+LATE_FACTOR = 4.0
+
+_SEND_STARTED = "http11.send_request_headers.started"
+_WITHOUT_BODY = frozenset({204, 304})
+
+
+class _SendRefused(Exception):
+    """The permission to send was lost before anything was sent."""
+
+
+@define
+class _Sending:
+    """Knows whether a request has begun to leave this process.
+
+    httpx calls it as its trace hook. The start of the headers is reported
+    after a connection has been made and directly before the write, so the
+    permission checked here holds at the time of the send.
+    """
+
+    may_send: Callable[[], bool]
+    started: bool = False
+
+    async def __call__(self, event: str, info: dict) -> None:
+        if event == _SEND_STARTED:
+            if not self.may_send():
+                raise _SendRefused
+            self.started = True
+
+
+def _always() -> bool:
+    return True
+
+
+@register
+class UpstreamsService(Service):
+    """Knows the executors of this data centre and calls them."""
+
+    name = "upstreams"
+    needs = ("platform", "configuration")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.registry = ExecutorRegistry(self.settings.daemon.data_centre)
+        self._transports: dict[str, httpx.AsyncHTTPTransport] = {}
+        self._drains: object = None
+
+    async def start(self) -> None:
+        """Read the instance list once; an outage only delays it."""
+        self._configuration = self.kernel.find("configuration", ConfigurationSource)
+        self._platform = self.kernel.find("platform", PlatformService).platform
+        await self._read_list()
+
+    async def run(self) -> None:
+        """Follow the instance list and the drains."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_list)
+            nursery.start_soon(self._follow_drains)
+
+    def executors(self, pool: str) -> tuple[Executor, ...]:
+        """Return the known executors of a pool with their measured state."""
+        return self.registry.get(pool)
+
+    async def call(
+        self,
+        executor: Executor,
+        request: Request,
+        may_send: Callable[[], bool] = _always,
+    ) -> Verdict:
+        """Send the request to the executor and return the verdict.
+
+        ``may_send`` is called immediately before the first byte is sent. The
+        caller has counted the request in the executor's window; this call
+        ends that.
+        """
+        began = trio.current_time()
+        sending = _Sending(may_send)
+        verdict: Verdict | None = None
+        try:
+            with record_hop("upstream", queue=request.queue, executor=executor.id):
+                with trio.move_on_at(request.deadline):
+                    verdict = await self._send(executor, request, sending)
+            if verdict is None:
+                verdict = _judge_timeout(request, sending)
+        finally:
+            self._record(executor, verdict, sending, began)
+        return verdict
+
+    async def _send(
+        self, executor: Executor, request: Request, sending: _Sending
+    ) -> Verdict:
+        try:
+            response = await self._transport(executor).handle_async_request(
+                _build_request(executor, request, sending)
+            )
+            try:
+                return await _read_answer(response, request)
+            finally:
+                await response.aclose()
+        except _SendRefused:
+            return NotRun(
+                Reason.LEASE_LAPSED,
+                "the permission to run lapsed before the request was sent",
+                REFUSAL_RETRY_SECONDS,
+            )
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
+            return _judge_error(request, sending, error)
+
+    def _transport(self, executor: Executor) -> httpx.AsyncHTTPTransport:
+        """Return the connections to one executor; few, so lookups are short."""
+        transport = self._transports.get(executor.address)
+        if transport is None:
+            transport = self._transports[executor.address] = httpx.AsyncHTTPTransport(
+                limits=httpx.Limits(keepalive_expiry=KEEP_ALIVE_SECONDS),
+                trust_env=False,
+            )
+        return transport
+
+    def _record(
+        self,
+        executor: Executor,
+        verdict: Verdict | None,
+        sending: _Sending,
+        began: float,
+    ) -> None:
+        """Update the executor's window and its failures."""
+        now = trio.current_time()
+        ejector = self.registry.ejector(executor.pool)
+        match verdict:
+            case Answered(status=status) if status < 500:
+                executor.window.record_answer(now, now - began)
+                ejector.record_success(executor.id, now)
+            case NotRun(reason=Reason.UPSTREAM_REFUSED) if not sending.started:
+                executor.window.record_nothing()
+                executor.avoid_until = now + UNREACHABLE_SECONDS
+                ejector.record_failure(executor.id, now)
+            case NotRun(reason=Reason.UPSTREAM_REFUSED, detail="leaving"):
+                executor.window.record_nothing()
+                executor.avoid_until = now + LEAVING_SECONDS
+            case NotRun(reason=Reason.UPSTREAM_REFUSED):
+                executor.window.record_refusal(now)
+            case MayHaveRun(reason=Reason.DEADLINE_EXPIRED):
+                if now - began > LATE_FACTOR * executor.window.latency:
+                    executor.window.record_refusal(now)
+                    ejector.record_failure(executor.id, now)
+                else:
+                    executor.window.record_nothing()
+            case Answered() | MayHaveRun():
+                executor.window.record_nothing()
+                ejector.record_failure(executor.id, now)
+            case _:
+                executor.window.record_nothing()
+
+    async def _follow_list(self) -> None:
+        while True:
+            await trio.sleep(self.settings.platform.instance_poll_seconds)
+            await self._read_list()
+
+    async def _read_list(self) -> None:
+        """Follow the list; in an outage the known executors stay in use."""
+        try:
+            records = await self._platform.instances.list()
+        except HemlockstandError as error:
+            log.warning("instance list not read: {}", error)
+            return
+        gone = self.registry.follow_list(records)
+        self._apply_drains()
+        for executor in gone:
+            if executor.window.in_flight == 0:
+                await self._close_transport(executor.address)
+
+    async def _follow_drains(self) -> None:
+        while True:
+            await trio.sleep(DRAIN_CHECK_SECONDS)
+            if self._configuration.current.drains is not self._drains:
+                self._apply_drains()
+
+    def _apply_drains(self) -> None:
+        self._drains = self._configuration.current.drains
+        self.registry.follow_drains(self._drains)
+
+    async def _close_transport(self, address: str) -> None:
+        transport = self._transports.pop(address, None)
+        if transport is not None:
+            await transport.aclose()
+
+
+def _build_request(
+    executor: Executor, request: Request, sending: _Sending
+) -> httpx.Request:
+    remaining = max(1, int((request.deadline - trio.current_time()) * 1000))
+    headers = {
+        "Host": executor.address,
+        "Content-Type": request.content_type,
+        "Content-Length": str(len(request.body)),
+        "X-Request-Id": request.id,
+        "X-Team": request.team,
+        "X-Deadline-Ms": str(remaining),
+    }
+    inject_context(headers)
+    return httpx.Request(
+        "POST",
+        f"http://{executor.address}/run/{request.queue}",
+        headers=headers,
+        content=request.body,
+        extensions={"trace": sending, "timeout": {"connect": CONNECT_SECONDS}},
+    )
+
+
+async def _read_answer(response: httpx.Response, request: Request) -> Verdict:
+    headers = response.headers
+    if headers.get("X-Request-Id") != request.id:
+        return MayHaveRun(
+            request.id,
+            Reason.ANSWER_MISMATCHED,
+            f"the upstream answered request {headers.get('X-Request-Id')!r}",
+        )
+    if response.status_code == 503 and "X-Not-Run" in headers:
+        await _read_rest(response)
+        return _read_refusal(headers["X-Not-Run"])
+    if not _is_framed(response):
+        return MayHaveRun(
+            request.id,
+            Reason.ANSWER_TRUNCATED,
+            "the upstream's answer does not say where it ends",
+        )
+    body = bytearray()
+    async for chunk in response.aiter_raw():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            return MayHaveRun(
+                request.id,
+                Reason.ANSWER_LOST,
+                f"the upstream's answer is longer than {MAX_ANSWER_BYTES} bytes",
+            )
+    return Answered(
+        response.status_code, tuple(response.headers.multi_items()), bytes(body)
+    )
+
+
+def _read_refusal(value: str) -> NotRun:
+    if value == "expired":
+        return NotRun(Reason.DEADLINE_EXPIRED, "the deadline expired upstream", None)
+    return NotRun(Reason.UPSTREAM_REFUSED, value, REFUSAL_RETRY_SECONDS)
+
+
+async def _read_rest(response: httpx.Response) -> None:
+    """Read a refusal's body, so that its connection can be used again."""
+    try:
+        async for _ in response.aiter_raw():
+            pass
+    except httpx.HTTPError:
+        return
+
+
+def _is_framed(response: httpx.Response) -> bool:
+    """Return whether a body that was cut short can be told from a whole one."""
+    if response.status_code in _WITHOUT_BODY:
+        return True
+    headers = response.headers
+    encodings = headers.get("Transfer-Encoding", "").lower()
+    return "Content-Length" in headers or "chunked" in encodings
+
+
+def _judge_timeout(request: Request, sending: _Sending) -> Verdict:
+    if not sending.started:
+        return NotRun(
+            Reason.DEADLINE_EXPIRED, "the deadline passed before the send", None
+        )
+    return MayHaveRun(
+        request.id, Reason.DEADLINE_EXPIRED, "the deadline passed after the send"
+    )
+
+
+def _judge_error(request: Request, sending: _Sending, error: Exception) -> Verdict:
+    if not sending.started:
+        return NotRun(
+            Reason.UPSTREAM_REFUSED,
+            f"no connection to the upstream: {error!r}",
+            REFUSAL_RETRY_SECONDS,
+        )
+    reason = Reason.ANSWER_LOST
+    if isinstance(error, httpx.RemoteProtocolError):
+        reason = Reason.ANSWER_TRUNCATED
+    return MayHaveRun(request.id, reason, f"the upstream's answer broke off: {error!r}")
