Test the fair queue, retry budget, ejection and window

Cause: the parts of the first request path had no tests of their own. A flow whose entries were removed unserved kept an old virtual finish time and would have caught up on them; the finish time is now never before the virtual time, and idle flows are forgotten.

--- a/hemlockstand/coordination/concurrency.py
+++ b/hemlockstand/coordination/concurrency.py
@@ -5,17 +5,17 @@
 or the target refuses, so that no declared capacity is needed. It starts small
 and doubles each round trip until the first sign of saturation (slow start)::
 
-    >>> window = ConcurrencyWindow()
-    >>> window.has_room(now=0.0)
-    True
+    >>> window = ConcurrencyWindow(size=1.0)
     >>> window.acquire(now=0.0)
+    >>> window.has_room(now=0.01)
+    False
     >>> window.record_answer(now=0.02, latency=0.02)
-    >>> window.size > 4.0
-    True
+    >>> window.size
+    2.0
     >>> window.acquire(now=0.02)
     >>> window.record_refusal(now=0.03)
-    >>> window.size < 4.0
-    True
+    >>> window.size
+    1.4
 
 Below one the window limits the rate instead: a window of 0.25 allows one
 request per four latencies. Many senders can then share a target that has
--- a/hemlockstand/coordination/fairqueue.py
+++ b/hemlockstand/coordination/fairqueue.py
@@ -100,7 +100,10 @@
         flow.stamp = next(self.stamps)
         if flow.blocked or not flow.entries:
             return
-        flow.finish = flow.start + flow.entries[0].cost / flow.weight
+        # A flow that always waited never lags behind the virtual time; one
+        # whose entries were removed unserved must not catch up on them.
+        finish = flow.start + flow.entries[0].cost / flow.weight
+        flow.finish = max(finish, self.virtual_time)
         heappush(self.heap, (flow.finish, flow.stamp, flow.name))
 
     def first(self, now: float) -> _Flow[Item] | None:
@@ -125,8 +128,21 @@
         self.virtual_time = max(self.virtual_time, flow.finish)
         flow.start = flow.finish
         self.schedule(flow)
+        self.forget_idle(flow)
         return entry
 
+    def count_waiting(self) -> int:
+        """Return the number of entries, those included that have expired."""
+        return sum(len(flow.entries) for flow in self.flows.values())
+
+    def estimate_ahead(self, name: str, weight: float) -> float:
+        """Return the entries of this rank served before a new one of the flow."""
+        own = self.flows.get(name)
+        turns = (len(own.entries) if own is not None else 0) / weight
+        return sum(
+            min(len(flow.entries), turns * flow.weight) for flow in self.flows.values()
+        )
+
     def _drop_dead(self, flow: _Flow[Item], now: float) -> bool:
         """Remove entries that left or expired from the front of the flow."""
         dropped = False
@@ -270,6 +286,18 @@
                 rank.schedule(known)
                 rank.forget_idle(known)
 
+    def estimate_ahead(self, flow: str, weight: float, rank: int) -> float:
+        """Return how many entries would be served before a new one, roughly.
+
+        The entries of the flow itself are served in turn with those of the
+        other flows, by weight; all of a lower rank come first.
+        """
+        before = sum(known.count_waiting() for known in self._ranks[:rank])
+        same = self._ranks[rank].estimate_ahead(flow, weight)
+        if rank == RANKS - 1 and self.minimum_fraction > 0.0:
+            return min(before + same, (same + 1) / self.minimum_fraction)
+        return before + same
+
     def _compact(self) -> None:
         """Rebuild the deadline heap when most of it has left the queue."""
         if len(self._deadlines) > 2 * self._length + 64:
--- /dev/null
+++ b/test/test_overload_parts.py
@@ -0,0 +1,182 @@
+"""Retry budget, ejection and concurrency window."""
+
+import doctest
+import importlib
+from random import Random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from hemlockstand.coordination.concurrency import MIN_WINDOW, ConcurrencyWindow
+from hemlockstand.coordination.ejection import OutlierEjector
+from hemlockstand.coordination.retries import Backoff, RetryBudget
+
+
+@pytest.mark.parametrize("name", ["fairqueue", "retries", "ejection", "concurrency"])
+def test_doc_examples(name):
+    """Guards against examples that no longer hold."""
+    module = importlib.import_module(f"hemlockstand.coordination.{name}")
+    failures, attempted = doctest.testmod(module)
+    assert attempted > 0 and failures == 0
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.booleans(), max_size=2000), st.floats(0.0, 1.0))
+def test_retries_never_exceed_the_fraction(actions, fraction):
+    """Guards against retries that multiply an overload."""
+    budget = RetryBudget(fraction)
+    for is_first in actions:
+        if is_first:
+            budget.record_first_try()
+        else:
+            budget.try_spend()
+        assert budget.retries <= fraction * budget.first_tries + 1e-6
+
+
+def test_quiet_time_saves_up_a_bounded_burst():
+    """Guards against a storm of retries paid for by an hour of calm."""
+    budget = RetryBudget(0.1, max_earned=20)
+    for _ in range(100_000):
+        budget.record_first_try()
+    assert sum(budget.try_spend() for _ in range(1000)) == 20
+
+
+def test_delays_are_jittered_and_bounded():
+    """Guards against retries in step with each other."""
+    backoff = Backoff(base=0.01, maximum=0.1, random=Random(1))
+    delays = [backoff.delay(attempt) for attempt in range(1, 9) for _ in range(50)]
+    assert all(0 <= delay <= 0.1 for delay in delays)
+    assert len(set(delays)) == len(delays)
+
+
+def test_ejection_grows_and_ends_with_a_success():
+    """Guards against a failing target that returns as fast each time."""
+    ejector = OutlierEjector(consecutive_failures=3, base_seconds=2.0)
+    ejector.add("a")
+    ejector.add("b")
+    for _ in range(3):
+        ejector.record_failure("a", 0.0)
+    assert not ejector.may_use("a", 1.9) and ejector.may_use("a", 2.1)
+    ejector.record_failure("a", 2.1)
+    assert not ejector.may_use("a", 6.0) and ejector.may_use("a", 6.2)
+    ejector.record_success("a", 6.2)
+    ejector.record_failure("a", 6.3)
+    assert ejector.may_use("a", 6.3)
+
+
+def test_common_failure_ejects_at_most_half():
+    """Guards against a pool that stops because all its members fail."""
+    ejector = OutlierEjector(consecutive_failures=2, max_fraction=0.5)
+    names = [f"e{number}" for number in range(6)]
+    for name in names:
+        ejector.add(name)
+    for _ in range(10):
+        for name in names:
+            ejector.record_failure(name, 0.0)
+    assert sum(ejector.may_use(name, 0.1) for name in names) == 3
+
+
+def test_frequent_failures_between_successes_eject():
+    """Guards against a target that fails most but never several in a row."""
+    ejector = OutlierEjector(consecutive_failures=5)
+    ejector.add("a")
+    ejector.add("b")
+    for _ in range(40):
+        for _ in range(4):
+            ejector.record_failure("a", 0.0)
+        if not ejector.may_use("a", 0.0):
+            break
+        ejector.record_success("a", 0.0)
+    assert not ejector.may_use("a", 0.0)
+
+
+def test_failures_count_as_load_for_a_time():
+    """Guards against fast failures that attract more work."""
+    ejector = OutlierEjector()
+    ejector.record_failure("a", 0.0)
+    ejector.record_failure("a", 0.0)
+    assert ejector.penalty("a", 0.0) == 2.0
+    assert ejector.penalty("a", 1.0) == 1.0
+    assert ejector.penalty("a", 20.0) < 0.01
+
+
+class Server:
+    """An upstream with ``places`` places and a queue, in simulated time."""
+
+    def __init__(self, places, service_seconds, refuses):
+        self.places = places
+        self.service_seconds = service_seconds
+        self.refuses = refuses
+        self.free_at = [0.0] * places
+
+    def submit(self, now):
+        """Return the time of the answer, or ``None`` for a refusal."""
+        first = min(range(self.places), key=self.free_at.__getitem__)
+        if self.refuses and self.free_at[first] > now:
+            return None
+        done = max(now, self.free_at[first]) + self.service_seconds
+        self.free_at[first] = done
+        return done
+
+
+def drive(window, server, seconds, step=0.001):
+    """Offer unlimited work; return the answers and refusals per second."""
+    running = []
+    answers = refusals = 0
+    for tick in range(int(seconds / step)):
+        now = tick * step
+        for began, _ in [part for part in running if part[1] <= now]:
+            window.record_answer(now, now - began)
+            answers += 1
+        running = [part for part in running if part[1] > now]
+        while window.has_room(now):
+            window.acquire(now)
+            done = server.submit(now)
+            if done is None:
+                window.record_refusal(now)
+                refusals += 1
+                break
+            running.append((now, done))
+    return answers / seconds, refusals / seconds
+
+
+def test_window_fills_a_queueing_server_without_a_long_queue():
+    """Guards against idle places and against requests that queue upstream."""
+    window = ConcurrencyWindow()
+    answers, _ = drive(window, Server(8, 0.02, refuses=False), 20)
+    assert answers >= 0.9 * 400
+    assert window.size <= 8 * 3
+
+
+def test_window_fills_a_refusing_server_with_few_refusals():
+    """Guards against refusals that use up the retry budget."""
+    window = ConcurrencyWindow()
+    answers, refusals = drive(window, Server(8, 0.02, refuses=True), 20)
+    assert answers >= 0.85 * 400
+    assert refusals <= 0.1 * answers
+
+
+def test_window_below_one_paces():
+    """Guards against senders that outnumber the places of a target."""
+    window = ConcurrencyWindow(size=0.25, latency=0.02)
+    window.acquire(0.0)
+    window.record_nothing()
+    assert not window.has_room(0.079)
+    assert window.has_room(0.081)
+
+
+def test_refusals_shrink_below_one_and_answers_recover():
+    """Guards against a window that stays small after an overload."""
+    window = ConcurrencyWindow()
+    now = 0.0
+    for _ in range(60):
+        now = max(now + 0.1, window.next_start())
+        window.acquire(now)
+        window.record_refusal(now)
+    assert window.size < 0.1
+    assert window.size >= MIN_WINDOW
+    for _ in range(30):
+        now = max(now + 0.1, window.next_start())
+        window.acquire(now)
+        window.record_answer(now + 0.02, 0.02)
+    assert window.size >= 2.0
