--- /dev/null
+++ b/emulator/machines.py
@@ -0,0 +1,179 @@
+"""Instances of the platform stand-in: the lagging list, drains and reboots."""
+
+from collections.abc import Callable, Iterator
+from typing import Any, Literal
+
+import msgspec
+from attrs import define, field
+
+from emulator.faults import Faults
+from emulator.recorder import Recorder
+
+
+class InstanceMessage(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /instances``.
+
+    ``addresses`` replaces ``address`` in the list that a data centre reads,
+    so that a link proxy can stand between data centres. A new instance is
+    listed at once unless ``listed_at_once`` is false.
+    """
+
+    id: str
+    kind: Literal["entry", "executor", "worker"]
+    region: str
+    data_centre: str
+    rack: str
+    address: str
+    state: Literal["live", "leaving"] = "live"
+    pool: str = ""
+    cores: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
+    addresses: dict[str, str] = {}
+    listed_at_once: bool = True
+
+
+class UnknownInstance(Exception):
+    """The instance is not registered."""
+
+
+@define
+class Instance:
+    """A registered instance; ``states`` holds list states with their times."""
+
+    message: InstanceMessage
+    phase: str = "serving"
+    healthy: bool = True
+    boots: int = 0
+    reboot_end: float = 0.0
+    states: list[tuple[float, str | None]] = field(factory=list)
+
+    def state_at(self, moment: float) -> str | None:
+        """Return the listed state as of a time, ``None`` if not listed."""
+        known = [state for since, state in self.states if since <= moment]
+        return known[-1] if known else None
+
+
+@define
+class MachinePark:
+    """All instances; ``count_work`` tells what an instance still runs."""
+
+    recorder: Recorder
+    faults: Faults
+    clock: Callable[[], float]
+    instances: dict[str, Instance] = field(factory=dict)
+
+    def register(self, message: InstanceMessage) -> Instance:
+        """Add an instance or replace its address."""
+        now = self.clock()
+        known = self.instances.get(message.id)
+        if known is not None and known.states[-1][1] is not None:
+            known.message = message
+            return known
+        since = 0.0 if message.listed_at_once and known is None else now
+        instance = Instance(message, states=[(since, message.state)])
+        self.instances[message.id] = instance
+        self.recorder.note("register", instance=message.id, kind=message.kind)
+        return instance
+
+    def remove(self, name: str) -> None:
+        """Take an instance off the list, after the list's lag."""
+        instance = self.find(name)
+        instance.states.append((self.clock(), None))
+        self.recorder.note("remove", instance=name)
+
+    def find(self, name: str) -> Instance:
+        """Return a registered instance; raises ``UnknownInstance``."""
+        if name not in self.instances:
+            raise UnknownInstance(f"instance {name!r} does not exist")
+        return self.instances[name]
+
+    def list_instances(self, data_centre: str) -> list[dict[str, Any]]:
+        """Return the list as of some seconds ago, as a data centre sees it."""
+        moment = self.clock() - self.faults.instance_list_lag_seconds
+        return [
+            _show_instance(instance, state, data_centre)
+            for instance in self.instances.values()
+            if (state := instance.state_at(moment)) is not None
+        ]
+
+    def drain(self, name: str) -> Instance:
+        """Begin to drain; a draining or drained instance stays as it is."""
+        instance = self.find(name)
+        if instance.phase == "serving":
+            self._enter(instance, "draining", "drain", "leaving")
+        return instance
+
+    def finish_drain(self, name: str) -> None:
+        """Mark a draining instance as drained."""
+        instance = self.find(name)
+        if instance.phase == "draining":
+            self._enter(instance, "drained", "drained", "leaving")
+
+    def undrain(self, name: str) -> Instance:
+        """Put an instance back into service, unless it is rebooting."""
+        instance = self.find(name)
+        if instance.phase in ("draining", "drained"):
+            self._enter(instance, "serving", "undrain", "live")
+        return instance
+
+    def reboot(self, name: str) -> Instance:
+        """Begin a reboot; it returns to service when the reboot is over."""
+        instance = self.find(name)
+        if instance.phase != "rebooting":
+            before = instance.phase
+            instance.reboot_end = self.clock() + self.faults.reboot_seconds
+            instance.healthy = False
+            self._enter(instance, "rebooting", "reboot", "leaving", before=before)
+        return instance
+
+    def finish_reboots(self) -> Iterator[Instance]:
+        """End the reboots that are due and yield their instances."""
+        now = self.clock()
+        for instance in self.instances.values():
+            if instance.phase == "rebooting" and instance.reboot_end <= now:
+                instance.boots += 1
+                bad = instance.message.id in self.faults.unhealthy_after_reboot
+                instance.healthy = not bad
+                self._enter(instance, "serving", "rebooted", "live")
+                yield instance
+
+    def show_health(self, name: str) -> dict[str, Any]:
+        """Return the state of an instance as ``MachineHealth``."""
+        instance = self.find(name)
+        return {
+            "id": name,
+            "phase": instance.phase,
+            "healthy": instance.healthy,
+            "boots": instance.boots,
+        }
+
+    def _enter(
+        self, instance: Instance, phase: str, event: str, state: str, **values: Any
+    ) -> None:
+        instance.phase = phase
+        instance.states.append((self.clock(), state))
+        self.recorder.note(
+            event,
+            instance=instance.message.id,
+            pool=instance.message.pool,
+            healthy=instance.healthy,
+            **values,
+        )
+
+
+def _show_instance(instance: Instance, state: str, data_centre: str) -> dict[str, Any]:
+    message = instance.message
+    return {
+        "id": message.id,
+        "kind": message.kind,
+        "region": message.region,
+        "data_centre": message.data_centre,
+        "rack": message.rack,
+        "address": message.addresses.get(data_centre, message.address),
+        "state": state,
+        "pool": message.pool,
+        "cores": message.cores,
+        "memory_mb": message.memory_mb,
+        "accelerators": message.accelerators,
+    }
