--- /dev/null
+++ b/emulator/link.py
@@ -0,0 +1,149 @@
+"""TCP proxy that cuts, drops or delays what passes through its links::
+
+    python -m emulator.link --control_port 6000 \\
+        --links NAME=LISTEN_PORT=HOST:PORT,...
+
+``POST /links`` with ``{"names": ["dc1>*"], "mode": "cut"}`` changes the links
+whose name matches one of the patterns. ``cut`` resets connections and refuses
+new ones. ``drop`` lets TCP stall as lost packets do: nothing passes, and what
+was sent arrives when the link is up again. ``delay`` delays each chunk.
+"""
+
+from fnmatch import fnmatchcase
+from typing import Literal
+
+import msgspec
+import trio
+from absl import app, flags
+from attrs import define, field
+
+from emulator.splice import splice
+from emulator.web import WebRequest, WebResponse, refuse, reply, serve_handler
+
+
+class LinkChange(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /links``."""
+
+    names: list[str]
+    mode: Literal["up", "cut", "drop", "delay"]
+    delay_seconds: float = 0.0
+
+
+@define(eq=False)
+class Link:
+    """One listening port and its target."""
+
+    name: str
+    port: int
+    target_host: str
+    target_port: int
+    mode: str = "up"
+    delay_seconds: float = 0.0
+    accepted: int = 0
+    _scopes: set[trio.CancelScope] = field(factory=set)
+    _changed: trio.Event = field(factory=trio.Event)
+
+    def change(self, mode: str, delay_seconds: float) -> None:
+        """Put a mode in force for open and new connections."""
+        self.mode = mode
+        self.delay_seconds = delay_seconds
+        self._changed.set()
+        self._changed = trio.Event()
+        if mode == "cut":
+            for scope in self._scopes:
+                scope.cancel()
+
+    async def accept(self, caller: trio.SocketStream) -> None:
+        """Connect a caller to the target, subject to the mode."""
+        if self.mode == "cut":
+            await trio.aclose_forcefully(caller)
+            return
+        self.accepted += 1
+        scope = trio.CancelScope()
+        self._scopes.add(scope)
+        try:
+            with scope:
+                await self._carry(caller)
+        finally:
+            self._scopes.discard(scope)
+            await trio.aclose_forcefully(caller)
+
+    async def _carry(self, caller: trio.SocketStream) -> None:
+        await self._wait_passage()
+        try:
+            target = await trio.open_tcp_stream(self.target_host, self.target_port)
+        except OSError:
+            return
+        await splice(caller, target, self._wait_passage)
+
+    async def _wait_passage(self) -> None:
+        while self.mode == "drop":
+            await self._changed.wait()
+        if self.mode == "delay":
+            await trio.sleep(self.delay_seconds)
+
+
+@define
+class LinkState:
+    """All links of the process."""
+
+    links: list[Link]
+
+    async def handle(self, request: WebRequest) -> WebResponse:
+        """Answer one request on the control port."""
+        match request.method, request.path:
+            case "POST", "/links":
+                change = request.json(LinkChange)
+                names = list(self._apply(change))
+                if not names:
+                    return refuse(404, f"no link matches {change.names}")
+                return reply({"links": names})
+            case "GET", "/links":
+                shown = [
+                    {"name": link.name, "mode": link.mode, "accepted": link.accepted}
+                    for link in self.links
+                ]
+                return reply({"links": shown})
+        return refuse(404, f"unknown call {request.method} {request.path}")
+
+    def _apply(self, change: LinkChange) -> list[str]:
+        chosen = [
+            link
+            for link in self.links
+            if any(fnmatchcase(link.name, pattern) for pattern in change.names)
+        ]
+        for link in chosen:
+            link.change(change.mode, change.delay_seconds)
+        return [link.name for link in chosen]
+
+
+def parse_link(text: str) -> Link:
+    """Read ``NAME=LISTEN_PORT=HOST:PORT``; raises ``ValueError``."""
+    name, port, target = text.split("=")
+    host, _, target_port = target.rpartition(":")
+    return Link(name, int(port), host, int(target_port))
+
+
+async def run_links(state: LinkState, host: str, control_port: int) -> None:
+    """Serve until the process ends."""
+    async with trio.open_nursery() as nursery:
+        control = [f"{host}:{control_port}"]
+        nursery.start_soon(serve_handler, state.handle, control)
+        for link in state.links:
+            listeners = await trio.open_tcp_listeners(link.port, host=host)
+            nursery.start_soon(trio.serve_listeners, link.accept, listeners)
+
+
+def main(arguments: list[str]) -> None:
+    """Run the stand-in with the flags of the command line."""
+    del arguments
+    values = flags.FLAGS
+    state = LinkState([parse_link(text) for text in values.links])
+    trio.run(run_links, state, values.host, values.control_port)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_string("host", "127.0.0.1", "Address to listen on.")
+    flags.DEFINE_integer("control_port", 6000, "Port for POST and GET /links.")
+    flags.DEFINE_list("links", [], "NAME=LISTEN_PORT=HOST:PORT, by commas.")
+    app.run(main)
--- /dev/null
+++ b/emulator/load.py
@@ -0,0 +1,190 @@
+"""Load tool: open loop, seeded, bounded in count and time.
+
+It reads a plan and writes a report, both JSON::
+
+    python -m emulator.load --plan plan.json --report report.json
+
+See ``LoadPlan`` for the plan and ``emulator/figures.py`` for the report.
+"""
+
+import time
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+import trio
+from absl import app, flags
+from attrs import define, field
+
+from emulator.arrivals import Arrival, ArrivalPlan
+from emulator.client import Answer, AnswerLost, CallerClient, NotConnected
+from emulator.figures import Outcome, make_report
+
+REQUESTS_PER_CONNECTION = 50
+EXTRA_WAIT_SECONDS = 2.0
+ISSUED_BATCH = 100
+
+
+class QueuePlan(msgspec.Struct, forbid_unknown_fields=True):
+    """Demand on one queue; ``key`` is empty for an open queue."""
+
+    queue: str
+    team: str
+    rate: float
+    key: str = ""
+    deadline_ms: int = 2000
+    body_bytes: int = 64
+
+
+class LoadPlan(msgspec.Struct, forbid_unknown_fields=True):
+    """What to send where; ``targets`` are ``HOST:PORT``, used in turn.
+
+    ``retries`` bounds how often a caller repeats a request that was answered
+    "not run", after the time that the answer names.
+    """
+
+    targets: list[str]
+    queues: list[QueuePlan]
+    seconds: float
+    seed: int = 1
+    peak_seconds: float = 0.0
+    max_requests: int = 100_000
+    max_in_flight: int = 2000
+    callers: int = 4
+    ids: Literal["own", "issued"] = "own"
+    id_prefix: str = "load"
+    retries: int = 0
+    requests_per_connection: int = REQUESTS_PER_CONNECTION
+
+
+@define
+class Load:
+    """A run of a plan."""
+
+    plan: LoadPlan
+    outcomes: list[Outcome] = field(factory=list)
+    skipped: int = 0
+    _clients: list[CallerClient] = field(factory=list)
+    _issued: dict[int, list[str]] = field(factory=dict)
+    _in_flight: int = 0
+
+    async def run(self) -> dict:
+        """Send all requests and return the report."""
+        self._clients = [self._make_client(number) for number in self._callers()]
+        plan = self.plan
+        arrivals = ArrivalPlan(
+            [queue.rate for queue in plan.queues],
+            plan.peak_seconds,
+            plan.seconds,
+            plan.seed,
+        )
+        begin = time.monotonic()
+        start = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for count, arrival in enumerate(arrivals.generate()):
+                if count >= plan.max_requests:
+                    break
+                await trio.sleep_until(start + arrival.at)
+                if self._in_flight >= plan.max_in_flight:
+                    self.skipped += 1
+                    continue
+                client = self._clients[count % len(self._clients)]
+                nursery.start_soon(self._send, client, arrival)
+        for client in self._clients:
+            await client.close()
+        return make_report(self.outcomes, begin, plan.seconds, self.skipped)
+
+    def _callers(self) -> range:
+        return range(max(self.plan.callers, len(self.plan.targets)))
+
+    def _make_client(self, number: int) -> CallerClient:
+        target = self.plan.targets[number % len(self.plan.targets)]
+        host, _, port = target.rpartition(":")
+        return CallerClient(host, int(port), self.plan.requests_per_connection)
+
+    async def _send(self, client: CallerClient, arrival: Arrival) -> None:
+        self._in_flight += 1
+        queue = self.plan.queues[arrival.queue]
+        outcome = Outcome("", queue.team, queue.queue, time.monotonic())
+        self.outcomes.append(outcome)
+        limit = queue.deadline_ms / 1000 + EXTRA_WAIT_SECONDS
+        with trio.move_on_after(limit) as scope:
+            try:
+                outcome.id = await self._choose_id(client, arrival)
+                await self._send_with_retries(client, queue, outcome)
+            except NotConnected as error:
+                outcome.finish("not_connected", detail=str(error))
+            except AnswerLost as error:
+                outcome.finish("lost", detail=str(error))
+        if scope.cancelled_caught:
+            outcome.finish("timeout", detail=f"no answer in {limit:.1f} s")
+        self._in_flight -= 1
+
+    async def _choose_id(self, client: CallerClient, arrival: Arrival) -> str:
+        queue = self.plan.queues[arrival.queue]
+        if self.plan.ids == "own":
+            prefix = self.plan.id_prefix
+            return f"{prefix}-{self.plan.seed}-{queue.queue}-{arrival.number}"
+        kept = self._issued.setdefault(arrival.queue, [])
+        if not kept:
+            kept.extend(await self._fetch_ids(client, queue))
+        return kept.pop()
+
+    async def _fetch_ids(self, client: CallerClient, queue: QueuePlan) -> list[str]:
+        headers = _make_headers(queue) | {"Content-Type": "application/json"}
+        body = msgspec.json.encode({"count": ISSUED_BATCH})
+        answer = await client.send("POST", "/v1/request-ids", headers, body)
+        if answer.status != 200:
+            raise NotConnected(f"no ids issued: {answer.status} {answer.body!r}")
+        return msgspec.json.decode(answer.body)["ids"]
+
+    async def _send_with_retries(
+        self, client: CallerClient, queue: QueuePlan, outcome: Outcome
+    ) -> None:
+        headers = _make_headers(queue) | {"X-Request-Id": outcome.id}
+        body = b"x" * queue.body_bytes
+        path = f"/v1/queues/{queue.queue}"
+        for attempt in range(self.plan.retries + 1):
+            outcome.attempts += 1
+            answer = await client.send("POST", path, headers, body)
+            outcome.take(answer.status, answer.headers, answer.body)
+            wait = _read_retry_after(answer)
+            if outcome.verdict != "not-run" or wait is None:
+                return
+            if attempt < self.plan.retries:
+                await trio.sleep(wait)
+
+
+def _make_headers(queue: QueuePlan) -> dict[str, str]:
+    headers = {"X-Team": queue.team, "X-Deadline-Ms": str(queue.deadline_ms)}
+    if queue.key:
+        headers["Authorization"] = f"Bearer {queue.key}"
+    return headers
+
+
+def _read_retry_after(answer: Answer) -> float | None:
+    text = answer.headers.get("retry-after")
+    return None if text is None else float(text)
+
+
+def run_plan(plan: LoadPlan) -> dict:
+    """Run a plan in this process and return the report."""
+    return trio.run(Load(plan).run)
+
+
+def main(arguments: list[str]) -> None:
+    """Run the tool with the flags of the command line."""
+    del arguments
+    values = flags.FLAGS
+    plan = msgspec.json.decode(Path(values.plan).read_bytes(), type=LoadPlan)
+    encoded = msgspec.json.encode(run_plan(plan))
+    if values.report:
+        Path(values.report).write_bytes(encoded)
+    else:
+        print(encoded.decode())
+
+
+if __name__ == "__main__":
+    flags.DEFINE_string("plan", None, "File with the plan.", required=True)
+    flags.DEFINE_string("report", "", "File for the report; empty for output.")
+    app.run(main)
--- a/emulator/tasks.py
+++ b/emulator/tasks.py
@@ -2,8 +2,8 @@
 
 The payload of a start may set what the task really does, as opposed to what
 its job declares: ``duration_seconds``, ``cores``, ``memory_mb``,
-``accelerators`` and ``fails``. A profile registered for the job supplies the
-values that the payload leaves out.
+``accelerators`` and ``fails``. A profile registered for the payload's ``job``,
+or else for ``*``, supplies the values that the payload leaves out.
 """
 
 from collections.abc import Callable, Iterator, Mapping
@@ -18,6 +18,7 @@
 DEFAULT_DURATION_SECONDS = 2.0
 FAILURE_SECONDS = 0.05
 MAX_ENDED_TASKS = 200
+ANY_JOB = "*"
 
 Ended = Literal["done", "failed", "stopped", "checkpointed"]
 
@@ -257,8 +258,8 @@
         return task
 
     def _describe(self, message: TaskStartMessage) -> Mapping[str, Any]:
-        job = message.task.rpartition("/")[0] or message.task
-        profile = self.profiles.get(job)
+        job = message.payload.get("job") or message.task.rpartition("/")[0]
+        profile = self.profiles.get(job, self.profiles.get(ANY_JOB))
         known = {} if profile is None else msgspec.structs.asdict(profile)
         set_values = {key: value for key, value in known.items() if value is not None}
         return set_values | message.payload
