Add sheet, operator interface and hemlockctl

The demo needs sheet apply, key grant and withdraw, config and status. sheet/ reads and checks a CSV export and plans the difference; operators/ serves /o/NOUN/VERB with a bearer token; ctl/ is the command line with exit codes.

--- /dev/null
+++ b/hemlockstand/ctl/main.py
@@ -0,0 +1,167 @@
+"""Entry point of hemlockctl: flags, choice of the verb, errors, exit codes."""
+
+import getpass
+import json
+import os
+import sys
+from collections.abc import Sequence
+from typing import TextIO
+
+import trio
+from absl import flags
+
+from hemlockstand.ctl.commands import Command, Context, UsageError
+from hemlockstand.ctl.configuration import CONFIGURATION_COMMANDS
+from hemlockstand.ctl.exits import EXIT_BY_ERROR, ExitCode
+from hemlockstand.ctl.fleet import FLEET_COMMANDS
+from hemlockstand.ctl.keys import KEY_COMMANDS
+from hemlockstand.ctl.sheet import SHEET_COMMANDS
+from hemlockstand.errors import HemlockstandError
+from hemlockstand.operators.client import DEFAULT_TIMEOUT_SECONDS, OperatorClient
+
+TOKEN_VARIABLE = "HEMLOCKCTL_TOKEN"
+SERVER_VARIABLE = "HEMLOCKCTL_SERVER"
+DEFAULT_SERVER = "http://127.0.0.1:8101"
+
+COMMANDS: tuple[Command, ...] = (
+    *SHEET_COMMANDS,
+    *KEY_COMMANDS,
+    *FLEET_COMMANDS,
+    *CONFIGURATION_COMMANDS,
+)
+
+
+def main() -> None:
+    """Run the command line of the process and exit."""
+    sys.exit(trio.run(run_command, sys.argv[1:], sys.stdout, sys.stderr))
+
+
+async def run_command(arguments: Sequence[str], out: TextIO, err: TextIO) -> ExitCode:
+    """Run one command line and return its exit code."""
+    values = define_flags()
+    try:
+        words = values(["hemlockctl", *map(_normalise, arguments)])[1:]
+        if values.help or not words:
+            print(describe_usage(values), file=out if values.help else err)
+            return ExitCode.OK if values.help else ExitCode.USAGE
+        return await _run_words(words, values, out)
+    except flags.Error as error:
+        print(f"hemlockctl: usage: {error}", file=err)
+        return ExitCode.USAGE
+    except HemlockstandError as error:
+        _report(error, values, out, err)
+        return EXIT_BY_ERROR.get(error.code, ExitCode.FAILED)
+
+
+def define_flags() -> flags.FlagValues:
+    """Return the flags; each run has its own, so that tests do not share any."""
+    values = flags.FlagValues()
+    values.set_gnu_getopt(True)
+    server = os.environ.get(SERVER_VARIABLE, DEFAULT_SERVER)
+
+    def define_text(name: str, default: str | None, text: str) -> None:
+        flags.DEFINE_string(name, default, text, flag_values=values)
+
+    def define_number(name: str, default: int | None, text: str, low: int = 0) -> None:
+        flags.DEFINE_integer(name, default, text, lower_bound=low, flag_values=values)
+
+    define_text("server", server, f"Operator address; also ${SERVER_VARIABLE}.")
+    define_text("token", None, f"Operator token; better ${TOKEN_VARIABLE}.")
+    define_text("author", None, "Name shown in the history; default the user.")
+    define_text("day", None, "Day of a sheet that has no row of kind sheet.")
+    define_text("team", None, "Team of a key.")
+    define_text("reason", None, "Why an instance is drained.")
+    define_text("to", None, "Pool that an instance moves to.")
+    define_text("pool", None, "Only this pool.")
+    define_number("version", None, "Version a sheet was planned on, or to wait for.")
+    define_number("confirm_drops", None, "Number of drops that are meant.")
+    define_number("wait", None, "Seconds to wait until all daemons are current.")
+    define_number("limit", 20, "Number of changes to show.", 1)
+    define_number("timeout", DEFAULT_TIMEOUT_SECONDS, "Seconds for one call.", 1)
+    flags.DEFINE_boolean("json", False, "Write JSON.", flag_values=values)
+    flags.DEFINE_boolean("help", False, "Show this text.", flag_values=values)
+    return values
+
+
+def _normalise(argument: str) -> str:
+    """Accept ``--confirm-drops`` for the flag that absl calls confirm_drops."""
+    name, equals, value = argument.partition("=")
+    if not name.startswith("--"):
+        return argument
+    return "--" + name[2:].replace("-", "_") + equals + value
+
+
+def describe_usage(values: flags.FlagValues) -> str:
+    """Return the help text with all verbs and flags."""
+    width = max(len(command.usage) for command in COMMANDS)
+    verbs = [f"  {command.usage:{width}}  {command.help}" for command in COMMANDS]
+    options = [
+        f"  --{name.replace('_', '-'):16}{values[name].help}" for name in sorted(values)
+    ]
+    return "\n".join(
+        ["usage: hemlockctl VERB [FLAGS]", "", "verbs:", *verbs]
+        + ["", "flags:", *options]
+    )
+
+
+def find_command(words: Sequence[str]) -> tuple[Command, tuple[str, ...]]:
+    """Return the command and its arguments; raises ``UsageError``."""
+    for command in COMMANDS:
+        count = len(command.words)
+        if tuple(words[:count]) == command.words:
+            return command, _check_arguments(command, tuple(words[count:]))
+    verbs = [
+        " ".join(command.words) for command in COMMANDS if command.words[0] == words[0]
+    ]
+    known = ", ".join(verbs or dict.fromkeys(command.words[0] for command in COMMANDS))
+    raise UsageError(f"unknown verb {' '.join(words[:2])!r}; known: {known}")
+
+
+def _check_arguments(command: Command, given: tuple[str, ...]) -> tuple[str, ...]:
+    needed = len(command.arguments)
+    if not needed <= len(given) <= needed + len(command.optional):
+        raise UsageError(f"expected 'hemlockctl {command.usage}'")
+    return given
+
+
+async def _run_words(
+    words: Sequence[str], values: flags.FlagValues, out: TextIO
+) -> ExitCode:
+    command, arguments = find_command(words)
+    if command.local:
+        return await command.run(Context(values, arguments, None, out))
+    token = values.token or os.environ.get(TOKEN_VARIABLE)
+    if not token:
+        raise UsageError(f"no token; set {TOKEN_VARIABLE} or give --token")
+    author = values.author or _find_user()
+    async with OperatorClient(values.server, token, author, values.timeout) as client:
+        return await command.run(Context(values, arguments, client, out))
+
+
+def _find_user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+def _report(
+    error: HemlockstandError, values: flags.FlagValues, out: TextIO, err: TextIO
+) -> None:
+    """Write an error, and each problem of a sheet on a line of its own."""
+    problems = getattr(error, "problems", [])
+    print(f"hemlockctl: {error.code}: {error.message}", file=err)
+    if values.is_parsed() and values.json:
+        body = {"code": error.code, "detail": error.message, "problems": problems}
+        print(json.dumps(body, ensure_ascii=False), file=out)
+        return
+    for problem in problems:
+        place = f"{problem['file']}:{problem['row']}"
+        column = f" column {problem['column']}" if problem["column"] else ""
+        value = f" value {problem['value']!r}" if problem["value"] else ""
+        line = f"{place}:{column}{value}: {problem['detail']} [{problem['code']}]"
+        print(line, file=err)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hemlockstand/ctl/waiting.py
@@ -0,0 +1,40 @@
+"""Waiting until every daemon has a version in force."""
+
+from typing import Any
+
+from hemlockstand.ctl.commands import Context
+from hemlockstand.ctl.exits import ExitCode
+
+
+async def wait_if_asked(
+    context: Context, result: dict[str, Any], lines: list[str]
+) -> ExitCode:
+    """Show a change, and with ``--wait`` also which daemons have it."""
+    if context.flags.wait is None:
+        context.show(result, lines)
+        return ExitCode.OK
+    report = await wait_version(context, result["version"], context.flags.wait)
+    context.show(result | {"wait": report}, lines + describe_wait(report))
+    return ExitCode.OK if report["complete"] else ExitCode.NOT_IN_FORCE
+
+
+async def wait_version(
+    context: Context, version: int | None, seconds: int
+) -> dict[str, Any]:
+    """Return which daemons have the version after at most that time."""
+    return await context.client.get(
+        "config/wait", version=version, seconds=seconds, extra_seconds=seconds
+    )
+
+
+def describe_wait(report: dict[str, Any]) -> list[str]:
+    """Return one line per state of daemons."""
+    lines = [
+        f"version {report['version']} is in force at {len(report['in_force'])} "
+        f"daemons after {report['waited_seconds']:g} s: {', '.join(report['in_force'])}"
+    ]
+    for name, known in report["behind"].items():
+        lines.append(f"behind: {name} has version {known}")
+    for name in report["not_answered"]:
+        lines.append(f"has not answered: {name}")
+    return lines
--- /dev/null
+++ b/hemlockstand/operators/client.py
@@ -0,0 +1,154 @@
+"""Client of the operator interface.
+
+Every failure becomes a ``HemlockstandError`` with a code. A change whose
+reply was lost is looked up in the history by its id, and is never sent a
+second time::
+
+    async with OperatorClient("http://127.0.0.1:8101", token, "ana") as client:
+        await client.get("config/version")
+"""
+
+from collections.abc import Mapping
+from types import TracebackType
+from typing import Any
+from uuid import uuid4
+
+import httpx
+
+from hemlockstand.errors import HemlockstandError, OutcomeUnknown, PlatformUnavailable
+from hemlockstand.operators.messages import AUTHOR_HEADER, CHANGE_ID_HEADER
+
+DEFAULT_TIMEOUT_SECONDS = 30
+LOOK_UP_CHANGES = 200
+
+
+class DaemonUnreachable(PlatformUnavailable):
+    """No connection to the daemon; nothing was applied."""
+
+    code = "daemon_unreachable"
+
+
+class Refused(HemlockstandError):
+    """The daemon refused the call; ``problems`` are those of a sheet."""
+
+    def __init__(self, code: str, message: str, problems: list[Any]) -> None:
+        super().__init__(message, code)
+        self.problems = problems
+
+
+class OperatorClient:
+    """Calls one daemon's operator port."""
+
+    def __init__(
+        self,
+        server: str,
+        token: str,
+        author: str,
+        timeout_seconds: float = DEFAULT_TIMEOUT_SECONDS,
+    ) -> None:
+        self._server = server
+        self._http = httpx.AsyncClient(
+            base_url=server,
+            headers={"Authorization": f"Bearer {token}", AUTHOR_HEADER: author},
+            timeout=timeout_seconds,
+            trust_env=False,
+        )
+
+    async def __aenter__(self) -> "OperatorClient":
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._http.aclose()
+
+    async def get(self, path: str, **arguments: Any) -> dict[str, Any]:
+        """Read ``/o/PATH``; arguments that are ``None`` are left out.
+
+        ``extra_seconds`` extends the timeout, for calls that wait.
+        """
+        extra = arguments.pop("extra_seconds", 0)
+        timeout = self._http.timeout.read + extra
+        try:
+            response = await self._http.get(
+                f"/o/{path}", params=_drop_none(arguments), timeout=timeout
+            )
+        except httpx.HTTPError as error:
+            raise DaemonUnreachable(self._describe(error)) from None
+        return _read_response(response)
+
+    async def post(
+        self, path: str, content: bytes | None = None, **arguments: Any
+    ) -> dict[str, Any]:
+        """Send a change to ``/o/PATH``, with a sheet's bytes if given.
+
+        Raises ``OutcomeUnknown`` if the reply was lost and the change is not
+        in the history.
+        """
+        change_id = uuid4().hex
+        headers = {CHANGE_ID_HEADER: change_id}
+        given = _drop_none(arguments)
+        try:
+            if content is None:
+                response = await self._http.post(
+                    f"/o/{path}", json=given, headers=headers
+                )
+            else:
+                headers["Content-Type"] = "text/csv"
+                response = await self._http.post(
+                    f"/o/{path}", params=given, content=content, headers=headers
+                )
+            return _read_response(response)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise DaemonUnreachable(self._describe(error)) from None
+        except (httpx.HTTPError, OutcomeUnknown) as error:
+            return await self._look_up(change_id, error)
+
+    async def _look_up(self, change_id: str, cause: Exception) -> dict[str, Any]:
+        """Return the version of the change if the history has it."""
+        try:
+            history = await self.get("config/history", limit=LOOK_UP_CHANGES)
+        except HemlockstandError:
+            history = {"changes": []}
+        for change in history["changes"]:
+            if change["id"] == change_id:
+                return {
+                    "committed": True,
+                    "version": change["version"],
+                    "found_in_history": True,
+                }
+        raise OutcomeUnknown(
+            f"{self._describe(cause)}; change {change_id} is not in the history, "
+            "but may still be committed: look at 'config history' before repeating"
+        )
+
+    def _describe(self, error: Exception) -> str:
+        text = str(error) or type(error).__name__
+        return f"{self._server}: {text}"
+
+
+def _drop_none(arguments: Mapping[str, Any]) -> dict[str, Any]:
+    return {name: value for name, value in arguments.items() if value is not None}
+
+
+def _read_response(response: httpx.Response) -> dict[str, Any]:
+    try:
+        body = response.json()
+    except ValueError:
+        body = None
+    if not isinstance(body, dict):
+        raise HemlockstandError(
+            f"{response.request.url.host}: status {response.status_code} without a "
+            "JSON object; is this the operator port?",
+            code="bad_response",
+        )
+    if response.status_code < 400:
+        return body
+    code = str(body.get("code", "bad_response"))
+    detail = str(body.get("detail", f"status {response.status_code}"))
+    if code == OutcomeUnknown.code:
+        raise OutcomeUnknown(detail)
+    raise Refused(code, detail, body.get("problems", []))
--- /dev/null
+++ b/hemlockstand/operators/interface.py
@@ -0,0 +1,212 @@
+"""HTTP interface for operators, and health and metrics of the daemon.
+
+Paths are ``/o/NOUN/VERB``; reads are GET, everything else is POST. Each call
+needs the bearer token of the settings. ``/health``, ``/ready`` and
+``/metrics`` need none, because load balancers and collectors have none.
+"""
+
+import hmac
+import json
+import socket
+from collections.abc import Mapping
+from typing import Any
+from uuid import uuid4
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from loguru import logger
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from quart import Response, request
+from quart_trio import QuartTrio
+from werkzeug.exceptions import HTTPException
+
+from hemlockstand.errors import HemlockstandError, InvalidInput
+from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.operators.messages import (
+    AUTHOR_HEADER,
+    CHANGE_ID_HEADER,
+    MAX_TEXT_LENGTH,
+    OperatorRequest,
+    Unauthorized,
+)
+from hemlockstand.operators.routes import Answer, Operations
+from hemlockstand.sheet.problems import SheetError
+from hemlockstand.sheet.reader import MAX_SHEET_BYTES
+
+log = logger.bind(module=__name__)
+
+# Open connections wait in the kernel while the daemon is busy.
+LISTEN_BACKLOG = 100
+# Calls that are being answered when the daemon stops get this long.
+GRACE_SECONDS = 5
+
+STATUS_BY_CODE = {
+    "unauthorized": 401,
+    "not_found": 404,
+    "unknown_path": 404,
+    "invalid_input": 400,
+    "invalid_sheet": 422,
+    "drops_not_confirmed": 409,
+    "already_exists": 409,
+    "configuration_conflict": 409,
+    "not_available": 501,
+    "platform_unavailable": 503,
+    "outcome_unknown": 504,
+}
+
+
+@register
+class OperatorsService(Service):
+    """Serves the operator port."""
+
+    name = "operators"
+    needs = ("configuration", "peers")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._stopping = trio.Event()
+        self._socket: socket.socket | None = None
+
+    @property
+    def address(self) -> str:
+        """The address listened on, as ``HOST:PORT``."""
+        host, port = self._socket.getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def start(self) -> None:
+        """Bind the operator port, so that a taken port ends the start."""
+        section = self.settings.listen
+        self._operations = Operations(self.kernel)
+        self._socket = bind_socket(section.host, section.operator_port)
+        log.info("operators are served on {}", self.address)
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        config = Config()
+        # Hypercorn closes the descriptor it is given, so it gets a copy.
+        config.bind = [f"fd://{self._socket.dup().detach()}"]
+        config.graceful_timeout = GRACE_SECONDS
+        config.accesslog = None
+        config.errorlog = None
+        await serve(
+            make_app(self.kernel, self._operations),
+            config,
+            shutdown_trigger=self._stopping.wait,
+            mode="asgi",
+        )
+
+    async def stop(self) -> None:
+        """Finish open calls and close the port."""
+        self._stopping.set()
+        self._socket.close()
+
+
+def bind_socket(host: str, port: int) -> socket.socket:
+    """Return a listening socket; port 0 chooses a free one."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+        listener.listen(LISTEN_BACKLOG)
+    except OSError as error:
+        listener.close()
+        raise HemlockstandError(
+            f"[listen] operator_port = {port}: cannot listen on {host}: "
+            f"{error.strerror}",
+            code="port_unavailable",
+        ) from None
+    return listener
+
+
+def make_app(kernel: Kernel, operations: Operations) -> QuartTrio:
+    """Return the application of the operator port."""
+    app = QuartTrio("hemlockstand.operators")
+    app.config["MAX_CONTENT_LENGTH"] = MAX_SHEET_BYTES + 1
+    token = kernel.settings.operators.token.encode()
+
+    @app.get("/health")
+    async def show_health() -> Response:
+        return _respond(200, {"status": "ok"})
+
+    @app.get("/ready")
+    async def show_ready() -> Response:
+        ready, reason = operations.check_ready()
+        return _respond(200 if ready else 503, {"ready": ready, "reason": reason})
+
+    @app.get("/metrics")
+    async def show_metrics() -> Response:
+        return Response(generate_latest(), content_type=CONTENT_TYPE_LATEST)
+
+    @app.route("/o/<path:path>", methods=["GET", "POST"])
+    async def operate(path: str) -> Response:
+        _check_token(token)
+        answer = operations.find(request.method, path)
+        result = await answer(await _read_request())
+        return _respond(200, result)
+
+    @app.errorhandler(Exception)
+    async def report(error: Exception) -> Response:
+        return _report(error)
+
+    return app
+
+
+def _check_token(token: bytes) -> None:
+    scheme, _, given = request.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not given:
+        raise Unauthorized("a bearer token is needed")
+    if not hmac.compare_digest(given.strip().encode(), token):
+        raise Unauthorized("the token is not the operators' token of this daemon")
+
+
+async def _read_request() -> OperatorRequest:
+    arguments: dict[str, Any] = dict(request.args)
+    body = await request.get_data()
+    if request.is_json and body:
+        try:
+            fields = json.loads(body)
+        except ValueError:
+            raise InvalidInput("the body is not JSON") from None
+        if not isinstance(fields, Mapping):
+            raise InvalidInput("the body is not a JSON object")
+        arguments.update(fields)
+    return OperatorRequest(
+        author=_read_header(AUTHOR_HEADER) or "unknown",
+        change_id=_read_header(CHANGE_ID_HEADER) or uuid4().hex,
+        arguments=arguments,
+        body=body,
+    )
+
+
+def _read_header(name: str) -> str:
+    value = request.headers.get(name, "").strip()
+    if len(value) > MAX_TEXT_LENGTH or not value.isprintable():
+        raise InvalidInput(f"header {name} is too long or not printable")
+    return value
+
+
+def _respond(status: int, body: Answer) -> Response:
+    return Response(
+        json.dumps(body), status=status, content_type="application/json; charset=utf-8"
+    )
+
+
+def _report(error: Exception) -> Response:
+    match error:
+        case SheetError(code=code, problems=problems):
+            detail = f"the sheet has {len(problems)} problems; nothing was applied"
+            body = {"code": code, "detail": detail, "problems": error.to_json()}
+            return _respond(STATUS_BY_CODE[code], body)
+        case HemlockstandError(code=code, message=detail):
+            status = STATUS_BY_CODE.get(code, 500)
+            return _respond(status, {"code": code, "detail": detail})
+        case HTTPException():
+            status = error.code or 500
+            known = {404: "unknown_path", 405: "unknown_path", 413: "body_too_large"}
+            code = known.get(status, "invalid_input")
+            return _respond(status, {"code": code, "detail": error.description})
+    log.opt(exception=error).error("operator call failed")
+    detail = "the daemon failed to answer; its log has the error"
+    return _respond(500, {"code": "internal_error", "detail": detail})
--- /dev/null
+++ b/test/operators.py
@@ -0,0 +1,204 @@
+"""A daemon's operator side in the test process, over an in-memory table."""
+
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from io import StringIO
+from pathlib import Path
+from typing import Any
+
+import trio
+from attrs import define, field, frozen
+
+from hemlockstand.configuration.changes import CommittedChange, apply_change
+from hemlockstand.configuration.service import ConfigurationService
+from hemlockstand.configuration.store import ConfigurationStore
+from hemlockstand.ctl.main import run_command
+from hemlockstand.kernel import Kernel
+from hemlockstand.model import Configuration
+from hemlockstand.operators.interface import OperatorsService
+from hemlockstand.peers.service import PeersService
+from hemlockstand.platform.interface import (
+    InstanceKind,
+    InstanceRecord,
+    InstanceState,
+)
+from hemlockstand.platform.memory import MemoryObjects, MemoryTable
+from hemlockstand.platform.service import PlatformService
+from hemlockstand.settings import load_settings
+from test.helper import write_settings
+
+TOKEN = "0123456789abcdef"
+POLL_SECONDS = 0.01
+
+SHEET = """kind,name,house,share,request_limit,pool_kind,data_centres,size,budget,\
+team,access,idempotent,priority,deadline_seconds,pool,schedule,last_day,cores,\
+memory_mb,run_minutes,day
+sheet,,,,,,,,,,,,,,,,,,,,2026-12-04
+team,quotes,sakda,3,40,,,,,,,,,,,,,,,,
+team,ledger,sakda,1,20,,,,,,,,,,,,,,,,
+pool,hinge,,,,executors,dc1 dc2,8,1,,,,,,,,,,,,
+pool,night,,,,workers,dc1,8,1,,,,,,,,,,,,
+queue,stock,,,,,,,,quotes,keyed,yes,interactive,5,hinge,,,,,,
+queue,order,,,,,,,,quotes,keyed,no,interactive,5,hinge,,,,,,
+job,reconcile,,,,,,,,ledger,,,batch,,night,daily 02:30,2027-01-31,2,4096,30,
+"""
+
+
+@frozen
+class FakeMember:
+    """What the peers service tells of a daemon."""
+
+    name: str
+    alive: bool = True
+    leaving: bool = False
+    configuration_version: int = 0
+    data_centre: str = "dc1"
+    incarnation: str = "i-1"
+    address: str = "127.0.0.1:1"
+
+
+@define
+class FakeInstances:
+    """A list of one executor."""
+
+    async def list(self) -> list[InstanceRecord]:
+        return [
+            InstanceRecord(
+                "exec-1",
+                InstanceKind.EXECUTOR,
+                "central",
+                "dc1",
+                "rack-1",
+                "127.0.0.1:2",
+                InstanceState.LIVE,
+            )
+        ]
+
+
+@define
+class FakePlatform:
+    """The parts of the platform that operators' changes need."""
+
+    table: MemoryTable = field(factory=MemoryTable)
+    objects: MemoryObjects = field(factory=MemoryObjects)
+    instances: FakeInstances = field(factory=FakeInstances)
+
+
+class FakeConfiguration(ConfigurationService):
+    """Commits to the table at once and polls it only when asked to wait."""
+
+    def __init__(self, kernel: Kernel, platform: FakePlatform) -> None:
+        self.store = ConfigurationStore(platform)
+        self._current = Configuration()
+
+    @property
+    def current(self) -> Configuration:
+        return self._current
+
+    async def catch_up(self) -> None:
+        for entry in await self.store.read_changes(self._current.version):
+            self._current = apply_change(self._current, entry.change)
+
+    async def wait_version(self, version: int) -> None:
+        while self._current.version < version:
+            await self.catch_up()
+            await trio.sleep(POLL_SECONDS)
+
+    async def commit(self, change: Any, base: int) -> int:
+        version = await self.store.commit(change, base)
+        await self.catch_up()
+        return version
+
+    async def history(self, limit: int) -> list[CommittedChange]:
+        newest = (await self.store.read_head()).version
+        changes = await self.store.read_changes(max(0, newest - limit), limit)
+        return changes[::-1]
+
+
+class FakePeers(PeersService):
+    """Tells of the members that a test sets."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.known: list[FakeMember] = []
+
+    @property
+    def incarnation(self) -> str:
+        return "i-0"
+
+    def members(self) -> list[FakeMember]:
+        return self.known
+
+
+class FakePlatformService(PlatformService):
+    """Holds the fake platform."""
+
+    def __init__(self, kernel: Kernel, platform: FakePlatform) -> None:
+        self.platform = platform
+
+
+@define
+class Outcome:
+    """What a command line gave."""
+
+    code: int
+    out: str
+    err: str
+
+
+@define
+class Daemon:
+    """A running operator port and the fakes behind it."""
+
+    kernel: Kernel
+    service: OperatorsService
+    configuration: FakeConfiguration
+    peers: FakePeers
+    platform: FakePlatform
+
+    async def control(self, *words: str, token: str = TOKEN) -> Outcome:
+        """Run hemlockctl against this daemon."""
+        flags = ["--server", f"http://{self.service.address}", "--token", token]
+        return await control(*words, *flags)
+
+
+async def control(*words: str) -> Outcome:
+    """Run hemlockctl in this process."""
+    out, err = StringIO(), StringIO()
+    code = await run_command(words, out, err)
+    return Outcome(code, out.getvalue(), err.getvalue())
+
+
+@asynccontextmanager
+async def run_daemon(
+    directory: Path, platform: FakePlatform | None = None, extra: Sequence[Any] = ()
+) -> AsyncIterator[Daemon]:
+    """Serve the operator port of a daemon on a free port.
+
+    ``extra`` are further services by name.
+    """
+    path = write_settings(directory, "[listen]\noperator_port = 0\n")
+    kernel = Kernel(load_settings(path))
+    platform = platform or FakePlatform()
+    configuration = FakeConfiguration(kernel, platform)
+    await configuration.catch_up()
+    peers = FakePeers(kernel)
+    kernel._services.update(
+        configuration=configuration,
+        peers=peers,
+        platform=FakePlatformService(kernel, platform),
+        **dict(extra),
+    )
+    service = OperatorsService(kernel)
+    await service.start()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(service.run)
+        yield Daemon(kernel, service, configuration, peers, platform)
+        await service.stop()
+        nursery.cancel_scope.cancel()
+
+
+def write_sheet(directory: Path, text: str = SHEET, name: str = "sheet.csv") -> str:
+    """Write a sheet and return its path."""
+    path = directory / name
+    path.write_text(text, encoding="utf-8", newline="")
+    return str(path)
