Read the instance list once per interval and conditionally

Cause: four services polled the whole list, 80 entries of about 200 bytes each second, which alone is above the 7 KB/s of control that a daemon may use.

Before: four full reads a second, seen in the log of a daemon. After: one conditional read, answered by 304 while nothing changes.

--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -9,13 +9,14 @@
 while the data centre is cut off.
 """
 
+import hashlib
 import time
 
 import httpx
 import msgspec
 import trio
 from absl import app, flags
-from attrs import define, field
+from attrs import define, evolve, field
 
 from emulator.faults import FaultRequest, Faults
 from emulator.machines import Instance, InstanceMessage, MachinePark, UnknownInstance
@@ -183,7 +184,7 @@
             case "GET", ["instances"]:
                 data_centre = self._find_data_centre(request)
                 found = self.machines.list_instances(data_centre)
-                return reply({"instances": found})
+                return _reply_unless_known(request, reply({"instances": found}))
             case "POST", ["instances"]:
                 return self._register(request.json(InstanceMessage))
             case "GET", ["instances", name]:
@@ -285,6 +286,15 @@
     return int(text)
 
 
+def _reply_unless_known(request: WebRequest, response: WebResponse) -> WebResponse:
+    """Answer 304 if the client has this response, by its entity tag."""
+    tag = f'"{hashlib.blake2b(response.body, digest_size=8).hexdigest()}"'
+    headers = ((b"etag", tag.encode()),)
+    if request.header("if-none-match") == tag:
+        return WebResponse(304, b"", headers)
+    return evolve(response, headers=headers)
+
+
 def _refuse_unknown(request: WebRequest) -> WebResponse:
     return refuse(400, f"unknown call {request.method} {request.path}")
 
--- a/hemlockstand/logs.py
+++ b/hemlockstand/logs.py
@@ -1,6 +1,7 @@
 """Structured logs on standard error, as JSON lines or text."""
 
 import json
+import logging
 import sys
 
 from loguru import logger
@@ -12,6 +13,7 @@
 
 def configure_logs(settings: LogSettings, daemon: str) -> None:
     """Send log lines of the set level and above to standard error."""
+    logging.getLogger("httpx").setLevel(logging.WARNING)
     logger.remove()
     logger.configure(extra={"module": "hemlockstand", "daemon": daemon})
     if settings.format == "json":
--- a/hemlockstand/platform/http.py
+++ b/hemlockstand/platform/http.py
@@ -28,6 +28,7 @@
 )
 
 MAX_CONNECTIONS = 16
+NOT_MODIFIED = 304
 
 
 @define
@@ -56,6 +57,7 @@
         json: Mapping[str, Any] | None = None,
         params: Mapping[str, Any] | None = None,
         content: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
     ) -> httpx.Response:
         """Send a request; ``changes`` says whether it can have an effect.
 
@@ -64,14 +66,21 @@
         """
         try:
             response = await self._client.request(
-                method, path, json=json, params=params, content=content
+                method,
+                path,
+                json=json,
+                params=params,
+                content=content,
+                headers=headers,
             )
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             raise PlatformUnavailable(f"{method} {path}: {error!r}") from error
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             raise _lost_reply(changes, f"{method} {path}: {error!r}") from error
-        self.bytes_sent += len(response.request.content) + len(path)
+        request = response.request
+        self.bytes_sent += len(request.content) + _measure_headers(request.headers)
         self.bytes_received += len(response.content)
+        self.bytes_received += _measure_headers(response.headers)
         _check_status(response, changes)
         return response
 
@@ -80,6 +89,11 @@
         await self._client.aclose()
 
 
+def _measure_headers(headers: httpx.Headers) -> int:
+    """Return the size of the header lines with separators and line ends."""
+    return sum(len(name) + len(value) + 4 for name, value in headers.raw)
+
+
 def _lost_reply(changes: bool, message: str) -> HemlockstandError:
     return OutcomeUnknown(message) if changes else PlatformUnavailable(message)
 
@@ -88,7 +102,7 @@
     request = response.request
     message = f"{request.method} {request.url.path}: {response.status_code}"
     match response.status_code:
-        case status if status < 300:
+        case status if status < 300 or status == NOT_MODIFIED:
             return
         case 404:
             raise NotFound(f"{message} {response.text}")
@@ -160,14 +174,25 @@
 
 @define
 class HttpInstances:
-    """The instance list over HTTP."""
+    """The instance list over HTTP.
+
+    The list is large and changes rarely, so it is asked for conditionally by
+    its entity tag.
+    """
 
     _http: HttpClient
+    _tag: str = ""
+    _records: list[InstanceRecord] = field(factory=list)
 
     async def list(self) -> list[InstanceRecord]:
         """Return all instances, as of some seconds ago."""
-        response = await self._http.call("GET", "/instances", False)
-        return cattrs.structure(response.json()["instances"], list[InstanceRecord])
+        headers = {"If-None-Match": self._tag} if self._tag else None
+        response = await self._http.call("GET", "/instances", False, headers=headers)
+        if response.status_code != NOT_MODIFIED:
+            found = response.json()["instances"]
+            self._records = cattrs.structure(found, list[InstanceRecord])
+            self._tag = response.headers.get("ETag", "")
+        return self._records
 
 
 @define
--- a/hemlockstand/platform/service.py
+++ b/hemlockstand/platform/service.py
@@ -1,9 +1,37 @@
 """The kernel service that holds the platform adapter of the daemon."""
 
 import trio
+from attrs import define, field
 
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.platform.http import HttpPlatform
+from hemlockstand.platform.interface import InstanceRecord, Instances
+
+SHARED_FRACTION = 0.8
+
+
+@define
+class SharedInstances:
+    """Reads the instance list once for all services that poll it.
+
+    A result is shared for most of ``seconds``, so that services which poll at
+    that interval see each new list at once.
+    """
+
+    _instances: Instances
+    _seconds: float
+    _read_at: float = -float("inf")
+    _records: list[InstanceRecord] = field(factory=list)
+    _lock: trio.Lock = field(factory=trio.Lock)
+
+    async def list(self) -> list[InstanceRecord]:
+        """Return the list; raises ``PlatformUnavailable``."""
+        async with self._lock:
+            now = trio.current_time()
+            if now - self._read_at > self._seconds * SHARED_FRACTION:
+                self._records = await self._instances.list()
+                self._read_at = now
+        return self._records
 
 
 @register
@@ -16,6 +44,9 @@
         super().__init__(kernel)
         section = self.settings.platform
         self.platform = HttpPlatform(section.url, section.timeout_seconds)
+        self.platform.instances = SharedInstances(
+            self.platform.instances, section.instance_poll_seconds
+        )
 
     async def run(self) -> None:
         """Keep the connections until the daemon stops."""
