--- /dev/null
+++ b/hemlockstand/maintenance/buffers.py
@@ -0,0 +1,215 @@
+"""How many instances each pool keeps, and how much the spare pool holds.
+
+Queues peak in turn for a few seconds, which is shorter than a move takes, so
+a peak can only be met by instances that are there already. Keeping the peak
+of each queue in its own pool pays for every peak at all times; keeping only
+the usual demand there and one common buffer in the spare pool pays for the
+largest sum of overflows once. The weights decide between the two: overflow
+costs share, idle instances cost money, and changes cost moves.
+"""
+
+from collections.abc import Iterator, Mapping
+from math import ceil, exp
+
+import numpy as np
+from attrs import evolve, field, frozen
+
+SERVED_QUANTILE = 0.999  # part of the time in which all demand finds room
+SECONDS_PER_DAY = 86_400
+
+
+@frozen
+class Weights:
+    """Weights of share error, idle instances and moves."""
+
+    share: float
+    buffer: float
+    move: float
+
+
+@frozen
+class PoolHistory:
+    """Demand of a pool in instances, sampled at the same times as the others.
+
+    ``kept`` is the number of instances that the pool has now.
+    """
+
+    name: str
+    demand: np.ndarray = field(eq=False)
+    kept: int
+
+
+@frozen
+class FailureRate:
+    """How often an instance fails and how long it is missing then."""
+
+    per_instance_day: float
+    repair_seconds: float
+    quantile: float = 0.999
+
+
+@frozen
+class BufferPlan:
+    """Instances that each pool keeps; the spare pool holds the common buffer."""
+
+    kept: Mapping[str, int]
+    spare: str
+    cost: float = 0.0
+
+    def count_moves(self, before: Mapping[str, int]) -> int:
+        """Return how many instances change pools or leave service."""
+        changed = sum(abs(count - before[name]) for name, count in self.kept.items())
+        balance = sum(self.kept.values()) - sum(before[name] for name in self.kept)
+        return (changed + abs(balance)) // 2
+
+
+def reserve_failures(instances: int, rate: FailureRate) -> int:
+    """Return how many instances to add so that failures rarely leave too few.
+
+    The number missing at a moment is Poisson with the mean of failures within
+    one repair time::
+
+        >>> reserve_failures(40, FailureRate(99 / 5600, 600))
+        1
+    """
+    mean = instances * rate.per_instance_day * rate.repair_seconds / SECONDS_PER_DAY
+    probability = total = exp(-mean)
+    missing = 0
+    while total < rate.quantile:
+        missing += 1
+        probability *= mean / missing
+        total += probability
+    return missing
+
+
+def plan_static(
+    histories: Mapping[str, PoolHistory], wave: int, rate: FailureRate
+) -> BufferPlan:
+    """Return the plan that keeps each pool's own peak, failures and wave."""
+    kept = {}
+    for name, history in histories.items():
+        peak = ceil(np.quantile(history.demand, SERVED_QUANTILE))
+        kept[name] = peak + reserve_failures(peak, rate) + wave
+    return BufferPlan(kept, "")
+
+
+def plan_buffers(
+    histories: Mapping[str, PoolHistory],
+    spare: str,
+    wave: int,
+    rate: FailureRate,
+    weights: Weights,
+) -> BufferPlan:
+    """Return the cheapest plan that serves the demand seen.
+
+    ``wave`` is the number of instances that maintenance may take out of
+    service at once over all pools. The present plan is kept if a better one
+    does not pay for its moves.
+    """
+    start = {
+        name: max(1, ceil(np.quantile(history.demand, 0.5)))
+        for name, history in histories.items()
+        if name != spare
+    }
+    best = _complete_plan(start, histories, spare, wave, rate, weights)
+    improved = True
+    while improved:
+        improved = False
+        for candidate in _list_neighbours(best, histories, spare, wave, rate, weights):
+            if candidate.cost < best.cost:
+                best = candidate
+                improved = True
+    present = {name: history.kept for name, history in histories.items()}
+    if _is_sufficient(present, histories, spare, wave, rate):
+        staying = _price(present, histories, spare, weights)
+        if staying <= best.cost + weights.move * best.count_moves(present):
+            return BufferPlan(present, spare, staying)
+    return best
+
+
+def _list_neighbours(
+    plan: BufferPlan,
+    histories: Mapping[str, PoolHistory],
+    spare: str,
+    wave: int,
+    rate: FailureRate,
+    weights: Weights,
+) -> Iterator[BufferPlan]:
+    own = {name: count for name, count in plan.kept.items() if name != spare}
+    for name, count in own.items():
+        for step in (-1, 1, 2):
+            if count + step >= 1:
+                changed = {**own, name: count + step}
+                yield _complete_plan(changed, histories, spare, wave, rate, weights)
+
+
+def _complete_plan(
+    own: Mapping[str, int],
+    histories: Mapping[str, PoolHistory],
+    spare: str,
+    wave: int,
+    rate: FailureRate,
+    weights: Weights,
+) -> BufferPlan:
+    needed = _measure_spare_need(own, histories, spare)
+    total = sum(own.values()) + needed
+    kept = {**own, spare: needed + reserve_failures(total, rate) + wave}
+    plan = BufferPlan(kept, spare)
+    return evolve(plan, cost=_price(kept, histories, spare, weights))
+
+
+def _is_sufficient(
+    kept: Mapping[str, int],
+    histories: Mapping[str, PoolHistory],
+    spare: str,
+    wave: int,
+    rate: FailureRate,
+) -> bool:
+    own = {name: count for name, count in kept.items() if name != spare}
+    needed = _measure_spare_need(own, histories, spare)
+    total = sum(own.values()) + needed
+    return kept[spare] >= needed + reserve_failures(total, rate) + wave
+
+
+def _measure_spare_need(
+    own: Mapping[str, int], histories: Mapping[str, PoolHistory], spare: str
+) -> int:
+    load = histories[spare].demand + _sum_overflow(own, histories)
+    return max(1, ceil(np.quantile(load, SERVED_QUANTILE)))
+
+
+def _sum_overflow(
+    own: Mapping[str, int], histories: Mapping[str, PoolHistory]
+) -> np.ndarray:
+    overflows = (
+        np.maximum(histories[name].demand - count, 0.0) for name, count in own.items()
+    )
+    return sum(overflows, start=np.zeros(1))
+
+
+def _price(
+    kept: Mapping[str, int],
+    histories: Mapping[str, PoolHistory],
+    spare: str,
+    weights: Weights,
+) -> float:
+    """Return the weighted cost: idle instances and the part that overflows.
+
+    Both are in instances, so that the weights compare like with like.
+    """
+    own = {name: count for name, count in kept.items() if name != spare}
+    demand = sum(float(history.demand.mean()) for history in histories.values())
+    idle = sum(kept.values()) - demand
+    overflow = float(np.mean(_sum_overflow(own, histories)))
+    return weights.buffer * idle + weights.share * overflow
+
+
+def find_lower_bound(histories: Mapping[str, PoolHistory]) -> float:
+    """Return idle instances that no plan without moves in a peak can avoid.
+
+    Whatever the split, the instances kept in all must cover the largest total
+    demand (at the served quantile), because a peak is over before a move
+    ends; what is above the mean total demand is idle on average.
+    """
+    total = sum((history.demand for history in histories.values()), start=np.zeros(1))
+    return float(np.quantile(total, SERVED_QUANTILE) - total.mean())
