--- a/test/fake_machines.py
+++ b/emulator/local_machines.py
@@ -1,4 +1,4 @@
-"""Instances in memory for the tests of maintenance."""
+"""Instances in memory for tests and benchmarks of maintenance."""
 
 from collections.abc import Callable
 
@@ -14,7 +14,7 @@
 
 
 @define
-class FakeMachines:
+class LocalMachines:
     """Instances that drain and reboot at once when told.
 
     ``bad`` ones come back unhealthy. ``pools`` gives the pool that each was
--- a/hemlockstand/jobs/quarantine.py
+++ b/hemlockstand/jobs/quarantine.py
@@ -22,9 +22,12 @@
 DISTINCT_JOBS = 3  # failures of fewer could be the jobs' fault
 MAX_JOB_STARTS = 5
 MAX_WORKER_STARTS = 5
+MAX_PROBES = 2
+# All starts that are under way may fail, so that together with the probes
+# they must not pass the bound.
+MAX_UNCONFIRMED = MAX_WORKER_STARTS - MAX_PROBES
 PROBE_SECONDS = 300.0
-UNCONFIRMED_SECONDS = 10.0
-MAX_PROBES = MAX_WORKER_STARTS - DISTINCT_JOBS
+UNCONFIRMED_SECONDS = 5.0
 
 
 def record_success(
@@ -81,7 +84,7 @@
     worker = evolve(worker, failed_jobs=jobs, failed_starts=worker.failed_starts + 1)
     if worker.quarantine is not None:
         return evolve(worker, quarantine=evolve(worker.quarantine, since=now))
-    if len(jobs) >= DISTINCT_JOBS or worker.failed_starts >= MAX_WORKER_STARTS:
+    if len(jobs) >= DISTINCT_JOBS or worker.failed_starts >= MAX_UNCONFIRMED:
         return evolve(worker, quarantine=Quarantine(jobs, now))
     return worker
 
@@ -119,7 +122,7 @@
         now - allocation.started_at < UNCONFIRMED_SECONDS
         for allocation in worker.allocations.values()
     )
-    return max(0, MAX_WORKER_STARTS - worker.failed_starts - unconfirmed)
+    return max(0, MAX_UNCONFIRMED - worker.failed_starts - unconfirmed)
 
 
 def count_probe(worker: WorkerState) -> WorkerState:
--- a/hemlockstand/jobs/records.py
+++ b/hemlockstand/jobs/records.py
@@ -91,6 +91,10 @@
         """Return the same content at another version of the row."""
         return evolve(self, version=version)
 
+    def with_demanded(self, demanded: Mapping[str, DemandedRun]) -> "TeamWork":
+        """Return the same work with other demanded runs."""
+        return evolve(self, demanded=demanded)
+
     def measure_usage(self) -> Shape:
         """Return the sum of what the team's running tasks hold."""
         return add_shapes(
--- a/hemlockstand/jobs/service.py
+++ b/hemlockstand/jobs/service.py
@@ -5,7 +5,7 @@
 promise when two daemons believe that they own a pool.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import UTC, datetime
 from random import Random
 from time import time
@@ -44,11 +44,12 @@
 from hemlockstand.maintenance.service import MaintenanceService
 from hemlockstand.model import Configuration, Job, PoolKind
 from hemlockstand.peers.service import PeersService
-from hemlockstand.platform.interface import Shape
+from hemlockstand.platform.interface import Put, Shape
 from hemlockstand.platform.service import PlatformService
 
 log = logger.bind(module=__name__)
 
+MARKER_PREFIX = "jobs/marker/"  # one row per pool, written when others change jobs
 MAX_BACKOFF_SECONDS = 30.0
 MAX_ATTEMPTS = 8  # conditional writes that race with a round of the owner
 
@@ -137,10 +138,15 @@
     async def _repeat_rounds(self, pool: str) -> None:
         section = self.settings.jobs
         backoff = section.interval_seconds
+        seen = 0
         while True:
             placer = self.rounds[pool]
             before = placer.store.writes
             try:
+                marker = await self.platform.table.read(MARKER_PREFIX + pool)
+                if marker.version != seen:
+                    placer.store.forget()
+                    seen = marker.version
                 outcome = await placer.run_round(self.configuration.current)
                 if outcome is not None:
                     self.outcomes[pool] = outcome
@@ -196,9 +202,9 @@
         task = name_task(job, run)
 
         def add(work: TeamWork) -> TeamWork:
-            return evolve(work, demanded={**work.demanded, task: asked})
+            return work.with_demanded({**work.demanded, task: asked})
 
-        await self._change_work(team, add)
+        await self._change_work(team, pool, add)
         return task
 
     async def cancel(self, job: str) -> list[str]:
@@ -206,7 +212,7 @@
 
         Raises ``NotFound`` and ``PlatformUnavailable``.
         """
-        team = self._find_job(job).team
+        found = self._find_job(job)
         cancelled = {}
         run = name_run(datetime.now(UTC))
 
@@ -228,7 +234,7 @@
                 last_run={**work.last_run, job: run},
             )
 
-        await self._change_work(team, remove)
+        await self._change_work(found.team, found.pool, remove)
         for name, task in cancelled.items():
             try:
                 await self.platform.workers.stop(task.worker, name, task.fence)
@@ -250,10 +256,16 @@
                 starts=drop_entry(work.starts, job),
             )
 
-        await self._change_work(self._find_job(job).team, clear)
+        found = self._find_job(job)
+        await self._change_work(found.team, found.pool, clear)
 
-    async def _change_work(self, team: str, change) -> None:
-        """Apply a change to a team's row; a lost reply is read back."""
+    async def _change_work(
+        self, team: str, pool: str, change: Callable[[TeamWork], TeamWork]
+    ) -> None:
+        """Apply a change to a team's row; a lost reply is read back.
+
+        The marker tells the pool's owner to read its cached rows again.
+        """
         for _ in range(MAX_ATTEMPTS):
             row = await self.platform.table.read(WORK_PREFIX + team)
             changed = change(decode_work(team, row))
@@ -261,7 +273,8 @@
             if operation.value == row.value:
                 return
             try:
-                await self.platform.table.transact([operation])
+                marker = Put(MARKER_PREFIX + pool, {"team": team}, None)
+                await self.platform.table.transact([operation, marker])
                 return
             except (TableConflict, OutcomeUnknown) as error:
                 log.info("work of team {} is read again: {}", team, error.code)
--- a/test/test_job_rounds.py
+++ b/test/test_job_rounds.py
@@ -6,6 +6,7 @@
 import trio
 from attrs import define, evolve, field
 
+from emulator.local_workers import LocalWorkers
 from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
 from hemlockstand.jobs.placement import Site, sum_capacity
 from hemlockstand.jobs.rounds import Draft, PoolRounds
@@ -13,7 +14,6 @@
 from hemlockstand.model import Configuration, Job, Pool, PoolKind, Priority, Team
 from hemlockstand.platform.interface import Shape
 from hemlockstand.platform.memory import MemoryTable
-from test.fake_workers import FakeWorkers
 
 NOW = datetime(2026, 12, 4, 6, 0, 1, tzinfo=UTC).timestamp()
 POOL = "frame-workers"
@@ -58,9 +58,12 @@
     """A pool with in-memory table and workers and a clock of its own."""
 
     table: MemoryTable = field(factory=MemoryTable)
-    workers: FakeWorkers = field(factory=FakeWorkers)
     sites: dict = field(factory=make_sites)
     now: float = NOW
+    workers: LocalWorkers = field(init=False)
+
+    def __attrs_post_init__(self):
+        self.workers = LocalWorkers(lambda: self.now)
 
     def make_rounds(self, kind=PoolRounds):
         """Return the rounds of one more daemon on the same table."""
--- a/test/test_maintenance.py
+++ b/test/test_maintenance.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 from hypothesis import given, settings, strategies
 
+from emulator.local_machines import LocalMachines
 from hemlockstand.errors import HemlockstandError, InvalidInput, OutcomeUnknown
 from hemlockstand.maintenance.records import (
     INSTANCE_PREFIX,
@@ -23,7 +24,6 @@
 from hemlockstand.model import Pool, PoolKind
 from hemlockstand.platform.interface import MachineHealth
 from hemlockstand.platform.memory import MemoryTable
-from test.fake_machines import FakeMachines
 
 FRAME = Pool("frame", PoolKind.WORKERS, ("dc0", "dc1"), size=8, budget=2)
 LEDGER = Pool("ledger", PoolKind.WORKERS, ("dc2",), size=4, budget=1)
@@ -35,14 +35,14 @@
     """Two pools with in-memory table and machines and a clock of its own."""
 
     table: MemoryTable = field(factory=MemoryTable)
-    machines: FakeMachines = field(init=False)
+    machines: LocalMachines = field(init=False)
     now: float = 1000.0
     worst: dict = field(factory=dict)
 
     def __attrs_post_init__(self):
         names = {f"i{index:02}": "frame" for index in range(8)}
         names |= {f"i{index:02}": "ledger" for index in range(8, 12)}
-        self.machines = FakeMachines(names, observe=self.note_unavailable)
+        self.machines = LocalMachines(names, observe=self.note_unavailable)
 
     def note_unavailable(self):
         """Record the most members out of service in each pool so far."""
