Take peer addresses from the instance list

Cause: the platform stand-in gives each data centre its own addresses of the entry instances, so that links between data centres can be cut. A peer's own announcement would bypass these links.

Before: host of the list entry with this daemon's peer port, replaced by what the peer announces. After: host and port of the list entry, kept.

Conclusion: daemons on one host with separate ports find each other.

--- a/hemlockstand/configuration/changes.py
+++ b/hemlockstand/configuration/changes.py
@@ -29,13 +29,13 @@
 
 
 class EntityKind(StrEnum):
-    """The kinds of entities of the configuration."""
+    """The kinds of entities; the value is the field of the configuration."""
 
-    TEAM = "team"
-    POOL = "pool"
-    QUEUE = "queue"
-    JOB = "job"
-    KEY = "key"
+    TEAM = "teams"
+    POOL = "pools"
+    QUEUE = "queues"
+    JOB = "jobs"
+    KEY = "keys"
 
 
 _CLASSES: dict[EntityKind, type] = {
@@ -46,13 +46,6 @@
     EntityKind.KEY: Key,
 }
 _KINDS = {kind: name for name, kind in _CLASSES.items()}
-_FIELDS = {
-    EntityKind.TEAM: "teams",
-    EntityKind.POOL: "pools",
-    EntityKind.QUEUE: "queues",
-    EntityKind.JOB: "jobs",
-    EntityKind.KEY: "keys",
-}
 
 
 @frozen
@@ -124,9 +117,7 @@
 
 def apply_change(configuration: Configuration, change: Change) -> Configuration:
     """Return the next version of the configuration."""
-    copies = {
-        kind: dict(getattr(configuration, _FIELDS[kind])) for kind in _touched(change)
-    }
+    copies = {kind: dict(getattr(configuration, kind)) for kind in _touched(change)}
     drains = dict(configuration.drains)
     day = configuration.sheet_day
     for edit in change.edits:
@@ -146,7 +137,7 @@
         version=configuration.version + 1,
         sheet_day=day,
         drains=drains,
-        **{_FIELDS[kind]: entities for kind, entities in copies.items()},
+        **{kind.value: entities for kind, entities in copies.items()},
     )
 
 
--- a/hemlockstand/coordination/freshness.py
+++ b/hemlockstand/coordination/freshness.py
@@ -36,7 +36,7 @@
 """
 
 from collections.abc import Callable
-from enum import Enum
+from enum import StrEnum
 from math import inf
 
 import trio
@@ -47,7 +47,7 @@
 CONTRADICTION_FRACTION = 0.5
 
 
-class Scope(Enum):
+class Scope(StrEnum):
     """Which data centres could have committed something relevant."""
 
     FLEET = "fleet"
@@ -188,7 +188,7 @@
         return min(self.data_centres, key=self._last_contact)
 
     def _list_data_centres(self, scope: Scope) -> tuple[str, ...]:
-        match scope:
+        match Scope(scope):
             case Scope.FLEET:
                 return self.data_centres
             case Scope.DATA_CENTRE:
--- a/hemlockstand/coordination/membership.py
+++ b/hemlockstand/coordination/membership.py
@@ -57,28 +57,25 @@
     random: Random = field(factory=Random)
     _peers: dict[str, Peer] = field(factory=dict, init=False)
     _heard_at: dict[str, float] = field(factory=dict, init=False)
+    _listed: dict[str, Peer] = field(factory=dict, init=False)
 
     def add_candidate(self, peer: Peer) -> None:
         """Take a peer that may exist; what was heard from it stays."""
-        known = self._peers.get(peer.name)
-        if known is None:
-            self._peers[peer.name] = peer
-        elif not self.is_alive(peer.name):
-            self._peers[peer.name] = evolve(
-                known, data_centre=peer.data_centre, address=peer.address
-            )
+        self._peers.setdefault(peer.name, peer)
 
     def set_candidates(self, peers: Iterable[Peer]) -> None:
         """Take the whole list of candidates.
 
+        Data centre and address of the list go before those that a peer tells
+        of itself, because the list may route around parts of the network.
         Peers that are neither listed nor alive are forgotten. The list lags,
         so one that was heard of lately is kept although it is not listed.
         """
-        listed = {peer.name: peer for peer in peers}
-        for peer in listed.values():
-            self.add_candidate(peer)
+        self._listed = {peer.name: peer for peer in peers}
+        for name, peer in self._listed.items():
+            self._peers[name] = self._locate(self._peers.get(name, peer))
         for name in tuple(self._peers):
-            if name not in listed and not self.is_alive(name):
+            if name not in self._listed and not self.is_alive(name):
                 self.forget(name)
 
     def hear(self, peer: Peer, age: float = 0.0) -> None:
@@ -88,12 +85,21 @@
             return
         known = self._peers.get(peer.name, peer)
         self._heard_at[peer.name] = heard_at
-        self._peers[peer.name] = evolve(
-            peer,
-            data_centre=peer.data_centre or known.data_centre,
-            address=peer.address or known.address,
+        self._peers[peer.name] = self._locate(
+            evolve(
+                peer,
+                data_centre=peer.data_centre or known.data_centre,
+                address=peer.address or known.address,
+            )
         )
 
+    def _locate(self, peer: Peer) -> Peer:
+        """Return the peer with the whereabouts of the list, if it is there."""
+        listed = self._listed.get(peer.name)
+        if listed is None:
+            return peer
+        return evolve(peer, data_centre=listed.data_centre, address=listed.address)
+
     def forget(self, name: str) -> None:
         """Drop a peer, for example one whose address is another's."""
         self._peers.pop(name, None)
--- a/hemlockstand/peers/service.py
+++ b/hemlockstand/peers/service.py
@@ -37,6 +37,7 @@
 DEMANDS_PER_BEAT = 24
 PROBE_CONCURRENCY = 16
 STOP_GRACE_SECONDS = 1.0
+INCARNATION_GONE = "peer_incarnation_gone"
 
 AskFunction = Callable[[str, str], Awaitable[Verdict | None]]
 ForwardFunction = Callable[[bytes], Awaitable[Verdict]]
@@ -152,15 +153,20 @@
     ) -> Verdict | None:
         """Ask a daemon for the outcome that it keeps; ``None`` if it has none.
 
-        Raises ``PeerError`` with code ``peer_unknown`` if no such daemon is
-        known, ``peer_incarnation_gone`` if it has restarted, or another code.
+        A daemon that has restarted since has none. Raises ``PeerError``, with
+        code ``peer_unknown`` if no daemon in this incarnation is known.
         """
         peer = self._find_peer(daemon_incarnation)
         request = peer_pb2.AskRequest(
             team=team, request_id=request_id, incarnation=daemon_incarnation
         )
         timeout = self.settings.peers.timeout_seconds
-        reply = await self._client.call(peer.address, "Ask", request, timeout)
+        try:
+            reply = await self._client.call(peer.address, "Ask", request, timeout)
+        except PeerError as error:
+            if error.code == INCARNATION_GONE:
+                return None
+            raise
         return decode_verdict(reply.verdict) if reply.HasField("verdict") else None
 
     async def forward(
@@ -254,14 +260,16 @@
     def _make_candidate(self, record: InstanceRecord) -> Peer:
         """Return the peer of a list entry.
 
-        The list gives the address for callers; all daemons of a deployment
-        use the same peer port.
+        The address of an entry instance is that for peers; without a port it
+        has the peer port of this daemon.
         """
-        host = record.address.rpartition(":")[0] or record.address
+        host, _, port = record.address.rpartition(":")
+        if not host:
+            host, port = record.address, str(self.settings.listen.peer_port)
         return Peer(
             name=record.id,
             data_centre=record.data_centre,
-            address=f"{host}:{self.settings.listen.peer_port}",
+            address=f"{host}:{port}",
             leaving=record.state is InstanceState.LEAVING,
         )
 
@@ -393,5 +401,5 @@
         if incarnation != self.incarnation:
             raise PeerRefusal(
                 f"{incarnation} is gone, here is {self.incarnation}",
-                "peer_incarnation_gone",
+                INCARNATION_GONE,
             )
