--- a/hemlockstand/configuration/service.py
+++ b/hemlockstand/configuration/service.py
@@ -99,13 +99,7 @@
         change was first, ``PlatformUnavailable``, or ``OutcomeUnknown`` if
         the change may be in force.
         """
-        try:
-            version = await self._store.commit(change, base)
-        except OutcomeUnknown:
-            # The write may have reached the platform, so this daemon cannot
-            # vouch that nothing was committed.
-            self._freshness.record_platform_read(trio.current_time())
-            raise
+        version = await self._store.commit(change, base)
         self._offer(CommittedChange(version, change))
         await self._peers.announce()
         await self._save_snapshot(version)
--- a/hemlockstand/coordination/freshness.py
+++ b/hemlockstand/coordination/freshness.py
@@ -128,7 +128,7 @@
         self._update_contact(self.data_centre, failed_at=self.clock())
 
     def record_contact(self) -> None:
-        """Take note that a write may have reached the platform just now."""
+        """Take note that the platform may have been reached just now."""
         self._update_contact(self.data_centre, reached_at=self.clock())
 
     def record_version(self, version: int) -> None:
--- a/hemlockstand/coordination/membership.py
+++ b/hemlockstand/coordination/membership.py
@@ -128,6 +128,15 @@
         """Return all known peers."""
         return [HeardPeer(peer, self.age(name)) for name, peer in self._peers.items()]
 
+    def list_alive(self, data_centre: str) -> list[Peer]:
+        """Return the live peers of a data centre."""
+        return [
+            heard.peer
+            for heard in self.list_peers()
+            if heard.age < self.suspect_after_seconds
+            and heard.peer.data_centre == data_centre
+        ]
+
     def sample_alive(self, count: int, exclude: str) -> list[HeardPeer]:
         """Return up to ``count`` random live peers to tell another about."""
         alive = [
--- a/hemlockstand/peers/service.py
+++ b/hemlockstand/peers/service.py
@@ -13,6 +13,7 @@
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.metrics import PEER_FAILURES, PLATFORM_FAILURES
 from hemlockstand.peers import peer_pb2
+from hemlockstand.peers.beats import BeatMaker
 from hemlockstand.peers.demands import Demand, DemandBoard
 from hemlockstand.peers.messages import (
     decode_report,
@@ -33,8 +34,6 @@
 
 log = logger.bind(module=__name__)
 
-MEMBERS_PER_BEAT = 12
-DEMANDS_PER_BEAT = 24
 PROBE_CONCURRENCY = 16
 STOP_GRACE_SECONDS = 1.0
 INCARNATION_GONE = "peer_incarnation_gone"
@@ -77,6 +76,14 @@
         self._tracker = kernel.find("freshness", FreshnessService).tracker
         self._instances = kernel.find("platform", PlatformService).platform.instances
         self._board = DemandBoard()
+        self._beats = BeatMaker(
+            daemon=self.settings.daemon.name,
+            incarnation=self.incarnation,
+            data_centre=self.settings.daemon.data_centre,
+            view=self.view,
+            board=self._board,
+            tracker=self._tracker,
+        )
         self._client = PeerClient(secret, self.traffic)
         self._server = PeerServer(secret, self.traffic)
         self._ask: AskFunction | None = None
@@ -93,6 +100,7 @@
         listen = self.settings.listen
         port = self._server.listen(listen.host, listen.peer_port)
         self.address = f"{listen.host}:{port}"
+        self._beats.address = self.address
         await self._read_instances()
 
     async def run(self) -> None:
@@ -214,16 +222,23 @@
         return sorted(answered, key=lambda peer: peer.version, reverse=True)
 
     async def announce(self) -> None:
-        """Exchange with one round of peers now; they learn of our version."""
+        """Exchange with the own data centre and one round of others now.
+
+        The stamps of a data centre count its newest version, so its other
+        daemons have to know of a commit here before it is acknowledged.
+        """
+        peers = {peer.name: peer for peer in self._choose_targets()}
+        data_centre = self.settings.daemon.data_centre
+        peers |= {peer.name: peer for peer in self.view.list_alive(data_centre)}
         async with trio.open_nursery() as nursery:
-            for peer in self._choose_targets():
+            for peer in peers.values():
                 nursery.start_soon(self.exchange_with, peer)
 
     async def exchange_with(self, peer: Peer) -> Peer | None:
         """Exchange heartbeats once; return the peer as it replied, if it did."""
         sent_at = trio.current_time()
         timeout = self.settings.peers.timeout_seconds
-        beat = self._make_beat(peer.name)
+        beat = self._beats.make(peer.name, self.leaving)
         try:
             reply = await self._client.call(peer.address, "Exchange", beat, timeout)
         except HemlockstandError as error:
@@ -294,71 +309,12 @@
             if address != self.address:
                 self.view.add_candidate(Peer(name=address, address=address))
 
-    def _make_beat(self, receiver: str) -> peer_pb2.Beat:
-        beat = peer_pb2.Beat(
-            sender=self.settings.daemon.name,
-            incarnation=self.incarnation,
-            data_centre=self.settings.daemon.data_centre,
-            address=self.address,
-            leaving=self.leaving,
-            configuration_version=self._tracker.version,
-        )
-        for team, demand in self._board.choose(DEMANDS_PER_BEAT):
-            beat.demands.add(
-                team=team,
-                waiting=demand.waiting,
-                running=demand.running,
-                idle=demand.idle,
-                served=demand.served,
-            )
-        for heard in self.view.sample_alive(MEMBERS_PER_BEAT, exclude=receiver):
-            peer = heard.peer
-            beat.members.add(
-                name=peer.name,
-                incarnation=peer.incarnation,
-                heard_age_ms=round(heard.age * 1000),
-                configuration_version=peer.version,
-                leaving=peer.leaving,
-                data_centre=peer.data_centre,
-                address=peer.address,
-            )
-        return beat
-
     def _take_beat(self, beat: peer_pb2.Beat) -> Peer:
-        """Take what a beat says about its sender and about third daemons."""
-        sender = Peer(
-            name=beat.sender,
-            incarnation=beat.incarnation,
-            data_centre=beat.data_centre,
-            address=beat.address,
-            leaving=beat.leaving,
-            version=beat.configuration_version,
-        )
-        self.view.hear(sender)
-        demands = {
-            entry.team: Demand(entry.waiting, entry.running, entry.idle, entry.served)
-            for entry in beat.demands
-        }
-        self._board.receive(beat.sender, demands)
-        for entry in beat.members:
-            self._take_member(entry)
+        sender = self._beats.take(beat)
         if sender.version > self._tracker.version and self._newer is not None:
             self._newer(sender)
         return sender
 
-    def _take_member(self, entry: peer_pb2.Member) -> None:
-        if entry.name == self.settings.daemon.name:
-            return
-        peer = Peer(
-            name=entry.name,
-            incarnation=entry.incarnation,
-            data_centre=entry.data_centre,
-            address=entry.address,
-            leaving=entry.leaving,
-            version=entry.configuration_version,
-        )
-        self.view.hear(peer, entry.heard_age_ms / 1000)
-
     def _find_peer(self, incarnation: str) -> Peer:
         peer = self.view.find_incarnation(incarnation)
         if peer is None:
@@ -369,7 +325,7 @@
         if beat.sender != self.settings.daemon.name:
             self._tracker.record_version(beat.configuration_version)
             self._take_beat(beat)
-        reply = self._make_beat(beat.sender)
+        reply = self._beats.make(beat.sender, self.leaving)
         encode_report(reply, self._tracker.make_report())
         return reply
 
--- /dev/null
+++ b/test/test_freshness.py
@@ -0,0 +1,359 @@
+"""Freshness proofs are sound and agree with a naive model."""
+
+from math import inf
+
+from attrs import define, field
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from hemlockstand.coordination.freshness import (
+    FreshnessTracker,
+    Report,
+    Scope,
+    StampAge,
+)
+
+BOUND_SECONDS = 4.0
+DATA_CENTRES = ("dc1", "dc2", "dc3")
+TOLERANCE_SECONDS = 1e-6
+
+
+@define
+class Clock:
+    """A clock that the test moves."""
+
+    now: float = 1000.0
+
+    def read(self) -> float:
+        """Return the time in seconds."""
+        return self.now
+
+
+def make_tracker(clock, data_centre="dc1", data_centres=("dc1", "dc2")):
+    return FreshnessTracker(data_centre, data_centres, BOUND_SECONDS, clock.read)
+
+
+def test_read_is_dated_when_it_was_sent():
+    """Guards against a slow read that counts as young when it arrives."""
+    clock = Clock()
+    tracker = make_tracker(clock)
+    sent_at = clock.now
+    clock.now += 3
+    assert tracker.record_read(sent_at, 0)
+    assert tracker.age(Scope.FLEET) == 3
+    clock.now += 1.5
+    assert not tracker.is_fresh(Scope.FLEET)
+
+
+def test_stale_read_proves_nothing():
+    """Guards against a stale replica that hides a withdrawn key."""
+    clock = Clock()
+    tracker = make_tracker(clock)
+    tracker.set_version(5)
+    assert not tracker.record_read(clock.now, 4)
+    assert tracker.age(Scope.FLEET) == inf
+
+
+def test_daemon_behind_a_peer_is_not_fresh():
+    """Guards against keyed work on a version older than a peer's."""
+    clock = Clock()
+    tracker = make_tracker(clock)
+    tracker.record_read(clock.now, 0)
+    assert tracker.is_fresh(Scope.FLEET)
+    tracker.record_version(1)
+    assert not tracker.is_fresh(Scope.FLEET)
+    tracker.set_version(1)
+    assert tracker.is_fresh(Scope.FLEET)
+
+
+def test_peer_proof_is_dated_by_age_and_round_trip():
+    """Guards against a proof that gets younger on a slow link."""
+    clock = Clock()
+    tracker = make_tracker(clock)
+    sent_at = clock.now
+    clock.now += 1
+    tracker.record_report(Report(0, proof_age=2.0), sent_at)
+    assert tracker.age(Scope.FLEET) == 3
+
+
+def test_cut_off_data_centre_serves_reserved_slots_only():
+    """Guards against keyed work in a data centre without any contact."""
+    clock = Clock()
+    tracker = make_tracker(clock)
+    tracker.record_read(clock.now, 0)
+    for _ in range(100):
+        clock.now += 1
+        tracker.record_failure()
+    assert tracker.is_fresh(Scope.DATA_CENTRE)
+    assert not tracker.is_fresh(Scope.FLEET)
+
+
+def test_outage_of_any_length_keeps_all_fresh():
+    """Guards against a platform outage that stops keyed requests."""
+    clock = Clock()
+    trackers = [make_tracker(clock, name) for name in ("dc1", "dc2")]
+    for tracker in trackers:
+        tracker.record_read(clock.now, 0)
+    for _ in range(400):
+        clock.now += 0.25
+        for tracker, other in (trackers, trackers[::-1]):
+            tracker.record_failure()
+            tracker.record_report(other.make_report(), clock.now - 0.01)
+        assert all(tracker.is_fresh(Scope.FLEET) for tracker in trackers)
+
+
+def test_stamp_expires():
+    """Guards against a stamp that counts after its data centre is cut off."""
+    clock = Clock()
+    tracker = make_tracker(clock)
+    tracker.record_report(Report(0, stamps=(StampAge("dc2", 0, 0.0),)), clock.now)
+    tracker.record_failure()
+    assert tracker.is_fresh(Scope.FLEET)
+    clock.now += BOUND_SECONDS + 0.1
+    tracker.record_failure()
+    assert not tracker.is_fresh(Scope.FLEET)
+
+
+def test_stamp_of_newer_version_is_no_proof():
+    """Guards against a stamp whose data centre knows a later change."""
+    clock = Clock()
+    tracker = make_tracker(clock)
+    tracker.record_failure()
+    tracker.record_report(Report(0, stamps=(StampAge("dc2", 1, 0.0),)), clock.now)
+    assert not tracker.is_fresh(Scope.FLEET)
+
+
+def test_success_contradicts_stamp():
+    """Guards against an outage claim while a neighbour reaches the platform."""
+    clock = Clock()
+    tracker = make_tracker(clock)
+    tracker.record_failure()
+    stamp = StampAge("dc2", 0, failed_age=0.1, reached_age=0.5)
+    tracker.record_report(Report(0, stamps=(stamp,)), clock.now)
+    assert not tracker.is_fresh(Scope.FLEET)
+
+
+def test_echoed_success_gets_older():
+    """Guards against two peers that keep each other's report young."""
+    clock = Clock()
+    trackers = [make_tracker(clock, name) for name in ("dc1", "dc2")]
+    trackers[0].record_read(clock.now, 0)
+    for _ in range(20):
+        for tracker, other in (trackers, trackers[::-1]):
+            sent_at = clock.now
+            clock.now += 0.4
+            report = other.make_report()
+            clock.now += 0.4
+            tracker.record_report(report, sent_at)
+    stamps = {stamp.data_centre: stamp for stamp in trackers[0].make_report().stamps}
+    assert stamps["dc1"].reached_age > 10
+
+
+def test_paused_process_is_not_fresh_when_it_goes_on():
+    """Guards against a send on a proof that expired during a pause."""
+    clock = Clock()
+    tracker = make_tracker(clock)
+    tracker.record_read(clock.now, 0)
+    tracker.record_failure()
+    clock.now += 60
+    assert not tracker.is_fresh(Scope.FLEET)
+    assert not tracker.is_fresh(Scope.DATA_CENTRE)
+
+
+@define
+class NaiveFreshness:
+    """Keeps every fact and looks at all of them for each answer."""
+
+    data_centre: str
+    clock: object
+    version: int = 0
+    heard: list[int] = field(factory=lambda: [0])
+    proofs: list[float] = field(factory=lambda: [-inf])
+    versions: list[tuple[str, int]] = field(factory=list)
+    failures: list[tuple[str, float]] = field(factory=list)
+    successes: list[tuple[str, float]] = field(factory=list)
+
+    def newest(self, facts, data_centre, nothing):
+        return max(
+            (fact for name, fact in facts if name == data_centre), default=nothing
+        )
+
+    def stamp_age(self, data_centre):
+        failed_at = self.newest(self.failures, data_centre, -inf)
+        reached_at = self.newest(self.successes, data_centre, -inf)
+        newest_version = self.newest(self.versions, data_centre, 0)
+        contradicted = (
+            failed_at < reached_at
+            or self.clock.now - reached_at < BOUND_SECONDS / 2
+            or newest_version > self.version
+        )
+        return inf if contradicted else self.clock.now - failed_at
+
+    def age(self, scope):
+        if self.version < max(self.heard):
+            return inf
+        names = DATA_CENTRES if scope is Scope.FLEET else (self.data_centre,)
+        stamps = max(self.stamp_age(name) for name in names)
+        return min(self.clock.now - max(self.proofs), stamps)
+
+
+@define
+class Process:
+    """One daemon of the simulated fleet, with its calls on their way."""
+
+    tracker: FreshnessTracker
+    naive: NaiveFreshness
+    poll: tuple[float, int | None] | None = None
+    commit: int | None = None
+    exchange: tuple[float, Report] | None = None
+
+
+class FreshnessMachine(RuleBasedStateMachine):
+    """One daemon in each of three data centres, any order of events.
+
+    A commit counts as accepted when its author gets the reply, and as known
+    when any daemon has it. What was known before the date of a proof must be
+    in force where the proof is held.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.clock = Clock()
+        self.head = 0
+        self.known_at: dict[int, float] = {}
+        self.reachable = dict.fromkeys(DATA_CENTRES, True)
+        self.processes = {
+            name: Process(
+                make_tracker(self.clock, name, DATA_CENTRES),
+                NaiveFreshness(name, self.clock),
+            )
+            for name in DATA_CENTRES
+        }
+
+    names = st.sampled_from(DATA_CENTRES)
+
+    @rule(seconds=st.sampled_from([0.01, 0.3, 1.0, 2.5, 5.0]))
+    def pass_time(self, seconds):
+        self.clock.now += seconds
+
+    @rule(name=names, reachable=st.booleans())
+    def set_reachable(self, name, reachable):
+        self.reachable[name] = reachable
+
+    @rule(reachable=st.booleans())
+    def set_all_reachable(self, reachable):
+        self.reachable = dict.fromkeys(DATA_CENTRES, reachable)
+
+    @rule(name=names)
+    def send_poll(self, name):
+        version = self.head if self.reachable[name] else None
+        self.processes[name].poll = (self.clock.now, version)
+
+    @rule(name=names, stale=st.booleans())
+    def receive_poll(self, name, stale):
+        process = self.processes[name]
+        if process.poll is None:
+            return
+        sent_at, version = process.poll
+        process.poll = None
+        if version is None:
+            process.tracker.record_failure()
+            process.naive.failures.append((name, self.clock.now))
+            return
+        newest = process.tracker.newest_heard
+        # A replica that is older than what is known here is what can be told.
+        version = newest - 1 if stale and newest else version
+        self.learn(name, version)
+        proved = process.tracker.record_read(sent_at, version)
+        process.naive.heard.append(version)
+        if version >= newest:
+            process.naive.successes.append((name, self.clock.now))
+        if proved:
+            process.naive.proofs.append(sent_at)
+        assert proved == (version >= newest)
+
+    @rule(name=names)
+    def send_commit(self, name):
+        process = self.processes[name]
+        up_to_date = process.tracker.version == self.head
+        if self.reachable[name] and up_to_date and process.commit is None:
+            self.head += 1
+            process.commit = self.head
+
+    @rule(name=names, lost=st.booleans())
+    def receive_commit(self, name, lost):
+        process = self.processes[name]
+        if process.commit is not None and not lost:
+            self.learn(name, process.commit)
+        process.commit = None
+
+    @rule(name=names, other=names)
+    def send_exchange(self, name, other):
+        process, peer = self.processes[name], self.processes[other]
+        if name == other:
+            return
+        peer.tracker.record_version(process.tracker.version)
+        peer.naive.heard.append(process.tracker.version)
+        process.exchange = (self.clock.now, peer.tracker.make_report())
+
+    @rule(name=names, fetch=st.booleans())
+    def receive_exchange(self, name, fetch):
+        process = self.processes[name]
+        if process.exchange is None:
+            return
+        sent_at, report = process.exchange
+        process.exchange = None
+        if fetch:
+            self.learn(name, report.version)
+        self.take_naively(process.naive, process.tracker, report, sent_at)
+        process.tracker.record_report(report, sent_at)
+
+    def take_naively(self, naive, tracker, report, sent_at):
+        naive.heard.append(report.version)
+        for stamp in report.stamps:
+            name = stamp.data_centre
+            naive.heard.append(stamp.version)
+            naive.versions.append((name, stamp.version))
+            naive.failures.append((name, sent_at - stamp.failed_age))
+            known = naive.newest(naive.successes, name, -inf)
+            if known < sent_at - stamp.reached_age:
+                naive.successes.append((name, self.clock.now - stamp.reached_age))
+        if report.version <= tracker.version:
+            naive.proofs.append(sent_at - report.proof_age)
+
+    def learn(self, name, version):
+        """Put a version in force; it is known from now on."""
+        process = self.processes[name]
+        if version <= process.tracker.version:
+            return
+        for passed in range(process.tracker.version + 1, version + 1):
+            self.known_at.setdefault(passed, self.clock.now)
+        process.tracker.set_version(version)
+        process.naive.version = version
+        process.naive.heard.append(version)
+        process.naive.versions.append((name, version))
+
+    @invariant()
+    def proofs_are_sound(self):
+        for process in self.processes.values():
+            age = process.tracker.age(Scope.FLEET)
+            if age > BOUND_SECONDS:
+                continue
+            proved_at = self.clock.now - age
+            for version in range(process.tracker.version + 1, self.head + 1):
+                known_at = self.known_at.get(version, inf)
+                assert known_at >= proved_at - TOLERANCE_SECONDS
+
+    @invariant()
+    def ages_agree_with_naive_model(self):
+        for process in self.processes.values():
+            for scope in Scope:
+                fast = process.tracker.age(scope)
+                naive = process.naive.age(scope)
+                assert fast == naive or abs(fast - naive) < TOLERANCE_SECONDS
+
+
+FreshnessMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=60, derandomize=True, deadline=None
+)
+TestFreshnessInterleavings = FreshnessMachine.TestCase
