Keep the window open under mixed service times

Cause: the assumed latency counted as congestion at the first answer, and the smallest single latency as baseline made spread look like congestion: with every fifth request 20 times slower a window fell to 1 and 16% of the capacity (27 of 167 answers/s).

--- a/hemlockstand/coordination/concurrency.py
+++ b/hemlockstand/coordination/concurrency.py
@@ -15,7 +15,7 @@
     >>> window.acquire(now=0.02)
     >>> window.record_refusal(now=0.03)
     >>> window.size
-    1.4
+    1.5
 
 Below one the window limits the rate instead: a window of 0.25 allows one
 request per four latencies. Many senders can then share a target that has
@@ -24,14 +24,24 @@
 
 from attrs import define
 
-INITIAL_WINDOW = 4.0
-MIN_WINDOW = 1 / 64
+INITIAL_WINDOW = 1.0  # nine senders that start at 4 fill a target of 8 places
+MIN_WINDOW = 1 / 32
 MAX_WINDOW = 1024.0
-REFUSAL_FACTOR = 0.7
+MIN_LATENCY_WINDOW = 1.0  # one request at a time cannot queue behind itself
+REFUSAL_FACTOR = 0.75
+# Growth per answer. A target with one place refused a third of all requests
+# when the window grew by one per round trip; with 0.03 it refuses a tenth.
+GROWTH = 0.03
+GROWTH_BELOW_ONE = 0.1
+RECOVERY_ANSWERS = 4  # answers without a refusal after which growth doubles
 LATENCY_FACTOR = 0.9
 LATENCY_TOLERANCE = 2.0
 LATENCY_SMOOTHING = 0.2
 BASELINE_SECONDS = 30.0  # a baseline is forgotten after this, or it only sinks
+# The baseline is the smallest mean of so many answers. The smallest single
+# answer would make the usual spread of service times look like congestion.
+BASELINE_ANSWERS = 8
+EFFECT_FACTOR = 0.8  # half the window must lower a congested latency this far
 DEFAULT_LATENCY = 0.05
 
 
@@ -41,12 +51,18 @@
 
     size: float = INITIAL_WINDOW
     in_flight: int = 0
-    latency: float = DEFAULT_LATENCY
+    latency: float = DEFAULT_LATENCY  # mean of the latest answers
     baseline: float = float("inf")
     answered_at: float = float("-inf")
+    answers: int = 0
+    _group_seconds: float = 0.0
     _next_baseline: float = float("inf")
     _baseline_until: float = 0.0
+    _fixed_until: float = 0.0
+    _effect_size: float = 0.0
+    _effect_latency: float = 0.0
     _slow_start: bool = True
+    _answers_since_refusal: int = 0
     _reduced_at: float = float("-inf")
     _started_at: float = float("-inf")
     _was_full: bool = False
@@ -78,42 +94,82 @@
         """End a request that the target answered after ``latency``."""
         self.in_flight -= 1
         self.answered_at = now
-        self.latency += LATENCY_SMOOTHING * (latency - self.latency)
+        self.answers += 1
+        # The first answer replaces the assumed latency.
+        weight = LATENCY_SMOOTHING if self.answers > 1 else 1.0
+        self.latency += weight * (latency - self.latency)
         self._update_baseline(now, latency)
         if self.latency > LATENCY_TOLERANCE * self.baseline:
-            self._reduce(now, LATENCY_FACTOR)
+            self._reduce(now, LATENCY_FACTOR, MIN_LATENCY_WINDOW)
+            self._check_effect(now)
         elif self._was_full:
             self._grow()
 
     def record_refusal(self, now: float) -> None:
         """End a request that the target refused because it is full."""
         self.in_flight -= 1
-        self._reduce(now, REFUSAL_FACTOR)
+        self._answers_since_refusal = 0
+        self._reduce(now, REFUSAL_FACTOR, MIN_WINDOW)
 
     def record_nothing(self) -> None:
         """End a request that says nothing about the target's capacity."""
         self.in_flight -= 1
 
     def _update_baseline(self, now: float, latency: float) -> None:
-        if now >= self._baseline_until:
-            self.baseline = min(self._next_baseline, latency)
+        self._group_seconds += latency
+        if self.answers <= BASELINE_ANSWERS:
+            # Until there is a mean, the smallest answer ends the slow start.
+            self.baseline = min(self.baseline, latency)
+        if self.answers % BASELINE_ANSWERS:
+            return
+        mean = self._group_seconds / BASELINE_ANSWERS
+        self._group_seconds = 0.0
+        if self.answers == BASELINE_ANSWERS or now >= self._baseline_until:
+            self.baseline = self._next_baseline
+            self._next_baseline = float("inf")
+            self._baseline_until = now + BASELINE_SECONDS
+        if now >= self._fixed_until:
+            self.baseline = min(self.baseline, mean)
+        self._next_baseline = min(self._next_baseline, mean)
+
+    def _check_effect(self, now: float) -> None:
+        """Take the latency for usual if halving the window does not lower it.
+
+        Mixed service times exceed the smallest mean without any congestion.
+        If the target is congested, all of its senders shrink their windows
+        and the latency falls.
+        """
+        if self.size > self._effect_size or self._effect_size == 0.0:
+            self._effect_size = self.size
+            self._effect_latency = self.latency
+            return
+        if self.size > max(self._effect_size / 2, MIN_LATENCY_WINDOW):
+            return
+        if self.latency > EFFECT_FACTOR * self._effect_latency:
+            self.baseline = self.latency
             self._next_baseline = float("inf")
             self._baseline_until = now + BASELINE_SECONDS
-        self.baseline = min(self.baseline, latency)
-        self._next_baseline = min(self._next_baseline, latency)
+            self._fixed_until = now + BASELINE_SECONDS
+        self._effect_size = 0.0
 
     def _grow(self) -> None:
-        if self._slow_start or self.size < 1.0:
-            self.size = min(self.size + min(1.0, self.size), MAX_WINDOW)
+        self._answers_since_refusal += 1
+        if self._slow_start:
+            step = min(1.0, self.size)
+        elif self.size >= 1.0:
+            step = min(GROWTH, 1.0 / self.size)
+        elif self._answers_since_refusal > RECOVERY_ANSWERS:
+            step = self.size
         else:
-            self.size = min(self.size + 1.0 / self.size, MAX_WINDOW)
+            step = self.size * GROWTH_BELOW_ONE
+        self.size = min(self.size + step, MAX_WINDOW)
         self._was_full = self.in_flight >= int(self.size)
 
-    def _reduce(self, now: float, factor: float) -> None:
+    def _reduce(self, now: float, factor: float, minimum: float) -> None:
         """Shrink at most once per latency: one queue causes many signs."""
         self._slow_start = False
         self._was_full = False
         if now - self._reduced_at < self.latency:
             return
         self._reduced_at = now
-        self.size = max(self.size * factor, MIN_WINDOW)
+        self.size = min(self.size, max(self.size * factor, minimum))
--- a/hemlockstand/requests/executors.py
+++ b/hemlockstand/requests/executors.py
@@ -1,6 +1,7 @@
 """The executors of all pools with their measured state."""
 
 from collections.abc import Iterable, Iterator, Mapping
+from math import inf
 from random import Random
 
 from attrs import define, field
@@ -118,6 +119,7 @@
             executor.window.baseline
             for executor in self.get(pool)
             if now - executor.window.answered_at < MEASUREMENT_SECONDS
+            and executor.window.baseline < inf
         ]
         return min(recent, default=0.0)
 
--- a/test/test_overload_parts.py
+++ b/test/test_overload_parts.py
@@ -103,7 +103,9 @@
 class Server:
     """An upstream with ``places`` places and a queue, in simulated time."""
 
-    def __init__(self, places, service_seconds, refuses):
+    def __init__(self, places, service_seconds, refuses, slowness=1):
+        self.slowness = slowness
+        self.submitted = 0
         self.places = places
         self.service_seconds = service_seconds
         self.refuses = refuses
@@ -111,10 +113,12 @@
 
     def submit(self, now):
         """Return the time of the answer, or ``None`` for a refusal."""
+        self.submitted += 1
         first = min(range(self.places), key=self.free_at.__getitem__)
         if self.refuses and self.free_at[first] > now:
             return None
-        done = max(now, self.free_at[first]) + self.service_seconds
+        seconds = self.service_seconds * (1 if self.submitted % 5 else self.slowness)
+        done = max(now, self.free_at[first]) + seconds
         self.free_at[first] = done
         return done
 
@@ -156,6 +160,25 @@
     assert refusals <= 0.1 * answers
 
 
+def test_mixed_service_times_are_no_congestion():
+    """Guards against a window that collapses when every fifth takes longer."""
+    window = ConcurrencyWindow()
+    server = Server(8, 0.01, refuses=False, slowness=20)
+    answers, _ = drive(window, server, 20)
+    capacity = 8 / (0.01 * (4 + 20) / 5)
+    assert answers >= 0.85 * capacity
+
+
+def test_first_answer_starts_no_reduction():
+    """Guards against taking the assumed latency for a measured one."""
+    window = ConcurrencyWindow(size=1.0)
+    for turn in range(3):
+        window.acquire(turn * 0.01)
+        window.record_answer(turn * 0.01 + 0.001, 0.001)
+    # The window of two was never full, so it neither grows nor shrinks.
+    assert window.size == 2.0
+
+
 def test_window_below_one_paces():
     """Guards against senders that outnumber the places of a target."""
     window = ConcurrencyWindow(size=0.25, latency=0.02)
