Forward orders, refuse by estimated wait, follow moves of instances

Cause: an order with an id of another daemon was run here, a request that could not start in time waited until it expired, and an instance that moved to another pool kept its old one.

Dispatch forwards such orders to the daemon that issued the id, and answers 'may have run' when it cannot. A request whose estimated wait exceeds its time is refused at once. Upstreams read the rows of instances that changed or move, and all of them every 10 s.

Conclusion: failure tests of the path come next.

--- a/hemlockstand/coordination/fairqueue.py
+++ b/hemlockstand/coordination/fairqueue.py
@@ -132,15 +132,19 @@
         return entry
 
     def count_waiting(self) -> int:
-        """Return the number of entries, those included that have expired."""
-        return sum(len(flow.entries) for flow in self.flows.values())
+        """Return the number of entries that are not blocked, expired ones included."""
+        return sum(
+            len(flow.entries) for flow in self.flows.values() if not flow.blocked
+        )
 
     def estimate_ahead(self, name: str, weight: float) -> float:
         """Return the entries of this rank served before a new one of the flow."""
         own = self.flows.get(name)
         turns = (len(own.entries) if own is not None else 0) / weight
         return sum(
-            min(len(flow.entries), turns * flow.weight) for flow in self.flows.values()
+            min(len(flow.entries), turns * flow.weight)
+            for flow in self.flows.values()
+            if not flow.blocked
         )
 
     def _drop_dead(self, flow: _Flow[Item], now: float) -> bool:
--- a/hemlockstand/requests/admission.py
+++ b/hemlockstand/requests/admission.py
@@ -15,6 +15,7 @@
 from quart_trio import QuartTrio
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge, RequestTimeout
 
+from hemlockstand.coordination.freshness import Scope
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.metrics import REFUSALS, REQUEST_SECONDS, VERDICTS
 from hemlockstand.model import Access, Configuration, Queue
@@ -34,7 +35,6 @@
 from hemlockstand.requests.keys import KeyIndex
 from hemlockstand.requests.messages import Request
 from hemlockstand.requests.neighbours import (
-    FLEET,
     ConfigurationSource,
     FreshnessSource,
     OrdersSource,
@@ -187,7 +187,7 @@
         """Return the name of the presented key; raises ``Refused``."""
         if presented.key is None:
             raise refuse(Reason.KEY_MISSING, "header authorization is missing")
-        if not self._freshness.is_fresh(FLEET):
+        if not self._freshness.is_fresh(Scope.FLEET):
             raise refuse(
                 Reason.CONFIGURATION_NOT_FRESH,
                 "the daemon cannot tell whether the key is still granted",
--- a/hemlockstand/requests/dispatch.py
+++ b/hemlockstand/requests/dispatch.py
@@ -12,27 +12,36 @@
 from loguru import logger
 
 from hemlockstand.coordination.fairqueue import FairQueue, QueueFull
+from hemlockstand.coordination.freshness import Scope
 from hemlockstand.coordination.retries import Backoff, RetryBudget
+from hemlockstand.errors import HemlockstandError, InvalidInput
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.model import Queue
-from hemlockstand.requests.messages import Request
+from hemlockstand.requests.messages import Request, decode_request, encode_request
 from hemlockstand.requests.neighbours import (
-    FLEET,
     ConfigurationSource,
     FreshnessSource,
     LimitsSource,
     OrdersSource,
+    PeersSource,
     Slot,
 )
 from hemlockstand.requests.pools import PoolDispatcher, Waiter
 from hemlockstand.requests.upstreams import UpstreamsService
-from hemlockstand.traces import record_hop
+from hemlockstand.traces import inject_context, record_hop
 from hemlockstand.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
 
 log = logger.bind(module=__name__)
 
 OVERLOAD_RETRY_SECONDS = 1.0
 NO_UPSTREAM_RETRY_SECONDS = 2.0
+STOP_MARGIN_SECONDS = 2.0
+STOP_CHECK_SECONDS = 0.02
+
+# Codes of peer errors that prove that the message was not taken.
+_NOT_FORWARDED = frozenset(
+    {"peer_unknown", "peer_incarnation_gone", "peer_method_unserved"}
+)
 
 
 @define(eq=False)
@@ -43,8 +52,10 @@
     verdict: Verdict | None = None
 
     def set(self, verdict: Verdict) -> None:
-        self.verdict = verdict
-        self.done.set()
+        """Set the verdict; the first one holds."""
+        if self.verdict is None:
+            self.verdict = verdict
+            self.done.set()
 
 
 @register
@@ -52,7 +63,7 @@
     """Runs requests: order of service, slot, executor, retries, verdict."""
 
     name = "dispatch"
-    needs = ("configuration", "freshness", "limits", "orders", "upstreams")
+    needs = ("configuration", "freshness", "limits", "orders", "peers", "upstreams")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -60,6 +71,7 @@
         self._backoff = Backoff()
         self._nursery: trio.Nursery | None = None
         self._running = trio.Event()
+        self._orders_running = 0
 
     async def start(self) -> None:
         """Find the services that a request needs."""
@@ -68,7 +80,9 @@
         self._freshness = find("freshness", FreshnessSource)
         self._limits = find("limits", LimitsSource)
         self._orders = find("orders", OrdersSource)
+        self._peers = find("peers", PeersSource)
         self._upstreams = find("upstreams", UpstreamsService)
+        self._peers.handle_forward(self._run_forwarded)
 
     async def run(self) -> None:
         """Hold the tasks of pools and of orders."""
@@ -77,6 +91,13 @@
             self._running.set()
             await trio.sleep_forever()
 
+    async def stop(self) -> None:
+        """Let the orders end whose callers have gone."""
+        longest = self.settings.requests.max_deadline_seconds
+        with trio.move_on_after(longest + STOP_MARGIN_SECONDS):
+            while self._orders_running:
+                await trio.sleep(STOP_CHECK_SECONDS)
+
     async def execute(self, request: Request) -> Verdict:
         """Run the request and return its verdict.
 
@@ -92,11 +113,44 @@
         with record_hop("dispatch", queue=queue.name, team=queue.team):
             if queue.idempotent:
                 return await self._run_tries(request, queue)
+            owner = self._orders.owner_of(queue.team, request.id)
+            if owner is not None and owner != self._peers.incarnation:
+                return await self._forward(owner, request)
             outcome = _Outcome()
             self._nursery.start_soon(self._run_order, request, queue, outcome)
             await outcome.done.wait()
             return outcome.verdict
 
+    async def _forward(self, owner: str, request: Request) -> Verdict:
+        """Let the daemon run the order that issued its id."""
+        headers: dict[str, str] = {}
+        inject_context(headers)
+        left = request.deadline - trio.current_time()
+        try:
+            return await self._peers.forward(
+                owner, encode_request(request, headers), left
+            )
+        except HemlockstandError as error:
+            # An earlier try with this id may have run there.
+            gone = error.code in _NOT_FORWARDED
+            reason = Reason.OWNER_GONE if gone else Reason.OWNER_UNREACHABLE
+            return MayHaveRun(
+                request.id, reason, f"daemon {owner} issued the id: {error}"
+            )
+
+    async def _run_forwarded(self, message: bytes) -> Verdict:
+        """Run an order that a peer forwarded because its id is from here."""
+        try:
+            request = decode_request(message)
+        except InvalidInput as error:
+            return NotRun(Reason.INVALID_REQUEST, error.message, None)
+        if self._orders.owner_of(request.team, request.id) != self._peers.incarnation:
+            return NotRun(
+                Reason.INVALID_REQUEST, f"id {request.id!r} was not issued here", None
+            )
+        with record_hop("forwarded", request.trace_headers, queue=request.queue):
+            return await self.execute(request)
+
     async def _run_order(
         self, request: Request, queue: Queue, outcome: _Outcome
     ) -> None:
@@ -104,6 +158,7 @@
         verdict: Verdict = MayHaveRun(
             request.id, Reason.ANSWER_LOST, "the daemon failed while it ran the order"
         )
+        self._orders_running += 1
         try:
             claim = await self._orders.claim(queue.team, request.id)
             if isinstance(claim, Answered | NotRun | MayHaveRun):
@@ -121,6 +176,7 @@
         except Exception:
             log.exception("order {} of team {} failed", request.id, queue.team)
         finally:
+            self._orders_running -= 1
             outcome.set(verdict)
 
     async def _run_tries(self, request: Request, queue: Queue) -> Verdict:
@@ -181,6 +237,13 @@
             )
         team = self._configuration.current.teams.get(waiter.queue.team)
         weight = team.share if team is not None else 1.0
+        wait = pool.estimate_wait(waiter.queue, weight)
+        if now + wait > waiter.latest_start and not is_retry:
+            return NotRun(
+                Reason.OVERLOADED,
+                f"the pool {pool.pool!r} could start it in {wait:.3f} s",
+                max(wait, OVERLOAD_RETRY_SECONDS),
+            )
         try:
             entry = pool.add(waiter, weight, front=is_retry)
         except QueueFull as error:
@@ -211,15 +274,17 @@
             return False
         if not waiter.is_keyed:
             return True
-        if not self._freshness.is_fresh(FLEET):
+        if not self._freshness.is_fresh(Scope.FLEET):
             return False
         return waiter.request.key in self._configuration.current.keys
 
     def _make_waiter(self, request: Request, queue: Queue, avoid: str | None) -> Waiter:
-        latency = self._upstreams.registry.expected_latency(
-            queue.pool, trio.current_time()
-        )
-        return Waiter(request, queue, request.deadline - latency, avoid)
+        now = trio.current_time()
+        latency = self._upstreams.registry.measure_latency(queue.pool, now)
+        latest_start = request.deadline - latency.mean
+        if latest_start <= now:
+            latest_start = request.deadline - latency.shortest
+        return Waiter(request, queue, latest_start, avoid)
 
     def _find_pool(self, name: str) -> PoolDispatcher:
         pool = self.pools.get(name)
--- a/hemlockstand/requests/executors.py
+++ b/hemlockstand/requests/executors.py
@@ -1,17 +1,17 @@
 """The executors of all pools with their measured state."""
 
 from collections.abc import Iterable, Iterator, Mapping
-from math import inf
 from random import Random
 
-from attrs import define, field
+from attrs import define, evolve, field, frozen
 
 from hemlockstand.coordination.concurrency import ConcurrencyWindow
 from hemlockstand.coordination.ejection import OutlierEjector
+from hemlockstand.maintenance.records import InstanceState, Phase
 from hemlockstand.platform.interface import (
     InstanceKind,
     InstanceRecord,
-    InstanceState,
+    InstanceState as ListState,
 )
 
 # A leaving or unreachable executor is not tried again for this time even if
@@ -30,12 +30,23 @@
     pool: str
     window: ConcurrencyWindow = field(factory=ConcurrencyWindow)
     listed_leaving: bool = False
+    in_maintenance: bool = False
     drained: bool = False
     avoid_until: float = float("-inf")
 
     def takes_work(self, now: float) -> bool:
         """Return whether no sign says that the executor is leaving or down."""
-        return not self.listed_leaving and not self.drained and now >= self.avoid_until
+        if self.listed_leaving or self.in_maintenance or self.drained:
+            return False
+        return now >= self.avoid_until
+
+
+@frozen
+class Latency:
+    """Latency of a pool in seconds."""
+
+    shortest: float
+    mean: float
 
 
 @define(eq=False)
@@ -59,9 +70,20 @@
         known = self.pools.get(pool)
         return tuple(known.executors.values()) if known is not None else ()
 
-    def follow_list(self, records: Iterable[InstanceRecord]) -> list[Executor]:
-        """Take over the instance list; return the executors that are gone."""
-        listed = {record.id: record for record in self._find_own(records)}
+    def follow_list(
+        self,
+        records: Iterable[InstanceRecord],
+        states: Mapping[str, InstanceState],
+    ) -> list[Executor]:
+        """Take over the instance list; return the executors that are gone.
+
+        ``states`` are the instances' rows; a row's pool overrides the list's,
+        because moves between pools are made in the table.
+        """
+        listed = {
+            record.id: _place(record, states.get(record.id))
+            for record in self.find_own(records)
+        }
         gone = [
             executor
             for executor in self._all()
@@ -70,7 +92,9 @@
         for executor in gone:
             self._forget(executor)
         for record in listed.values():
-            self._add(record)
+            if record.pool:
+                state = states.get(record.id)
+                self._add(record, state is not None and state.phase != Phase.SERVING)
         return gone
 
     def follow_drains(self, drains: Mapping[str, str]) -> None:
@@ -109,27 +133,32 @@
         """Return whether any executor of the pool takes work at all."""
         return any(executor.takes_work(now) for executor in self.get(pool))
 
-    def expected_latency(self, pool: str, now: float) -> float:
-        """Return the shortest time in which the pool answers, in seconds.
+    def measure_latency(self, pool: str, now: float) -> Latency:
+        """Return the pool's shortest and mean latency.
 
-        Without recent answers it is zero: refusing by an old measurement
+        Without recent answers both are zero: refusing by an old measurement
         would prevent the answers that correct it.
         """
         recent = [
-            executor.window.baseline
+            executor.window
             for executor in self.get(pool)
             if now - executor.window.answered_at < MEASUREMENT_SECONDS
-            and executor.window.baseline < inf
         ]
-        return min(recent, default=0.0)
+        if not recent:
+            return Latency(0.0, 0.0)
+        return Latency(
+            min(window.baseline for window in recent),
+            sum(window.latency for window in recent) / len(recent),
+        )
 
     def ejector(self, pool: str) -> OutlierEjector:
         """Return the ejector of the pool."""
         return self.pools.setdefault(pool, ExecutorPool()).ejector
 
-    def _find_own(self, records: Iterable[InstanceRecord]) -> Iterator[InstanceRecord]:
+    def find_own(self, records: Iterable[InstanceRecord]) -> Iterator[InstanceRecord]:
+        """Yield the executors of this data centre."""
         for record in records:
-            if record.kind is not InstanceKind.EXECUTOR or not record.pool:
+            if record.kind is not InstanceKind.EXECUTOR:
                 continue
             if record.data_centre == self.data_centre:
                 yield record
@@ -141,14 +170,15 @@
             for executor in known.executors.values()
         ]
 
-    def _add(self, record: InstanceRecord) -> None:
+    def _add(self, record: InstanceRecord, in_maintenance: bool) -> None:
         known = self.pools.setdefault(record.pool, ExecutorPool())
         executor = known.executors.get(record.id)
         if executor is None:
             executor = Executor(record.id, record.address, record.pool)
             known.executors[record.id] = executor
             known.ejector.add(record.id)
-        executor.listed_leaving = record.state is InstanceState.LEAVING
+        executor.listed_leaving = record.state is ListState.LEAVING
+        executor.in_maintenance = in_maintenance
 
     def _forget(self, executor: Executor) -> None:
         known = self.pools[executor.pool]
@@ -156,6 +186,12 @@
         known.ejector.forget(executor.id)
 
 
+def _place(record: InstanceRecord, state: InstanceState | None) -> InstanceRecord:
+    if state is None or not state.pool:
+        return record
+    return evolve(record, pool=state.pool)
+
+
 def _is_same(executor: Executor, record: InstanceRecord | None) -> bool:
     """Return whether the record is the same process in the same pool."""
     return (
--- a/hemlockstand/requests/messages.py
+++ b/hemlockstand/requests/messages.py
@@ -1,9 +1,13 @@
-"""The request as the services of a daemon pass it on."""
+"""The request as the services of a daemon, and daemons, pass it on."""
 
 from collections.abc import Mapping
 
+import msgspec
+import trio
 from attrs import field, frozen
 
+from hemlockstand.errors import InvalidInput
+
 
 @frozen
 class Request:
@@ -22,3 +26,50 @@
     content_type: str
     trace_headers: Mapping[str, str]
     key: str | None = None
+
+
+class _Forwarded(msgspec.Struct, frozen=True):
+    """A request on its way to another daemon; clocks differ, so time is left."""
+
+    id: str
+    team: str
+    queue: str
+    seconds_left: float
+    body: bytes
+    content_type: str
+    trace_headers: dict[str, str]
+    key: str | None
+
+
+def encode_request(request: Request, trace_headers: Mapping[str, str]) -> bytes:
+    """Return the message that forwards the request to another daemon."""
+    return msgspec.msgpack.encode(
+        _Forwarded(
+            id=request.id,
+            team=request.team,
+            queue=request.queue,
+            seconds_left=request.deadline - trio.current_time(),
+            body=request.body,
+            content_type=request.content_type,
+            trace_headers=dict(trace_headers),
+            key=request.key,
+        )
+    )
+
+
+def decode_request(message: bytes) -> Request:
+    """Return the request in a forwarded message; raises ``InvalidInput``."""
+    try:
+        parts = msgspec.msgpack.decode(message, type=_Forwarded)
+    except msgspec.DecodeError as error:
+        raise InvalidInput(f"forwarded request: {error}") from error
+    return Request(
+        id=parts.id,
+        team=parts.team,
+        queue=parts.queue,
+        deadline=trio.current_time() + parts.seconds_left,
+        body=parts.body,
+        content_type=parts.content_type,
+        trace_headers=parts.trace_headers,
+        key=parts.key,
+    )
--- a/hemlockstand/requests/neighbours.py
+++ b/hemlockstand/requests/neighbours.py
@@ -4,9 +4,10 @@
 request path does not import the modules behind them.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable
 from typing import Any, Protocol, runtime_checkable
 
+from hemlockstand.coordination.freshness import Scope
 from hemlockstand.model import Configuration
 from hemlockstand.verdict import Verdict
 
@@ -23,7 +24,7 @@
 class FreshnessSource(Protocol):
     """Whether an unknown change of the configuration can be in force."""
 
-    def is_fresh(self, scope: Any) -> bool: ...
+    def is_fresh(self, scope: Scope) -> bool: ...
 
 
 @runtime_checkable
@@ -54,6 +55,8 @@
 
     async def finish(self, claim: Any, verdict: Verdict) -> None: ...
 
+    def owner_of(self, team: str, request_id: str) -> str | None: ...
+
     def issue(self, team: str, count: int) -> list[str]: ...
 
     async def look_up(self, team: str, request_id: str) -> Verdict: ...
@@ -65,12 +68,13 @@
 
     incarnation: str
 
-    def demands(self) -> Mapping[str, Mapping[str, Any]]: ...
-
-    async def forward(self, daemon_incarnation: str, message: Any) -> Verdict: ...
-
-    def handle_forward(self, function: Callable[..., Any]) -> None: ...
-
+    async def forward(
+        self,
+        daemon_incarnation: str,
+        message: bytes,
+        timeout_seconds: float | None = None,
+    ) -> Verdict: ...
 
-# The scope of a freshness proof that keys need.
-FLEET = "fleet"
+    def handle_forward(
+        self, function: Callable[[bytes], Awaitable[Verdict]]
+    ) -> None: ...
--- a/hemlockstand/requests/pools.py
+++ b/hemlockstand/requests/pools.py
@@ -1,6 +1,7 @@
 """The waiting requests of one pool and their assignment to executors."""
 
 from collections.abc import Callable
+from math import exp
 
 import trio
 from attrs import define, field
@@ -28,6 +29,8 @@
 # window, the end of an ejection, idle capacity of the spare pool.
 TICK_SECONDS = 0.02
 SLOT_RETRY_SECONDS = 0.05
+RATE_SECONDS = 1.0
+MIN_MEASURED_SECONDS = 0.2
 
 
 @define(eq=False)
@@ -48,6 +51,32 @@
         return self.queue.access is Access.KEYED
 
 
+@define
+class ServiceRate:
+    """Requests per second that a pool takes while others wait for it."""
+
+    _served: float = 0.0
+    _seconds: float = 0.0
+    _measured_at: float = 0.0
+    _was_full: bool = False
+
+    def record(self, now: float, served: int, is_full: bool) -> None:
+        """Record the requests served since the last call."""
+        if self._was_full:
+            elapsed = now - self._measured_at
+            decay = exp(-elapsed / RATE_SECONDS)
+            self._seconds = self._seconds * decay + elapsed
+            self._served = self._served * decay + served
+        self._measured_at = now
+        self._was_full = is_full
+
+    def get(self) -> float | None:
+        """Return the rate, or ``None`` before the pool was full for a while."""
+        if self._seconds < MIN_MEASURED_SECONDS or self._served == 0.0:
+            return None
+        return self._served / self._seconds
+
+
 @define(eq=False)
 class PoolDispatcher:
     """Assigns waiting requests to executors in the order of the fair queue."""
@@ -59,6 +88,7 @@
     _limits: LimitsSource
     _nursery: trio.Nursery
     _find_spare: Callable[[str], "PoolDispatcher"]
+    rate: ServiceRate = field(factory=ServiceRate)
     _added: trio.Event = field(factory=trio.Event)
     _awaiting_slot: set[str] = field(factory=set)
     _reserved: dict[str, Slot] = field(factory=dict)
@@ -92,23 +122,39 @@
             waiter.slot.release(certain=True)
             self.assign()
 
+    def estimate_wait(self, queue: Queue, weight: float) -> float:
+        """Return how long a new request would wait, in seconds."""
+        rate = self.rate.get()
+        if rate is None or not len(self.waiting):
+            return 0.0
+        ahead = self.waiting.estimate_ahead(queue.team, weight, RANKS[queue.priority])
+        return ahead / rate
+
     def assign(self) -> None:
         """Give executors to waiting requests while there is room."""
         now = trio.current_time()
+        served = 0
+        is_full = False
         while (entry := self.waiting.peek(now)) is not None:
-            waiter = entry.item
-            executor = self._choose(waiter, now)
+            executor = self._choose(entry.item, now)
             if executor is None:
-                return
-            slot = self._take_slot(waiter)
-            if slot is None:
-                self._wait_for_slot(waiter)
-                continue
-            self.waiting.pop(now)
-            executor.window.acquire(now)
-            waiter.executor = executor
-            waiter.slot = slot
-            waiter.granted.set()
+                is_full = True
+                break
+            served += self._grant(entry.item, executor, now)
+        self.rate.record(now, served, is_full)
+
+    def _grant(self, waiter: Waiter, executor: Executor, now: float) -> bool:
+        """Give the first waiter the executor; false if its team has no slot."""
+        slot = self._take_slot(waiter)
+        if slot is None:
+            self._wait_for_slot(waiter)
+            return False
+        self.waiting.pop(now)
+        executor.window.acquire(now)
+        waiter.executor = executor
+        waiter.slot = slot
+        waiter.granted.set()
+        return True
 
     async def run(self) -> None:
         """Look for room that appears without an event."""
--- a/hemlockstand/requests/upstreams.py
+++ b/hemlockstand/requests/upstreams.py
@@ -15,6 +15,13 @@
 
 from hemlockstand.errors import HemlockstandError
 from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.maintenance.records import (
+    INSTANCE_PREFIX,
+    InstanceState,
+    Phase,
+    decode_instance,
+)
+from hemlockstand.platform.interface import InstanceRecord
 from hemlockstand.platform.service import PlatformService
 from hemlockstand.requests.executors import (
     LEAVING_SECONDS,
@@ -35,6 +42,7 @@
 CONNECT_SECONDS = 1.0
 MAX_ANSWER_BYTES = 16 << 20
 DRAIN_CHECK_SECONDS = 0.1
+READ_ALL_SECONDS = 10.0
 REFUSAL_RETRY_SECONDS = 1.0
 # A call that ends at its deadline counts as a failure of the upstream only if
 # it took this many times the usual latency; a short deadline is no failure.
@@ -83,6 +91,9 @@
         self.registry = ExecutorRegistry(self.settings.daemon.data_centre)
         self._transports: dict[str, httpx.AsyncHTTPTransport] = {}
         self._drains: object = None
+        self._listed: tuple[InstanceRecord, ...] = ()
+        self._states: dict[str, InstanceState] = {}
+        self._read_all_at = 0.0
 
     async def start(self) -> None:
         """Read the instance list once; an outage only delays it."""
@@ -202,12 +213,44 @@
         except HemlockstandError as error:
             log.warning("instance list not read: {}", error)
             return
-        gone = self.registry.follow_list(records)
+        own = tuple(self.registry.find_own(records))
+        await self._read_states(own)
+        gone = self.registry.follow_list(own, self._states)
         self._apply_drains()
         for executor in gone:
             if executor.window.in_flight == 0:
                 await self._close_transport(executor.address)
 
+    async def _read_states(self, own: tuple[InstanceRecord, ...]) -> None:
+        """Read the rows of instances that may have moved between pools.
+
+        An instance is drained before it moves, so a change in the list and
+        an unfinished move are reasons to read; the rest is read now and then.
+        """
+        now = trio.current_time()
+        names = [record.id for record in own]
+        if own == self._listed and now < self._read_all_at:
+            names = [name for name in names if self._is_moving(name)]
+        else:
+            self._read_all_at = now + READ_ALL_SECONDS
+        if not names:
+            return
+        try:
+            rows = await self._platform.table.read_many(
+                [INSTANCE_PREFIX + name for name in names]
+            )
+        except HemlockstandError as error:
+            log.warning("rows of instances not read: {}", error)
+            self._read_all_at = now
+            return
+        self._listed = own
+        for name, row in zip(names, rows, strict=True):
+            self._states[name] = decode_instance(name, row)
+
+    def _is_moving(self, name: str) -> bool:
+        state = self._states.get(name)
+        return state is None or state.phase is not Phase.SERVING
+
     async def _follow_drains(self) -> None:
         while True:
             await trio.sleep(DRAIN_CHECK_SECONDS)
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -23,6 +23,7 @@
     Team,
 )
 from hemlockstand.platform.interface import InstanceKind, InstanceRecord, InstanceState
+from hemlockstand.platform.memory import MemoryTable
 from hemlockstand.platform.service import PlatformService
 from hemlockstand.requests.admission import AdmissionService
 from hemlockstand.requests.dispatch import DispatchService
@@ -192,6 +193,10 @@
         else:
             self.outcomes[claim] = verdict
 
+    def owner_of(self, team: str, request_id: str) -> str | None:
+        parts = request_id.split(".")
+        return parts[0] if len(parts) == 3 else None
+
     def issue(self, team: str, count: int) -> list[str]:
         self.issued += count
         return [f"inc.{self.issued - number}.mac" for number in range(count)]
@@ -219,6 +224,26 @@
         return self.fresh
 
 
+@define(eq=False)
+class FakePeers:
+    """Peers whose answers a test decides."""
+
+    incarnation: str = "inc"
+    forwarded: list = field(factory=list)
+    answer: Any = None
+    receive_forward: Any = None
+
+    async def forward(self, daemon_incarnation, message, timeout_seconds=None):
+        await trio.lowlevel.checkpoint()
+        self.forwarded.append((daemon_incarnation, message))
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+    def handle_forward(self, function) -> None:
+        self.receive_forward = function
+
+
 @define(eq=False)
 class FakeInstances:
     """The platform's instance list."""
@@ -282,7 +307,9 @@
     freshness: FakeFreshness
     limits: FakeLimits
     orders: FakeOrders
+    peers: FakePeers
     instances: FakeInstances
+    table: MemoryTable
 
     @property
     def admission(self) -> AdmissionService:
@@ -335,15 +362,18 @@
         "freshness": FakeFreshness(),
         "limits": FakeLimits(),
         "orders": FakeOrders(),
+        "peers": FakePeers(),
     }
     for name, fake in fakes.items():
         register(_make_service(name, fake))
     instances = FakeInstances()
+    table = MemoryTable()
 
     @register
     class FakePlatform(PlatformService):
         async def start(self):
             self.platform.instances = instances
+            self.platform.table = table
 
     shipped = load_settings(write_settings(tmp_path))
     settings = attrs.evolve(
@@ -362,7 +392,7 @@
                     make_record(f"{pool}-{number}", upstream.address, pool)
                 )
         await nursery.start(kernel.serve)
-        around = Surroundings(kernel, **fakes, instances=instances)
+        around = Surroundings(kernel, **fakes, instances=instances, table=table)
         await around.admission.listening.wait()
         try:
             yield around
