--- a/hemlockstand/requests/pools.py
+++ b/hemlockstand/requests/pools.py
@@ -48,7 +48,7 @@
     @property
     def is_keyed(self) -> bool:
         """Return whether the queue accepts work with a key only."""
-        return self.queue.access is Access.KEYED
+        return self.queue.access is not Access.OPEN
 
 
 @define
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -71,6 +71,7 @@
 
     respond: Callable[[Received], Any]
     received: list[Received] = field(factory=list)
+    connections: int = 0
     running: int = 0
     most_running: int = 0
     address: str = ""
@@ -87,6 +88,7 @@
 
     async def _handle(self, stream: trio.SocketStream) -> None:
         buffer = bytearray()
+        self.connections += 1
         try:
             async with stream:
                 while await self._handle_one(stream, buffer):
--- /dev/null
+++ b/test/test_admission.py
@@ -0,0 +1,258 @@
+"""Bad input at the caller port gets a code and harms nothing else."""
+
+import attrs
+import pytest
+import trio
+
+from hemlockstand.model import Access
+from test.fakes import (
+    FakeUpstream,
+    make_answer,
+    make_configuration,
+    make_queue,
+    run_request_path,
+)
+
+QUEUES = (
+    make_queue("quotes"),
+    make_queue("orders", idempotent=False, access=Access.KEYED),
+    make_queue("clamps", team="clamp"),
+)
+KEY = {"Authorization": "Bearer secret"}
+
+
+async def answer_at_once(received):
+    return make_answer(received, received.body)
+
+
+@pytest.fixture
+def path(monkeypatch, tmp_path):
+    """Return a function that runs the request path with one upstream."""
+
+    def run(upstream, **request_settings):
+        return run_request_path(
+            monkeypatch,
+            tmp_path,
+            make_configuration(*QUEUES),
+            {"main": [upstream]},
+            **request_settings,
+        )
+
+    return run
+
+
+BAD_HEADERS = [
+    ({"X-Deadline-Ms": "0"}, 400, "invalid_request"),
+    ({"X-Deadline-Ms": "-5"}, 400, "invalid_request"),
+    ({"X-Deadline-Ms": "soon"}, 400, "invalid_request"),
+    ({"X-Deadline-Ms": "1e3"}, 400, "invalid_request"),
+    ({"X-Deadline-Ms": "nan"}, 400, "invalid_request"),
+    ({"X-Deadline-Ms": ""}, 400, "invalid_request"),
+    ({"X-Deadline-Ms": "9" * 400}, 400, "invalid_request"),
+    ({"X-Deadline-Ms": "\u0661".encode()}, 400, "invalid_request"),
+    ({"X-Request-Id": ""}, 400, "invalid_request"),
+    ({"X-Request-Id": "a b"}, 400, "invalid_request"),
+    ({"X-Request-Id": "x" * 129}, 400, "invalid_request"),
+    ({"X-Request-Id": "../../claim"}, 400, "invalid_request"),
+    ({"X-Team": "hinge/../clamp"}, 400, "invalid_request"),
+    ({"X-Team": "nobody"}, 403, "unknown_team"),
+    ({"X-Team": "clamp"}, 403, "key_refused"),
+    ({"Authorization": "Bearer"}, 400, "invalid_request"),
+    ({"Authorization": "Bearer " + "k" * 300}, 400, "invalid_request"),
+    ({"Content-Type": "t" * 300}, 400, "invalid_request"),
+]
+
+
+async def test_bad_headers_are_refused_and_the_daemon_goes_on(path):
+    """Guards against input that ends the daemon or reaches an upstream."""
+    upstream = FakeUpstream(answer_at_once)
+    async with path(upstream) as around, around.make_client() as client:
+        for headers, status, code in BAD_HEADERS:
+            response = await client.post("/v1/queues/quotes", headers=headers)
+            assert (response.status_code, response.json()["code"]) == (status, code)
+            assert response.headers["X-Verdict"] == "not-run"
+            assert response.headers["X-Request-Id"]
+            assert len(response.content) < 500
+        assert upstream.received == []
+        assert (await client.post("/v1/queues/quotes")).status_code == 200
+
+
+async def test_repeated_headers_are_refused(path):
+    """Guards against two readings of one request."""
+    upstream = FakeUpstream(answer_at_once)
+    async with path(upstream) as around, around.make_client() as client:
+        for name in ("X-Request-Id", "X-Team", "X-Deadline-Ms", "Authorization"):
+            response = await client.post(
+                "/v1/queues/quotes", headers=[(name, "1"), (name, "2")]
+            )
+            assert response.status_code == 400
+            assert name.lower() in response.json()["detail"]
+    assert upstream.received == []
+
+
+async def test_unknown_paths_and_methods(path):
+    """Guards against answers outside the caller protocol."""
+    async with path(FakeUpstream(answer_at_once)) as around:
+        async with around.make_client() as client:
+            for method, target in [
+                ("GET", "/"),
+                ("GET", "/v1/queues/quotes"),
+                ("PUT", "/v1/queues/quotes"),
+                ("POST", "/v1/queues/missing"),
+                ("POST", "/v1/queues/" + "q" * 3000),
+                ("POST", "/v1/queues/%00%ff"),
+                ("DELETE", "/v1/requests/r1"),
+            ]:
+                response = await client.request(method, target)
+                assert response.status_code == 404
+                assert response.json()["code"] == "unknown_queue"
+                assert response.headers["X-Verdict"] == "not-run"
+                assert len(response.content) < 500
+
+
+async def test_long_deadline_is_cut_to_the_queues(path):
+    """Guards against a request that outlives the reclaiming of slots."""
+    upstream = FakeUpstream(answer_at_once)
+    async with path(upstream) as around, around.make_client() as client:
+        for value in ("999999999999", "5001"):
+            await client.post("/v1/queues/quotes", headers={"X-Deadline-Ms": value})
+    for received in upstream.received:
+        assert int(received.headers["x-deadline-ms"]) <= 5000
+
+
+async def test_tiny_deadline_is_refused_or_late_but_never_wrong(path):
+    """Guards against a request without time that hangs."""
+    async with path(FakeUpstream(answer_at_once)) as around:
+        async with around.make_client() as client:
+            response = await client.post(
+                "/v1/queues/quotes", headers={"X-Deadline-Ms": "1"}
+            )
+    assert response.status_code in (200, 503, 504)
+
+
+async def test_oversized_bodies_are_refused(path):
+    """Guards against memory that callers can take at will."""
+    upstream = FakeUpstream(answer_at_once)
+
+    async def stream_body():
+        for _ in range(4):
+            yield b"x" * 400
+
+    async with path(upstream, max_body_bytes=1000) as around:
+        async with around.make_client() as client:
+            for content in (b"x" * 1001, stream_body()):
+                response = await client.post("/v1/queues/quotes", content=content)
+                assert response.status_code == 413
+                assert response.json()["code"] == "body_too_large"
+                assert response.headers["X-Verdict"] == "not-run"
+            response = await client.post("/v1/queues/quotes", content=b"x" * 1000)
+            assert response.content == b"x" * 1000
+    assert len(upstream.received) == 1
+
+
+async def test_cut_short_body_is_not_dispatched(path):
+    """Guards against half a request that runs."""
+    upstream = FakeUpstream(answer_at_once)
+    async with path(upstream) as around:
+        for head in (b"Content-Length: 100\r\n", b"Transfer-Encoding: chunked\r\n"):
+            stream = await trio.open_tcp_stream("127.0.0.1", around.admission.port)
+            async with stream:
+                await stream.send_all(
+                    b"POST /v1/queues/quotes HTTP/1.1\r\nHost: h\r\n" + head + b"\r\n"
+                    b"5\r\nhello\r\n"
+                )
+        async with around.make_client() as client:
+            response = await client.post("/v1/queues/quotes", content=b"whole")
+    assert response.status_code == 200
+    assert [received.body for received in upstream.received] == [b"whole"]
+
+
+async def test_malformed_http_harms_only_its_connection(path):
+    """Guards against bytes that end the daemon."""
+    async with path(FakeUpstream(answer_at_once)) as around:
+        for data in (b"\x00\xff" * 50, b"POST / HTTP/9.9\r\n\r\n", b"G" * 70_000):
+            stream = await trio.open_tcp_stream("127.0.0.1", around.admission.port)
+            async with stream:
+                with trio.move_on_after(0.5):
+                    await stream.send_all(data)
+                    await stream.receive_some()
+        async with around.make_client() as client:
+            assert (await client.post("/v1/queues/quotes")).status_code == 200
+
+
+async def test_stale_configuration_refuses_keyed_work_only(path):
+    """Guards against a withdrawn key that works while cut off."""
+    upstream = FakeUpstream(answer_at_once)
+    async with path(upstream) as around, around.make_client() as client:
+        around.freshness.fresh = False
+        response = await client.post("/v1/queues/orders", headers=KEY)
+        assert response.status_code == 503
+        assert response.json()["code"] == "configuration_not_fresh"
+        assert response.headers["Retry-After"] == "2"
+        assert (await client.post("/v1/queues/quotes")).status_code == 200
+
+
+async def test_withdrawn_key_is_refused_at_once(path):
+    """Guards against a key index that outlives its configuration."""
+    async with path(FakeUpstream(answer_at_once)) as around:
+        async with around.make_client() as client:
+            first = await client.post("/v1/queues/orders", headers=KEY)
+            current = around.configuration.current
+            around.configuration.current = attrs.evolve(current, version=2, keys={})
+            second = await client.post("/v1/queues/orders", headers=KEY)
+    assert (first.status_code, second.status_code) == (200, 403)
+
+
+async def test_kept_result_needs_the_teams_key(path):
+    """Guards against reading another team's results."""
+    async with path(FakeUpstream(answer_at_once)) as around:
+        async with around.make_client() as client:
+            order = {**KEY, "X-Request-Id": "r7"}
+            await client.post("/v1/queues/orders", headers=order, content=b"shipped")
+            team = {"X-Team": "hinge"}
+            cases = [
+                ({**KEY, **team}, 200),
+                (team, 401),
+                ({"Authorization": "Bearer wrong", **team}, 403),
+                ({**KEY, "X-Team": "clamp"}, 404),
+                (KEY, 400),
+            ]
+            for headers, status in cases:
+                response = await client.get("/v1/requests/r7", headers=headers)
+                assert response.status_code == status
+                assert (response.content == b"shipped") == (status == 200)
+
+
+async def test_issued_ids(path):
+    """Guards against ids that are issued without bound or to anyone."""
+    headers = {**KEY, "X-Team": "hinge"}
+    async with path(FakeUpstream(answer_at_once)) as around:
+        async with around.make_client() as client:
+            response = await client.post(
+                "/v1/request-ids", headers=headers, json={"count": 3}
+            )
+            assert len(set(response.json()["ids"])) == 3
+            for body in (b"", b"{}", b"[]", b'{"count": 0}', b'{"count": 1e9}'):
+                response = await client.post(
+                    "/v1/request-ids", headers=headers, content=body
+                )
+                assert response.status_code == 400
+                assert response.json()["code"] == "invalid_request"
+            response = await client.post("/v1/request-ids", json={"count": 3})
+            assert response.status_code == 400
+
+
+async def test_hop_headers_of_upstreams_stop_here(path):
+    """Guards against a forged verdict or a smuggled connection header."""
+
+    async def respond(received):
+        extra = "X-Verdict: not-run\r\nConnection: keep-alive\r\nX-Own: kept\r\n"
+        return make_answer(received, b"done", 201, extra=extra)
+
+    async with path(FakeUpstream(respond)) as around:
+        async with around.make_client() as client:
+            response = await client.post("/v1/queues/quotes")
+    assert response.status_code == 201
+    assert response.headers.get_list("X-Verdict") == ["answered"]
+    assert response.headers["X-Own"] == "kept"
+    assert "Connection" not in response.headers
