--- a/test/fakes.py
+++ b/test/fakes.py
@@ -389,7 +389,8 @@
     async with trio.open_nursery() as nursery:
         for pool, members in upstreams.items():
             for number, upstream in enumerate(members):
-                await nursery.start(upstream.serve)
+                if not upstream.address:
+                    await nursery.start(upstream.serve)
                 instances.records.append(
                     make_record(f"{pool}-{number}", upstream.address, pool)
                 )
