--- /dev/null
+++ b/emulator/processes.py
@@ -0,0 +1,102 @@
+"""Child processes with log files, always ended by their own id."""
+
+import ctypes
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+from attrs import define, field
+
+STOP_SECONDS = 5.0
+PR_SET_PDEATHSIG = 1
+LOG_TAIL_LINES = 30
+
+_libc = ctypes.CDLL(None, use_errno=True)
+
+
+def _die_with_parent() -> None:
+    """Ask the kernel to kill this child when its parent is killed."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+@define
+class Child:
+    """One process that this program has started."""
+
+    name: str
+    process: subprocess.Popen
+    log: Path
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.poll() is None
+
+    def terminate(self) -> None:
+        """Ask the process to stop gracefully."""
+        if self.alive:
+            self.process.terminate()
+
+    def kill(self) -> None:
+        """End the process at once, also while it is paused."""
+        if self.alive:
+            self.process.kill()
+        self.process.wait()
+
+    def pause(self) -> None:
+        """Stop the process with SIGSTOP."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Continue a paused process."""
+        self.process.send_signal(signal.SIGCONT)
+
+    def wait(self, seconds: float) -> int:
+        """Return the exit code; raises ``subprocess.TimeoutExpired``."""
+        return self.process.wait(seconds)
+
+    def read_log_tail(self) -> str:
+        """Return the last lines of the log."""
+        lines = self.log.read_text(errors="replace").splitlines()
+        return "\n".join(lines[-LOG_TAIL_LINES:])
+
+
+@define
+class ChildGroup:
+    """The processes of one fleet; ``close`` ends all of them."""
+
+    directory: Path
+    children: dict[str, Child] = field(factory=dict)
+
+    def start(self, name: str, module: str, arguments: Sequence[str]) -> Child:
+        """Start ``python -m module``; its output goes to ``NAME.log``."""
+        log = self.directory / f"{name}.log"
+        with log.open("ab") as stream:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=stream,
+                stderr=subprocess.STDOUT,
+                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+                preexec_fn=_die_with_parent,
+            )
+        child = Child(name, process, log)
+        self.children[name] = child
+        return child
+
+    def close(self) -> None:
+        """End all processes, gracefully at first."""
+        for child in self.children.values():
+            if child.alive:
+                child.resume()
+                child.terminate()
+        deadline = time.monotonic() + STOP_SECONDS
+        for child in self.children.values():
+            try:
+                child.wait(max(0.05, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                child.kill()
