--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -9,7 +9,6 @@
         key = fleet.grant_key("demo", "hinge")
 """
 
-import configparser
 import csv
 import json
 import subprocess
@@ -25,75 +24,29 @@
 import httpx
 from attrs import define, field
 
+from emulator.layout import (
+    TOKEN,
+    Daemon,
+    ExecutorPlace,
+    FleetError,
+    Layout,
+    Overrides,
+)
 from emulator.network import (
     BALANCER_CONTROL_PORT,
     BALANCER_PORT,
-    CALLER_PORT,
-    FIRST_EXECUTOR_PORT,
-    OPERATOR_PORT,
-    PEER_PORT,
     PLATFORM_PORT,
     Network,
     reserve_network,
 )
-from emulator.processes import Child, ChildGroup
-from emulator.shapes import (
-    WORKER_CORES,
-    WORKER_MEMORY_MB,
-    WORKERS_PER_RACK,
-    FleetShape,
-)
+from emulator.processes import ChildGroup
+from emulator.shapes import FleetShape
 
 SHEETS = Path(__file__).with_name("sheets")
-SECRET = "fleet-shared-secret"
-TOKEN = "fleet-operator-token"
 START_SECONDS = 30.0
 POLL_SECONDS = 0.05
 CTL_SECONDS = 40.0
-
-Overrides = Mapping[str, Mapping[str, Any]]
-
-
-class FleetError(Exception):
-    """A process did not do what was asked; with the end of its log."""
-
-
-@define
-class Daemon:
-    """One daemon of the fleet; ``child`` is ``None`` before its start."""
-
-    name: str
-    data_centre: str
-    host: str
-    settings: Path
-    child: Child | None = None
-
-    @property
-    def caller(self) -> str:
-        """``HOST:PORT`` for callers."""
-        return f"{self.host}:{CALLER_PORT}"
-
-    @property
-    def operator(self) -> str:
-        """``HOST:PORT`` for operators."""
-        return f"{self.host}:{OPERATOR_PORT}"
-
-    @property
-    def running(self) -> Child:
-        """The process; raises ``FleetError`` before its start."""
-        if self.child is None:
-            raise FleetError(f"daemon {self.name} was not started")
-        return self.child
-
-
-@define
-class ExecutorPlace:
-    """Where one executor of a desk listens."""
-
-    name: str
-    desk: str
-    data_centre: str
-    address: str
+WAIT_IN_FORCE = "--wait=10"
 
 
 @define
@@ -109,23 +62,19 @@
     service_ms: float = 20.0
     spread: float = 0.3
     balancer_lag_seconds: float = 0.5
-    directory: Path = field(init=False)
-    network: Network = field(init=False)
+    layout: Layout = field(init=False)
     children: ChildGroup = field(init=False)
-    daemons: dict[str, Daemon] = field(factory=dict)
-    executors: dict[str, ExecutorPlace] = field(factory=dict)
-    workers: dict[str, str] = field(factory=dict)
     http: httpx.Client = field(init=False)
+    _network: Network = field(init=False)
     _temporary: tempfile.TemporaryDirectory = field(init=False)
 
     def __enter__(self) -> "Fleet":
         self._temporary = tempfile.TemporaryDirectory(prefix="hemlockstand-")
-        self.directory = Path(self._temporary.name)
-        self.network = reserve_network()
-        self.children = ChildGroup(self.directory)
+        directory = Path(self._temporary.name)
+        self._network = reserve_network()
+        self.layout = Layout(self.shape, self._network, directory, self.overrides)
+        self.children = ChildGroup(directory)
         self.http = httpx.Client(trust_env=False, timeout=10)
-        self._place_executors()
-        self._place_daemons()
         return self
 
     def __exit__(
@@ -136,18 +85,18 @@
     ) -> None:
         self.children.close()
         self.http.close()
-        self.network.close()
+        self._network.close()
         self._temporary.cleanup()
 
     @property
-    def platform(self) -> str:
-        """Base URL of the platform stand-in, for its switches and record."""
-        return f"http://{self.network.host(0, 1)}:{PLATFORM_PORT}"
+    def daemons(self) -> dict[str, Daemon]:
+        """The daemons by name."""
+        return self.layout.daemons
 
     @property
-    def balancer(self) -> str:
-        """``HOST:PORT`` of the balancer."""
-        return f"{self.network.host(0, 2)}:{BALANCER_PORT}"
+    def executors(self) -> dict[str, ExecutorPlace]:
+        """The executors by name."""
+        return self.layout.executors
 
     def start(self) -> None:
         """Start everything and wait until it is ready."""
@@ -159,22 +108,23 @@
     def start_platform(self) -> None:
         """Start the platform stand-in and register all instances."""
         ports = [
-            f"{data_centre}:{self._platform_port(data_centre)}"
+            f"{data_centre}:{self.layout.platform_port(data_centre)}"
             for data_centre in self.shape.data_centres
         ]
         arguments = [
-            f"--host={self.network.host(0, 1)}",
+            f"--host={self.layout.platform_host}",
             f"--port={PLATFORM_PORT}",
             f"--data_centre_ports={','.join(ports)}",
         ]
         self.children.start("platform", "emulator.platform", arguments)
-        self.wait_http(f"{self.platform}/health", "platform")
-        self._register_instances()
+        self.wait_http(f"{self.layout.platform}/health", "platform")
+        for instance in self.layout.list_instances():
+            self._post(f"{self.layout.platform}/instances", instance)
 
     def start_upstreams(self) -> None:
         """Start one process of executors per desk."""
         for desk in self.shape.desks:
-            places = [place for place in self.executors.values() if place.desk == desk]
+            places = self.layout.list_desk(desk)
             host = places[0].address.partition(":")[0]
             ports = [place.address.rpartition(":")[2] for place in places]
             arguments = [
@@ -192,10 +142,10 @@
 
     def start_daemons(self) -> None:
         """Start all daemons and wait until they are ready."""
-        for daemon in self.daemons.values():
-            self.start_daemon(daemon.name)
-        for daemon in self.daemons.values():
-            self.wait_ready(daemon.name)
+        for name in self.daemons:
+            self.start_daemon(name)
+        for name in self.daemons:
+            self.wait_ready(name)
 
     def start_daemon(self, name: str) -> None:
         """Start one daemon without waiting for it."""
@@ -213,23 +163,15 @@
         backends = [
             f"{daemon.caller}/{daemon.operator}" for daemon in self.daemons.values()
         ]
-        host = self.network.host(0, 2)
         arguments = [
-            f"--host={host}",
+            f"--host={self.layout.balancer_host}",
             f"--port={BALANCER_PORT}",
             f"--control_port={BALANCER_CONTROL_PORT}",
             f"--lag_seconds={self.balancer_lag_seconds}",
             f"--backends={','.join(backends)}",
         ]
         self.children.start("balancer", "emulator.balancer", arguments)
-        url = f"http://{host}:{BALANCER_CONTROL_PORT}/backends"
-        self.wait_until(
-            lambda: all(
-                backend["ready"] for backend in self.http.get(url).json()["backends"]
-            ),
-            START_SECONDS,
-            "balancer",
-        )
+        self.wait_until(self._is_balanced, START_SECONDS, "balancer")
 
     def wait_http(self, url: str, child: str, seconds: float = START_SECONDS) -> None:
         """Wait until a URL answers 200; raises ``FleetError``."""
@@ -260,8 +202,8 @@
     def ctl(self, *words: str, daemon: str = "", check: bool = True) -> dict[str, Any]:
         """Run hemlockctl with ``--json`` and return its output.
 
-        ``check`` raises ``FleetError`` on an exit code other than 0;
-        otherwise the result has ``exit_code`` and ``error``.
+        The result has ``exit_code`` and ``error`` besides. ``check`` raises
+        ``FleetError`` on an exit code other than 0.
         """
         server = self.daemons[daemon or next(iter(self.daemons))].operator
         done = subprocess.run(
@@ -292,21 +234,21 @@
         today = datetime.now(UTC).date().isoformat()
         return self.ctl(
             *("sheet", "apply", str(path), f"--version={base}", f"--day={today}"),
-            "--wait=10",
+            WAIT_IN_FORCE,
         )
 
     def grant_key(self, name: str, team: str) -> str:
-        """Grant a key, wait for all daemons and return its secret."""
-        granted = self.ctl("key", "grant", name, f"--team={team}", "--wait=10")
+        """Grant a key, wait for all daemons and return what callers present."""
+        granted = self.ctl("key", "grant", name, f"--team={team}", WAIT_IN_FORCE)
         return granted["key"]
 
     def set_faults(self, **values: Any) -> None:
         """Set switches of the platform stand-in."""
-        self._post(f"{self.platform}/faults", values)
+        self._post(f"{self.layout.platform}/faults", values)
 
-    def set_profiles(self, **profiles: Mapping[str, Any]) -> None:
-        """Set what the tasks of jobs really do."""
-        self._post(f"{self.platform}/profiles", profiles)
+    def set_profiles(self, profiles: Mapping[str, Mapping[str, Any]]) -> None:
+        """Set what the tasks of jobs really do, by job."""
+        self._post(f"{self.layout.platform}/profiles", profiles)
 
     def set_behaviour(self, executor: str, **values: Any) -> None:
         """Set the behaviour of one executor."""
@@ -315,142 +257,33 @@
 
     def read_record(self, since: int = 0) -> dict[str, Any]:
         """Return the record of the platform stand-in."""
-        url = f"{self.platform}/record?since={since}"
-        return self.http.get(url).json()
+        url = f"{self.layout.platform}/record"
+        return self.http.get(url, params={"since": str(since)}).json()
 
     def read_rows(self, prefix: str) -> dict[str, dict[str, Any]]:
         """Return the values of the table's rows with a prefix, by key."""
-        url = f"{self.platform}/table/scan"
+        url = f"{self.layout.platform}/table/scan"
         params = {"prefix": prefix, "limit": "5000"}
         rows = self.http.get(url, params=params).json()["rows"]
         return {row["key"]: row["value"] for row in rows}
 
     def read_runs(self) -> list[dict[str, Any]]:
         """Return the runs of all executors in order of their start."""
-        runs = []
+        runs: list[dict[str, Any]] = []
         for desk in self.shape.desks:
-            place = next(p for p in self.executors.values() if p.desk == desk)
-            record = self.http.get(f"http://{place.address}/record").json()
-            runs.extend(record["runs"])
+            address = self.layout.list_desk(desk)[0].address
+            runs.extend(self.http.get(f"http://{address}/record").json()["runs"])
         return sorted(runs, key=lambda run: run["start"])
 
+    def _is_balanced(self) -> bool:
+        backends = self.http.get(self.layout.balancer_control).json()["backends"]
+        return all(backend["ready"] for backend in backends)
+
     def _post(self, url: str, body: Mapping[str, Any]) -> None:
         response = self.http.post(url, json=dict(body))
         if response.status_code != 200:
             raise FleetError(f"{url}: {response.status_code} {response.text}")
 
-    def _platform_port(self, data_centre: str) -> int:
-        return PLATFORM_PORT + 1 + self.shape.data_centres.index(data_centre)
-
-    def _place_executors(self) -> None:
-        for position, desk in enumerate(self.shape.desks):
-            host = self.network.host(0, 10 + position)
-            for number in range(self.shape.executors):
-                name = f"{desk}-{number + 1}"
-                self.executors[name] = ExecutorPlace(
-                    name,
-                    desk,
-                    self.shape.choose_data_centre(number),
-                    f"{host}:{FIRST_EXECUTOR_PORT + number}",
-                )
-
-    def _place_daemons(self) -> None:
-        for number in range(self.shape.daemons):
-            name = f"entry-{number + 1}"
-            data_centre = self.shape.choose_data_centre(number)
-            third = 1 + self.shape.data_centres.index(data_centre)
-            host = self.network.host(third, 1 + number)
-            settings = self.directory / f"{name}.ini"
-            self.daemons[name] = Daemon(name, data_centre, host, settings)
-        for daemon in self.daemons.values():
-            self._write_settings(daemon)
-
-    def _write_settings(self, daemon: Daemon) -> None:
-        host = self.network.host(0, 1)
-        port = self._platform_port(daemon.data_centre)
-        sections: dict[str, dict[str, Any]] = {
-            "daemon": {
-                "name": daemon.name,
-                "region": self.shape.region,
-                "data_centre": daemon.data_centre,
-                "data_centres": ", ".join(self.shape.data_centres),
-                "balancer_lag_seconds": 1,
-            },
-            "listen": {
-                "host": daemon.host,
-                "caller_port": CALLER_PORT,
-                "operator_port": OPERATOR_PORT,
-                "peer_port": PEER_PORT,
-            },
-            "platform": {"url": f"http://{host}:{port}"},
-            "peers": {"secret": SECRET, "seeds": ", ".join(self._list_seeds(daemon))},
-            "operators": {"token": TOKEN},
-            "log": {"format": "text"},
-        }
-        for section, values in self.overrides.items():
-            sections.setdefault(section, {}).update(values)
-        parser = configparser.ConfigParser(interpolation=None)
-        parser.read_dict(sections)
-        with daemon.settings.open("w", encoding="utf-8") as stream:
-            parser.write(stream)
-
-    def _list_seeds(self, daemon: Daemon) -> list[str]:
-        others = [other for other in self.daemons.values() if other is not daemon]
-        return [f"{other.host}:{PEER_PORT}" for other in others[:3]]
-
-    def _register_instances(self) -> None:
-        for daemon in self.daemons.values():
-            self._register(
-                daemon.name, "entry", daemon.data_centre, daemon.caller, "r1"
-            )
-        for place in self.executors.values():
-            self._register(
-                place.name,
-                "executor",
-                place.data_centre,
-                place.address,
-                "r1",
-                pool=place.desk,
-            )
-        for desk in self.shape.desks:
-            for number in range(self.shape.workers):
-                self._register_worker(desk, number)
-
-    def _register_worker(self, desk: str, number: int) -> None:
-        name = f"{desk}-worker-{number + 1}"
-        pool = f"{desk}-workers"
-        self.workers[name] = pool
-        self._register(
-            name,
-            "worker",
-            self.shape.choose_data_centre(number),
-            "127.0.0.1:1",
-            f"r{number // WORKERS_PER_RACK + 1}",
-            pool=pool,
-            cores=WORKER_CORES,
-            memory_mb=WORKER_MEMORY_MB,
-        )
-
-    def _register(
-        self,
-        name: str,
-        kind: str,
-        data_centre: str,
-        address: str,
-        rack: str,
-        **values: Any,
-    ) -> None:
-        body = {
-            "id": name,
-            "kind": kind,
-            "region": self.shape.region,
-            "data_centre": data_centre,
-            "rack": f"{data_centre}-{rack}",
-            "address": address,
-            **values,
-        }
-        self._post(f"{self.platform}/instances", body)
-
 
 def read_sheet(file: Path) -> list[dict[str, str]]:
     """Return the rows of a sheet for programs that vary it."""
--- /dev/null
+++ b/emulator/layout.py
@@ -0,0 +1,220 @@
+"""Where the processes of a fleet listen, and what they are told about it."""
+
+import configparser
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Any
+
+from attrs import define, field
+
+from emulator.network import (
+    BALANCER_CONTROL_PORT,
+    BALANCER_PORT,
+    CALLER_PORT,
+    FIRST_EXECUTOR_PORT,
+    OPERATOR_PORT,
+    PEER_PORT,
+    PLATFORM_PORT,
+    Network,
+)
+from emulator.processes import Child
+from emulator.shapes import (
+    WORKER_CORES,
+    WORKER_MEMORY_MB,
+    WORKERS_PER_RACK,
+    FleetShape,
+)
+
+SECRET = "fleet-shared-secret"
+TOKEN = "fleet-operator-token"
+SEEDS = 3
+FIRST_UPSTREAM_HOST = 10
+# Workers are reached only through the platform, so their address is unused.
+NO_ADDRESS = "127.0.0.1:1"
+
+Overrides = Mapping[str, Mapping[str, Any]]
+
+
+class FleetError(Exception):
+    """A process did not do what was asked; with the end of its log."""
+
+
+@define
+class Daemon:
+    """One daemon of the fleet; ``child`` is ``None`` before its start."""
+
+    name: str
+    data_centre: str
+    host: str
+    settings: Path
+    child: Child | None = None
+
+    @property
+    def caller(self) -> str:
+        """``HOST:PORT`` for callers."""
+        return f"{self.host}:{CALLER_PORT}"
+
+    @property
+    def operator(self) -> str:
+        """``HOST:PORT`` for operators."""
+        return f"{self.host}:{OPERATOR_PORT}"
+
+    @property
+    def running(self) -> Child:
+        """The process; raises ``FleetError`` before its start."""
+        if self.child is None:
+            raise FleetError(f"daemon {self.name} was not started")
+        return self.child
+
+
+@define
+class ExecutorPlace:
+    """Where one executor of a desk listens."""
+
+    name: str
+    desk: str
+    data_centre: str
+    address: str
+
+
+@define
+class Layout:
+    """Names and addresses of everything in a fleet."""
+
+    shape: FleetShape
+    network: Network
+    directory: Path
+    overrides: Overrides
+    daemons: dict[str, Daemon] = field(factory=dict)
+    executors: dict[str, ExecutorPlace] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self._place_executors()
+        self._place_daemons()
+
+    @property
+    def platform_host(self) -> str:
+        """IP address of the platform stand-in."""
+        return self.network.host(0, 1)
+
+    @property
+    def platform(self) -> str:
+        """Base URL of the platform stand-in, for its switches and record."""
+        return f"http://{self.platform_host}:{PLATFORM_PORT}"
+
+    @property
+    def balancer_host(self) -> str:
+        """IP address of the balancer."""
+        return self.network.host(0, 2)
+
+    @property
+    def balancer(self) -> str:
+        """``HOST:PORT`` of the balancer."""
+        return f"{self.balancer_host}:{BALANCER_PORT}"
+
+    @property
+    def balancer_control(self) -> str:
+        """URL of the balancer's view of the daemons."""
+        return f"http://{self.balancer_host}:{BALANCER_CONTROL_PORT}/backends"
+
+    def platform_port(self, data_centre: str) -> int:
+        """Return the platform's port for the daemons of a data centre."""
+        return PLATFORM_PORT + 1 + self.shape.data_centres.index(data_centre)
+
+    def list_desk(self, desk: str) -> list[ExecutorPlace]:
+        """Return the executors of a desk."""
+        return [place for place in self.executors.values() if place.desk == desk]
+
+    def list_instances(self) -> Iterator[dict[str, Any]]:
+        """Yield the registrations of all instances at the platform."""
+        for daemon in self.daemons.values():
+            yield self._describe(
+                daemon.name, "entry", daemon.data_centre, daemon.caller, 1
+            )
+        for place in self.executors.values():
+            yield self._describe(
+                place.name, "executor", place.data_centre, place.address, 1
+            ) | {"pool": place.desk}
+        for desk in self.shape.desks:
+            for number in range(self.shape.workers):
+                yield self._describe_worker(desk, number)
+
+    def write_settings(self, daemon: Daemon) -> None:
+        """Write the settings file of a daemon."""
+        port = self.platform_port(daemon.data_centre)
+        sections: dict[str, dict[str, Any]] = {
+            "daemon": {
+                "name": daemon.name,
+                "region": self.shape.region,
+                "data_centre": daemon.data_centre,
+                "data_centres": ", ".join(self.shape.data_centres),
+                "balancer_lag_seconds": 1,
+            },
+            "listen": {
+                "host": daemon.host,
+                "caller_port": CALLER_PORT,
+                "operator_port": OPERATOR_PORT,
+                "peer_port": PEER_PORT,
+            },
+            "platform": {"url": f"http://{self.platform_host}:{port}"},
+            "peers": {"secret": SECRET, "seeds": ", ".join(self._list_seeds(daemon))},
+            "operators": {"token": TOKEN},
+            "log": {"format": "text"},
+        }
+        for section, values in self.overrides.items():
+            sections.setdefault(section, {}).update(values)
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(sections)
+        with daemon.settings.open("w", encoding="utf-8") as stream:
+            parser.write(stream)
+
+    def _list_seeds(self, daemon: Daemon) -> list[str]:
+        others = [other for other in self.daemons.values() if other is not daemon]
+        return [f"{other.host}:{PEER_PORT}" for other in others[:SEEDS]]
+
+    def _place_executors(self) -> None:
+        for position, desk in enumerate(self.shape.desks):
+            host = self.network.host(0, FIRST_UPSTREAM_HOST + position)
+            for number in range(self.shape.executors):
+                name = f"{desk}-{number + 1}"
+                data_centre = self.shape.choose_data_centre(number)
+                address = f"{host}:{FIRST_EXECUTOR_PORT + number}"
+                place = ExecutorPlace(name, desk, data_centre, address)
+                self.executors[name] = place
+
+    def _place_daemons(self) -> None:
+        for number in range(self.shape.daemons):
+            name = f"entry-{number + 1}"
+            data_centre = self.shape.choose_data_centre(number)
+            third = 1 + self.shape.data_centres.index(data_centre)
+            host = self.network.host(third, 1 + number)
+            settings = self.directory / f"{name}.ini"
+            self.daemons[name] = Daemon(name, data_centre, host, settings)
+        for daemon in self.daemons.values():
+            self.write_settings(daemon)
+
+    def _describe_worker(self, desk: str, number: int) -> dict[str, Any]:
+        described = self._describe(
+            f"{desk}-worker-{number + 1}",
+            "worker",
+            self.shape.choose_data_centre(number),
+            NO_ADDRESS,
+            number // WORKERS_PER_RACK + 1,
+        )
+        return described | {
+            "pool": f"{desk}-workers",
+            "cores": WORKER_CORES,
+            "memory_mb": WORKER_MEMORY_MB,
+        }
+
+    def _describe(
+        self, name: str, kind: str, data_centre: str, address: str, rack: int
+    ) -> dict[str, Any]:
+        return {
+            "id": name,
+            "kind": kind,
+            "region": self.shape.region,
+            "data_centre": data_centre,
+            "rack": f"{data_centre}-r{rack}",
+            "address": address,
+        }
--- a/emulator/tasks.py
+++ b/emulator/tasks.py
@@ -3,7 +3,8 @@
 The payload of a start may set what the task really does, as opposed to what
 its job declares: ``duration_seconds``, ``cores``, ``memory_mb``,
 ``accelerators`` and ``fails``. A profile registered for the payload's ``job``,
-or else for ``*``, supplies the values that the payload leaves out.
+or else for ``*``, supplies the values that the payload leaves out. Without either, a task uses what the first
+start of its job asked for.
 """
 
 from collections.abc import Callable, Iterator, Mapping
@@ -137,6 +138,7 @@
     workers: dict[str, WorkerState] = field(factory=dict)
     profiles: dict[str, TaskProfile] = field(factory=dict)
     _saved: dict[str, float] = field(factory=dict)
+    _first_shapes: dict[str, TaskShape] = field(factory=dict)
 
     def add(self, worker: str) -> None:
         """Add a worker; a known one keeps its tasks."""
@@ -240,14 +242,18 @@
     def _make_task(
         self, worker: str, message: TaskStartMessage, now: float
     ) -> WorkerTask:
-        actual = self._describe(message)
+        job = _find_job(message)
+        actual = self._describe(job, message)
+        # Later starts ask for the observed size with headroom; if that were
+        # taken for the actual size, a job would grow with each run.
+        shape = self._first_shapes.setdefault(job, message.shape)
         duration = actual.get("duration_seconds", DEFAULT_DURATION_SECONDS)
         fails = bool(actual.get("fails")) or worker in self.faults.failing_workers
         left = min(self._saved.pop(message.task, duration), duration)
         task = WorkerTask(
             name=message.task,
             fence=message.fence,
-            usage=_read_usage(actual, message.shape),
+            usage=_read_usage(actual, shape),
             left=FAILURE_SECONDS if fails else left,
             lease_end=now + message.lease_seconds,
             updated=now,
@@ -257,8 +263,7 @@
         task.set_usage(now)
         return task
 
-    def _describe(self, message: TaskStartMessage) -> Mapping[str, Any]:
-        job = message.payload.get("job") or message.task.rpartition("/")[0]
+    def _describe(self, job: str, message: TaskStartMessage) -> Mapping[str, Any]:
         profile = self.profiles.get(job, self.profiles.get(ANY_JOB))
         known = {} if profile is None else msgspec.structs.asdict(profile)
         set_values = {key: value for key, value in known.items() if value is not None}
@@ -296,6 +301,10 @@
         )
 
 
+def _find_job(message: TaskStartMessage) -> str:
+    return str(message.payload.get("job") or message.task.rpartition("/")[0])
+
+
 def _read_usage(actual: Mapping[str, Any], declared: TaskShape) -> TaskShape:
     return TaskShape(
         float(actual.get("cores", declared.cores)),
