--- a/emulator/tasks.py
+++ b/emulator/tasks.py
@@ -3,8 +3,8 @@
 The payload of a start may set what the task really does, as opposed to what
 its job declares: ``duration_seconds``, ``cores``, ``memory_mb``,
 ``accelerators`` and ``fails``. A profile registered for the payload's ``job``,
-or else for ``*``, supplies the values that the payload leaves out. Without either, a task uses what the first
-start of its job asked for.
+or else for ``*``, supplies the values that the payload leaves out. Without
+either, a task uses what the first start of its job asked for.
 """
 
 from collections.abc import Callable, Iterator, Mapping
