--- a/hemlockstand/ctl/fleet.py
+++ b/hemlockstand/ctl/fleet.py
@@ -7,6 +7,8 @@
 from hemlockstand.ctl.exits import ExitCode
 from hemlockstand.ctl.waiting import wait_if_asked
 from hemlockstand.errors import NotFound
+from hemlockstand.operators.client import Refused
+from hemlockstand.operators.messages import NotAvailable
 
 Run = Callable[[Context], Awaitable[ExitCode]]
 
@@ -39,6 +41,24 @@
     return show
 
 
+async def show_job(context: Context) -> ExitCode:
+    """Show a job, and its runs if the daemon has them."""
+    name = context.arguments[0]
+    listed = await context.client.get("job/list")
+    found = [entry for entry in listed["jobs"] if entry["name"] == name]
+    if not found:
+        raise NotFound(f"job {name!r} does not exist")
+    try:
+        runs = await context.client.get("job/runs", job=name)
+    except Refused as error:
+        if error.code != NotAvailable.code:
+            raise
+        runs = {"runs": "not available"}
+    result = {**found[0], **runs}
+    context.show(result, _describe(result))
+    return ExitCode.OK
+
+
 async def drain(context: Context) -> ExitCode:
     """Take an instance out of service."""
     instance = context.arguments[0]
@@ -166,7 +186,7 @@
     Command(
         ("job", "list"), "List the jobs.", make_list("job/list", "jobs", JOB_COLUMNS)
     ),
-    Command(("job", "show"), "Show a job.", make_show("job/list", "jobs"), ("NAME",)),
+    Command(("job", "show"), "Show a job.", show_job, ("NAME",)),
     Command(("job", "cancel"), "Cancel the runs of a job.", cancel_job, ("NAME",)),
     Command(("wave", "plan"), "Plan a wave; --pool for one pool.", plan_wave),
     Command(
--- a/hemlockstand/ctl/keys.py
+++ b/hemlockstand/ctl/keys.py
@@ -1,7 +1,7 @@
 """The verbs ``key grant``, ``key withdraw`` and ``key list``.
 
-The secret is made here and shown once. Only its salt and its digest are sent,
-so neither the daemon nor a lost reply can reveal or lose it.
+The key is made here and shown once. Only a salt and the digest are sent, so
+neither the daemon nor a lost reply can reveal or lose it.
 """
 
 import hashlib
@@ -16,9 +16,14 @@
 SALT_BYTES = 16
 
 
-def digest_secret(salt: str, secret: str) -> str:
-    """Return the hexadecimal SHA-256 of the salt followed by the secret."""
-    return hashlib.sha256((salt + secret).encode()).hexdigest()
+def make_key(name: str) -> str:
+    """Return a new key, ``hsk_NAME_SECRET``, as callers present it."""
+    return f"{KEY_PREFIX}_{name}_{secrets.token_hex(SECRET_BYTES)}"
+
+
+def digest_key(salt: str, key: str) -> str:
+    """Return the hexadecimal SHA-256 of the salt followed by the whole key."""
+    return hashlib.sha256((salt + key).encode()).hexdigest()
 
 
 async def grant(context: Context) -> ExitCode:
@@ -26,16 +31,15 @@
     name = context.arguments[0]
     if not context.flags.team:
         raise UsageError("--team is needed")
-    secret = secrets.token_hex(SECRET_BYTES)
+    key = make_key(name)
     salt = secrets.token_hex(SALT_BYTES)
     result = await context.client.post(
         "key/grant",
         name=name,
         team=context.flags.team,
         salt=salt,
-        digest=digest_secret(salt, secret),
+        digest=digest_key(salt, key),
     )
-    key = f"{KEY_PREFIX}_{name}_{secret}"
     lines = [
         f"key {name} of team {context.flags.team} is granted, "
         f"version {result['version']}",
--- a/hemlockstand/ctl/main.py
+++ b/hemlockstand/ctl/main.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from typing import TextIO
 
+import httpx
 import trio
 from absl import flags
 
@@ -133,11 +134,24 @@
     token = values.token or os.environ.get(TOKEN_VARIABLE)
     if not token:
         raise UsageError(f"no token; set {TOKEN_VARIABLE} or give --token")
+    if not (token.isascii() and token.isprintable()):
+        raise UsageError("the token must have printable ASCII characters only")
+    server = _check_server(values.server)
     author = values.author or _find_user()
-    async with OperatorClient(values.server, token, author, values.timeout) as client:
+    async with OperatorClient(server, token, author, values.timeout) as client:
         return await command.run(Context(values, arguments, client, out))
 
 
+def _check_server(server: str) -> str:
+    try:
+        url = httpx.URL(server)
+    except httpx.InvalidURL as error:
+        raise UsageError(f"--server {server!r}: {error}") from None
+    if url.scheme not in ("http", "https") or not url.host:
+        raise UsageError(f"--server {server!r}: must be like {DEFAULT_SERVER}")
+    return server
+
+
 def _find_user() -> str:
     try:
         return getpass.getuser()
--- a/hemlockstand/ctl/sheet.py
+++ b/hemlockstand/ctl/sheet.py
@@ -10,6 +10,7 @@
 from hemlockstand.operators.client import Refused
 from hemlockstand.sheet.checks import check_sheet
 from hemlockstand.sheet.problems import SheetError
+from hemlockstand.sheet.reader import MAX_SHEET_BYTES
 
 MARKS = {"add": "+", "change": "~", "drop": "-"}
 
@@ -38,7 +39,11 @@
     """Show what a sheet would change."""
     file = context.arguments[0]
     result = await context.client.post(
-        "sheet/plan", content=_read(file), file=file, day=context.flags.day
+        "sheet/plan",
+        content=_read(file),
+        commits=False,
+        file=file,
+        day=context.flags.day,
     )
     lines = _describe_plan(result)
     lines.append(f"planned on version {result['version']}; to apply:")
@@ -74,9 +79,12 @@
 
 def _read(file: str) -> bytes:
     try:
-        return Path(file).read_bytes()
+        data = Path(file).read_bytes()
     except OSError as error:
         raise UsageError(f"{file}: cannot be read: {error.strerror}") from None
+    if len(data) > MAX_SHEET_BYTES:
+        raise UsageError(f"{file}: has more than {MAX_SHEET_BYTES} bytes")
+    return data
 
 
 def _read_day(text: str | None) -> date | None:
--- a/hemlockstand/ctl/waiting.py
+++ b/hemlockstand/ctl/waiting.py
@@ -4,6 +4,7 @@
 
 from hemlockstand.ctl.commands import Context
 from hemlockstand.ctl.exits import ExitCode
+from hemlockstand.errors import HemlockstandError
 
 
 async def wait_if_asked(
@@ -13,7 +14,12 @@
     if context.flags.wait is None:
         context.show(result, lines)
         return ExitCode.OK
-    report = await wait_version(context, result["version"], context.flags.wait)
+    try:
+        report = await wait_version(context, result["version"], context.flags.wait)
+    except HemlockstandError:
+        # The change is in force and a granted key is shown only now.
+        context.show(result, lines)
+        raise
     context.show(result | {"wait": report}, lines + describe_wait(report))
     return ExitCode.OK if report["complete"] else ExitCode.NOT_IN_FORCE
 
--- a/hemlockstand/operators/client.py
+++ b/hemlockstand/operators/client.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 from types import TracebackType
 from typing import Any
+from urllib.parse import quote
 from uuid import uuid4
 
 import httpx
@@ -49,7 +50,7 @@
         self._server = server
         self._http = httpx.AsyncClient(
             base_url=server,
-            headers={"Authorization": f"Bearer {token}", AUTHOR_HEADER: author},
+            headers={"Authorization": f"Bearer {token}", AUTHOR_HEADER: quote(author)},
             timeout=timeout_seconds,
             trust_env=False,
         )
@@ -81,12 +82,17 @@
         return _read_response(response)
 
     async def post(
-        self, path: str, content: bytes | None = None, **arguments: Any
+        self,
+        path: str,
+        content: bytes | None = None,
+        commits: bool = True,
+        **arguments: Any,
     ) -> dict[str, Any]:
         """Send a change to ``/o/PATH``, with a sheet's bytes if given.
 
-        Raises ``OutcomeUnknown`` if the reply was lost and the change is not
-        in the history.
+        ``commits`` tells whether the call changes anything. Raises
+        ``OutcomeUnknown`` if the reply to such a call was lost and the change
+        is not in the history.
         """
         change_id = uuid4().hex
         headers = {CHANGE_ID_HEADER: change_id}
@@ -105,14 +111,20 @@
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise DaemonUnreachable(self._describe(error)) from None
         except (httpx.HTTPError, OutcomeUnknown) as error:
+            if not commits:
+                raise DaemonUnreachable(self._describe(error)) from None
             return await self._look_up(change_id, error)
 
     async def _look_up(self, change_id: str, cause: Exception) -> dict[str, Any]:
         """Return the version of the change if the history has it."""
         try:
             history = await self.get("config/history", limit=LOOK_UP_CHANGES)
-        except HemlockstandError:
-            history = {"changes": []}
+        except HemlockstandError as error:
+            raise OutcomeUnknown(
+                f"{self._describe(cause)}; the history cannot be read either "
+                f"({error.message}); look there for change {change_id} before "
+                "repeating"
+            ) from None
         for change in history["changes"]:
             if change["id"] == change_id:
                 return {
--- a/hemlockstand/operators/commits.py
+++ b/hemlockstand/operators/commits.py
@@ -1,7 +1,7 @@
 """Commits of operators' changes, with and without a given base version."""
 
 from collections.abc import Callable, Sequence
-from datetime import UTC, datetime
+from datetime import UTC, date, datetime
 
 import trio
 
@@ -24,6 +24,11 @@
     return datetime.now(UTC).isoformat(timespec="seconds")
 
 
+def read_today() -> date:
+    """Return the day in UTC."""
+    return datetime.now(UTC).date()
+
+
 async def wait_known(configuration: ConfigurationService, version: int) -> None:
     """Wait until this daemon has the version; raises ``InvalidInput``."""
     with trio.move_on_after(KNOWN_WITHIN_SECONDS):
@@ -35,17 +40,14 @@
         )
 
 
-async def commit_on(
-    configuration: ConfigurationService, change: Change, base: int
-) -> int:
-    """Commit a change that is only meant for one base version.
+def check_base(configuration: ConfigurationService, base: int) -> None:
+    """Check that nothing is known to be committed after the base version.
 
     Raises ``ConfigurationConflict`` if another change was committed after the
     base.
     """
     if configuration.current.version > base:
         raise ConfigurationConflict(base, configuration.current.version)
-    return await configuration.commit(change, base)
 
 
 async def commit_edits(
--- a/hemlockstand/operators/interface.py
+++ b/hemlockstand/operators/interface.py
@@ -10,13 +10,14 @@
 import socket
 from collections.abc import Mapping
 from typing import Any
+from urllib.parse import unquote
 from uuid import uuid4
 
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
 from loguru import logger
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST, Counter, generate_latest
 from quart import Response, request
 from quart_trio import QuartTrio
 from werkzeug.exceptions import HTTPException
@@ -36,6 +37,10 @@
 
 log = logger.bind(module=__name__)
 
+OPERATOR_CALLS = Counter(
+    "hemlockstand_operator_calls_total", "Answered operator calls.", ["path", "code"]
+)
+
 # Open connections wait in the kernel while the daemon is busy.
 LISTEN_BACKLOG = 100
 # Calls that are being answered when the daemon stops get this long.
@@ -61,11 +66,12 @@
     """Serves the operator port."""
 
     name = "operators"
-    needs = ("configuration", "peers")
+    needs = ("platform", "configuration", "peers")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._stopping = trio.Event()
+        self._finished = trio.Event()
         self._socket: socket.socket | None = None
 
     @property
@@ -89,17 +95,22 @@
         config.graceful_timeout = GRACE_SECONDS
         config.accesslog = None
         config.errorlog = None
-        await serve(
-            make_app(self.kernel, self._operations),
-            config,
-            shutdown_trigger=self._stopping.wait,
-            mode="asgi",
-        )
+        try:
+            await serve(
+                make_app(self.kernel, self._operations),
+                config,
+                shutdown_trigger=self._stopping.wait,
+                mode="asgi",
+            )
+        finally:
+            self._finished.set()
 
     async def stop(self) -> None:
         """Finish open calls and close the port."""
-        self._stopping.set()
         self._socket.close()
+        self._stopping.set()
+        with trio.move_on_after(GRACE_SECONDS):
+            await self._finished.wait()
 
 
 def bind_socket(host: str, port: int) -> socket.socket:
@@ -143,7 +154,13 @@
     async def operate(path: str) -> Response:
         _check_token(token)
         answer = operations.find(request.method, path)
-        result = await answer(await _read_request())
+        # The label takes only known paths, so their number is bounded.
+        try:
+            result = await answer(await _read_request())
+        except HemlockstandError as error:
+            OPERATOR_CALLS.labels(path, error.code).inc()
+            raise
+        OPERATOR_CALLS.labels(path, "ok").inc()
         return _respond(200, result)
 
     @app.errorhandler(Exception)
@@ -173,15 +190,23 @@
             raise InvalidInput("the body is not a JSON object")
         arguments.update(fields)
     return OperatorRequest(
-        author=_read_header(AUTHOR_HEADER) or "unknown",
+        author=_read_author() or "unknown",
         change_id=_read_header(CHANGE_ID_HEADER) or uuid4().hex,
         arguments=arguments,
         body=body,
     )
 
 
+def _read_author() -> str:
+    """Return the author's name, which may have letters outside of ASCII."""
+    return _check_header(AUTHOR_HEADER, unquote(request.headers.get(AUTHOR_HEADER, "")))
+
+
 def _read_header(name: str) -> str:
-    value = request.headers.get(name, "").strip()
+    return _check_header(name, request.headers.get(name, "").strip())
+
+
+def _check_header(name: str, value: str) -> str:
     if len(value) > MAX_TEXT_LENGTH or not value.isprintable():
         raise InvalidInput(f"header {name} is too long or not printable")
     return value
--- a/hemlockstand/operators/reports.py
+++ b/hemlockstand/operators/reports.py
@@ -1,12 +1,12 @@
 """Reads of the configuration in force and of the daemons that have it."""
 
-from datetime import UTC, datetime
 from typing import Any
 
 import trio
 
 from hemlockstand.configuration.service import ConfigurationService
 from hemlockstand.kernel import Kernel
+from hemlockstand.operators.commits import read_today
 from hemlockstand.operators.messages import OperatorRequest, to_json
 from hemlockstand.peers.service import PeersService
 
@@ -30,10 +30,10 @@
         return {"version": current.version, "sheet_day": to_json(current.sheet_day)}
 
     async def show_history(self, request: OperatorRequest) -> dict[str, Any]:
-        """Return the newest changes with their edits; digests are left out."""
+        """Return the newest changes, newest first; digests are left out."""
         limit = request.get_number("limit") or DEFAULT_HISTORY
         committed = await self._configuration.history(min(limit, MAX_HISTORY))
-        return {"changes": [_describe_change(entry) for entry in committed]}
+        return {"changes": [_describe_change(entry) for entry in reversed(committed)]}
 
     async def wait_version(self, request: OperatorRequest) -> dict[str, Any]:
         """Wait until every live daemon has a version, or the time is over."""
@@ -121,7 +121,7 @@
         The day is that of the sheet in force, or today in UTC without one.
         """
         current = self._configuration.current
-        day = current.sheet_day or datetime.now(UTC).date()
+        day = current.sheet_day or read_today()
         return {
             "day": day.isoformat(),
             "jobs": [
--- a/hemlockstand/operators/routes.py
+++ b/hemlockstand/operators/routes.py
@@ -30,6 +30,14 @@
 }
 
 
+# The daemon answers these itself; a service that runs adds fields.
+ENRICHED: Mapping[tuple[str, str], str] = {
+    ("GET", "instance/status"): "maintenance",
+    ("GET", "status/show"): "maintenance",
+    ("GET", "job/list"): "jobs",
+}
+
+
 class Operable(Protocol):
     """A service that answers some of the operators' verbs itself."""
 
@@ -74,23 +82,37 @@
 
     def find(self, method: str, path: str) -> Operation:
         """Return the operation; raises ``UnknownPath`` or ``NotAvailable``."""
-        operation = self._operations.get((method, path))
-        if operation is not None:
-            return operation
-        service = DELEGATED.get((method, path))
-        if service is None:
+        own = self._operations.get((method, path))
+        if own is not None:
+            return self._enrich(own, ENRICHED.get((method, path)), path)
+        name = DELEGATED.get((method, path))
+        if name is None:
             raise UnknownPath(f"there is no operation {method} /o/{path}")
-        return self._delegate(service, path)
+        delegate = self._delegate(name, path)
+        if delegate is None:
+            raise NotAvailable(
+                f"/o/{path} needs the service {name!r}, which this daemon does not run"
+            )
+        return delegate
+
+    def _enrich(self, own: Operation, name: str | None, path: str) -> Operation:
+        delegate = self._delegate(name, path) if name else None
+        if delegate is None:
+            return own
 
-    def _delegate(self, name: str, path: str) -> Operation:
+        async def operate(request: OperatorRequest) -> Answer:
+            return {**await own(request), **await delegate(request)}
+
+        return operate
+
+    def _delegate(self, name: str, path: str) -> Operation | None:
+        """Return the operation of a service, or ``None`` if it does not run."""
         try:
             service = self._kernel.find(name, Service)
         except KernelError:
-            service = None
+            return None
         if not hasattr(service, "operate"):
-            raise NotAvailable(
-                f"/o/{path} needs the service {name!r}, which this daemon does not run"
-            )
+            return None
         noun, _, verb = path.partition("/")
         operable = cast(Operable, service)
 
--- a/hemlockstand/operators/sheets.py
+++ b/hemlockstand/operators/sheets.py
@@ -8,7 +8,7 @@
 from hemlockstand.configuration.service import ConfigurationService
 from hemlockstand.errors import InvalidInput
 from hemlockstand.kernel import Kernel
-from hemlockstand.operators.commits import commit_on, read_time, wait_known
+from hemlockstand.operators.commits import check_base, read_time, read_today, wait_known
 from hemlockstand.operators.messages import OperatorRequest
 from hemlockstand.sheet.checks import Sheet, check_sheet
 from hemlockstand.sheet.limits import Bounds
@@ -43,7 +43,7 @@
     async def plan(self, request: OperatorRequest) -> dict[str, Any]:
         """Return the difference to the configuration in force."""
         sheet = await self._read_sheet(request)
-        plan = plan_sheet(sheet, self._configuration.current)
+        plan = plan_sheet(sheet, self._configuration.current, read_today())
         return plan.to_json() | {
             "needs_confirmation": any(
                 count.exceeds(self._drop_fraction) for count in plan.drops
@@ -61,12 +61,13 @@
             raise InvalidInput("argument 'version' is missing; plan the sheet first")
         sheet = await self._read_sheet(request)
         await wait_known(self._configuration, base)
-        plan = plan_sheet(sheet, self._configuration.current)
+        check_base(self._configuration, base)
+        plan = plan_sheet(sheet, self._configuration.current, read_today())
         plan.check_drops(self._drop_fraction, request.get_number("confirm_drops"))
         if not plan.edits:
             return plan.to_json() | {"committed": False}
         change = plan.make_change(request.change_id, request.author, read_time())
-        version = await commit_on(self._configuration, change, base)
+        version = await self._configuration.commit(change, base)
         log.info("sheet of {} is version {}", sheet.day.isoformat(), version)
         return plan.to_json() | {"committed": True, "version": version}
 
--- a/hemlockstand/sheet/plan.py
+++ b/hemlockstand/sheet/plan.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Iterator, Mapping
-from datetime import date
+from datetime import date, timedelta
 from typing import Any
 
 import attrs
@@ -27,6 +27,8 @@
 from hemlockstand.sheet.checks import Sheet
 from hemlockstand.sheet.problems import Problem, SheetError
 
+# A later day is a typing error, and would refuse every sheet until then.
+MAX_DAYS_AHEAD = 7
 KINDS = ("team", "pool", "queue", "job")
 
 
@@ -133,20 +135,13 @@
         }
 
 
-def plan_sheet(sheet: Sheet, current: Configuration) -> SheetPlan:
+def plan_sheet(sheet: Sheet, current: Configuration, today: date) -> SheetPlan:
     """Compare a sheet with the configuration in force.
 
-    Raises ``SheetError`` if a sheet of a later day is in force.
+    Raises ``SheetError`` if a sheet of a later day is in force, or if the day
+    is more than ``MAX_DAYS_AHEAD`` after today.
     """
-    if current.sheet_day is not None and sheet.day < current.sheet_day:
-        detail = (
-            f"a sheet of {current.sheet_day.isoformat()} is in force; to go back "
-            "to earlier contents, give them that day"
-        )
-        problem = Problem(
-            "day_older", sheet.file, 0, "day", sheet.day.isoformat(), detail
-        )
-        raise SheetError([problem])
+    _check_day(sheet, current, today)
     differences = tuple(_compare(sheet, current))
     return SheetPlan(
         base=current.version,
@@ -160,6 +155,19 @@
     )
 
 
+def _check_day(sheet: Sheet, current: Configuration, today: date) -> None:
+    day = sheet.day.isoformat()
+    if current.sheet_day is not None and sheet.day < current.sheet_day:
+        detail = (
+            f"a sheet of {current.sheet_day.isoformat()} is in force; to go back "
+            "to earlier contents, give them that day"
+        )
+        raise SheetError([Problem("day_older", sheet.file, 0, "day", day, detail)])
+    if sheet.day > today + timedelta(days=MAX_DAYS_AHEAD):
+        detail = f"is more than {MAX_DAYS_AHEAD} days after {today.isoformat()}"
+        raise SheetError([Problem("day_too_late", sheet.file, 0, "day", day, detail)])
+
+
 def _compare(sheet: Sheet, current: Configuration) -> Iterator[Difference]:
     for kind in KINDS:
         wanted = _get_entities(sheet, kind)
--- a/hemlockstand/sheet/reader.py
+++ b/hemlockstand/sheet/reader.py
@@ -117,8 +117,11 @@
 
 
 def _trim(cell: str) -> str:
-    """Trim white space, including the no-break spaces of spreadsheets."""
-    return cell.strip()
+    """Reduce white space to single spaces.
+
+    Spreadsheets add no-break spaces, and wrapped cells contain line breaks.
+    """
+    return " ".join(cell.split())
 
 
 def _check_header(columns: list[str], line: int, file: str) -> Iterator[Problem]:
--- a/test/operators.py
+++ b/test/operator_fakes.py
@@ -111,8 +111,7 @@
 
     async def history(self, limit: int) -> list[CommittedChange]:
         newest = (await self.store.read_head()).version
-        changes = await self.store.read_changes(max(0, newest - limit), limit)
-        return changes[::-1]
+        return await self.store.read_changes(max(0, newest - limit), limit)
 
 
 class FakePeers(PeersService):
