--- a/hemlockstand/platform/service.py
+++ b/hemlockstand/platform/service.py
@@ -18,7 +18,7 @@
     that interval see each new list at once.
     """
 
-    _instances: Instances
+    source: Instances
     _seconds: float
     _read_at: float = -float("inf")
     _records: list[InstanceRecord] = field(factory=list)
@@ -29,7 +29,7 @@
         async with self._lock:
             now = trio.current_time()
             if now - self._read_at > self._seconds * SHARED_FRACTION:
-                self._records = await self._instances.list()
+                self._records = await self.source.list()
                 self._read_at = now
         return self._records
 
--- a/test/test_peers_service.py
+++ b/test/test_peers_service.py
@@ -63,7 +63,7 @@
     second = await fleet.add("entry-2", "dc2")
     fleet.cut_peers(second)
     third = await fleet.add("entry-3", "dc2")
-    third.platform.instances.records.append(
+    third.platform.instances.source.records.append(
         InstanceRecord(
             "entry-1",
             InstanceKind.ENTRY,
@@ -74,7 +74,7 @@
             InstanceState.LIVE,
         )
     )
-    third.platform.instances.down = False
+    third.platform.instances.source.down = False
     await wait_until(lambda: find_member(third, "entry-1").alive)
 
 
