--- /dev/null
+++ b/bench/maintenance.py
@@ -0,0 +1,244 @@
+"""Maintenance waves at today's and the target's sizes, with and without faults."""
+
+from collections.abc import Iterator
+from math import ceil
+from random import Random
+
+import trio
+from attrs import define, evolve, field
+
+from bench.figures import Figure
+from emulator.local_machines import LocalMachines
+from hemlockstand.errors import HemlockstandError, OutcomeUnknown, PlatformUnavailable
+from hemlockstand.maintenance.records import (
+    POOL_PREFIX,
+    WAVE_PREFIX,
+    Wave,
+    WaveState,
+    decode_pool,
+    decode_wave,
+    encode_wave,
+)
+from hemlockstand.maintenance.rounds import MaintenanceRounds
+from hemlockstand.maintenance.steps import InstanceSteps
+from hemlockstand.model import Pool, PoolKind
+from hemlockstand.platform.memory import MemoryTable
+
+SIX_WEEKS_SECONDS = 6 * 7 * 86_400
+REBOOT_SECONDS = 300.0  # drain and reboot of one instance
+STEP_SECONDS = 1.0  # the shipped interval between maintenance steps
+TARGET_POOLS = 239
+TARGET_INSTANCES = 5600
+
+
+@define
+class SlowMachines(LocalMachines):
+    """Machines whose reboot takes ``REBOOT_SECONDS`` of the given clock."""
+
+    clock: object = None
+    ready_at: dict[str, float] = field(factory=dict)
+
+    async def reboot(self, instance: str) -> None:
+        """Reboot; the boot count grows when the time is over."""
+        if instance not in self.ready_at:
+            self.ready_at[instance] = self.clock() + REBOOT_SECONDS
+            self._set(instance, phase="rebooting")
+
+    async def health(self, instance: str):
+        """Return the state, after any reboot that has ended by now."""
+        ready = self.ready_at.get(instance)
+        if ready is not None and self.clock() >= ready:
+            del self.ready_at[instance]
+            await LocalMachines.reboot(self, instance)
+        return await LocalMachines.health(self, instance)
+
+
+@define
+class Scenario:
+    """Pools on in-memory stand-ins with a clock of their own."""
+
+    pools: tuple[Pool, ...]
+    table: MemoryTable = field(factory=MemoryTable)
+    now: float = 1000.0
+    violations: int = 0
+    machines: SlowMachines = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        names = {
+            f"{pool.name}-{index:03}": pool.name
+            for pool in self.pools
+            for index in range(pool.size)
+        }
+        self.machines = SlowMachines(
+            names, observe=self._check_budgets, clock=lambda: self.now
+        )
+
+    def make_rounds(self) -> MaintenanceRounds:
+        """Return the rounds of one daemon."""
+        steps = InstanceSteps(
+            self.table,
+            self.machines,
+            lambda: self.now,
+            health_wait_seconds=2 * REBOOT_SECONDS,
+            max_bad=3,
+        )
+        return MaintenanceRounds(steps, self.machines.list_records)
+
+    def _check_budgets(self) -> None:
+        for pool in self.pools:
+            row = self.table.rows.get(POOL_PREFIX + pool.name)
+            if row is None:
+                continue
+            members = decode_pool(pool.name, row).members
+            out = sum(not self.machines.is_serving(name) for name in members)
+            self.violations += out > pool.budget
+
+    async def adopt(self, rounds: MaintenanceRounds) -> None:
+        """Let the pools take their instances in."""
+        for pool in self.pools:
+            while len((await rounds.step_pool(pool, [])).members) < pool.size:
+                pass
+
+    async def start_wave(self) -> Wave:
+        """Start a wave over all pools."""
+        wave = Wave("w", tuple(pool.name for pool in self.pools), self.now)
+        await self.table.transact([encode_wave(wave)])
+        return wave
+
+    async def read_wave(self) -> Wave:
+        """Return the wave."""
+        return decode_wave(await self.table.read(WAVE_PREFIX + "w"))
+
+
+def make_pools(count: int, size: int, budget: int) -> tuple[Pool, ...]:
+    """Return pools of workers."""
+    return tuple(
+        Pool(f"p{index}", PoolKind.WORKERS, ("dc0", "dc1"), size, budget)
+        for index in range(count)
+    )
+
+
+async def measure_rollout(name: str, pools: tuple[Pool, ...]) -> list[Figure]:
+    """Roll a wave without faults and compare with the shortest possible time.
+
+    The bound keeps the whole budget busy: instances over budget, rounded up,
+    times the reboot time.
+    """
+    scenario = Scenario(pools)
+    rounds = scenario.make_rounds()
+    await scenario.adopt(rounds)
+    wave = await scenario.start_wave()
+    started, writes = scenario.now, scenario.table.writes
+    reads = scenario.table.reads
+    left = len(scenario.machines.pools)
+    while left > 0 and scenario.now - started < 500 * REBOOT_SECONDS:
+        for pool in pools:
+            await rounds.step_pool(pool, [wave])
+        scenario.now += STEP_SECONDS * 10
+        left = len(scenario.machines.pools) - len(set(scenario.machines.reboots))
+    seconds = scenario.now - started + REBOOT_SECONDS
+    bound = max(ceil(pool.size / pool.budget) for pool in pools) * REBOOT_SECONDS
+    instances = len(scenario.machines.pools)
+    naive = max(pool.size for pool in pools) * REBOOT_SECONDS
+    return [
+        Figure(f"rollout_time_vs_bound_{name}", seconds / bound, "ratio", 1.25),
+        Figure(f"rollout_time_vs_naive_{name}", seconds / naive, "ratio"),
+        Figure(
+            f"rollout_writes_per_instance_{name}",
+            (scenario.table.writes - writes) / instances,
+            "writes",
+        ),
+        Figure(
+            f"rollout_reads_per_step_{name}",
+            (scenario.table.reads - reads)
+            / max(1, len(pools) * (scenario.now - started) / (STEP_SECONDS * 10)),
+            "reads",
+        ),
+        Figure(f"rollout_violations_{name}", scenario.violations, "violations", 0),
+    ]
+
+
+async def measure_faults(seed: int = 7) -> list[Figure]:
+    """Roll a wave with two daemons, outages, lost replies and moves."""
+    random = Random(seed)
+    pools = make_pools(4, 8, 2)
+    scenario = Scenario(pools)
+    daemons = [scenario.make_rounds(), scenario.make_rounds()]
+    await scenario.adopt(daemons[0])
+    await scenario.start_wave()
+    doubled = 0
+    for _ in range(3000):
+        match random.randrange(12):
+            case 0:
+                scenario.table.fail_next(PlatformUnavailable("table is down"))
+            case 1:
+                scenario.table.fail_next(OutcomeUnknown("reply lost"), applied=True)
+            case 2:
+                await _try_move(scenario, daemons[0], random)
+            case _:
+                pass
+        for daemon in random.sample(daemons, random.randint(1, 2)):
+            await _step_quietly(scenario, daemon)
+        doubled += _count_misplaced(scenario)
+        scenario.now += random.choice((1.0, 10.0, 60.0))
+    wave = await scenario.read_wave()
+    missed = len(scenario.machines.pools) - len(set(scenario.machines.reboots))
+    return [
+        Figure("budget_violations", scenario.violations, "violations", 0),
+        Figure("instances_not_in_one_pool", doubled, "instances", 0),
+        Figure("wave_missed_under_faults", missed, "instances", 0),
+        Figure("wave_halted_wrongly", wave.state is WaveState.HALTED, "waves", 0),
+    ]
+
+
+async def _step_quietly(scenario: Scenario, daemon: MaintenanceRounds) -> None:
+    try:
+        wave = await scenario.read_wave()
+        for pool in scenario.pools:
+            await daemon.step_pool(pool, [wave])
+    except HemlockstandError:
+        pass
+
+
+async def _try_move(
+    scenario: Scenario, daemon: MaintenanceRounds, random: Random
+) -> None:
+    name = random.choice(tuple(scenario.machines.pools))
+    target = random.choice(scenario.pools).name
+    try:
+        await daemon.steps.move(name, target, scenario.machines.list_records())
+    except HemlockstandError:
+        pass
+
+
+def _count_misplaced(scenario: Scenario) -> int:
+    homes: dict[str, int] = {}
+    for pool in scenario.pools:
+        state = decode_pool(pool.name, scenario.table.rows[POOL_PREFIX + pool.name])
+        for name in (*state.members, *state.joining):
+            homes[name] = homes.get(name, 0) + 1
+    return sum(homes.get(name, 0) != 1 for name in scenario.machines.pools)
+
+
+def compute_six_weeks(seconds_vs_bound: float) -> Figure:
+    """Return how long all instances of the target take with budgets of one."""
+    size = ceil(TARGET_INSTANCES / TARGET_POOLS)
+    seconds = size * REBOOT_SECONDS * seconds_vs_bound
+    return Figure(
+        "maintain_all_vs_six_weeks", seconds / SIX_WEEKS_SECONDS, "ratio", 1.0
+    )
+
+
+async def _collect() -> list[Figure]:
+    today = make_pools(5, 8, 2)
+    target = make_pools(TARGET_POOLS, ceil(TARGET_INSTANCES / TARGET_POOLS), 3)
+    figures = await measure_rollout("today", today)
+    figures += await measure_rollout("target", target)
+    figures.append(compute_six_weeks(figures[0].value))
+    return figures + await measure_faults()
+
+
+def measure_figures() -> Iterator[Figure]:
+    """Yield the figures of maintenance."""
+    for figure in trio.run(_collect):
+        yield evolve(figure, value=float(figure.value))
