Import all service modules in hemlockd

Before: missing modules were left out with a warning.

Conclusion: hemlockd starts every service or ends with the reason.

--- a/hemlockstand/daemon.py
+++ b/hemlockstand/daemon.py
@@ -6,7 +6,6 @@
 import signal
 import sys
 from importlib import import_module
-from importlib.util import find_spec
 
 import trio
 from absl import app, flags
@@ -45,19 +44,9 @@
 
 
 def load_services() -> None:
-    """Import the modules that register services.
-
-    Modules that are not merged yet, or need one that is not, are left out.
-    """
+    """Import the modules that register services."""
     for module in SERVICE_MODULES:
-        if find_spec(module) is None:
-            continue
-        try:
-            import_module(module)
-        except ModuleNotFoundError as error:
-            if not (error.name or "").startswith("hemlockstand."):
-                raise
-            log.warning("{} is left out: {}", module, error)
+        import_module(module)
 
 
 async def serve(settings: Settings) -> None:
