Answer instance, job and wave verbs; add the pages

The interface now calls their methods and answers not_available where a daemon does not run them. docs/settings.md is made by `make docs`; tests compare the pages with the code.

Stop with an idle keep-alive connection took the whole grace time, 5.005 s in a trial, because Quart cancels its request while Hypercorn starts the idle timer in the last send.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 
 proto: setup
 	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. hemlockstand/peers/peer.proto
+
+docs: setup
+	$(PYTHON) -m hemlockstand.ctl.settings_page docs/settings.md
--- a/hemlockstand/ctl/fleet.py
+++ b/hemlockstand/ctl/fleet.py
@@ -7,33 +7,34 @@
 from hemlockstand.ctl.exits import ExitCode
 from hemlockstand.ctl.waiting import wait_if_asked
 from hemlockstand.errors import NotFound
-from hemlockstand.operators.client import Refused
-from hemlockstand.operators.messages import NotAvailable
+from hemlockstand.operators.client import Effect
 
 Run = Callable[[Context], Awaitable[ExitCode]]
 
 
-def make_list(path: str, group: str, columns: Sequence[str]) -> Run:
+def make_list(noun: str, columns: Sequence[str]) -> Run:
     """Return a verb that shows the objects of a list as a table."""
 
     async def show(context: Context) -> ExitCode:
-        result = await context.client.get(path)
-        rows = [[_show(entry[name]) for name in columns] for entry in result[group]]
+        result = await context.client.get(f"{noun}/list")
+        rows = [
+            [_show(entry[name]) for name in columns] for entry in result[f"{noun}s"]
+        ]
         context.show(result, format_table(columns, rows))
         return ExitCode.OK
 
     return show
 
 
-def make_show(path: str, group: str) -> Run:
+def make_show(noun: str) -> Run:
     """Return a verb that shows one object of a list with all its fields."""
 
     async def show(context: Context) -> ExitCode:
         name = context.arguments[0]
-        result = await context.client.get(path)
-        found = [entry for entry in result[group] if entry["name"] == name]
+        result = await context.client.get(f"{noun}/list")
+        found = [entry for entry in result[f"{noun}s"] if entry["name"] == name]
         if not found:
-            raise NotFound(f"{group[:-1]} {name!r} does not exist")
+            raise NotFound(f"{noun} {name!r} does not exist")
         lines = [f"{field}: {_show(value)}" for field, value in found[0].items()]
         context.show(found[0], lines)
         return ExitCode.OK
@@ -41,24 +42,6 @@
     return show
 
 
-async def show_job(context: Context) -> ExitCode:
-    """Show a job, and its runs if the daemon has them."""
-    name = context.arguments[0]
-    listed = await context.client.get("job/list")
-    found = [entry for entry in listed["jobs"] if entry["name"] == name]
-    if not found:
-        raise NotFound(f"job {name!r} does not exist")
-    try:
-        runs = await context.client.get("job/runs", job=name)
-    except Refused as error:
-        if error.code != NotAvailable.code:
-            raise
-        runs = {"runs": "not available"}
-    result = {**found[0], **runs}
-    context.show(result, _describe(result))
-    return ExitCode.OK
-
-
 async def drain(context: Context) -> ExitCode:
     """Take an instance out of service."""
     instance = context.arguments[0]
@@ -84,7 +67,10 @@
     if not context.flags.to:
         raise UsageError("--to is needed")
     result = await context.client.post(
-        "instance/move", instance=context.arguments[0], pool=context.flags.to
+        "instance/move",
+        effect=Effect.ACTION,
+        instance=context.arguments[0],
+        pool=context.flags.to,
     )
     context.show(result, _describe(result))
     return ExitCode.OK
@@ -92,34 +78,79 @@
 
 async def cancel_job(context: Context) -> ExitCode:
     """Cancel the runs of a job."""
-    result = await context.client.post("job/cancel", job=context.arguments[0])
+    result = await context.client.post(
+        "job/cancel", effect=Effect.ACTION, job=context.arguments[0]
+    )
     context.show(result, _describe(result))
     return ExitCode.OK
 
 
-async def plan_wave(context: Context) -> ExitCode:
-    """Plan a wave over pools."""
-    result = await context.client.post("wave/plan", pool=context.flags.pool)
+async def unpark_job(context: Context) -> ExitCode:
+    """Return a parked job to placement."""
+    result = await context.client.post(
+        "job/unpark", effect=Effect.ACTION, job=context.arguments[0]
+    )
     context.show(result, _describe(result))
     return ExitCode.OK
 
 
-def make_wave_step(verb: str) -> Run:
-    """Return a verb that changes one wave."""
-
-    async def step(context: Context) -> ExitCode:
-        result = await context.client.post(f"wave/{verb}", wave=context.arguments[0])
-        context.show(result, _describe(result))
+async def show_instances(context: Context) -> ExitCode:
+    """Show all instances, or one with its phase."""
+    instance = context.arguments[0] if context.arguments else None
+    result = await context.client.get("instance/status", instance=instance)
+    if instance and result["instances"]:
+        context.show(result, _describe(result["instances"][0]))
         return ExitCode.OK
+    rows = [
+        [_show(entry[name]) for name in INSTANCE_COLUMNS]
+        for entry in result["instances"]
+    ]
+    lines = format_table(INSTANCE_COLUMNS, rows)
+    for entry in result["drains"]:
+        lines.append(f"drained: {entry['instance']}: {entry['reason']}")
+    context.show(result, lines)
+    return ExitCode.OK
+
+
+async def plan_wave(context: Context) -> ExitCode:
+    """Show the least number of rounds of a wave over pools."""
+    result = await context.client.get("wave/plan", pools=context.flags.pool)
+    rows = [[_show(value) for value in entry.values()] for entry in result["pools"]]
+    header = ("pool", "members", "budget", "rounds")
+    context.show(result, format_table(header, rows))
+    return ExitCode.OK
+
+
+async def start_wave(context: Context) -> ExitCode:
+    """Start a wave over pools, or resume it."""
+    result = await context.client.post(
+        "wave/start",
+        effect=Effect.ACTION,
+        wave=context.arguments[0],
+        pools=context.flags.pool,
+    )
+    context.show(result, _describe(result))
+    return ExitCode.OK
 
-    return step
+
+async def pause_wave(context: Context) -> ExitCode:
+    """Pause a wave."""
+    result = await context.client.post(
+        "wave/pause", effect=Effect.ACTION, wave=context.arguments[0]
+    )
+    context.show(result, _describe(result))
+    return ExitCode.OK
 
 
 async def show_waves(context: Context) -> ExitCode:
     """Show the waves or one of them."""
     wave = context.arguments[0] if context.arguments else None
     result = await context.client.get("wave/status", wave=wave)
-    context.show(result, _describe(result))
+    if wave:
+        context.show(result, _describe(result["waves"][0]))
+        return ExitCode.OK
+    rows = [[_show(entry[name]) for name in WAVE_COLUMNS] for entry in result["waves"]]
+    context.show(result, format_table(WAVE_COLUMNS, rows))
     return ExitCode.OK
 
 
@@ -144,35 +175,17 @@
 TEAM_COLUMNS = ("name", "house", "share", "share_part", "request_limit", "job_limit")
 POOL_COLUMNS = ("name", "kind", "data_centres", "size", "budget")
 QUEUE_COLUMNS = ("name", "team", "access", "idempotent", "priority", "pool")
-JOB_COLUMNS = ("name", "team", "pool", "schedule", "last_day", "wanted")
+INSTANCE_COLUMNS = ("name", "kind", "data_centre", "listed", "pool", "disruption")
+WAVE_COLUMNS = ("id", "state", "pools", "reason")
+JOB_COLUMNS = ("name", "team", "pool", "schedule", "last_day", "state")
 
 FLEET_COMMANDS = (
-    Command(
-        ("team", "list"),
-        "List the teams.",
-        make_list("team/list", "teams", TEAM_COLUMNS),
-    ),
-    Command(
-        ("team", "show"), "Show a team.", make_show("team/list", "teams"), ("NAME",)
-    ),
-    Command(
-        ("pool", "list"),
-        "List the pools.",
-        make_list("pool/list", "pools", POOL_COLUMNS),
-    ),
-    Command(
-        ("pool", "show"), "Show a pool.", make_show("pool/list", "pools"), ("NAME",)
-    ),
-    Command(
-        ("queue", "list"),
-        "List the queues.",
-        make_list("queue/list", "queues", QUEUE_COLUMNS),
-    ),
-    Command(
-        ("instance", "status"),
-        "List the drained instances.",
-        make_list("instance/status", "drains", ("instance", "reason")),
-    ),
+    Command(("team", "list"), "List the teams.", make_list("team", TEAM_COLUMNS)),
+    Command(("team", "show"), "Show a team.", make_show("team"), ("NAME",)),
+    Command(("pool", "list"), "List the pools.", make_list("pool", POOL_COLUMNS)),
+    Command(("pool", "show"), "Show a pool.", make_show("pool"), ("NAME",)),
+    Command(("queue", "list"), "List the queues.", make_list("queue", QUEUE_COLUMNS)),
+    Command(("instance", "status"), "Show the instances.", show_instances, (), ("ID",)),
     Command(
         ("instance", "drain"),
         "Take an instance out of service. Needs --reason.",
@@ -182,16 +195,18 @@
     Command(
         ("instance", "undrain"), "Return an instance to service.", undrain, ("ID",)
     ),
-    Command(("instance", "move"), "Move an instance. Needs --to.", move, ("ID",)),
-    Command(
-        ("job", "list"), "List the jobs.", make_list("job/list", "jobs", JOB_COLUMNS)
-    ),
-    Command(("job", "show"), "Show a job.", show_job, ("NAME",)),
+    Command(("instance", "move"), "Move an instance to the pool --to.", move, ("ID",)),
+    Command(("job", "list"), "List the jobs.", make_list("job", JOB_COLUMNS)),
+    Command(("job", "show"), "Show a job.", make_show("job"), ("NAME",)),
     Command(("job", "cancel"), "Cancel the runs of a job.", cancel_job, ("NAME",)),
-    Command(("wave", "plan"), "Plan a wave; --pool for one pool.", plan_wave),
+    Command(("job", "unpark"), "Return a parked job.", unpark_job, ("NAME",)),
+    Command(("wave", "plan"), "Show the rounds of a wave over --pool.", plan_wave),
     Command(
-        ("wave", "start"), "Start or resume a wave.", make_wave_step("start"), ("ID",)
+        ("wave", "start"),
+        "Start a wave over --pool, or resume it.",
+        start_wave,
+        ("NAME",),
     ),
-    Command(("wave", "pause"), "Pause a wave.", make_wave_step("pause"), ("ID",)),
-    Command(("wave", "status"), "Show the waves.", show_waves, (), ("ID",)),
+    Command(("wave", "pause"), "Pause a wave.", pause_wave, ("NAME",)),
+    Command(("wave", "status"), "Show the waves.", show_waves, (), ("NAME",)),
 )
--- a/hemlockstand/ctl/main.py
+++ b/hemlockstand/ctl/main.py
@@ -18,7 +18,11 @@
 from hemlockstand.ctl.keys import KEY_COMMANDS
 from hemlockstand.ctl.sheet import SHEET_COMMANDS
 from hemlockstand.errors import HemlockstandError
-from hemlockstand.operators.client import DEFAULT_TIMEOUT_SECONDS, OperatorClient
+from hemlockstand.operators.client import (
+    DEFAULT_TIMEOUT_SECONDS,
+    OperatorClient,
+    Refused,
+)
 
 TOKEN_VARIABLE = "HEMLOCKCTL_TOKEN"
 SERVER_VARIABLE = "HEMLOCKCTL_SERVER"
@@ -41,7 +45,7 @@
     """Run one command line and return its exit code."""
     values = define_flags()
     try:
-        words = values(["hemlockctl", *map(_normalise, arguments)])[1:]
+        words = values(["hemlockctl", *map(normalise_flag, arguments)])[1:]
         if values.help or not words:
             print(describe_usage(values), file=out if values.help else err)
             return ExitCode.OK if values.help else ExitCode.USAGE
@@ -51,7 +55,14 @@
         return ExitCode.USAGE
     except HemlockstandError as error:
         _report(error, values, out, err)
-        return EXIT_BY_ERROR.get(error.code, ExitCode.FAILED)
+        return choose_exit(error)
+
+
+def choose_exit(error: HemlockstandError) -> ExitCode:
+    """Return the exit code; refusals with other codes are ``REFUSED``."""
+    refused = isinstance(error, Refused) and error.status < 500
+    default = ExitCode.REFUSED if refused else ExitCode.FAILED
+    return EXIT_BY_ERROR.get(error.code, default)
 
 
 def define_flags() -> flags.FlagValues:
@@ -73,7 +84,7 @@
     define_text("team", None, "Team of a key.")
     define_text("reason", None, "Why an instance is drained.")
     define_text("to", None, "Pool that an instance moves to.")
-    define_text("pool", None, "Only this pool.")
+    define_text("pool", None, "Pools of a wave, separated by commas.")
     define_number("version", None, "Version a sheet was planned on, or to wait for.")
     define_number("confirm_drops", None, "Number of drops that are meant.")
     define_number("wait", None, "Seconds to wait until all daemons are current.")
@@ -84,7 +95,7 @@
     return values
 
 
-def _normalise(argument: str) -> str:
+def normalise_flag(argument: str) -> str:
     """Accept ``--confirm-drops`` for the flag that absl calls confirm_drops."""
     name, equals, value = argument.partition("=")
     if not name.startswith("--"):
--- /dev/null
+++ b/hemlockstand/ctl/settings_page.py
@@ -0,0 +1,84 @@
+"""Writes ``docs/settings.md`` from the settings classes and the defaults.
+
+``make docs`` runs it; a test compares the committed page with its output.
+"""
+
+import sys
+from collections.abc import Iterator
+from configparser import ConfigParser
+from pathlib import Path
+from typing import Any, get_type_hints
+
+import attrs
+
+from hemlockstand.settings import DEFAULTS_FILE, Settings
+
+TYPE_NAMES = {bool: "yes or no", int: "whole number", float: "number", str: "text"}
+
+INTRODUCTION = """# Settings
+
+This page is made by `make docs` from `hemlockstand/settings.py` and
+`hemlockstand/defaults.ini`; edit those instead.
+
+`hemlockd --settings FILE.ini` reads an INI file on top of the shipped defaults. Keys
+without a default have to be in the file. All problems are reported together, with file,
+section, key and value, before anything starts; the exit code is then 2.
+"""
+
+
+def write_page() -> str:
+    """Return the text of the page."""
+    defaults = ConfigParser(interpolation=None)
+    defaults.read_string(DEFAULTS_FILE.read_text(encoding="utf-8"))
+    parts = [INTRODUCTION]
+    for section, kind in get_type_hints(Settings).items():
+        parts.append("\n".join(_write_section(section, kind, defaults)))
+    return "\n".join(parts)
+
+
+def _write_section(section: str, kind: type, defaults: ConfigParser) -> Iterator[str]:
+    yield f"## [{section}]"
+    yield ""
+    yield (kind.__doc__ or "").strip()
+    yield ""
+    yield "| key | meaning | values | default |"
+    yield "|---|---|---|---|"
+    hints = get_type_hints(kind)
+    for attribute in attrs.fields(kind):
+        default = defaults.get(section, attribute.name, fallback=None)
+        cells = (
+            f"`{attribute.name}`",
+            attribute.metadata["doc"],
+            _describe_values(attribute, hints[attribute.name]),
+            _describe_default(default),
+        )
+        yield f"| {' | '.join(cell.replace('|', '/') for cell in cells)} |"
+    yield ""
+
+
+def _describe_values(attribute: attrs.Attribute, hint: Any) -> str:
+    choices = attribute.metadata["choices"]
+    if choices:
+        return ", ".join(f"`{choice}`" for choice in choices)
+    name = TYPE_NAMES.get(hint, "names separated by commas")
+    minimum = attribute.metadata["minimum"]
+    if minimum is not None:
+        name += f", {minimum} to {attribute.metadata['maximum']}"
+    if attribute.metadata["secret"]:
+        name += ", 16 characters or more, never shown"
+    return name
+
+
+def _describe_default(default: str | None) -> str:
+    if default is None:
+        return "none, needed"
+    return f"`{default}`" if default else "empty"
+
+
+def main() -> None:
+    """Write the page to the path that is given."""
+    Path(sys.argv[1]).write_text(write_page(), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/hemlockstand/ctl/sheet.py
+++ b/hemlockstand/ctl/sheet.py
@@ -7,11 +7,23 @@
 from hemlockstand.ctl.commands import Command, Context, UsageError
 from hemlockstand.ctl.exits import ExitCode
 from hemlockstand.ctl.waiting import wait_if_asked
-from hemlockstand.operators.client import Refused
+from hemlockstand.errors import HemlockstandError
+from hemlockstand.operators.client import Effect
 from hemlockstand.sheet.checks import check_sheet
 from hemlockstand.sheet.problems import SheetError
 from hemlockstand.sheet.reader import MAX_SHEET_BYTES
 
+
+class InvalidSheet(HemlockstandError):
+    """A sheet was checked here and has problems."""
+
+    code = SheetError.code
+
+    def __init__(self, message: str, problems: list[Any]) -> None:
+        super().__init__(message)
+        self.problems = problems
+
+
 MARKS = {"add": "+", "change": "~", "drop": "-"}
 
 
@@ -22,7 +34,7 @@
         sheet = check_sheet(_read(file), file, _read_day(context.flags.day))
     except SheetError as error:
         detail = f"the sheet has {len(error.problems)} problems"
-        raise Refused(error.code, detail, error.to_json()) from None
+        raise InvalidSheet(detail, error.to_json()) from None
     result = {
         "day": sheet.day.isoformat(),
         "teams": len(sheet.teams),
@@ -41,7 +53,7 @@
     result = await context.client.post(
         "sheet/plan",
         content=_read(file),
-        commits=False,
+        effect=Effect.NONE,
         file=file,
         day=context.flags.day,
     )
--- a/hemlockstand/operators/client.py
+++ b/hemlockstand/operators/client.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Mapping
+from enum import Enum
 from types import TracebackType
 from typing import Any
 from urllib.parse import quote
@@ -23,6 +24,18 @@
 LOOK_UP_CHANGES = 200
 
 
+class Effect(Enum):
+    """What a call may have done when its reply is lost.
+
+    A commit can be found in the history; an action only in the state of what
+    it acts on.
+    """
+
+    NONE = "none"
+    COMMIT = "commit"
+    ACTION = "action"
+
+
 class DaemonUnreachable(PlatformUnavailable):
     """No connection to the daemon; nothing was applied."""
 
@@ -30,11 +43,17 @@
 
 
 class Refused(HemlockstandError):
-    """The daemon refused the call; ``problems`` are those of a sheet."""
+    """The daemon refused the call with an HTTP status.
 
-    def __init__(self, code: str, message: str, problems: list[Any]) -> None:
+    ``problems`` are those of a sheet.
+    """
+
+    def __init__(
+        self, code: str, message: str, problems: list[Any], status: int
+    ) -> None:
         super().__init__(message, code)
         self.problems = problems
+        self.status = status
 
 
 class OperatorClient:
@@ -85,14 +104,13 @@
         self,
         path: str,
         content: bytes | None = None,
-        commits: bool = True,
+        effect: Effect = Effect.COMMIT,
         **arguments: Any,
     ) -> dict[str, Any]:
         """Send a change to ``/o/PATH``, with a sheet's bytes if given.
 
-        ``commits`` tells whether the call changes anything. Raises
-        ``OutcomeUnknown`` if the reply to such a call was lost and the change
-        is not in the history.
+        Raises ``OutcomeUnknown`` if the reply to a call with an effect was
+        lost, unless the history has its change.
         """
         change_id = uuid4().hex
         headers = {CHANGE_ID_HEADER: change_id}
@@ -111,9 +129,16 @@
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise DaemonUnreachable(self._describe(error)) from None
         except (httpx.HTTPError, OutcomeUnknown) as error:
-            if not commits:
-                raise DaemonUnreachable(self._describe(error)) from None
-            return await self._look_up(change_id, error)
+            match effect:
+                case Effect.COMMIT:
+                    return await self._look_up(change_id, error)
+                case Effect.ACTION:
+                    raise OutcomeUnknown(
+                        f"{self._describe(error)}; the daemon may have done it: "
+                        "look at the status before repeating"
+                    ) from None
+                case Effect.NONE:
+                    raise DaemonUnreachable(self._describe(error)) from None
 
     async def _look_up(self, change_id: str, cause: Exception) -> dict[str, Any]:
         """Return the version of the change if the history has it."""
@@ -163,4 +188,4 @@
     detail = str(body.get("detail", f"status {response.status_code}"))
     if code == OutcomeUnknown.code:
         raise OutcomeUnknown(detail)
-    raise Refused(code, detail, body.get("problems", []))
+    raise Refused(code, detail, body.get("problems", []), response.status_code)
--- /dev/null
+++ b/hemlockstand/operators/fleet.py
@@ -0,0 +1,195 @@
+"""Instances, jobs and waves, answered with the services that own them."""
+
+from collections.abc import Mapping
+from math import ceil
+from typing import Any
+
+from hemlockstand.errors import InvalidInput, KernelError, NotFound, PlatformUnavailable
+from hemlockstand.jobs.service import JobsService
+from hemlockstand.kernel import Kernel, ServiceType
+from hemlockstand.maintenance.records import Wave, WaveState
+from hemlockstand.maintenance.service import MaintenanceService
+from hemlockstand.model import PoolKind
+from hemlockstand.operators.messages import NotAvailable, OperatorRequest, to_json
+from hemlockstand.operators.reports import ReportOperations
+from hemlockstand.platform.interface import InstanceKind, InstanceRecord
+
+POOL_KINDS = {
+    InstanceKind.EXECUTOR: PoolKind.EXECUTORS,
+    InstanceKind.WORKER: PoolKind.WORKERS,
+}
+
+
+class FleetOperations:
+    """The verbs of ``instance``, ``job`` and ``wave``.
+
+    Each raises ``NotAvailable`` if the daemon does not run the service.
+    """
+
+    def __init__(self, kernel: Kernel, reports: ReportOperations) -> None:
+        self._kernel = kernel
+        self._reports = reports
+
+    async def show_instances(self, request: OperatorRequest) -> dict[str, Any]:
+        """Return all instances, or one with the phase of its row."""
+        drains = await self._reports.list_drains(request)
+        try:
+            maintenance = self._find("maintenance", MaintenanceService)
+        except NotAvailable:
+            return drains | {"instances": []}
+        wanted = request.arguments.get("instance")
+        pools = {
+            name: pool
+            for pool in maintenance.pools.values()
+            for name in (*pool.members, *pool.joining)
+        }
+        reasons = {entry["instance"]: entry["reason"] for entry in drains["drains"]}
+        shown = []
+        for name, record in sorted(maintenance.records.items()):
+            if record.kind is InstanceKind.ENTRY or wanted not in (None, "", name):
+                continue
+            pool = pools.get(name)
+            shown.append(
+                {
+                    "name": name,
+                    "kind": record.kind.value,
+                    "data_centre": record.data_centre,
+                    "rack": record.rack,
+                    "listed": record.state.value,
+                    "pool": pool.name if pool else None,
+                    "disruption": pool.disruptions.get(name) if pool else None,
+                    "drain": reasons.get(name),
+                }
+            )
+        if wanted and not shown:
+            raise NotFound(f"instance {wanted!r} is not in the platform's list")
+        if wanted:
+            shown[0] |= await self._read_phase(maintenance, wanted)
+        return drains | {"instances": shown}
+
+    async def _read_phase(
+        self, maintenance: MaintenanceService, instance: str
+    ) -> dict[str, Any]:
+        try:
+            state = await maintenance.steps.read_instance(instance)
+        except NotFound:
+            return {"phase": None}
+        return {
+            "phase": state.phase.value,
+            "target": state.target or None,
+            "wave": state.wave or None,
+            "maintained_at": state.maintained_at or None,
+        }
+
+    async def move_instance(self, request: OperatorRequest) -> dict[str, Any]:
+        """Begin to move an instance to another pool."""
+        maintenance = self._find("maintenance", MaintenanceService)
+        name, target = request.get_text("instance"), request.get_text("pool")
+        pool = maintenance.configuration.current.pools.get(target)
+        if pool is None:
+            raise NotFound(f"pool {target!r} does not exist")
+        record = maintenance.records.get(name)
+        if record is None:
+            raise NotFound(f"instance {name!r} is not in the platform's list")
+        _check_kind(record, pool.kind, target)
+        await maintenance.steps.move(name, target, maintenance.records)
+        return {"instance": name, "pool": target, "state": "draining"}
+
+    async def list_jobs(self, request: OperatorRequest) -> dict[str, Any]:
+        """Return the jobs in force, with their state where it can be read."""
+        listed = await self._reports.list_jobs(request)
+        try:
+            statuses = await self._find("jobs", JobsService).list_jobs()
+        except (NotAvailable, PlatformUnavailable) as error:
+            unknown = {"state": "unknown", "detail": str(error)}
+            return listed | {"jobs": [job | unknown for job in listed["jobs"]]}
+        known = {status.name: to_json(status) for status in statuses}
+        return listed | {
+            "jobs": [job | known.get(job["name"], {}) for job in listed["jobs"]]
+        }
+
+    async def cancel_job(self, request: OperatorRequest) -> dict[str, Any]:
+        """Cancel the running and due runs of a job."""
+        job = request.get_text("job")
+        cancelled = await self._find("jobs", JobsService).cancel(job)
+        return {"job": job, "cancelled": cancelled}
+
+    async def unpark_job(self, request: OperatorRequest) -> dict[str, Any]:
+        """Return a parked job to placement."""
+        job = request.get_text("job")
+        await self._find("jobs", JobsService).unpark(job)
+        return {"job": job, "state": "wanted"}
+
+    async def plan_wave(self, request: OperatorRequest) -> dict[str, Any]:
+        """Return how many rounds a wave over the pools takes at least."""
+        maintenance = self._find("maintenance", MaintenanceService)
+        known = maintenance.configuration.current.pools
+        planned = []
+        for name in _read_pools(request) or sorted(known):
+            if name not in known:
+                raise NotFound(f"pool {name!r} does not exist")
+            budget = known[name].budget
+            members = len(maintenance.members(name))
+            planned.append(
+                {
+                    "pool": name,
+                    "members": members,
+                    "budget": budget,
+                    "rounds": ceil(members / budget) if budget else None,
+                }
+            )
+        return {"pools": planned}
+
+    async def start_wave(self, request: OperatorRequest) -> dict[str, Any]:
+        """Start a wave over pools, or resume one if no pools are given."""
+        maintenance = self._find("maintenance", MaintenanceService)
+        name = request.get_text("wave")
+        pools = _read_pools(request)
+        if pools:
+            return _describe_wave(await maintenance.start_wave(name, pools))
+        resumed = await maintenance.set_wave_state(name, WaveState.RUNNING)
+        return _describe_wave(resumed)
+
+    async def pause_wave(self, request: OperatorRequest) -> dict[str, Any]:
+        """Pause a wave; instances under way are finished."""
+        maintenance = self._find("maintenance", MaintenanceService)
+        name = request.get_text("wave")
+        return _describe_wave(await maintenance.set_wave_state(name, WaveState.PAUSED))
+
+    async def show_waves(self, request: OperatorRequest) -> dict[str, Any]:
+        """Return all waves, or one with what is left of it."""
+        maintenance = self._find("maintenance", MaintenanceService)
+        name = request.arguments.get("wave")
+        if not name:
+            waves = await maintenance.list_waves()
+            return {"waves": [_describe_wave(wave) for wave in waves]}
+        status = await maintenance.show_wave(name)
+        left = {"total": status.total, "left": status.left}
+        return {"waves": [_describe_wave(status.wave) | left]}
+
+    def _find(self, name: str, kind: type[ServiceType]) -> ServiceType:
+        try:
+            return self._kernel.find(name, kind)
+        except KernelError:
+            raise NotAvailable(
+                f"this daemon does not run the service {name!r}"
+            ) from None
+
+
+def _check_kind(record: InstanceRecord, kind: PoolKind, pool: str) -> None:
+    if POOL_KINDS.get(record.kind) is not kind:
+        raise InvalidInput(
+            f"instance {record.id!r} is of kind {record.kind.value}, pool {pool!r} "
+            f"has {kind.value}"
+        )
+
+
+def _read_pools(request: OperatorRequest) -> tuple[str, ...]:
+    pools = request.arguments.get("pools") or ""
+    if not isinstance(pools, str):
+        raise InvalidInput("argument 'pools' must be names separated by spaces")
+    return tuple(dict.fromkeys(pools.replace(",", " ").split()))
+
+
+def _describe_wave(wave: Wave) -> Mapping[str, Any]:
+    return to_json(wave)
--- a/hemlockstand/operators/interface.py
+++ b/hemlockstand/operators/interface.py
@@ -22,6 +22,7 @@
 from quart_trio import QuartTrio
 from werkzeug.exceptions import HTTPException
 
+from hemlockstand.asgi import shield_sends
 from hemlockstand.errors import HemlockstandError, InvalidInput
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.operators.messages import (
@@ -66,7 +67,7 @@
     """Serves the operator port."""
 
     name = "operators"
-    needs = ("platform", "configuration", "peers")
+    needs = ("platform", "configuration", "peers", "health")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -90,14 +91,16 @@
     async def run(self) -> None:
         """Serve until stopped."""
         config = Config()
-        # Hypercorn closes the descriptor it is given, so it gets a copy.
-        config.bind = [f"fd://{self._socket.dup().detach()}"]
         config.graceful_timeout = GRACE_SECONDS
         config.accesslog = None
         config.errorlog = None
         try:
+            if self._stopping.is_set():
+                return
+            # Hypercorn closes the descriptor it is given, so it gets a copy.
+            config.bind = [f"fd://{self._socket.dup().detach()}"]
             await serve(
-                make_app(self.kernel, self._operations),
+                shield_sends(make_app(self.kernel, self._operations)),
                 config,
                 shutdown_trigger=self._stopping.wait,
                 mode="asgi",
@@ -107,8 +110,9 @@
 
     async def stop(self) -> None:
         """Finish open calls and close the port."""
-        self._socket.close()
         self._stopping.set()
+        # The copy keeps the port open until open calls are answered.
+        self._socket.close()
         with trio.move_on_after(GRACE_SECONDS):
             await self._finished.wait()
 
@@ -225,7 +229,8 @@
             body = {"code": code, "detail": detail, "problems": error.to_json()}
             return _respond(STATUS_BY_CODE[code], body)
         case HemlockstandError(code=code, message=detail):
-            status = STATUS_BY_CODE.get(code, 500)
+            default = 400 if isinstance(error, InvalidInput) else 500
+            status = STATUS_BY_CODE.get(code, default)
             return _respond(status, {"code": code, "detail": detail})
         case HTTPException():
             status = error.code or 500
--- a/test/test_hemlockctl.py
+++ b/test/test_hemlockctl.py
@@ -138,6 +138,23 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_lost_reply_to_an_action(tmp_path):
+    """Guards against an action that is looked for in the history."""
+    async with run_daemon(tmp_path) as daemon, trio.open_nursery() as nursery:
+        server = await start_relay(nursery, daemon, lose_reads=False)
+        outcome = await control(
+            *("wave", "pause", "w1", "--server", server, "--token", TOKEN)
+        )
+        assert outcome.code == ExitCode.OUTCOME_UNKNOWN
+        assert "look at the status before repeating" in outcome.err
+        planned = await control(
+            *("sheet", "plan", write_sheet(tmp_path)),
+            *("--server", server, "--token", TOKEN),
+        )
+        assert planned.code == ExitCode.UNREACHABLE
+        nursery.cancel_scope.cancel()
+
+
 async def test_key_is_shown_although_the_wait_fails(tmp_path, monkeypatch):
     """Guards against a granted key that nobody has seen."""
     sheet = write_sheet(tmp_path)
--- /dev/null
+++ b/test/test_operators_fleet.py
@@ -0,0 +1,112 @@
+"""Verbs of instances, jobs and waves against the services that own them."""
+
+import json
+from contextlib import asynccontextmanager
+
+from hemlockstand.ctl.exits import ExitCode
+from hemlockstand.errors import PlatformUnavailable
+from hemlockstand.jobs.service import JobsService
+from hemlockstand.maintenance.service import MaintenanceService
+from hemlockstand.platform.memory import MemoryTable
+from test.fake_machines import FakeMachines
+from test.operator_fakes import SHEET, FakePlatform, run_daemon, write_sheet
+
+SPARE_ROW = "pool,spare,,,,workers,dc1,4,0,,,,,,,,,,,,\n"
+
+
+@asynccontextmanager
+async def run_fleet(directory):
+    """Run a daemon with four workers in the pool ``night``."""
+    machines = FakeMachines(dict.fromkeys(("w1", "w2", "w3", "w4"), "night"))
+    platform = FakePlatform(machines=machines)
+    platform.instances.workers = list(machines.list_records().values())
+    sheet = write_sheet(directory, SHEET + SPARE_ROW)
+    services = (MaintenanceService, JobsService)
+    async with run_daemon(directory, platform, services) as daemon:
+        applied = await daemon.control("sheet", "apply", sheet, "--version", "0")
+        assert applied.code == ExitCode.OK, applied
+        await step_pools(daemon)
+        yield daemon
+
+
+async def step_pools(daemon):
+    """Let the maintenance service adopt instances and take one step."""
+    maintenance = daemon.kernel.find("maintenance", MaintenanceService)
+    await maintenance._refresh()
+    for pool in daemon.configuration.current.pools.values():
+        state = await maintenance.rounds.step_pool(pool, [])
+        maintenance.pools[pool.name] = state
+
+
+async def read(daemon, *words):
+    """Return the JSON of a command that has to succeed."""
+    outcome = await daemon.control(*words, "--json")
+    assert outcome.code == ExitCode.OK, outcome
+    return json.loads(outcome.out)
+
+
+async def test_move_and_status(tmp_path):
+    """Guards against a move that is not seen, or is begun against its budget."""
+    async with run_fleet(tmp_path) as daemon:
+        listed = await daemon.control("instance", "status")
+        assert listed.out.splitlines()[2].split() == [
+            *("w1", "worker", "dc0", "live", "night", "-")
+        ]
+        moved = await read(daemon, "instance", "move", "w1", "--to", "spare")
+        assert moved == {"instance": "w1", "pool": "spare", "state": "draining"}
+        shown = await read(daemon, "instance", "status", "w1")
+        assert shown["instances"][0]["phase"] == "draining"
+        assert shown["instances"][0]["target"] == "spare"
+        for words, text in (
+            (("w1", "--to", "spare"), "not_serving"),
+            (("w2", "--to", "spare"), "budget_exhausted"),
+            (("w2", "--to", "night"), "same_pool"),
+            (("w2", "--to", "hinge"), "is of kind worker"),
+            (("w2", "--to", "nothing"), "pool 'nothing' does not exist"),
+            (("w9", "--to", "spare"), "'w9' is not in the platform's list"),
+        ):
+            refused = await daemon.control("instance", "move", *words)
+            assert refused.code == ExitCode.REFUSED, refused
+            assert text in refused.err
+
+
+async def test_wave_from_plan_to_pause(tmp_path):
+    """Guards against a wave that starts on the wrong pools or cannot stop."""
+    async with run_fleet(tmp_path) as daemon:
+        planned = await read(daemon, "wave", "plan", "--pool", "night,spare")
+        assert [entry["rounds"] for entry in planned["pools"]] == [4, None]
+        refused = await daemon.control("wave", "start", "w1", "--pool", "spare")
+        assert (refused.code, "no_budget" in refused.err) == (ExitCode.REFUSED, True)
+        unknown = await daemon.control("wave", "pause", "w1")
+        assert unknown.code == ExitCode.REFUSED
+        started = await read(daemon, "wave", "start", "w1", "--pool", "night")
+        assert (started["pools"], started["state"]) == (["night"], "running")
+        again = await daemon.control("wave", "start", "w1", "--pool", "night")
+        assert (again.code, "wave_exists" in again.err) == (ExitCode.REFUSED, True)
+        assert (await read(daemon, "wave", "pause", "w1"))["state"] == "paused"
+        assert (await read(daemon, "wave", "start", "w1"))["state"] == "running"
+        shown = await read(daemon, "wave", "status", "w1")
+        assert (shown["waves"][0]["total"], shown["waves"][0]["left"]) == (4, 4)
+        listed = await daemon.control("wave", "status")
+        assert listed.out.splitlines()[1].split()[:3] == ["w1", "running", "night"]
+
+
+async def test_jobs_keep_their_list_in_an_outage(tmp_path, monkeypatch):
+    """Guards against a job list that an outage of the table takes away."""
+    async with run_fleet(tmp_path) as daemon:
+        jobs = (await read(daemon, "job", "list"))["jobs"]
+        assert [(job["name"], job["state"]) for job in jobs] == [
+            ("reconcile", "wanted")
+        ]
+        cancelled = await read(daemon, "job", "cancel", "reconcile")
+        assert cancelled == {"job": "reconcile", "cancelled": []}
+        unparked = await read(daemon, "job", "unpark", "reconcile")
+        assert unparked["state"] == "wanted"
+
+        async def refuse(self, keys):
+            raise PlatformUnavailable("table is down")
+
+        monkeypatch.setattr(MemoryTable, "read_many", refuse)
+        shown = await read(daemon, "job", "show", "reconcile")
+        assert (shown["state"], shown["schedule"]) == ("unknown", "daily 02:30")
+        assert "table is down" in shown["detail"]
