--- a/hemlockstand/sheet/plan.py
+++ b/hemlockstand/sheet/plan.py
@@ -205,7 +205,7 @@
             yield PutEntity(_get_entities(sheet, difference.kind)[difference.name])
     for difference in reversed(differences):
         if difference.action == "drop":
-            yield DropEntity(EntityKind(difference.kind), difference.name)
+            yield DropEntity(EntityKind[difference.kind.upper()], difference.name)
 
 
 def _count_drops(sheet: Sheet, current: Configuration) -> Iterator[DropCount]:
--- a/test/operator_fakes.py
+++ b/test/operator_fakes.py
@@ -9,6 +9,8 @@
 import trio
 from attrs import define, field, frozen
 
+from emulator.local_machines import LocalMachines
+from emulator.local_workers import LocalWorkers
 from hemlockstand.configuration.changes import CommittedChange, apply_change
 from hemlockstand.configuration.service import ConfigurationService
 from hemlockstand.configuration.store import ConfigurationStore
@@ -26,8 +28,6 @@
 from hemlockstand.platform.memory import MemoryObjects, MemoryTable
 from hemlockstand.platform.service import PlatformService
 from hemlockstand.settings import load_settings
-from test.fake_machines import FakeMachines
-from test.fake_workers import FakeWorkers
 from test.helper import write_settings
 
 TOKEN = "0123456789abcdef"
@@ -87,8 +87,8 @@
     table: MemoryTable = field(factory=MemoryTable)
     objects: MemoryObjects = field(factory=MemoryObjects)
     instances: FakeInstances = field(factory=FakeInstances)
-    machines: FakeMachines | None = None
-    workers: FakeWorkers = field(factory=FakeWorkers)
+    machines: LocalMachines | None = None
+    workers: LocalWorkers = field(factory=lambda: LocalWorkers(lambda: 0.0))
 
 
 class FakeConfiguration(ConfigurationService):
--- a/test/test_operators_fleet.py
+++ b/test/test_operators_fleet.py
@@ -3,12 +3,12 @@
 import json
 from contextlib import asynccontextmanager
 
+from emulator.local_machines import LocalMachines
 from hemlockstand.ctl.exits import ExitCode
 from hemlockstand.errors import PlatformUnavailable
 from hemlockstand.jobs.service import JobsService
 from hemlockstand.maintenance.service import MaintenanceService
 from hemlockstand.platform.memory import MemoryTable
-from test.fake_machines import FakeMachines
 from test.operator_fakes import SHEET, FakePlatform, run_daemon, write_sheet
 
 SPARE_ROW = "pool,spare,,,,workers,dc1,4,0,,,,,,,,,,,,\n"
@@ -17,7 +17,7 @@
 @asynccontextmanager
 async def run_fleet(directory):
     """Run a daemon with four workers in the pool ``night``."""
-    machines = FakeMachines(dict.fromkeys(("w1", "w2", "w3", "w4"), "night"))
+    machines = LocalMachines(dict.fromkeys(("w1", "w2", "w3", "w4"), "night"))
     platform = FakePlatform(machines=machines)
     platform.instances.workers = list(machines.list_records().values())
     sheet = write_sheet(directory, SHEET + SPARE_ROW)
