--- a/hemlockstand/ctl/sheet.py
+++ b/hemlockstand/ctl/sheet.py
@@ -9,7 +9,7 @@
 from hemlockstand.ctl.waiting import wait_if_asked
 from hemlockstand.errors import HemlockstandError
 from hemlockstand.operators.client import Effect
-from hemlockstand.sheet.checks import check_sheet
+from hemlockstand.sheet.checks import check_sheet, parse_day
 from hemlockstand.sheet.problems import SheetError
 from hemlockstand.sheet.reader import MAX_SHEET_BYTES
 
@@ -103,9 +103,9 @@
     if text is None:
         return None
     try:
-        return date.fromisoformat(text)
-    except ValueError:
-        raise UsageError(f"--day {text}: must be a day such as 2026-12-04") from None
+        return parse_day(text)
+    except ValueError as error:
+        raise UsageError(f"--day {text}: {error}") from None
 
 
 def _describe_plan(result: dict[str, Any]) -> list[str]:
--- a/hemlockstand/operators/messages.py
+++ b/hemlockstand/operators/messages.py
@@ -9,6 +9,7 @@
 from attrs import field, frozen
 
 from hemlockstand.errors import HemlockstandError, InvalidInput
+from hemlockstand.sheet.checks import parse_day
 
 AUTHOR_HEADER = "X-Operator"
 CHANGE_ID_HEADER = "X-Change-Id"
@@ -75,11 +76,10 @@
         if value is None or value == "":
             return None
         try:
-            return date.fromisoformat(value)
-        except (TypeError, ValueError):
+            return parse_day(str(value))
+        except ValueError as error:
             raise InvalidInput(
-                f"argument {name!r} with value {value!r}: must be a day such as "
-                "2026-12-04"
+                f"argument {name!r} with value {value!r}: {error}"
             ) from None
 
 
--- a/hemlockstand/sheet/checks.py
+++ b/hemlockstand/sheet/checks.py
@@ -7,9 +7,10 @@
 """
 
 import re
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Set as AbstractSet
 from datetime import date
 from enum import StrEnum
+from functools import cache
 from types import NoneType
 from typing import Any, get_args, get_type_hints
 
@@ -99,6 +100,7 @@
     )
 
 
+@cache
 def get_columns(kind: str) -> dict[str, attrs.Attribute]:
     """Return the columns of an entity kind with their attributes."""
     return {
@@ -125,9 +127,9 @@
             every.update(get_columns(kind))
         for row in rows:
             if row.kind == SHEET_KIND:
-                own: set[str] = set(SHEET_COLUMNS)
+                own: AbstractSet[str] = frozenset(SHEET_COLUMNS)
             elif row.kind in ENTITY_CLASSES:
-                own = set(get_columns(row.kind))
+                own = get_columns(row.kind).keys()
             else:
                 detail = f"must be one of {', '.join((SHEET_KIND, *ENTITY_CLASSES))}"
                 self.report("unknown_kind", row.line, KIND_COLUMN, row.kind, detail)
@@ -168,10 +170,9 @@
         if text is None:
             return flag or date.min
         try:
-            day = date.fromisoformat(text)
-        except ValueError:
-            detail = "must be a day such as 2026-12-04"
-            self.report("bad_day", row.line, "day", text, detail)
+            day = parse_day(text)
+        except ValueError as error:
+            self.report("bad_day", row.line, "day", text, str(error))
             return date.min
         if flag is not None and flag != day:
             detail = f"differs from --day {flag.isoformat()}"
@@ -207,7 +208,7 @@
         return placed
 
     def _read_entity(self, kind: str, row: SheetRow) -> Any | None:
-        hints = get_type_hints(ENTITY_CLASSES[kind])
+        hints = _get_hints(kind)
         values: dict[str, Any] = {}
         complete = True
         for column, attribute in get_columns(kind).items():
@@ -227,6 +228,11 @@
         return ENTITY_CLASSES[kind](**values) if complete else None
 
 
+@cache
+def _get_hints(kind: str) -> dict[str, Any]:
+    return get_type_hints(ENTITY_CLASSES[kind])
+
+
 def _check_name(text: str) -> None:
     if len(text) > MAX_NAME_LENGTH or not NAME_PATTERN.fullmatch(text):
         raise ValueError(
@@ -247,7 +253,7 @@
             raise ValueError("must be yes or no")
         return _BOOLEANS[text.lower()]
     if hint is date:
-        return _convert_day(text)
+        return parse_day(text)
     if hint is int or hint is float:
         return _convert_number(text, hint)
     if issubclass(hint, StrEnum):
@@ -257,7 +263,14 @@
     return text
 
 
-def _convert_day(text: str) -> date:
+def parse_day(text: str) -> date:
+    """Return the day; raises ``ValueError``.
+
+    Python also reads ``20261204`` and ``2026-W49-5``, which a spreadsheet
+    gives only by mistake.
+    """
+    if not re.fullmatch(r"\d{4}-\d\d-\d\d", text, re.ASCII):
+        raise ValueError("must be a day such as 2026-12-04")
     try:
         return date.fromisoformat(text)
     except ValueError:
--- a/test/test_sheet_checks.py
+++ b/test/test_sheet_checks.py
@@ -3,13 +3,17 @@
 from datetime import date
 
 import pytest
+from hypothesis import given, settings, strategies as st
 
 from hemlockstand.model import PoolKind, Priority
-from hemlockstand.sheet.checks import check_sheet
+from hemlockstand.sheet.checks import ENTITY_CLASSES, check_sheet, get_columns
 from hemlockstand.sheet.limits import Bounds
 from hemlockstand.sheet.problems import SheetError
 from test.operator_fakes import SHEET
 
+COLUMNS = tuple(
+    dict.fromkeys(name for kind in ENTITY_CLASSES for name in get_columns(kind))
+) + ("day", "rows")
 DAY = date(2026, 12, 4)
 
 
@@ -77,6 +81,7 @@
     ("2,4096,30", "2,4096,0", "impossible_size", 9, "run_minutes", "0"),
     ("2,4096,30", "2,4096,30,7", "column_not_for_kind", 9, "day", "7"),
     ("2026-12-04", "4.12.", "bad_day", 2, "day", "4.12."),
+    ("2026-12-04", "20261204", "bad_day", 2, "day", "20261204"),
     ("memory_mb", "memory", "unknown_column", 9, "memory", "4096"),
 ]
 
@@ -117,6 +122,38 @@
     assert find_problems(text.format("0.6")) == [("bad_share_sum", 0, "share", "1.2")]
 
 
+CELLS = st.sampled_from(
+    ("", "0", "1", "-1", "0.5", "9" * 30, "a", "b", "x y", "yes", "open", "batch")
+    + ("workers", "executors", "2026-12-04", "9999-12-31", "every 1s", "on demand")
+    + ("every 99999999999999999d", "daily 24:00", "²", "١", "\u200b", "=1+1", "NaN")
+)
+ROWS = st.lists(
+    st.tuples(
+        st.sampled_from(("sheet", "team", "pool", "queue", "job", "key")),
+        st.dictionaries(st.sampled_from(COLUMNS), CELLS, max_size=len(COLUMNS)),
+    ),
+    max_size=8,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(ROWS)
+def test_any_cells_give_a_sheet_or_problems(rows):
+    """Guards against a value that ends the check with another error."""
+    lines = [";".join(("kind", *COLUMNS))]
+    for kind, cells in rows:
+        lines.append(";".join((kind, *(cells.get(name, "") for name in COLUMNS))))
+    data = ("\n".join(lines) + "\n").encode()
+    try:
+        sheet = check_sheet(data, "s.csv", bounds=Bounds(data_centres=frozenset("a")))
+    except SheetError as error:
+        assert error.problems
+        assert all(problem.file == "s.csv" for problem in error.problems)
+    else:
+        assert all(queue.pool in sheet.pools for queue in sheet.queues.values())
+        assert all(job.team in sheet.teams for job in sheet.jobs.values())
+
+
 def test_huge_period_is_a_problem():
     """Guards against an overflow in the schedule that hides other problems."""
     text = SHEET.replace("daily 02:30", "every 99999999999999999d")
