Show a worker's quarantine in instance status

`instance status ID` now shows the tasks of a worker, the jobs that failed on it, and its quarantine with the probes.

--- a/hemlockstand/operators/fleet.py
+++ b/hemlockstand/operators/fleet.py
@@ -65,6 +65,8 @@
             raise NotFound(f"instance {wanted!r} is not in the platform's list")
         if wanted:
             shown[0] |= await self._read_phase(maintenance, wanted)
+            if maintenance.records[wanted].kind is InstanceKind.WORKER:
+                shown[0] |= await self._read_worker(wanted)
         return drains | {"instances": shown}
 
     async def _read_phase(
@@ -81,6 +83,20 @@
             "maintained_at": state.maintained_at or None,
         }
 
+    async def _read_worker(self, worker: str) -> dict[str, Any]:
+        """Return the tasks of a worker and whether it is in quarantine."""
+        try:
+            state = await self._find("jobs", JobsService).show_worker(worker)
+        except NotAvailable:
+            return {}
+        quarantine = state.quarantine
+        return {
+            "tasks": sorted(state.allocations),
+            "failed_jobs": list(state.failed_jobs),
+            "quarantined": quarantine is not None,
+            "probes": quarantine.probes if quarantine else 0,
+        }
+
     async def move_instance(self, request: OperatorRequest) -> dict[str, Any]:
         """Begin to move an instance to another pool."""
         maintenance = self._find("maintenance", MaintenanceService)
--- a/test/test_operators_fleet.py
+++ b/test/test_operators_fleet.py
@@ -6,6 +6,7 @@
 from emulator.local_machines import LocalMachines
 from hemlockstand.ctl.exits import ExitCode
 from hemlockstand.errors import PlatformUnavailable
+from hemlockstand.jobs.records import Quarantine, WorkerState, encode_worker
 from hemlockstand.jobs.service import JobsService
 from hemlockstand.maintenance.service import MaintenanceService
 from hemlockstand.platform.memory import MemoryTable
@@ -57,6 +58,9 @@
         shown = await read(daemon, "instance", "status", "w1")
         assert shown["instances"][0]["phase"] == "draining"
         assert shown["instances"][0]["target"] == "spare"
+        assert shown["instances"][0]["quarantined"] is False
+        unknown = await daemon.control("instance", "status", "w9")
+        assert unknown.code == ExitCode.REFUSED
         for words, text in (
             (("w1", "--to", "spare"), "not_serving"),
             (("w2", "--to", "spare"), "budget_exhausted"),
@@ -70,6 +74,18 @@
             assert text in refused.err
 
 
+async def test_status_shows_quarantine(tmp_path):
+    """Guards against a quarantined worker that operators cannot tell."""
+    async with run_fleet(tmp_path) as daemon:
+        state = WorkerState(
+            "w1", failed_jobs=("a", "b", "c"), quarantine=Quarantine(("a",), 0.0, 1)
+        )
+        await daemon.platform.table.transact([encode_worker(state)])
+        shown = (await read(daemon, "instance", "status", "w1"))["instances"][0]
+        assert (shown["quarantined"], shown["probes"]) == (True, 1)
+        assert shown["failed_jobs"] == ["a", "b", "c"]
+
+
 async def test_wave_from_plan_to_pause(tmp_path):
     """Guards against a wave that starts on the wrong pools or cannot stop."""
     async with run_fleet(tmp_path) as daemon:
