Take over the slots of silent daemons and test interleavings

A killed daemon's slots stayed in the limit rows for ever. A daemon now ends a holder whose counter was unchanged for lease, longest deadline and margin with the table reachable; slots of ended holders are removed with a check of the holder row. In an outage a holder goes on with a proof that nobody reached the platform (outage_age), because reads by peers do not show whether its slots were taken over. Reserved slots are ended only from their own data centre.

--- a/hemlockstand/coordination/lease.py
+++ b/hemlockstand/coordination/lease.py
@@ -50,6 +50,7 @@
 
 HOLDER_PREFIX = "holder/"
 PAGE_ROWS = 500
+_NEVER = float("-inf")
 
 Clock = Callable[[], float]
 
@@ -73,6 +74,10 @@
     grant_seconds: float
     proof_seconds: float = 0.0
 
+    def wait_seconds(self) -> float:
+        """Return for how long work can go on after the last renewal."""
+        return max(self.lease_seconds, self.proof_seconds) + self.grant_seconds
+
 
 @define
 class HolderLease:
@@ -92,7 +97,8 @@
     _counter: int = 0
     _version: int = ABSENT
     _first_sent_at: float | None = None
-    _valid_until: float = float("-inf")
+    _renewed_at: float = _NEVER
+    _covered_at: dict[str, float] = field(factory=dict)
 
     @property
     def holder(self) -> str:
@@ -110,7 +116,28 @@
         Call it immediately before each use: the process may have been paused
         since an earlier call.
         """
-        return not self.lost and self.clock() < self._valid_until
+        return not self.lost and self.clock() < self._valid_until()
+
+    def is_covered(self, part: str, outage_age: float) -> bool:
+        """Return whether grants may be used because nobody can end them.
+
+        ``outage_age`` is the age in seconds of the newest proof that nobody
+        who could end this part of the grants reached the table. An observer needs the
+        table during its whole wait, so a proof counts only if it is less than
+        that wait younger than the last renewal or the last proof. A process
+        that was paused for longer has to renew its lease first.
+        """
+        proved_at = self.clock() - outage_age
+        if self.lost or outage_age > self.terms.proof_seconds:
+            return False
+        covered_at = max(self._renewed_at, self._covered_at.get(part, _NEVER))
+        if proved_at - covered_at >= self.terms.wait_seconds():
+            return False
+        self._covered_at[part] = max(covered_at, proved_at)
+        return True
+
+    def _valid_until(self) -> float:
+        return self._renewed_at + self.terms.lease_seconds
 
     async def renew(self) -> None:
         """Extend the lease; a lost reply is resolved by reading the row.
@@ -172,7 +199,7 @@
         self._counter += 1
         self._version = version
         self._first_sent_at = None
-        self._valid_until = max(self._valid_until, sent_at + self.terms.lease_seconds)
+        self._renewed_at = max(self._renewed_at, sent_at)
 
 
 @define
@@ -258,7 +285,17 @@
     The terms come from the holder's own row, because the observer may run
     with other settings.
     """
-    return row.value["lease_seconds"] + row.value["grant_seconds"] + margin_seconds
+    terms = read_terms(row)
+    return terms.wait_seconds() + margin_seconds
+
+
+def read_terms(row: Row) -> LeaseTerms:
+    """Return the terms in a holder row."""
+    return LeaseTerms(
+        row.value["lease_seconds"],
+        row.value["grant_seconds"],
+        row.value["proof_seconds"],
+    )
 
 
 async def read_all(table: Table, prefix: str) -> list[Row]:
--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -7,12 +7,18 @@
 from collections.abc import Iterator
 from enum import StrEnum
 from functools import partial
+from random import random
 
 import trio
 from loguru import logger
 
 from hemlockstand.coordination.escrow import ELASTIC, Escrow, Split, split_limit
-from hemlockstand.coordination.lease import HolderLease, LeaseLost, LeaseTerms
+from hemlockstand.coordination.lease import (
+    HolderLease,
+    HolderWatch,
+    LeaseLost,
+    LeaseTerms,
+)
 from hemlockstand.errors import (
     HemlockstandError,
     InvalidInput,
@@ -22,7 +28,7 @@
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.platform.service import PlatformService
 from hemlockstand.requests.moves import Demand, apply_move, measure_demand, plan_move
-from hemlockstand.requests.reclaim import release_holder
+from hemlockstand.requests.reclaim import Reclaimer, release_holder
 from hemlockstand.requests.slots import Slot, TeamSlots
 
 log = logger.bind(module=__name__)
@@ -67,6 +73,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._renew_forever)
             nursery.start_soon(self._move_forever)
+            nursery.start_soon(self._reclaim_forever)
 
     async def stop(self) -> None:
         """Wait for the running requests, then release all slots."""
@@ -142,9 +149,13 @@
         return self._lease.is_valid() or self._has_proof(part)
 
     def _has_proof(self, part: str) -> bool:
+        """Return whether nobody who may end this holder reached the platform.
+
+        Reads by peers are no such proof: another daemon that reaches the
+        platform may take over the slots of this one.
+        """
         scope = Scope.FLEET if part == ELASTIC else Scope.DATA_CENTRE
-        ended = f"{self._lease.key}/{part}" in self.configuration.current.drains
-        return not ended and self.freshness.is_fresh(scope)
+        return self._lease.is_covered(part, self.freshness.outage_age(scope))
 
     def _make_lease(self) -> HolderLease:
         self._session_number += 1
@@ -167,13 +178,33 @@
         while True:
             await trio.sleep(self.settings.limits.renew_seconds)
             await self._try("renewal", self._renew)
+            for part in (ELASTIC, self.settings.daemon.data_centre):
+                self._may_use(part, keyed=False)
 
     async def _renew(self) -> None:
+        sent_at = self.clock()
         try:
             await self._lease.renew()
         except LeaseLost:
             log.warning("holder {} was ended by another daemon", self._lease.holder)
             await self._begin_session()
+        self.freshness.record_platform_read(sent_at)
+
+    async def _reclaim_forever(self) -> None:
+        reclaimer = Reclaimer(
+            self.table,
+            HolderWatch(
+                self.table,
+                self.settings.limits.margin_seconds,
+                self.clock,
+                max_gap_seconds=self.settings.limits.renew_seconds * 3,
+            ),
+            self.settings.daemon.data_centre,
+        )
+        while True:
+            jitter = 1 + random() / 2
+            await trio.sleep(self.settings.limits.renew_seconds * jitter)
+            await self._try("takeover", reclaimer.run_once)
 
     async def _begin_session(self) -> None:
         """Register again once nothing runs on the slots that were lost."""
--- a/test/fleet_fakes.py
+++ b/test/fleet_fakes.py
@@ -43,10 +43,14 @@
     """Freshness that the test sets by scope value."""
 
     fresh: dict = field(factory=lambda: {"fleet": True, "data_centre": True})
+    outage: dict = field(factory=lambda: {"fleet": False, "data_centre": False})
 
     def is_fresh(self, scope):
         return self.fresh[scope.value]
 
+    def outage_age(self, scope):
+        return 0.0 if self.outage[scope.value] else float("inf")
+
     def record_platform_failure(self):
         pass
 
--- /dev/null
+++ b/test/test_limits_interleavings.py
@@ -0,0 +1,381 @@
+"""Slots in use never pass the limit, whatever daemons and platform do.
+
+The record holds every request that was sent, until its certain end or its
+deadline. It is written by the test, not by the code under test.
+"""
+
+from attrs import define, field
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from hemlockstand.coordination.escrow import ELASTIC, Escrow, split_limit
+from hemlockstand.coordination.lease import HolderLease, HolderWatch, LeaseTerms
+from hemlockstand.platform.memory import MemoryTable
+from hemlockstand.requests.reclaim import Reclaimer, release_holder
+from hemlockstand.requests.slots import TeamSlots
+from test.stepped import Fault, SteppedTable, Track
+
+TERMS = LeaseTerms(lease_seconds=4, grant_seconds=6, proof_seconds=2)
+MARGIN = 1.0
+CENTRES = ["dc1", "dc1", "dc2"]
+RESERVED = 0.4
+
+daemons = st.integers(0, len(CENTRES) - 1)
+faults = st.sampled_from(list(Fault) + [Fault.NONE] * 4)
+
+
+@define
+class Sent:
+    """A request that was sent; it runs until ``ends_at`` at the latest."""
+
+    ends_at: float
+
+
+@define
+class Requests:
+    """A slot and the record of its request, if it was sent."""
+
+    slot: object
+    sent: Sent | None = None
+
+
+@define(slots=False, eq=False)
+class Daemon:
+    """One process with its own clock view and tracks of table calls."""
+
+    world: "World"
+    name: str
+    data_centre: str
+    number: int = 0
+    paused: bool = False
+    requests: list = field(factory=list)
+    renewal: Track = field(factory=Track)
+    moving: Track = field(factory=Track)
+    reclaiming: Track = field(factory=Track)
+
+    def __attrs_post_init__(self):
+        self.begin()
+
+    def begin(self):
+        """Start a new session."""
+        self.number += 1
+        self.requests = []
+        self.stamps = {}
+        self.paused = False
+        table = SteppedTable(self.world.table, self.world.late)
+        clock = self.world.clock
+        self.lease = HolderLease(
+            table, self.name, f"s{self.number}", self.data_centre, TERMS, clock
+        )
+        self.split = self.world.split
+        escrow = Escrow(table, "limit/team", self.lease.holder)
+        self.slots = TeamSlots(
+            "team",
+            self.data_centre,
+            escrow,
+            self.split,
+            self.may_use,
+            clock,
+            MARGIN,
+        )
+        watch = HolderWatch(table, MARGIN, clock)
+        self.reclaimer = Reclaimer(table, watch, self.data_centre)
+        self.table = table
+
+    def may_use(self, part, keyed):
+        proved_at = self.stamps.get(part, float("-inf"))
+        age = self.world.now - proved_at
+        return self.lease.is_valid() or self.lease.is_covered(part, age)
+
+    def tracks(self):
+        return (self.renewal, self.moving, self.reclaiming)
+
+    def kill(self):
+        for track in self.tracks():
+            track.kill()
+        self.begin()
+
+
+class World:
+    """The table, the time, the configuration and the record."""
+
+    def __init__(self, limit):
+        self.now = 0.0
+        self.table = MemoryTable()
+        self.late = []
+        self.record = []
+        self.down = set()
+        self.version = 1
+        self.split = split_limit(limit, RESERVED, {"dc1", "dc2"}, 1)
+        self.daemons = [
+            Daemon(self, f"d{index}", centre) for index, centre in enumerate(CENTRES)
+        ]
+
+    def clock(self):
+        return self.now
+
+    def set_limit(self, limit):
+        self.version += 1
+        self.split = split_limit(limit, RESERVED, {"dc1", "dc2"}, self.version)
+
+    def in_use(self):
+        return sum(sent.ends_at > self.now for sent in self.record)
+
+    def allowed(self):
+        """Return the largest limit that is in force anywhere."""
+        return max(daemon.slots.split.limit for daemon in self.daemons)
+
+
+class LimitMachine(RuleBasedStateMachine):
+    """Daemons that pause, crash, lose replies and race.
+
+    ``pass_time`` runs the loops of all daemons that are not paused; the other
+    rules disturb them.
+    """
+
+    @initialize(limit=st.integers(2, 12))
+    def start(self, limit):
+        self.world = World(limit)
+        for daemon in self.world.daemons:
+            self.run(daemon, daemon.renewal, daemon.lease.renew())
+
+    def daemon(self, index):
+        return self.world.daemons[index]
+
+    def fault(self, daemon, fault=Fault.NONE):
+        """An outage lets no call of its data centres through."""
+        return Fault.DOWN if daemon.data_centre in self.world.down else fault
+
+    def finish(self, daemon, track):
+        while not track.is_idle:
+            track.step(self.fault(daemon))
+
+    def run(self, daemon, track, work):
+        """Run the work to its end, after what its track is doing."""
+        self.finish(daemon, track)
+        track.begin(work)
+        self.finish(daemon, track)
+
+    @rule(
+        seconds=st.sampled_from([1, 2, 4, 8]),
+        flush=st.booleans(),
+        hungry=st.sets(daemons),
+    )
+    def pass_time(self, seconds, flush, hungry):
+        self.let_pass(seconds, flush, hungry)
+
+    def let_pass(self, seconds, flush, hungry):
+        for _ in range(seconds):
+            self.world.now += 1.0
+            for index, daemon in enumerate(self.world.daemons):
+                if not daemon.paused:
+                    self.loop_once(daemon, flush)
+                    self.move_once(daemon, index in hungry)
+
+    def move_once(self, daemon, is_hungry):
+        """Serve as much as possible, or return all idle slots."""
+        for request in list(daemon.requests):
+            if request.slot.deadline <= self.world.now:
+                request.slot.release(certain=False)
+                daemon.requests.remove(request)
+        if daemon.lease.is_valid() and daemon.moving.is_idle:
+            slots = daemon.slots
+            wanted = {ELASTIC: 3, daemon.data_centre: 2}
+            if is_hungry:
+                work = slots.escrow.take(wanted, slots.split)
+            else:
+                work = slots.escrow.shrink(slots.taken_parts(), slots.split)
+            self.run(daemon, daemon.moving, work)
+        if is_hungry:
+            self.take_slots(daemon, 8, 6.0)
+            self.send(daemon)
+
+    @rule(
+        index=daemons,
+        before=st.sampled_from([0.0, 1.0, 3.5]),
+        after=st.sampled_from([1, 4, 7, 12]),
+        serve=st.integers(0, 4),
+        flush=st.booleans(),
+    )
+    def pause_while_others_serve(self, index, before, after, serve, flush):
+        """Pause a daemon that has waiting requests; it sends some late."""
+        daemon = self.daemon(index)
+        self.take_slots(daemon, 8, 6.0)
+        self.world.now += before
+        self.send(daemon, serve)
+        daemon.paused = True
+        self.let_pass(after, flush, {0, 1, 2})
+        self.send(daemon)
+        daemon.paused = False
+
+    @rule(seconds=st.sampled_from([0.3, 0.9]))
+    def pass_short_time(self, seconds):
+        self.world.now += seconds
+
+    def loop_once(self, daemon, flush):
+        """Do what the service does each second; calls may be under way."""
+        self.stamp(daemon)
+        if daemon.lease.lost:
+            if not any(daemon.slots.used_parts().values()):
+                daemon.kill()
+            return
+        for track, work in (
+            (daemon.renewal, daemon.lease.renew),
+            (daemon.reclaiming, daemon.reclaimer.run_once),
+        ):
+            if track.is_idle or flush:
+                self.run(daemon, track, work())
+        if daemon.moving.is_idle or flush:
+            slots = daemon.slots
+            self.finish(daemon, daemon.moving)
+            if daemon.lease.is_valid() and not slots.escrow.within(slots.split):
+                work = slots.escrow.settle(slots.used_parts(), slots.split)
+                self.run(daemon, daemon.moving, work)
+
+    def stamp(self, daemon):
+        """Tell a daemon truly which data centres do not reach the table."""
+        if daemon.data_centre in self.world.down:
+            daemon.stamps[daemon.data_centre] = self.world.now
+        if self.world.down == {"dc1", "dc2"}:
+            daemon.stamps[ELASTIC] = self.world.now
+
+    @rule(index=daemons)
+    def pause_or_resume(self, index):
+        self.daemon(index).paused = not self.daemon(index).paused
+
+    @rule(index=daemons, count=st.integers(1, 8), seconds=st.sampled_from([2.0, 6.0]))
+    def work(self, index, count, seconds):
+        """Take slots from the table as needed, then take and send."""
+        daemon = self.daemon(index)
+        if daemon.paused:
+            return
+        if daemon.lease.is_valid() and daemon.moving.is_idle:
+            wanted = {ELASTIC: count, daemon.data_centre: 2}
+            work = daemon.slots.escrow.take(wanted, daemon.slots.split)
+            self.run(daemon, daemon.moving, work)
+        self.take_slots(daemon, count, seconds)
+        self.send(daemon)
+
+    @rule(index=daemons, count=st.integers(1, 8))
+    def take_and_wait(self, index, count):
+        """Take slots whose requests are not sent yet."""
+        if not self.daemon(index).paused:
+            self.take_slots(self.daemon(index), count, 6.0)
+
+    @rule(index=daemons)
+    def send_waiting(self, index):
+        """Send what has a slot, also directly after a pause."""
+        self.send(self.daemon(index))
+
+    def take_slots(self, daemon, count, seconds):
+        for _ in range(count):
+            slot = daemon.slots.take(self.world.now + seconds, keyed=False)
+            if slot is not None:
+                daemon.requests.append(Requests(slot))
+
+    def send(self, daemon, count=8):
+        for request in daemon.requests[:count]:
+            if request.sent is None and request.slot.may_send():
+                request.sent = Sent(request.slot.deadline)
+                self.world.record.append(request.sent)
+                assert self.world.in_use() <= self.world.allowed()
+
+    @rule(index=daemons, count=st.integers(1, 6), certain=st.booleans())
+    def end(self, index, count, certain):
+        daemon = self.daemon(index)
+        for request in daemon.requests[:count]:
+            if certain and request.sent is not None:
+                request.sent.ends_at = min(request.sent.ends_at, self.world.now)
+            request.slot.release(certain)
+        del daemon.requests[:count]
+
+    @rule(index=daemons, elastic=st.integers(0, 6), reserved=st.integers(0, 3))
+    def begin_take(self, index, elastic, reserved):
+        daemon = self.daemon(index)
+        if daemon.moving.is_idle and daemon.lease.is_valid():
+            wanted = {ELASTIC: elastic, daemon.data_centre: reserved}
+            work = daemon.slots.escrow.take(wanted, daemon.slots.split)
+            daemon.moving.begin(work)
+
+    @rule(index=daemons, spare=st.integers(0, 1))
+    def begin_give(self, index, spare):
+        daemon = self.daemon(index)
+        if daemon.moving.is_idle and daemon.lease.is_valid():
+            used = daemon.slots.taken_parts()
+            keep = {part: count + spare for part, count in used.items()}
+            work = daemon.slots.escrow.shrink(keep, daemon.slots.split)
+            daemon.moving.begin(work)
+
+    @rule(index=daemons)
+    def begin_renewal(self, index):
+        daemon = self.daemon(index)
+        if daemon.renewal.is_idle and not daemon.lease.lost:
+            daemon.renewal.begin(daemon.lease.renew())
+
+    @rule(index=daemons)
+    def begin_reclaim(self, index):
+        daemon = self.daemon(index)
+        if daemon.reclaiming.is_idle:
+            daemon.reclaiming.begin(daemon.reclaimer.run_once())
+
+    @rule(index=daemons, track=st.integers(0, 2), fault=faults)
+    def step(self, index, track, fault):
+        daemon = self.daemon(index)
+        chosen = daemon.tracks()[track]
+        if not chosen.is_idle:
+            chosen.step(self.fault(daemon, fault))
+
+    @rule(index=daemons)
+    def crash(self, index):
+        """Kill a daemon; a new one starts, the old requests run on."""
+        daemon = self.daemon(index)
+        daemon.kill()
+        self.run(daemon, daemon.renewal, daemon.lease.renew())
+
+    @rule(index=daemons)
+    def stop(self, index):
+        """Release all slots, as a daemon does when it stops."""
+        daemon = self.daemon(index)
+        if daemon.moving.is_idle:
+            daemon.lease.end()
+            keep = {"team": daemon.slots.used_parts()}
+            daemon.moving.begin(release_holder(daemon.table, daemon.lease, keep))
+
+    @rule(limit=st.integers(1, 12))
+    def change_limit(self, limit):
+        self.world.set_limit(limit)
+
+    @rule(index=daemons)
+    def apply_configuration(self, index):
+        self.daemon(index).slots.split = self.world.split
+
+    @rule()
+    def apply_configuration_everywhere(self):
+        for daemon in self.world.daemons:
+            daemon.slots.split = self.world.split
+
+    @rule(centres=st.sampled_from([set(), set(), {"dc1"}, {"dc2"}, {"dc1", "dc2"}]))
+    def set_outage(self, centres):
+        self.world.down = centres
+
+    @precondition(lambda self: self.world.late)
+    @rule(choice=st.integers(0, 5))
+    def deliver_late_call(self, choice):
+        late = self.world.late
+        operations = late.pop(choice % len(late))
+        try:
+            self.world.table.transact(operations).send(None)
+        except Exception:
+            pass
+
+    def teardown(self):
+        if hasattr(self, "world"):
+            for daemon in self.world.daemons:
+                for track in daemon.tracks():
+                    track.kill()
+
+
+TestLimitInterleavings = LimitMachine.TestCase
+TestLimitInterleavings.settings = settings(
+    derandomize=True, max_examples=200, stateful_step_count=60, deadline=None
+)
