Harden the order ledger against lost replies and killed daemons

An own row was adopted as a new claim whatever its state, so an order whose kept result had expired could run again. Only claims with the mark of an abandoned insert are adopted now; late inserts are deleted in the background; a certain 'not run' is released before finish returns. Claims are deleted in pages once a daemon saw them unchanged for the retention time. The group commit and the issued ids are modules of their own.

--- a/hemlockstand/coordination/ledger.py
+++ b/hemlockstand/coordination/ledger.py
@@ -1,4 +1,4 @@
-"""At-most-once ledger: claims in the table, issued ids and kept results.
+"""At-most-once ledger: claims in the table with kept results.
 
 A claim is a conditional insert of one row, made before the work is started.
 Claims that arrive together share a transaction. The row keeps the outcome; it
@@ -25,21 +25,14 @@
     Finished(result={'status': 200})
 """
 
-import hashlib
-import hmac
 import secrets
-from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
-import trio
 from attrs import define, field, frozen
 
-from hemlockstand.errors import (
-    HemlockstandError,
-    OutcomeUnknown,
-    TableConflict,
-)
+from hemlockstand.coordination.commits import MAX_BATCH, GroupCommit
+from hemlockstand.errors import PlatformUnavailable, TableConflict
 from hemlockstand.platform.interface import (
     ABSENT,
     Delete,
@@ -50,137 +43,6 @@
 )
 
 CLAIM_PREFIX = "claim/"
-MAX_BATCH = 100  # operations of one transaction
-COMMIT_ATTEMPTS = 3
-MAC_BYTES = 16
-
-
-@define(eq=False)
-class _Entry:
-    """One operation that waits for its transaction."""
-
-    operation: Operation
-    done: trio.Event = field(factory=trio.Event)
-    version: int = ABSENT
-    error: HemlockstandError | None = None
-
-    def succeed(self, version: int) -> None:
-        self.version = version
-        self.done.set()
-
-    def fail(self, error: HemlockstandError) -> None:
-        self.error = error
-        self.done.set()
-
-
-@define(eq=False)
-class GroupCommit:
-    """Collects independent operations into common transactions.
-
-    ``run`` must be running. No two operations that are submitted at the same
-    time may have the same key.
-    """
-
-    table: Table
-    delay_seconds: float
-    transactions: int = 0
-    _queue: deque[_Entry] = field(factory=deque)
-    _arrived: trio.Event = field(factory=trio.Event)
-
-    async def submit(self, operation: Operation) -> int:
-        """Apply the operation and return the row's new version.
-
-        Raises ``TableConflict``, ``PlatformUnavailable``, or
-        ``OutcomeUnknown`` when the operation may still be applied.
-        """
-        entry = _Entry(operation)
-        self._queue.append(entry)
-        self._arrived.set()
-        await entry.done.wait()
-        if entry.error is not None:
-            raise entry.error
-        return entry.version
-
-    async def run(self) -> None:
-        """Commit what was submitted until cancelled."""
-        while True:
-            await self._arrived.wait()
-            await trio.sleep(self.delay_seconds)
-            batch = self._take_batch()
-            for _ in range(COMMIT_ATTEMPTS):
-                batch = await self._commit(batch)
-                if not batch:
-                    break
-            for entry in batch:
-                entry.fail(OutcomeUnknown(f"write of {entry.operation.key}"))
-
-    def _take_batch(self) -> list[_Entry]:
-        count = min(MAX_BATCH, len(self._queue))
-        batch = [self._queue.popleft() for _ in range(count)]
-        if not self._queue:
-            self._arrived = trio.Event()
-        return batch
-
-    async def _commit(self, batch: list[_Entry]) -> list[_Entry]:
-        """Commit the batch and return the entries that need another attempt."""
-        self.transactions += 1
-        try:
-            versions = await self.table.transact([entry.operation for entry in batch])
-        except TableConflict as conflict:
-            return await self._drop_conflicting(batch, conflict)
-        except OutcomeUnknown as error:
-            return await self._resolve(batch, error)
-        except HemlockstandError as error:
-            return _fail_all(batch, error)
-        for entry, version in zip(batch, versions, strict=True):
-            entry.succeed(version)
-        return []
-
-    async def _drop_conflicting(
-        self, batch: list[_Entry], conflict: TableConflict
-    ) -> list[_Entry]:
-        """Resolve the conflicting entries; the others were not applied."""
-        conflicting = [e for e in batch if e.operation.key in conflict.keys]
-        rest = [e for e in batch if e.operation.key not in conflict.keys]
-        return rest + await self._resolve(conflicting, conflict)
-
-    async def _resolve(
-        self, batch: list[_Entry], error: HemlockstandError
-    ) -> list[_Entry]:
-        """Read the rows; return the entries whose operation is not visible.
-
-        These may be sent again: they are conditional on the same version, so
-        a delayed first attempt and the second cannot both be applied.
-        """
-        try:
-            rows = await self.table.read_many([e.operation.key for e in batch])
-        except HemlockstandError:
-            return _fail_all(batch, OutcomeUnknown(f"not resolved: {error}"))
-        unseen: list[_Entry] = []
-        for entry, row in zip(batch, rows, strict=True):
-            if _is_applied(entry.operation, row):
-                entry.succeed(row.version)
-            elif row.version == entry.operation.expected:
-                unseen.append(entry)
-            else:
-                entry.fail(TableConflict([row.key]))
-        return unseen
-
-
-def _fail_all(batch: list[_Entry], error: HemlockstandError) -> list[_Entry]:
-    for entry in batch:
-        entry.fail(error)
-    return []
-
-
-def _is_applied(operation: Operation, row: Row) -> bool:
-    match operation:
-        case Put(value=value):
-            return row.version != ABSENT and row.value == value
-        case Delete():
-            return row.version == ABSENT
-        case _:
-            return False
 
 
 @frozen
@@ -207,25 +69,28 @@
 ClaimState = Granted | Pending | Finished
 
 
-@define
+@frozen(eq=False)
 class _Record:
-    """What this owner knows of a claim of its own.
-
-    ``abandoned`` marks a claim whose insert has an unknown outcome; its work
-    was never started.
-    """
+    """A claim that this owner holds and has not recorded the end of."""
 
+    name: str
     version: int
     value: Mapping[str, Any]
-    abandoned: bool = False
 
 
 @define(eq=False)
 class Ledger:
-    """The claims of one owner, which must be new for each process start."""
+    """The claims of one owner, which must be new for each process start.
+
+    ``abandoned`` holds the marks of claims whose insert has an unknown
+    outcome, by name. Their work was never started, so the row of such a claim
+    may be adopted or deleted when it appears.
+    """
 
     commits: GroupCommit
     owner: str
+    max_abandoned: int = 10_000
+    abandoned: dict[str, set[str]] = field(factory=dict)
     _records: dict[str, _Record] = field(factory=dict)
     _claiming: set[str] = field(factory=set)
 
@@ -235,7 +100,7 @@
         Raises ``PlatformUnavailable`` or ``OutcomeUnknown`` when the claim
         could not be made; the work must not be started then.
         """
-        if name in self._claiming or self.is_active(name):
+        if self.is_active(name):
             return Pending(self.owner)
         self._claiming.add(name)
         try:
@@ -244,35 +109,43 @@
             self._claiming.discard(name)
 
     def is_active(self, name: str) -> bool:
-        """Return whether this owner runs the work or has not recorded its end."""
-        return name in self._records and not self._records[name].abandoned
+        """Return whether this owner claims or has claimed and not ended it."""
+        return name in self._claiming or name in self._records
 
     async def _claim(self, name: str) -> ClaimState:
-        value = {"owner": self.owner, "state": "claimed", "id": secrets.token_hex(8)}
-        known = self._records.get(name)
-        expected = ABSENT if known is None else known.version
-        self._records[name] = _Record(expected, value, abandoned=True)
         try:
-            version = await self.commits.submit(Put(_key(name), value, expected))
+            return await self._insert(name, ABSENT)
         except TableConflict:
-            return await self._resolve_conflict(name)
-        self._records[name] = _Record(version, value)
+            row = await self.commits.table.read(_key(name))
+        if self._is_abandoned(name, row):
+            # A late insert of ours; the version keeps others from acting on it.
+            return await self._insert(name, row.version)
+        return _read_state(row)
+
+    async def _insert(self, name: str, expected: int) -> ClaimState:
+        mark = secrets.token_hex(8)
+        value = {"owner": self.owner, "state": "claimed", "mark": mark}
+        marks = self.abandoned.setdefault(name, set())
+        marks.add(mark)
+        try:
+            version = await self.commits.submit(Put(_key(name), value, expected))
+        except (PlatformUnavailable, TableConflict):
+            self._drop_mark(name, mark)
+            raise
+        self.abandoned.pop(name, None)
+        self._records[name] = _Record(name, version, value)
         return Granted(name)
 
-    async def _resolve_conflict(self, name: str) -> ClaimState:
-        """Read whose claim is in the row.
+    def _drop_mark(self, name: str, mark: str) -> None:
+        """Forget an insert that was certainly not applied."""
+        marks = self.abandoned.get(name, set())
+        marks.discard(mark)
+        if not marks:
+            self.abandoned.pop(name, None)
 
-        An own claim that was abandoned is adopted with a new conditional
-        write, because its first insert arrived late.
-        """
-        row = await self.commits.table.read(_key(name))
-        if row.version == ABSENT or row.value["owner"] != self.owner:
-            del self._records[name]
-            return _read_state(row)
-        value = {**row.value, "id": secrets.token_hex(8)}
-        version = await self.commits.submit(Put(row.key, value, row.version))
-        self._records[name] = _Record(version, value)
-        return Granted(name)
+    def _is_abandoned(self, name: str, row: Row) -> bool:
+        is_claimed = row.version != ABSENT and row.value["state"] == "claimed"
+        return is_claimed and row.value["mark"] in self.abandoned.get(name, ())
 
     async def finish(self, name: str, result: Mapping[str, Any] | None) -> None:
         """Record the outcome of granted work; None means not known.
@@ -281,8 +154,7 @@
         """
         record = self._records[name]
         value = {**record.value, "state": "finished", "result": result}
-        await self.commits.submit(Put(_key(name), value, record.version))
-        self._records.pop(name, None)
+        await self._end(record, Put(_key(name), value, record.version))
 
     async def release(self, name: str) -> None:
         """Delete the claim of granted work that was certainly not started.
@@ -290,8 +162,39 @@
         Raises the table's errors; calling it again is safe.
         """
         record = self._records[name]
-        await self.commits.submit(Delete(_key(name), record.version))
-        self._records.pop(name, None)
+        await self._end(record, Delete(_key(name), record.version))
+
+    async def _end(self, record: _Record, operation: Operation) -> None:
+        try:
+            await self.commits.submit(operation)
+        except TableConflict:
+            # An earlier release was applied and the name was claimed again, or
+            # the claim was deleted after the retention time.
+            pass
+        if self._records.get(record.name) is record:
+            del self._records[record.name]
+
+    async def clean_abandoned(self) -> None:
+        """Delete claims of this owner whose insert was applied unnoticed.
+
+        A name without a row is kept, because its insert may still arrive; the
+        oldest are forgotten above ``max_abandoned``. Raises the table's errors.
+        """
+        names = [name for name in self.abandoned if name not in self._claiming]
+        for name in names[:MAX_BATCH]:
+            row = await self.commits.table.read(_key(name))
+            if name not in self._claiming and self._is_abandoned(name, row):
+                await self._delete_abandoned(name, row)
+        while len(self.abandoned) > self.max_abandoned:
+            del self.abandoned[next(iter(self.abandoned))]
+
+    async def _delete_abandoned(self, name: str, row: Row) -> None:
+        self._claiming.add(name)
+        try:
+            await self.commits.submit(Delete(row.key, row.version))
+            self._drop_mark(name, row.value["mark"])
+        finally:
+            self._claiming.discard(name)
 
     async def look_up(self, name: str) -> ClaimState | None:
         """Return the state of the claim, or None when there is no claim."""
@@ -305,66 +208,65 @@
 
 def _read_state(row: Row) -> ClaimState:
     if row.version == ABSENT:
-        return Pending("")
+        return Pending("")  # released since the conflict; the next try decides
     if row.value["state"] == "finished":
         return Finished(row.value["result"])
     return Pending(row.value["owner"])
 
 
-@define(eq=False)
-class IdIssuer:
-    """Ids that only the issuing process may use, each at most once.
+@define
+class ClaimCleaner:
+    """Deletes claims that nobody changed for the retention time.
 
-    An id is ``OWNER.SEQUENCE.MAC``; the MAC covers the team, so that an id is
-    worthless to other teams. At most ``max_unused`` ids are remembered; older
-    ones count as used.
+    The time is measured on the own clock from when a version was first seen,
+    so no clocks are compared. Each round reads one page, and at most
+    ``max_watched`` claims are watched at a time.
     """
 
-    owner: str
-    secret: bytes = field(repr=False)
-    max_unused: int = 100_000
-    _sequence: int = 0
-    _unused: dict[str, None] = field(factory=dict)
-
-    def issue(self, team: str, count: int) -> list[str]:
-        """Return new ids for the team."""
-        ids = [self._make_id(team) for _ in range(count)]
-        self._unused.update(dict.fromkeys(ids))
-        while len(self._unused) > self.max_unused:
-            del self._unused[next(iter(self._unused))]
-        return ids
-
-    def owner_of(self, team: str, request_id: str) -> str | None:
-        """Return who issued the id to the team, or None if nobody did."""
-        parts = request_id.rsplit(".", 2)
-        if len(parts) != 3:
-            return None
-        signed = f"{parts[0]}.{parts[1]}"
-        if not hmac.compare_digest(self._sign(team, signed), parts[2].encode()):
-            return None
-        return parts[0]
-
-    def is_unused(self, request_id: str) -> bool:
-        """Return whether the own id was certainly never used."""
-        return request_id in self._unused
-
-    def use(self, request_id: str) -> bool:
-        """Mark an own id as used; return False if it was used before."""
-        if request_id not in self._unused:
-            return False
-        del self._unused[request_id]
-        return True
-
-    def restore(self, request_id: str) -> None:
-        """Allow an own id again whose work was certainly not started."""
-        self._unused[request_id] = None
-
-    def _make_id(self, team: str) -> str:
-        self._sequence += 1
-        signed = f"{self.owner}.{self._sequence}"
-        return f"{signed}.{self._sign(team, signed).decode()}"
-
-    def _sign(self, team: str, signed: str) -> bytes:
-        message = f"{team}\0{signed}".encode()
-        digest = hmac.new(self.secret, message, hashlib.sha256).digest()
-        return digest[:MAC_BYTES].hex().encode()
+    table: Table
+    keep_seconds: float
+    clock: Callable[[], float]
+    page_rows: int = 200
+    max_watched: int = 5000
+    _after: str = ""
+    _watched: dict[str, tuple[int, float]] = field(factory=dict)
+
+    async def run_once(self) -> int:
+        """Look at the next page and return how many claims were deleted.
+
+        Raises ``PlatformUnavailable`` or ``OutcomeUnknown``; a deletion is
+        conditional, so the next rounds repeat it safely.
+        """
+        rows = await self.table.scan(CLAIM_PREFIX, self._after, self.page_rows)
+        is_end = len(rows) < self.page_rows
+        self._forget_missing(rows, is_end)
+        self._after = "" if is_end else rows[-1].key
+        now = self.clock()
+        old = [row for row in rows if self._watch(row, now) >= self.keep_seconds]
+        return await self._delete(old[:MAX_BATCH])
+
+    def _forget_missing(self, rows: list[Row], is_end: bool) -> None:
+        present = {row.key for row in rows}
+        last = rows[-1].key if rows else ""
+        for key in tuple(self._watched):
+            in_page = key > self._after and (is_end or key <= last)
+            if in_page and key not in present:
+                del self._watched[key]
+
+    def _watch(self, row: Row, now: float) -> float:
+        """Return for how long the row is known to be unchanged."""
+        known = self._watched.get(row.key)
+        if known is not None and known[0] == row.version:
+            return now - known[1]
+        if known is not None or len(self._watched) < self.max_watched:
+            self._watched[row.key] = (row.version, now)
+        return 0.0
+
+    async def _delete(self, rows: list[Row]) -> int:
+        if not rows:
+            return 0
+        try:
+            await self.table.transact([Delete(row.key, row.version) for row in rows])
+        except TableConflict:
+            return 0  # another daemon was first; the next pass sees what is left
+        return len(rows)
--- a/hemlockstand/requests/orders.py
+++ b/hemlockstand/requests/orders.py
@@ -5,20 +5,22 @@
 from base64 import b64decode, b64encode
 from collections.abc import Mapping
 from typing import Any
+from urllib.parse import quote
 
 import trio
 from attrs import define, field, frozen
 from loguru import logger
 
+from hemlockstand.coordination.commits import GroupCommit
 from hemlockstand.coordination.ledger import (
+    ClaimCleaner,
     ClaimState,
     Finished,
     Granted,
-    GroupCommit,
-    IdIssuer,
     Ledger,
     Pending,
 )
+from hemlockstand.coordination.requestids import IdIssuer
 from hemlockstand.errors import HemlockstandError, InvalidInput
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.platform.service import PlatformService
@@ -29,6 +31,7 @@
 MAX_ISSUED = 1000  # ids of one call
 MAX_INLINE_BODY = 8192  # larger bodies are kept only by the daemon that has them
 RETRY_SECONDS = 1.0
+CLEAN_SECONDS = 5.0  # 200 claims a page keep up with 40 orders a second
 
 
 @frozen
@@ -42,7 +45,16 @@
     @property
     def name(self) -> str:
         """Name of the claim in the ledger."""
-        return f"{self.team}/{self.request_id}"
+        return make_name(self.team, self.request_id)
+
+
+def make_name(team: str, request_id: str) -> str:
+    """Return the ledger's name of an order.
+
+    Both parts are quoted, so that a slash in one cannot make the orders of
+    two teams the same.
+    """
+    return f"{quote(team, safe='')}/{quote(request_id, safe='')}"
 
 
 @register
@@ -58,13 +70,14 @@
         self.peers = kernel.find("peers", Service)
         self.table = kernel.find("platform", PlatformService).platform.table
         self.clock = trio.current_time
-        self._commits = GroupCommit(self.table, requests.claim_batch_seconds)
-        self._ledger = Ledger(self._commits, self.peers.incarnation)
+        self.commits = GroupCommit(self.table, requests.claim_batch_seconds)
+        self._ledger = Ledger(self.commits, self.peers.incarnation)
         self._issuer = IdIssuer(self.peers.incarnation, self._derive_secret())
         self._kept = KeptVerdicts(
             requests.max_kept_results, requests.result_keep_seconds, self.clock
         )
         self._unwritten: dict[str, tuple[Claim, Verdict]] = {}
+        self._writing: set[str] = set()
         self._wake = trio.Event()
 
     async def start(self) -> None:
@@ -74,8 +87,9 @@
     async def run(self) -> None:
         """Commit claims and write outcomes until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._commits.run)
+            nursery.start_soon(self.commits.run)
             nursery.start_soon(self._write_forever)
+            nursery.start_soon(self._clean_forever)
 
     async def stop(self) -> None:
         """Write the outcomes that are not written yet."""
@@ -97,7 +111,7 @@
 
     async def claim(self, team: str, request_id: str) -> Claim | Verdict:
         """Claim an order, or return the verdict that the caller gets."""
-        kept = self._kept.find(f"{team}/{request_id}")
+        kept = self._kept.find(make_name(team, request_id))
         if kept is not None:
             return kept
         owner = self.owner_of(team, request_id)
@@ -108,18 +122,24 @@
         return self._claim_issued(Claim(team, request_id, issued=True))
 
     async def finish(self, claim: Claim, verdict: Verdict) -> None:
-        """Record the verdict of a claimed order; it is written later."""
+        """Record the verdict of a claimed order.
+
+        A claim that was not run is released before this returns, if the
+        platform answers; other outcomes are written later in batches.
+        """
         if claim.issued:
             self._finish_issued(claim, verdict)
             return
-        if not isinstance(verdict, NotRun):
-            self._kept.keep(claim.name, verdict)
         self._unwritten[claim.name] = (claim, verdict)
+        if isinstance(verdict, NotRun):
+            await self._write(claim, verdict)
+        else:
+            self._kept.keep(claim.name, verdict)
         self._wake.set()
 
     async def look_up(self, team: str, request_id: str) -> Verdict:
         """Return what is known of an order without running it."""
-        kept = self._kept.find(f"{team}/{request_id}")
+        kept = self._kept.find(make_name(team, request_id))
         if kept is not None:
             return kept
         owner = self.owner_of(team, request_id)
@@ -128,7 +148,7 @@
         if owner is not None:
             return await self._ask(owner, team, request_id)
         try:
-            state = await self._ledger.look_up(f"{team}/{request_id}")
+            state = await self._ledger.look_up(make_name(team, request_id))
         except HemlockstandError as error:
             return MayHaveRun(request_id, Reason.CLAIM_UNAVAILABLE, str(error))
         if state is None:
@@ -141,6 +161,8 @@
 
     async def _claim_row(self, claim: Claim) -> Claim | Verdict:
         try:
+            if claim.name in self._unwritten:
+                await self._write(*self._unwritten[claim.name])
             state = await self._ledger.claim(claim.name)
         except HemlockstandError as error:
             return NotRun(Reason.CLAIM_UNAVAILABLE, str(error), RETRY_SECONDS)
@@ -189,7 +211,7 @@
 
     async def _answer(self, team: str, request_id: str) -> Verdict | None:
         """Answer another daemon from memory only."""
-        name = f"{team}/{request_id}"
+        name = make_name(team, request_id)
         kept = self._kept.find(name)
         if kept is not None:
             return kept
@@ -199,6 +221,9 @@
             return self._look_up_issued(request_id)
         if self._ledger.is_active(name):
             return MayHaveRun(request_id, Reason.IN_PROGRESS, "still running")
+        if name in self._ledger.abandoned:
+            detail = "the claim had no known outcome and the order was not sent"
+            return NotRun(Reason.CLAIM_UNAVAILABLE, detail, RETRY_SECONDS)
         return None
 
     async def _write_forever(self) -> None:
@@ -210,22 +235,42 @@
                 await trio.sleep(RETRY_SECONDS)
                 self._wake.set()
 
+    async def _clean_forever(self) -> None:
+        requests = self.settings.requests
+        cleaner = ClaimCleaner(
+            self.table,
+            requests.result_keep_seconds + requests.max_deadline_seconds,
+            self.clock,
+        )
+        while True:
+            await trio.sleep(CLEAN_SECONDS)
+            try:
+                await self._ledger.clean_abandoned()
+                await cleaner.run_once()
+            except HemlockstandError as error:
+                log.warning("clean-up of claims failed: {}", error)
+
     async def _write_outcomes(self) -> None:
         async with trio.open_nursery() as nursery:
             for claim, verdict in tuple(self._unwritten.values()):
                 nursery.start_soon(self._write, claim, verdict)
 
     async def _write(self, claim: Claim, verdict: Verdict) -> None:
+        """Write one outcome unless another task is writing it."""
+        if claim.name in self._writing:
+            return
+        self._writing.add(claim.name)
         try:
             match verdict:
                 case NotRun():
                     await self._ledger.release(claim.name)
                 case Answered() | MayHaveRun():
                     await self._ledger.finish(claim.name, encode_result(verdict))
+            self._unwritten.pop(claim.name, None)
         except HemlockstandError as error:
             log.warning("outcome of {} is not written yet: {}", claim.name, error)
-            return
-        self._unwritten.pop(claim.name, None)
+        finally:
+            self._writing.discard(claim.name)
 
 
 @define
--- a/test/test_coordination_examples.py
+++ b/test/test_coordination_examples.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from hemlockstand.coordination import escrow, lease, ledger
+from hemlockstand.coordination import commits, escrow, lease, ledger, requestids
 
 
-@pytest.mark.parametrize("module", [lease, escrow, ledger])
+@pytest.mark.parametrize("module", [lease, escrow, commits, ledger, requestids])
 def test_doc_comment_example(module):
     """Guards against documentation that no longer matches the code."""
     result = doctest.testmod(module)
--- a/test/test_orders.py
+++ b/test/test_orders.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from hemlockstand.errors import OutcomeUnknown
 from hemlockstand.requests.orders import Claim, OrdersService
 from hemlockstand.verdict import Answered, MayHaveRun, NotRun, Reason
 from test.fleet_fakes import Fleet
@@ -46,3 +47,98 @@
         assert isinstance(own, NotRun)
         assert own.reason == Reason.CLAIM_UNAVAILABLE
         nursery.cancel_scope.cancel()
+
+
+async def test_claim_of_a_gone_owner_may_have_run(autojump_clock, tmp_path):
+    """Guards against "not run" for an order that a killed daemon sent."""
+    fleet = Fleet(tmp_path)
+    async with trio.open_nursery() as nursery:
+        kernel = fleet.add("entry-1")
+        first = await run_service(kernel, nursery)
+        second = await run_service(fleet.add("entry-2"), nursery)
+        await first.claim("hinge", "order-1")
+        kernel.find("peers", object).alive = False
+        verdict = await second.claim("hinge", "order-1")
+        assert isinstance(verdict, MayHaveRun)
+        assert verdict.reason == Reason.OWNER_GONE
+        nursery.cancel_scope.cancel()
+
+
+async def test_expired_result_is_not_run_again(autojump_clock, tmp_path):
+    """Guards against an owner that takes its own old claim for a new one."""
+    fleet = Fleet(tmp_path)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        claim = await first.claim("hinge", "order-1")
+        answer = Answered(200, (("content-type", "text/plain"),), b"done")
+        await first.finish(claim, answer)
+        await trio.sleep(first.settings.requests.result_keep_seconds + 1)
+        assert await first.claim("hinge", "order-1") == answer
+        nursery.cancel_scope.cancel()
+
+
+async def test_lost_claim_reply_is_resolved_by_reading(autojump_clock, tmp_path):
+    """Guards against a second insert, or a refusal, after a lost reply."""
+    fleet = Fleet(tmp_path)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        fleet.table.fail_next(OutcomeUnknown("reply lost"), applied=True)
+        claim = await first.claim("hinge", "order-1")
+        assert isinstance(claim, Claim)
+        assert fleet.table.writes == 1
+        nursery.cancel_scope.cancel()
+
+
+async def test_refused_order_can_run_through_another_daemon(autojump_clock, tmp_path):
+    """Guards against a claim that outlives a certain "not run"."""
+    fleet = Fleet(tmp_path)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        second = await run_service(fleet.add("entry-2"), nursery)
+        claim = await first.claim("hinge", "order-1")
+        await first.finish(claim, NotRun(Reason.UPSTREAM_REFUSED, "full", 1.0))
+        assert isinstance(await second.claim("hinge", "order-1"), Claim)
+        nursery.cancel_scope.cancel()
+
+
+async def test_claims_that_arrive_together_share_a_transaction(
+    autojump_clock, tmp_path
+):
+    """Guards against one transaction per order in a burst."""
+    fleet = Fleet(tmp_path)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        async with trio.open_nursery() as callers:
+            for number in range(50):
+                callers.start_soon(first.claim, "hinge", f"order-{number}")
+        assert first.commits.transactions == 1
+        nursery.cancel_scope.cancel()
+
+
+async def test_old_claims_are_deleted_in_small_batches(autojump_clock, tmp_path):
+    """Guards against claims that stay for ever or vanish too early."""
+    fleet = Fleet(tmp_path)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        for number in range(150):
+            claim = await first.claim("hinge", f"order-{number}")
+            await first.finish(claim, Answered(200, (), b""))
+        keep = first.settings.requests.result_keep_seconds
+        await trio.sleep(keep)
+        assert len(fleet.table.rows) == 150
+        await trio.sleep(first.settings.requests.max_deadline_seconds + 30)
+        assert len(fleet.table.rows) == 0
+        nursery.cancel_scope.cancel()
+
+
+async def test_ids_of_two_teams_never_share_a_claim(autojump_clock, tmp_path):
+    """Guards against a slash in a name that mixes up the teams' results."""
+    fleet = Fleet(tmp_path)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        assert isinstance(await first.claim("hinge/a", "b"), Claim)
+        assert isinstance(await first.claim("hinge", "a/b"), Claim)
+        (request_id,) = first.issue("hinge", 1)
+        assert first.owner_of("hinge", request_id) == "inc-entry-1"
+        assert first.owner_of("clamp", request_id) is None
+        nursery.cancel_scope.cancel()
