Test each safeguard of the team limits with a directed failure

The stateful test alone missed most removed safeguards, because the paths to them are long. Each has a directed test now.

--- /dev/null
+++ b/test/test_limits_failures.py
@@ -0,0 +1,367 @@
+"""One directed test for each way in which slots could be used twice."""
+
+import pytest
+
+from hemlockstand.coordination.escrow import ELASTIC, split_limit
+from hemlockstand.coordination.lease import LeaseLost
+from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
+from hemlockstand.requests.reclaim import release_holder
+from test.limit_world import MARGIN, TERMS, World
+from test.stepped import Fault, Track
+
+WAIT = 4 + 6 + 1  # lease, longest deadline, margin
+
+
+def run(work, *faults):
+    """Run the work; its writes meet the given faults first."""
+    track, left = Track(), list(faults)
+    track.begin(work)
+    while not track.is_idle:
+        track.step(left.pop(0) if left else Fault.NONE)
+    if track.errors:
+        raise track.errors[0]
+
+
+def make_world(limit=4, reserved=0.0):
+    world = World(limit)
+    set_limit(world, limit, reserved)
+    for daemon in world.daemons:
+        run(daemon.lease.renew())
+    return world
+
+
+def set_limit(world, limit, reserved=0.0):
+    world.version += 1
+    split = split_limit(limit, reserved, {"dc1", "dc2"}, world.version)
+    for daemon in world.daemons:
+        daemon.slots.split = split
+
+
+def take(daemon, count, part=ELASTIC):
+    run(daemon.slots.escrow.take({part: count}, daemon.slots.split))
+
+
+def send(world, daemon, count=1):
+    """Take and send requests of the longest deadline; return the sent slots."""
+    deadline = world.now + TERMS.grant_seconds
+    slots = [daemon.slots.take(deadline, keyed=False) for _ in range(count)]
+    return [slot for slot in slots if slot is not None and slot.may_send()]
+
+
+def observe(world, daemon, seconds):
+    for _ in range(int(seconds)):
+        world.now += 1.0
+        run(daemon.reclaimer.run_once())
+
+
+def held(world, daemon):
+    row = world.table.rows["limit/team"]
+    return sum(row.value["holders"].get(daemon.lease.holder, {}).values())
+
+
+def test_slots_are_taken_over_only_after_lease_and_longest_deadline():
+    """Guards against a takeover while a request still runs on its lease."""
+    world = make_world()
+    first, second, _ = world.daemons
+    take(first, 4)
+    run(second.reclaimer.run_once())
+    observe(world, second, WAIT - 1)
+    assert held(world, first) == 4
+    observe(world, second, 1)
+    assert held(world, first) == 0
+
+
+def test_gap_of_the_table_restarts_the_observation():
+    """Guards against ending a holder that could not renew in an outage."""
+    world = make_world()
+    first, second, _ = world.daemons
+    take(first, 4)
+    run(second.reclaimer.run_once())
+    observe(world, second, WAIT - 1)
+    with pytest.raises(PlatformUnavailable):
+        run(second.reclaimer.run_once(), Fault.DOWN)
+    observe(world, second, WAIT - 1)
+    assert held(world, first) == 4
+
+
+def test_pause_of_the_observer_restarts_the_observation():
+    """Guards against counting a time in which nobody looked."""
+    world = make_world()
+    first, second, _ = world.daemons
+    take(first, 4)
+    run(second.reclaimer.run_once())
+    world.now += WAIT
+    observe(world, second, 2)
+    assert held(world, first) == 4
+
+
+def test_paused_holder_cannot_send():
+    """Guards against a send on a lease that lapsed during a pause."""
+    world = make_world()
+    first = world.daemons[0]
+    take(first, 1)
+    slot = first.slots.take(world.now + TERMS.grant_seconds, keyed=False)
+    world.now += TERMS.lease_seconds
+    assert not slot.may_send()
+
+
+def test_lease_counts_from_before_the_renewal_was_sent():
+    """Guards against a lease that outlives what observers assume."""
+    world = make_world()
+    first = world.daemons[0]
+    for fault in (Fault.NONE, Fault.REPLY_LOST):
+        renewal = Track()
+        renewal.begin(first.lease.renew())
+        renewal.step(fault)
+        sent_at = world.now
+        world.now += 3.0
+        renewal.step(None)
+        while not renewal.is_idle:
+            renewal.step(Fault.NONE)
+        assert not renewal.errors
+        world.now = sent_at + TERMS.lease_seconds - 0.1
+        assert first.lease.is_valid()
+        world.now = sent_at + TERMS.lease_seconds
+        assert not first.lease.is_valid()
+
+
+def test_resumed_holder_learns_that_it_was_ended():
+    """Guards against a holder that goes on after a takeover."""
+    world = make_world()
+    first, second, _ = world.daemons
+    take(first, 4)
+    run(second.reclaimer.run_once())
+    observe(world, second, WAIT)
+    with pytest.raises(LeaseLost):
+        run(first.lease.renew())
+    assert send(world, first) == []
+
+
+def test_outage_does_not_stop_a_holder_with_proof():
+    """Guards against an outage that stops requests within their slots."""
+    world = make_world()
+    first = world.daemons[0]
+    take(first, 4)
+    for _ in range(60):
+        world.now += 1.0
+        first.stamps[ELASTIC] = world.now
+        assert first.may_use(ELASTIC, False)
+    assert len(send(world, first, 4)) == 4
+
+
+def test_proof_after_a_pause_does_not_cover_the_time_before():
+    """Guards against a holder that was ended before the outage began."""
+    world = make_world()
+    first = world.daemons[0]
+    take(first, 4)
+    world.now += WAIT + 5
+    first.stamps[ELASTIC] = world.now
+    assert send(world, first) == []
+
+
+def test_late_return_of_slots_is_not_used_meanwhile():
+    """Guards against use of slots whose return arrives after a read."""
+    world = make_world()
+    first, second, _ = world.daemons
+    take(first, 4)
+    with pytest.raises(OutcomeUnknown):
+        run(first.slots.escrow.shrink({ELASTIC: 1}, first.slots.split), Fault.LATE)
+    run(first.slots.escrow.refresh())
+    assert len(send(world, first, 4)) == 1
+    with pytest.raises(StopIteration):
+        world.table.transact(world.late.pop()).send(None)
+    take(second, 4)
+    assert len(send(world, second, 4)) == 3
+    assert send(world, first, 4) == []
+
+
+def test_returned_slots_are_not_used_while_the_write_is_under_way():
+    """Guards against a start between the decision to return and the reply."""
+    world = make_world()
+    first, second, _ = world.daemons
+    take(first, 4)
+    giving = Track()
+    giving.begin(first.slots.escrow.shrink({}, first.slots.split))
+    giving.step(Fault.NONE)
+    take(second, 4)
+    assert len(send(world, second, 4)) == 4
+    assert send(world, first) == []
+
+
+def test_lost_reply_of_a_take_gives_the_slots_once():
+    """Guards against taking again, or losing, slots after a lost reply."""
+    world = make_world()
+    first = world.daemons[0]
+    run(
+        first.slots.escrow.take({ELASTIC: 3}, first.slots.split),
+        Fault.NONE,
+        Fault.NONE,
+        Fault.REPLY_LOST,
+    )
+    assert first.slots.escrow.usable(ELASTIC) == held(world, first) == 3
+
+
+def test_sweep_spares_a_holder_that_registered_meanwhile():
+    """Guards against freeing the slots of a holder that is just starting."""
+    world = make_world()
+    first, second, _ = world.daemons
+    sweep = Track()
+    sweep.begin(second.reclaimer.run_once())
+    first.begin()
+    for _ in range(4):
+        sweep.step(Fault.NONE)
+    run(first.lease.renew())
+    take(first, 4)
+    while not sweep.is_idle:
+        sweep.step(Fault.NONE)
+    assert held(world, first) == 4
+
+
+def test_holder_that_renews_is_not_ended():
+    """Guards against a takeover decided on a row that has changed since."""
+    world = make_world()
+    first, second, _ = world.daemons
+    take(first, 4)
+    run(second.reclaimer.run_once())
+    observe(world, second, WAIT - 1)
+    world.now += 1.0
+    ending = Track()
+    ending.begin(second.reclaimer.run_once())
+    ending.step(Fault.NONE)
+    ending.step(None)
+    run(first.lease.renew())
+    while not ending.is_idle:
+        ending.step(Fault.NONE)
+    assert held(world, first) == 4
+    assert len(send(world, first, 4)) == 4
+
+
+def test_reserved_slots_are_ended_only_from_their_data_centre():
+    """Guards against a takeover of slots that a cut-off site goes on using."""
+    world = make_world(limit=8, reserved=0.5)
+    first, second, far = world.daemons
+    take(first, 2, "dc1")
+    take(first, 4)
+    run(far.reclaimer.run_once())
+    observe(world, far, 2 * WAIT)
+    row = world.table.rows["limit/team"]
+    assert row.value["holders"][first.lease.holder] == {"dc1": 2}
+    run(second.reclaimer.run_once())
+    observe(world, second, WAIT)
+    assert held(world, first) == 0
+
+
+def test_lowered_limit_stops_starts_until_the_row_is_within():
+    """Guards against starts above a limit that was lowered."""
+    world = make_world(limit=4)
+    first, second, _ = world.daemons
+    take(first, 2)
+    take(second, 2)
+    assert len(send(world, first, 2)) == 2
+    set_limit(world, 2)
+    assert send(world, second) == []
+    run(second.slots.escrow.settle(second.slots.used_parts(), second.slots.split))
+    assert send(world, second) == []
+    run(first.slots.escrow.settle(first.slots.used_parts(), first.slots.split))
+    run(second.slots.escrow.settle(second.slots.used_parts(), second.slots.split))
+    assert held(world, first) == 2
+    assert held(world, second) == 0
+    assert send(world, second) == []
+
+
+def test_starts_wait_until_the_row_shows_the_lowered_limit():
+    """Guards against a late daemon that takes slots under the old limit."""
+    world = make_world(limit=4)
+    first, _, late = world.daemons
+    take(first, 2)
+    old = late.slots.split
+    set_limit(world, 2)
+    late.slots.split = old
+    assert send(world, first) == []
+    run(first.slots.escrow.settle({}, first.slots.split))
+    take(late, 2)
+    assert held(world, late) == 0
+
+
+def test_used_slots_are_kept_when_the_limit_is_lowered():
+    """Guards against giving away the slots of requests that still run."""
+    world = make_world(limit=8)
+    first, second, _ = world.daemons
+    take(first, 4)
+    take(second, 4)
+    slots = send(world, first, 4) + send(world, second, 4)
+    set_limit(world, 4)
+    for daemon in (first, second):
+        run(daemon.slots.escrow.settle(daemon.slots.used_parts(), daemon.slots.split))
+        assert held(world, daemon) == 4
+    for slot in slots[:4]:
+        slot.release(certain=True)
+    run(first.slots.escrow.settle(first.slots.used_parts(), first.slots.split))
+    assert held(world, first) == 0
+    assert held(world, second) == 4
+
+
+def test_slot_taken_before_the_limit_was_lowered_is_checked_at_the_send():
+    """Guards against a send above the limit by a request that waited."""
+    world = make_world(limit=4)
+    first = world.daemons[0]
+    take(first, 4)
+    slots = [first.slots.take(world.now + 6.0, keyed=False) for _ in range(4)]
+    set_limit(world, 1)
+    run(first.slots.escrow.settle(first.slots.used_parts(), first.slots.split))
+    assert [slot.may_send() for slot in slots] == [True, False, False, False]
+
+
+def test_daemon_with_an_old_configuration_cannot_raise_the_limit():
+    """Guards against a late daemon that takes slots of the former limit."""
+    world = make_world(limit=4)
+    first, second, _ = world.daemons
+    old = second.slots.split
+    take(first, 1)
+    set_limit(world, 1)
+    run(first.slots.escrow.settle({ELASTIC: 0}, first.slots.split))
+    second.slots.split = old
+    take(second, 4)
+    assert held(world, second) == 0
+
+
+def test_uncertain_end_holds_the_slot_until_the_deadline():
+    """Guards against reuse of a slot whose request may still be running."""
+    world = make_world(limit=1)
+    first = world.daemons[0]
+    take(first, 1)
+    (slot,) = send(world, first)
+    slot.release(certain=False)
+    run(first.lease.renew())
+    assert send(world, first) == []
+    world.now += TERMS.grant_seconds + MARGIN
+    run(first.lease.renew())
+    assert len(send(world, first)) == 1
+
+
+def test_stop_releases_slots_and_holder_in_one_transaction():
+    """Guards against slots that stay blocked after a graceful stop."""
+    world = make_world()
+    first = world.daemons[0]
+    take(first, 4)
+    before = world.table.writes
+    first.lease.end()
+    assert send(world, first) == []
+    run(release_holder(first.table, first.lease, {}))
+    assert world.table.writes == before + 2
+    assert first.lease.key not in world.table.rows
+    assert held(world, first) == 0
+
+
+def test_stop_keeps_slots_whose_request_may_be_running():
+    """Guards against freeing the slot of an unknown outcome at a stop."""
+    world = make_world()
+    first = world.daemons[0]
+    take(first, 4)
+    (slot,) = send(world, first)
+    slot.release(certain=False)
+    first.lease.end()
+    keep = {"team": first.slots.used_parts()}
+    run(release_holder(first.table, first.lease, keep))
+    assert held(world, first) == 1
+    assert first.lease.key in world.table.rows
