--- /dev/null
+++ b/emulator/fleet.py
@@ -0,0 +1,291 @@
+"""Starts and stops the processes of a fleet for demo, tests and benches.
+
+Everything lives in a temporary directory and on a loopback network of its
+own, and ends with the ``with`` statement::
+
+    with Fleet(SMALL) as fleet:
+        fleet.start()
+        fleet.apply_sheet()
+        key = fleet.grant_key("demo", "hinge")
+"""
+
+import csv
+import json
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Mapping
+from datetime import UTC, datetime
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import httpx
+from attrs import define, field
+
+from emulator.layout import (
+    TOKEN,
+    Daemon,
+    ExecutorPlace,
+    FleetError,
+    Layout,
+    Overrides,
+)
+from emulator.network import (
+    BALANCER_CONTROL_PORT,
+    BALANCER_PORT,
+    PLATFORM_PORT,
+    Network,
+    reserve_network,
+)
+from emulator.processes import ChildGroup
+from emulator.shapes import FleetShape
+
+SHEETS = Path(__file__).with_name("sheets")
+START_SECONDS = 30.0
+POLL_SECONDS = 0.05
+CTL_SECONDS = 40.0
+WAIT_IN_FORCE = "--wait=10"
+
+
+@define
+class Fleet:
+    """All processes of one deployment.
+
+    ``overrides`` are settings by section for all daemons. ``service_ms`` is
+    the mean service time of the executors.
+    """
+
+    shape: FleetShape
+    overrides: Overrides = field(factory=dict)
+    service_ms: float = 20.0
+    spread: float = 0.3
+    balancer_lag_seconds: float = 0.5
+    layout: Layout = field(init=False)
+    children: ChildGroup = field(init=False)
+    http: httpx.Client = field(init=False)
+    _network: Network = field(init=False)
+    _temporary: tempfile.TemporaryDirectory = field(init=False)
+
+    def __enter__(self) -> "Fleet":
+        self._temporary = tempfile.TemporaryDirectory(prefix="hemlockstand-")
+        directory = Path(self._temporary.name)
+        self._network = reserve_network()
+        self.layout = Layout(self.shape, self._network, directory, self.overrides)
+        self.children = ChildGroup(directory)
+        self.http = httpx.Client(trust_env=False, timeout=10)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.children.close()
+        self.http.close()
+        self._network.close()
+        self._temporary.cleanup()
+
+    @property
+    def daemons(self) -> dict[str, Daemon]:
+        """The daemons by name."""
+        return self.layout.daemons
+
+    @property
+    def executors(self) -> dict[str, ExecutorPlace]:
+        """The executors by name."""
+        return self.layout.executors
+
+    def start(self) -> None:
+        """Start everything and wait until it is ready."""
+        self.start_platform()
+        self.start_upstreams()
+        self.start_daemons()
+        self.start_balancer()
+
+    def start_platform(self) -> None:
+        """Start the platform stand-in and register all instances."""
+        ports = [
+            f"{data_centre}:{self.layout.platform_port(data_centre)}"
+            for data_centre in self.shape.data_centres
+        ]
+        arguments = [
+            f"--host={self.layout.platform_host}",
+            f"--port={PLATFORM_PORT}",
+            f"--data_centre_ports={','.join(ports)}",
+        ]
+        self.children.start("platform", "emulator.platform", arguments)
+        self.wait_http(f"{self.layout.platform}/health", "platform")
+        for instance in self.layout.list_instances():
+            self._post(f"{self.layout.platform}/instances", instance)
+
+    def start_upstreams(self) -> None:
+        """Start one process of executors per desk."""
+        for desk in self.shape.desks:
+            places = self.layout.list_desk(desk)
+            host = places[0].address.partition(":")[0]
+            ports = [place.address.rpartition(":")[2] for place in places]
+            arguments = [
+                f"--host={host}",
+                f"--ports={','.join(ports)}",
+                f"--names={','.join(place.name for place in places)}",
+                f"--slots={self.shape.slots}",
+                f"--connections={self.shape.connections}",
+                f"--service_ms={self.service_ms}",
+                f"--spread={self.spread}",
+            ]
+            self.children.start(f"upstream-{desk}", "emulator.upstream", arguments)
+        for place in self.executors.values():
+            self.wait_http(f"http://{place.address}/health", f"upstream-{place.desk}")
+
+    def start_daemons(self) -> None:
+        """Start all daemons and wait until they are ready."""
+        for name in self.daemons:
+            self.start_daemon(name)
+        for name in self.daemons:
+            self.wait_ready(name)
+
+    def start_daemon(self, name: str) -> None:
+        """Start one daemon without waiting for it."""
+        daemon = self.daemons[name]
+        arguments = ["--settings", str(daemon.settings)]
+        daemon.child = self.children.start(name, "hemlockstand.daemon", arguments)
+
+    def wait_ready(self, name: str, seconds: float = START_SECONDS) -> None:
+        """Wait until a daemon reports ready."""
+        url = f"http://{self.daemons[name].operator}/ready"
+        self.wait_http(url, name, seconds)
+
+    def start_balancer(self) -> None:
+        """Start the balancer in front of all daemons."""
+        backends = [
+            f"{daemon.caller}/{daemon.operator}" for daemon in self.daemons.values()
+        ]
+        arguments = [
+            f"--host={self.layout.balancer_host}",
+            f"--port={BALANCER_PORT}",
+            f"--control_port={BALANCER_CONTROL_PORT}",
+            f"--lag_seconds={self.balancer_lag_seconds}",
+            f"--backends={','.join(backends)}",
+        ]
+        self.children.start("balancer", "emulator.balancer", arguments)
+        self.wait_until(self._is_balanced, START_SECONDS, "balancer")
+
+    def wait_http(self, url: str, child: str, seconds: float = START_SECONDS) -> None:
+        """Wait until a URL answers 200; raises ``FleetError``."""
+        self.wait_until(lambda: self.http.get(url).status_code == 200, seconds, child)
+
+    def wait_until(
+        self, check: Callable[[], bool], seconds: float, child: str = ""
+    ) -> float:
+        """Wait for a condition and return how long it took, in seconds.
+
+        Raises ``FleetError`` after the time, or when the named child ends.
+        """
+        began = time.monotonic()
+        while True:
+            try:
+                if check():
+                    return time.monotonic() - began
+            except httpx.HTTPError:
+                pass
+            known = self.children.children.get(child)
+            ended = known is not None and not known.alive
+            if ended or time.monotonic() - began > seconds:
+                tail = "" if known is None else known.read_log_tail()
+                state = "ended" if ended else f"not ready after {seconds:.0f} s"
+                raise FleetError(f"{child or 'condition'}: {state}\n{tail}")
+            time.sleep(POLL_SECONDS)
+
+    def ctl(self, *words: str, daemon: str = "", check: bool = True) -> dict[str, Any]:
+        """Run hemlockctl with ``--json`` and return its output.
+
+        The result has ``exit_code`` and ``error`` besides. ``check`` raises
+        ``FleetError`` on an exit code other than 0.
+        """
+        server = self.daemons[daemon or next(iter(self.daemons))].operator
+        done = subprocess.run(
+            [
+                *(sys.executable, "-m", "hemlockstand.ctl.main", *words),
+                *(f"--server=http://{server}", f"--token={TOKEN}", "--json"),
+            ],
+            capture_output=True,
+            text=True,
+            timeout=CTL_SECONDS,
+            check=False,
+        )
+        if done.returncode != 0 and check:
+            raise FleetError(
+                f"hemlockctl {' '.join(words)}: exit code {done.returncode}\n"
+                f"{done.stdout}{done.stderr}"
+            )
+        try:
+            result = json.loads(done.stdout or "{}")
+        except json.JSONDecodeError:
+            result = {"output": done.stdout}
+        return result | {"exit_code": done.returncode, "error": done.stderr}
+
+    def apply_sheet(self, file: Path | None = None) -> dict[str, Any]:
+        """Apply a sheet, by default that of the shape, and wait for all daemons."""
+        path = file or SHEETS / self.shape.sheet
+        base = self.ctl("config", "version")["version"]
+        today = datetime.now(UTC).date().isoformat()
+        return self.ctl(
+            *("sheet", "apply", str(path), f"--version={base}", f"--day={today}"),
+            WAIT_IN_FORCE,
+        )
+
+    def grant_key(self, name: str, team: str) -> str:
+        """Grant a key, wait for all daemons and return what callers present."""
+        granted = self.ctl("key", "grant", name, f"--team={team}", WAIT_IN_FORCE)
+        return granted["key"]
+
+    def set_faults(self, **values: Any) -> None:
+        """Set switches of the platform stand-in."""
+        self._post(f"{self.layout.platform}/faults", values)
+
+    def set_profiles(self, profiles: Mapping[str, Mapping[str, Any]]) -> None:
+        """Set what the tasks of jobs really do, by job."""
+        self._post(f"{self.layout.platform}/profiles", profiles)
+
+    def set_behaviour(self, executor: str, **values: Any) -> None:
+        """Set the behaviour of one executor."""
+        address = self.executors[executor].address
+        self._post(f"http://{address}/behaviour", values)
+
+    def read_record(self, since: int = 0) -> dict[str, Any]:
+        """Return the record of the platform stand-in."""
+        url = f"{self.layout.platform}/record"
+        return self.http.get(url, params={"since": str(since)}).json()
+
+    def read_rows(self, prefix: str) -> dict[str, dict[str, Any]]:
+        """Return the values of the table's rows with a prefix, by key."""
+        url = f"{self.layout.platform}/table/scan"
+        params = {"prefix": prefix, "limit": "5000"}
+        rows = self.http.get(url, params=params).json()["rows"]
+        return {row["key"]: row["value"] for row in rows}
+
+    def read_runs(self) -> list[dict[str, Any]]:
+        """Return the runs of all executors in order of their start."""
+        runs: list[dict[str, Any]] = []
+        for desk in self.shape.desks:
+            address = self.layout.list_desk(desk)[0].address
+            runs.extend(self.http.get(f"http://{address}/record").json()["runs"])
+        return sorted(runs, key=lambda run: run["start"])
+
+    def _is_balanced(self) -> bool:
+        backends = self.http.get(self.layout.balancer_control).json()["backends"]
+        return all(backend["ready"] for backend in backends)
+
+    def _post(self, url: str, body: Mapping[str, Any]) -> None:
+        response = self.http.post(url, json=dict(body))
+        if response.status_code != 200:
+            raise FleetError(f"{url}: {response.status_code} {response.text}")
+
+
+def read_sheet(file: Path) -> list[dict[str, str]]:
+    """Return the rows of a sheet for programs that vary it."""
+    with file.open(encoding="utf-8", newline="") as stream:
+        return list(csv.DictReader(stream))
