--- a/hemlockstand/coordination/concurrency.py
+++ b/hemlockstand/coordination/concurrency.py
@@ -37,10 +37,12 @@
 LATENCY_FACTOR = 0.9
 LATENCY_TOLERANCE = 2.0
 LATENCY_SMOOTHING = 0.2
+DEVIATION_FRACTION = 0.5
 BASELINE_SECONDS = 30.0  # a baseline is forgotten after this, or it only sinks
 # The baseline is the smallest mean of so many answers. The smallest single
 # answer would make the usual spread of service times look like congestion.
 BASELINE_ANSWERS = 8
+SETTLED_FRACTION = 0.85
 EFFECT_FACTOR = 0.8  # half the window must lower a congested latency this far
 DEFAULT_LATENCY = 0.05
 
@@ -52,6 +54,7 @@
     size: float = INITIAL_WINDOW
     in_flight: int = 0
     latency: float = DEFAULT_LATENCY  # mean of the latest answers
+    deviation: float = 0.0  # mean distance of the latest answers from it
     baseline: float = float("inf")
     answered_at: float = float("-inf")
     answers: int = 0
@@ -97,9 +100,13 @@
         self.answers += 1
         # The first answer replaces the assumed latency.
         weight = LATENCY_SMOOTHING if self.answers > 1 else 1.0
+        distance = abs(latency - self.latency) if self.answers > 1 else latency / 2
+        self.deviation += weight * (distance - self.deviation)
         self.latency += weight * (latency - self.latency)
         self._update_baseline(now, latency)
-        if self.latency > LATENCY_TOLERANCE * self.baseline:
+        # The mean of the latest answers is uncertain by part of the deviation.
+        certain = self.latency - DEVIATION_FRACTION * self.deviation
+        if certain > LATENCY_TOLERANCE * self.baseline:
             self._reduce(now, LATENCY_FACTOR, MIN_LATENCY_WINDOW)
             self._check_effect(now)
         elif self._was_full:
@@ -141,16 +148,19 @@
         """
         if self.size > self._effect_size or self._effect_size == 0.0:
             self._effect_size = self.size
-            self._effect_latency = self.latency
-            return
-        if self.size > max(self._effect_size / 2, MIN_LATENCY_WINDOW):
-            return
-        if self.latency > EFFECT_FACTOR * self._effect_latency:
-            self.baseline = self.latency
-            self._next_baseline = float("inf")
-            self._baseline_until = now + BASELINE_SECONDS
-            self._fixed_until = now + BASELINE_SECONDS
-        self._effect_size = 0.0
+            self._effect_latency = 0.0
+        elif self.size > max(self._effect_size / 2, MIN_LATENCY_WINDOW):
+            # The latency at the first sign is still rising.
+            settled = self.size <= SETTLED_FRACTION * self._effect_size
+            if settled and self._effect_latency == 0.0:
+                self._effect_latency = self.latency
+        else:
+            if self.latency > EFFECT_FACTOR * self._effect_latency:
+                self.baseline = self.latency
+                self._next_baseline = float("inf")
+                self._baseline_until = now + BASELINE_SECONDS
+                self._fixed_until = now + BASELINE_SECONDS
+            self._effect_size = 0.0
 
     def _grow(self) -> None:
         self._answers_since_refusal += 1
--- a/hemlockstand/requests/dispatch.py
+++ b/hemlockstand/requests/dispatch.py
@@ -35,6 +35,10 @@
 
 OVERLOAD_RETRY_SECONDS = 1.0
 NO_UPSTREAM_RETRY_SECONDS = 2.0
+# Part of its time that a request may spend in the queue by estimate. With the
+# whole of it, requests started so late at five times the capacity that half
+# of them missed their deadline.
+WAIT_FRACTION = 0.5
 STOP_MARGIN_SECONDS = 2.0
 STOP_CHECK_SECONDS = 0.02
 
@@ -237,7 +241,8 @@
         team = self._configuration.current.teams.get(waiter.queue.team)
         weight = team.share if team is not None else 1.0
         wait = pool.estimate_wait(waiter.queue, weight)
-        if now + wait > waiter.latest_start and not is_retry:
+        most = WAIT_FRACTION * (waiter.latest_start - now)
+        if wait > most and not is_retry:
             return NotRun(
                 Reason.OVERLOADED,
                 f"the pool {pool.pool!r} could start it in {wait:.3f} s",
@@ -280,7 +285,7 @@
     def _make_waiter(self, request: Request, queue: Queue, avoid: str | None) -> Waiter:
         now = trio.current_time()
         latency = self._upstreams.registry.measure_latency(queue.pool, now)
-        latest_start = request.deadline - latency.mean
+        latest_start = request.deadline - latency.long
         if latest_start <= now:
             latest_start = request.deadline - latency.shortest
         return Waiter(request, queue, latest_start, avoid)
--- a/hemlockstand/requests/executors.py
+++ b/hemlockstand/requests/executors.py
@@ -19,6 +19,7 @@
 LEAVING_SECONDS = 15.0
 UNREACHABLE_SECONDS = 2.0
 MEASUREMENT_SECONDS = 2.0
+DEVIATIONS = 3.0
 
 
 @define(eq=False)
@@ -43,10 +44,10 @@
 
 @frozen
 class Latency:
-    """Latency of a pool in seconds."""
+    """Latency of a pool in seconds; few answers take longer than ``long``."""
 
     shortest: float
-    mean: float
+    long: float
 
 
 @define(eq=False)
@@ -134,7 +135,7 @@
         return any(executor.takes_work(now) for executor in self.get(pool))
 
     def measure_latency(self, pool: str, now: float) -> Latency:
-        """Return the pool's shortest and mean latency.
+        """Return the pool's shortest and its long latency.
 
         Without recent answers both are zero: refusing by an old measurement
         would prevent the answers that correct it.
@@ -148,7 +149,7 @@
             return Latency(0.0, 0.0)
         return Latency(
             min(window.baseline for window in recent),
-            sum(window.latency for window in recent) / len(recent),
+            max(window.latency + DEVIATIONS * window.deviation for window in recent),
         )
 
     def ejector(self, pool: str) -> OutlierEjector:
