--- a/test/fakes.py
+++ b/test/fakes.py
@@ -34,7 +34,7 @@
 from test.helper import write_settings
 
 
-@frozen
+@frozen(eq=False)
 class Received:
     """A request as the upstream received it."""
 
