--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -48,7 +48,9 @@
 TEAM_LIMIT = 64
 LOAD_RATE = 60.0
 LOAD_SECONDS = 5.0
-LOOK_UP_SECONDS = 10.0
+# Slow executors keep several requests of the killed daemon in flight.
+KILL_SLOWNESS = 15.0
+KILL_AFTER_SECONDS = 2.0
 
 
 class StepFailed(Exception):
@@ -168,7 +170,8 @@
     count = sum(run["request"] == request_id for run in demo.fleet.read_runs())
     require(count == 1, f"order {request_id} ran {count} times")
     require(verdict != "not-run", f"order {request_id} ran, answered {verdict}")
-    return f"order {request_id} repeated at entry-2: {verdict}, it ran once"
+    code = "" if verdict == "answered" else f" ({response.json()['code']})"
+    return f"order {request_id} repeated at entry-2: {verdict}{code}, it ran once"
 
 
 def refuse_wrong_key(demo: Demo) -> str:
@@ -246,10 +249,15 @@
 
 def kill_daemon(demo: Demo) -> str:
     """Kill one daemon under load and ask for what its callers lost."""
+    places = demo.fleet.layout.list_desk(TEAM)
+    for place in places:
+        demo.fleet.set_behaviour(place.name, mode="slow", factor=KILL_SLOWNESS)
     load = demo.start_load("kill", ORDERS)
-    time.sleep(1.0)
+    time.sleep(KILL_AFTER_SECONDS)
     demo.fleet.daemons[KILLED].running.kill()
     report = demo.finish_load(load)
+    for place in places:
+        demo.fleet.set_behaviour(place.name, mode="ok")
     total = report["total"]
     lost = [entry for entry in find_unanswered(report["requests"]) if entry["id"]]
     answers = Counter(demo.look_up("entry-1", entry["id"]) for entry in lost)
