Bound the memory of waiting bodies and close retired connections

Cause: by reading the code. A full queue of the largest bodies would take a gigabyte; an exception in a look-up was answered 'not run'; a connection to an instance that is gone was left open when its last request ended; a connect timeout, which an overload causes, kept an executor out of use for two seconds like a refused connection.

Result: two new tests for the first two; the last two have none of their own.

--- a/hemlockstand/requests/admission.py
+++ b/hemlockstand/requests/admission.py
@@ -46,6 +46,14 @@
 
 BODY_TIMEOUT_SECONDS = 10
 STOP_MARGIN_SECONDS = 2.0
+BACKLOG = 1024
+# Longer than balancers keep idle connections, so that the balancer closes
+# them and sends no request into a connection that is being closed here.
+KEEP_ALIVE_SECONDS = 90
+# A full queue of the largest bodies would take a gigabyte, four times the
+# memory that a daemon may use.
+MAX_HELD_BYTES = 64 << 20
+HELD_RETRY_SECONDS = 1.0
 FRESHNESS_RETRY_SECONDS = 2.0
 MAX_ISSUED_IDS = 1000
 MAX_DOCUMENT_BYTES = 4096
@@ -72,6 +80,7 @@
         self.port = self.settings.listen.caller_port
         self.app = self._make_app()
         self._keys = KeyIndex()
+        self._held_bytes = 0
         self._closing = trio.Event()
         self._closed = trio.Event()
         self.listening = trio.Event()
@@ -108,6 +117,8 @@
         config.accesslog = None
         config.errorlog = None
         config.include_server_header = False
+        config.backlog = BACKLOG
+        config.keep_alive_timeout = KEEP_ALIVE_SECONDS
         config.graceful_timeout = (
             self.settings.requests.max_deadline_seconds + STOP_MARGIN_SECONDS
         )
@@ -142,7 +153,7 @@
             with record_hop(
                 "admission", request.trace_headers, queue=queue, team=request.team
             ):
-                verdict = await self._dispatch.execute(request)
+                verdict = await self._execute(request)
         except Refused as error:
             verdict = error.verdict
         except HTTPException as error:
@@ -156,6 +167,13 @@
         self._count(queue, verdict, perf_counter() - began)
         return _make_response(present_verdict(verdict, request_id))
 
+    async def _execute(self, request: Request) -> Verdict:
+        self._held_bytes += len(request.body)
+        try:
+            return await self._dispatch.execute(request)
+        finally:
+            self._held_bytes -= len(request.body)
+
     async def _admit(self, name: str, headers: Mapping[str, str]) -> Request:
         """Check everything that can be checked before the request waits."""
         arrived = trio.current_time()
@@ -168,7 +186,9 @@
         key = None
         if queue.access is not Access.OPEN:
             key = self._check_key(configuration, queue.team, presented)
+        self._check_held(http_request.content_length or 0)
         body = await http_request.get_data()
+        self._check_held(len(body))
         request_id = presented.request_id
         if request_id is None:
             request_id = self._orders.issue(queue.team, 1)[0]
@@ -183,6 +203,15 @@
             key=key,
         )
 
+    def _check_held(self, size: int) -> None:
+        """Refuse a body that would exceed the memory for waiting bodies."""
+        if self._held_bytes + size > MAX_HELD_BYTES:
+            raise refuse(
+                Reason.OVERLOADED,
+                f"the daemon holds {self._held_bytes} bytes of request bodies",
+                HELD_RETRY_SECONDS,
+            )
+
     def _check_key(
         self, configuration: Configuration, team: str, presented: Presented
     ) -> str:
@@ -249,7 +278,15 @@
             team = self._check_caller(read_presented(headers))
             return _make_response(await answer(team))
         except Refused as error:
-            return _make_response(present_verdict(error.verdict, request_id))
+            verdict: Verdict = error.verdict
+        except HTTPException as error:
+            verdict = _judge_http_error(error)
+        except Exception:
+            log.exception("the answer about request {} failed", request_id)
+            verdict = MayHaveRun(
+                request_id, Reason.ANSWER_LOST, "the daemon failed to look it up"
+            )
+        return _make_response(present_verdict(verdict, request_id))
 
     def _check_caller(self, presented: Presented) -> str:
         """Return the caller's team; a team with keyed queues needs its key."""
--- a/hemlockstand/requests/connections.py
+++ b/hemlockstand/requests/connections.py
@@ -31,6 +31,7 @@
     """
 
     _idle: list[_Idle] = field(factory=list)
+    _is_retired: bool = False
 
     def take(self) -> httpx.AsyncHTTPTransport:
         """Return a transport that nobody else uses."""
@@ -40,9 +41,18 @@
             verify=_NO_TLS, limits=_ONE_CONNECTION, trust_env=False
         )
 
-    def give_back(self, transport: httpx.AsyncHTTPTransport) -> None:
+    async def give_back(self, transport: httpx.AsyncHTTPTransport) -> None:
         """Keep a transport whose last response has been closed."""
-        self._idle.append(_Idle(transport, trio.current_time()))
+        if not self._is_retired:
+            self._idle.append(_Idle(transport, trio.current_time()))
+            return
+        with trio.CancelScope(shield=True):
+            await transport.aclose()
+
+    async def retire(self) -> None:
+        """Close all connections, those in use when they are given back."""
+        self._is_retired = True
+        await self.close_idle()
 
     async def close_idle(self, older_than: float = 0.0) -> None:
         """Close the connections that have been idle for so many seconds."""
--- a/hemlockstand/requests/upstreams.py
+++ b/hemlockstand/requests/upstreams.py
@@ -68,6 +68,7 @@
 
     may_send: Callable[[], bool]
     started: bool = False
+    was_refused: bool = False
 
     async def __call__(self, event: str, info: dict) -> None:
         if event == _SEND_STARTED:
@@ -159,9 +160,10 @@
                 REFUSAL_RETRY_SECONDS,
             )
         except (httpx.HTTPError, httpx.InvalidURL) as error:
+            sending.was_refused = isinstance(error, httpx.ConnectError)
             return _judge_error(request, sending, error)
         finally:
-            stack.give_back(transport)
+            await stack.give_back(transport)
 
     def _record(
         self,
@@ -179,7 +181,8 @@
                 ejector.record_success(executor.id, now)
             case NotRun(reason=Reason.UPSTREAM_REFUSED) if not sending.started:
                 executor.window.record_nothing()
-                executor.avoid_until = now + UNREACHABLE_SECONDS
+                if sending.was_refused:
+                    executor.avoid_until = now + UNREACHABLE_SECONDS
                 ejector.record_failure(executor.id, now)
             case NotRun(reason=Reason.UPSTREAM_REFUSED, detail="leaving"):
                 executor.window.record_nothing()
@@ -219,7 +222,7 @@
         for executor in gone:
             stack = self._connections.pop(executor.address, None)
             if stack is not None:
-                await stack.close_idle()
+                await stack.retire()
 
     async def _read_states(self, own: tuple[InstanceRecord, ...]) -> None:
         """Read the rows of instances that may have moved between pools.
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -150,6 +150,46 @@
     assert len(upstream.received) == 1
 
 
+async def test_waiting_bodies_take_bounded_memory(path, monkeypatch):
+    """Guards against a queue of large bodies that exhausts the memory."""
+    monkeypatch.setattr("hemlockstand.requests.admission.MAX_HELD_BYTES", 1500)
+    finish = trio.Event()
+
+    async def respond(received):
+        await finish.wait()
+        return make_answer(received)
+
+    upstream = FakeUpstream(respond)
+    statuses = []
+    async with path(upstream) as around, around.make_client() as client:
+
+        async def submit():
+            response = await client.post("/v1/queues/quotes", content=b"x" * 1000)
+            statuses.append(response.status_code)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(submit)
+            while not upstream.received:
+                await trio.sleep(0.01)
+            await submit()
+            assert statuses == [503]
+            finish.set()
+        await submit()
+    assert statuses == [503, 200, 200]
+
+
+async def test_failed_look_up_is_not_reported_as_not_run(path):
+    """Guards against 'not run' about an order that a fault hid."""
+    async with path(FakeUpstream(answer_at_once)) as around:
+        around.orders.outcomes = None
+        async with around.make_client() as client:
+            response = await client.get(
+                "/v1/requests/r1", headers={**KEY, "X-Team": "hinge"}
+            )
+    assert response.status_code == 504
+    assert response.headers["X-Verdict"] == "may-have-run"
+
+
 async def test_cut_short_body_is_not_dispatched(path):
     """Guards against half a request that runs."""
     upstream = FakeUpstream(answer_at_once)
