Spread light load over all executors

Cause: a run against the upstream stand-in sent all 24 sequential requests to one of two executors, because the load of an idle window depended on its size and ties went to the first; after one failure the other executor got no more work for as long as its penalty was above zero.

An idle window has load 0, two candidates are taken in random order, and a penalty below 0.05 counts as none. An executor that the list shows as live again after a drain is used at once instead of after 15 s.

--- a/hemlockstand/coordination/concurrency.py
+++ b/hemlockstand/coordination/concurrency.py
@@ -84,7 +84,7 @@
 
     def load(self) -> float:
         """Return the used part of the window, for comparison of targets."""
-        return (self.in_flight + 1) / self.size
+        return self.in_flight / self.size
 
     def acquire(self, now: float) -> None:
         """Count a request as under way."""
--- a/hemlockstand/coordination/ejection.py
+++ b/hemlockstand/coordination/ejection.py
@@ -19,6 +19,7 @@
 from attrs import define, field
 
 PENALTY_HALF_LIFE_SECONDS = 1.0
+LEAST_PENALTY = 0.05  # any penalty keeps a target unused while others idle
 
 
 @define
@@ -91,7 +92,8 @@
         if target is None or target.penalty == 0.0:
             return 0.0
         age = max(0.0, now - target.penalty_at)
-        return target.penalty * 0.5 ** (age / PENALTY_HALF_LIFE_SECONDS)
+        penalty = target.penalty * 0.5 ** (age / PENALTY_HALF_LIFE_SECONDS)
+        return penalty if penalty >= LEAST_PENALTY else 0.0
 
     def _is_outlier(self, target: _Target) -> bool:
         return (
--- a/hemlockstand/requests/executors.py
+++ b/hemlockstand/requests/executors.py
@@ -116,8 +116,8 @@
         ready = list(_find_ready(known, now))
         others = [executor for executor in ready if executor.id != avoid]
         candidates = others or ready
-        if len(candidates) > 2:
-            candidates = self.random.sample(candidates, 2)
+        # Two in random order, so that equal loads are chosen equally often.
+        candidates = self.random.sample(candidates, min(2, len(candidates)))
         return min(
             candidates,
             key=lambda executor: _measure_load(known, executor, now),
@@ -178,7 +178,10 @@
             executor = Executor(record.id, record.address, record.pool)
             known.executors[record.id] = executor
             known.ejector.add(record.id)
-        executor.listed_leaving = record.state is ListState.LEAVING
+        is_leaving = record.state is ListState.LEAVING
+        if executor.listed_leaving and not is_leaving:
+            executor.avoid_until = float("-inf")
+        executor.listed_leaving = is_leaving
         executor.in_maintenance = in_maintenance
 
     def _forget(self, executor: Executor) -> None:
--- a/test/test_overload_parts.py
+++ b/test/test_overload_parts.py
@@ -97,7 +97,7 @@
     ejector.record_failure("a", 0.0)
     assert ejector.penalty("a", 0.0) == 2.0
     assert ejector.penalty("a", 1.0) == 1.0
-    assert ejector.penalty("a", 20.0) < 0.01
+    assert ejector.penalty("a", 20.0) == 0.0
 
 
 class Server:
--- a/test/test_request_failures.py
+++ b/test/test_request_failures.py
@@ -7,6 +7,7 @@
 from hemlockstand.errors import HemlockstandError
 from hemlockstand.model import Access
 from hemlockstand.platform.interface import InstanceState, Put
+from hemlockstand.requests.executors import ExecutorRegistry
 from hemlockstand.requests.messages import Request, decode_request, encode_request
 from hemlockstand.verdict import Answered, MayHaveRun, NotRun, Reason
 from test.fakes import (
@@ -14,6 +15,7 @@
     make_answer,
     make_configuration,
     make_queue,
+    make_record,
     run_request_path,
 )
 
@@ -180,6 +182,16 @@
     assert len(upstreams[0].received) <= 20
 
 
+async def test_light_load_is_spread_over_all_executors(path):
+    """Guards against one executor that gets all work while others idle."""
+    upstreams = [FakeUpstream(answer_at_once) for _ in range(3)]
+    async with path([QUOTES], upstreams) as around:
+        around.upstreams.registry.random.seed(1)
+        for number in range(90):
+            await around.dispatch.execute(make_request(f"r{number}"))
+    assert all(len(upstream.received) >= 15 for upstream in upstreams)
+
+
 async def test_refused_connection_is_not_run(path):
     """Guards against 'may have run' for a request that was never sent."""
     upstream = FakeUpstream(answer_at_once)
@@ -242,6 +254,22 @@
     assert upstreams[0].received == []
 
 
+def test_executor_that_came_back_is_used_at_once():
+    """Guards against idle capacity after a drain that the list shows ended."""
+    registry = ExecutorRegistry("dc1")
+    record = make_record("e1", "127.0.0.1:1", "main")
+    registry.follow_list([record], {})
+    executor = registry.get("main")[0]
+    executor.avoid_until = 15.0
+    registry.follow_list([record], {})
+    # The list lags: it has not shown the executor leaving yet.
+    assert not executor.takes_work(1.0)
+    registry.follow_list([attrs.evolve(record, state=InstanceState.LEAVING)], {})
+    assert not executor.takes_work(2.0)
+    registry.follow_list([record], {})
+    assert executor.takes_work(3.0)
+
+
 async def test_moved_instance_serves_its_new_pool_only(path):
     """Guards against an instance that works for two pools."""
     upstreams = [FakeUpstream(answer_at_once), FakeUpstream(answer_at_once)]
