Measure limits and orders, and fix two writers of one outcome

Outcomes are looked up again before each write, and a stop waits for all of them.

Lost replies no longer count as a platform that is out of reach, and a daemon that stops does not register again.

--- /dev/null
+++ b/bench/limits.py
@@ -0,0 +1,220 @@
+"""Cost of team slots and of at-most-once orders, in table writes and time.
+
+Nine daemons, as the deployments have today, share one table in memory and a
+clock that jumps, so the writes are exact counts. Times are CPU times of one
+core.
+"""
+
+from collections.abc import Iterator
+from itertools import count
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from time import process_time
+
+import trio
+from attrs import define, field
+from trio.testing import MockClock
+
+from bench.figures import Figure
+from hemlockstand.errors import HemlockstandError
+from hemlockstand.requests.limits import LimitsService
+from hemlockstand.requests.orders import OrdersService
+from hemlockstand.verdict import Answered
+from test.fleet_fakes import Fleet, TableLink
+
+DAEMONS = 9
+LIMIT = 90
+OPEN_SLOTS = 60
+CYCLES = 20_000
+PEAK_SECONDS = 5.0
+PEAKS = 40
+PEAK_CALLERS = 80
+SERVICE_SECONDS = 1.0
+ORDER_SECONDS = 0.02
+ORDERS = 2000
+ORDERS_PER_SECOND = 500
+TABLE_SECONDS = 0.005  # a round trip to the platform
+
+
+def measure_figures() -> Iterator[Figure]:
+    """Yield the figures of slots, their movement, and orders."""
+    yield from measure_slot_cost()
+    yield from measure_movement()
+    yield from measure_orders()
+
+
+@define
+class CountingLink(TableLink):
+    """A table with a round trip, which counts writes of rows by prefix."""
+
+    counts: dict = field(factory=dict)
+
+    async def transact(self, operations):
+        await trio.sleep(TABLE_SECONDS)
+        try:
+            versions = await self.table.transact(operations)
+        except HemlockstandError:
+            self.counts["conflict"] = self.counts.get("conflict", 0) + 1
+            raise
+        for operation in operations:
+            prefix = operation.key.split("/")[0]
+            self.counts[prefix] = self.counts.get(prefix, 0) + 1
+        self.counts["transaction"] = self.counts.get("transaction", 0) + 1
+        return versions
+
+
+def run_virtual(function, *arguments):
+    """Run in trio on a clock that jumps over idle time."""
+    return trio.run(function, *arguments, clock=MockClock(autojump_threshold=0))
+
+
+def make_fleet(directory: str, links: list[CountingLink], kind: type) -> list:
+    """Return services of that kind, one for each daemon."""
+    fleet = Fleet(Path(directory))
+    fleet.configuration.set_limit("hinge", LIMIT)
+    services = []
+    for number in range(DAEMONS):
+        kernel = fleet.add(f"entry-{number}")
+        link = CountingLink(fleet.table)
+        links.append(link)
+        kernel.find("platform", object).platform.table = link
+        services.append(kind(kernel))
+    return services
+
+
+def count_writes(links: list[CountingLink], kind: str) -> int:
+    """Return how many writes of that kind all daemons made."""
+    return sum(link.counts.get(kind, 0) for link in links)
+
+
+def measure_slot_cost() -> Iterator[Figure]:
+    """Measure a take, the check at the send and the release."""
+    with TemporaryDirectory() as directory:
+        seconds = run_virtual(_cycle_slots, directory)
+    yield Figure("limits_take_release_microseconds", seconds * 1e6, "us")
+
+
+async def _cycle_slots(directory: str) -> float:
+    service = make_fleet(directory, [], LimitsService)[0]
+    async with trio.open_nursery() as nursery:
+        await service.start()
+        nursery.start_soon(service.run)
+        deadline = trio.current_time() + 25
+        for _ in range(OPEN_SLOTS):
+            slot = await service.wait_slot("hinge", deadline, True)
+            assert slot.may_send()
+        started = process_time()
+        done = 0
+        for _ in range(CYCLES):
+            slot = service.take("hinge", deadline, True)
+            if slot is not None and slot.may_send():
+                slot.release(True)
+                done += 1
+        spent = process_time() - started
+        assert done == CYCLES, f"only {done} of {CYCLES} cycles had a slot"
+        nursery.cancel_scope.cancel()
+    return spent / CYCLES
+
+
+def measure_movement() -> Iterator[Figure]:
+    """Measure writes while a peak of demand moves over the daemons."""
+    links: list[CountingLink] = []
+    with TemporaryDirectory() as directory:
+        requests, delays = run_virtual(_move_peaks, directory, links)
+    writes = count_writes(links, "limit")
+    seconds = PEAKS * PEAK_SECONDS
+    yield Figure("limits_writes_per_peak", writes / PEAKS, "writes")
+    yield Figure("limits_writes_per_request", writes / requests, "writes")
+    yield Figure("limits_conflicts_per_peak", _per_peak(links, "conflict"), "writes")
+    renewals = count_writes(links, "holder") / DAEMONS / seconds
+    yield Figure("limits_renewals_per_second", renewals, "1/s")
+    yield Figure("limits_peak_served_p50", sorted(delays)[len(delays) // 2], "s")
+    yield Figure("limits_peak_served_max", max(delays), "s")
+    yield Figure("limits_requests_per_peak", requests / PEAKS, "requests")
+
+
+def _per_peak(links: list[CountingLink], kind: str) -> float:
+    return count_writes(links, kind) / PEAKS
+
+
+async def _move_peaks(directory: str, links: list) -> tuple[int, list[float]]:
+    """Let one daemon after the other have most of the demand.
+
+    Returns the number of requests, and for each peak the time until all of
+    its callers had a slot. Demand figures reach the others at once here; in a
+    fleet they take a heartbeat.
+    """
+    services = make_fleet(directory, links, LimitsService)
+    random, requests, delays = Random(5), [0], []
+    async with trio.open_nursery() as nursery:
+        for service in services:
+            await service.start()
+            nursery.start_soon(service.run)
+        for _ in range(PEAKS):
+            began, peak = trio.current_time(), random.choice(services)
+            first_slots: list[float] = []
+            with trio.move_on_after(PEAK_SECONDS):
+                async with trio.open_nursery() as callers:
+                    for service in services:
+                        seen = first_slots if service is peak else []
+                        for _ in range(PEAK_CALLERS if service is peak else 1):
+                            callers.start_soon(_call_often, service, requests, seen)
+            assert len(first_slots) == PEAK_CALLERS, "a caller never had a slot"
+            delays.append(max(first_slots) - began)
+        nursery.cancel_scope.cancel()
+    return requests[0], delays
+
+
+async def _call_often(service: LimitsService, requests: list, seen: list) -> None:
+    """Send one request after the other; each holds its slot for a while."""
+    for number in count():
+        slot = await service.wait_slot("hinge", trio.current_time() + 20, True)
+        if slot is None:
+            continue
+        if number == 0:
+            seen.append(trio.current_time())
+        requests[0] += 1
+        try:
+            await trio.sleep(SERVICE_SECONDS if slot.may_send() else 0.1)
+        finally:
+            slot.release(True)
+
+
+def measure_orders() -> Iterator[Figure]:
+    """Measure writes and time of claims at a steady rate."""
+    links: list[CountingLink] = []
+    with TemporaryDirectory() as directory:
+        cpu, waits = run_virtual(_place_orders, directory, links)
+    waits.sort()
+    rows = count_writes(links, "claim") / ORDERS
+    yield Figure("orders_rows_written_per_order", rows, "writes")
+    transactions = count_writes(links, "transaction") / ORDERS
+    yield Figure("orders_transactions_per_order", transactions, "transactions")
+    yield Figure("orders_claim_wait_p50", waits[len(waits) // 2], "s")
+    yield Figure("orders_claim_wait_p99", waits[len(waits) * 99 // 100], "s")
+    yield Figure("orders_cpu_microseconds", cpu * 1e6, "us")
+
+
+async def _place_orders(directory: str, links: list) -> tuple[float, list[float]]:
+    service = make_fleet(directory, links, OrdersService)[0]
+    waits: list[float] = []
+    started = process_time()
+    async with trio.open_nursery() as nursery:
+        await service.start()
+        nursery.start_soon(service.run)
+        async with trio.open_nursery() as callers:
+            for number in range(ORDERS):
+                callers.start_soon(_place_order, service, number, waits)
+                await trio.sleep(1 / ORDERS_PER_SECOND)
+        await service.stop()
+        nursery.cancel_scope.cancel()
+    return (process_time() - started) / ORDERS, waits
+
+
+async def _place_order(service: OrdersService, number: int, waits: list) -> None:
+    began = trio.current_time()
+    claim = await service.claim("hinge", f"order-{number}")
+    waits.append(trio.current_time() - began)
+    await trio.sleep(ORDER_SECONDS)
+    await service.finish(claim, Answered(200, (), b"done"))
--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterator
-from enum import StrEnum
 from functools import partial
 from random import random
 
@@ -13,6 +12,7 @@
 from loguru import logger
 
 from hemlockstand.coordination.escrow import ELASTIC, Escrow, Split, split_limit
+from hemlockstand.coordination.freshness import Scope
 from hemlockstand.coordination.lease import (
     HolderLease,
     HolderWatch,
@@ -26,8 +26,9 @@
     PlatformUnavailable,
 )
 from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.peers.demands import Demand
 from hemlockstand.platform.service import PlatformService
-from hemlockstand.requests.moves import Demand, apply_move, measure_demand, plan_move
+from hemlockstand.requests.moves import apply_move, measure_demand, plan_move
 from hemlockstand.requests.reclaim import Reclaimer, release_holder
 from hemlockstand.requests.slots import Slot, TeamSlots
 
@@ -39,13 +40,6 @@
 IDLE_POLL_SECONDS = 0.05
 
 
-class Scope(StrEnum):
-    """Data centres whose stamps a freshness proof needs in an outage."""
-
-    FLEET = "fleet"
-    DATA_CENTRE = "data_centre"
-
-
 @register
 class LimitsService(Service):
     """Gives out slots of the teams' limits."""
@@ -63,6 +57,7 @@
         self._session_number = 0
         self._lease = self._make_lease()
         self._teams: dict[str, TeamSlots] = {}
+        self._stopped = False
 
     async def start(self) -> None:
         """Register the holder; in an outage the run task tries again."""
@@ -79,6 +74,7 @@
         """Wait for the running requests, then release all slots."""
         while any(slots.has_running() for slots in self._teams.values()):
             await trio.sleep(IDLE_POLL_SECONDS)
+        self._stopped = True
         await self._try("release", self._release_all)
 
     def take(self, team: str, deadline: float, keyed: bool) -> Slot | None:
@@ -188,6 +184,7 @@
         except LeaseLost:
             log.warning("holder {} was ended by another daemon", self._lease.holder)
             await self._begin_session()
+            sent_at = self.clock()
         self.freshness.record_platform_read(sent_at)
 
     async def _reclaim_forever(self) -> None:
@@ -208,6 +205,8 @@
 
     async def _begin_session(self) -> None:
         """Register again once nothing runs on the slots that were lost."""
+        if self._stopped:
+            return
         while any(sum(slots.used_parts().values()) for slots in self._teams.values()):
             await trio.sleep(IDLE_POLL_SECONDS)
         await self._release_all()
@@ -265,11 +264,16 @@
                 yield teams[team]
 
     async def _try(self, action: str, function) -> None:
-        """Run a step that a later round repeats when the platform is down."""
+        """Run a step; a later round repeats it when the platform is down."""
         try:
             await function()
-        except (PlatformUnavailable, OutcomeUnknown) as error:
+        except PlatformUnavailable as error:
             self.freshness.record_platform_failure()
             log.warning("{} of slots failed: {}", action, error)
+        except OutcomeUnknown as error:
+            # The write may have reached the platform, so it is no evidence
+            # that the platform is out of reach.
+            self.freshness.record_platform_read(self.clock())
+            log.warning("{} of slots has an unknown outcome: {}", action, error)
         except HemlockstandError as error:
             log.warning("{} of slots refused: {}", action, error)
--- a/hemlockstand/requests/moves.py
+++ b/hemlockstand/requests/moves.py
@@ -5,23 +5,10 @@
 from attrs import frozen
 
 from hemlockstand.coordination.escrow import ELASTIC, Escrow, Split
+from hemlockstand.peers.demands import Demand
 from hemlockstand.requests.slots import TeamSlots
 
 
-@frozen
-class Demand:
-    """What a daemon needs of a team's slots.
-
-    ``waiting`` requests have no slot, ``running`` ones have one, ``idle``
-    slots have no request; ``served`` counts requests since the start.
-    """
-
-    waiting: int
-    running: int
-    idle: int
-    served: int
-
-
 @frozen
 class Take:
     """Take up to so many slots by part."""
--- a/hemlockstand/requests/orders.py
+++ b/hemlockstand/requests/orders.py
@@ -31,6 +31,7 @@
 MAX_ISSUED = 1000  # ids of one call
 MAX_INLINE_BODY = 8192  # larger bodies are kept only by the daemon that has them
 RETRY_SECONDS = 1.0
+STOP_POLL_SECONDS = 0.02
 CLEAN_SECONDS = 5.0  # 200 claims a page keep up with 40 orders a second
 
 
@@ -76,7 +77,7 @@
         self._kept = KeptVerdicts(
             requests.max_kept_results, requests.result_keep_seconds, self.clock
         )
-        self._unwritten: dict[str, tuple[Claim, Verdict]] = {}
+        self._unwritten: dict[str, Verdict] = {}
         self._writing: set[str] = set()
         self._wake = trio.Event()
 
@@ -94,7 +95,9 @@
     async def stop(self) -> None:
         """Write the outcomes that are not written yet."""
         with trio.move_on_after(self.settings.platform.timeout_seconds):
-            await self._write_outcomes()
+            while self._unwritten:
+                await self._write_outcomes()
+                await trio.sleep(STOP_POLL_SECONDS)
 
     def issue(self, team: str, count: int) -> list[str]:
         """Return ids that need no table; raises ``InvalidInput``."""
@@ -130,9 +133,9 @@
         if claim.issued:
             self._finish_issued(claim, verdict)
             return
-        self._unwritten[claim.name] = (claim, verdict)
+        self._unwritten[claim.name] = verdict
         if isinstance(verdict, NotRun):
-            await self._write(claim, verdict)
+            await self._write(claim.name)
         else:
             self._kept.keep(claim.name, verdict)
         self._wake.set()
@@ -161,8 +164,7 @@
 
     async def _claim_row(self, claim: Claim) -> Claim | Verdict:
         try:
-            if claim.name in self._unwritten:
-                await self._write(*self._unwritten[claim.name])
+            await self._write(claim.name)
             state = await self._ledger.claim(claim.name)
         except HemlockstandError as error:
             return NotRun(Reason.CLAIM_UNAVAILABLE, str(error), RETRY_SECONDS)
@@ -216,7 +218,7 @@
         if kept is not None:
             return kept
         if name in self._unwritten:
-            return self._unwritten[name][1]
+            return self._unwritten[name]
         if self.owner_of(team, request_id) == self.peers.incarnation:
             return self._look_up_issued(request_id)
         if self._ledger.is_active(name):
@@ -252,25 +254,26 @@
 
     async def _write_outcomes(self) -> None:
         async with trio.open_nursery() as nursery:
-            for claim, verdict in tuple(self._unwritten.values()):
-                nursery.start_soon(self._write, claim, verdict)
+            for name in tuple(self._unwritten):
+                nursery.start_soon(self._write, name)
 
-    async def _write(self, claim: Claim, verdict: Verdict) -> None:
-        """Write one outcome unless another task is writing it."""
-        if claim.name in self._writing:
+    async def _write(self, name: str) -> None:
+        """Write one outcome unless another task has done it or is doing it."""
+        if name in self._writing or name not in self._unwritten:
             return
-        self._writing.add(claim.name)
+        verdict = self._unwritten[name]
+        self._writing.add(name)
         try:
             match verdict:
                 case NotRun():
-                    await self._ledger.release(claim.name)
+                    await self._ledger.release(name)
                 case Answered() | MayHaveRun():
-                    await self._ledger.finish(claim.name, encode_result(verdict))
-            self._unwritten.pop(claim.name, None)
+                    await self._ledger.finish(name, encode_result(verdict))
+            del self._unwritten[name]
         except HemlockstandError as error:
-            log.warning("outcome of {} is not written yet: {}", claim.name, error)
+            log.warning("outcome of {} is not written yet: {}", name, error)
         finally:
-            self._writing.discard(claim.name)
+            self._writing.discard(name)
 
 
 @define
--- a/test/fleet_fakes.py
+++ b/test/fleet_fakes.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import trio
 from attrs import define, evolve, field
 
 from hemlockstand.errors import PlatformUnavailable
@@ -16,6 +17,7 @@
 
     table: MemoryTable
     up: bool = True
+    seconds: float = 0.0
 
     def _check(self):
         if not self.up:
@@ -34,6 +36,8 @@
         return await self.table.scan(prefix, after, limit)
 
     async def transact(self, operations):
+        if self.seconds:
+            await trio.sleep(self.seconds)
         self._check()
         return await self.table.transact(operations)
 
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -1,5 +1,8 @@
 """Limits service: slots move with demand and never pass the team's limit."""
 
+from random import Random
+
+import pytest
 import trio
 
 from hemlockstand.requests.limits import LimitsService
@@ -28,3 +31,152 @@
         moved = await second.wait_slot("hinge", trio.current_time() + 20, True)
         assert moved.may_send()
         nursery.cancel_scope.cancel()
+
+
+async def serve_for(service, team, seconds):
+    """Hold one slot for some time; return whether there was one."""
+    slot = await service.wait_slot(team, trio.current_time() + 15, False)
+    if slot is None or not slot.may_send():
+        return False
+    await trio.sleep(seconds)
+    slot.release(certain=True)
+    return True
+
+
+async def test_slots_of_a_killed_daemon_come_back(autojump_clock, tmp_path):
+    """Guards against slots that are lost with a daemon, or reused too early."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 2)
+    async with trio.open_nursery() as nursery:
+        second = await run_service(fleet.add("entry-2"), nursery)
+        async with trio.open_nursery() as killed:
+            first = await run_service(fleet.add("entry-1"), killed)
+            now = trio.current_time()
+            slots = [await first.wait_slot("hinge", now + 30, True) for _ in range(2)]
+            assert all(slot.may_send() for slot in slots)
+            await trio.sleep(5)
+            killed.cancel_scope.cancel()
+        fleet.peers["entry-1"].alive = False
+        killed_at = trio.current_time()
+        slot = None
+        while slot is None:
+            slot = await second.wait_slot("hinge", trio.current_time() + 20, True)
+        limits = second.settings.limits
+        longest = second.settings.requests.max_deadline_seconds
+        wait = limits.lease_seconds + longest + limits.margin_seconds
+        waited = trio.current_time() - killed_at
+        assert wait - limits.renew_seconds <= waited <= wait + 10
+        nursery.cancel_scope.cancel()
+
+
+async def test_outage_stops_no_slot_while_the_proof_holds(autojump_clock, tmp_path):
+    """Guards against an outage that ends the use of held slots."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 2)
+    async with trio.open_nursery() as nursery:
+        kernel = fleet.add("entry-1")
+        first = await run_service(kernel, nursery)
+        assert await serve_for(first, "hinge", 1)
+        freshness = kernel.find("freshness", object)
+        kernel.link.up = False
+        freshness.outage = {"fleet": True, "data_centre": True}
+        for _ in range(100):
+            assert await serve_for(first, "hinge", 5)
+        freshness.outage = {"fleet": False, "data_centre": False}
+        assert not await serve_for(first, "hinge", 5)
+        nursery.cancel_scope.cancel()
+
+
+async def test_cut_off_data_centre_serves_reserved_slots(autojump_clock, tmp_path):
+    """Guards against a cut-off site that uses elastic slots, or none."""
+    fleet = Fleet(tmp_path, reserved=0.5)
+    fleet.configuration.set_limit("hinge", 8)
+    async with trio.open_nursery() as nursery:
+        kernel = fleet.add("entry-1")
+        first = await run_service(kernel, nursery)
+        assert await serve_for(first, "hinge", 1)
+        freshness = kernel.find("freshness", object)
+        kernel.link.up = False
+        freshness.outage["data_centre"] = True
+        freshness.fresh["fleet"] = False
+        await trio.sleep(300)
+        deadline = trio.current_time() + 10
+        slots = [first.take("hinge", deadline, keyed=False) for _ in range(8)]
+        assert sum(slot is not None for slot in slots) == 2
+        assert all(slot.may_send() for slot in slots if slot is not None)
+        assert first.take("hinge", deadline, keyed=True) is None
+        nursery.cancel_scope.cancel()
+
+
+async def test_stop_leaves_no_slots_behind(autojump_clock, tmp_path):
+    """Guards against slots that wait for the observation after a stop."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 4)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        slot = await first.wait_slot("hinge", trio.current_time() + 10, True)
+        assert slot.may_send()
+        with trio.move_on_after(3) as waiting:
+            await first.stop()
+        assert waiting.cancelled_caught
+        slot.release(certain=True)
+        await first.stop()
+        assert list(fleet.table.rows) == ["limit/hinge"]
+        assert fleet.table.rows["limit/hinge"].value["holders"] == {}
+        nursery.cancel_scope.cancel()
+
+
+async def test_lost_session_begins_again(autojump_clock, tmp_path):
+    """Guards against a daemon that stays without slots after a long pause."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 4)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        assert await serve_for(first, "hinge", 1)
+        for key in [key for key in fleet.table.rows if key.startswith("holder/")]:
+            del fleet.table.rows[key]
+        await trio.sleep(10)
+        assert await serve_for(first, "hinge", 1)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_fleet_serves_as_much_as_one_limit(autojump_clock, tmp_path, seed):
+    """Differential test against one counter that sees all requests.
+
+    Guards against slots that stay idle at one daemon while another waits.
+    Three daemons get random demands; once slots had time to move, as many
+    requests run as the naive counter admits, and never more.
+    """
+    random = Random(seed)
+    fleet = Fleet(tmp_path)
+    async with trio.open_nursery() as nursery:
+        services = [
+            await run_service(fleet.add(f"entry-{number}"), nursery)
+            for number in range(3)
+        ]
+        for _ in range(12):
+            limit = random.choice([1, 3, 8, 20])
+            fleet.configuration.set_limit("hinge", limit)
+            demands = [random.choice([0, 1, 4, 12]) for _ in services]
+            running = []
+            with trio.CancelScope() as scope:
+                async with trio.open_nursery() as callers:
+                    for service, demand in zip(services, demands, strict=True):
+                        for _ in range(demand):
+                            callers.start_soon(run_until_cancelled, service, running)
+                    await trio.sleep(6)
+                    assert len(running) == min(limit, sum(demands))
+                    scope.cancel()
+        nursery.cancel_scope.cancel()
+
+
+async def run_until_cancelled(service, running):
+    slot = await service.wait_slot("hinge", trio.current_time() + 25, False)
+    try:
+        if slot is not None and slot.may_send():
+            running.append(slot)
+        await trio.sleep_forever()
+    finally:
+        if slot is not None:
+            slot.release(certain=True)
--- a/test/test_orders.py
+++ b/test/test_orders.py
@@ -142,3 +142,23 @@
         assert first.owner_of("hinge", request_id) == "inc-entry-1"
         assert first.owner_of("clamp", request_id) is None
         nursery.cancel_scope.cancel()
+
+
+async def test_stop_while_outcomes_are_written(autojump_clock, tmp_path):
+    """Guards against two tasks that write one outcome, and against a stop
+    that does not wait for the other task."""
+    fleet = Fleet(tmp_path)
+    kernel = fleet.add("entry-1")
+    kernel.link.seconds = 0.005
+    async with trio.open_nursery() as nursery:
+        first = await run_service(kernel, nursery)
+        # The order of tasks that are ready together varies, hence the rounds.
+        for number in range(20):
+            claim = await first.claim("hinge", f"order-{number}")
+            await first.finish(claim, Answered(200, (), b""))
+            await trio.sleep(first.settings.requests.claim_batch_seconds)
+            await trio.sleep(kernel.link.seconds)
+            await first.stop()
+            row = fleet.table.rows[f"claim/hinge/order-{number}"]
+            assert row.value["state"] == "finished"
+        nursery.cancel_scope.cancel()
