Move slots by the queue behind a waiter and bound the idle work

Dispatch waits with one call for its whole queue, so slots moved one at a time: 64 slots would take 32 s at a move each 0.5 s. A waiter may name the number of requests behind it; otherwise slots double each round, and 64 move within 10 s. A slot that was waited for may be given to a request with a later deadline; it is now held for the longest deadline unless may_send names the request's own. Slots of a dropped team are returned. Demand of the peers is collected once a round and not once a team.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -25,6 +25,8 @@
 
 DAEMONS = 9
 LIMIT = 90
+TEAMS = 570
+IDLE_SECONDS = 30.0
 OPEN_SLOTS = 60
 CYCLES = 20_000
 PEAK_SECONDS = 5.0
@@ -41,6 +43,7 @@
     """Yield the figures of slots, their movement, and orders."""
     yield from measure_slot_cost()
     yield from measure_movement()
+    yield from measure_idle_teams()
     yield from measure_orders()
 
 
@@ -181,6 +184,41 @@
             slot.release(True)
 
 
+def measure_idle_teams() -> Iterator[Figure]:
+    """Measure the background work at the two-year number of teams."""
+    with TemporaryDirectory() as directory:
+        seconds = run_virtual(_idle, directory)
+    yield Figure("limits_idle_cpu_percent", 100 * seconds / IDLE_SECONDS, "%")
+
+
+async def _idle(directory: str) -> float:
+    """Return the CPU seconds of one of nine daemons that hold idle slots."""
+    fleet = Fleet(Path(directory))
+    teams = [f"team-{number}" for number in range(TEAMS)]
+    for team in teams:
+        fleet.configuration.set_limit(team, LIMIT)
+    services = [LimitsService(fleet.add(f"entry-{n}")) for n in range(DAEMONS)]
+    async with trio.open_nursery() as nursery:
+        for service in services:
+            await service.start()
+            nursery.start_soon(service.run)
+        async with trio.open_nursery() as callers:
+            for service in services:
+                for team in teams:
+                    callers.start_soon(_use_once, service, team)
+        await trio.sleep(5)
+        started = process_time()
+        await trio.sleep(IDLE_SECONDS)
+        spent = process_time() - started
+        nursery.cancel_scope.cancel()
+    return spent / DAEMONS
+
+
+async def _use_once(service: LimitsService, team: str) -> None:
+    slot = await service.wait_slot(team, trio.current_time() + 25, True)
+    slot.release(True)
+
+
 def measure_orders() -> Iterator[Figure]:
     """Measure writes and time of claims at a steady rate."""
     links: list[CountingLink] = []
--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -4,7 +4,6 @@
 by conditional transactions and takes over the slots of silent daemons.
 """
 
-from collections.abc import Iterator
 from functools import partial
 from random import random
 
@@ -26,9 +25,14 @@
     PlatformUnavailable,
 )
 from hemlockstand.kernel import Kernel, Service, register
-from hemlockstand.peers.demands import Demand
 from hemlockstand.platform.service import PlatformService
-from hemlockstand.requests.moves import apply_move, measure_demand, plan_move
+from hemlockstand.requests.moves import (
+    DemandView,
+    apply_move,
+    measure_demand,
+    plan_move,
+    view_demands,
+)
 from hemlockstand.requests.reclaim import Reclaimer, release_holder
 from hemlockstand.requests.slots import Slot, TeamSlots
 
@@ -58,6 +62,7 @@
         self._lease = self._make_lease()
         self._teams: dict[str, TeamSlots] = {}
         self._stopped = False
+        self._longest_deadline = self.settings.requests.max_deadline_seconds
 
     async def start(self) -> None:
         """Register the holder; in an outage the run task tries again."""
@@ -83,35 +88,48 @@
         ``keyed`` requests also need a fresh configuration. Raises
         ``InvalidInput`` for a deadline beyond the longest that is granted.
         """
-        longest = self.settings.requests.max_deadline_seconds
-        if deadline - self.clock() > longest + DEADLINE_TOLERANCE_SECONDS:
+        longest = self._longest_deadline + DEADLINE_TOLERANCE_SECONDS
+        if deadline - self.clock() > longest:
             raise InvalidInput(f"deadline is more than {longest} seconds away")
         slots = self._find_team(team)
         return None if slots is None else slots.take(deadline, keyed)
 
-    async def wait_slot(self, team: str, deadline: float, keyed: bool) -> Slot | None:
-        """Wait for a slot until the deadline; return None if there is none."""
+    async def wait_slot(
+        self, team: str, deadline: float, keyed: bool, waiting: int = 1
+    ) -> Slot | None:
+        """Wait for a slot until the deadline; return None if there is none.
+
+        ``waiting`` is the number of requests on whose behalf the caller
+        waits, which decides how many slots move here. The slot may be given
+        to any of them, so its deadline is the longest that is granted until
+        ``Slot.may_send`` is told another.
+        """
         slots = self._find_team(team)
         if slots is None:
             return None
-        slots.waiting += 1
+        slots.waiting += waiting
         try:
             while self.clock() < deadline:
                 slot = self.take(team, deadline, keyed)
                 if slot is not None:
+                    slot.deadline = self.clock() + self._longest_deadline
                     return slot
                 with trio.move_on_at(min(deadline, slots.next_free_at())):
                     await slots.changed.wait()
             return None
         finally:
-            slots.waiting -= 1
+            slots.waiting -= waiting
 
     def _find_team(self, team: str) -> TeamSlots | None:
+        """Return the team's slots with the limit in force, or None."""
+        slots = self._teams.get(team)
+        if slots is not None and slots.split.version == self._version():
+            return slots
         split = self._find_split(team)
         if split is None:
             return None
-        if team not in self._teams:
-            self._teams[team] = TeamSlots(
+        if slots is None:
+            slots = self._teams[team] = TeamSlots(
                 team,
                 self.settings.daemon.data_centre,
                 self._make_escrow(team),
@@ -120,8 +138,11 @@
                 self.clock,
                 self.settings.limits.margin_seconds,
             )
-        self._teams[team].split = split
-        return self._teams[team]
+        slots.split = split
+        return slots
+
+    def _version(self) -> int:
+        return self.configuration.current.version
 
     def _make_escrow(self, team: str) -> Escrow:
         return Escrow(self.table, LIMIT_PREFIX + team, self._lease.holder)
@@ -155,10 +176,10 @@
 
     def _make_lease(self) -> HolderLease:
         self._session_number += 1
-        limits = self.settings.limits
+        limits, requests = self.settings.limits, self.settings.requests
         terms = LeaseTerms(
             limits.lease_seconds,
-            self.settings.requests.max_deadline_seconds + DEADLINE_TOLERANCE_SECONDS,
+            requests.max_deadline_seconds + DEADLINE_TOLERANCE_SECONDS,
             self.settings.keys.freshness_seconds,
         )
         return HolderLease(
@@ -228,41 +249,40 @@
     async def _move_forever(self) -> None:
         limiter = trio.CapacityLimiter(MOVES_AT_ONCE)
         while True:
+            view = view_demands(self.peers, self.settings.daemon)
             async with trio.open_nursery() as nursery:
-                for team in tuple(self._teams):
-                    nursery.start_soon(self._move_team, team, limiter)
+                for team, slots in tuple(self._teams.items()):
+                    self.peers.publish_demand(team, measure_demand(slots))
+                    if self._needs_move(team, slots, view):
+                        nursery.start_soon(self._move_team, team, view, limiter)
             await trio.sleep(self.settings.limits.rebalance_seconds)
 
-    async def _move_team(self, team: str, limiter: trio.CapacityLimiter) -> None:
+    def _needs_move(self, team: str, slots: TeamSlots, view: DemandView) -> bool:
+        """Return whether somebody waits or the limit has changed."""
+        if self._find_team(team) is None:
+            return slots.held() > 0
+        is_wanted = slots.waiting > 0 or view.is_wanted(team)
+        return is_wanted or slots.is_changed() or not slots.is_within()
+
+    async def _move_team(
+        self, team: str, view: DemandView, limiter: trio.CapacityLimiter
+    ) -> None:
         async with limiter:
-            await self._try("move", partial(self._move, team))
+            if self._lease.is_valid():
+                await self._try("move", partial(self._move, team, view))
             self._teams[team].notify()
 
-    async def _move(self, team: str) -> None:
-        slots = self._find_team(team)
-        if slots is None or not self._lease.is_valid():
+    async def _move(self, team: str, view: DemandView) -> None:
+        slots = self._teams[team]
+        if self._find_team(team) is None:
+            # The team was dropped; its running requests keep their slots.
+            await slots.escrow.shrink(slots.used_parts(), slots.split)
             return
-        self.peers.publish_demand(team, measure_demand(slots))
-        if not slots.escrow.within(slots.split) or slots.is_changed():
+        if slots.is_changed() or not slots.is_within():
             await slots.escrow.settle(slots.used_parts(), slots.split)
-        others = tuple(self._other_demands(team, self._names(None)))
-        neighbours = tuple(self._other_demands(team, self._names(slots.data_centre)))
-        move = plan_move(slots, others, neighbours)
+        move = plan_move(slots, view)
         await apply_move(move, slots.escrow, slots.split)
 
-    def _names(self, data_centre: str | None) -> set[str]:
-        return {
-            member.name
-            for member in self.peers.members()
-            if member.alive and data_centre in (None, member.data_centre)
-        }
-
-    def _other_demands(self, team: str, names: set[str]) -> Iterator[Demand]:
-        for daemon, teams in self.peers.demands().items():
-            own = daemon == self.settings.daemon.name
-            if not own and daemon in names and team in teams:
-                yield teams[team]
-
     async def _try(self, action: str, function) -> None:
         """Run a step; a later round repeats it when the platform is down."""
         try:
--- a/hemlockstand/requests/moves.py
+++ b/hemlockstand/requests/moves.py
@@ -1,12 +1,14 @@
 """Decides how many slots a daemon takes from or returns to a team's row."""
 
 from collections.abc import Iterable, Mapping
+from typing import Any
 
 from attrs import frozen
 
 from hemlockstand.coordination.escrow import ELASTIC, Escrow, Split
 from hemlockstand.peers.demands import Demand
 from hemlockstand.requests.slots import TeamSlots
+from hemlockstand.settings import DaemonSettings
 
 
 @frozen
@@ -31,23 +33,57 @@
 Move = Take | Give | Stay
 
 
+@frozen
+class DemandView:
+    """Demands of the other daemons by team, as of one moment.
+
+    ``daemons`` and ``neighbours`` are the numbers of other living daemons, in
+    the fleet and in this data centre.
+    """
+
+    daemons: int
+    neighbours: int
+    _others: Mapping[str, list[Demand]]
+
+    def is_wanted(self, team: str) -> bool:
+        """Return whether another daemon waits for slots of the team."""
+        return any(demand.waiting for demand in self.others(team))
+
+    def others(self, team: str) -> list[Demand]:
+        """Return the demands of all other daemons."""
+        return self._others.get(team, [])
+
+
+def view_demands(peers: Any, daemon: DaemonSettings) -> DemandView:
+    """Collect what the living peers need, once for all teams."""
+    centres = {
+        member.name: member.data_centre for member in peers.members() if member.alive
+    }
+    centres.pop(daemon.name, None)
+    others: dict[str, list[Demand]] = {}
+    for name, demands in peers.demands().items():
+        for team, demand in demands.items() if name in centres else ():
+            others.setdefault(team, []).append(demand)
+    neighbours = list(centres.values()).count(daemon.data_centre)
+    return DemandView(len(centres), neighbours, others)
+
+
 def measure_demand(slots: TeamSlots) -> Demand:
-    """Return this daemon's demand for the team."""
+    """Return this daemon's demand for the team.
+
+    A caller may wait on behalf of a whole queue without saying so. As much
+    as is running is assumed to wait then, so that slots double each round.
+    """
     running = slots.running()
     idle = max(0, slots.held() - running)
-    return Demand(slots.waiting, running, idle, slots.served)
-
+    waiting = max(slots.waiting, running) if slots.waiting else 0
+    return Demand(waiting, running, idle, slots.served)
 
-def plan_move(
-    slots: TeamSlots, others: Iterable[Demand], neighbours: Iterable[Demand]
-) -> Move:
-    """Choose the next transaction for a team.
 
-    ``others`` are the demands of all other daemons, ``neighbours`` those of
-    the daemons in the same data centre.
-    """
+def plan_move(slots: TeamSlots, view: DemandView) -> Move:
+    """Choose the next transaction for a team."""
     mine = measure_demand(slots)
-    others = tuple(others)
+    others = view.others(slots.team)
     missing = mine.waiting - mine.idle
     slots.cap = None
     if missing > 0:
@@ -55,7 +91,7 @@
         if target is not None and slots.held() > target:
             slots.cap = target
             return _plan_give(slots, slots.held() - target)
-        return _plan_take(slots, missing, len(others), len(tuple(neighbours)))
+        return _plan_take(slots, missing, view)
     wanted = sum(demand.waiting for demand in others)
     if mine.idle == 0 or wanted == 0:
         return Stay()
@@ -77,16 +113,16 @@
     return limit * need // total + 1
 
 
-def _plan_take(slots: TeamSlots, missing: int, others: int, neighbours: int) -> Move:
+def _plan_take(slots: TeamSlots, missing: int, view: DemandView) -> Move:
     """Take what is missing and a part of what is free, reserved slots first.
 
     The surplus makes the next burst start without a transaction.
     """
     split, escrow = slots.split, slots.escrow
     centre = slots.data_centre
-    fair_reserve = split.parts.get(centre, 0) // (neighbours + 1)
+    fair_reserve = split.parts.get(centre, 0) // (view.neighbours + 1)
     reserve = max(missing, fair_reserve - escrow.usable(centre))
-    surplus = escrow.free(ELASTIC, split) // (others + 2)
+    surplus = escrow.free(ELASTIC, split) // (view.daemons + 2)
     return Take({centre: reserve, ELASTIC: max(missing, surplus)})
 
 
--- a/hemlockstand/requests/slots.py
+++ b/hemlockstand/requests/slots.py
@@ -31,12 +31,15 @@
     sent: bool = False
     ended: bool = False
 
-    def may_send(self) -> bool:
+    def may_send(self, deadline: float | None = None) -> bool:
         """Return whether the request may be sent now.
 
         Call it immediately before each send, without a checkpoint between:
         the process may have been paused and the lease may have lapsed.
+        ``deadline`` is the request's own, at most that of the slot.
         """
+        if deadline is not None and not self.sent:
+            self.deadline = min(deadline, self.deadline)
         return self._owner.start(self)
 
     def release(self, certain: bool) -> None:
@@ -137,6 +140,10 @@
         """Return whether a sent request has not ended yet."""
         return any(slot.sent for slots in self._open.values() for slot in slots)
 
+    def is_within(self) -> bool:
+        """Return whether the row as last seen allows starts."""
+        return self.escrow.within(self.split)
+
     def is_changed(self) -> bool:
         """Return whether the row shows another limit than the configuration."""
         return self.escrow.shown_limit() not in (None, self.split.limit)
--- a/test/fleet_fakes.py
+++ b/test/fleet_fakes.py
@@ -73,6 +73,13 @@
         version = self.current.version + 1
         self.current = evolve(self.current, version=version, teams=teams)
 
+    def drop_team(self, team):
+        teams = {
+            name: kept for name, kept in self.current.teams.items() if name != team
+        }
+        version = self.current.version + 1
+        self.current = evolve(self.current, version=version, teams=teams)
+
 
 @define
 class FakePeers:
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -140,6 +140,58 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_slot_handed_on_is_held_for_the_later_request(autojump_clock, tmp_path):
+    """Guards against a slot that was waited for by one request, is used by
+    another with a later deadline, and is free while that may be running."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 1)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        now = trio.current_time()
+        handed_on = await first.wait_slot("hinge", now + 2, False)
+        assert handed_on.may_send(deadline=now + 20)
+        handed_on.release(certain=False)
+        assert await first.wait_slot("hinge", now + 20, False) is None
+        margin = first.settings.limits.margin_seconds
+        again = await first.wait_slot("hinge", now + 25, False)
+        assert trio.current_time() >= now + 20 + margin
+        assert again.may_send()
+        nursery.cancel_scope.cancel()
+
+
+async def test_slots_of_a_dropped_team_are_returned(autojump_clock, tmp_path):
+    """Guards against slots that a retired team holds for ever."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 4)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        assert await serve_for(first, "hinge", 1)
+        fleet.configuration.drop_team("hinge")
+        assert first.take("hinge", trio.current_time() + 1, False) is None
+        await trio.sleep(2)
+        assert fleet.table.rows["limit/hinge"].value["holders"] == {}
+        nursery.cancel_scope.cancel()
+
+
+async def test_queue_behind_one_waiter_gets_slots_quickly(autojump_clock, tmp_path):
+    """Guards against slots that move one at a time when dispatch waits with
+    one call for its whole queue."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 64)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        second = await run_service(fleet.add("entry-2"), nursery)
+        began = trio.current_time()
+        slots = [await first.wait_slot("hinge", began + 20, True) for _ in range(64)]
+        for slot in slots:
+            slot.release(certain=True)
+        began = trio.current_time()
+        for _ in range(64):
+            assert await second.wait_slot("hinge", began + 20, True)
+        assert trio.current_time() - began < 10
+        nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize("seed", range(8))
 async def test_fleet_serves_as_much_as_one_limit(autojump_clock, tmp_path, seed):
     """Differential test against one counter that sees all requests.
