Lift the cap of a busy daemon once nobody waits, and test sharing

A cap set while two daemons were busy stayed until the next waiter, so a take failed although slots were free. The new test of two busy daemons fails when the cap and the return of slots above the fair part are removed.

--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -262,7 +262,8 @@
         if self._find_team(team) is None:
             return slots.held() > 0
         is_wanted = slots.waiting > 0 or view.is_wanted(team)
-        return is_wanted or slots.is_changed() or not slots.is_within()
+        is_capped = slots.cap is not None
+        return is_wanted or is_capped or slots.is_changed() or not slots.is_within()
 
     async def _move_team(
         self, team: str, view: DemandView, limiter: trio.CapacityLimiter
--- a/hemlockstand/requests/moves.py
+++ b/hemlockstand/requests/moves.py
@@ -43,15 +43,16 @@
 
     daemons: int
     neighbours: int
-    _others: Mapping[str, list[Demand]]
+    _demands: tuple[Mapping[str, Demand], ...]
+    _wanted: frozenset[str]
 
     def is_wanted(self, team: str) -> bool:
         """Return whether another daemon waits for slots of the team."""
-        return any(demand.waiting for demand in self.others(team))
+        return team in self._wanted
 
     def others(self, team: str) -> list[Demand]:
         """Return the demands of all other daemons."""
-        return self._others.get(team, [])
+        return [demands[team] for demands in self._demands if team in demands]
 
 
 def view_demands(peers: Any, daemon: DaemonSettings) -> DemandView:
@@ -60,12 +61,14 @@
         member.name: member.data_centre for member in peers.members() if member.alive
     }
     centres.pop(daemon.name, None)
-    others: dict[str, list[Demand]] = {}
-    for name, demands in peers.demands().items():
-        for team, demand in demands.items() if name in centres else ():
-            others.setdefault(team, []).append(demand)
+    others = tuple(
+        demands for name, demands in peers.demands().items() if name in centres
+    )
+    wanted = frozenset(
+        team for demands in others for team, demand in demands.items() if demand.waiting
+    )
     neighbours = list(centres.values()).count(daemon.data_centre)
-    return DemandView(len(centres), neighbours, others)
+    return DemandView(len(centres), neighbours, others, wanted)
 
 
 def measure_demand(slots: TeamSlots) -> Demand:
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -173,6 +173,30 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_two_busy_daemons_share_a_full_limit(autojump_clock, tmp_path):
+    """Guards against callers of one daemon that starve while those of
+    another reuse every slot that becomes free there."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 8)
+    served = {}
+    async with trio.open_nursery() as nursery:
+        for name in ("entry-1", "entry-2"):
+            service = await run_service(fleet.add(name), nursery)
+            for _ in range(12):
+                nursery.start_soon(serve_often, service, served, name)
+            await trio.sleep(10)
+        served.clear()
+        await trio.sleep(60)
+        assert 0.5 <= served["entry-1"] / served["entry-2"] <= 2
+        nursery.cancel_scope.cancel()
+
+
+async def serve_often(service, served, name):
+    while True:
+        if await serve_for(service, "hinge", 0.5):
+            served[name] = served.get(name, 0) + 1
+
+
 async def test_queue_behind_one_waiter_gets_slots_quickly(autojump_clock, tmp_path):
     """Guards against slots that move one at a time when dispatch waits with
     one call for its whole queue."""
