Count suspension of the machine in the lease clock

CLOCK_MONOTONIC stands still while a machine is suspended, so a lease was still valid when the holder resumed. The lease clock adds the difference to CLOCK_BOOTTIME. The new test suspends a machine for the time of the lease.

--- a/hemlockstand/coordination/lease.py
+++ b/hemlockstand/coordination/lease.py
@@ -28,6 +28,7 @@
     False ['entry-1/a1']
 """
 
+import time
 from collections.abc import Callable, Mapping
 
 from attrs import define, field, frozen
@@ -50,6 +51,7 @@
 
 HOLDER_PREFIX = "holder/"
 PAGE_ROWS = 500
+CLOCK_READS = 5  # one read can be off by a preemption
 _NEVER = float("-inf")
 
 Clock = Callable[[], float]
@@ -79,6 +81,22 @@
         return max(self.lease_seconds, self.proof_seconds) + self.grant_seconds
 
 
+def make_lease_clock(clock: Clock) -> Clock:
+    """Return a clock that also counts time in which the machine was suspended.
+
+    Monotonic clocks of Linux stand still while the machine is suspended, and
+    a lease measured with one would still be valid afterwards.
+    """
+    base = max(_read_suspended() for _ in range(CLOCK_READS))
+    return lambda: clock() + max(0.0, _read_suspended() - base)
+
+
+def _read_suspended() -> float:
+    """Return the seconds of suspension, less the time between the reads."""
+    boot = time.clock_gettime(time.CLOCK_BOOTTIME)
+    return boot - time.clock_gettime(time.CLOCK_MONOTONIC)
+
+
 @define
 class HolderLease:
     """The lease of one process.
--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -17,6 +17,7 @@
     HolderWatch,
     LeaseLost,
     LeaseTerms,
+    make_lease_clock,
 )
 from hemlockstand.errors import (
     HemlockstandError,
@@ -58,6 +59,7 @@
         self.freshness = kernel.find("freshness", Service)
         self.peers = kernel.find("peers", Service)
         self.clock = trio.current_time
+        self._lease_clock = make_lease_clock(trio.current_time)
         self._session_number = 0
         self._lease = self._make_lease()
         self._teams: dict[str, TeamSlots] = {}
@@ -188,7 +190,7 @@
             f"{self.peers.incarnation}.{self._session_number}",
             self.settings.daemon.data_centre,
             terms,
-            self.clock,
+            self._lease_clock,
         )
 
     async def _renew_forever(self) -> None:
--- a/test/test_limits_failures.py
+++ b/test/test_limits_failures.py
@@ -1,9 +1,11 @@
 """One directed test for each way in which slots could be used twice."""
 
+import time
+
 import pytest
 
 from hemlockstand.coordination.escrow import ELASTIC, split_limit
-from hemlockstand.coordination.lease import LeaseLost
+from hemlockstand.coordination.lease import LeaseLost, make_lease_clock
 from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
 from hemlockstand.requests.reclaim import release_holder
 from test.limit_world import MARGIN, TERMS, World
@@ -105,6 +107,19 @@
     assert not slot.may_send()
 
 
+def test_suspended_machine_does_not_keep_its_lease(monkeypatch):
+    """Guards against a lease on a clock that stands still in a suspension."""
+    times = {time.CLOCK_BOOTTIME: 100.0, time.CLOCK_MONOTONIC: 90.0}
+    monkeypatch.setattr(time, "clock_gettime", times.get)
+    world = make_world()
+    lease = world.daemons[0].lease
+    lease.clock = make_lease_clock(world.clock)
+    run(lease.renew())
+    assert lease.is_valid()
+    times[time.CLOCK_BOOTTIME] += TERMS.lease_seconds
+    assert not lease.is_valid()
+
+
 def test_lease_counts_from_before_the_renewal_was_sent():
     """Guards against a lease that outlives what observers assume."""
     world = make_world()
