Check a send against the limit in force and the team's existence

A slot that was taken before a change was checked at the send against the limit of the last move round, up to 0.5 s old. The check at the send reads the configuration in force now; the new test fails without it.

--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -136,7 +136,7 @@
                 self.settings.daemon.data_centre,
                 self._make_escrow(team),
                 split,
-                self._may_use,
+                partial(self._may_use, team),
                 self.clock,
                 self.settings.limits.margin_seconds,
             )
@@ -160,7 +160,17 @@
             current.version,
         )
 
-    def _may_use(self, part: str, keyed: bool) -> bool:
+    def _may_use(self, team: str, part: str, keyed: bool) -> bool:
+        """Check the proofs for a use of the team's slots right now.
+
+        This also brings the limit of the team up to date, so that a check at
+        the send counts against the configuration in force.
+        """
+        if self._find_team(team) is None:
+            return False
+        return self._is_usable(part, keyed)
+
+    def _is_usable(self, part: str, keyed: bool) -> bool:
         if keyed and not self.freshness.is_fresh(Scope.FLEET):
             return False
         if self._lease.lost:
@@ -198,7 +208,7 @@
             await trio.sleep(self.settings.limits.renew_seconds)
             await self._try("renewal", self._renew)
             for part in (ELASTIC, self.settings.daemon.data_centre):
-                self._may_use(part, keyed=False)
+                self._is_usable(part, keyed=False)
 
     async def _renew(self) -> None:
         sent_at = self.clock()
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -159,6 +159,23 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_send_counts_against_the_limit_in_force(autojump_clock, tmp_path):
+    """Guards against a send under a limit that was lowered since the take."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 4)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        slot = await first.wait_slot("hinge", trio.current_time() + 10, False)
+        fleet.configuration.set_limit("hinge", 1)
+        assert not slot.may_send()
+        slot.release(certain=True)
+        slot = await first.wait_slot("hinge", trio.current_time() + 10, False)
+        assert slot.may_send()
+        dropped = await first.wait_slot("clamp", trio.current_time() + 1, False)
+        assert dropped is None
+        nursery.cancel_scope.cancel()
+
+
 async def test_slots_of_a_dropped_team_are_returned(autojump_clock, tmp_path):
     """Guards against slots that a retired team holds for ever."""
     fleet = Fleet(tmp_path)
