Tell liveness and versions of all daemons in one byte each

Cause: a simulated fleet showed that sampled member entries do not keep up with the fleet.

Stamps are left out while nothing has failed.

--- /dev/null
+++ b/bench/spread.py
@@ -0,0 +1,238 @@
+"""How fast news spreads over the sparse exchange, by fleet size.
+
+The daemons' own parts run on a simulated clock without a network, so the
+result does not depend on the machine. After ten seconds the platform fails
+for good; later one daemon has a change that no other has, and another ends::
+
+    python -m bench.spread
+"""
+
+import heapq
+from collections.abc import Callable, Iterator
+from itertools import count
+from random import Random
+from statistics import quantiles
+
+from attrs import define, field, frozen
+
+from bench.figures import Figure
+from hemlockstand.coordination.freshness import FreshnessTracker, Scope
+from hemlockstand.coordination.membership import MembershipView, Peer
+from hemlockstand.peers.beats import BeatMaker
+from hemlockstand.peers.demands import DemandBoard
+from hemlockstand.peers.messages import decode_report
+
+# Numbers of daemons, each with its number of data centres.
+SIZES = ((9, 3), (30, 6), (100, 12), (220, 22))
+INTERVAL_SECONDS = 1.0
+ROUND_TRIP_SECONDS = 0.006
+BOUND_SECONDS = 4.0
+SUSPECT_SECONDS = 5.0
+OUTAGE_AT_SECONDS = 10.0
+STEADY_AT_SECONDS = 20.0
+CHANGE_AT_SECONDS = 30.0
+END_SECONDS = 45.0
+SAMPLE_SECONDS = 0.5
+SEED = 7
+
+
+@define(eq=False)
+class Clock:
+    """The simulated clock that all daemons share."""
+
+    now: float = 0.0
+
+    def read(self) -> float:
+        """Return the time in seconds."""
+        return self.now
+
+
+@define(eq=False)
+class Simulated:
+    """The parts of one daemon that take part in the exchange."""
+
+    name: str
+    data_centre: str
+    tracker: FreshnessTracker
+    view: MembershipView
+    beats: BeatMaker
+
+
+@frozen
+class Spread:
+    """What was seen at one size."""
+
+    daemons: int
+    stamp_ages: list[float]
+    alive_fraction: float
+    change_seconds: float
+    seen_seconds: float
+    gone_seconds: float
+
+
+@define(eq=False)
+class Simulation:
+    """A fleet whose daemons exchange at their own phases."""
+
+    daemons: int
+    data_centres: int
+    clock: Clock = field(factory=Clock)
+    fleet: dict[str, Simulated] = field(factory=dict)
+    _random: Random = field(factory=lambda: Random(SEED))
+    _events: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
+    _order: Iterator[int] = field(factory=count)
+    _ages: list[float] = field(factory=list)
+    _alive: list[float] = field(factory=list)
+    _all_changed_at: float | None = None
+    _seen_at: float | None = None
+    _gone_at: float | None = None
+    _ended: Simulated | None = None
+
+    def run(self) -> Spread:
+        """Run to the end and return what was seen."""
+        self._build()
+        self._at(CHANGE_AT_SECONDS, self._change)
+        while self._events and self._events[0][0] < END_SECONDS:
+            self.clock.now, _, act = heapq.heappop(self._events)
+            act()
+        changed_at = self._all_changed_at or float("inf")
+        return Spread(
+            self.daemons,
+            self._ages,
+            sum(self._alive) / len(self._alive),
+            changed_at - CHANGE_AT_SECONDS,
+            (self._seen_at or float("inf")) - CHANGE_AT_SECONDS,
+            (self._gone_at or float("inf")) - CHANGE_AT_SECONDS,
+        )
+
+    def _build(self) -> None:
+        names = tuple(f"dc{number:02d}" for number in range(self.data_centres))
+        for number in range(self.daemons):
+            daemon = self._make(
+                f"entry-{number:03d}", names[number % len(names)], names
+            )
+            self.fleet[daemon.name] = daemon
+        for daemon in self.fleet.values():
+            others = (other for other in self.fleet.values() if other is not daemon)
+            daemon.view.set_candidates(
+                Peer(other.name, "", other.data_centre, f"{other.name}:8102")
+                for other in others
+            )
+            phase = self._random.random()
+            self._repeat(phase, INTERVAL_SECONDS, lambda own=daemon: self._round(own))
+            phase = self._random.random()
+            self._repeat(phase, INTERVAL_SECONDS, lambda own=daemon: self._poll(own))
+        self._repeat(STEADY_AT_SECONDS, SAMPLE_SECONDS, self._sample)
+
+    def _make(
+        self, name: str, data_centre: str, data_centres: tuple[str, ...]
+    ) -> Simulated:
+        tracker = FreshnessTracker(
+            data_centre, data_centres, BOUND_SECONDS, self.clock.read
+        )
+        tracker.set_version(1)
+        random = Random(self._random.random())
+        view = MembershipView(SUSPECT_SECONDS, self.clock.read, random)
+        board = DemandBoard(self.clock.read)
+        beats = BeatMaker(name, f"{name}-1", data_centre, view, board, tracker)
+        beats.address = f"{name}:8102"
+        return Simulated(name, data_centre, tracker, view, beats)
+
+    def _at(self, time: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (time, next(self._order), act))
+
+    def _repeat(self, time: float, interval: float, act: Callable[[], None]) -> None:
+        def act_again() -> None:
+            act()
+            self._repeat(self.clock.now + interval, interval, act)
+
+        self._at(time, act_again)
+
+    def _poll(self, daemon: Simulated) -> None:
+        if self.clock.now < OUTAGE_AT_SECONDS:
+            daemon.tracker.record_read(self.clock.now, 1)
+        else:
+            daemon.tracker.record_failure()
+
+    def _round(self, daemon: Simulated) -> None:
+        if daemon is self._ended:
+            return
+        oldest = daemon.tracker.oldest_stamp()
+        for peer in daemon.view.choose_targets(daemon.data_centre, oldest):
+            self._exchange(daemon, self.fleet[peer.name])
+
+    def _exchange(self, caller: Simulated, called: Simulated) -> None:
+        if called is self._ended:
+            return
+        called.beats.take(caller.beats.make(False))
+        reply = called.beats.make_reply(caller.name, False)
+        sent_at = self.clock.now - ROUND_TRIP_SECONDS
+        caller.tracker.record_report(decode_report(reply), sent_at)
+        caller.beats.take(reply)
+        version = max(caller.tracker.version, called.tracker.version)
+        for daemon in (caller, called):
+            if daemon.tracker.version < version:
+                daemon.tracker.set_version(version)
+                self._note_change()
+
+    def _change(self) -> None:
+        first, *_, last = self.fleet.values()
+        first.tracker.set_version(2)
+        self._ended = last
+
+    def _note_change(self) -> None:
+        if all(daemon.tracker.version == 2 for daemon in self._list_running()):
+            self._all_changed_at = self.clock.now
+
+    def _list_running(self) -> list[Simulated]:
+        return [daemon for daemon in self.fleet.values() if daemon is not self._ended]
+
+    def _sample(self) -> None:
+        if self._ended is not None:
+            self._sample_change()
+            return
+        for daemon in self.fleet.values():
+            self._ages.append(daemon.tracker.age(Scope.FLEET))
+            known = daemon.view.list_peers()
+            alive = sum(daemon.view.is_alive(heard.peer.name) for heard in known)
+            self._alive.append(alive / len(known))
+
+    def _sample_change(self) -> None:
+        first, *_, last = self.fleet.values()
+        versions = [
+            heard.peer.version
+            for heard in first.view.list_peers()
+            if heard.peer.name != last.name
+        ]
+        if self._seen_at is None and min(versions) == 2:
+            self._seen_at = self.clock.now
+        seen = (daemon.view.is_alive(last.name) for daemon in self._list_running())
+        if self._gone_at is None and not any(seen):
+            self._gone_at = self.clock.now
+
+
+def measure_figures() -> Iterator[Figure]:
+    """Yield the figures of all sizes."""
+    for daemons, data_centres in SIZES:
+        spread = Simulation(daemons, data_centres).run()
+        prefix = f"spread_{daemons}"
+        ages = quantiles(spread.stamp_ages, n=100)
+        yield Figure(f"{prefix}_outage_proof_age_p50", ages[49], "seconds")
+        yield Figure(f"{prefix}_outage_proof_age_p99", ages[98], "seconds")
+        yield Figure(
+            f"{prefix}_outage_proof_age_max", max(spread.stamp_ages), "seconds"
+        )
+        yield Figure(f"{prefix}_seen_alive", spread.alive_fraction, "fraction")
+        yield Figure(f"{prefix}_change_everywhere", spread.change_seconds, "seconds")
+        yield Figure(f"{prefix}_change_seen_by_author", spread.seen_seconds, "seconds")
+        yield Figure(f"{prefix}_end_seen_by_all", spread.gone_seconds, "seconds")
+
+
+def main() -> None:
+    """Print the figures."""
+    for figure in measure_figures():
+        print(figure.format_line(), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/hemlockstand/coordination/freshness.py
+++ b/hemlockstand/coordination/freshness.py
@@ -45,6 +45,8 @@
 # A daemon of a data centre that reached the platform this recently, as part of
 # the bound, contradicts a stamp of another daemon there that did not.
 CONTRADICTION_FRACTION = 0.5
+# Proofs are valid for 60 seconds at most, so older failures are of no use.
+FAILURE_MEMORY_SECONDS = 60.0
 
 
 class Scope(StrEnum):
@@ -99,6 +101,7 @@
     newest_heard: int = field(default=0, init=False)
     _proved_at: float = field(default=-inf, init=False)
     _contacts: dict[str, _Contact] = field(factory=dict, init=False)
+    _heard_at: dict[str, float] = field(factory=dict, init=False)
 
     def set_version(self, version: int) -> None:
         """Tell the version of the local copy."""
@@ -150,7 +153,11 @@
             self._proved_at = max(self._proved_at, sent_at - report.proof_age)
 
     def make_report(self) -> Report:
-        """Return what this process can tell a peer now."""
+        """Return what this process can tell a peer now.
+
+        Stamps are left out while no data centre has failed lately, as they
+        then prove nothing.
+        """
         stamps = tuple(
             StampAge(
                 name,
@@ -159,6 +166,7 @@
                 self.clock() - contact.reached_at,
             )
             for name, contact in self._contacts.items()
+            if self._has_failures()
         )
         return Report(self.version, self.age(Scope.FLEET), stamps)
 
@@ -185,7 +193,16 @@
 
     def oldest_stamp(self) -> str:
         """Return the data centre that was heard of longest ago."""
-        return min(self.data_centres, key=self._last_contact)
+        return min(self.data_centres, key=self._last_news)
+
+    def record_news(self, data_centre: str) -> None:
+        """Take note that a process of a data centre was heard of just now."""
+        self._heard_at[data_centre] = self.clock()
+
+    def _has_failures(self) -> bool:
+        failures = (contact.failed_at for contact in self._contacts.values())
+        newest = max(failures, default=-inf)
+        return self.clock() - newest < FAILURE_MEMORY_SECONDS
 
     def _list_data_centres(self, scope: Scope) -> tuple[str, ...]:
         match Scope(scope):
@@ -203,9 +220,10 @@
             return inf
         return self.clock() - contact.failed_at
 
-    def _last_contact(self, data_centre: str) -> float:
+    def _last_news(self, data_centre: str) -> float:
         contact = self._contacts.get(data_centre, _Contact())
-        return max(contact.failed_at, contact.reached_at)
+        heard_at = self._heard_at.get(data_centre, -inf)
+        return max(contact.failed_at, contact.reached_at, heard_at)
 
     def _hear_version(self, version: int) -> None:
         self.newest_heard = max(self.newest_heard, version)
--- a/hemlockstand/coordination/membership.py
+++ b/hemlockstand/coordination/membership.py
@@ -17,12 +17,20 @@
 """
 
 from collections.abc import Callable, Iterable, Iterator
-from math import inf
+from math import ceil, inf
 from random import Random
+from zlib import crc32
 
 import trio
 from attrs import define, evolve, field, frozen
 
+# A digest has one byte for each listed process: the high half is the age in
+# these units, the low half the number of versions behind the sender.
+DIGEST_UNIT_SECONDS = 0.5
+DIGEST_LIMIT = 15
+# A changed identity goes before others in what a process tells for this long.
+RECENT_SECONDS = 30.0
+
 
 @frozen
 class Peer:
@@ -48,6 +56,18 @@
     age: float
 
 
+@frozen
+class Digest:
+    """Age and version of every listed process, in the order of the names.
+
+    ``checksum`` is that of the names; a receiver with another list cannot
+    read the entries.
+    """
+
+    checksum: int
+    entries: bytes
+
+
 @define
 class MembershipView:
     """What one process knows of the others."""
@@ -57,6 +77,8 @@
     random: Random = field(factory=Random)
     _peers: dict[str, Peer] = field(factory=dict, init=False)
     _heard_at: dict[str, float] = field(factory=dict, init=False)
+    _changed_at: dict[str, float] = field(factory=dict, init=False)
+    _told_at: dict[str, float] = field(factory=dict, init=False)
     _listed: dict[str, Peer] = field(factory=dict, init=False)
 
     def add_candidate(self, peer: Peer) -> None:
@@ -80,30 +102,89 @@
 
     def hear(self, peer: Peer, age: float = 0.0) -> None:
         """Take news of a peer that was true ``age`` seconds ago."""
-        heard_at = self.clock() - age
-        if heard_at <= self._heard_at.get(peer.name, -inf):
+        told_at = self.clock() - age
+        self._note_heard(peer.name, told_at)
+        if told_at <= self._told_at.get(peer.name, -inf):
             return
         known = self._peers.get(peer.name, peer)
-        self._heard_at[peer.name] = heard_at
+        if known.incarnation == peer.incarnation:
+            # An incarnation that leaves never comes back, so news that
+            # overtook each other on the way do not matter.
+            peer = evolve(peer, leaving=peer.leaving or known.leaving)
+        if (known.incarnation, known.leaving) != (peer.incarnation, peer.leaving):
+            self._changed_at[peer.name] = self.clock()
+        self._told_at[peer.name] = told_at
         self._peers[peer.name] = self._locate(
             evolve(
                 peer,
                 data_centre=peer.data_centre or known.data_centre,
                 address=peer.address or known.address,
+                version=max(peer.version, known.version),
             )
         )
 
+    def make_digest(self, own_name: str, version: int) -> Digest:
+        """Return the digest of the list for a peer."""
+        names = self._order_names(own_name)
+        entries = (self._encode_entry(name, own_name, version) for name in names)
+        return Digest(_checksum(names), bytes(entries))
+
+    def take_digest(self, own_name: str, digest: Digest, version: int) -> bool:
+        """Take a peer's digest and its version.
+
+        Returns False, without effect, if the peer has another list.
+        """
+        names = self._order_names(own_name)
+        if digest.checksum != _checksum(names) or len(digest.entries) != len(names):
+            return False
+        for name, entry in zip(names, digest.entries, strict=True):
+            if name != own_name:
+                self._take_entry(name, *divmod(entry, DIGEST_LIMIT + 1), version)
+        return True
+
+    def _order_names(self, own_name: str) -> list[str]:
+        return sorted({own_name, *self._listed})
+
+    def _encode_entry(self, name: str, own_name: str, version: int) -> int:
+        if name == own_name:
+            return 0
+        if name not in self._peers:
+            return DIGEST_LIMIT * (DIGEST_LIMIT + 1)
+        # Rounded up, as rounding down at each hop would keep a dead peer alive.
+        units = min(self.age(name) / DIGEST_UNIT_SECONDS, DIGEST_LIMIT)
+        behind = max(0, version - self._peers[name].version)
+        high, low = ceil(units), min(behind, DIGEST_LIMIT)
+        return high * (DIGEST_LIMIT + 1) + low
+
+    def _take_entry(self, name: str, units: int, behind: int, version: int) -> None:
+        if units == DIGEST_LIMIT or name not in self._peers:
+            return
+        self._note_heard(name, self.clock() - units * DIGEST_UNIT_SECONDS)
+        if behind < DIGEST_LIMIT:
+            known = self._peers[name]
+            newest = max(known.version, version - behind)
+            self._peers[name] = evolve(known, version=newest)
+
+    def _note_heard(self, name: str, heard_at: float) -> None:
+        self._heard_at[name] = max(heard_at, self._heard_at.get(name, -inf))
+
     def _locate(self, peer: Peer) -> Peer:
         """Return the peer with the whereabouts of the list, if it is there."""
         listed = self._listed.get(peer.name)
         if listed is None:
             return peer
-        return evolve(peer, data_centre=listed.data_centre, address=listed.address)
+        return evolve(
+            peer,
+            data_centre=listed.data_centre,
+            address=listed.address,
+            leaving=peer.leaving or listed.leaving,
+        )
 
     def forget(self, name: str) -> None:
         """Drop a peer, for example one whose address is another's."""
         self._peers.pop(name, None)
-        self._heard_at.pop(name, None)
+        for times in (self._heard_at, self._told_at, self._changed_at):
+            times.pop(name, None)
 
     def is_alive(self, name: str) -> bool:
         """Tell whether the peer was heard of lately."""
@@ -138,13 +219,32 @@
         ]
 
     def sample_alive(self, count: int, exclude: str) -> list[HeardPeer]:
-        """Return up to ``count`` random live peers to tell another about."""
+        """Return some live peers to tell another about, with the age of news.
+
+        Half of them are such whose incarnation changed or who leave, if there
+        are any, and the others are random.
+        """
         alive = [
-            heard
-            for heard in self.list_peers()
-            if heard.age < self.suspect_after_seconds and heard.peer.name != exclude
+            name
+            for name in self._told_at
+            if name != exclude and name in self._peers and self.is_alive(name)
         ]
-        return self.random.sample(alive, min(count, len(alive)))
+        recent = [name for name in alive if self._is_recent(name)]
+        chosen = self.random.sample(recent, min(count // 2, len(recent)))
+        others = [name for name in alive if name not in chosen]
+        room = count - len(chosen)
+        chosen += self.random.sample(others, min(room, len(others)))
+        now = self.clock()
+        return [
+            HeardPeer(self._peers[name], now - self._told_at[name]) for name in chosen
+        ]
+
+    def _is_recent(self, name: str) -> bool:
+        return self.clock() - self._changed_at.get(name, -inf) < RECENT_SECONDS
+
+    def is_listed(self, name: str) -> bool:
+        """Tell whether the peer is in the list of candidates."""
+        return name in self._listed
 
     def choose_targets(self, data_centre: str, oldest: str) -> list[Peer]:
         """Choose whom to exchange with in this round, without repeats.
@@ -172,3 +272,7 @@
         ]
         if eligible:
             yield self.random.choice(eligible)
+
+
+def _checksum(names: list[str]) -> int:
+    return crc32("\n".join(names).encode())
--- a/hemlockstand/peers/beats.py
+++ b/hemlockstand/peers/beats.py
@@ -1,14 +1,22 @@
 """Heartbeats: what a daemon tells of itself and takes from others."""
 
+from math import ceil
+
 from attrs import define
 
 from hemlockstand.coordination.freshness import FreshnessTracker
-from hemlockstand.coordination.membership import MembershipView, Peer
+from hemlockstand.coordination.membership import (
+    Digest,
+    HeardPeer,
+    MembershipView,
+    Peer,
+)
 from hemlockstand.peers import peer_pb2
 from hemlockstand.peers.demands import Demand, DemandBoard
+from hemlockstand.peers.messages import encode_report
 
-MEMBERS_PER_BEAT = 12
-DEMANDS_PER_BEAT = 24
+MEMBERS_PER_BEAT = 4
+DEMANDS_PER_BEAT = 12
 
 
 @define
@@ -23,8 +31,8 @@
     tracker: FreshnessTracker
     address: str = ""
 
-    def make(self, receiver: str, leaving: bool) -> peer_pb2.Beat:
-        """Return a beat without a freshness report."""
+    def make(self, leaving: bool) -> peer_pb2.Beat:
+        """Return a beat for a request."""
         beat = peer_pb2.Beat(
             sender=self.daemon,
             incarnation=self.incarnation,
@@ -41,21 +49,39 @@
                 idle=demand.idle,
                 served=demand.served,
             )
+        return beat
+
+    def make_reply(self, receiver: str, leaving: bool) -> peer_pb2.Beat:
+        """Return a beat with a freshness report and news of third daemons."""
+        beat = self.make(leaving)
+        encode_report(beat, self.tracker.make_report())
+        digest = self.view.make_digest(self.daemon, self.tracker.version)
+        beat.digest.checksum = digest.checksum
+        beat.digest.entries = digest.entries
         for heard in self.view.sample_alive(MEMBERS_PER_BEAT, exclude=receiver):
-            peer = heard.peer
-            beat.members.add(
-                name=peer.name,
-                incarnation=peer.incarnation,
-                heard_age_ms=round(heard.age * 1000),
-                configuration_version=peer.version,
-                leaving=peer.leaving,
-                data_centre=peer.data_centre,
-                address=peer.address,
-            )
+            self._add_member(beat, heard)
         return beat
 
-    def take(self, beat: peer_pb2.Beat) -> Peer:
-        """Take what a beat says about its sender and about third daemons."""
+    def _add_member(self, beat: peer_pb2.Beat, heard: HeardPeer) -> None:
+        peer = heard.peer
+        entry = beat.members.add(
+            name=peer.name,
+            incarnation=peer.incarnation.removeprefix(f"{peer.name}-"),
+            heard_age_ms=ceil(heard.age * 1000),
+            configuration_version=peer.version,
+            leaving=peer.leaving,
+        )
+        if not self.view.is_listed(peer.name) or len(beat.members) == 1:
+            # The first entry is always complete, for a receiver that cannot
+            # read the instance list.
+            entry.data_centre = peer.data_centre
+            entry.address = peer.address
+
+    def take(self, beat: peer_pb2.Beat, age: float = 0.0) -> Peer:
+        """Take what a beat says about its sender and about third daemons.
+
+        ``age`` is the longest time since the beat was made, in seconds.
+        """
         sender = Peer(
             name=beat.sender,
             incarnation=beat.incarnation,
@@ -64,7 +90,8 @@
             leaving=beat.leaving,
             version=beat.configuration_version,
         )
-        self.view.hear(sender)
+        self.view.hear(sender, age)
+        self.tracker.record_news(sender.data_centre)
         demands = {
             entry.team: Demand(entry.waiting, entry.running, entry.idle, entry.served)
             for entry in beat.demands
@@ -72,6 +99,9 @@
         self.board.receive(beat.sender, demands)
         for entry in beat.members:
             self._take_member(entry)
+        if beat.HasField("digest"):
+            digest = Digest(beat.digest.checksum, beat.digest.entries)
+            self.view.take_digest(self.daemon, digest, beat.configuration_version)
         return sender
 
     def _take_member(self, entry: peer_pb2.Member) -> None:
@@ -79,7 +109,7 @@
             return
         peer = Peer(
             name=entry.name,
-            incarnation=entry.incarnation,
+            incarnation=f"{entry.name}-{entry.incarnation}",
             data_centre=entry.data_centre,
             address=entry.address,
             leaving=entry.leaving,
--- a/hemlockstand/peers/messages.py
+++ b/hemlockstand/peers/messages.py
@@ -21,9 +21,9 @@
     if report.proof_age < MAX_AGE_SECONDS:
         beat.proof_age_ms = ceil(report.proof_age * 1000)
     for stamp in report.stamps:
-        entry = beat.stamps.add(
-            data_centre=stamp.data_centre, configuration_version=stamp.version
-        )
+        entry = beat.stamps.add(data_centre=stamp.data_centre)
+        if stamp.version != report.version:
+            entry.configuration_version = stamp.version
         if stamp.failed_age < MAX_AGE_SECONDS:
             entry.failed_age_ms = ceil(stamp.failed_age * 1000)
         if stamp.reached_age < MAX_AGE_SECONDS:
@@ -35,7 +35,7 @@
     stamps = tuple(
         StampAge(
             data_centre=entry.data_centre,
-            version=entry.configuration_version,
+            version=_decode_version(entry, beat),
             failed_age=_decode_age(entry, "failed_age_ms"),
             reached_age=_decode_age(entry, "reached_age_ms"),
         )
@@ -44,6 +44,12 @@
     return Report(beat.configuration_version, _decode_age(beat, "proof_age_ms"), stamps)
 
 
+def _decode_version(entry: peer_pb2.Stamp, beat: peer_pb2.Beat) -> int:
+    if entry.HasField("configuration_version"):
+        return entry.configuration_version
+    return beat.configuration_version
+
+
 def _decode_age(message: peer_pb2.Beat | peer_pb2.Stamp, name: str) -> float:
     return getattr(message, name) / 1000 if message.HasField(name) else inf
 
--- a/hemlockstand/peers/service.py
+++ b/hemlockstand/peers/service.py
@@ -18,7 +18,6 @@
 from hemlockstand.peers.messages import (
     decode_report,
     decode_verdict,
-    encode_report,
     encode_verdict,
 )
 from hemlockstand.peers.transport import (
@@ -68,7 +67,7 @@
         super().__init__(kernel)
         section = self.settings.peers
         secret = section.secret.encode()
-        self.incarnation = f"{self.settings.daemon.name}-{token_hex(6)}"
+        self.incarnation = f"{self.settings.daemon.name}-{token_hex(4)}"
         self.traffic = Traffic()
         self.leaving = False
         self.address = ""
@@ -238,7 +237,7 @@
         """Exchange heartbeats once; return the peer as it replied, if it did."""
         sent_at = trio.current_time()
         timeout = self.settings.peers.timeout_seconds
-        beat = self._beats.make(peer.name, self.leaving)
+        beat = self._beats.make(self.leaving)
         try:
             reply = await self._client.call(peer.address, "Exchange", beat, timeout)
         except HemlockstandError as error:
@@ -252,7 +251,7 @@
         if reply.sender == self.settings.daemon.name:
             return None
         self._tracker.record_report(decode_report(reply), sent_at)
-        return self._take_beat(reply)
+        return self._take_beat(reply, trio.current_time() - sent_at)
 
     async def _follow_instances(self) -> None:
         while True:
@@ -309,8 +308,8 @@
             if address != self.address:
                 self.view.add_candidate(Peer(name=address, address=address))
 
-    def _take_beat(self, beat: peer_pb2.Beat) -> Peer:
-        sender = self._beats.take(beat)
+    def _take_beat(self, beat: peer_pb2.Beat, age: float = 0.0) -> Peer:
+        sender = self._beats.take(beat, age)
         if sender.version > self._tracker.version and self._newer is not None:
             self._newer(sender)
         return sender
@@ -325,9 +324,7 @@
         if beat.sender != self.settings.daemon.name:
             self._tracker.record_version(beat.configuration_version)
             self._take_beat(beat)
-        reply = self._beats.make(beat.sender, self.leaving)
-        encode_report(reply, self._tracker.make_report())
-        return reply
+        return self._beats.make_reply(beat.sender, self.leaving)
 
     async def _answer_fetch(
         self, request: peer_pb2.FetchRequest
--- a/test/test_freshness.py
+++ b/test/test_freshness.py
@@ -143,6 +143,7 @@
     clock = Clock()
     trackers = [make_tracker(clock, name) for name in ("dc1", "dc2")]
     trackers[0].record_read(clock.now, 0)
+    trackers[0].record_failure()
     for _ in range(20):
         for tracker, other in (trackers, trackers[::-1]):
             sent_at = clock.now
--- a/test/test_peers_service.py
+++ b/test/test_peers_service.py
@@ -15,7 +15,7 @@
 )
 from hemlockstand.verdict import Answered, MayHaveRun, Reason
 from test.daemons import Fleet, make_change, wait_until
-from test.test_freshness import Clock
+from test.test_freshness import TOLERANCE_SECONDS, Clock
 
 SUSPECT_SECONDS = 5.0
 
@@ -145,6 +145,20 @@
     assert view.find_incarnation("old") is None
 
 
+def test_leaving_incarnation_never_returns():
+    """Guards against a delayed heartbeat that hides that a daemon stops."""
+    clock = Clock()
+    view = make_view(clock)
+    leaving = Peer("entry-2", "entry-2-a", "dc1", "entry-2:1", leaving=True)
+    view.hear(leaving)
+    clock.now += 1
+    view.hear(make_peer("entry-2", incarnation="entry-2-a"))
+    assert view.get("entry-2").leaving
+    clock.now += 1
+    view.hear(make_peer("entry-2", incarnation="entry-2-b"))
+    assert not view.get("entry-2").leaving
+
+
 def test_unlisted_silent_peer_is_forgotten():
     """Guards against members that pile up as instances are replaced."""
     clock = Clock()
@@ -188,6 +202,72 @@
         assert oldest in found
 
 
+AGES = st.integers(0, 20_000).map(lambda milliseconds: milliseconds / 1000)
+NEWS = st.tuples(AGES, st.integers(0, 30))
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.lists(NEWS, max_size=8), st.integers(0, 30))
+def test_digest_never_tells_more_than_is_known(news, version):
+    """Guards against a dead peer that stays alive, and a false version."""
+    clock = Clock()
+    names = ["own-1", "own-2", *(f"entry-{number}" for number in range(len(news)))]
+    first, second = (make_view(clock) for _ in range(2))
+    for own, view in (("own-1", first), ("own-2", second)):
+        view.set_candidates(make_peer(name) for name in names if name != own)
+    for number, (age, known) in enumerate(news):
+        peer = Peer(f"entry-{number}", "a", "dc1", "", version=min(known, version))
+        first.hear(peer, age)
+    digest = first.make_digest("own-1", version)
+    assert second.take_digest("own-2", digest, version)
+    for number, (age, known) in enumerate(news):
+        name = f"entry-{number}"
+        assert second.age(name) >= age - TOLERANCE_SECONDS
+        assert second.get(name).version <= min(known, version)
+        if age <= SUSPECT_SECONDS - 1:
+            assert second.is_alive(name)
+            behind = version - known
+            assert behind >= 15 or second.get(name).version == min(known, version)
+
+
+def test_digest_passes_over_forgotten_peers():
+    """Guards against a listed peer that was forgotten and ends the exchange."""
+    first, second = make_view(Clock()), make_view(Clock())
+    first.set_candidates([make_peer("entry-2"), make_peer("entry-3")])
+    second.set_candidates([make_peer("entry-1"), make_peer("entry-3")])
+    first.hear(make_peer("entry-3"))
+    digest = first.make_digest("entry-1", 1)
+    first.forget("entry-3")
+    second.forget("entry-3")
+    assert first.make_digest("entry-1", 1).checksum == digest.checksum
+    assert second.take_digest("entry-2", digest, 1)
+    assert second.get("entry-3") is None
+
+
+def test_digest_of_another_list_has_no_effect():
+    """Guards against ages that are taken for those of other daemons."""
+    clock = Clock()
+    first, second = make_view(clock), make_view(clock)
+    first.set_candidates([make_peer("entry-2"), make_peer("entry-3")])
+    second.set_candidates([make_peer("entry-1"), make_peer("entry-4")])
+    first.hear(make_peer("entry-3"))
+    digest = first.make_digest("entry-1", 1)
+    assert not second.take_digest("entry-2", digest, 1)
+    assert not second.is_alive("entry-4")
+
+
+def test_digest_keeps_the_incarnation_open_to_older_news():
+    """Guards against a restarted daemon that is never found by its new name."""
+    clock = Clock()
+    first, second = make_view(clock), make_view(clock)
+    first.set_candidates([make_peer("entry-2"), make_peer("entry-3")])
+    second.set_candidates([make_peer("entry-1"), make_peer("entry-3")])
+    first.hear(make_peer("entry-3", incarnation="entry-3-new"))
+    assert second.take_digest("entry-2", first.make_digest("entry-1", 1), 1)
+    second.hear(make_peer("entry-3", incarnation="entry-3-new"), age=2.0)
+    assert second.find_incarnation("entry-3-new") is not None
+
+
 def test_all_active_teams_take_turns():
     """Guards against a team whose demand never reaches the peers."""
     clock = Clock()
