--- a/hemlockstand/coordination/membership.py
+++ b/hemlockstand/coordination/membership.py
@@ -194,6 +194,10 @@
         """Return the seconds since the peer was heard of, ``inf`` if never."""
         return self.clock() - self._heard_at.get(name, -inf)
 
+    def count(self) -> int:
+        """Return the number of known peers."""
+        return len(self._peers)
+
     def get(self, name: str) -> Peer | None:
         """Return the peer of that name."""
         return self._peers.get(name)
--- a/hemlockstand/peers/beats.py
+++ b/hemlockstand/peers/beats.py
@@ -16,7 +16,11 @@
 from hemlockstand.peers.messages import encode_report
 
 MEMBERS_PER_BEAT = 4
+# A small fleet hears of all its teams within seconds; a large one has to keep
+# the bytes of its heartbeats for stamps and the digest.
 DEMANDS_PER_BEAT = 12
+DEMANDS_PER_BEAT_OF_LARGE_FLEET = 6
+LARGE_FLEET = 12
 
 
 @define
@@ -41,7 +45,7 @@
             leaving=leaving,
             configuration_version=self.tracker.version,
         )
-        for team, demand in self.board.choose(DEMANDS_PER_BEAT):
+        for team, demand in self.board.choose(self._limit_demands()):
             beat.demands.add(
                 team=team,
                 waiting=demand.waiting,
@@ -51,6 +55,11 @@
             )
         return beat
 
+    def _limit_demands(self) -> int:
+        if self.view.count() < LARGE_FLEET:
+            return DEMANDS_PER_BEAT
+        return DEMANDS_PER_BEAT_OF_LARGE_FLEET
+
     def make_reply(self, receiver: str, leaving: bool) -> peer_pb2.Beat:
         """Return a beat with a freshness report and news of third daemons."""
         beat = self.make(leaving)
--- a/hemlockstand/peers/transport.py
+++ b/hemlockstand/peers/transport.py
@@ -37,6 +37,8 @@
 # A forwarded request occupies a thread until it is answered.
 SERVER_THREADS = 32
 CONNECT_BACKOFF_MS = 1000
+# The probe sends pings beside every message, which are small already.
+NO_BANDWIDTH_PROBE = ("grpc.http2.bdp_probe", 0)
 
 
 class PeerError(HemlockstandError):
@@ -140,6 +142,7 @@
             options=[
                 ("grpc.so_reuseport", 0),
                 ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+                NO_BANDWIDTH_PROBE,
             ],
         )
         methods = {
@@ -272,6 +275,7 @@
                     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
                     ("grpc.max_reconnect_backoff_ms", CONNECT_BACKOFF_MS),
                     ("grpc.enable_http_proxy", 0),
+                    NO_BANDWIDTH_PROBE,
                 ],
             )
         return self._channels[address]
