Close idle caller connections at once on a graceful stop

Cause: Quart cancels its request while the last send still starts hypercorn's idle timer, so an idle connection never closed; and both the daemon and the admission service waited for the balancer, which doubled the wait.

Ruled out: running requests (there were none in the test).

Before: the new test fails after 15 s, a stop took 32 s with one idle connection. After: it passes, and the wait for the balancer happens once.

--- a/hemlockstand/requests/admission.py
+++ b/hemlockstand/requests/admission.py
@@ -15,6 +15,7 @@
 from quart_trio import QuartTrio
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge, RequestTimeout
 
+from hemlockstand.asgi import shield_sends
 from hemlockstand.coordination.freshness import Scope
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.metrics import REFUSALS, REQUEST_SECONDS, VERDICTS
@@ -105,8 +106,10 @@
             self._closed.set()
 
     async def stop(self) -> None:
-        """Serve late arrivals, close the port, let running requests finish."""
-        await trio.sleep(self.settings.daemon.balancer_lag_seconds)
+        """Close the port and let running requests finish.
+
+        The daemon has waited for the balancer before it stops its services.
+        """
         self._closing.set()
         await self._closed.wait()
 
@@ -123,7 +126,7 @@
             self.settings.requests.max_deadline_seconds + STOP_MARGIN_SECONDS
         )
         await serve(
-            self.app,
+            shield_sends(self.app),
             config,
             shutdown_trigger=self._closing.wait,
             task_status=task_status,
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -296,3 +296,15 @@
     assert response.headers.get_list("X-Verdict") == ["answered"]
     assert response.headers["X-Own"] == "kept"
     assert "Connection" not in response.headers
+
+
+async def test_idle_connection_does_not_hold_up_a_stop(path):
+    """Guards against a stop that waits for callers that send nothing.
+
+    An idle connection once held a stop for its whole graceful timeout of 32 s.
+    """
+    async with path(FakeUpstream(answer_at_once)) as around:
+        async with around.make_client() as client:
+            await client.post("/v1/queues/quotes")
+            with trio.fail_after(15):
+                await around.admission.stop()
