Add job run and instance release to hemlockctl

Cause: nothing could trigger a job on demand, and a worker stayed out after two failed probes with no way back. After: tests run both verbs against the services; the demanded run stands in the table, so it outlives the daemon that took it.

--- a/hemlockstand/ctl/fleet.py
+++ b/hemlockstand/ctl/fleet.py
@@ -76,22 +76,16 @@
     return ExitCode.OK
 
 
-async def cancel_job(context: Context) -> ExitCode:
-    """Cancel the runs of a job."""
-    result = await context.client.post(
-        "job/cancel", effect=Effect.ACTION, job=context.arguments[0]
-    )
-    context.show(result, _describe(result))
-    return ExitCode.OK
+def make_action(path: str, argument: str) -> Callable[[Context], Awaitable[ExitCode]]:
+    """Return a verb that posts its only argument and shows the answer."""
 
+    async def act(context: Context) -> ExitCode:
+        arguments = {argument: context.arguments[0]}
+        result = await context.client.post(path, effect=Effect.ACTION, **arguments)
+        context.show(result, _describe(result))
+        return ExitCode.OK
 
-async def unpark_job(context: Context) -> ExitCode:
-    """Return a parked job to placement."""
-    result = await context.client.post(
-        "job/unpark", effect=Effect.ACTION, job=context.arguments[0]
-    )
-    context.show(result, _describe(result))
-    return ExitCode.OK
+    return act
 
 
 async def show_instances(context: Context) -> ExitCode:
@@ -198,8 +192,27 @@
     Command(("instance", "move"), "Move an instance to the pool --to.", move, ("ID",)),
     Command(("job", "list"), "List the jobs.", make_list("job", JOB_COLUMNS)),
     Command(("job", "show"), "Show a job.", make_show("job"), ("NAME",)),
-    Command(("job", "cancel"), "Cancel the runs of a job.", cancel_job, ("NAME",)),
-    Command(("job", "unpark"), "Return a parked job.", unpark_job, ("NAME",)),
+    Command(
+        ("job", "run"), "Ask for a run now.", make_action("job/run", "job"), ("NAME",)
+    ),
+    Command(
+        ("job", "cancel"),
+        "Cancel the runs of a job.",
+        make_action("job/cancel", "job"),
+        ("NAME",),
+    ),
+    Command(
+        ("job", "unpark"),
+        "Return a parked job.",
+        make_action("job/unpark", "job"),
+        ("NAME",),
+    ),
+    Command(
+        ("instance", "release"),
+        "End a worker's quarantine.",
+        make_action("instance/release", "instance"),
+        ("ID",),
+    ),
     Command(("wave", "plan"), "Show the rounds of a wave over --pool.", plan_wave),
     Command(
         ("wave", "start"),
--- a/hemlockstand/jobs/service.py
+++ b/hemlockstand/jobs/service.py
@@ -5,7 +5,7 @@
 promise when two daemons believe that they own a pool.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from datetime import UTC, datetime
 from random import Random
 from time import time
@@ -35,6 +35,7 @@
     decode_worker,
     drop_entry,
     encode_work,
+    encode_worker,
     name_task,
 )
 from hemlockstand.jobs.rounds import PoolRounds, RoundOutcome
@@ -212,7 +213,7 @@
 
         Raises ``NotFound`` and ``PlatformUnavailable``.
         """
-        found = self._find_job(job)
+        found = self.find_job(job)
         cancelled = {}
         run = name_run(datetime.now(UTC))
 
@@ -256,9 +257,34 @@
                 starts=drop_entry(work.starts, job),
             )
 
-        found = self._find_job(job)
+        found = self.find_job(job)
         await self._change_work(found.team, found.pool, clear)
 
+    async def release_worker(self, worker: str) -> None:
+        """End a worker's quarantine and forget its failures.
+
+        Raises ``NotFound`` if it is not in quarantine, ``PlatformUnavailable``,
+        and ``OutcomeUnknown`` if the row keeps changing.
+        """
+        for _ in range(MAX_ATTEMPTS):
+            state = await self.show_worker(worker)
+            if state.quarantine is None:
+                raise NotFound(f"worker {worker!r} is not in quarantine")
+            released = evolve(state, quarantine=None, failed_jobs=(), failed_starts=0)
+            try:
+                operations = [encode_worker(released), *self._mark_pool_of(worker)]
+                await self.platform.table.transact(operations)
+                return
+            except TableConflict as error:
+                log.info("worker {} is read again: {}", worker, error.code)
+        raise OutcomeUnknown(f"the row of worker {worker!r} keeps changing")
+
+    def _mark_pool_of(self, worker: str) -> Iterator[Put]:
+        """Yield the write that makes the pool's owner read its rows again."""
+        for name, pool in self.maintenance.pools.items():
+            if worker in pool.members:
+                yield Put(MARKER_PREFIX + name, {"worker": worker}, None)
+
     async def _change_work(
         self, team: str, pool: str, change: Callable[[TeamWork], TeamWork]
     ) -> None:
@@ -280,7 +306,8 @@
                 log.info("work of team {} is read again: {}", team, error.code)
         raise PlatformUnavailable(f"the row of team {team!r} keeps changing")
 
-    def _find_job(self, job: str) -> Job:
+    def find_job(self, job: str) -> Job:
+        """Return the job in force; raises ``NotFound``."""
         found = self.configuration.current.jobs.get(job)
         if found is None:
             raise NotFound(f"job {job!r} does not exist")
--- a/hemlockstand/operators/fleet.py
+++ b/hemlockstand/operators/fleet.py
@@ -124,6 +124,18 @@
             "jobs": [job | known.get(job["name"], {}) for job in listed["jobs"]]
         }
 
+    async def run_job(self, request: OperatorRequest) -> dict[str, Any]:
+        """Ask for a run of a job now, on behalf of its team."""
+        jobs = self._find("jobs", JobsService)
+        job = jobs.find_job(request.get_text("job"))
+        return {"job": job.name, "task": await jobs.submit(job.name, job.team)}
+
+    async def release_worker(self, request: OperatorRequest) -> dict[str, Any]:
+        """End the quarantine of a worker."""
+        worker = request.get_text("instance")
+        await self._find("jobs", JobsService).release_worker(worker)
+        return {"instance": worker, "quarantined": False}
+
     async def cancel_job(self, request: OperatorRequest) -> dict[str, Any]:
         """Cancel the running and due runs of a job."""
         job = request.get_text("job")
--- a/hemlockstand/operators/routes.py
+++ b/hemlockstand/operators/routes.py
@@ -39,6 +39,8 @@
             ("POST", "instance/move"): fleet.move_instance,
             ("GET", "instance/status"): fleet.show_instances,
             ("GET", "job/list"): fleet.list_jobs,
+            ("POST", "instance/release"): fleet.release_worker,
+            ("POST", "job/run"): fleet.run_job,
             ("POST", "job/cancel"): fleet.cancel_job,
             ("POST", "job/unpark"): fleet.unpark_job,
             ("GET", "wave/plan"): fleet.plan_wave,
--- a/test/test_operators_fleet.py
+++ b/test/test_operators_fleet.py
@@ -6,7 +6,12 @@
 from emulator.local_machines import LocalMachines
 from hemlockstand.ctl.exits import ExitCode
 from hemlockstand.errors import PlatformUnavailable
-from hemlockstand.jobs.records import Quarantine, WorkerState, encode_worker
+from hemlockstand.jobs.records import (
+    Quarantine,
+    WorkerState,
+    decode_work,
+    encode_worker,
+)
 from hemlockstand.jobs.service import JobsService
 from hemlockstand.maintenance.service import MaintenanceService
 from hemlockstand.platform.memory import MemoryTable
@@ -84,6 +89,27 @@
         shown = (await read(daemon, "instance", "status", "w1"))["instances"][0]
         assert (shown["quarantined"], shown["probes"]) == (True, 1)
         assert shown["failed_jobs"] == ["a", "b", "c"]
+        released = await read(daemon, "instance", "release", "w1")
+        assert released["quarantined"] is False
+        shown = (await read(daemon, "instance", "status", "w1"))["instances"][0]
+        assert (shown["quarantined"], shown["failed_jobs"]) == (False, [])
+        again = await daemon.control("instance", "release", "w1")
+        assert (again.code, "not in quarantine" in again.err) == (
+            ExitCode.REFUSED,
+            True,
+        )
+
+
+async def test_demanded_run_is_kept_in_the_table(tmp_path):
+    """Guards against a run that is lost with the daemon that took it."""
+    async with run_fleet(tmp_path) as daemon:
+        asked = await read(daemon, "job", "run", "reconcile")
+        rows = daemon.platform.table.rows
+        key = next(key for key in rows if key.startswith("work/"))
+        work = decode_work(key, rows[key])
+        assert asked["task"] in {*work.demanded, *work.running}
+        unknown = await daemon.control("job", "run", "nothing")
+        assert unknown.code == ExitCode.REFUSED
 
 
 async def test_wave_from_plan_to_pause(tmp_path):
