--- a/emulator/processes.py
+++ b/emulator/processes.py
@@ -5,13 +5,11 @@
 import signal
 import subprocess
 import sys
-import time
 from collections.abc import Sequence
 from pathlib import Path
 
 from attrs import define, field
 
-STOP_SECONDS = 5.0
 PR_SET_PDEATHSIG = 1
 LOG_TAIL_LINES = 30
 
@@ -89,14 +87,9 @@
         return child
 
     def close(self) -> None:
-        """End all processes, gracefully at first."""
+        """Kill all processes; nothing in a fleet outlives its directory."""
         for child in self.children.values():
             if child.alive:
-                child.resume()
-                child.terminate()
-        deadline = time.monotonic() + STOP_SECONDS
+                child.process.kill()
         for child in self.children.values():
-            try:
-                child.wait(max(0.05, deadline - time.monotonic()))
-            except subprocess.TimeoutExpired:
-                child.kill()
+            child.process.wait()
