Keep threads free for heartbeats and pass on the trace context

Cause: a forwarded request holds a server thread until it is answered, so 32 of them would stop heartbeats, and the daemon would count as gone.

Before: no limit, no spans.

Conclusion: a busy daemon keeps its heartbeats and proofs.

--- a/hemlockstand/peers/service.py
+++ b/hemlockstand/peers/service.py
@@ -184,7 +184,7 @@
     ) -> Verdict:
         """Let another daemon run a request and return its verdict.
 
-        Raises ``PeerError``. With codes ``peer_unknown``,
+        Raises ``PeerError``. With codes ``peer_unknown``, ``peer_busy``,
         ``peer_incarnation_gone`` and ``peer_method_unserved`` the message was
         certainly not taken; with any other code it may have been. The timeout
         in seconds is the longest deadline by default.
--- a/hemlockstand/peers/transport.py
+++ b/hemlockstand/peers/transport.py
@@ -8,9 +8,11 @@
 import hashlib
 import hmac
 import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 from concurrent.futures import ThreadPoolExecutor
-from threading import Lock
+from contextlib import contextmanager
+from functools import partial
+from threading import Lock, Semaphore
 from typing import Any
 
 import grpc
@@ -22,6 +24,7 @@
 from hemlockstand.errors import HemlockstandError
 from hemlockstand.metrics import PEER_FAILURES
 from hemlockstand.peers import peer_pb2
+from hemlockstand.traces import inject_context, record_hop
 
 log = logger.bind(module=__name__)
 
@@ -34,8 +37,11 @@
 # still bounds how long a recorded request can be sent again.
 MAX_CLOCK_DIFFERENCE_SECONDS = 60.0
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
-# A forwarded request occupies a thread until it is answered.
+# A forwarded request occupies a thread until it is answered. Some threads are
+# kept free of them, as heartbeats would otherwise wait and the daemon would
+# count as gone.
 SERVER_THREADS = 32
+FORWARD_THREADS = 24
 CONNECT_BACKOFF_MS = 1000
 # The probe sends pings beside every message, which are small already.
 NO_BANDWIDTH_PROBE = ("grpc.http2.bdp_probe", 0)
@@ -126,6 +132,9 @@
     _handlers: dict[str, Handler] = field(factory=dict, init=False)
     _server: grpc.Server | None = field(default=None, init=False)
     _token: trio.lowlevel.TrioToken | None = field(default=None, init=False)
+    _forwards: Semaphore = field(
+        factory=partial(Semaphore, FORWARD_THREADS), init=False, repr=False
+    )
 
     def handle(self, method: str, handler: Handler) -> None:
         """Register the coroutine function that answers a method."""
@@ -187,9 +196,10 @@
                 self.secret, method, metadata, body, time.time_ns()
             )
             message = parse_message(kind, method, body)
-            reply = trio.from_thread.run(
-                self._answer, method, message, trio_token=self._token
-            )
+            with self._limit_forwards(method), record_hop(f"peer.{method}", metadata):
+                reply = trio.from_thread.run(
+                    self._answer, method, message, trio_token=self._token
+                )
         except HemlockstandError as error:
             PEER_FAILURES.labels(error.code).inc()
             log.warning("call from {} refused: {}", context.peer(), error)
@@ -202,6 +212,18 @@
         self.traffic.add(sent=len(data) + len(reply_signature))
         return data
 
+    @contextmanager
+    def _limit_forwards(self, method: str) -> Iterator[None]:
+        if method != "Forward":
+            yield
+            return
+        if not self._forwards.acquire(blocking=False):
+            raise PeerRefusal("too many forwarded requests", "peer_busy")
+        try:
+            yield
+        finally:
+            self._forwards.release()
+
     async def _answer(self, method: str, message: Message) -> Message:
         handler = self._handlers.get(method)
         if handler is None:
@@ -237,7 +259,10 @@
         body = message.SerializeToString()
         time_ns = str(time.time_ns())
         signature = sign(self.secret, method, time_ns, body)
-        metadata = ((TIME_KEY, time_ns), (SIGNATURE_KEY, signature))
+        headers: dict[str, str] = {}
+        inject_context(headers)
+        signed = ((TIME_KEY, time_ns), (SIGNATURE_KEY, signature))
+        metadata = (*headers.items(), *signed)
         self.traffic.add(len(body) + len(signature) + len(time_ns), calls=1)
         invoke = self._open(address).unary_unary(f"/{SERVICE.full_name}/{method}")
         future = invoke.future(body, timeout=timeout_seconds, metadata=metadata)
--- a/test/test_peers_transport.py
+++ b/test/test_peers_transport.py
@@ -10,7 +10,9 @@
 from hemlockstand.peers import peer_pb2
 from hemlockstand.peers.messages import decode_verdict, encode_verdict
 from hemlockstand.peers.transport import (
+    FORWARD_THREADS,
     MAX_CLOCK_DIFFERENCE_SECONDS,
+    SERVER_THREADS,
     SIGNATURE_KEY,
     TIME_KEY,
     PeerClient,
@@ -148,6 +150,37 @@
     assert reply.configuration_version == 3
 
 
+async def test_heartbeats_pass_while_forwards_wait(server, client):
+    """Guards against a busy daemon that counts as gone."""
+    peer_server, address = server
+    release = trio.Event()
+    codes = []
+
+    async def wait(request):
+        await release.wait()
+        return peer_pb2.Verdict()
+
+    async def forward():
+        request = peer_pb2.ForwardRequest()
+        try:
+            await client.call(address, "Forward", request, TIMEOUT_SECONDS)
+        except PeerError as error:
+            codes.append(error.code)
+
+    peer_server.handle("Forward", wait)
+    async with trio.open_nursery() as nursery:
+        for _ in range(SERVER_THREADS + 8):
+            nursery.start_soon(forward)
+        request = peer_pb2.FetchRequest(from_version=3)
+        reply = await client.call(address, "Fetch", request, TIMEOUT_SECONDS)
+        assert reply.configuration_version == 3
+        with trio.fail_after(TIMEOUT_SECONDS):
+            while len(codes) < SERVER_THREADS + 8 - FORWARD_THREADS:
+                await trio.sleep(0.01)
+        release.set()
+    assert codes == ["peer_busy"] * (SERVER_THREADS + 8 - FORWARD_THREADS)
+
+
 async def test_reply_with_wrong_signature_is_refused(server):
     """Guards against a proof from a process that lacks the secret."""
     server[0].secret = b"another-secret-16"
