Refuse starts until the row shows when the limit was set

A stateful run of 6,000 examples found an overrun: with the limit changed from 2 to 3 and back, a daemon that saw only 2 went on starting while a late one had taken slots under 3. A holder now starts only if the row was written at or after the version in which the team's entry last changed, which refuses late writers. The new directed test fails without the condition.

--- a/hemlockstand/coordination/escrow.py
+++ b/hemlockstand/coordination/escrow.py
@@ -39,22 +39,33 @@
 
 @frozen
 class Split:
-    """A limit by part, and the configuration version that it comes from."""
+    """A limit by part, and the configuration version that it comes from.
+
+    ``since`` is the version from which on the limit is known to be unchanged.
+    """
 
     limit: int
     version: int
     parts: Mapping[str, int]
+    since: int
 
 
 def split_limit(
-    limit: int, reserved_fraction: float, data_centres: Iterable[str], version: int
+    limit: int,
+    reserved_fraction: float,
+    data_centres: Iterable[str],
+    version: int,
+    since: int | None = None,
 ) -> Split:
-    """Split a limit into equal reserved parts and the elastic rest."""
+    """Split a limit into equal reserved parts and the elastic rest.
+
+    ``since`` is ``version`` unless the limit is known to be older.
+    """
     names = sorted(data_centres)
     reserved = int(limit * reserved_fraction) // len(names)
     parts = dict.fromkeys(names, reserved)
     parts[ELASTIC] = limit - reserved * len(names)
-    return Split(limit, version, parts)
+    return Split(limit, version, parts, version if since is None else since)
 
 
 @define
@@ -83,12 +94,10 @@
     def within(self, split: Split) -> bool:
         """Return whether starts are allowed under the limit.
 
-        A row that was last written under a larger limit may still be changed
-        by a holder that does not know the smaller one.
+        A row that was last written before the limit was set may still be
+        changed by a holder that does not know the limit yet.
         """
-        if self._row.value.get("limit", 0) > split.limit:
-            return False
-        return fits(read_holders(self._row), split)
+        return _is_stamped(self._row, split) and fits(read_holders(self._row), split)
 
     def shown_limit(self) -> int | None:
         """Return the limit in the row as last seen, or None without a row."""
@@ -160,7 +169,8 @@
         holders = read_holders(self._row)
         mine = holders.get(self.holder, {})
         fitting = fits(holders, split) or not any(mine.values())
-        return self._row.value["limit"] == split.limit and fitting
+        stamped = _is_stamped(self._row, split)
+        return stamped and self._row.value["limit"] == split.limit and fitting
 
     def _reduce(self, used: Mapping[str, int], split: Split) -> dict[str, int]:
         """Return this holder's slots after its part of the reduction.
@@ -251,6 +261,13 @@
     return row.value["version"] < split.version
 
 
+def _is_stamped(row: Row, split: Split) -> bool:
+    """Return whether the row refuses writers that do not know the limit."""
+    if row.version == ABSENT:
+        return True
+    return row.value["limit"] <= split.limit and row.value["version"] >= split.since
+
+
 def fits(holders: Mapping[str, Mapping[str, int]], split: Split) -> bool:
     """Return whether all parts and their sum are within the limit."""
     counts = count_parts(holders)
--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -26,6 +26,7 @@
     PlatformUnavailable,
 )
 from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.model import Team
 from hemlockstand.platform.service import PlatformService
 from hemlockstand.requests.moves import (
     DemandView,
@@ -63,6 +64,7 @@
         self._session_number = 0
         self._lease = self._make_lease()
         self._teams: dict[str, TeamSlots] = {}
+        self._seen: dict[str, tuple[Team, int]] = {}
         self._stopped = False
         self._longest_deadline = self.settings.requests.max_deadline_seconds
 
@@ -151,13 +153,22 @@
 
     def _find_split(self, team: str) -> Split | None:
         current = self.configuration.current
-        if team not in current.teams:
+        entity = current.teams.get(team)
+        if entity is None:
+            self._seen.pop(team, None)
             return None
+        # Versions share unchanged entities, so another object shows a change
+        # also when the limit was changed and changed back in between.
+        known, since = self._seen.get(team, (None, 0))
+        if known is not entity:
+            since = current.version
+            self._seen[team] = (entity, since)
         return split_limit(
-            current.teams[team].request_limit,
+            entity.request_limit,
             self.settings.limits.reserved_fraction,
             self.settings.daemon.data_centres,
             current.version,
+            since,
         )
 
     def _may_use(self, team: str, part: str, keyed: bool) -> bool:
--- a/test/test_limits_failures.py
+++ b/test/test_limits_failures.py
@@ -298,6 +298,24 @@
     assert held(world, late) == 0
 
 
+def test_limit_that_was_raised_and_lowered_again_is_kept():
+    """Guards against a late daemon that knows only the raised limit, while
+    the others see the same limit as before."""
+    world = make_world(limit=2)
+    first, second, _ = world.daemons
+    take(first, 1)
+    set_limit(world, 3)
+    raised = second.slots.split
+    set_limit(world, 2)
+    second.slots.split = raised
+    run(second.slots.escrow.take({ELASTIC: 2}, raised))
+    assert len(send(world, second, 2)) == 2
+    second.slots.split = first.slots.split
+    assert send(world, first) == []
+    run(first.slots.escrow.settle({}, first.slots.split))
+    assert send(world, first) == []
+
+
 def test_used_slots_are_kept_when_the_limit_is_lowered():
     """Guards against giving away the slots of requests that still run."""
     world = make_world(limit=8)
