Give neither configuration nor stamps before one is loaded

Cause: in a platform outage a restarted daemon took the empty configuration of another restarted one for loaded and reported ready; its stamp also spoke for its data centre although it may have forgotten the newest version.

Before: test_start_of_whole_fleet_in_outage_loads_nothing fails.

Conclusion: a restart of a whole fleet in an outage serves nothing until the platform or a loaded daemon answers.

--- a/hemlockstand/configuration/service.py
+++ b/hemlockstand/configuration/service.py
@@ -30,6 +30,7 @@
 from hemlockstand.model import Configuration
 from hemlockstand.peers.peer_pb2 import FetchReply
 from hemlockstand.peers.service import PeersService
+from hemlockstand.peers.transport import PeerRefusal
 from hemlockstand.platform.interface import Row
 from hemlockstand.platform.service import PlatformService
 
@@ -143,10 +144,16 @@
             self._replace(unpack_configuration(reply.snapshot))
         for version, data in enumerate(reply.changes, base + 1):
             self._offer(CommittedChange(version, unpack_change(data)))
-        self.loaded = True
+        self._note_loaded()
 
     async def answer_fetch(self, from_version: int) -> FetchReply:
-        """Return the changes after a version, or a snapshot."""
+        """Return the changes after a version, or a snapshot.
+
+        Raises ``PeerRefusal`` while this daemon has no configuration itself,
+        so that no daemon takes the empty one for the newest.
+        """
+        if not self.loaded:
+            raise PeerRefusal("nothing is loaded here", "configuration_not_loaded")
         reply = FetchReply(configuration_version=self.current.version)
         entries = self._copy.entries_after(from_version)
         if entries is None:
@@ -206,7 +213,7 @@
         self._freshness.record_platform_read(sent_at, head.version)
         if head.version >= self.current.version:
             self.holder = holder_row
-            self.loaded = True
+            self._note_loaded()
 
     async def _catch_up(self, version: int) -> None:
         every = self.settings.configuration.snapshot_every
@@ -236,6 +243,10 @@
         if self._copy.replace(configuration.version, configuration):
             self._note_version()
 
+    def _note_loaded(self) -> None:
+        self.loaded = True
+        self._freshness.tracker.set_version(self.current.version)
+
     def _note_version(self) -> None:
         version = self.current.version
         self._freshness.tracker.set_version(version)
--- a/hemlockstand/coordination/freshness.py
+++ b/hemlockstand/coordination/freshness.py
@@ -100,11 +100,13 @@
     version: int = 0
     newest_heard: int = field(default=0, init=False)
     _proved_at: float = field(default=-inf, init=False)
+    _loaded: bool = field(default=False, init=False)
     _contacts: dict[str, _Contact] = field(factory=dict, init=False)
     _heard_at: dict[str, float] = field(factory=dict, init=False)
 
     def set_version(self, version: int) -> None:
-        """Tell the version of the local copy."""
+        """Tell the version of the local copy, 0 for an empty log."""
+        self._loaded = True
         self.version = max(self.version, version)
         self._hear_version(version)
         self._update_contact(self.data_centre, version=version)
@@ -127,8 +129,14 @@
         return True
 
     def record_failure(self) -> None:
-        """Take note that the platform has not answered up to now."""
-        self._update_contact(self.data_centre, failed_at=self.clock())
+        """Take note that the platform has not answered up to now.
+
+        Without effect until ``set_version`` was called: a process that has
+        just started cannot tell which version is the newest in its data
+        centre, so it gives no stamp.
+        """
+        if self._loaded:
+            self._update_contact(self.data_centre, failed_at=self.clock())
 
     def record_contact(self) -> None:
         """Take note that the platform may have been reached just now."""
--- a/test/test_configuration_service.py
+++ b/test/test_configuration_service.py
@@ -96,6 +96,16 @@
     await wait_until(lambda: alone.configuration.loaded)
 
 
+async def test_start_of_whole_fleet_in_outage_loads_nothing(fleet):
+    """Guards against daemons that take each other's empty configuration."""
+    first = await fleet.add("entry-1", "dc1", down=True)
+    second = await fleet.add("entry-2", "dc2", down=True)
+    assert not first.configuration.loaded
+    assert not second.configuration.loaded
+    first.platform.table.down = False
+    await wait_until(lambda: first.configuration.loaded)
+
+
 async def test_start_takes_newer_version_of_peer(fleet):
     """Guards against a start from a replica of the table that lags."""
     first = await fleet.add("entry-1", "dc1")
--- a/test/test_freshness.py
+++ b/test/test_freshness.py
@@ -35,7 +35,9 @@
 
 
 def make_tracker(clock, data_centre="dc1", data_centres=("dc1", "dc2")):
-    return FreshnessTracker(data_centre, data_centres, BOUND_SECONDS, clock.read)
+    tracker = FreshnessTracker(data_centre, data_centres, BOUND_SECONDS, clock.read)
+    tracker.set_version(0)
+    return tracker
 
 
 def test_read_is_dated_when_it_was_sent():
@@ -119,6 +121,18 @@
     assert not tracker.is_fresh(Scope.FLEET)
 
 
+def test_process_without_a_version_gives_no_stamp():
+    """Guards against a restart that makes a data centre forget a change."""
+    clock = Clock()
+    tracker = FreshnessTracker("dc1", ("dc1",), BOUND_SECONDS, clock.read)
+    tracker.record_failure()
+    assert tracker.make_report().stamps == ()
+    assert not tracker.is_fresh(Scope.DATA_CENTRE)
+    tracker.set_version(0)
+    tracker.record_failure()
+    assert tracker.is_fresh(Scope.DATA_CENTRE)
+
+
 def test_stamp_of_newer_version_is_no_proof():
     """Guards against a stamp whose data centre knows a later change."""
     clock = Clock()
