Use executors of other data centres when there are none here

Cause: a daemon knew only the executors of its own data centre, so requests were refused with no_upstream when a pool had no executor there or all of them were drained. Ruled out: the balancer, which spreads over all daemons.

Before: the new test fails (choose returns None). After: it passes; near executors are still preferred, and a full pool overflows to its spare first.

--- a/hemlockstand/requests/executors.py
+++ b/hemlockstand/requests/executors.py
@@ -24,11 +24,15 @@
 
 @define(eq=False)
 class Executor:
-    """An upstream instance as this daemon sees it; times are monotonic."""
+    """An upstream instance as this daemon sees it; times are monotonic.
+
+    ``is_near`` says that it is in the data centre of this daemon.
+    """
 
     id: str
     address: str
     pool: str
+    is_near: bool = True
     window: ConcurrencyWindow = field(factory=ConcurrencyWindow)
     listed_leaving: bool = False
     in_maintenance: bool = False
@@ -57,6 +61,16 @@
     executors: dict[str, Executor] = field(factory=dict)
     ejector: OutlierEjector = field(factory=OutlierEjector)
 
+    def list_usable(self, now: float) -> list[Executor]:
+        """Return the executors of this data centre that take work.
+
+        Those of other data centres are returned only if there are none here,
+        for example because all are drained; a full pool here overflows to its
+        spare pool instead.
+        """
+        usable = [part for part in self.executors.values() if part.takes_work(now)]
+        return [part for part in usable if part.is_near] or usable
+
 
 @define(eq=False)
 class ExecutorRegistry:
@@ -83,7 +97,7 @@
         """
         listed = {
             record.id: _place(record, states.get(record.id))
-            for record in self.find_own(records)
+            for record in list_executors(records)
         }
         gone = [
             executor
@@ -126,7 +140,8 @@
 
     def is_idle(self, pool: str, now: float) -> bool:
         """Return whether less than half of the pool's windows is in use."""
-        usable = [part for part in self.get(pool) if part.takes_work(now)]
+        known = self.pools.get(pool)
+        usable = known.list_usable(now) if known is not None else []
         used = sum(executor.window.in_flight for executor in usable)
         return used < 0.5 * sum(executor.window.size for executor in usable)
 
@@ -156,14 +171,6 @@
         """Return the ejector of the pool."""
         return self.pools.setdefault(pool, ExecutorPool()).ejector
 
-    def find_own(self, records: Iterable[InstanceRecord]) -> Iterator[InstanceRecord]:
-        """Yield the executors of this data centre."""
-        for record in records:
-            if record.kind is not InstanceKind.EXECUTOR:
-                continue
-            if record.data_centre == self.data_centre:
-                yield record
-
     def _all(self) -> list[Executor]:
         return [
             executor
@@ -175,7 +182,8 @@
         known = self.pools.setdefault(record.pool, ExecutorPool())
         executor = known.executors.get(record.id)
         if executor is None:
-            executor = Executor(record.id, record.address, record.pool)
+            is_near = record.data_centre == self.data_centre
+            executor = Executor(record.id, record.address, record.pool, is_near)
             known.executors[record.id] = executor
             known.ejector.add(record.id)
         is_leaving = record.state is ListState.LEAVING
@@ -190,6 +198,11 @@
         known.ejector.forget(executor.id)
 
 
+def list_executors(records: Iterable[InstanceRecord]) -> Iterator[InstanceRecord]:
+    """Yield the executors of an instance list."""
+    return (record for record in records if record.kind is InstanceKind.EXECUTOR)
+
+
 def _place(record: InstanceRecord, state: InstanceState | None) -> InstanceRecord:
     if state is None or not state.pool:
         return record
@@ -206,10 +219,8 @@
 
 
 def _find_ready(known: ExecutorPool, now: float) -> Iterator[Executor]:
-    for executor in known.executors.values():
-        if not executor.takes_work(now) or not executor.window.has_room(now):
-            continue
-        if known.ejector.may_use(executor.id, now):
+    for executor in known.list_usable(now):
+        if executor.window.has_room(now) and known.ejector.may_use(executor.id, now):
             yield executor
 
 
--- a/hemlockstand/requests/upstreams.py
+++ b/hemlockstand/requests/upstreams.py
@@ -30,6 +30,7 @@
     UNREACHABLE_SECONDS,
     Executor,
     ExecutorRegistry,
+    list_executors,
 )
 from hemlockstand.requests.messages import Request
 from hemlockstand.requests.neighbours import ConfigurationSource
@@ -83,7 +84,7 @@
 
 @register
 class UpstreamsService(Service):
-    """Knows the executors of this data centre and calls them."""
+    """Knows the executors of all pools and calls them."""
 
     name = "upstreams"
     needs = ("platform", "configuration")
@@ -215,7 +216,7 @@
         except HemlockstandError as error:
             log.warning("instance list not read: {}", error)
             return
-        own = tuple(self.registry.find_own(records))
+        own = tuple(list_executors(records))
         await self._read_states(own)
         gone = self.registry.follow_list(own, self._states)
         self._apply_drains()
--- a/test/test_request_failures.py
+++ b/test/test_request_failures.py
@@ -270,6 +270,19 @@
     assert executor.takes_work(3.0)
 
 
+def test_other_data_centres_serve_only_when_there_is_nobody_here():
+    """Guards against refusals while another data centre's executors are free."""
+    registry = ExecutorRegistry("dc1")
+    near = make_record("e1", "127.0.0.1:1", "main")
+    far = attrs.evolve(near, id="e2", address="127.0.0.1:2", data_centre="dc2")
+    registry.follow_list([near, far], {})
+    assert {registry.choose("main", 1.0).id for _ in range(20)} == {"e1"}
+    registry.follow_drains({"e1": "repair"})
+    assert registry.choose("main", 2.0).id == "e2"
+    registry.follow_drains({})
+    assert registry.choose("main", 3.0).id == "e1"
+
+
 async def test_moved_instance_serves_its_new_pool_only(path):
     """Guards against an instance that works for two pools."""
     upstreams = [FakeUpstream(answer_at_once), FakeUpstream(answer_at_once)]
