--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -22,6 +22,7 @@
 from typing import Any
 
 import httpx
+import msgspec
 from attrs import define, field
 
 from emulator.layout import (
@@ -32,6 +33,7 @@
     Layout,
     Overrides,
 )
+from emulator.load import LoadPlan
 from emulator.network import (
     BALANCER_CONTROL_PORT,
     BALANCER_PORT,
@@ -40,13 +42,14 @@
     Network,
     reserve_network,
 )
-from emulator.processes import ChildGroup
+from emulator.processes import Child, ChildGroup
 from emulator.shapes import FleetShape
 
 SHEETS = Path(__file__).with_name("sheets")
 START_SECONDS = 30.0
 POLL_SECONDS = 0.05
 CTL_SECONDS = 40.0
+LOAD_END_SECONDS = 60.0
 WAIT_IN_FORCE = "--wait=10"
 
 
@@ -275,6 +278,21 @@
         granted = self.ctl("key", "grant", name, f"--team={team}", WAIT_IN_FORCE)
         return granted["key"]
 
+    def start_load(self, name: str, plan: LoadPlan) -> Child:
+        """Start the load tool as a process with a plan."""
+        path = self.children.directory / f"{name}.plan"
+        path.write_bytes(msgspec.json.encode(plan))
+        report = path.with_suffix(".report")
+        arguments = [f"--plan={path}", f"--report={report}"]
+        return self.children.start(name, "emulator.load", arguments)
+
+    def finish_load(self, load: Child, seconds: float = LOAD_END_SECONDS) -> dict:
+        """Wait for a load process and return its report."""
+        if load.wait(seconds) != 0:
+            raise FleetError(f"load {load.name} failed:\n{load.read_log_tail()}")
+        path = self.children.directory / f"{load.name}.report"
+        return msgspec.json.decode(path.read_bytes())
+
     def set_faults(self, **values: Any) -> None:
         """Set switches of the platform stand-in."""
         self._post(f"{self.layout.platform}/faults", values)
