--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: setup test demo bench capacity format docs proto
+.PHONY: setup test demo bench capacity format docs proto proofs
 
 setup: $(VENV)/.installed
 
@@ -34,3 +34,6 @@
 
 docs: setup
 	$(PYTHON) -m hemlockstand.ctl.settings_page docs/settings.md
+
+proofs: setup
+	$(PYTHON) -m bench.proofs
--- a/test/helper.py
+++ b/test/helper.py
@@ -90,3 +90,23 @@
 
     async def close(self) -> None:
         """Close nothing."""
+
+
+class YieldingTable(MemoryTable):
+    """A table whose calls let other tasks run first, as real calls do."""
+
+    async def read(self, key):
+        await trio.lowlevel.checkpoint()
+        return await super().read(key)
+
+    async def read_many(self, keys):
+        await trio.lowlevel.checkpoint()
+        return await super().read_many(keys)
+
+    async def scan(self, prefix, after="", limit=500):
+        await trio.lowlevel.checkpoint()
+        return await super().scan(prefix, after, limit)
+
+    async def transact(self, operations):
+        await trio.lowlevel.checkpoint()
+        return await super().transact(operations)
--- a/test/test_job_rounds.py
+++ b/test/test_job_rounds.py
@@ -13,7 +13,7 @@
 from hemlockstand.jobs.store import JobStore
 from hemlockstand.model import Configuration, Job, Pool, PoolKind, Priority, Team
 from hemlockstand.platform.interface import Shape
-from hemlockstand.platform.memory import MemoryTable
+from test.helper import YieldingTable
 
 NOW = datetime(2026, 12, 4, 6, 0, 1, tzinfo=UTC).timestamp()
 POOL = "frame-workers"
@@ -36,9 +36,11 @@
     return Configuration(1, None, teams, pools, {}, {job.name: job for job in jobs})
 
 
-def make_sites(count=4):
+def make_sites(count=4, prefix="w"):
     return {
-        f"w{index}": Site(f"w{index}", f"dc{index % 2}", f"r{index // 2}", CAPACITY)
+        f"{prefix}{index}": Site(
+            f"{prefix}{index}", f"dc{index % 2}", f"r{index // 2}", CAPACITY
+        )
         for index in range(count)
     }
 
@@ -57,24 +59,25 @@
 class Bench:
     """A pool with in-memory table and workers and a clock of its own."""
 
-    table: MemoryTable = field(factory=MemoryTable)
+    table: YieldingTable = field(factory=YieldingTable)
     sites: dict = field(factory=make_sites)
+    night_sites: dict = field(factory=lambda: make_sites(prefix="n"))
     now: float = NOW
     workers: LocalWorkers = field(init=False)
 
     def __attrs_post_init__(self):
         self.workers = LocalWorkers(lambda: self.now)
 
-    def make_rounds(self, kind=PoolRounds):
+    def make_rounds(self, kind=PoolRounds, pool=POOL):
         """Return the rounds of one more daemon on the same table."""
         return kind(
-            POOL,
+            pool,
             JobStore(self.table),
             self.workers,
             lease_seconds=30,
             headroom=1.3,
             clock=lambda: self.now,
-            list_sites=lambda: self.sites,
+            list_sites=lambda: self.sites if pool == POOL else self.night_sites,
             sum_fleet=lambda: sum_capacity(self.sites.values()),
         )
 
@@ -165,11 +168,14 @@
     paused = bench.make_rounds(SilentRounds)
     await paused.run_round(configuration)
     other = bench.make_rounds()
-    bench.workers.unreachable = set(bench.sites)
+    team, task = paused.kept.starts[0]
+    bench.workers.unreachable = {task.worker}
     await bench.repeat(other, configuration, 2)
     bench.workers.unreachable = set()
+    # The next start goes elsewhere, so only the stop fences the first off.
+    site = bench.sites[task.worker]
+    bench.sites[task.worker] = evolve(site, open=False)
     await bench.repeat(other, configuration, 3)
-    team, task = paused.kept.starts[0]
     await paused._start(team, task, trio.current_time())
     assert bench.workers.count_running(task.name) == 1
 
@@ -244,6 +250,24 @@
     assert len(bench.workers.started) == 4
 
 
+async def test_team_limit_holds_across_pools(bench):
+    """Guards against two pools whose daemons each see the limit unused."""
+    pools = (POOL, "night-workers")
+    jobs = [
+        make_job(f"{pool}-{n}", cores=4.0, pool=pool)
+        for pool in pools
+        for n in range(8)
+    ]
+    configuration = make_configuration(*jobs, limit=0.25)
+    daemons = [bench.make_rounds(pool=pool) for pool in pools]
+    for _ in range(6):
+        async with trio.open_nursery() as nursery:
+            for daemon in daemons:
+                nursery.start_soon(daemon.run_round, configuration)
+        bench.now += 1
+    assert len(bench.workers.started) == 4
+
+
 async def test_overcommitted_worker_checkpoints_batch_first(bench):
     """Guards against a worker that is left overcommitted."""
     bench.sites = make_sites(1)
--- a/test/test_maintenance.py
+++ b/test/test_maintenance.py
@@ -24,6 +24,7 @@
 from hemlockstand.model import Pool, PoolKind
 from hemlockstand.platform.interface import MachineHealth
 from hemlockstand.platform.memory import MemoryTable
+from test.helper import YieldingTable
 
 FRAME = Pool("frame", PoolKind.WORKERS, ("dc0", "dc1"), size=8, budget=2)
 LEDGER = Pool("ledger", PoolKind.WORKERS, ("dc2",), size=4, budget=1)
@@ -34,7 +35,7 @@
 class Fleet:
     """Two pools with in-memory table and machines and a clock of its own."""
 
-    table: MemoryTable = field(factory=MemoryTable)
+    table: YieldingTable = field(factory=YieldingTable)
     machines: LocalMachines = field(init=False)
     now: float = 1000.0
     worst: dict = field(factory=dict)
@@ -135,6 +136,18 @@
     assert set(fleet.machines.reboots) == set(fleet.machines.pools)
 
 
+async def test_two_disruptions_at_once_share_one_budget(fleet):
+    """Guards against two daemons that each see the budget unused."""
+    first, second = fleet.make_rounds(), fleet.make_rounds()
+    await fleet.repeat(first, 1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_try_move, fleet, first, "i08")
+        nursery.start_soon(_try_move, fleet, second, "i09")
+    ledger = await first.steps.read_pool("ledger")
+    assert len(ledger.disruptions) == 1
+    fleet.check_invariants()
+
+
 async def test_wave_halts_when_instances_come_back_bad(fleet):
     """Guards against a bad image that is rolled over the whole fleet."""
     fleet.machines.bad = set(fleet.machines.pools)
