Add make capacity and the capacity page, first version

The target of two years decides the design, but no page said which mechanism carries which line of it. make capacity now runs each mechanism at four or more sizes, fits the slopes, extrapolates them and records everything in bench/records/capacity.json; the tables of docs/CAPACITY.md are made from that record and a test checks that they agree.

LimitsService.move_all is split from the loop so that a round can be timed. The runner's lookup of the last record skips files that are not named by time, because capacity.json is no run of the benchmarks.

--- /dev/null
+++ b/bench/capacity_calls.py
@@ -0,0 +1,321 @@
+"""Cost of calls over loopback: to the platform stand-in and between daemons."""
+
+import tempfile
+from collections.abc import AsyncIterator, Callable, Iterator
+from pathlib import Path
+from time import monotonic, process_time
+
+import httpx
+import trio
+from attrs import define
+
+from bench.capacity_series import (
+    REPEATS,
+    TARGET,
+    Series,
+    make_series,
+    name_daemons,
+    name_data_centres,
+)
+from emulator.network import PLATFORM_PORT, reserve_network
+from emulator.processes import ChildGroup
+from hemlockstand.coordination.freshness import FreshnessTracker, Report, StampAge
+from hemlockstand.coordination.membership import MembershipView, Peer
+from hemlockstand.peers.beats import DEMANDS_PER_BEAT, BeatMaker
+from hemlockstand.peers.demands import Demand, DemandBoard
+from hemlockstand.peers.messages import decode_report, encode_report
+from hemlockstand.peers.transport import PeerClient, PeerServer, Traffic
+from hemlockstand.platform.http import HttpPlatform
+from hemlockstand.platform.interface import Put, Shape, TaskStart
+
+CALLS = 40
+READY_SECONDS = 20.0
+SECRET = b"capacity-shared-secret"
+ROW = {
+    "counter": 123456,
+    "data_centre": "region0-dc00",
+    "lease_seconds": 10.0,
+    "grant_seconds": 30.05,
+    "proof_seconds": 4.0,
+    "ended_by_others": [],
+}
+
+
+@define
+class Cost:
+    """Processor time and bytes of one call."""
+
+    micros: float
+    received: float
+    sent: float
+
+    @property
+    def bytes(self) -> float:
+        """Bytes in both directions, without framing below HTTP."""
+        return self.received + self.sent
+
+
+def measure_platform_calls() -> list[Series]:
+    """Measure the platform's adapter against the stand-in as a process."""
+    network = reserve_network()
+    host = network.host(0, 1)
+    with tempfile.TemporaryDirectory(prefix="hemlockstand-capacity-") as directory:
+        children = ChildGroup(Path(directory))
+        try:
+            arguments = [f"--host={host}", f"--port={PLATFORM_PORT}"]
+            children.start("platform", "emulator.platform", arguments)
+            url = f"http://{host}:{PLATFORM_PORT}"
+            _wait_ready(url)
+            return trio.run(_collect_platform, url)
+        finally:
+            children.close()
+            network.close()
+
+
+def _wait_ready(url: str) -> None:
+    deadline = monotonic() + READY_SECONDS
+    while True:
+        try:
+            if httpx.get(f"{url}/health", trust_env=False).status_code == 200:
+                return
+        except httpx.HTTPError:
+            if monotonic() > deadline:
+                raise
+        trio.run(trio.sleep, 0.05)
+
+
+async def _collect_platform(url: str) -> list[Series]:
+    platform = HttpPlatform(url, 10.0)
+    try:
+        series = [entry async for entry in _measure_table(platform)]
+        series += [entry async for entry in _measure_list(platform)]
+        return series + [entry async for entry in _measure_workers(platform)]
+    finally:
+        await platform.close()
+
+
+async def _cost(platform: HttpPlatform, call: Callable, calls: int = CALLS) -> Cost:
+    """Return the cost of one call; the smallest processor time counts."""
+    await call()
+    http = platform.http
+    sent, received = http.bytes_sent, http.bytes_received
+    times = []
+    for _ in range(REPEATS):
+        began = process_time()
+        for _ in range(calls):
+            await call()
+        times.append((process_time() - began) / calls * 1e6)
+    total = calls * REPEATS
+    return Cost(
+        min(times),
+        (http.bytes_received - received) / total,
+        (http.bytes_sent - sent) / total,
+    )
+
+
+def _pair(
+    name: str,
+    mechanism: str,
+    size_name: str,
+    target: float,
+    costs: dict[int, Cost],
+) -> Iterator[Series]:
+    """Yield the series of processor time and of bytes of the same calls."""
+    micros = [(size, cost.micros) for size, cost in costs.items()]
+    volume = [(size, cost.bytes) for size, cost in costs.items()]
+    yield make_series(f"{name}_cpu", mechanism, size_name, "us", target, micros)
+    yield make_series(f"{name}_bytes", mechanism, size_name, "B", target, volume)
+
+
+async def _measure_table(platform: HttpPlatform) -> AsyncIterator[Series]:
+    keys = [f"holder/{name}/0123456789ab.1" for name in name_daemons(100)]
+    for key in keys:
+        await platform.table.transact([Put(key, ROW, None)])
+    reads, writes = {}, {}
+    for size in (1, 2, 10, 25, 50, 100):
+        reads[size] = await _cost(
+            platform, lambda size=size: platform.table.read_many(keys[:size])
+        )
+    for size in (1, 2, 4, 8, 16):
+        batch = [Put(key, ROW, None) for key in keys[:size]]
+        writes[size] = await _cost(
+            platform, lambda batch=batch: platform.table.transact(batch)
+        )
+    module = "platform/http.py"
+    for entry in _pair("table_read", module, "rows of a read", TARGET.daemons, reads):
+        yield entry
+    for entry in _pair("table_write", module, "rows of a write", 2, writes):
+        yield entry
+
+
+async def _measure_list(platform: HttpPlatform) -> AsyncIterator[Series]:
+    known, whole = {}, {}
+    registered = 0
+    for size in (100, 200, 400, 800):
+        for number in range(registered, size):
+            await _register_worker(platform, number)
+        registered = size
+        known[size] = await _cost(platform, platform.instances.list, 20)
+
+        async def read_whole() -> None:
+            platform.instances._tag = ""
+            await platform.instances.list()
+
+        whole[size] = await _cost(platform, read_whole, 5)
+    module, name = "platform/http.py HttpInstances", "instances listed"
+    for entry in _pair("list_unchanged", module, name, TARGET.instances, known):
+        yield entry
+    for entry in _pair("list_changed", module, name, TARGET.instances, whole):
+        yield entry
+
+
+async def _register_worker(platform: HttpPlatform, number: int) -> None:
+    record = {
+        "id": f"pool{number // 24:03}-worker-{number % 24 + 1}",
+        "kind": "worker",
+        "region": "region0",
+        "data_centre": "region0-dc00",
+        "rack": f"region0-dc00-r{number // 4}",
+        "address": "127.0.0.1:1",
+        "pool": f"pool{number // 24:03}",
+        "cores": 16.0,
+        "memory_mb": 32768,
+        "accelerators": 2,
+    }
+    await platform.http.call("POST", "/instances", True, json=record)
+
+
+async def _measure_workers(platform: HttpPlatform) -> AsyncIterator[Series]:
+    reports, renewals = {}, {}
+    for size in (1, 2, 4, 8):
+        worker = f"pool000-worker-{size}"
+        for number in range(size):
+            await _start_task(platform, worker, number)
+        reports[size] = await _cost(
+            platform, lambda worker=worker: platform.workers.report(worker)
+        )
+
+        async def renew_all(worker: str = worker, size: int = size) -> None:
+            for number in range(size):
+                name = _name_task(worker, number)
+                await platform.workers.renew(worker, name, 1, 600)
+
+        renewals[size] = await _cost(platform, renew_all, 20)
+    module, name = "platform/http.py HttpWorkers", "tasks of a worker"
+    target = TARGET.tasks_per_worker
+    for entry in _pair("worker_report", module, name, target, reports):
+        yield entry
+    for entry in _pair("lease_renewals", module, name, target, renewals):
+        yield entry
+
+
+def _name_task(worker: str, number: int) -> str:
+    return f"reconcile-{worker}-{number}:2026-12-04T06:00:00Z"
+
+
+async def _start_task(platform: HttpPlatform, worker: str, number: int) -> None:
+    name = _name_task(worker, number)
+    task = TaskStart(name, 1, 600, Shape(1.0, 1000), "batch", {"job": "reconcile"})
+    await platform.workers.start(worker, task)
+
+
+@define
+class PeerPair:
+    """A client and a server of exchanges in this process."""
+
+    maker: BeatMaker
+    tracker: FreshnessTracker
+
+    async def answer(self, beat):
+        """Answer a beat as the peers service does."""
+        self.maker.take(beat)
+        reply = self.maker.make(beat.sender, False)
+        encode_report(reply, self.tracker.make_report())
+        return reply
+
+
+def make_pair(data_centres: int, members: int, teams: int) -> PeerPair:
+    """Return a daemon that has heard of all data centres, members and teams."""
+    names = name_data_centres(data_centres)
+    tracker = FreshnessTracker(names[0], names, 4.0)
+    tracker.set_version(9_000_000)
+    stamps = tuple(StampAge(name, 9_000_000, 3.21, 0.98) for name in names)
+    now = trio.current_time()
+    tracker.record_report(Report(9_000_000, 0.5, stamps), now)
+    view = MembershipView(1e9)
+    for number, name in enumerate(name_daemons(members)):
+        incarnation = f"{name}-0123456789ab"
+        centre = names[number % data_centres]
+        address = f"10.{number // 256}.{number % 256}.7:8102"
+        view.hear(Peer(name, incarnation, centre, address, False, 9_000_000))
+    board = DemandBoard()
+    for number in range(teams):
+        board.publish(f"team-{number:03}", Demand(3, 17, 2, 1_234_567 + number))
+    maker = BeatMaker(
+        "entry-900",
+        "entry-900-0123456789ab",
+        names[0],
+        view,
+        board,
+        tracker,
+        "10.9.9.9:8102",
+    )
+    return PeerPair(maker, tracker)
+
+
+async def _measure_exchange(data_centres: int, members: int, teams: int) -> Cost:
+    """Return the cost of one exchange, both sides together."""
+    pair = make_pair(data_centres, members, teams)
+    traffic = Traffic()
+    server, client = PeerServer(SECRET, Traffic()), PeerClient(SECRET, traffic)
+    server.handle("Exchange", pair.answer)
+    port = server.listen("127.0.0.1", 0)
+    address = f"127.0.0.1:{port}"
+
+    async def exchange() -> None:
+        sent_at = trio.current_time()
+        beat = pair.maker.make("entry-001", False)
+        reply = await client.call(address, "Exchange", beat, 5.0)
+        pair.tracker.record_report(decode_report(reply), sent_at)
+        pair.maker.take(reply)
+
+    await exchange()
+    times = []
+    sent, received = traffic.sent, traffic.received
+    for _ in range(REPEATS):
+        began = process_time()
+        for _ in range(CALLS):
+            await exchange()
+        times.append((process_time() - began) / CALLS * 1e6)
+    total = CALLS * REPEATS
+    client.close()
+    await server.close(0.1)
+    return Cost(
+        min(times), (traffic.received - received) / total, (traffic.sent - sent) / total
+    )
+
+
+async def _collect_exchanges() -> list[Series]:
+    target, module = TARGET, "peers/service.py, peers/transport.py"
+    centres = {
+        size: await _measure_exchange(size, target.daemons, DEMANDS_PER_BEAT)
+        for size in (4, 8, 12, 16, 22)
+    }
+    members = {
+        size: await _measure_exchange(target.data_centres, size, DEMANDS_PER_BEAT)
+        for size in (24, 48, 66, 132)
+    }
+    teams = {
+        size: await _measure_exchange(target.data_centres, target.daemons, size)
+        for size in (0, 6, 12, 18, 24)
+    }
+    return [
+        *_pair("exchange", module, "data centres", target.data_centres, centres),
+        *_pair("exchange_members", module, "daemons", target.daemons, members),
+        *_pair("exchange_teams", module, "active teams, at most 24", 24, teams),
+    ]
+
+
+def measure_exchanges() -> list[Series]:
+    """Measure exchanges between daemons over gRPC on loopback."""
+    return trio.run(_collect_exchanges)
--- /dev/null
+++ b/bench/capacity_slopes.py
@@ -0,0 +1,473 @@
+"""Cost of mechanisms that run inside one process, against their sizes."""
+
+import gc
+import tracemalloc
+from collections.abc import Callable, Iterator
+from datetime import UTC, date, datetime
+from functools import partial
+from random import Random
+
+import trio
+
+from bench.capacity_series import (
+    TARGET,
+    Series,
+    make_series,
+    measure_points,
+    name_daemons,
+    name_data_centres,
+    time_async,
+    time_calls,
+)
+from hemlockstand.configuration.changes import (
+    Change,
+    PutEntity,
+    apply_change,
+    decode_change,
+    encode_change,
+    new_change_id,
+    pack_change,
+    pack_configuration,
+    unpack_configuration,
+)
+from hemlockstand.coordination.commits import GroupCommit
+from hemlockstand.coordination.escrow import ELASTIC, Escrow, split_limit
+from hemlockstand.coordination.fairqueue import FairQueue
+from hemlockstand.coordination.freshness import FreshnessTracker, Scope
+from hemlockstand.coordination.lease import HolderLease, HolderWatch, LeaseTerms
+from hemlockstand.coordination.ledger import Ledger
+from hemlockstand.coordination.membership import MembershipView, Peer
+from hemlockstand.jobs.wakes import find_due
+from hemlockstand.model import (
+    Access,
+    Configuration,
+    Job,
+    Key,
+    Pool,
+    PoolKind,
+    Priority,
+    Queue,
+    Team,
+)
+from hemlockstand.peers.demands import Demand, DemandBoard
+from hemlockstand.platform.interface import InstanceKind, InstanceRecord, InstanceState
+from hemlockstand.platform.memory import MemoryTable
+from hemlockstand.sheet.checks import check_sheet
+from hemlockstand.sheet.plan import plan_sheet
+
+NOW = datetime(2026, 12, 4, 6, 0, 1, tzinfo=UTC)
+LAST_DAY = date(2028, 12, 31)
+
+
+def make_configuration(teams: int) -> Configuration:
+    """Return a configuration with the target's proportions.
+
+    Each team has two queues, two keys and ten jobs; pools are fewer.
+    """
+    pools = max(1, round(teams * TARGET.pools / TARGET.teams))
+    return Configuration(
+        version=9_000_000,
+        sheet_day=NOW.date(),
+        teams={n: Team(n, f"house-{n[-1]}", 1.0, 400) for n in _names("team", teams)},
+        pools={n: _make_pool(n) for n in _names("pool", pools)},
+        queues={n: _make_queue(n, teams, pools) for n in _names("queue", 2 * teams)},
+        jobs={n: make_job(n, teams, pools) for n in _names("job", 10 * teams)},
+        keys={n: _make_key(n, teams) for n in _names("key", 2 * teams)},
+    )
+
+
+def _names(kind: str, count: int) -> list[str]:
+    return [f"{kind}-{number:05}" for number in range(count)]
+
+
+def _number(name: str) -> int:
+    return int(name.rpartition("-")[2])
+
+
+def _make_pool(name: str) -> Pool:
+    centres = name_data_centres(3)
+    return Pool(name, PoolKind.WORKERS, centres, TARGET.workers_per_pool, 2)
+
+
+def _make_queue(name: str, teams: int, pools: int) -> Queue:
+    team = f"team-{_number(name) % teams:05}"
+    pool = f"pool-{_number(name) % pools:05}"
+    return Queue(name, team, Access.KEYED, False, Priority.INTERACTIVE, 10, pool)
+
+
+def make_job(name: str, teams: int, pools: int) -> Job:
+    """Return an hourly job of some team in some pool."""
+    return Job(
+        name,
+        f"team-{_number(name) % teams:05}",
+        f"pool-{_number(name) % pools:05}",
+        "every 1h",
+        LAST_DAY,
+        Priority.BATCH,
+        2.0,
+        4000,
+        20.0,
+    )
+
+
+def _make_key(name: str, teams: int) -> Key:
+    team = f"team-{_number(name) % teams:05}"
+    return Key(name, team, "0123456789abcdef", "0" * 64)
+
+
+def measure_memory(make: Callable[[], object]) -> float:
+    """Return the megabytes that the made object occupies."""
+    gc.collect()
+    tracemalloc.start()
+    made = make()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del made
+    return size / 1e6
+
+
+def measure_configuration() -> Iterator[Series]:
+    """Yield the cost of applying, storing and holding a configuration."""
+    module = "configuration/changes.py"
+    sizes = (72, 143, 285, 570)
+    made = {size: make_configuration(size) for size in sizes}
+    packed = {size: pack_configuration(made[size]) for size in sizes}
+    change = Change(
+        new_change_id(),
+        "planner@example",
+        "2026-12-04T06:00:00Z",
+        (PutEntity(make_job("job-00001", 570, 239)),),
+    )
+    points = measure_points(
+        sizes, lambda size: time_calls(lambda: apply_change(made[size], change), 50)
+    )
+    yield make_series("apply_change", module, "teams", "us", TARGET.teams, points)
+    points = [(size, len(packed[size]) / 1e3) for size in sizes]
+    yield make_series("snapshot", module, "teams", "KB", TARGET.teams, points)
+    points = measure_points(
+        sizes,
+        lambda size: time_calls(lambda: unpack_configuration(packed[size]), 1) / 1e3,
+    )
+    yield make_series("load_snapshot", module, "teams", "ms", TARGET.teams, points)
+    points = measure_points(
+        sizes, lambda size: measure_memory(partial(unpack_configuration, packed[size]))
+    )
+    yield make_series("configuration_memory", module, "teams", "MB", 570, points)
+    yield from _measure_changes()
+
+
+def _measure_changes() -> Iterator[Series]:
+    module = "configuration/changes.py, store.py"
+    bytes_points, cpu_points = [], []
+    for size in (1, 2, 4, 8):
+        edits = tuple(
+            PutEntity(make_job(f"job-{number:05}", 570, 239)) for number in range(size)
+        )
+        change = Change(new_change_id(), "planner@example", "2026-12-04T06:00Z", edits)
+        data = encode_change(change)
+        bytes_points.append((size, len(pack_change(change))))
+        cpu_points.append((size, time_calls(lambda data=data: decode_change(data), 50)))
+    yield make_series("change_bytes", module, "edits", "B", 1, bytes_points)
+    yield make_series("decode_change", module, "edits", "us", 1, cpu_points)
+
+
+def measure_slots() -> Iterator[Series]:
+    """Yield the cost of limit rows, holder rows and demand figures."""
+    yield from trio.run(_collect_slots)
+
+
+async def _collect_slots() -> list[Series]:
+    sizes = (9, 18, 36, 66)
+    rows, takes, watches = [], [], []
+    for size in sizes:
+        length, micros = await _measure_limit_row(size)
+        rows.append((size, length))
+        takes.append((size, micros))
+        watches.append((size, await _measure_watch(size)))
+    daemons = TARGET.daemons
+    escrow, lease = "coordination/escrow.py", "coordination/lease.py HolderWatch"
+    series = [
+        make_series("limit_row", escrow, "holders", "B", daemons, rows),
+        make_series("take_slots", escrow, "holders", "us", daemons, takes),
+        make_series("watch_holders", lease, "daemons", "us", daemons, watches),
+    ]
+    return [*series, *_measure_demands()]
+
+
+async def _measure_limit_row(holders: int) -> tuple[float, float]:
+    table = MemoryTable()
+    split = split_limit(4000, 0.5, name_data_centres(TARGET.data_centres), 7)
+    for number, name in enumerate(name_daemons(holders)):
+        escrow = Escrow(table, "limit/team", f"{name}/{name}-0123456789ab.1")
+        centre = name_data_centres(TARGET.data_centres)[number % TARGET.data_centres]
+        await escrow.take({ELASTIC: 10, centre: 10}, split)
+    length = len(repr(table.rows["limit/team"].value))
+
+    async def move() -> None:
+        await escrow.take({ELASTIC: 1}, split)
+        await escrow.shrink({ELASTIC: 10, centre: 10}, split)
+
+    return length, await time_async(move, 50) / 2
+
+
+async def _measure_watch(daemons: int) -> float:
+    table = MemoryTable()
+    terms = LeaseTerms(10, 30, 4)
+    for name in name_daemons(daemons):
+        await HolderLease(table, name, "s1", "dc1", terms, trio.current_time).renew()
+    watch = HolderWatch(table, 1.0, trio.current_time)
+    return await time_async(watch.observe, 50)
+
+
+def _measure_demands() -> Iterator[Series]:
+    points = []
+    for size in (360, 720, 1440, 2880):
+        board = DemandBoard()
+        for number in range(size // 24):
+            demands = {f"team-{n:03}": Demand(1, 2, 3, 4) for n in range(24)}
+            board.receive(f"entry-{number}", demands)
+        points.append((size, time_calls(board.list_peers, 20)))
+    # Six beats a second with 24 figures each are kept for ten seconds.
+    yield make_series(
+        "list_demands",
+        "peers/demands.py",
+        "figures kept",
+        "us",
+        1440,
+        points,
+    )
+
+
+def measure_queue() -> Iterator[Series]:
+    """Yield the cost of one push and one pop of the fair queue."""
+    module = "coordination/fairqueue.py"
+    waiting = [(size, _time_queue(size, 50)) for size in (250, 500, 1000, 2000)]
+    teams = [(size, _time_queue(1000, size)) for size in (71, 142, 285, 570)]
+    yield make_series("queue_waiting", module, "requests waiting", "us", 1000, waiting)
+    yield make_series("queue_teams", module, "teams", "us", TARGET.teams, teams)
+
+
+def _time_queue(waiting: int, teams: int) -> float:
+    queue: FairQueue[int] = FairQueue(10_000, 0.1)
+    numbers = iter(range(10**9))
+
+    def push() -> None:
+        number = next(numbers)
+        queue.push(number, f"team-{number % teams}", 1.0 + number % 3, 1e9)
+
+    for _ in range(waiting):
+        push()
+
+    def push_and_pop() -> None:
+        push()
+        queue.pop(0.0)
+
+    return time_calls(push_and_pop, 2000)
+
+
+def measure_claims() -> Iterator[Series]:
+    """Yield table writes and transactions of orders with callers' ids."""
+    yield from trio.run(_collect_claims)
+
+
+async def _collect_claims() -> list[Series]:
+    writes, transactions = [], []
+    for size in (1, 4, 16, 64):
+        table = MemoryTable()
+        commits = GroupCommit(table, 0.004)
+        ledger = Ledger(commits, "entry-1-a")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(commits.run)
+            await _run_orders(ledger, size)
+            nursery.cancel_scope.cancel()
+        writes.append((size, table.writes))
+        transactions.append((size, commits.transactions))
+    module, name = "coordination/ledger.py, commits.py", "orders at once"
+    return [
+        make_series("order_writes", module, name, "row writes", 1, writes),
+        make_series(
+            "order_transactions", module, name, "transactions", 1, transactions
+        ),
+    ]
+
+
+async def _run_orders(ledger: Ledger, count: int) -> None:
+    async def run_order(number: int) -> None:
+        name = f"team/order-{number}"
+        await ledger.claim(name)
+        await ledger.finish(name, {"status": 200, "headers": [], "body": ""})
+
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            nursery.start_soon(run_order, number)
+
+
+def measure_spread(seed: int = 1) -> Iterator[Series]:
+    """Yield rounds until all daemons know a change, by exchanges alone."""
+    random = Random(seed)
+    rounds, ages = [], []
+    for size in (16, 32, 64, 128):
+        worst = max(_count_rounds(size, TARGET.data_centres, random) for _ in range(10))
+        rounds.append((size.bit_length() - 1, worst))
+    target = (TARGET.daemons - 1).bit_length()
+    module = "coordination/membership.py choose_targets"
+    yield make_series(
+        "spread_rounds", module, "log2 of daemons", "rounds", target, rounds
+    )
+    for size in (4, 8, 16, 22):
+        ages.append((size, _measure_outage_age(size, random)))
+    yield make_series(
+        "outage_proof_age",
+        "coordination/freshness.py stamps",
+        "data centres",
+        "s",
+        TARGET.data_centres,
+        ages,
+    )
+
+
+def _make_views(daemons: int, centres: tuple[str, ...], random: Random):
+    names = list(name_daemons(daemons))
+    peers = [
+        Peer(name, f"{name}-a", centres[number % len(centres)], f"{name}:1")
+        for number, name in enumerate(names)
+    ]
+    views = {}
+    for name in names:
+        view = MembershipView(5.0, clock=lambda: 0.0, random=random)
+        view.set_candidates(peer for peer in peers if peer.name != name)
+        views[name] = view
+    return {peer.name: peer for peer in peers}, views
+
+
+def _count_rounds(daemons: int, data_centres: int, random: Random) -> int:
+    centres = name_data_centres(data_centres)
+    peers, views = _make_views(daemons, centres, random)
+    knowing = {next(iter(peers))}
+    rounds = 0
+    while len(knowing) < daemons:
+        rounds += 1
+        before = set(knowing)
+        for name, view in views.items():
+            oldest = random.choice(centres)
+            for peer in view.choose_targets(peers[name].data_centre, oldest):
+                # The side that knows tells the other, whichever it is.
+                if name in before or peer.name in before:
+                    knowing |= {name, peer.name}
+    return rounds
+
+
+def _measure_outage_age(data_centres: int, random: Random) -> float:
+    """Return the largest age of a proof in a table outage, after 30 seconds.
+
+    Three daemons in each data centre; each fails a read of the table and
+    makes its exchanges each second, at moments of its own.
+    """
+    centres = name_data_centres(data_centres)
+    peers, views = _make_views(3 * data_centres, centres, random)
+    now = [0.0]
+    trackers = {
+        name: FreshnessTracker(peer.data_centre, centres, 4.0, clock=lambda: now[0])
+        for name, peer in peers.items()
+    }
+    offsets = sorted((random.random(), name) for name in trackers)
+    worst = 0.0
+    for second in range(60):
+        for offset, name in offsets:
+            now[0] = second + offset
+            if second > 30:
+                worst = max(worst, trackers[name].age(Scope.FLEET))
+            trackers[name].record_failure()
+            tracker = trackers[name]
+            oldest = tracker.oldest_stamp()
+            for peer in views[name].choose_targets(peers[name].data_centre, oldest):
+                report = trackers[peer.name].make_report()
+                tracker.record_report(report, now[0])
+    return worst
+
+
+def measure_schedules() -> Iterator[Series]:
+    """Yield the cost of finding due runs among all jobs of a pool."""
+    points = []
+    for size in (25, 50, 100, 200):
+        jobs = [make_job(f"job-{number:05}", 570, 239) for number in range(size)]
+        points.append(
+            (size, time_calls(lambda jobs=jobs: list(find_due(jobs, NOW)), 5))
+        )
+    yield make_series(
+        "find_due",
+        "jobs/wakes.py",
+        "jobs of a pool",
+        "us",
+        TARGET.jobs / TARGET.pools,
+        points,
+    )
+
+
+def measure_sheet() -> Iterator[Series]:
+    """Yield the cost of checking and planning a sheet, against its rows."""
+    points = []
+    for size in (200, 400, 800, 1600):
+        data = _make_sheet(size)
+
+        def check_and_plan(data: bytes = data) -> None:
+            sheet = check_sheet(data, "sheet.csv")
+            plan_sheet(sheet, Configuration(), NOW.date())
+
+        points.append((size, time_calls(check_and_plan, 1) / 1e3))
+    rows = TARGET.teams + TARGET.pools + TARGET.queues + TARGET.jobs
+    yield make_series(
+        "check_sheet", "sheet/checks.py, plan.py", "rows of a sheet", "ms", rows, points
+    )
+
+
+def _make_sheet(rows: int) -> bytes:
+    """Return a sheet of one team, one pool and jobs."""
+    columns = (
+        "kind,name,day,house,share,request_limit,pool_kind,data_centres,size,budget,"
+        "team,pool,schedule,last_day,priority,cores,memory_mb,run_minutes"
+    )
+    lines = [columns, "sheet,,2026-12-04" + "," * 15]
+    lines.append("team,hinge,,sakda,1,400" + "," * 12)
+    lines.append("pool,hinge,,,,,workers,dc1 dc2,24,2" + "," * 8)
+    for number in range(rows):
+        lines.append(
+            f"job,job-{number:05},,,,,,,,,hinge,hinge,every 1h,2026-12-31,"
+            "batch,2,4000,20"
+        )
+    return ("\n".join(lines) + "\n").encode()
+
+
+def measure_records() -> Iterator[Series]:
+    """Yield the memory of the instance list as a daemon holds it."""
+    points = []
+    for size in (700, 1400, 2800, 5600):
+        points.append((size, measure_memory(lambda size=size: _make_records(size))))
+    yield make_series(
+        "list_memory",
+        "platform/interface.py InstanceRecord",
+        "instances listed",
+        "MB",
+        TARGET.instances,
+        points,
+    )
+
+
+def _make_records(count: int) -> list[InstanceRecord]:
+    return [
+        InstanceRecord(
+            f"pool{number // 24:03}-worker-{number}",
+            InstanceKind.WORKER,
+            "region" + str(number % 6),
+            f"region{number % 6}-dc{number % 22:02}",
+            f"region{number % 6}-rack-{number // 4}",
+            f"10.1.{number // 250}.{number % 250}:7000",
+            InstanceState.LIVE,
+            f"pool{number // 24:03}",
+            16.0,
+            32768,
+            2,
+        )
+        for number in range(count)
+    ]
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -46,7 +46,7 @@
 
 def load_last_record() -> dict[str, float]:
     """Return the values of the newest recorded run by figure name."""
-    records = sorted(RECORDS.glob("*.json"))
+    records = sorted(RECORDS.glob("[0-9]*.json"))
     if not records:
         return {}
     figures = json.loads(records[-1].read_text())["figures"]
--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -227,13 +227,17 @@
         await release_holder(self.table, self._lease, keep)
 
     async def _move_forever(self) -> None:
-        limiter = trio.CapacityLimiter(MOVES_AT_ONCE)
         while True:
-            async with trio.open_nursery() as nursery:
-                for team in tuple(self._teams):
-                    nursery.start_soon(self._move_team, team, limiter)
+            await self.move_all()
             await trio.sleep(self.settings.limits.rebalance_seconds)
 
+    async def move_all(self) -> None:
+        """Make one move for each team that this daemon serves."""
+        limiter = trio.CapacityLimiter(MOVES_AT_ONCE)
+        async with trio.open_nursery() as nursery:
+            for team in tuple(self._teams):
+                nursery.start_soon(self._move_team, team, limiter)
+
     async def _move_team(self, team: str, limiter: trio.CapacityLimiter) -> None:
         async with limiter:
             await self._try("move", partial(self._move, team))
