Rebalance slots without reading all peers' figures for each team

A rebalancing round read the peers' demand figures and the members twice for each team. At 570 active teams and 66 daemons a round took 748 ms of processor time, extrapolated from 10 to 80 teams, against an interval of 500 ms. A round takes 7 to 9 ms, measured at 570 teams: 1.4 to 1.8% of a core in place of more than one core.

Placement and maintenance weighed all pools against all members several times a second: 8 to 12 ms each, 3.5% of a core together. OwnerIndex weighs them when the members change; a call with unchanged members takes 0.2 ms.

Each placement round summed the capacity of all workers and looked through all pools for each of them: 53 ms at 239 pools, 69% of a core. The disruptions are now collected once and the sum is kept for two seconds: 5.6 ms, 0.3%.

The sum of capacities of open sites remains only in the test that used it.

--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -11,6 +11,7 @@
 
 from bench.capacity_series import TARGET, Series
 from hemlockstand.coordination.escrow import split_limit
+from hemlockstand.jobs.service import FLEET_SECONDS
 
 # Shipped settings, see hemlockstand/defaults.ini.
 EXCHANGES_PER_SECOND = 3  # started here; as many arrive from others
@@ -356,8 +357,6 @@
         costs.percent(owners, 1),
         "% core",
         "jobs/service.py, coordination/rendezvous.py",
-        CPU_LIMIT,
-        "owners computed when the members change",
     )
     quiet = costs.at_target("round_workers") + costs.per_unit("round_jobs") * (
         TARGET.jobs
@@ -373,12 +372,10 @@
     yield _line(
         role,
         Quantity.CPU,
-        "capacity of the fleet in each round",
-        costs.percent(costs.at_target("sum_fleet"), rounds),
+        "capacity of the fleet",
+        costs.percent(costs.at_target("sum_fleet"), 1 / FLEET_SECONDS),
         "% core",
         "jobs/service.py _sum_fleet",
-        CPU_LIMIT,
-        "capacity summed when members change",
     )
     tasks = TARGET.jobs * TASK_RENEWALS_PER_SECOND / TARGET.daemons
     report = costs.at_target("worker_report_cpu") * (rounds * workers)
@@ -461,8 +458,6 @@
         costs.percent(owners, 1),
         "% core",
         "maintenance/service.py, coordination/rendezvous.py",
-        CPU_LIMIT,
-        "owners computed when the members change",
     )
     calls = costs.at_target("step_pool_reads").value * pools + 1
     step = costs.at_target("step_pool_list") + costs.at("table_read_cpu", members)
--- a/bench/capacity_rounds.py
+++ b/bench/capacity_rounds.py
@@ -24,6 +24,7 @@
 from bench.capacity_slopes import make_configuration
 from bench.jobs import CAPACITY, Fleet, make_configuration as make_jobs, make_job
 from bench.maintenance import Scenario, make_pools
+from hemlockstand.coordination.rendezvous import OwnerIndex
 from hemlockstand.jobs.placement import Site
 from hemlockstand.jobs.service import JobsService
 from hemlockstand.maintenance.records import PoolState, decode_pool, encode_pool
@@ -130,23 +131,30 @@
 
 def measure_owners() -> Iterator[Series]:
     """Yield the cost of the steps that look at all pools or all daemons."""
-    jobs_module = "jobs/service.py, coordination/rendezvous.py"
-    by_pools, by_daemons, fleets = [], [], []
+    module = "jobs/service.py, coordination/rendezvous.py"
+    known, weighed, fleets = [], [], []
     for size in (30, 60, 120, 239):
         jobs, _ = make_maintenance(size, TARGET.daemons)
-        by_pools.append((size, time_calls(lambda j=jobs: list(j._list_owned()), 4)))
-        fleets.append((size, time_calls(jobs._sum_fleet, 1)))
+        known.append((size, time_calls(lambda j=jobs: list(j._list_owned()), 10)))
+        fleets.append((size, time_calls(jobs._measure_fleet, 2)))
+        names = [f"pool-{number:05}" for number in range(size)]
+        weighed.append((size, time_calls(lambda n=names: _weigh(n, 66), 2)))
+    daemons = []
     for size in (9, 18, 36, 66):
-        jobs, _ = make_maintenance(TARGET.pools, size)
-        by_daemons.append((size, time_calls(lambda j=jobs: list(j._list_owned()), 4)))
-    pools, daemons = TARGET.pools, TARGET.daemons
-    yield make_series("owned_pools", jobs_module, "pools", "us", pools, by_pools)
+        names = [f"pool-{number:05}" for number in range(TARGET.pools)]
+        daemons.append((size, time_calls(lambda n=names, s=size: _weigh(n, s), 2)))
+    pools = TARGET.pools
+    fleet = "jobs/service.py _measure_fleet"
+    yield make_series("owned_pools", module, "pools", "us", pools, known)
+    yield make_series("weigh_owners", module, "pools", "us", pools, weighed)
     yield make_series(
-        "owned_pools_daemons", jobs_module, "daemons", "us", daemons, by_daemons
-    )
-    yield make_series(
-        "sum_fleet", "jobs/service.py _sum_fleet", "pools", "us", pools, fleets
+        "weigh_owners_daemons", module, "daemons", "us", TARGET.daemons, daemons
     )
+    yield make_series("sum_fleet", fleet, "pools", "us", pools, fleets)
+
+
+def _weigh(pools: list[str], daemons: int) -> list[str]:
+    return list(OwnerIndex().select("entry-000", pools, name_daemons(daemons)))
 
 
 def measure_pool_rows() -> Iterator[Series]:
@@ -324,7 +332,7 @@
 
 async def _collect_moves(directory: Path) -> list[Series]:
     points = []
-    for size in (10, 20, 40, 80):
+    for size in (71, 142, 285, 570):
         points.append((size, await _measure_moves(directory, size)))
     module = "requests/limits.py _move_forever"
     return [
--- a/hemlockstand/coordination/rendezvous.py
+++ b/hemlockstand/coordination/rendezvous.py
@@ -10,7 +10,9 @@
 """
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+
+from attrs import define, field
 
 
 def choose_owner(name: str, members: Iterable[str]) -> str:
@@ -23,3 +25,37 @@
 
 def _weigh(member: str, name: str) -> bytes:
     return hashlib.blake2b(f"{member}/{name}".encode(), digest_size=8).digest()
+
+
+@define
+class OwnerIndex:
+    """Owners of many names, weighed again only when the members change.
+
+    Weighing 239 names against 66 members takes about 8 ms, and the callers
+    ask several times a second::
+
+        >>> index = OwnerIndex()
+        >>> list(index.select("entry-1", ["ledger"], ["entry-1"]))
+        ['ledger']
+        >>> names = [f"pool-{number}" for number in range(9)]
+        >>> owned = list(index.select("entry-1", names, ["entry-1", "entry-2"]))
+        >>> 0 < len(owned) < 9
+        True
+    """
+
+    _members: frozenset[str] = field(factory=frozenset, init=False)
+    _owners: dict[str, str] = field(factory=dict, init=False)
+
+    def select(
+        self, owner: str, names: Iterable[str], members: Iterable[str]
+    ) -> Iterator[str]:
+        """Yield the names that belong to ``owner``."""
+        current = frozenset(members)
+        if current != self._members:
+            self._members = current
+            self._owners.clear()
+        for name in names:
+            if name not in self._owners:
+                self._owners[name] = choose_owner(name, current)
+            if self._owners[name] == owner:
+                yield name
--- a/hemlockstand/jobs/placement.py
+++ b/hemlockstand/jobs/placement.py
@@ -9,7 +9,6 @@
 from hemlockstand.jobs.quarantine import count_starts_left
 from hemlockstand.jobs.records import Allocation, WorkerState
 from hemlockstand.jobs.shapes import (
-    NOTHING,
     add_shapes,
     find_dominant_share,
     fits_within,
@@ -208,8 +207,3 @@
     pool.workers[placement.worker] = evolve(worker, allocations=kept)
     pool.free[placement.worker] = add_shapes((pool.free[placement.worker], released))
     pool.hold(placement.run.job, placement.worker, placement.run.shape)
-
-
-def sum_capacity(sites: Iterable[Site]) -> Shape:
-    """Return the total capacity of the open sites."""
-    return add_shapes(site.capacity if site.open else NOTHING for site in sites)
--- a/hemlockstand/jobs/service.py
+++ b/hemlockstand/jobs/service.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Iterable
 from datetime import UTC, datetime
+from math import inf
 from random import Random
 from time import time
 
@@ -15,7 +16,7 @@
 from loguru import logger
 
 from hemlockstand.configuration.service import ConfigurationService
-from hemlockstand.coordination.rendezvous import choose_owner
+from hemlockstand.coordination.rendezvous import OwnerIndex
 from hemlockstand.errors import (
     HemlockstandError,
     InvalidInput,
@@ -24,7 +25,7 @@
     PlatformUnavailable,
     TableConflict,
 )
-from hemlockstand.jobs.placement import Site, Unplaced, sum_capacity
+from hemlockstand.jobs.placement import Site, Unplaced
 from hemlockstand.jobs.records import (
     WORK_PREFIX,
     WORKER_PREFIX,
@@ -39,18 +40,20 @@
 )
 from hemlockstand.jobs.rounds import PoolRounds, RoundOutcome
 from hemlockstand.jobs.schedules import is_wanted, name_run
+from hemlockstand.jobs.shapes import NOTHING, add_shapes
 from hemlockstand.jobs.store import JobStore
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.maintenance.service import MaintenanceService
 from hemlockstand.model import Configuration, Job, PoolKind
 from hemlockstand.peers.service import PeersService
-from hemlockstand.platform.interface import Put, Shape
+from hemlockstand.platform.interface import InstanceRecord, Put, Shape
 from hemlockstand.platform.service import PlatformService
 
 log = logger.bind(module=__name__)
 
 MARKER_PREFIX = "jobs/marker/"  # one row per pool, written when others change jobs
 MAX_BACKOFF_SECONDS = 30.0
+FLEET_SECONDS = 2.0  # the members of pools are read as often
 MAX_ATTEMPTS = 8  # conditional writes that race with a round of the owner
 
 
@@ -88,6 +91,9 @@
         self.outcomes: dict[str, RoundOutcome] = {}
         self._random = Random(self.settings.daemon.name)
         self._tasks: dict[str, trio.CancelScope] = {}
+        self._owners = OwnerIndex()
+        self._fleet = NOTHING
+        self._fleet_at = -inf
 
     async def run(self) -> None:
         """Start and end the tasks of the pools as ownership changes."""
@@ -112,10 +118,12 @@
         ]
         if self.settings.daemon.name not in members:
             members.append(self.settings.daemon.name)
-        for pool in self.configuration.current.pools.values():
-            if pool.kind is PoolKind.WORKERS:
-                if choose_owner(pool.name, members) == self.settings.daemon.name:
-                    yield pool.name
+        own = self.settings.daemon.name
+        return self._owners.select(own, self._list_worker_pools(), members)
+
+    def _list_worker_pools(self) -> list[str]:
+        pools = self.configuration.current.pools.values()
+        return [pool.name for pool in pools if pool.kind is PoolKind.WORKERS]
 
     async def _serve_pool(self, pool: str, scope: trio.CancelScope) -> None:
         section = self.settings.jobs
@@ -164,24 +172,33 @@
             await trio.sleep(pause)
 
     def _list_sites(self, pool: str) -> dict[str, Site]:
+        open_names = {record.id for record in self.maintenance.list_open([pool])}
         return {
             record.id: Site(
                 record.id,
                 record.data_centre,
                 record.rack,
-                Shape(record.cores, record.memory_mb, record.accelerators),
-                self.maintenance.is_open(record.id),
+                _get_capacity(record),
+                record.id in open_names,
             )
             for record in self.maintenance.members(pool)
         }
 
     def _sum_fleet(self) -> Shape:
-        return sum_capacity(
-            site
-            for pool in self.configuration.current.pools.values()
-            if pool.kind is PoolKind.WORKERS
-            for site in self._list_sites(pool.name).values()
-        )
+        """Return the capacity of all open workers, as of some seconds ago.
+
+        It is the denominator of shares, so the age of the lagging instance
+        list hardly matters; each round of each pool needs it.
+        """
+        now = trio.current_time()
+        if now - self._fleet_at >= FLEET_SECONDS:
+            self._fleet = self._measure_fleet()
+            self._fleet_at = now
+        return self._fleet
+
+    def _measure_fleet(self) -> Shape:
+        pools = self._list_worker_pools()
+        return add_shapes(map(_get_capacity, self.maintenance.list_open(pools)))
 
     async def submit(self, job: str, team: str) -> str:
         """Ask for a run of a job now; return the name of the task.
@@ -311,6 +328,10 @@
         ]
 
 
+def _get_capacity(record: InstanceRecord) -> Shape:
+    return Shape(record.cores, record.memory_mb, record.accelerators)
+
+
 def _describe_job(job: Job, work: TeamWork, configuration: Configuration) -> JobStatus:
     task = next((t for t in work.running.values() if t.job == job.name), None)
     parked = work.parked.get(job.name)
--- a/hemlockstand/maintenance/service.py
+++ b/hemlockstand/maintenance/service.py
@@ -5,7 +5,7 @@
 act at once.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from time import time
 
 import trio
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from hemlockstand.configuration.service import ConfigurationService
-from hemlockstand.coordination.rendezvous import choose_owner
+from hemlockstand.coordination.rendezvous import OwnerIndex
 from hemlockstand.errors import HemlockstandError, InvalidInput, NotFound
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.maintenance.records import (
@@ -71,6 +71,7 @@
         self.records: dict[str, InstanceRecord] = {}
         self.pools: dict[str, PoolState] = {}
         self._members_version = -1
+        self._owners = OwnerIndex()
         self.rounds = MaintenanceRounds(self.steps, lambda: self.records)
 
     def members(self, pool: str) -> tuple[InstanceRecord, ...]:
@@ -79,14 +80,24 @@
         names = state.members if state is not None else ()
         return tuple(self.records[name] for name in names if name in self.records)
 
-    def is_open(self, instance: str) -> bool:
-        """Return whether the instance takes new work."""
-        record = self.records.get(instance)
-        if record is None or record.state == "leaving":
-            return False
-        if instance in self.configuration.current.drains:
-            return False
-        return not any(instance in pool.disruptions for pool in self.pools.values())
+    def list_open(self, pools: Iterable[str]) -> Iterator[InstanceRecord]:
+        """Yield the members of the pools that take new work."""
+        closed = self._list_closed()
+        for pool in pools:
+            for record in self.members(pool):
+                if record.id not in closed and record.state != "leaving":
+                    yield record
+
+    def _list_closed(self) -> set[str]:
+        """Return the instances that are drained or planned to be unavailable.
+
+        An instance may be a member of one pool while the disruption stands in
+        the row of another, so all pools count.
+        """
+        closed = set(self.configuration.current.drains)
+        for pool in self.pools.values():
+            closed.update(pool.disruptions)
+        return closed
 
     async def start(self) -> None:
         """Read the members once, so that dependants do not start without."""
@@ -139,9 +150,9 @@
             if member.alive and not member.leaving
         ]
         own = self.settings.daemon.name
-        for pool in self.configuration.current.pools.values():
-            if choose_owner(pool.name, {own, *members}) == own:
-                yield pool
+        pools = self.configuration.current.pools
+        for name in self._owners.select(own, pools, {own, *members}):
+            yield pools[name]
 
     async def _read_waves(self) -> list[Wave]:
         rows = await self.platform.table.scan(WAVE_PREFIX)
--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -27,7 +27,12 @@
 )
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.platform.service import PlatformService
-from hemlockstand.requests.moves import Demand, apply_move, measure_demand, plan_move
+from hemlockstand.requests.moves import (
+    FleetDemands,
+    apply_move,
+    measure_demand,
+    plan_move,
+)
 from hemlockstand.requests.reclaim import Reclaimer, release_holder
 from hemlockstand.requests.slots import Slot, TeamSlots
 
@@ -111,10 +116,13 @@
             slots.waiting -= 1
 
     def _find_team(self, team: str) -> TeamSlots | None:
+        known = self._teams.get(team)
+        if known and known.split.version == self.configuration.current.version:
+            return known
         split = self._find_split(team)
         if split is None:
             return None
-        if team not in self._teams:
+        if known is None:
             self._teams[team] = TeamSlots(
                 team,
                 self.settings.daemon.data_centre,
@@ -233,40 +241,48 @@
 
     async def move_all(self) -> None:
         """Make one move for each team that this daemon serves."""
-        limiter = trio.CapacityLimiter(MOVES_AT_ONCE)
+        fleet = self._read_demands()
+        teams = iter(tuple(self._teams))
         async with trio.open_nursery() as nursery:
-            for team in tuple(self._teams):
-                nursery.start_soon(self._move_team, team, limiter)
+            for _ in range(MOVES_AT_ONCE):
+                nursery.start_soon(self._move_teams, teams, fleet)
 
-    async def _move_team(self, team: str, limiter: trio.CapacityLimiter) -> None:
-        async with limiter:
-            await self._try("move", partial(self._move, team))
+    async def _move_teams(self, teams: Iterator[str], fleet: FleetDemands) -> None:
+        for team in teams:
+            await self._try("move", partial(self._move, team, fleet))
             self._teams[team].notify()
+            # Most teams need no move; requests are served between them.
+            await trio.lowlevel.checkpoint()
 
-    async def _move(self, team: str) -> None:
+    async def _move(self, team: str, fleet: FleetDemands) -> None:
         slots = self._find_team(team)
         if slots is None or not self._lease.is_valid():
             return
         self.peers.publish_demand(team, measure_demand(slots))
         if not slots.escrow.within(slots.split) or slots.is_changed():
             await slots.escrow.settle(slots.used_parts(), slots.split)
-        others = tuple(self._other_demands(team, self._names(None)))
-        neighbours = tuple(self._other_demands(team, self._names(slots.data_centre)))
+        others = fleet.others.get(team, [])
+        neighbours = fleet.neighbours.get(team, [])
         move = plan_move(slots, others, neighbours)
         await apply_move(move, slots.escrow, slots.split)
 
-    def _names(self, data_centre: str | None) -> set[str]:
-        return {
-            member.name
+    def _read_demands(self) -> FleetDemands:
+        """Read the peers' figures once for a round over all teams.
+
+        Reading them for each team took 0.75 s of processor time per round at
+        570 teams and 66 daemons.
+        """
+        fleet = FleetDemands()
+        alive = {
+            member.name: member.data_centre
             for member in self.peers.members()
-            if member.alive and data_centre in (None, member.data_centre)
+            if member.alive and member.name != self.settings.daemon.name
         }
-
-    def _other_demands(self, team: str, names: set[str]) -> Iterator[Demand]:
         for daemon, teams in self.peers.demands().items():
-            own = daemon == self.settings.daemon.name
-            if not own and daemon in names and team in teams:
-                yield teams[team]
+            if daemon in alive:
+                is_near = alive[daemon] == self.settings.daemon.data_centre
+                fleet.add(teams, is_near)
+        return fleet
 
     async def _try(self, action: str, function) -> None:
         """Run a step that a later round repeats when the platform is down."""
--- a/hemlockstand/requests/moves.py
+++ b/hemlockstand/requests/moves.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from attrs import frozen
+from attrs import define, field, frozen
 
 from hemlockstand.coordination.escrow import ELASTIC, Escrow, Split
 from hemlockstand.requests.slots import TeamSlots
@@ -22,6 +22,24 @@
     served: int
 
 
+@define
+class FleetDemands:
+    """Demands of the other live daemons by team.
+
+    ``neighbours`` are those of the daemons in the same data centre.
+    """
+
+    others: dict[str, list[Demand]] = field(factory=dict)
+    neighbours: dict[str, list[Demand]] = field(factory=dict)
+
+    def add(self, demands: Mapping[str, Demand], is_near: bool) -> None:
+        """Add one daemon's demands."""
+        for team, demand in demands.items():
+            self.others.setdefault(team, []).append(demand)
+            if is_near:
+                self.neighbours.setdefault(team, []).append(demand)
+
+
 @frozen
 class Take:
     """Take up to so many slots by part."""
--- a/test/test_job_rounds.py
+++ b/test/test_job_rounds.py
@@ -8,8 +8,9 @@
 
 from emulator.local_workers import LocalWorkers
 from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
-from hemlockstand.jobs.placement import Site, sum_capacity
+from hemlockstand.jobs.placement import Site
 from hemlockstand.jobs.rounds import Draft, PoolRounds
+from hemlockstand.jobs.shapes import add_shapes
 from hemlockstand.jobs.store import JobStore
 from hemlockstand.model import Configuration, Job, Pool, PoolKind, Priority, Team
 from hemlockstand.platform.interface import Shape
@@ -75,7 +76,9 @@
             headroom=1.3,
             clock=lambda: self.now,
             list_sites=lambda: self.sites,
-            sum_fleet=lambda: sum_capacity(self.sites.values()),
+            sum_fleet=lambda: add_shapes(
+                site.capacity for site in self.sites.values() if site.open
+            ),
         )
 
     async def repeat(self, rounds, configuration, count, seconds=1.0):
