Measure the control cost of daemon processes on loopback

The page had only computed totals of a daemon. make capacity now also starts fleets of 2 and 9 daemons with the platform stand-in and reads each daemon's bytes, processor time and resident memory over 12 s, idle and under a small load on open queues.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,6 +19,7 @@
 from loguru import logger
 
 from bench.capacity_calls import measure_exchanges, measure_platform_calls
+from bench.capacity_daemon import measure_daemons
 from bench.capacity_page import PAGE, RECORD, fill_page, make_tables
 from bench.capacity_roles import Line, list_lines
 from bench.capacity_rounds import (
@@ -125,7 +126,11 @@
         write_page(json.loads(RECORD.read_text(encoding="utf-8")))
         return
     series = list(measure_series())
-    record = make_record(series, [])
+    daemons = []
+    for entry in measure_daemons():
+        print(f"capacity daemon {json.dumps(entry)}", flush=True)
+        daemons.append(entry)
+    record = make_record(series, daemons)
     RECORD.parent.mkdir(exist_ok=True)
     RECORD.write_text(json.dumps(record, indent=1) + "\n", encoding="utf-8")
     write_page(record)
