--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -270,16 +270,20 @@
         await release_holder(self.table, self._lease, keep)
 
     async def _move_forever(self) -> None:
-        limiter = trio.CapacityLimiter(MOVES_AT_ONCE)
         while True:
-            view = view_demands(self.peers, self.settings.daemon)
-            async with trio.open_nursery() as nursery:
-                for team, slots in tuple(self._teams.items()):
-                    self.peers.publish_demand(team, measure_demand(slots))
-                    if self._needs_move(team, slots, view):
-                        nursery.start_soon(self._move_team, team, view, limiter)
+            await self.move_all()
             await trio.sleep(self.settings.limits.rebalance_seconds)
 
+    async def move_all(self) -> None:
+        """Publish the demand of all teams and move slots where needed."""
+        limiter = trio.CapacityLimiter(MOVES_AT_ONCE)
+        view = view_demands(self.peers, self.settings.daemon)
+        async with trio.open_nursery() as nursery:
+            for team, slots in tuple(self._teams.items()):
+                self.peers.publish_demand(team, measure_demand(slots))
+                if self._needs_move(team, slots, view):
+                    nursery.start_soon(self._move_team, team, view, limiter)
+
     def _needs_move(self, team: str, slots: TeamSlots, view: DemandView) -> bool:
         """Return whether somebody waits or the limit has changed."""
         if self._find_team(team) is None:
