Measure the promises over a fleet of processes with faults

The load tool records each try and can repeat a request through the next daemon; the upstream records the deadline that a run was sent with.

--- a/bench/runner.py
+++ b/bench/runner.py
@@ -20,7 +20,17 @@
 
 from bench.figures import Figure, Side
 
-GROUPS: tuple[str, ...] = ()
+GROUPS: tuple[str, ...] = (
+    "buffers",
+    "jobs",
+    "limits",
+    "maintenance",
+    "peers",
+    "requests_overload",
+    "requests_path",
+    "spread",
+    "faults",
+)
 RECORDS = Path(__file__).with_name("records")
 NOTABLE_CHANGE = 0.2
 
--- a/emulator/executors.py
+++ b/emulator/executors.py
@@ -49,13 +49,17 @@
 
 @define
 class Run:
-    """One request that an executor ran; times are ``time.monotonic``."""
+    """One request that an executor ran; times are ``time.monotonic``.
+
+    ``deadline`` is the one that the request was sent with.
+    """
 
     request: str
     team: str
     queue: str
     executor: str
     start: float
+    deadline: float
     end: float | None = None
     outcome: str = "running"
 
@@ -151,20 +155,22 @@
         try:
             if trio.current_time() >= deadline:
                 return self._refuse("expired", request_id)
-            return await self._serve(queue, request, request_id)
+            return await self._serve(queue, request, request_id, deadline)
         finally:
             self._limiter.release_on_behalf_of(request)
 
     async def _serve(
-        self, queue: str, request: WebRequest, request_id: str
+        self, queue: str, request: WebRequest, request_id: str, deadline: float
     ) -> WebResponse | None:
         mode = self._choose_mode()
+        now = time.monotonic()
         run = Run(
             request_id,
             request.header("x-team"),
             queue,
             self.name,
-            time.monotonic(),
+            now,
+            now + deadline - trio.current_time(),
         )
         if len(self.runs) < MAX_RUNS:
             self.runs.append(run)
--- a/emulator/figures.py
+++ b/emulator/figures.py
@@ -7,11 +7,21 @@
 
 import attrs
 import msgspec
-from attrs import define
+from attrs import define, field, frozen
 
 QUANTILES = {"p50": 0.5, "p90": 0.9, "p99": 0.99, "max": 1.0}
 
 
+@frozen
+class Try:
+    """What one target answered to a request; times are ``time.monotonic``."""
+
+    target: str
+    start: float
+    end: float
+    verdict: str
+
+
 @define
 class Outcome:
     """What a caller knows about its request; times are ``time.monotonic``.
@@ -31,6 +41,7 @@
     detail: str = ""
     attempts: int = 0
     mismatched: bool = False
+    tries: list[Try] = field(factory=list)
 
     def take(self, status: int, headers: Mapping[str, str], body: bytes) -> None:
         """Record an answer."""
--- a/emulator/load.py
+++ b/emulator/load.py
@@ -18,7 +18,7 @@
 
 from emulator.arrivals import Arrival, ArrivalPlan
 from emulator.client import Answer, AnswerLost, CallerClient, NotConnected
-from emulator.figures import Outcome, make_report
+from emulator.figures import Outcome, Try, make_report
 
 REQUESTS_PER_CONNECTION = 50
 EXTRA_WAIT_SECONDS = 2.0
@@ -40,7 +40,9 @@
     """What to send where; ``targets`` are ``HOST:PORT``, used in turn.
 
     ``retries`` bounds how often a caller repeats a request that was answered
-    "not run", after the time that the answer names.
+    "not run", after the time that the answer names. ``failovers`` bounds how
+    often it repeats a request without an answer through the next target,
+    after ``failover_seconds``.
     """
 
     targets: list[str]
@@ -54,6 +56,8 @@
     ids: Literal["own", "issued"] = "own"
     id_prefix: str = "load"
     retries: int = 0
+    failovers: int = 0
+    failover_seconds: float = 0.2
     requests_per_connection: int = REQUESTS_PER_CONNECTION
 
 
@@ -88,8 +92,7 @@
                 if self._in_flight >= plan.max_in_flight:
                     self.skipped += 1
                     continue
-                client = self._clients[count % len(self._clients)]
-                nursery.start_soon(self._send, client, arrival)
+                nursery.start_soon(self._send, count, arrival)
         for client in self._clients:
             await client.close()
         return make_report(self.outcomes, begin, plan.seconds, self.skipped)
@@ -102,15 +105,31 @@
         host, _, port = target.rpartition(":")
         return CallerClient(host, int(port), self.plan.requests_per_connection)
 
-    async def _send(self, client: CallerClient, arrival: Arrival) -> None:
+    async def _send(self, count: int, arrival: Arrival) -> None:
         self._in_flight += 1
         queue = self.plan.queues[arrival.queue]
         outcome = Outcome("", queue.team, queue.queue, time.monotonic())
         self.outcomes.append(outcome)
+        for number in range(self.plan.failovers + 1):
+            if number:
+                await trio.sleep(self.plan.failover_seconds)
+            client = self._clients[(count + number) % len(self._clients)]
+            await self._send_to(client, arrival, outcome)
+            if outcome.verdict == "answered":
+                break
+        self._in_flight -= 1
+
+    async def _send_to(
+        self, client: CallerClient, arrival: Arrival, outcome: Outcome
+    ) -> None:
+        """Send a request through one target and record what came of it."""
+        queue = self.plan.queues[arrival.queue]
         limit = queue.deadline_ms / 1000 + EXTRA_WAIT_SECONDS
+        began = time.monotonic()
         with trio.move_on_after(limit) as scope:
             try:
-                outcome.id = await self._choose_id(client, arrival)
+                if not outcome.id:
+                    outcome.id = await self._choose_id(client, arrival)
                 await self._send_with_retries(client, queue, outcome)
             except NotConnected as error:
                 outcome.finish("not_connected", detail=str(error))
@@ -118,7 +137,8 @@
                 outcome.finish("lost", detail=str(error))
         if scope.cancelled_caught:
             outcome.finish("timeout", detail=f"no answer in {limit:.1f} s")
-        self._in_flight -= 1
+        target = f"{client.host}:{client.port}"
+        outcome.tries.append(Try(target, began, outcome.end, outcome.verdict))
 
     async def _choose_id(self, client: CallerClient, arrival: Arrival) -> str:
         queue = self.plan.queues[arrival.queue]
