Answer an order by its deadline while the platform is silent

Cause: a claim waited for its group commit without regard to the order's deadline, up to 8 s when the platform does not answer; so did the release of a claim before a "not run". Callers had gone by then without a verdict.

Now the wait for a claim ends at the deadline with a true "not run": an insert that was not sent is withdrawn from the queue; one that was sent has an unknown outcome, its order is not started, and the row is deleted when it appears, as before. A release is waited for at most 0.5 s, then written in the background; the daemon that holds it answers "not run" for it meanwhile.

--- a/hemlockstand/coordination/commits.py
+++ b/hemlockstand/coordination/commits.py
@@ -23,7 +23,12 @@
 import trio
 from attrs import define, field
 
-from hemlockstand.errors import HemlockstandError, OutcomeUnknown, TableConflict
+from hemlockstand.errors import (
+    HemlockstandError,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    TableConflict,
+)
 from hemlockstand.platform.interface import (
     ABSENT,
     Delete,
@@ -69,16 +74,21 @@
     _queue: deque[_Entry] = field(factory=deque)
     _arrived: trio.Event = field(factory=trio.Event)
 
-    async def submit(self, operation: Operation) -> int:
+    async def submit(self, operation: Operation, deadline: float = float("inf")) -> int:
         """Apply the operation and return the row's new version.
 
         Raises ``TableConflict``, ``PlatformUnavailable``, or
-        ``OutcomeUnknown`` when the operation may still be applied.
+        ``OutcomeUnknown`` when the operation may still be applied. At the
+        deadline, a ``trio.current_time()`` value, the wait ends with one of
+        the latter two.
         """
         entry = _Entry(operation)
         self._queue.append(entry)
         self._arrived.set()
-        await entry.done.wait()
+        with trio.move_on_at(deadline):
+            await entry.done.wait()
+        if not entry.done.is_set():
+            self._give_up(entry)
         if entry.error is not None:
             raise entry.error
         return entry.version
@@ -96,6 +106,15 @@
             for entry in batch:
                 entry.fail(OutcomeUnknown(f"write of {entry.operation.key}"))
 
+    def _give_up(self, entry: _Entry) -> None:
+        """End the wait for an entry; one that was not sent is withdrawn."""
+        message = f"write of {entry.operation.key} not finished by its deadline"
+        if entry not in self._queue:
+            entry.fail(OutcomeUnknown(message))
+            return
+        self._queue.remove(entry)
+        entry.fail(PlatformUnavailable(message))
+
     def _take_batch(self) -> list[_Entry]:
         """Take the oldest entries; a second one of a key waits its turn."""
         batch: dict[str, _Entry] = {}
--- a/hemlockstand/coordination/ledger.py
+++ b/hemlockstand/coordination/ledger.py
@@ -94,17 +94,17 @@
     _records: dict[str, _Record] = field(factory=dict)
     _claiming: set[str] = field(factory=set)
 
-    async def claim(self, name: str) -> ClaimState:
+    async def claim(self, name: str, deadline: float = float("inf")) -> ClaimState:
         """Claim the work, unless it was claimed before.
 
         Raises ``PlatformUnavailable`` or ``OutcomeUnknown`` when the claim
-        could not be made; the work must not be started then.
+        could not be made by the deadline; the work must not be started then.
         """
         if self.is_active(name):
             return Pending(self.owner)
         self._claiming.add(name)
         try:
-            return await self._claim(name)
+            return await self._claim(name, deadline)
         finally:
             self._claiming.discard(name)
 
@@ -112,23 +112,25 @@
         """Return whether this owner claims or has claimed and not ended it."""
         return name in self._claiming or name in self._records
 
-    async def _claim(self, name: str) -> ClaimState:
+    async def _claim(self, name: str, deadline: float) -> ClaimState:
         try:
-            return await self._insert(name, ABSENT)
+            return await self._insert(name, ABSENT, deadline)
         except TableConflict:
             row = await self.commits.table.read(_key(name))
         if self._is_abandoned(name, row):
             # A late insert of ours; the version keeps others from acting on it.
-            return await self._insert(name, row.version)
+            return await self._insert(name, row.version, deadline)
         return _read_state(row)
 
-    async def _insert(self, name: str, expected: int) -> ClaimState:
+    async def _insert(self, name: str, expected: int, deadline: float) -> ClaimState:
         mark = secrets.token_hex(8)
         value = {"owner": self.owner, "state": "claimed", "mark": mark}
         marks = self.abandoned.setdefault(name, set())
         marks.add(mark)
         try:
-            version = await self.commits.submit(Put(_key(name), value, expected))
+            version = await self.commits.submit(
+                Put(_key(name), value, expected), deadline
+            )
         except (PlatformUnavailable, TableConflict):
             self._drop_mark(name, mark)
             raise
--- a/hemlockstand/requests/dispatch.py
+++ b/hemlockstand/requests/dispatch.py
@@ -163,7 +163,7 @@
         )
         self._orders_running += 1
         try:
-            claim = await self._orders.claim(queue.team, request.id)
+            claim = await self._orders.claim(queue.team, request.id, request.deadline)
             if isinstance(claim, Answered | NotRun | MayHaveRun):
                 outcome.set(claim)
                 return
--- a/hemlockstand/requests/orders.py
+++ b/hemlockstand/requests/orders.py
@@ -31,6 +31,9 @@
 MAX_ISSUED = 1000  # ids of one call
 MAX_INLINE_BODY = 8192  # larger bodies are kept only by the daemon that has them
 RETRY_SECONDS = 1.0
+# A caller waits for the release of its claim; without an answer of the
+# platform a commit takes twice the platform timeout.
+RELEASE_SECONDS = 0.5
 STOP_POLL_SECONDS = 0.02
 CLEAN_SECONDS = 5.0  # 200 claims a page keep up with 40 orders a second
 
@@ -112,14 +115,20 @@
         """
         return self._issuer.owner_of(team, request_id)
 
-    async def claim(self, team: str, request_id: str) -> Claim | Verdict:
-        """Claim an order, or return the verdict that the caller gets."""
+    async def claim(
+        self, team: str, request_id: str, deadline: float = float("inf")
+    ) -> Claim | Verdict:
+        """Claim an order, or return the verdict that the caller gets.
+
+        A claim that is not made by the deadline ends with "not run".
+        """
         kept = self._kept.find(make_name(team, request_id))
         if kept is not None:
             return kept
         owner = self.owner_of(team, request_id)
         if owner is None:
-            return await self._claim_row(Claim(team, request_id, issued=False))
+            claim = Claim(team, request_id, issued=False)
+            return await self._claim_row(claim, deadline)
         if owner != self.peers.incarnation:
             return await self._ask(owner, team, request_id)
         return self._claim_issued(Claim(team, request_id, issued=True))
@@ -128,17 +137,19 @@
         """Record the verdict of a claimed order.
 
         A claim that was not run is released before this returns, if the
-        platform answers; other outcomes are written later in batches.
+        platform answers within ``RELEASE_SECONDS``; other outcomes are
+        written later in batches.
         """
         if claim.issued:
             self._finish_issued(claim, verdict)
             return
         self._unwritten[claim.name] = verdict
-        if isinstance(verdict, NotRun):
-            await self._write(claim.name)
-        else:
-            self._kept.keep(claim.name, verdict)
         self._wake.set()
+        if not isinstance(verdict, NotRun):
+            self._kept.keep(claim.name, verdict)
+            return
+        with trio.move_on_after(RELEASE_SECONDS):
+            await self._write(claim.name)
 
     async def look_up(self, team: str, request_id: str) -> Verdict:
         """Return what is known of an order without running it."""
@@ -162,10 +173,11 @@
         secret = self.settings.peers.secret.encode()
         return hmac.new(secret, b"request-ids", hashlib.sha256).digest()
 
-    async def _claim_row(self, claim: Claim) -> Claim | Verdict:
+    async def _claim_row(self, claim: Claim, deadline: float) -> Claim | Verdict:
         try:
-            await self._write(claim.name)
-            state = await self._ledger.claim(claim.name)
+            with trio.move_on_at(deadline):
+                await self._write(claim.name)
+            state = await self._ledger.claim(claim.name, deadline)
         except HemlockstandError as error:
             return NotRun(Reason.CLAIM_UNAVAILABLE, str(error), RETRY_SECONDS)
         if isinstance(state, Granted):
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -178,7 +178,7 @@
     released: list = field(factory=list)
     issued: int = 0
 
-    async def claim(self, team: str, request_id: str):
+    async def claim(self, team: str, request_id: str, deadline: float):
         await trio.lowlevel.checkpoint()
         if (team, request_id) in self.outcomes:
             return self.outcomes[team, request_id]
