Keep values of variables out of logged tracebacks

Cause: loguru adds the values of variables to tracebacks, and a daemon's log showed a part of the settings that way; secrets stand there.

Before: the new test finds the peers' secret in a text log. After: it is not there; JSON lines carry the traceback, which they lacked.

--- a/hemlockstand/logs.py
+++ b/hemlockstand/logs.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import sys
+from traceback import format_exception
 
 from loguru import logger
 
@@ -19,7 +20,8 @@
     if settings.format == "json":
         logger.add(_write_json, level=settings.level, catch=True)
     else:
-        logger.add(sys.stderr, level=settings.level, format=TEXT_FORMAT)
+        # Values of variables in a traceback could be secrets of the settings.
+        logger.add(sys.stderr, level=settings.level, format=TEXT_FORMAT, diagnose=False)
 
 
 def _write_json(message) -> None:
@@ -31,5 +33,5 @@
         **record["extra"],
     }
     if record["exception"] is not None:
-        line["exception"] = repr(record["exception"].value)
+        line["exception"] = "".join(format_exception(record["exception"].value))
     print(json.dumps(line, default=str), file=sys.stderr)
