Correct local weights towards shares that hold over the fleet

Cause: a team's share held at each daemon, but not over the fleet when callers are spread unevenly, and overflow into a spare pool could starve the teams that wait for that pool at a peer.

Heartbeats carry waiting requests and served rate per pool and team, as numbers in the sorted names of the configuration, for teams with work of the last seconds only. Each daemon multiplies the weights of the teams that wait by factors from a proportional and integral rule on log(target / fleet rate).

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -33,7 +33,8 @@
 from hemlockstand.errors import HemlockstandError
 from hemlockstand.kernel import Kernel
 from hemlockstand.peers.beats import BeatMaker
-from hemlockstand.peers.demands import Demand, DemandBoard
+from hemlockstand.peers.demands import Demand, DemandBoard, PoolDemand, PoolTeam
+from hemlockstand.peers.names import NameIndex
 from hemlockstand.peers.service import PeersService
 from hemlockstand.peers.transport import PeerClient, PeerServer, Traffic
 from hemlockstand.platform import service as platform_service
@@ -47,6 +48,10 @@
 SECRET = "0123456789abcdef"
 MEASURED = "entry-000"
 TEAMS = 30
+POOLS = 5
+# The names of the configuration at the two-year size.
+POOL_NAMES = tuple(f"pool-{number:03d}" for number in range(239))
+TEAM_NAMES = tuple(f"team-{number:03d}" for number in range(570))
 CONTACTS_PER_SECOND = 3
 WARM_UP_SECONDS = 4.0
 WINDOW_SECONDS = 6.0
@@ -190,8 +195,12 @@
         tracker.set_version(25_000)
         board = DemandBoard()
         publish_demands(board.publish)
+        pool_board = DemandBoard()
+        publish_pool_demands(pool_board.publish)
         view = MembershipView(5.0, random=self._random)
         maker = BeatMaker(name, f"{name}-5f5f5f5f", data_centre, view, board, tracker)
+        maker.pool_board = pool_board
+        maker.names = NameIndex.make(POOL_NAMES, TEAM_NAMES)
         server = PeerServer(SECRET.encode(), Traffic())
 
         async def answer(beat):
@@ -248,7 +257,15 @@
 def publish_demands(publish) -> None:
     """Publish figures of a busy daemon."""
     for number in range(TEAMS):
-        publish(f"team-{number:03d}", Demand(3, 12, 0, 100_000 + number))
+        publish(f"team-{number:03d}", Demand(3, 12, 0))
+
+
+def publish_pool_demands(publish) -> None:
+    """Publish the same teams' figures by pool."""
+    for number in range(TEAMS):
+        pool = POOL_NAMES[number % POOLS * 40]
+        team = TEAM_NAMES[number * 19]
+        publish(PoolTeam(pool, team), PoolDemand(3, 250))
 
 
 def run_child(mode: str, directory: Path) -> None:
@@ -281,6 +298,8 @@
         tracker = kernel.find("freshness", FreshnessService).tracker
         tracker.set_version(25_000)
         publish_demands(peers.publish_demand)
+        peers.set_names(POOL_NAMES, TEAM_NAMES)
+        publish_pool_demands(peers.publish_pool_demand)
         if mode == "mesh":
             peers._choose_targets = lambda: [
                 heard.peer for heard in peers.view.list_peers()
--- /dev/null
+++ b/bench/shares.py
@@ -0,0 +1,305 @@
+"""How close teams come to their shares over a fleet, on a simulated clock.
+
+Each daemon serves a part of the pool from its own fair queue and exchanges
+heartbeats like a real one; callers are spread unevenly. What the teams get is
+compared, second by second, with one queue that has all requests and the whole
+capacity. The result does not depend on the machine::
+
+    python -m bench.shares
+"""
+
+from collections import Counter
+from collections.abc import Iterator, Mapping, Sequence
+from math import inf
+from random import Random
+
+from attrs import define, field, frozen
+
+from bench.figures import Figure
+from bench.spread import Clock
+from hemlockstand.coordination.fairqueue import FairQueue
+from hemlockstand.coordination.freshness import FreshnessTracker
+from hemlockstand.coordination.membership import MembershipView, Peer
+from hemlockstand.model import Configuration, Pool, PoolKind, Team
+from hemlockstand.peers.beats import BeatMaker
+from hemlockstand.peers.demands import (
+    POOL_DEMAND_KEEP_SECONDS,
+    DemandBoard,
+    PoolDemand,
+    PoolTeam,
+)
+from hemlockstand.peers.names import NameIndex
+from hemlockstand.peers.service import Member
+from hemlockstand.requests.shares import UPDATE_SECONDS, FleetShares
+
+POOL = "main"
+LIGHT_LOAD = 0.05
+PEAK_AT_SECONDS = 3
+PEAK_SECONDS = 9
+SETTLE_SECONDS = 3
+EXCHANGE_SECONDS = 1.0
+WAIT_SECONDS = 2.5
+SUSPECT_SECONDS = 5.0
+QUEUE_LENGTH = 1_000_000
+BOUND = 0.05
+
+# Demand of one daemon in a peak by team, in parts of the daemon's capacity.
+Demand = Mapping[str, float]
+
+
+@frozen
+class Scenario:
+    """Shares by team, and the demand of each daemon in a peak.
+
+    ``data_centres`` have a part of the pool each; daemons of others take part
+    in the exchange only. ``rate`` is what one daemon serves per second.
+    """
+
+    shares: Mapping[str, float]
+    demands: Sequence[Demand]
+    fleet_centres: int
+    pool_centres: int
+    rate: int = 60
+
+    def count_queues(self) -> int:
+        """Return the number of daemons that have a part of the pool."""
+        numbers = range(len(self.demands))
+        return sum(
+            number % self.fleet_centres < self.pool_centres for number in numbers
+        )
+
+
+@define(eq=False)
+class QueueDaemon:
+    """One daemon's queue, its corrections and its part in the exchange."""
+
+    name: str
+    data_centre: str
+    view: MembershipView
+    beats: BeatMaker
+    clock: Clock
+    queue: FairQueue[str] = field(factory=lambda: FairQueue(QUEUE_LENGTH))
+    shares: FleetShares = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.shares = FleetShares(self.data_centre, self, self.clock.read)
+
+    def members(self) -> list[Member]:
+        """Return the other daemons as the peers service would."""
+        return [
+            Member(
+                name=heard.peer.name,
+                incarnation=heard.peer.incarnation,
+                data_centre=heard.peer.data_centre,
+                address=heard.peer.address,
+                alive=heard.age < SUSPECT_SECONDS,
+                leaving=False,
+                configuration_version=1,
+            )
+            for heard in self.view.list_peers()
+        ]
+
+    def set_names(self, pools, teams) -> None:
+        """Number the names as the peers service would."""
+        self.beats.names = NameIndex.make(pools, teams)
+
+    def publish_pool_demand(self, place: PoolTeam, demand: PoolDemand) -> None:
+        """Set figures for the next heartbeats."""
+        self.beats.pool_board.publish(place, demand)
+
+    def pool_demands(self) -> Mapping[str, Mapping[PoolTeam, PoolDemand]]:
+        """Return the figures of the peers heard lately."""
+        return self.beats.pool_board.list_peers()
+
+
+@define(eq=False)
+class Simulation:
+    """The queues of a fleet, and one queue that sees everything."""
+
+    scenario: Scenario
+    seed: int = 1
+    is_corrected: bool = True
+    clock: Clock = field(factory=Clock)
+    fleet: dict[str, QueueDaemon] = field(factory=dict)
+    _single: FairQueue[str] = field(factory=lambda: FairQueue(QUEUE_LENGTH))
+    _random: Random = field(init=False)
+    _due: dict[str, float] = field(factory=dict)
+    _arrivals: dict[tuple[str, str], float] = field(factory=dict)
+    _configuration: Configuration = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._random = Random(self.seed)
+        shares = self.scenario.shares
+        centres = _name_centres(self.scenario.pool_centres)
+        self._configuration = Configuration(
+            teams={name: Team(name, "h", part, 1) for name, part in shares.items()},
+            pools={POOL: Pool(POOL, PoolKind.EXECUTORS, centres, 1, 1)},
+        )
+        for number in range(len(self.scenario.demands)):
+            self._add(number)
+        for daemon in self.fleet.values():
+            daemon.view.set_candidates(
+                Peer(other.name, "", other.data_centre, other.name)
+                for other in self.fleet.values()
+                if other is not daemon
+            )
+
+    def run(self) -> Iterator[float]:
+        """Yield the error of each second from the settling time on.
+
+        The error is the largest difference of what a team got from what the
+        single queue gave it, as a part of the pool.
+        """
+        rate = self.scenario.rate
+        capacity = rate * self.scenario.count_queues()
+        updates = max(1, round(rate * UPDATE_SECONDS))
+        for second in range(PEAK_AT_SECONDS + PEAK_SECONDS):
+            fleet: Counter[str] = Counter()
+            single: Counter[str] = Counter()
+            for step in range(rate):
+                self.clock.now = second + step / rate
+                fleet.update(self._serve_step(single))
+                self._exchange_due()
+                if self.is_corrected and step % updates == 0:
+                    self._update_all()
+            if second >= PEAK_AT_SECONDS + SETTLE_SECONDS:
+                teams = self.scenario.shares
+                yield max(abs(fleet[team] - single[team]) for team in teams) / capacity
+
+    def _add(self, number: int) -> None:
+        centres = _name_centres(self.scenario.fleet_centres)
+        name, centre = f"entry-{number:03d}", centres[number % len(centres)]
+        tracker = FreshnessTracker(centre, centres, 4.0, self.clock.read)
+        view = MembershipView(
+            SUSPECT_SECONDS, self.clock.read, Random(self._random.random())
+        )
+        board = DemandBoard(self.clock.read)
+        beats = BeatMaker(name, f"{name}-1", centre, view, board, tracker, name)
+        beats.pool_board = DemandBoard(self.clock.read, POOL_DEMAND_KEEP_SECONDS)
+        self.fleet[name] = QueueDaemon(name, centre, view, beats, self.clock)
+        self._due[name] = self._random.random() * EXCHANGE_SECONDS
+
+    def _serve_step(self, single: Counter[str]) -> Iterator[str]:
+        """Let requests arrive and each queue serve one; yield the teams."""
+        now = self.clock.now
+        for daemon, demand in zip(
+            self.fleet.values(), self.scenario.demands, strict=True
+        ):
+            if not self._has_queue(daemon):
+                continue
+            for team, part in demand.items():
+                self._arrive(daemon, team, part)
+            daemon.queue.expire(now)
+            if (entry := daemon.queue.pop(now)) is not None:
+                daemon.shares.record_served(POOL, entry.item)
+                yield entry.item
+            if (entry := self._single.pop(now)) is not None:
+                single[entry.item] += 1
+        self._single.expire(now)
+
+    def _arrive(self, daemon: QueueDaemon, team: str, part: float) -> None:
+        key = (daemon.name, team)
+        if self.clock.now < PEAK_AT_SECONDS:
+            part = LIGHT_LOAD
+        due = self._arrivals.get(key, self._random.random()) + part
+        while due >= 1.0:
+            due -= 1.0
+            deadline = self.clock.now + WAIT_SECONDS
+            share = self.scenario.shares[team]
+            weight = share * daemon.shares.factor(POOL, team)
+            daemon.queue.push(team, team, weight, deadline)
+            self._single.push(team, team, share, deadline)
+        self._arrivals[key] = due
+
+    def _has_queue(self, daemon: QueueDaemon) -> bool:
+        return daemon.data_centre in self._configuration.pools[POOL].data_centres
+
+    def _exchange_due(self) -> None:
+        for daemon in self.fleet.values():
+            if self.clock.now < self._due[daemon.name]:
+                continue
+            self._due[daemon.name] += EXCHANGE_SECONDS
+            oldest = self._random.choice(_name_centres(self.scenario.fleet_centres))
+            for peer in daemon.view.choose_targets(daemon.data_centre, oldest):
+                called = self.fleet[peer.name]
+                called.beats.take(daemon.beats.make(False))
+                daemon.beats.take(called.beats.make_reply(daemon.name, False))
+
+    def _update_all(self) -> None:
+        for daemon in self.fleet.values():
+            waiting = daemon.queue.count_waiting()
+            places = {POOL: waiting} if waiting else {}
+            daemon.shares.update(self._configuration, places, {})
+            for team in waiting:
+                factor = daemon.shares.factor(POOL, team)
+                daemon.queue.reweigh(team, self.scenario.shares[team] * factor)
+
+
+def _name_centres(number: int) -> tuple[str, ...]:
+    return tuple(f"dc{index:02d}" for index in range(number))
+
+
+def make_small_scenarios() -> dict[str, Scenario]:
+    """Return scenarios of nine daemons in three data centres.
+
+    In all scenarios of this module the daemons can serve what the single
+    queue serves: no team's part is more than the daemons that it calls have.
+    """
+    third = [{"a": 3.0, "b": 2.0} if n % 3 == 0 else {"b": 2.0} for n in range(9)]
+    skewed = [
+        {
+            "a": 3.0 if n < 5 else 0.1,
+            "b": 3.0 if n >= 3 else 0.1,
+            "c": 2.0 if n in (2, 5, 8) else 0.0,
+            "d": 1.0,
+        }
+        for n in range(9)
+    ]
+    single = [{"a": 5.0, "b": 0.8 if n in (0, 4) else 0.0, "c": 0.15} for n in range(9)]
+    return {
+        "one_data_centre": Scenario({"a": 1.0, "b": 3.0}, third, 3, 3),
+        "skewed": Scenario({"a": 1.0, "b": 2.0, "c": 1.5, "d": 1.0}, skewed, 3, 3),
+        "two_daemons": Scenario({"a": 1.0, "b": 1.0, "c": 2.0}, single, 3, 3),
+    }
+
+
+def make_large_scenario(daemons: int, centres: int, pool_centres: int) -> Scenario:
+    """Return a scenario of six teams that call random daemons."""
+    random = Random(5)
+    chances = {"a": 1.0, "b": 0.8, "c": 0.7, "d": 0.6, "e": 0.6, "f": 0.5}
+    demands = [
+        {team: 2.0 for team, chance in chances.items() if random.random() < chance}
+        for _ in range(daemons)
+    ]
+    shares = {team: 1.0 + number % 3 for number, team in enumerate(chances)}
+    return Scenario(shares, demands, centres, pool_centres, rate=20)
+
+
+def measure_figures() -> Iterator[Figure]:
+    """Yield the largest error of a second, without and with the correction."""
+    scenarios = make_small_scenarios() | {
+        "30_daemons": make_large_scenario(30, 6, 6),
+        "100_daemons": make_large_scenario(100, 12, 12),
+        "220_daemons": make_large_scenario(220, 22, 22),
+        "220_daemons_pool_in_4": make_large_scenario(220, 22, 4),
+    }
+    for name, scenario in scenarios.items():
+        for is_corrected in (False, True):
+            errors = list(Simulation(scenario, is_corrected=is_corrected).run())
+            label = "corrected" if is_corrected else "local"
+            yield Figure(
+                f"share_error_{label}_{name}",
+                max(errors, default=inf),
+                "of the pool",
+                BOUND if is_corrected and name in make_small_scenarios() else None,
+            )
+
+
+def main() -> None:
+    """Print the figures."""
+    for figure in measure_figures():
+        print(figure.format_line(), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/hemlockstand/coordination/fairqueue.py
+++ b/hemlockstand/coordination/fairqueue.py
@@ -18,7 +18,7 @@
 idle starts at the current virtual time, so it cannot save up service.
 """
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterator
 from heapq import heapify, heappop, heappush
 from itertools import count
@@ -180,6 +180,7 @@
         self._numbers = count()
         self._credit = 0.0
         self._length = 0
+        self._waiting: Counter[str] = Counter()
 
     def __len__(self) -> int:
         """Return the number of waiting entries, expired ones included."""
@@ -206,6 +207,7 @@
         self._ranks[rank].push(entry, weight, front)
         heappush(self._deadlines, (deadline, next(self._numbers), entry))
         self._length += 1
+        self._waiting[flow] += 1
         return entry
 
     def peek(self, now: float) -> Entry[Item] | None:
@@ -225,8 +227,7 @@
             return None
         self._count_served(rank, last_waits=firsts[-1] is not None)
         entry = self._ranks[rank].take(firsts[rank])
-        entry.waiting = False
-        self._length -= 1
+        self._count_out(entry)
         return entry
 
     def _find_firsts(self, now: float) -> list[_Flow[Item] | None]:
@@ -250,8 +251,7 @@
     def remove(self, entry: Entry[Item]) -> None:
         """Remove an entry that no longer wants service."""
         if entry.waiting:
-            entry.waiting = False
-            self._length -= 1
+            self._count_out(entry)
             self._compact()
 
     def expire(self, now: float) -> list[Entry[Item]]:
@@ -260,8 +260,7 @@
         while self._deadlines and self._deadlines[0][0] <= now:
             entry = heappop(self._deadlines)[2]
             if entry.waiting:
-                entry.waiting = False
-                self._length -= 1
+                self._count_out(entry)
                 expired.append(entry)
         return expired
 
@@ -271,6 +270,17 @@
             heappop(self._deadlines)
         return self._deadlines[0][0] if self._deadlines else None
 
+    def count_waiting(self) -> dict[str, int]:
+        """Return the number of waiting entries by flow, expired ones included."""
+        return dict(self._waiting)
+
+    def reweigh(self, flow: str, weight: float) -> None:
+        """Give a flow another weight from its next entry on."""
+        for rank in self._ranks:
+            known = rank.flows.get(flow)
+            if known is not None:
+                known.weight = weight
+
     def block(self, flow: str) -> None:
         """Serve nothing of this flow until ``unblock``."""
         for rank in self._ranks:
@@ -302,6 +312,13 @@
             return min(before + same, (same + 1) / self.minimum_fraction)
         return before + same
 
+    def _count_out(self, entry: Entry[Item]) -> None:
+        entry.waiting = False
+        self._length -= 1
+        self._waiting[entry.flow] -= 1
+        if not self._waiting[entry.flow]:
+            del self._waiting[entry.flow]
+
     def _compact(self) -> None:
         """Rebuild the deadline heap when most of it has left the queue."""
         if len(self._deadlines) > 2 * self._length + 64:
--- /dev/null
+++ b/hemlockstand/coordination/shares.py
@@ -0,0 +1,140 @@
+"""Correction of local weights, so that shares hold over several queues.
+
+Several fair queues serve the same flows, each with a capacity of its own. If
+the demand is spread unevenly over them, shares that hold at each queue do not
+hold over all. Each queue therefore multiplies a flow's weight by a factor,
+which grows while the flow gets less than its part of what all queues serve
+and shrinks while it gets more::
+
+    >>> correction = ShareCorrection()
+    >>> for _ in range(10):
+    ...     correction.update(0.1, {"a": 1.0, "b": 1.0}, {"a": 10.0, "b": 30.0})
+    >>> correction.factor("a") > 1.0 > correction.factor("b")
+    True
+    >>> correction.factor("c")
+    1.0
+
+Only the flows that wait at this queue are compared with each other: a flow
+whose demand is elsewhere cannot be helped here.
+"""
+
+from collections import Counter
+from collections.abc import Hashable, Iterator, Mapping
+from math import exp, log
+from typing import Generic, TypeVar
+
+from attrs import define, field
+
+Key = TypeVar("Key", bound=Hashable)
+
+# The factor is exp(integral + PROPORTIONAL * error), where the integral grows
+# by gain * error each second. A gain of 2 settles within 3 s. Where the rates
+# come from a sample of the queues they are late, and at 30 and 220 queues a
+# gain of 2 gave swings of 0.13 and 0.17 of the capacity.
+COMPLETE_GAIN = 2.0
+SAMPLED_GAIN = 0.4
+PROPORTIONAL = 1.0
+# Bounds of the logarithms: an error is at most a factor of 4.5, the integral
+# at most one of 55.
+MOST_ERROR = 1.5
+MOST_INTEGRAL = 4.0
+# A flow that does not wait goes back to a factor of 1 within seconds.
+RELAX_SECONDS = 5.0
+RATE_SECONDS = 1.0
+LEAST_RATE = 0.05
+
+
+@define
+class ShareCorrection:
+    """The factors of the flows of one queue."""
+
+    _integrals: dict[str, float] = field(factory=dict)
+    _factors: dict[str, float] = field(factory=dict)
+
+    def factor(self, flow: str) -> float:
+        """Return the factor of a flow's weight."""
+        return self._factors.get(flow, 1.0)
+
+    def update(
+        self,
+        seconds: float,
+        shares: Mapping[str, float],
+        rates: Mapping[str, float],
+        gain: float = COMPLETE_GAIN,
+    ) -> None:
+        """Adapt the factors to the rates at which all queues serve.
+
+        ``seconds`` have passed since the last call. ``shares`` names the flows
+        that wait here, with their positive weights. ``rates`` are in requests
+        per second. ``gain`` is ``SAMPLED_GAIN`` if they are estimates.
+        """
+        self._relax(seconds, shares)
+        total = sum(rates.get(flow, 0.0) for flow in shares)
+        if len(shares) < 2 or total <= 0.0:
+            return
+        level = total / sum(shares.values())
+        errors = {
+            flow: _measure_error(level * share, rates.get(flow, 0.0))
+            for flow, share in shares.items()
+        }
+        integrals = {
+            flow: self._integrals.get(flow, 0.0) + gain * seconds * error
+            for flow, error in errors.items()
+        }
+        # Only the ratios matter. Centring keeps the integrals off their bounds
+        # while all errors have the same sign.
+        mean = sum(integrals.values()) / len(integrals)
+        for flow, integral in integrals.items():
+            bounded = _bound(integral - mean, MOST_INTEGRAL)
+            self._integrals[flow] = bounded
+            self._factors[flow] = exp(bounded + PROPORTIONAL * errors[flow])
+
+    def _relax(self, seconds: float, shares: Mapping[str, float]) -> None:
+        decay = exp(-seconds / RELAX_SECONDS)
+        for flow in [name for name in self._integrals if name not in shares]:
+            integral = self._integrals[flow] * decay
+            if abs(integral) < 0.01:
+                del self._integrals[flow], self._factors[flow]
+                continue
+            self._integrals[flow] = integral
+            self._factors[flow] = exp(integral)
+
+
+def _measure_error(target: float, rate: float) -> float:
+    """Return the logarithm of target to rate, within bounds."""
+    return _bound(log(target / max(rate, target * exp(-MOST_ERROR))), MOST_ERROR)
+
+
+def _bound(value: float, most: float) -> float:
+    return max(-most, min(most, value))
+
+
+@define
+class RateMeter(Generic[Key]):
+    """Events per second by key, averaged over about a second."""
+
+    _counts: Counter[Key] = field(factory=Counter)
+    _rates: dict[Key, float] = field(factory=dict)
+
+    def record(self, key: Key) -> None:
+        """Count one event."""
+        self._counts[key] += 1
+
+    def update(self, seconds: float) -> None:
+        """Take the events of the last ``seconds`` into the rates."""
+        kept = exp(-seconds / RATE_SECONDS)
+        for key in {*self._counts, *self._rates}:
+            rate = self._rates.get(key, 0.0) * kept
+            rate += (1.0 - kept) * self._counts[key] / seconds
+            self._rates[key] = rate
+            if rate < LEAST_RATE:
+                del self._rates[key]
+        self._counts.clear()
+
+    def get(self, key: Key) -> float:
+        """Return the rate of a key, in events per second."""
+        return self._rates.get(key, 0.0)
+
+    def keys(self) -> Iterator[Key]:
+        """Yield the keys that had events lately."""
+        yield from self._rates
--- a/hemlockstand/peers/beats.py
+++ b/hemlockstand/peers/beats.py
@@ -2,7 +2,7 @@
 
 from math import ceil
 
-from attrs import define
+from attrs import define, field
 
 from hemlockstand.coordination.freshness import FreshnessTracker
 from hemlockstand.coordination.membership import (
@@ -12,8 +12,9 @@
     Peer,
 )
 from hemlockstand.peers import peer_pb2
-from hemlockstand.peers.demands import Demand, DemandBoard
+from hemlockstand.peers.demands import Demand, DemandBoard, PoolDemand, PoolTeam
 from hemlockstand.peers.messages import encode_report
+from hemlockstand.peers.names import NameIndex
 
 MEMBERS_PER_BEAT = 4
 # A small fleet hears of all its teams within seconds; a large one has to keep
@@ -21,6 +22,8 @@
 DEMANDS_PER_BEAT = 12
 DEMANDS_PER_BEAT_OF_LARGE_FLEET = 6
 LARGE_FLEET = 12
+POOL_DEMANDS_PER_BEAT = 40
+POOL_DEMANDS_PER_BEAT_OF_LARGE_FLEET = 16
 
 
 @define
@@ -31,9 +34,11 @@
     incarnation: str
     data_centre: str
     view: MembershipView
-    board: DemandBoard
+    board: DemandBoard[str, Demand]
     tracker: FreshnessTracker
     address: str = ""
+    pool_board: DemandBoard[PoolTeam, PoolDemand] = field(factory=DemandBoard)
+    names: NameIndex = field(factory=NameIndex)
 
     def make(self, leaving: bool) -> peer_pb2.Beat:
         """Return a beat for a request."""
@@ -45,21 +50,21 @@
             leaving=leaving,
             configuration_version=self.tracker.version,
         )
-        for team, demand in self.board.choose(self._limit_demands()):
+        is_large = self.view.count() >= LARGE_FLEET
+        most = DEMANDS_PER_BEAT_OF_LARGE_FLEET if is_large else DEMANDS_PER_BEAT
+        for team, demand in self.board.choose(most):
             beat.demands.add(
                 team=team,
                 waiting=demand.waiting,
                 running=demand.running,
                 idle=demand.idle,
-                served=demand.served,
             )
+        most = (
+            POOL_DEMANDS_PER_BEAT_OF_LARGE_FLEET if is_large else POOL_DEMANDS_PER_BEAT
+        )
+        self.names.encode(beat, self.pool_board.choose(most))
         return beat
 
-    def _limit_demands(self) -> int:
-        if self.view.count() < LARGE_FLEET:
-            return DEMANDS_PER_BEAT
-        return DEMANDS_PER_BEAT_OF_LARGE_FLEET
-
     def make_reply(self, receiver: str, leaving: bool) -> peer_pb2.Beat:
         """Return a beat with a freshness report and news of third daemons."""
         beat = self.make(leaving)
@@ -102,10 +107,11 @@
         self.view.hear(sender, age)
         self.tracker.record_news(sender.data_centre)
         demands = {
-            entry.team: Demand(entry.waiting, entry.running, entry.idle, entry.served)
+            entry.team: Demand(entry.waiting, entry.running, entry.idle)
             for entry in beat.demands
         }
         self.board.receive(beat.sender, demands)
+        self.pool_board.receive(beat.sender, self.names.decode(beat))
         for entry in beat.members:
             self._take_member(entry)
         if beat.HasField("digest"):
--- a/hemlockstand/peers/demands.py
+++ b/hemlockstand/peers/demands.py
@@ -1,90 +1,140 @@
-"""Demand figures of the teams, here and at the peers."""
+"""Demand figures here and at the peers, by team and by pool and team."""
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Hashable, Iterator, Mapping
+from typing import Generic, Protocol, TypeVar
 
 import trio
 from attrs import define, field, frozen
 
 # Figures older than this no longer describe a peer's queues.
 DEMAND_KEEP_SECONDS = 10.0
+# Served rates are only of use while they are about those of now.
+POOL_DEMAND_KEEP_SECONDS = 4.0
 
 
 @frozen
 class Demand:
     """Demand of one team at one daemon.
 
-    ``waiting`` and ``running`` count requests, ``idle`` counts unused slots,
-    ``served`` counts requests since the daemon started.
+    ``waiting`` and ``running`` count requests, ``idle`` counts unused slots.
     """
 
     waiting: int
     running: int
     idle: int
+
+    @property
+    def is_active(self) -> bool:
+        """Whether peers have to know of it."""
+        return bool(self.waiting or self.running or self.idle)
+
+
+@frozen
+class PoolTeam:
+    """A pool and a team with work for it."""
+
+    pool: str
+    team: str
+
+
+@frozen
+class PoolDemand:
+    """Work of one team in one pool at one daemon.
+
+    ``waiting`` counts requests, ``served`` counts those of an average second
+    of late, in tenths of a request.
+    """
+
+    waiting: int
     served: int
 
+    @property
+    def is_active(self) -> bool:
+        """Whether peers have to know of it."""
+        return bool(self.waiting or self.served)
+
+
+class Figures(Protocol):
+    """What a board keeps for a key."""
+
+    @property
+    def is_active(self) -> bool: ...
+
+
+Key = TypeVar("Key", bound=Hashable)
+Kind = TypeVar("Kind", bound=Figures)
+
 
 @frozen
-class _Dated:
-    demand: Demand
+class _Dated(Generic[Kind]):
+    demand: Kind
     changed_at: float
 
 
 @define
-class DemandBoard:
+class DemandBoard(Generic[Key, Kind]):
     """Own figures to send and the figures received from peers."""
 
     clock: Callable[[], float] = trio.current_time
-    _own: dict[str, _Dated] = field(factory=dict, init=False)
+    keep_seconds: float = DEMAND_KEEP_SECONDS
+    _own: dict[Key, _Dated[Kind]] = field(factory=dict, init=False)
     _cursor: int = field(default=0, init=False)
-    _peers: dict[str, dict[str, _Dated]] = field(factory=dict, init=False)
+    _peers: dict[str, dict[Key, _Dated[Kind]]] = field(factory=dict, init=False)
+    _heard_at: dict[str, float] = field(factory=dict, init=False)
 
-    def publish(self, team: str, demand: Demand) -> None:
-        """Set the own figures of a team."""
-        known = self._own.get(team)
+    def publish(self, key: Key, demand: Kind) -> None:
+        """Set the own figures of a key."""
+        known = self._own.get(key)
         if known is None or known.demand != demand:
-            self._own[team] = _Dated(demand, self.clock())
+            self._own[key] = _Dated(demand, self.clock())
 
-    def choose(self, limit: int) -> list[tuple[str, Demand]]:
+    def choose(self, limit: int) -> list[tuple[Key, Kind]]:
         """Return own figures for one message.
 
-        Teams that are idle and have not changed lately are left out; if the
+        Keys that are idle and have not changed lately are left out; if the
         others are too many for one message, they take turns.
         """
-        teams = list(self._list_active())
-        if len(teams) > limit:
-            start = self._cursor % len(teams)
+        keys = list(self._list_active())
+        if len(keys) > limit:
+            start = self._cursor % len(keys)
             self._cursor = start + limit
-            teams = (teams + teams)[start : start + limit]
-        return [(team, self._own[team].demand) for team in teams]
-
-    def receive(self, daemon: str, demands: Mapping[str, Demand]) -> None:
-        """Take figures of a peer; teams that are not named are unchanged."""
-        dated = {team: _Dated(demand, self.clock()) for team, demand in demands.items()}
+            keys = (keys + keys)[start : start + limit]
+        return [(key, self._own[key].demand) for key in keys]
+
+    def receive(self, daemon: str, demands: Mapping[Key, Kind]) -> None:
+        """Take figures of a peer; keys that are not named are unchanged."""
+        now = self.clock()
+        dated = {key: _Dated(demand, now) for key, demand in demands.items()}
+        self._heard_at[daemon] = now
         self._peers.setdefault(daemon, {}).update(dated)
 
-    def list_peers(self) -> dict[str, dict[str, Demand]]:
-        """Return the valid figures by daemon and team; drop the others."""
+    def list_peers(self) -> dict[str, dict[Key, Kind]]:
+        """Return the valid figures by daemon and key; drop the others.
+
+        A daemon that was heard of lately is named even if it had no figures.
+        """
         for daemon in tuple(self._peers):
             valid = dict(self._list_valid(self._peers[daemon]))
-            if valid:
+            if valid or self._is_recent(self._heard_at[daemon]):
                 self._peers[daemon] = valid
             else:
-                del self._peers[daemon]
+                del self._peers[daemon], self._heard_at[daemon]
         return {
-            daemon: {team: dated.demand for team, dated in teams.items()}
-            for daemon, teams in self._peers.items()
+            daemon: {key: dated.demand for key, dated in figures.items()}
+            for daemon, figures in self._peers.items()
         }
 
-    def _list_active(self) -> Iterator[str]:
-        for team, dated in self._own.items():
-            demand = dated.demand
-            if demand.waiting or demand.running or demand.idle or self._is_valid(dated):
-                yield team
+    def _list_active(self) -> Iterator[Key]:
+        for key, dated in self._own.items():
+            if dated.demand.is_active or self._is_recent(dated.changed_at):
+                yield key
 
-    def _list_valid(self, teams: dict[str, _Dated]) -> Iterator[tuple[str, _Dated]]:
-        for team, dated in teams.items():
-            if self._is_valid(dated):
-                yield team, dated
+    def _list_valid(
+        self, figures: Mapping[Key, _Dated[Kind]]
+    ) -> Iterator[tuple[Key, _Dated[Kind]]]:
+        for key, dated in figures.items():
+            if self._is_recent(dated.changed_at):
+                yield key, dated
 
-    def _is_valid(self, dated: _Dated) -> bool:
-        return self.clock() - dated.changed_at < DEMAND_KEEP_SECONDS
+    def _is_recent(self, time: float) -> bool:
+        return self.clock() - time < self.keep_seconds
--- a/hemlockstand/peers/service.py
+++ b/hemlockstand/peers/service.py
@@ -1,6 +1,6 @@
 """The kernel service that exchanges heartbeats and calls between daemons."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from secrets import token_hex
 
 import trio
@@ -14,12 +14,19 @@
 from hemlockstand.metrics import PEER_FAILURES, PLATFORM_FAILURES
 from hemlockstand.peers import peer_pb2
 from hemlockstand.peers.beats import BeatMaker
-from hemlockstand.peers.demands import Demand, DemandBoard
+from hemlockstand.peers.demands import (
+    POOL_DEMAND_KEEP_SECONDS,
+    Demand,
+    DemandBoard,
+    PoolDemand,
+    PoolTeam,
+)
 from hemlockstand.peers.messages import (
     decode_report,
     decode_verdict,
     encode_verdict,
 )
+from hemlockstand.peers.names import NameIndex
 from hemlockstand.peers.transport import (
     PeerClient,
     PeerError,
@@ -74,7 +81,10 @@
         self.view = MembershipView(section.suspect_after_seconds)
         self._tracker = kernel.find("freshness", FreshnessService).tracker
         self._instances = kernel.find("platform", PlatformService).platform.instances
-        self._board = DemandBoard()
+        self._board: DemandBoard[str, Demand] = DemandBoard()
+        self._pool_board: DemandBoard[PoolTeam, PoolDemand] = DemandBoard(
+            keep_seconds=POOL_DEMAND_KEEP_SECONDS
+        )
         self._beats = BeatMaker(
             daemon=self.settings.daemon.name,
             incarnation=self.incarnation,
@@ -82,6 +92,7 @@
             view=self.view,
             board=self._board,
             tracker=self._tracker,
+            pool_board=self._pool_board,
         )
         self._client = PeerClient(secret, self.traffic)
         self._server = PeerServer(secret, self.traffic)
@@ -139,6 +150,18 @@
         """Return the peers' figures by daemon and team."""
         return self._board.list_peers()
 
+    def set_names(self, pools: Iterable[str], teams: Iterable[str]) -> None:
+        """Set the names of the configuration, which messages number."""
+        self._beats.names = NameIndex.make(pools, teams)
+
+    def publish_pool_demand(self, place: PoolTeam, demand: PoolDemand) -> None:
+        """Set this daemon's figures of a team in a pool for the next heartbeats."""
+        self._pool_board.publish(place, demand)
+
+    def pool_demands(self) -> Mapping[str, Mapping[PoolTeam, PoolDemand]]:
+        """Return the figures of all peers that were heard lately."""
+        return self._pool_board.list_peers()
+
     def handle_ask(self, function: AskFunction) -> None:
         """Set what answers a peer that asks for a kept outcome."""
         self._ask = function
--- a/hemlockstand/requests/dispatch.py
+++ b/hemlockstand/requests/dispatch.py
@@ -27,6 +27,7 @@
     Slot,
 )
 from hemlockstand.requests.pools import PoolDispatcher, Waiter
+from hemlockstand.requests.shares import UPDATE_SECONDS, FleetShares
 from hemlockstand.requests.upstreams import UpstreamsService
 from hemlockstand.traces import inject_context, record_hop
 from hemlockstand.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
@@ -86,6 +87,7 @@
         self._orders = find("orders", OrdersSource)
         self._peers = find("peers", PeersSource)
         self._upstreams = find("upstreams", UpstreamsService)
+        self._shares = FleetShares(self.settings.daemon.data_centre, self._peers)
         self._peers.handle_forward(self._run_forwarded)
 
     async def run(self) -> None:
@@ -93,7 +95,23 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             self._running.set()
-            await trio.sleep_forever()
+            await self._follow_shares()
+
+    async def _follow_shares(self) -> None:
+        while True:
+            await trio.sleep(UPDATE_SECONDS)
+            waiting = {
+                name: pool.waiting.count_waiting() for name, pool in self.pools.items()
+            }
+            limited = {name: pool.limited_teams() for name, pool in self.pools.items()}
+            self._shares.update(self._configuration.current, waiting, limited)
+            for name, teams in waiting.items():
+                for team in teams:
+                    self.pools[name].reweigh(team, self._find_share(team))
+
+    def _find_share(self, team: str) -> float:
+        known = self._configuration.current.teams.get(team)
+        return known.share if known is not None else 1.0
 
     async def stop(self) -> None:
         """Let the orders end whose callers have gone."""
@@ -238,9 +256,8 @@
                 f"no upstream of pool {pool.pool!r} takes work",
                 NO_UPSTREAM_RETRY_SECONDS,
             )
-        team = self._configuration.current.teams.get(waiter.queue.team)
-        weight = team.share if team is not None else 1.0
-        wait = pool.estimate_wait(waiter.queue, weight)
+        share = self._find_share(waiter.queue.team)
+        wait = pool.estimate_wait(waiter.queue, share)
         most = WAIT_FRACTION * (waiter.latest_start - now)
         if wait > most and not is_retry:
             return NotRun(
@@ -249,7 +266,7 @@
                 max(wait, OVERLOAD_RETRY_SECONDS),
             )
         try:
-            entry = pool.add(waiter, weight, front=is_retry)
+            entry = pool.add(waiter, share, front=is_retry)
         except QueueFull as error:
             return NotRun(Reason.OVERLOADED, error.message, OVERLOAD_RETRY_SECONDS)
         try:
@@ -300,6 +317,7 @@
                 RetryBudget(settings.retry_fraction),
                 self._upstreams.registry,
                 self._limits,
+                self._shares,
                 self._nursery,
                 self._find_pool,
             )
--- a/hemlockstand/requests/moves.py
+++ b/hemlockstand/requests/moves.py
@@ -80,7 +80,7 @@
     running = slots.running()
     idle = max(0, slots.held() - running)
     waiting = max(slots.waiting, running) if slots.waiting else 0
-    return Demand(waiting, running, idle, slots.served)
+    return Demand(waiting, running, idle)
 
 
 def plan_move(slots: TeamSlots, view: DemandView) -> Move:
--- a/hemlockstand/requests/neighbours.py
+++ b/hemlockstand/requests/neighbours.py
@@ -4,11 +4,12 @@
 request path does not import the modules behind them.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from typing import Any, Protocol, runtime_checkable
 
 from hemlockstand.coordination.freshness import Scope
 from hemlockstand.model import Configuration
+from hemlockstand.peers.demands import PoolDemand, PoolTeam
 from hemlockstand.verdict import Verdict
 
 
@@ -68,6 +69,14 @@
 
     incarnation: str
 
+    def members(self) -> Sequence[Any]: ...
+
+    def set_names(self, pools: Iterable[str], teams: Iterable[str]) -> None: ...
+
+    def publish_pool_demand(self, place: PoolTeam, demand: PoolDemand) -> None: ...
+
+    def pool_demands(self) -> Mapping[str, Mapping[PoolTeam, PoolDemand]]: ...
+
     async def forward(
         self,
         daemon_incarnation: str,
--- a/hemlockstand/requests/pools.py
+++ b/hemlockstand/requests/pools.py
@@ -18,6 +18,7 @@
 from hemlockstand.requests.executors import Executor, ExecutorRegistry
 from hemlockstand.requests.messages import Request
 from hemlockstand.requests.neighbours import LimitsSource, Slot
+from hemlockstand.requests.shares import FleetShares
 
 RANKS = {
     Priority.URGENT: URGENT,
@@ -86,6 +87,7 @@
     budget: RetryBudget
     _registry: ExecutorRegistry
     _limits: LimitsSource
+    _shares: FleetShares
     _nursery: trio.Nursery
     _find_spare: Callable[[str], "PoolDispatcher"]
     rate: ServiceRate = field(factory=ServiceRate)
@@ -93,12 +95,12 @@
     _awaiting_slot: set[str] = field(factory=set)
     _reserved: dict[str, Slot] = field(factory=dict)
 
-    def add(self, waiter: Waiter, weight: float, front: bool) -> Entry[Waiter]:
+    def add(self, waiter: Waiter, share: float, front: bool) -> Entry[Waiter]:
         """Let a request wait; raises ``QueueFull``."""
         entry = self.waiting.push(
             waiter,
             waiter.queue.team,
-            weight,
+            self._weigh(waiter.queue.team, share),
             waiter.latest_start,
             rank=RANKS[waiter.queue.priority],
             front=front,
@@ -122,11 +124,23 @@
             waiter.slot.release(certain=True)
             self.assign()
 
-    def estimate_wait(self, queue: Queue, weight: float) -> float:
+    def limited_teams(self) -> frozenset[str]:
+        """Return the teams whose work waits for a slot of their limit."""
+        return frozenset(self._awaiting_slot)
+
+    def reweigh(self, team: str, share: float) -> None:
+        """Correct the weight of a team that waits."""
+        self.waiting.reweigh(team, self._weigh(team, share))
+
+    def _weigh(self, team: str, share: float) -> float:
+        return share * self._shares.factor(self.pool, team)
+
+    def estimate_wait(self, queue: Queue, share: float) -> float:
         """Return how long a new request would wait, in seconds."""
         rate = self.rate.get()
         if rate is None or not len(self.waiting):
             return 0.0
+        weight = self._weigh(queue.team, share)
         ahead = self.waiting.estimate_ahead(queue.team, weight, RANKS[queue.priority])
         return ahead / rate
 
@@ -151,6 +165,7 @@
             return False
         self.waiting.pop(now)
         executor.window.acquire(now)
+        self._shares.record_served(executor.pool, waiter.queue.team)
         waiter.executor = executor
         waiter.slot = slot
         waiter.granted.set()
@@ -171,7 +186,7 @@
         spare = waiter.queue.spare_pool
         if executor is not None or spare is None or spare == self.pool:
             return executor
-        if len(self._find_spare(spare).waiting):
+        if len(self._find_spare(spare).waiting) or self._shares.is_wanted(spare):
             return None
         if not self._registry.is_idle(spare, now):
             return None
--- /dev/null
+++ b/hemlockstand/requests/shares.py
@@ -0,0 +1,183 @@
+"""Corrects the weights of the pools' queues towards fleet-wide shares.
+
+Each daemon tells its peers how much of each team waits in each pool and is
+served there. A large fleet hears of a sample of its daemons only, so the
+figures of those are scaled to all living ones.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+
+import trio
+from attrs import define, field, frozen
+
+from hemlockstand.coordination.shares import (
+    COMPLETE_GAIN,
+    SAMPLED_GAIN,
+    RateMeter,
+    ShareCorrection,
+)
+from hemlockstand.model import Configuration
+from hemlockstand.peers.demands import PoolDemand, PoolTeam
+from hemlockstand.requests.neighbours import PeersSource
+
+UPDATE_SECONDS = 0.1
+# Members change slowly, and a large fleet has hundreds.
+MEMBERS_SECONDS = 1.0
+TENTHS = 10
+# With less of the peers heard lately, the rates are estimates.
+COMPLETE_FRACTION = 0.75
+
+
+@frozen
+class _Sample:
+    """The demands of the daemons that were heard lately, by data centre."""
+
+    heard: Mapping[str, list[Mapping[PoolTeam, PoolDemand]]]
+    alive: Mapping[str, int]
+
+    def is_complete(self) -> bool:
+        """Return whether nearly all living peers were heard."""
+        heard = sum(len(demands) for demands in self.heard.values())
+        return heard >= COMPLETE_FRACTION * sum(self.alive.values())
+
+    def estimate(self, place: PoolTeam, own: str, others: Iterable[str]) -> float:
+        """Return what all other daemons serve, in requests per second.
+
+        The own data centre is heard of more often than the others, so that
+        the two are scaled apart.
+        """
+        return sum(self._scale(place, group) for group in ({own}, set(others) - {own}))
+
+    def _scale(self, place: PoolTeam, data_centres: set[str]) -> float:
+        heard = [
+            demands for name in data_centres for demands in self.heard.get(name, ())
+        ]
+        if not heard:
+            return 0.0
+        alive = max(len(heard), sum(self.alive.get(name, 0) for name in data_centres))
+        served = sum(demands[place].served for demands in heard if place in demands)
+        return served / TENTHS * alive / len(heard)
+
+
+@define(eq=False)
+class FleetShares:
+    """What this daemon serves and the factors that its weights need."""
+
+    data_centre: str
+    _peers: PeersSource
+    clock: Callable[[], float] = trio.current_time
+    _meter: RateMeter[PoolTeam] = field(factory=RateMeter)
+    _corrections: dict[str, ShareCorrection] = field(factory=dict)
+    _published: set[PoolTeam] = field(factory=set)
+    _updated_at: float = field(init=False)
+    _configuration: Configuration = field(factory=Configuration)
+    _members_at: float = float("-inf")
+    _centres: dict[str, str] = field(factory=dict)
+    _alive: Counter[str] = field(factory=Counter)
+    _wanted: frozenset[str] = frozenset()
+
+    def __attrs_post_init__(self) -> None:
+        self._updated_at = self.clock()
+
+    def record_served(self, pool: str, team: str) -> None:
+        """Count a request that was given an executor of the pool."""
+        self._meter.record(PoolTeam(pool, team))
+
+    def factor(self, pool: str, team: str) -> float:
+        """Return the factor of the team's weight in the pool."""
+        correction = self._corrections.get(pool)
+        return 1.0 if correction is None else correction.factor(team)
+
+    def is_wanted(self, pool: str) -> bool:
+        """Return whether work of a peer here waits in the pool.
+
+        Peers of other data centres use other executors.
+        """
+        return pool in self._wanted
+
+    def update(
+        self,
+        configuration: Configuration,
+        waiting: Mapping[str, Mapping[str, int]],
+        limited: Mapping[str, Iterable[str]],
+    ) -> None:
+        """Tell the peers what waits here, and adapt the factors.
+
+        ``waiting`` counts requests by pool and team, ``limited`` names the
+        teams by pool that are at their limit, whose service says nothing of
+        their share.
+        """
+        now = self.clock()
+        seconds = now - self._updated_at
+        if seconds <= 0.0:
+            return
+        self._updated_at = now
+        self._follow_names(configuration)
+        self._meter.update(seconds)
+        self._publish(waiting)
+        sample = self._take_sample(now)
+        self._wanted = frozenset(
+            place.pool
+            for demands in sample.heard.get(self.data_centre, ())
+            for place, demand in demands.items()
+            if demand.waiting
+        )
+        for pool, teams in waiting.items():
+            compared = [team for team in teams if team not in limited.get(pool, ())]
+            self._correct(pool, compared, sample, seconds)
+
+    def _follow_names(self, configuration: Configuration) -> None:
+        known = self._configuration
+        if known.pools is not configuration.pools or (
+            known.teams is not configuration.teams
+        ):
+            self._peers.set_names(configuration.pools, configuration.teams)
+        self._configuration = configuration
+
+    def _publish(self, waiting: Mapping[str, Mapping[str, int]]) -> None:
+        """Publish the places with work, and once more those without."""
+        places = {
+            PoolTeam(pool, team): count
+            for pool, teams in waiting.items()
+            for team, count in teams.items()
+        }
+        active = {*places, *self._meter.keys()}
+        for place in active | self._published:
+            served = round(self._meter.get(place) * TENTHS)
+            self._peers.publish_pool_demand(
+                place, PoolDemand(places.get(place, 0), served)
+            )
+        self._published = active
+
+    def _take_sample(self, now: float) -> _Sample:
+        if now - self._members_at >= MEMBERS_SECONDS:
+            self._members_at = now
+            alive = [member for member in self._peers.members() if member.alive]
+            self._centres = {member.name: member.data_centre for member in alive}
+            self._alive = Counter(self._centres.values())
+        heard: dict[str, list[Mapping[PoolTeam, PoolDemand]]] = {}
+        for daemon, demands in self._peers.pool_demands().items():
+            if daemon in self._centres:
+                heard.setdefault(self._centres[daemon], []).append(demands)
+        return _Sample(heard, self._alive)
+
+    def _correct(
+        self, pool: str, teams: Iterable[str], sample: _Sample, seconds: float
+    ) -> None:
+        configuration = self._configuration
+        shares = {
+            team: configuration.teams[team].share
+            for team in teams
+            if team in configuration.teams
+        }
+        known = configuration.pools.get(pool)
+        centres = known.data_centres if known is not None else ()
+        rates = {}
+        for team in shares:
+            place = PoolTeam(pool, team)
+            others = sample.estimate(place, self.data_centre, centres)
+            rates[team] = self._meter.get(place) + others
+        correction = self._corrections.setdefault(pool, ShareCorrection())
+        gain = COMPLETE_GAIN if sample.is_complete() else SAMPLED_GAIN
+        correction.update(seconds, shares, rates, gain)
--- a/hemlockstand/requests/slots.py
+++ b/hemlockstand/requests/slots.py
@@ -59,7 +59,6 @@
     clock: Clock
     margin_seconds: float
     waiting: int = 0
-    served: int = 0
     cap: int | None = None
     changed: trio.Event = field(factory=trio.Event)
     _open: dict[str, set[Slot]] = field(factory=dict)
@@ -108,7 +107,6 @@
             return
         slot.ended = True
         self._open[slot.part].discard(slot)
-        self.served += slot.sent
         if slot.sent and not certain:
             held = self._held.setdefault(slot.part, [])
             heappush(held, slot.deadline + self.margin_seconds)
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -234,6 +234,10 @@
     forwarded: list = field(factory=list)
     answer: Any = None
     receive_forward: Any = None
+    names: tuple = ()
+    published: dict = field(factory=dict)
+    heard: dict = field(factory=dict)
+    known: list = field(factory=list)
 
     async def forward(self, daemon_incarnation, message, timeout_seconds=None):
         await trio.lowlevel.checkpoint()
@@ -245,6 +249,18 @@
     def handle_forward(self, function) -> None:
         self.receive_forward = function
 
+    def members(self):
+        return self.known
+
+    def set_names(self, pools, teams) -> None:
+        self.names = (tuple(pools), tuple(teams))
+
+    def publish_pool_demand(self, place, demand) -> None:
+        self.published[place] = demand
+
+    def pool_demands(self):
+        return self.heard
+
 
 @define(eq=False)
 class FakeInstances:
--- a/test/test_peers_service.py
+++ b/test/test_peers_service.py
@@ -82,9 +82,9 @@
     """Guards against slots that stay idle while a peer has waiting work."""
     first = await fleet.add("entry-1", "dc1")
     second = await fleet.add("entry-2", "dc2")
-    first.peers.publish_demand("quotes", Demand(3, 2, 0, 40))
+    first.peers.publish_demand("quotes", Demand(3, 2, 0))
     await wait_until(
-        lambda: second.peers.demands().get("entry-1") == {"quotes": Demand(3, 2, 0, 40)}
+        lambda: second.peers.demands().get("entry-1") == {"quotes": Demand(3, 2, 0)}
     )
 
 
@@ -273,7 +273,7 @@
     clock = Clock()
     board = DemandBoard(clock.read)
     for number in range(10):
-        board.publish(f"team-{number}", Demand(1, 0, 0, number))
+        board.publish(f"team-{number}", Demand(1, 0, 0))
     seen = {team for _ in range(4) for team, _ in board.choose(3)}
     assert len(seen) == 10
 
@@ -282,10 +282,10 @@
     """Guards against a peer that keeps the demand of a team that went idle."""
     clock = Clock()
     board = DemandBoard(clock.read)
-    board.publish("quotes", Demand(5, 0, 0, 0))
+    board.publish("quotes", Demand(5, 0, 0))
     clock.now += 60
-    board.publish("quotes", Demand(0, 0, 0, 5))
-    assert board.choose(8) == [("quotes", Demand(0, 0, 0, 5))]
+    board.publish("quotes", Demand(0, 0, 0))
+    assert board.choose(8) == [("quotes", Demand(0, 0, 0))]
     clock.now += DEMAND_KEEP_SECONDS
     assert board.choose(8) == []
 
@@ -294,7 +294,7 @@
     """Guards against slots that are kept for a daemon that is gone."""
     clock = Clock()
     board = DemandBoard(clock.read)
-    board.receive("entry-2", {"quotes": Demand(5, 0, 0, 0)})
-    assert board.list_peers() == {"entry-2": {"quotes": Demand(5, 0, 0, 0)}}
+    board.receive("entry-2", {"quotes": Demand(5, 0, 0)})
+    assert board.list_peers() == {"entry-2": {"quotes": Demand(5, 0, 0)}}
     clock.now += DEMAND_KEEP_SECONDS
     assert board.list_peers() == {}
