Measure how fast changes take effect and what control costs

Cause, from the platform's counters and a profile: an idle daemon makes 7 platform calls a second (51.4 reads, 8.9 instance lists, 4.6 transactions over the fleet), each about 620 bytes and over 1 ms of processor time. Ruled out: peers, 3 exchanges a second each way, are 2 to 3 KB/s and below a fifth of the profile. Open: the calls of the job rounds, of maintenance and of the configuration are not merged.

--- a/bench/runner.py
+++ b/bench/runner.py
@@ -30,6 +30,7 @@
     "requests_path",
     "spread",
     "faults",
+    "control",
 )
 RECORDS = Path(__file__).with_name("records")
 NOTABLE_CHANGE = 0.2
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -56,7 +56,9 @@
 
     ``overrides`` are settings by section for all daemons. ``service_ms`` is
     the mean service time of the executors. With ``linked``, a link proxy
-    stands between the data centres, so that ``cut`` can separate them.
+    stands between the data centres, so that ``cut`` can separate them. With
+    ``metered``, it also stands between all daemons and before the platform,
+    so that ``count_links`` counts the control traffic.
     """
 
     shape: FleetShape
@@ -65,6 +67,7 @@
     spread: float = 0.3
     balancer_lag_seconds: float = 0.5
     linked: bool = False
+    metered: bool = False
     layout: Layout = field(init=False)
     children: ChildGroup = field(init=False)
     http: httpx.Client = field(init=False)
@@ -76,7 +79,12 @@
         directory = Path(self._temporary.name)
         self._network = reserve_network()
         self.layout = Layout(
-            self.shape, self._network, directory, self.overrides, self.linked
+            self.shape,
+            self._network,
+            directory,
+            self.overrides,
+            self.linked,
+            self.metered,
         )
         self.children = ChildGroup(directory)
         self.http = httpx.Client(trust_env=False, timeout=10)
@@ -105,12 +113,16 @@
 
     def start(self) -> None:
         """Start everything and wait until it is ready."""
+        self.start_processes()
+        self.start_balancer()
+
+    def start_processes(self) -> None:
+        """Start everything but the balancer and wait until it is ready."""
         self.start_platform()
-        if self.linked:
+        if self.layout.links:
             self.start_links()
         self.start_upstreams()
         self.start_daemons()
-        self.start_balancer()
 
     def start_platform(self) -> None:
         """Start the platform stand-in and register all instances."""
@@ -154,6 +166,20 @@
         names = [f"{data_centre}>*", f"*>{data_centre}>*"]
         self._post(self._link_url, {"names": names, "mode": mode})
 
+    def count_links(self) -> dict[str, tuple[int, int]]:
+        """Return the bytes and chunks that have passed each link."""
+        links = self.http.get(self._link_url).json()["links"]
+        return {link["name"]: (link["bytes"], link["chunks"]) for link in links}
+
+    def operate(self, daemon: str, path: str, **body: Any) -> dict[str, Any]:
+        """Make a change through the operator interface of a daemon."""
+        url = f"http://{self.daemons[daemon].operator}/o/{path}"
+        headers = {"Authorization": f"Bearer {TOKEN}", "X-Operator": "bench"}
+        response = self.http.post(url, json=body, headers=headers)
+        if response.status_code != 200:
+            raise FleetError(f"{url}: {response.status_code} {response.text}")
+        return response.json()
+
     def start_upstreams(self) -> None:
         """Start one process of executors per desk."""
         for desk in self.shape.desks:
--- a/emulator/layout.py
+++ b/emulator/layout.py
@@ -85,7 +85,10 @@
 
 @define
 class PeerLink:
-    """A link from the daemons of a data centre to one daemon elsewhere."""
+    """A link from the daemons of a data centre to a daemon or the platform.
+
+    ``daemon`` is empty for the platform.
+    """
 
     name: str
     source: str
@@ -103,7 +106,9 @@
     """Names and addresses of everything in a fleet.
 
     With ``linked``, daemons reach those of other data centres through the
-    link proxy, by links named ``SOURCE>TARGET>DAEMON``.
+    link proxy, by links named ``SOURCE>TARGET>DAEMON``. With ``metered``,
+    all peers and the platform, as ``SOURCE>platform``, are reached through
+    the link proxy, which counts the bytes.
     """
 
     shape: FleetShape
@@ -111,6 +116,7 @@
     directory: Path
     overrides: Overrides
     linked: bool = False
+    metered: bool = False
     links: list[PeerLink] = field(factory=list)
     daemons: dict[str, Daemon] = field(factory=dict)
     executors: dict[str, ExecutorPlace] = field(factory=dict)
@@ -118,8 +124,10 @@
     def __attrs_post_init__(self) -> None:
         self._place_executors()
         self._place_daemons()
-        if self.linked:
+        if self.linked or self.metered:
             self._place_links()
+        for daemon in self.daemons.values():
+            self.write_settings(daemon)
 
     @property
     def platform_host(self) -> str:
@@ -175,7 +183,6 @@
 
     def write_settings(self, daemon: Daemon) -> None:
         """Write the settings file of a daemon."""
-        port = self.platform_port(daemon.data_centre)
         sections: dict[str, dict[str, Any]] = {
             "daemon": {
                 "name": daemon.name,
@@ -190,7 +197,7 @@
                 "operator_port": OPERATOR_PORT,
                 "peer_port": PEER_PORT,
             },
-            "platform": {"url": f"http://{self.platform_host}:{port}"},
+            "platform": {"url": self._choose_platform(daemon)},
             "peers": {"secret": SECRET, "seeds": ", ".join(self._list_seeds(daemon))},
             "operators": {"token": TOKEN},
             "log": {"format": "text"},
@@ -202,9 +209,16 @@
         with daemon.settings.open("w", encoding="utf-8") as stream:
             parser.write(stream)
 
+    def _choose_platform(self, daemon: Daemon) -> str:
+        for link in self.links:
+            if not link.daemon and link.source == daemon.data_centre:
+                return f"http://{self.link_host}:{link.port}"
+        port = self.platform_port(daemon.data_centre)
+        return f"http://{self.platform_host}:{port}"
+
     def _list_seeds(self, daemon: Daemon) -> list[str]:
         others = [other for other in self.daemons.values() if other is not daemon]
-        return [] if self.linked else [other.peer for other in others[:SEEDS]]
+        return [] if self.links else [other.peer for other in others[:SEEDS]]
 
     def _list_linked_addresses(self, daemon: Daemon) -> dict[str, str]:
         """Return the addresses at which other data centres find a daemon."""
@@ -219,12 +233,18 @@
             (source, daemon)
             for source in self.shape.data_centres
             for daemon in self.daemons.values()
-            if daemon.data_centre != source
+            if daemon.data_centre != source or self.metered
         )
         for number, (source, daemon) in enumerate(pairs):
             name = f"{source}>{daemon.data_centre}>{daemon.name}"
             port = FIRST_LINK_PORT + number
             self.links.append(PeerLink(name, source, daemon.name, port, daemon.peer))
+        if self.metered:
+            for source in self.shape.data_centres:
+                target = f"{self.platform_host}:{self.platform_port(source)}"
+                port = FIRST_LINK_PORT + len(self.links)
+                name = f"{source}>platform"
+                self.links.append(PeerLink(name, source, "", port, target))
 
     def _place_executors(self) -> None:
         for position, desk in enumerate(self.shape.desks):
@@ -244,8 +264,6 @@
             host = self.network.host(third, 1 + number)
             settings = self.directory / f"{name}.ini"
             self.daemons[name] = Daemon(name, data_centre, host, settings)
-        for daemon in self.daemons.values():
-            self.write_settings(daemon)
 
     def _describe_worker(self, desk: str, number: int) -> dict[str, Any]:
         described = self._describe(
--- a/emulator/link.py
+++ b/emulator/link.py
@@ -10,7 +10,7 @@
 """
 
 from fnmatch import fnmatchcase
-from typing import Literal
+from typing import Any, Literal
 
 import msgspec
 import trio
@@ -40,6 +40,8 @@
     mode: str = "up"
     delay_seconds: float = 0.0
     accepted: int = 0
+    passed_bytes: int = 0
+    passed_chunks: int = 0
     _scopes: set[trio.CancelScope] = field(factory=set)
     _changed: trio.Event = field(factory=trio.Event)
 
@@ -53,6 +55,16 @@
             for scope in self._scopes:
                 scope.cancel()
 
+    def show(self) -> dict[str, Any]:
+        """Return the mode and what has passed in both directions."""
+        return {
+            "name": self.name,
+            "mode": self.mode,
+            "accepted": self.accepted,
+            "bytes": self.passed_bytes,
+            "chunks": self.passed_chunks,
+        }
+
     async def accept(self, caller: trio.SocketStream) -> None:
         """Connect a caller to the target, subject to the mode."""
         if self.mode == "cut":
@@ -69,18 +81,21 @@
             await trio.aclose_forcefully(caller)
 
     async def _carry(self, caller: trio.SocketStream) -> None:
-        await self._wait_passage()
+        await self._wait_passage(0)
         try:
             target = await trio.open_tcp_stream(self.target_host, self.target_port)
         except OSError:
             return
         await splice(caller, target, self._wait_passage)
 
-    async def _wait_passage(self) -> None:
+    async def _wait_passage(self, size: int) -> None:
         while self.mode == "drop":
             await self._changed.wait()
         if self.mode == "delay":
             await trio.sleep(self.delay_seconds)
+        if size:
+            self.passed_bytes += size
+            self.passed_chunks += 1
 
 
 @define
@@ -99,11 +114,7 @@
                     return refuse(404, f"no link matches {change.names}")
                 return reply({"links": names})
             case "GET", "/links":
-                shown = [
-                    {"name": link.name, "mode": link.mode, "accepted": link.accepted}
-                    for link in self.links
-                ]
-                return reply({"links": shown})
+                return reply({"links": [link.show() for link in self.links]})
         return refuse(404, f"unknown call {request.method} {request.path}")
 
     def _apply(self, change: LinkChange) -> list[str]:
--- a/emulator/splice.py
+++ b/emulator/splice.py
@@ -6,10 +6,10 @@
 
 CHUNK_BYTES = 1 << 16
 
-Gate = Callable[[], Awaitable[None]]
+Gate = Callable[[int], Awaitable[None]]
 
 
-async def pass_freely() -> None:
+async def pass_freely(size: int) -> None:
     """Let every chunk pass at once."""
 
 
@@ -18,7 +18,7 @@
 ) -> None:
     """Copy in both directions until both are closed or one breaks.
 
-    ``gate`` is awaited before each chunk is passed on.
+    ``gate`` is awaited with the size of each chunk before it is passed on.
     """
     async with left, right, trio.open_nursery() as nursery:
         nursery.start_soon(_copy, left, right, gate, nursery.cancel_scope)
@@ -33,9 +33,9 @@
 ) -> None:
     try:
         while chunk := await source.receive_some(CHUNK_BYTES):
-            await gate()
+            await gate(len(chunk))
             await sink.send_all(chunk)
-        await gate()
+        await gate(0)
         await sink.send_eof()
     except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
         scope.cancel()
