--- a/emulator/load.py
+++ b/emulator/load.py
@@ -42,7 +42,7 @@
     ``retries`` bounds how often a caller repeats a request that was answered
     "not run", after the time that the answer names. ``failovers`` bounds how
     often it repeats a request without an answer through the next target,
-    after ``failover_seconds``.
+    after ``failover_seconds``. With ``direct`` the targets are executors.
     """
 
     targets: list[str]
@@ -58,6 +58,7 @@
     retries: int = 0
     failovers: int = 0
     failover_seconds: float = 0.2
+    direct: bool = False
     requests_per_connection: int = REQUESTS_PER_CONNECTION
 
 
@@ -163,10 +164,12 @@
     ) -> None:
         headers = _make_headers(queue) | {"X-Request-Id": outcome.id}
         body = b"x" * queue.body_bytes
-        path = f"/v1/queues/{queue.queue}"
+        path = f"{'/run' if self.plan.direct else '/v1/queues'}/{queue.queue}"
         for attempt in range(self.plan.retries + 1):
             outcome.attempts += 1
             answer = await client.send("POST", path, headers, body)
+            if self.plan.direct:
+                answer.headers.setdefault("x-verdict", _judge_direct(answer))
             outcome.take(answer.status, answer.headers, answer.body)
             wait = _read_retry_after(answer)
             if outcome.verdict != "not-run" or wait is None:
@@ -182,6 +185,10 @@
     return headers
 
 
+def _judge_direct(answer: Answer) -> str:
+    return "not-run" if "x-not-run" in answer.headers else "answered"
+
+
 def _read_retry_after(answer: Answer) -> float | None:
     text = answer.headers.get("retry-after")
     return None if text is None else float(text)
