--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,8 +20,16 @@
 
 from bench.capacity_calls import measure_exchanges, measure_platform_calls
 from bench.capacity_daemon import measure_daemons
+from bench.capacity_limits import BYTES_LIMIT, CPU_LIMIT, MEMORY_LIMIT
+from bench.capacity_lines import Line
 from bench.capacity_page import PAGE, RECORD, fill_page, make_tables
-from bench.capacity_roles import Line, list_lines
+from bench.capacity_requests import (
+    measure_claims,
+    measure_peaks,
+    measure_queue,
+    measure_requests,
+)
+from bench.capacity_roles import list_lines
 from bench.capacity_rounds import (
     measure_maintenance,
     measure_moves,
@@ -31,9 +39,7 @@
 )
 from bench.capacity_series import TARGET, Series
 from bench.capacity_slopes import (
-    measure_claims,
     measure_configuration,
-    measure_queue,
     measure_records,
     measure_schedules,
     measure_sheet,
@@ -49,7 +55,9 @@
     measure_sheet,
     measure_slots,
     measure_moves,
+    measure_peaks,
     measure_claims,
+    measure_requests,
     measure_queue,
     measure_spread,
     measure_schedules,
@@ -98,6 +106,22 @@
     return asdict(line) | {"verdict": line.verdict}
 
 
+def judge_daemon(entry: dict[str, Any]) -> dict[str, Any]:
+    """Return the verdicts on a measured daemon.
+
+    Under load its processor time is mostly that of requests, so only that of
+    an idle daemon is judged.
+    """
+    volume = entry["platform_bytes_per_second"] + entry["peer_bytes_per_second"]
+    checks = {
+        "bytes": volume <= BYTES_LIMIT,
+        "processor": entry["load"] != "idle" or entry["cpu_percent"] <= CPU_LIMIT,
+        "memory": entry["rss_mb"] <= MEMORY_LIMIT,
+    }
+    failed = [name for name, holds in checks.items() if not holds]
+    return {"control_bytes_per_second": volume, "failed": failed}
+
+
 def make_record(series: list[Series], daemons: list[dict[str, Any]]) -> dict[str, Any]:
     """Return the record of a run."""
     by_name = {entry.name: entry for entry in series}
@@ -129,7 +153,7 @@
     daemons = []
     for entry in measure_daemons():
         print(f"capacity daemon {json.dumps(entry)}", flush=True)
-        daemons.append(entry)
+        daemons.append(entry | judge_daemon(entry))
     record = make_record(series, daemons)
     RECORD.parent.mkdir(exist_ok=True)
     RECORD.write_text(json.dumps(record, indent=1) + "\n", encoding="utf-8")
--- a/bench/capacity_calls.py
+++ b/bench/capacity_calls.py
@@ -189,13 +189,18 @@
 
 async def _measure_workers(platform: HttpPlatform) -> AsyncIterator[Series]:
     reports, renewals = {}, {}
+    workers = [f"pool000-worker-{number + 1}" for number in range(24)]
+    for worker in workers:
+        await _start_task(platform, worker, 0)
+    for size in (3, 6, 12, 24):
+        busy = workers[:size]
+        reports[size] = await _cost(
+            platform, lambda busy=busy: platform.workers.reports(busy)
+        )
     for size in (1, 2, 4, 8):
-        worker = f"pool000-worker-{size}"
+        worker = f"pool001-worker-{size}"
         for number in range(size):
             await _start_task(platform, worker, number)
-        reports[size] = await _cost(
-            platform, lambda worker=worker: platform.workers.report(worker)
-        )
 
         async def renew_all(worker: str = worker, size: int = size) -> None:
             for number in range(size):
@@ -203,11 +208,11 @@
                 await platform.workers.renew(worker, name, 1, 600)
 
         renewals[size] = await _cost(platform, renew_all, 20)
-    module, name = "platform/http.py HttpWorkers", "tasks of a worker"
-    target = TARGET.tasks_per_worker
-    for entry in _pair("worker_report", module, name, target, reports):
+    module, pool = "platform/http.py HttpWorkers", TARGET.workers_per_pool
+    for entry in _pair("reports", module, "workers of a pool", pool, reports):
         yield entry
-    for entry in _pair("lease_renewals", module, name, target, renewals):
+    target = TARGET.tasks_per_worker
+    for entry in _pair("renewals", module, "tasks of a worker", target, renewals):
         yield entry
 
 
--- /dev/null
+++ b/bench/capacity_limits.py
@@ -0,0 +1,22 @@
+"""Intervals of the shipped settings and the limits of the target."""
+
+# Shipped settings, see hemlockstand/defaults.ini.
+EXCHANGES_PER_SECOND = 3  # started here; as many arrive from others
+POLLS_PER_SECOND = 1  # configuration and instance list
+RENEWALS_PER_SECOND = 0.5
+WATCHES_PER_SECOND = 0.4  # renewal interval times 1 to 1.5
+REBALANCES_PER_SECOND = 2
+JOB_ROUNDS_PER_SECOND = 1 / 0.375  # interval of 0.5 s times 0.5 to 1
+OWNER_CHECKS_PER_SECOND = 2
+MAINTENANCE_PER_SECOND = 1
+MEMBER_READS_PER_SECOND = 0.5
+TASK_RENEWALS_PER_SECOND = 0.1  # a third of a lease of 30 s
+FRESHNESS_SECONDS = 4.0
+WRITES_PER_RUN = 4  # two rows at the start, two at the end
+
+CPU_LIMIT, MEMORY_LIMIT, BYTES_LIMIT = 2.7, 256.0, 7000.0
+WRITES_LIMIT, READS_LIMIT = 300.0, 2000.0
+SIX_WEEKS_DAYS = 42.0
+REBOOT_SECONDS = 300.0
+URGENT_SECONDS, IN_FORCE_SECONDS = 1.5, 14.0
+PEAK_PERIOD_SECONDS = 25.0  # five queues of a pool peak for 5 s each in turn
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -84,6 +84,7 @@
             format_number(entry["peer_bytes_per_second"]),
             format_number(entry["cpu_percent"]),
             format_number(entry["rss_mb"]),
+            f"**FAIL: {', '.join(entry['failed'])}**" if entry["failed"] else "ok",
         )
         for entry in record["daemons"]
     ]
@@ -95,10 +96,28 @@
         "peers B/s",
         "% core",
         "resident MB",
+        "verdict",
     )
     return _make_table(columns, rows)
 
 
+def make_failures_table(record: Mapping[str, Any]) -> str:
+    """Return the table of all lines that fail their limits."""
+    rows = [
+        (
+            line["role"],
+            f"{line['quantity']}: {line['what']}",
+            f"**{format_number(line['value'])} {line['unit']}**",
+            format_number(line["limit"]),
+            line["design"],
+        )
+        for line in record["lines"]
+        if line["verdict"] == "FAIL"
+    ]
+    columns = ("role", "line", "at the target", "limit", "design that will carry it")
+    return _make_table(columns, rows)
+
+
 def make_target_table(record: Mapping[str, Any]) -> str:
     """Return the table of the sizes that the figures are for."""
     rows = [(name, format_number(value)) for name, value in record["target"].items()]
@@ -111,6 +130,7 @@
         "target": make_target_table(record),
         "series": make_series_table(record),
         "daemons": make_daemon_table(record),
+        "failures": make_failures_table(record),
     }
     for role in dict.fromkeys(line["role"] for line in record["lines"]):
         tables[role] = make_lines_table(record, role)
--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -30,11 +30,8 @@
     pack_configuration,
     unpack_configuration,
 )
-from hemlockstand.coordination.commits import GroupCommit
 from hemlockstand.coordination.escrow import ELASTIC, Escrow, split_limit
-from hemlockstand.coordination.fairqueue import FairQueue
 from hemlockstand.coordination.lease import HolderLease, HolderWatch, LeaseTerms
-from hemlockstand.coordination.ledger import Ledger
 from hemlockstand.jobs.wakes import find_due
 from hemlockstand.model import (
     Access,
@@ -237,70 +234,6 @@
     )
 
 
-def measure_queue() -> Iterator[Series]:
-    """Yield the cost of one push and one pop of the fair queue."""
-    module = "coordination/fairqueue.py"
-    waiting = [(size, _time_queue(size, 50)) for size in (250, 500, 1000, 2000)]
-    teams = [(size, _time_queue(1000, size)) for size in (71, 142, 285, 570)]
-    yield make_series("queue_waiting", module, "requests waiting", "us", 1000, waiting)
-    yield make_series("queue_teams", module, "teams", "us", TARGET.teams, teams)
-
-
-def _time_queue(waiting: int, teams: int) -> float:
-    queue: FairQueue[int] = FairQueue(10_000, 0.1)
-    numbers = iter(range(10**9))
-
-    def push() -> None:
-        number = next(numbers)
-        queue.push(number, f"team-{number % teams}", 1.0 + number % 3, 1e9)
-
-    for _ in range(waiting):
-        push()
-
-    def push_and_pop() -> None:
-        push()
-        queue.pop(0.0)
-
-    return time_calls(push_and_pop, 2000)
-
-
-def measure_claims() -> Iterator[Series]:
-    """Yield table writes and transactions of orders with callers' ids."""
-    yield from trio.run(_collect_claims)
-
-
-async def _collect_claims() -> list[Series]:
-    writes, transactions = [], []
-    for size in (1, 4, 16, 64):
-        table = MemoryTable()
-        commits = GroupCommit(table, 0.004)
-        ledger = Ledger(commits, "entry-1-a")
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(commits.run)
-            await _run_orders(ledger, size)
-            nursery.cancel_scope.cancel()
-        writes.append((size, table.writes))
-        transactions.append((size, commits.transactions))
-    module, name = "coordination/ledger.py, commits.py", "orders at once"
-    return [
-        make_series("order_writes", module, name, "row writes", 1, writes),
-        make_series(
-            "order_transactions", module, name, "transactions", 1, transactions
-        ),
-    ]
-
-
-async def _run_orders(ledger: Ledger, count: int) -> None:
-    async def run_order(number: int) -> None:
-        name = f"team/order-{number}"
-        await ledger.claim(name)
-        await ledger.finish(name, {"status": 200, "headers": [], "body": ""})
-
-    async with trio.open_nursery() as nursery:
-        for number in range(count):
-            nursery.start_soon(run_order, number)
-
-
 def measure_spread() -> Iterator[Series]:
     """Yield how fast news spreads, simulated with three daemons per data centre."""
     changes, ages, gone, unseen = [], [], [], []
--- /dev/null
+++ b/bench/capacity_work.py
@@ -0,0 +1,208 @@
+"""The lines of daemons as placers of jobs and as maintainers of instances."""
+
+from collections.abc import Iterator
+
+from bench.capacity_limits import (
+    BYTES_LIMIT,
+    CPU_LIMIT,
+    JOB_ROUNDS_PER_SECOND,
+    MAINTENANCE_PER_SECOND,
+    MEMBER_READS_PER_SECOND,
+    OWNER_CHECKS_PER_SECOND,
+    REBOOT_SECONDS,
+    SIX_WEEKS_DAYS,
+    TASK_RENEWALS_PER_SECOND,
+    URGENT_SECONDS,
+    WRITES_PER_RUN,
+)
+from bench.capacity_lines import (
+    Amount,
+    Costs,
+    Line,
+    Quantity,
+    Role,
+    make_line,
+    sum_fleet,
+)
+from bench.capacity_series import TARGET
+from hemlockstand.jobs.service import FLEET_SECONDS, REPORT_SECONDS
+
+
+def list_placer_lines(costs: Costs) -> Iterator[Line]:
+    """Yield the lines of placement."""
+    role, module = Role.PLACER, "jobs/service.py, jobs/rounds.py"
+    rounds = TARGET.pools_per_daemon * JOB_ROUNDS_PER_SECOND
+    owners = costs.at_target("owned_pools") * OWNER_CHECKS_PER_SECOND
+    yield make_line(
+        role,
+        Quantity.CPU,
+        "which pools are its own",
+        costs.percent(owners, 1),
+        "% core",
+        "jobs/service.py, coordination/rendezvous.py",
+    )
+    quiet = costs.at_target("round_workers") + costs.per_unit("round_jobs") * (
+        TARGET.jobs
+    )
+    yield make_line(
+        role,
+        Quantity.CPU,
+        "rounds in which nothing changes",
+        costs.percent(quiet, rounds),
+        "% core",
+        module,
+    )
+    yield make_line(
+        role,
+        Quantity.CPU,
+        "capacity of the fleet",
+        costs.percent(costs.at_target("sum_fleet"), 1 / FLEET_SECONDS),
+        "% core",
+        "jobs/service.py _sum_fleet",
+    )
+    tasks = TARGET.jobs * TASK_RENEWALS_PER_SECOND / TARGET.daemons
+    reads = TARGET.pools_per_daemon / REPORT_SECONDS
+    report = costs.at_target("reports_cpu") * reads
+    renew = costs.per_unit("renewals_cpu") * tasks
+    marker = costs.at("table_read_cpu", 1) * rounds
+    calls_design = (
+        "one renewal for all tasks of a worker with leases of 90 s, reports that "
+        "name only what changed, and one marker row for all pools"
+    )
+    yield make_line(
+        role,
+        Quantity.CPU,
+        "reports, renewals and marker rows",
+        costs.percent(report + renew + marker, 1),
+        "% core",
+        "jobs/rounds.py, platform/http.py",
+        CPU_LIMIT,
+        calls_design,
+    )
+    volume = costs.at_target("reports_bytes") * reads
+    volume += costs.per_unit("renewals_bytes") * tasks
+    volume += costs.at("table_read_bytes", 1) * rounds
+    yield make_line(
+        role,
+        Quantity.BYTES,
+        "reports, renewals and marker rows",
+        volume,
+        "B/s",
+        "jobs/rounds.py, platform/http.py",
+        BYTES_LIMIT,
+        calls_design,
+    )
+    yield from _list_fleet_placement(costs, rounds, tasks)
+
+
+def _list_fleet_placement(costs: Costs, rounds: float, tasks: float) -> Iterator[Line]:
+    role, module = Role.PLACER, "jobs/service.py, jobs/rounds.py"
+    starts = TARGET.jobs / TARGET.run_seconds
+    yield make_line(
+        role,
+        Quantity.WRITES,
+        "starts and ends of all runs",
+        Amount(starts * WRITES_PER_RUN),
+        "1/s",
+        "jobs/store.py",
+    )
+    yield make_line(
+        role,
+        Quantity.READS,
+        "marker rows of all pools",
+        sum_fleet(rounds),
+        "1/s",
+        module,
+    )
+    calls = TARGET.pools_per_daemon / REPORT_SECONDS + tasks
+    yield make_line(
+        role,
+        Quantity.CALLS,
+        "reports of all pools and renewals of all tasks",
+        sum_fleet(calls),
+        "1/s",
+        "jobs/rounds.py",
+    )
+    place = costs.at_target("place_tasks") * 1e-6
+    yield make_line(
+        role,
+        Quantity.TIME,
+        "urgent run started: one interval and one full round of its pool",
+        Amount(0.5) + place,
+        "s",
+        module,
+        URGENT_SECONDS,
+    )
+
+
+def list_maintainer_lines(costs: Costs) -> Iterator[Line]:
+    """Yield the lines of maintenance."""
+    role, module = Role.MAINTAINER, "maintenance/service.py, rounds.py"
+    pools, members = TARGET.pools_per_daemon, TARGET.workers_per_pool
+    owners = costs.at_target("owned_pools") * (2 * MAINTENANCE_PER_SECOND)
+    yield make_line(
+        role,
+        Quantity.CPU,
+        "which pools are its own",
+        costs.percent(owners, 1),
+        "% core",
+        "maintenance/service.py, coordination/rendezvous.py",
+    )
+    calls = costs.at_target("step_pool_reads").value * pools + 1
+    step = costs.at_target("step_pool_list") + costs.at("table_read_cpu", 1)
+    cpu = step * pools + costs.at("table_read_cpu", 1)
+    yield make_line(
+        role,
+        Quantity.CPU,
+        "steps of its pools in which nothing changes",
+        costs.percent(cpu, MAINTENANCE_PER_SECOND),
+        "% core",
+        module,
+    )
+    volume = (costs.at("table_read_bytes", 0) + costs.at_target("pool_row")) * pools
+    volume += costs.at("table_read_bytes", 0)
+    yield make_line(
+        role,
+        Quantity.BYTES,
+        "steps of its pools in which nothing changes, and the waves",
+        volume * MAINTENANCE_PER_SECOND,
+        "B/s",
+        module,
+        BYTES_LIMIT,
+    )
+    changed = costs.at_target("pool_row") * TARGET.pools
+    scans = changed * TARGET.list_changes_per_second
+    yield make_line(
+        role,
+        Quantity.BYTES,
+        "all pools read when members change",
+        scans,
+        "B/s",
+        "maintenance/service.py _refresh",
+        BYTES_LIMIT,
+        "only the pools named by the marker row are read",
+    )
+    reads = calls * MAINTENANCE_PER_SECOND + MEMBER_READS_PER_SECOND
+    yield make_line(
+        role, Quantity.READS, "of all daemons", sum_fleet(reads), "1/s", module
+    )
+    writes = costs.at_target("wave_writes").value / members
+    per_second = writes * TARGET.workers / (SIX_WEEKS_DAYS * 86_400)
+    yield make_line(
+        role,
+        Quantity.WRITES,
+        "waves over all instances in 6 weeks",
+        Amount(per_second),
+        "1/s",
+        "maintenance/steps.py",
+    )
+    days = members * REBOOT_SECONDS / 86_400
+    yield make_line(
+        role,
+        Quantity.TIME,
+        "all instances maintained, one at a time per pool",
+        Amount(days),
+        "days",
+        "maintenance/waves.py",
+        SIX_WEEKS_DAYS,
+    )
--- a/test/test_capacity.py
+++ b/test/test_capacity.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from bench.capacity_lines import Line, Quantity, Role
 from bench.capacity_page import PAGE, RECORD, fill_page, make_tables, read_tables
-from bench.capacity_roles import Line, Quantity, Role
 from bench.capacity_series import TARGET, make_series
 
 
