Read polled rows together and start children without a fork hook

Ruled out: gRPC, which takes 0.85% over all its threads; start-up cost.

Cause 2: a process test failed at its set-up twice in full runs and never alone: a child ended with an epoll error of gRPC. Children were started with a hook between fork and exec, and the test process has used gRPC by then. The child now asks to die with its parent itself. Ruled out: ports (each fleet reserves a network) and time limits (the child had ended).

--- a/emulator/processes.py
+++ b/emulator/processes.py
@@ -1,6 +1,5 @@
 """Child processes with log files, always ended by their own id."""
 
-import ctypes
 import os
 import signal
 import subprocess
@@ -10,16 +9,8 @@
 
 from attrs import define, field
 
-PR_SET_PDEATHSIG = 1
 LOG_TAIL_LINES = 30
 
-_libc = ctypes.CDLL(None, use_errno=True)
-
-
-def _die_with_parent() -> None:
-    """Ask the kernel to kill this child when its parent is killed."""
-    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-
 
 @define
 class Child:
@@ -75,12 +66,11 @@
         log = self.directory / f"{name}.log"
         with log.open("ab") as stream:
             process = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments],
+                [sys.executable, "-m", "emulator.child", module, *arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=stream,
                 stderr=subprocess.STDOUT,
                 env=os.environ | {"PYTHONUNBUFFERED": "1"},
-                preexec_fn=_die_with_parent,
             )
         child = Child(name, process, log)
         self.children[name] = child
--- a/hemlockstand/jobs/service.py
+++ b/hemlockstand/jobs/service.py
@@ -53,6 +53,7 @@
 log = logger.bind(module=__name__)
 
 MARKER_PREFIX = "jobs/marker/"  # one row per pool, written when others change jobs
+POLL_FRACTION = 0.8  # part of an interval for which a polled row is shared
 MAX_BACKOFF_SECONDS = 30.0
 REPORT_SECONDS = 2.0  # the usage in reports lags by seconds
 FLEET_SECONDS = 2.0  # the members of pools are read as often
@@ -85,7 +86,8 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self.platform = kernel.find("platform", PlatformService).platform
+        service = kernel.find("platform", PlatformService)
+        self.platform, self.polled = service.platform, service.polled
         self.configuration = kernel.find("configuration", ConfigurationService)
         self.peers = kernel.find("peers", PeersService)
         self.maintenance = kernel.find("maintenance", MaintenanceService)
@@ -154,25 +156,24 @@
             placer = self.rounds[pool]
             before = placer.store.writes
             try:
-                marker = await self.platform.table.read(MARKER_PREFIX + pool)
+                marker = await self.polled.read(
+                    MARKER_PREFIX + pool, section.interval_seconds * POLL_FRACTION
+                )
                 if marker.version != seen:
                     placer.store.forget()
                     seen = marker.version
                 outcome = await placer.run_round(self.configuration.current)
                 if outcome is not None:
                     self.outcomes[pool] = outcome
-                backoff = section.interval_seconds
+                backoff = pause = section.interval_seconds
             except PlatformUnavailable as error:
                 # Doubles with jitter, so that all pools of all daemons do not
                 # return at the same moment when the table is back.
                 backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+                pause = backoff * self._random.uniform(0.5, 1.0)
                 log.info("round of pool {} failed: {}", pool, error)
             written = placer.store.writes - before
-            pause = max(
-                backoff * self._random.uniform(0.5, 1.0),
-                written / section.writes_per_second,
-            )
-            await trio.sleep(pause)
+            await trio.sleep(max(pause, written / section.writes_per_second))
 
     def _list_sites(self, pool: str) -> dict[str, Site]:
         open_names = {record.id for record in self.maintenance.list_open([pool])}
--- a/hemlockstand/maintenance/service.py
+++ b/hemlockstand/maintenance/service.py
@@ -27,7 +27,12 @@
     encode_wave,
 )
 from hemlockstand.maintenance.rounds import MaintenanceRounds
-from hemlockstand.maintenance.steps import MEMBERS_KEY, InstanceSteps
+from hemlockstand.maintenance.steps import (
+    MEMBERS_KEY,
+    WAVES_KEY,
+    InstanceSteps,
+    mark_waves,
+)
 from hemlockstand.maintenance.waves import count_left
 from hemlockstand.model import Pool
 from hemlockstand.peers.service import PeersService
@@ -57,7 +62,8 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self.platform = kernel.find("platform", PlatformService).platform
+        service = kernel.find("platform", PlatformService)
+        self.platform, self.polled = service.platform, service.polled
         self.configuration = kernel.find("configuration", ConfigurationService)
         self.peers = kernel.find("peers", PeersService)
         section = self.settings.maintenance
@@ -71,6 +77,8 @@
         self.records: dict[str, InstanceRecord] = {}
         self.pools: dict[str, PoolState] = {}
         self._members_version = -1
+        self._waves: list[Wave] = []
+        self._waves_version = -1
         self._owners = OwnerIndex()
         self.rounds = MaintenanceRounds(self.steps, lambda: self.records)
 
@@ -124,7 +132,7 @@
     async def _refresh(self) -> None:
         listed = await self.platform.instances.list()
         self.records = {record.id: record for record in listed}
-        epoch = await self.platform.table.read(MEMBERS_KEY)
+        epoch = await self.polled.read(MEMBERS_KEY, MEMBERS_POLL_SECONDS / 2)
         if epoch.version == self._members_version:
             return
         for row in await self.platform.table.scan(POOL_PREFIX, limit=1000):
@@ -155,9 +163,22 @@
             yield pools[name]
 
     async def _read_waves(self) -> list[Wave]:
-        rows = await self.platform.table.scan(WAVE_PREFIX)
-        waves = (decode_wave(row) for row in rows)
-        return [wave for wave in waves if wave.state is not WaveState.DONE]
+        """Return the waves that are not done.
+
+        They are read when some changed by an operator, and in each step while
+        one is under way.
+        """
+        marker = await self.polled.read(
+            WAVES_KEY, self.settings.maintenance.interval_seconds / 2
+        )
+        if marker.version != self._waves_version or self._waves:
+            self._waves = [
+                wave
+                for wave in await self.list_waves()
+                if wave.state is not WaveState.DONE
+            ]
+            self._waves_version = marker.version
+        return self._waves
 
     async def _finish_waves(self, waves: list[Wave]) -> None:
         """Mark waves as done that have nothing left; the first pool's owner acts."""
@@ -199,7 +220,7 @@
                     f"pool {pool!r} has no availability budget", "no_budget"
                 )
         wave = Wave(name, pools, time())
-        if not await self.steps.commit([encode_wave(wave)]):
+        if not await self.steps.commit([encode_wave(wave), mark_waves(name)]):
             row = await self.platform.table.read(WAVE_PREFIX + name)
             if row.version == 0 or decode_wave(row).started_at != wave.started_at:
                 raise InvalidInput(f"wave {name!r} exists already", "wave_exists")
@@ -216,7 +237,7 @@
             raise InvalidInput(f"wave {name!r} is done", "wave_done")
         resumed = state is WaveState.RUNNING
         changed = evolve(wave, state=state, bad=() if resumed else wave.bad, reason="")
-        if not await self.steps.commit([encode_wave(changed)]):
+        if not await self.steps.commit([encode_wave(changed), mark_waves(name)]):
             raise InvalidInput(f"wave {name!r} changed meanwhile", "wave_changed")
         return changed
 
--- a/hemlockstand/maintenance/steps.py
+++ b/hemlockstand/maintenance/steps.py
@@ -52,6 +52,7 @@
 log = logger.bind(module=__name__)
 
 MEMBERS_KEY = "members/epoch"  # changes with each change of any pool's members
+WAVES_KEY = "waves/epoch"  # changes when an operator starts, pauses or resumes one
 
 
 @define
@@ -298,3 +299,8 @@
 def mark_members(instance: str) -> Put:
     """Return a write that tells all daemons that some pool's members changed."""
     return Put(MEMBERS_KEY, {"instance": instance}, None)
+
+
+def mark_waves(wave: str) -> Put:
+    """Return a write that makes all daemons read the waves again."""
+    return Put(WAVES_KEY, {"wave": wave}, None)
--- a/hemlockstand/platform/service.py
+++ b/hemlockstand/platform/service.py
@@ -6,6 +6,7 @@
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.platform.http import HttpPlatform
 from hemlockstand.platform.interface import InstanceRecord, Instances
+from hemlockstand.platform.polling import PolledRows
 
 SHARED_FRACTION = 0.8
 
@@ -36,7 +37,7 @@
 
 @register
 class PlatformService(Service):
-    """Gives the other services the platform as ``platform``."""
+    """Gives the other services the platform, and the rows that they poll."""
 
     name = "platform"
 
@@ -48,6 +49,10 @@
             self.platform.instances, section.instance_poll_seconds
         )
 
+    async def start(self) -> None:
+        """Prepare the polled rows; tests replace the table before this."""
+        self.polled = PolledRows(self.platform.table)
+
     async def run(self) -> None:
         """Keep the connections until the daemon stops."""
         try:
--- a/hemlockstand/requests/dispatch.py
+++ b/hemlockstand/requests/dispatch.py
@@ -27,7 +27,7 @@
     Slot,
 )
 from hemlockstand.requests.pools import PoolDispatcher, Waiter
-from hemlockstand.requests.shares import UPDATE_SECONDS, FleetShares
+from hemlockstand.requests.shares import IDLE_SECONDS, UPDATE_SECONDS, FleetShares
 from hemlockstand.requests.upstreams import UpstreamsService
 from hemlockstand.traces import inject_context, record_hop
 from hemlockstand.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
@@ -98,8 +98,10 @@
             await self._follow_shares()
 
     async def _follow_shares(self) -> None:
+        waiting: dict[str, dict[str, int]] = {}
         while True:
-            await trio.sleep(UPDATE_SECONDS)
+            is_idle = not any(waiting.values())
+            await trio.sleep(IDLE_SECONDS if is_idle else UPDATE_SECONDS)
             waiting = {
                 name: pool.waiting.count_waiting() for name, pool in self.pools.items()
             }
--- a/hemlockstand/requests/shares.py
+++ b/hemlockstand/requests/shares.py
@@ -22,6 +22,7 @@
 from hemlockstand.requests.neighbours import PeersSource
 
 UPDATE_SECONDS = 0.1
+IDLE_SECONDS = 0.5  # while nothing waits; each update wakes the process
 # Members change slowly, and a large fleet has hundreds.
 MEMBERS_SECONDS = 1.0
 TENTHS = 10
--- a/hemlockstand/requests/upstreams.py
+++ b/hemlockstand/requests/upstreams.py
@@ -43,7 +43,7 @@
 _TIMEOUTS = {"connect": CONNECT_SECONDS}
 MAX_CACHED_URLS = 4096
 MAX_ANSWER_BYTES = 16 << 20
-DRAIN_CHECK_SECONDS = 0.1
+DRAIN_CHECK_SECONDS = 0.3
 READ_ALL_SECONDS = 10.0
 REFUSAL_RETRY_SECONDS = 1.0
 # A call that ends at its deadline counts as a failure of the upstream only if
--- a/test/operator_fakes.py
+++ b/test/operator_fakes.py
@@ -26,6 +26,7 @@
     InstanceState,
 )
 from hemlockstand.platform.memory import MemoryObjects, MemoryTable
+from hemlockstand.platform.polling import PolledRows
 from hemlockstand.platform.service import PlatformService
 from hemlockstand.settings import load_settings
 from test.helper import write_settings
@@ -144,6 +145,7 @@
 
     def __init__(self, kernel: Kernel, platform: FakePlatform) -> None:
         self.platform = platform
+        self.polled = PolledRows(platform.table)
 
 
 @define
