Compress long replies of the platform stand-in

The HTTP client accepts gzip already; the stand-in now compresses replies from 1 KB on, and the client counts bodies in transit. The bench uses ids, addresses and counters that differ at random, so that compression does not look better than it is.

--- a/bench/capacity_calls.py
+++ b/bench/capacity_calls.py
@@ -2,8 +2,10 @@
 
 import tempfile
 from collections.abc import AsyncIterator, Callable, Iterator
+from functools import partial
 from math import inf
 from pathlib import Path
+from random import Random
 from time import monotonic, process_time
 
 import httpx
@@ -23,6 +25,12 @@
 from emulator.processes import ChildGroup
 from hemlockstand.coordination.freshness import FreshnessTracker, Report, StampAge
 from hemlockstand.coordination.membership import MembershipView, Peer
+from hemlockstand.maintenance.records import (
+    POOL_PREFIX,
+    PoolState,
+    decode_pool,
+    encode_pool,
+)
 from hemlockstand.peers.beats import BeatMaker
 from hemlockstand.peers.demands import Demand, DemandBoard
 from hemlockstand.peers.messages import decode_report
@@ -90,6 +98,7 @@
     platform = HttpPlatform(url, 10.0)
     try:
         series = [entry async for entry in _measure_table(platform)]
+        series += [entry async for entry in _measure_pools(platform)]
         series += [entry async for entry in _measure_list(platform)]
         return series + [entry async for entry in _measure_workers(platform)]
     finally:
@@ -130,9 +139,20 @@
 
 
 async def _measure_table(platform: HttpPlatform) -> AsyncIterator[Series]:
-    keys = [f"holder/{name}/0123456789ab.1" for name in name_daemons(100)]
+    # Values that differ as those of a fleet do, so that compression does not
+    # look better than it is.
+    random = Random(4)
+    keys = [
+        f"holder/{name}/{name}-{random.randbytes(4).hex()}.1"
+        for name in name_daemons(100)
+    ]
     for key in keys:
-        await platform.table.transact([Put(key, ROW, None)])
+        row = {
+            **ROW,
+            "counter": random.randrange(1_000_000),
+            "data_centre": random.choice(name_data_centres(TARGET.data_centres)),
+        }
+        await platform.table.transact([Put(key, row, None)])
     reads, writes = {}, {}
     for size in (1, 2, 10, 25, 50, 100):
         reads[size] = await _cost(
@@ -150,10 +170,32 @@
         yield entry
 
 
+async def _measure_pools(platform: HttpPlatform) -> AsyncIterator[Series]:
+    """Yield the cost of reading all pools, which each change of members causes."""
+    costs, written = {}, 0
+    for size in (30, 60, 120, 239):
+        for number in range(written, size):
+            first = number * TARGET.workers_per_pool
+            members = range(first, first + TARGET.workers_per_pool)
+            names = tuple(map(name_worker, members))
+            pool = PoolState(f"pool-{number:03}", 0, 2, names)
+            await platform.table.transact([encode_pool(pool)])
+        written = size
+        costs[size] = await _cost(platform, partial(_read_pools, platform), 10)
+    module = "maintenance/service.py _refresh"
+    for entry in _pair("pools_read", module, "pools", TARGET.pools, costs):
+        yield entry
+
+
+async def _read_pools(platform: HttpPlatform) -> list[PoolState]:
+    rows = await platform.table.scan(POOL_PREFIX, limit=1000)
+    return [decode_pool(row.key.removeprefix(POOL_PREFIX), row) for row in rows]
+
+
 async def _measure_list(platform: HttpPlatform) -> AsyncIterator[Series]:
     known, whole = {}, {}
     registered = 0
-    for size in (100, 200, 400, 800):
+    for size in (350, 700, 1400, 2800):
         for number in range(registered, size):
             await _register_worker(platform, number)
         registered = size
@@ -171,25 +213,33 @@
         yield entry
 
 
+def name_worker(number: int) -> str:
+    """Return an id as a platform gives it, which tells nothing."""
+    return f"i-{Random(number).randbytes(6).hex()}"
+
+
 async def _register_worker(platform: HttpPlatform, number: int) -> None:
+    random = Random(number)
+    centre = random.choice(name_data_centres(TARGET.data_centres))
+    host = ".".join(str(part) for part in random.randbytes(3))
     record = {
-        "id": f"pool{number // 24:03}-worker-{number % 24 + 1}",
+        "id": name_worker(number),
         "kind": "worker",
-        "region": "region0",
-        "data_centre": "region0-dc00",
-        "rack": f"region0-dc00-r{number // 4}",
-        "address": "127.0.0.1:1",
+        "region": centre.partition("-")[0],
+        "data_centre": centre,
+        "rack": f"{centre}-r{random.randrange(64)}",
+        "address": f"10.{host}:8102",
         "pool": f"pool{number // 24:03}",
         "cores": 16.0,
         "memory_mb": 32768,
-        "accelerators": 2,
+        "accelerators": random.choice((0, 2, 4)),
     }
     await platform.http.call("POST", "/instances", True, json=record)
 
 
 async def _measure_workers(platform: HttpPlatform) -> AsyncIterator[Series]:
     reports, renewals = {}, {}
-    workers = [f"pool000-worker-{number + 1}" for number in range(24)]
+    workers = [name_worker(number) for number in range(24)]
     for worker in workers:
         await _start_task(platform, worker, 0)
     for size in (3, 6, 12, 24):
@@ -198,14 +248,15 @@
             platform, lambda busy=busy: platform.workers.reports(busy)
         )
     for size in (1, 2, 4, 8):
-        worker = f"pool001-worker-{size}"
+        worker = name_worker(24 + size)
         for number in range(size):
             await _start_task(platform, worker, number)
 
         async def renew_all(worker: str = worker, size: int = size) -> None:
             for number in range(size):
                 name = _name_task(worker, number)
-                await platform.workers.renew(worker, name, 1, 600)
+                fence = 1 + Random(name).randrange(100_000)
+                await platform.workers.renew(worker, name, fence, 600)
 
         renewals[size] = await _cost(platform, renew_all, 20)
     module, pool = "platform/http.py HttpWorkers", TARGET.workers_per_pool
@@ -222,7 +273,12 @@
 
 async def _start_task(platform: HttpPlatform, worker: str, number: int) -> None:
     name = _name_task(worker, number)
-    task = TaskStart(name, 1, 600, Shape(1.0, 1000), "batch", {"job": "reconcile"})
+    random = Random(name)
+    fence = 1 + random.randrange(100_000)
+    shape = Shape(round(random.uniform(1, 8), 2), random.randrange(1000, 9000))
+    task = TaskStart(
+        name, fence, 600, shape, "batch", {"job": "reconcile", "duration_seconds": 600}
+    )
     await platform.workers.start(worker, task)
 
 
--- a/bench/capacity_work.py
+++ b/bench/capacity_work.py
@@ -170,17 +170,24 @@
         module,
         BYTES_LIMIT,
     )
-    changed = costs.at_target("pool_row") * TARGET.pools
-    scans = changed * TARGET.list_changes_per_second
     yield make_line(
         role,
         Quantity.BYTES,
         "all pools read when members change",
-        scans,
+        costs.at_target("pools_read_bytes") * TARGET.list_changes_per_second,
         "B/s",
         "maintenance/service.py _refresh",
         BYTES_LIMIT,
-        "only the pools named by the marker row are read",
+    )
+    yield make_line(
+        role,
+        Quantity.CPU,
+        "all pools read when members change",
+        costs.percent(
+            costs.at_target("pools_read_cpu"), TARGET.list_changes_per_second
+        ),
+        "% core",
+        "maintenance/service.py _refresh",
     )
     reads = calls * MAINTENANCE_PER_SECOND + MEMBER_READS_PER_SECOND
     yield make_line(
--- a/emulator/platform.py
+++ b/emulator/platform.py
@@ -9,6 +9,7 @@
 while the data centre is cut off.
 """
 
+import gzip
 import hashlib
 import time
 
@@ -42,6 +43,8 @@
 
 TICK_SECONDS = 0.05
 EXECUTOR_TIMEOUT_SECONDS = 1.0
+COMPRESS_FROM_BYTES = 1024
+COMPRESS_LEVEL = 1
 CONTROL_PATHS = frozenset(("faults", "record", "profiles", "health"))
 
 _transaction_decoder = msgspec.json.Decoder(Transaction)
@@ -67,6 +70,10 @@
 
     async def handle(self, request: WebRequest) -> WebResponse | None:
         """Answer one request; ``None`` leaves it without an answer."""
+        response = await self._handle(request)
+        return None if response is None else _compress(request, response)
+
+    async def _handle(self, request: WebRequest) -> WebResponse | None:
         parts = request.path.split("/")[1:]
         if parts[0] in CONTROL_PATHS:
             return self._handle_control(parts, request)
@@ -301,6 +308,17 @@
     return evolve(response, headers=headers)
 
 
+def _compress(request: WebRequest, response: WebResponse) -> WebResponse:
+    """Compress a long body for a client that accepts it."""
+    if len(response.body) < COMPRESS_FROM_BYTES:
+        return response
+    if "gzip" not in request.header("accept-encoding"):
+        return response
+    headers = (*response.headers, (b"content-encoding", b"gzip"))
+    body = gzip.compress(response.body, COMPRESS_LEVEL, mtime=0)
+    return evolve(response, body=body, headers=headers)
+
+
 def _refuse_unknown(request: WebRequest) -> WebResponse:
     return refuse(400, f"unknown call {request.method} {request.path}")
 
--- a/hemlockstand/platform/http.py
+++ b/hemlockstand/platform/http.py
@@ -79,7 +79,8 @@
             raise _lost_reply(changes, f"{method} {path}: {error!r}") from error
         request = response.request
         self.bytes_sent += len(request.content) + _measure_headers(request.headers)
-        self.bytes_received += len(response.content)
+        # Bodies may be compressed; this is their length in transit.
+        self.bytes_received += response.num_bytes_downloaded
         self.bytes_received += _measure_headers(response.headers)
         _check_status(response, changes)
         return response
--- a/test/test_emulator_platform.py
+++ b/test/test_emulator_platform.py
@@ -274,3 +274,21 @@
     reports = await bench.platform.workers.reports(["w2", "gone", "w1"])
     assert [report.worker for report in reports] == ["w2", "w1"]
     assert [len(report.tasks) for report in reports] == [1, 0]
+
+
+async def test_long_replies_are_compressed(bench):
+    """Guards against an instance list that costs its whole length each time."""
+    for number in range(50):
+        await bench.add(f"worker-{number}")
+    http = bench.platform.http
+    before = http.bytes_received
+    records = await bench.platform.instances.list()
+    received = http.bytes_received - before
+    response = await http.call("GET", "/instances", False)
+    assert len(records) == 50
+    assert received < len(response.content) / 4
+    plain = await http.call(
+        "GET", "/instances", False, headers={"Accept-Encoding": "identity"}
+    )
+    assert plain.content == response.content
+    assert "Content-Encoding" not in plain.headers
