Tell the data centre of leaving upstreams, and number names in heartbeats

Cause: an upstream's X-Not-Run: leaving and a refused connection stopped new work only through the daemon that saw them.

A sign goes to all living daemons of the data centre at once, as only they use the executor, and into heartbeats to them for 5 s. It ends when the executor is listed as live and answers its health check. A daemon that hears of a refused connection checks for itself at once, so that a daemon with a broken network does not stop the others. Teams are numbers in heartbeats where both ends have the same names, and fleets of 12 daemons and more send 12 pairs of pool and team.

--- a/bench/shares.py
+++ b/bench/shares.py
@@ -28,8 +28,9 @@
     PoolDemand,
     PoolTeam,
 )
+from hemlockstand.peers.members import Member
 from hemlockstand.peers.names import NameIndex
-from hemlockstand.peers.service import Member
+from hemlockstand.peers.signs import SignBoard
 from hemlockstand.requests.shares import UPDATE_SECONDS, FleetShares
 
 POOL = "main"
@@ -159,7 +160,7 @@
             for step in range(rate):
                 self.clock.now = second + step / rate
                 fleet.update(self._serve_step(single))
-                self._exchange_due()
+                self.exchange_due()
                 if self.is_corrected and step % updates == 0:
                     self._update_all()
             if second >= PEAK_AT_SECONDS + SETTLE_SECONDS:
@@ -176,6 +177,7 @@
         board = DemandBoard(self.clock.read)
         beats = BeatMaker(name, f"{name}-1", centre, view, board, tracker, name)
         beats.pool_board = DemandBoard(self.clock.read, POOL_DEMAND_KEEP_SECONDS)
+        beats.signs = SignBoard(self.clock.read, Random(self._random.random()))
         self.fleet[name] = QueueDaemon(name, centre, view, beats, self.clock)
         self._due[name] = self._random.random() * EXCHANGE_SECONDS
 
@@ -214,16 +216,18 @@
     def _has_queue(self, daemon: QueueDaemon) -> bool:
         return daemon.data_centre in self._configuration.pools[POOL].data_centres
 
-    def _exchange_due(self) -> None:
+    def exchange_due(self) -> None:
+        """Let the daemons exchange whose time has come."""
         for daemon in self.fleet.values():
             if self.clock.now < self._due[daemon.name]:
                 continue
             self._due[daemon.name] += EXCHANGE_SECONDS
-            oldest = self._random.choice(_name_centres(self.scenario.fleet_centres))
+            oldest = daemon.beats.tracker.oldest_stamp()
             for peer in daemon.view.choose_targets(daemon.data_centre, oldest):
                 called = self.fleet[peer.name]
-                called.beats.take(daemon.beats.make(False))
-                daemon.beats.take(called.beats.make_reply(daemon.name, False))
+                called.beats.take(daemon.beats.make(False, called.data_centre))
+                reply = called.beats.make_reply(daemon.name, False, daemon.data_centre)
+                daemon.beats.take(reply)
 
     def _update_all(self) -> None:
         for daemon in self.fleet.values():
--- a/hemlockstand/peers/beats.py
+++ b/hemlockstand/peers/beats.py
@@ -15,6 +15,7 @@
 from hemlockstand.peers.demands import Demand, DemandBoard, PoolDemand, PoolTeam
 from hemlockstand.peers.messages import encode_report
 from hemlockstand.peers.names import NameIndex
+from hemlockstand.peers.signs import SignBoard
 
 MEMBERS_PER_BEAT = 4
 # A small fleet hears of all its teams within seconds; a large one has to keep
@@ -23,7 +24,7 @@
 DEMANDS_PER_BEAT_OF_LARGE_FLEET = 6
 LARGE_FLEET = 12
 POOL_DEMANDS_PER_BEAT = 40
-POOL_DEMANDS_PER_BEAT_OF_LARGE_FLEET = 16
+POOL_DEMANDS_PER_BEAT_OF_LARGE_FLEET = 12
 
 
 @define
@@ -39,9 +40,10 @@
     address: str = ""
     pool_board: DemandBoard[PoolTeam, PoolDemand] = field(factory=DemandBoard)
     names: NameIndex = field(factory=NameIndex)
+    signs: SignBoard = field(factory=SignBoard)
 
-    def make(self, leaving: bool) -> peer_pb2.Beat:
-        """Return a beat for a request."""
+    def make(self, leaving: bool, data_centre: str = "") -> peer_pb2.Beat:
+        """Return a beat for a request to a daemon of a data centre."""
         beat = peer_pb2.Beat(
             sender=self.daemon,
             incarnation=self.incarnation,
@@ -52,22 +54,20 @@
         )
         is_large = self.view.count() >= LARGE_FLEET
         most = DEMANDS_PER_BEAT_OF_LARGE_FLEET if is_large else DEMANDS_PER_BEAT
-        for team, demand in self.board.choose(most):
-            beat.demands.add(
-                team=team,
-                waiting=demand.waiting,
-                running=demand.running,
-                idle=demand.idle,
-            )
+        self.names.encode_teams(beat, self.board.choose(most))
         most = (
             POOL_DEMANDS_PER_BEAT_OF_LARGE_FLEET if is_large else POOL_DEMANDS_PER_BEAT
         )
-        self.names.encode(beat, self.pool_board.choose(most))
+        self.names.encode_pools(beat, self.pool_board.choose(most))
+        if data_centre == self.data_centre:
+            self.signs.encode(beat)
         return beat
 
-    def make_reply(self, receiver: str, leaving: bool) -> peer_pb2.Beat:
+    def make_reply(
+        self, receiver: str, leaving: bool, data_centre: str = ""
+    ) -> peer_pb2.Beat:
         """Return a beat with a freshness report and news of third daemons."""
-        beat = self.make(leaving)
+        beat = self.make(leaving, data_centre)
         encode_report(beat, self.tracker.make_report())
         digest = self.view.make_digest(self.daemon, self.tracker.version)
         beat.digest.checksum = digest.checksum
@@ -106,12 +106,9 @@
         )
         self.view.hear(sender, age)
         self.tracker.record_news(sender.data_centre)
-        demands = {
-            entry.team: Demand(entry.waiting, entry.running, entry.idle)
-            for entry in beat.demands
-        }
-        self.board.receive(beat.sender, demands)
-        self.pool_board.receive(beat.sender, self.names.decode(beat))
+        self.board.receive(beat.sender, self.names.decode_teams(beat))
+        self.signs.decode(beat)
+        self.pool_board.receive(beat.sender, self.names.decode_pools(beat))
         for entry in beat.members:
             self._take_member(entry)
         if beat.HasField("digest"):
--- a/hemlockstand/peers/names.py
+++ b/hemlockstand/peers/names.py
@@ -16,7 +16,7 @@
 from attrs import field, frozen
 
 from hemlockstand.peers import peer_pb2
-from hemlockstand.peers.demands import PoolDemand, PoolTeam
+from hemlockstand.peers.demands import Demand, PoolDemand, PoolTeam
 
 
 def _number(names: tuple[str, ...]) -> dict[str, int]:
@@ -46,32 +46,62 @@
             _number(sorted_teams),
         )
 
-    def encode(
+    def encode_teams(
+        self, beat: peer_pb2.Beat, demands: Iterable[tuple[str, Demand]]
+    ) -> None:
+        """Write demands by team into a beat; unknown names are sent as text."""
+        for team, demand in demands:
+            entry = beat.demands.add(
+                waiting=demand.waiting, running=demand.running, idle=demand.idle
+            )
+            if team in self._team_numbers:
+                entry.number = self._team_numbers[team]
+                beat.names = self.checksum
+            else:
+                entry.team = team
+
+    def decode_teams(self, beat: peer_pb2.Beat) -> dict[str, Demand]:
+        """Return the demands by team whose names are known here."""
+        teams = self.teams if beat.names == self.checksum else ()
+        demands = {}
+        for entry in beat.demands:
+            name = entry.team
+            if entry.HasField("number"):
+                name = teams[entry.number] if entry.number < len(teams) else ""
+            if name:
+                demands[name] = Demand(entry.waiting, entry.running, entry.idle)
+        return demands
+
+    def encode_pools(
         self, beat: peer_pb2.Beat, demands: Iterable[tuple[PoolTeam, PoolDemand]]
     ) -> None:
-        """Write demands into a beat; those with unknown names are left out."""
-        entries: dict[int, list[int]] = {}
+        """Write demands by pool and team; unknown names are left out."""
+        entries: dict[int, dict[int, PoolDemand]] = {}
         for place, demand in demands:
             pool = self._pool_numbers.get(place.pool)
             team = self._team_numbers.get(place.team)
             if pool is not None and team is not None:
-                figures = entries.setdefault(pool, [])
-                figures += (team, demand.waiting, demand.served)
-        if entries:
+                entries.setdefault(pool, {})[team] = demand
+        for pool, teams in entries.items():
             beat.names = self.checksum
-        for pool, figures in entries.items():
-            beat.pools.add(pool=pool, figures=figures)
+            figures = beat.pools.add(pool=pool).figures
+            before = 0
+            for team in sorted(teams):
+                demand = teams[team]
+                figures.extend((team - before, demand.waiting, demand.served))
+                before = team
 
-    def decode(self, beat: peer_pb2.Beat) -> dict[PoolTeam, PoolDemand]:
-        """Return the demands in a beat, none if its names are others."""
+    def decode_pools(self, beat: peer_pb2.Beat) -> dict[PoolTeam, PoolDemand]:
+        """Return the demands by pool and team, none if the names are others."""
         if beat.names != self.checksum:
             return {}
-        return {
-            PoolTeam(self.pools[entry.pool], self.teams[team]): PoolDemand(
-                waiting, served
-            )
-            for entry in beat.pools
-            if entry.pool < len(self.pools)
-            for team, waiting, served in zip(*[iter(entry.figures)] * 3, strict=False)
-            if team < len(self.teams)
-        }
+        demands = {}
+        for entry in beat.pools:
+            figures = iter(entry.figures)
+            team = 0
+            for step, waiting, served in zip(figures, figures, figures, strict=False):
+                team += step
+                if entry.pool < len(self.pools) and team < len(self.teams):
+                    place = PoolTeam(self.pools[entry.pool], self.teams[team])
+                    demands[place] = PoolDemand(waiting, served)
+        return demands
--- a/hemlockstand/peers/service.py
+++ b/hemlockstand/peers/service.py
@@ -4,7 +4,6 @@
 from secrets import token_hex
 
 import trio
-from attrs import frozen
 from loguru import logger
 
 from hemlockstand.configuration.freshness import FreshnessService
@@ -21,12 +20,14 @@
     PoolDemand,
     PoolTeam,
 )
+from hemlockstand.peers.members import Member
 from hemlockstand.peers.messages import (
     decode_report,
     decode_verdict,
     encode_verdict,
 )
 from hemlockstand.peers.names import NameIndex
+from hemlockstand.peers.signs import LeavingSign
 from hemlockstand.peers.transport import (
     PeerClient,
     PeerError,
@@ -42,25 +43,15 @@
 
 PROBE_CONCURRENCY = 16
 STOP_GRACE_SECONDS = 1.0
+# A wave of failures costs a data centre's daemons two rounds a second at most.
+SIGN_ROUND_SECONDS = 0.5
 INCARNATION_GONE = "peer_incarnation_gone"
 
 AskFunction = Callable[[str, str], Awaitable[Verdict | None]]
 ForwardFunction = Callable[[bytes], Awaitable[Verdict]]
 FetchFunction = Callable[[int], Awaitable[peer_pb2.FetchReply]]
 NewerFunction = Callable[[Peer], None]
-
-
-@frozen
-class Member:
-    """A daemon of the fleet as seen from here."""
-
-    name: str
-    incarnation: str
-    data_centre: str
-    address: str
-    alive: bool
-    leaving: bool
-    configuration_version: int
+SignFunction = Callable[[LeavingSign], None]
 
 
 @register
@@ -100,6 +91,7 @@
         self._forward: ForwardFunction | None = None
         self._fetch: FetchFunction | None = None
         self._newer: NewerFunction | None = None
+        self._sign_added = trio.Event()
 
     async def start(self) -> None:
         """Listen for peers and read the instance list once."""
@@ -118,6 +110,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._follow_instances)
             nursery.start_soon(self._exchange_rounds)
+            nursery.start_soon(self._announce_signs)
 
     async def stop(self) -> None:
         """Tell some peers that this daemon leaves, then stop listening."""
@@ -162,6 +155,15 @@
         """Return the figures of all peers that were heard lately."""
         return self._pool_board.list_peers()
 
+    def tell_sign(self, sign: LeavingSign) -> None:
+        """Tell the daemons of this data centre that an executor leaves."""
+        self._beats.signs.add(sign)
+        self._sign_added.set()
+
+    def handle_sign(self, function: SignFunction) -> None:
+        """Set what is called with a sign that a peer saw."""
+        self._beats.signs.handler = function
+
     def handle_ask(self, function: AskFunction) -> None:
         """Set what answers a peer that asks for a kept outcome."""
         self._ask = function
@@ -252,15 +254,13 @@
         peers = {peer.name: peer for peer in self._choose_targets()}
         data_centre = self.settings.daemon.data_centre
         peers |= {peer.name: peer for peer in self.view.list_alive(data_centre)}
-        async with trio.open_nursery() as nursery:
-            for peer in peers.values():
-                nursery.start_soon(self.exchange_with, peer)
+        await self._exchange_all(peers.values())
 
     async def exchange_with(self, peer: Peer) -> Peer | None:
         """Exchange heartbeats once; return the peer as it replied, if it did."""
         sent_at = trio.current_time()
         timeout = self.settings.peers.timeout_seconds
-        beat = self._beats.make(self.leaving)
+        beat = self._beats.make(self.leaving, peer.data_centre)
         try:
             reply = await self._client.call(peer.address, "Exchange", beat, timeout)
         except HemlockstandError as error:
@@ -276,6 +276,24 @@
         self._tracker.record_report(decode_report(reply), sent_at)
         return self._take_beat(reply, trio.current_time() - sent_at)
 
+    async def _announce_signs(self) -> None:
+        """Exchange with the whole data centre as soon as there is a sign.
+
+        Signs of the same moment, such as those of a rack, share an exchange.
+        """
+        while True:
+            await self._sign_added.wait()
+            self._sign_added = trio.Event()
+            await self._exchange_all(
+                self.view.list_alive(self.settings.daemon.data_centre)
+            )
+            await trio.sleep(SIGN_ROUND_SECONDS)
+
+    async def _exchange_all(self, peers: Iterable[Peer]) -> None:
+        async with trio.open_nursery() as nursery:
+            for peer in peers:
+                nursery.start_soon(self.exchange_with, peer)
+
     async def _follow_instances(self) -> None:
         while True:
             await trio.sleep(self.settings.platform.instance_poll_seconds)
@@ -347,7 +365,7 @@
         if beat.sender != self.settings.daemon.name:
             self._tracker.record_version(beat.configuration_version)
             self._take_beat(beat)
-        return self._beats.make_reply(beat.sender, self.leaving)
+        return self._beats.make_reply(beat.sender, self.leaving, beat.data_centre)
 
     async def _answer_fetch(
         self, request: peer_pb2.FetchRequest
--- a/hemlockstand/requests/executors.py
+++ b/hemlockstand/requests/executors.py
@@ -14,17 +14,17 @@
     InstanceState as ListState,
 )
 
-# A leaving or unreachable executor is not tried again for this time even if
-# the lagging instance list still calls it live.
-LEAVING_SECONDS = 15.0
-UNREACHABLE_SECONDS = 2.0
 MEASUREMENT_SECONDS = 2.0
 DEVIATIONS = 3.0
 
 
 @define(eq=False)
 class Executor:
-    """An upstream instance as this daemon sees it; times are monotonic."""
+    """An upstream instance as this daemon sees it; times are monotonic.
+
+    ``is_suspect`` holds from a sign of leaving until a health check that is
+    made after ``avoid_until``.
+    """
 
     id: str
     address: str
@@ -33,13 +33,14 @@
     listed_leaving: bool = False
     in_maintenance: bool = False
     drained: bool = False
+    is_suspect: bool = False
     avoid_until: float = float("-inf")
 
     def takes_work(self, now: float) -> bool:
         """Return whether no sign says that the executor is leaving or down."""
         if self.listed_leaving or self.in_maintenance or self.drained:
             return False
-        return now >= self.avoid_until
+        return not self.is_suspect and now >= self.avoid_until
 
 
 @frozen
@@ -71,6 +72,14 @@
         known = self.pools.get(pool)
         return tuple(known.executors.values()) if known is not None else ()
 
+    def all(self) -> list[Executor]:
+        """Return the known executors of all pools."""
+        return [
+            executor
+            for known in self.pools.values()
+            for executor in known.executors.values()
+        ]
+
     def follow_list(
         self,
         records: Iterable[InstanceRecord],
@@ -87,7 +96,7 @@
         }
         gone = [
             executor
-            for executor in self._all()
+            for executor in self.all()
             if not _is_same(executor, listed.get(executor.id))
         ]
         for executor in gone:
@@ -100,7 +109,7 @@
 
     def follow_drains(self, drains: Mapping[str, str]) -> None:
         """Mark the executors that the configuration drains."""
-        for executor in self._all():
+        for executor in self.all():
             executor.drained = executor.id in drains
 
     def choose(
@@ -164,13 +173,6 @@
             if record.data_centre == self.data_centre:
                 yield record
 
-    def _all(self) -> list[Executor]:
-        return [
-            executor
-            for known in self.pools.values()
-            for executor in known.executors.values()
-        ]
-
     def _add(self, record: InstanceRecord, in_maintenance: bool) -> None:
         known = self.pools.setdefault(record.pool, ExecutorPool())
         executor = known.executors.get(record.id)
--- a/hemlockstand/requests/neighbours.py
+++ b/hemlockstand/requests/neighbours.py
@@ -10,6 +10,7 @@
 from hemlockstand.coordination.freshness import Scope
 from hemlockstand.model import Configuration
 from hemlockstand.peers.demands import PoolDemand, PoolTeam
+from hemlockstand.peers.signs import LeavingSign
 from hemlockstand.verdict import Verdict
 
 
@@ -77,6 +78,10 @@
 
     def pool_demands(self) -> Mapping[str, Mapping[PoolTeam, PoolDemand]]: ...
 
+    def tell_sign(self, sign: LeavingSign) -> None: ...
+
+    def handle_sign(self, function: Callable[[LeavingSign], None]) -> None: ...
+
     async def forward(
         self,
         daemon_incarnation: str,
--- a/hemlockstand/requests/upstreams.py
+++ b/hemlockstand/requests/upstreams.py
@@ -25,14 +25,10 @@
 from hemlockstand.platform.interface import InstanceRecord
 from hemlockstand.platform.service import PlatformService
 from hemlockstand.requests.connections import KEEP_ALIVE_SECONDS, ConnectionStack
-from hemlockstand.requests.executors import (
-    LEAVING_SECONDS,
-    UNREACHABLE_SECONDS,
-    Executor,
-    ExecutorRegistry,
-)
+from hemlockstand.requests.executors import Executor, ExecutorRegistry
 from hemlockstand.requests.messages import Request
-from hemlockstand.requests.neighbours import ConfigurationSource
+from hemlockstand.requests.neighbours import ConfigurationSource, PeersSource
+from hemlockstand.requests.signs import SignWatch
 from hemlockstand.traces import inject_context, record_hop
 from hemlockstand.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
 
@@ -86,7 +82,7 @@
     """Knows the executors of this data centre and calls them."""
 
     name = "upstreams"
-    needs = ("platform", "configuration")
+    needs = ("platform", "configuration", "peers")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -101,13 +97,17 @@
         """Read the instance list once; an outage only delays it."""
         self._configuration = self.kernel.find("configuration", ConfigurationSource)
         self._platform = self.kernel.find("platform", PlatformService).platform
+        peers = self.kernel.find("peers", PeersSource)
+        self._signs = SignWatch(self.registry, peers)
+        peers.handle_sign(self._signs.hear)
         await self._read_list()
 
     async def run(self) -> None:
-        """Follow the instance list and the drains."""
+        """Follow the instance list, the drains and the signs of leaving."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._follow_list)
             nursery.start_soon(self._follow_drains)
+            nursery.start_soon(self._signs.run)
 
     def executors(self, pool: str) -> tuple[Executor, ...]:
         """Return the known executors of a pool with their measured state."""
@@ -182,11 +182,11 @@
             case NotRun(reason=Reason.UPSTREAM_REFUSED) if not sending.started:
                 executor.window.record_nothing()
                 if sending.was_refused:
-                    executor.avoid_until = now + UNREACHABLE_SECONDS
+                    self._signs.record(executor, is_refused=True)
                 ejector.record_failure(executor.id, now)
             case NotRun(reason=Reason.UPSTREAM_REFUSED, detail="leaving"):
                 executor.window.record_nothing()
-                executor.avoid_until = now + LEAVING_SECONDS
+                self._signs.record(executor, is_refused=False)
             case NotRun(reason=Reason.UPSTREAM_REFUSED):
                 executor.window.record_refusal(now)
             case MayHaveRun(reason=Reason.DEADLINE_EXPIRED):
--- a/test/daemons.py
+++ b/test/daemons.py
@@ -48,12 +48,13 @@
 class Fleet:
     """Daemons that share a table and talk over 127.0.0.1."""
 
-    def __init__(self, nursery, directory, monkeypatch) -> None:
+    def __init__(self, nursery, directory, monkeypatch, services=()) -> None:
         self.table = MemoryTable()
         self.objects = MemoryObjects()
         self.daemons: dict[str, Daemon] = {}
         self._nursery = nursery
         self._directory = directory
+        self._services = ("configuration", "freshness", "peers", *services)
         self._platform = None
         monkeypatch.setattr(
             "hemlockstand.platform.service.HttpPlatform",
@@ -80,13 +81,14 @@
         text = text.replace(
             "[peers]", f"[peers]\ninterval_seconds = 0.1\nseeds = {seeds}"
         )
+        text = text.replace("[platform]", "[platform]\ninstance_poll_seconds = 0.1")
         text = text.replace("name = entry-1", f"name = {name}")
         text = text.replace("data_centre = dc1\n", f"data_centre = {data_centre}\n")
         path.write_text(text)
         self._platform = MemoryPlatform(SwitchedTable(self.table), self.objects)
         self._platform.table.down = down
         self._platform.instances.down = True
-        kernel = Kernel(load_settings(path), ("configuration", "freshness", "peers"))
+        kernel = Kernel(load_settings(path), self._services)
         await self._nursery.start(kernel.serve)
         self.daemons[name] = Daemon(kernel, self._platform)
         return self.daemons[name]
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -74,6 +74,9 @@
     connections: int = 0
     running: int = 0
     most_running: int = 0
+    health_checks: int = 0
+    is_leaving: bool = False
+    is_closed: bool = False
     address: str = ""
 
     CLOSE = b"<close>"
@@ -96,6 +99,12 @@
         except trio.BrokenResourceError:
             return
 
+    def _show_health(self) -> bytes:
+        self.health_checks += 1
+        body = b'{"leaving": true}' if self.is_leaving else b"{}"
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        return head.encode() + body
+
     async def _handle_one(self, stream: trio.SocketStream, buffer: bytearray) -> bool:
         while b"\r\n\r\n" not in buffer:
             data = await stream.receive_some()
@@ -114,6 +123,9 @@
             rest += data
         buffer[:] = rest[length:]
         received = Received(lines[0].split()[1], headers, rest[:length])
+        if received.path == "/health":
+            await stream.send_all(self._show_health())
+            return True
         self.received.append(received)
         self.running += 1
         self.most_running = max(self.most_running, self.running)
@@ -238,6 +250,8 @@
     published: dict = field(factory=dict)
     heard: dict = field(factory=dict)
     known: list = field(factory=list)
+    told: list = field(factory=list)
+    receive_sign: Any = None
 
     async def forward(self, daemon_incarnation, message, timeout_seconds=None):
         await trio.lowlevel.checkpoint()
@@ -261,6 +275,12 @@
     def pool_demands(self):
         return self.heard
 
+    def tell_sign(self, sign) -> None:
+        self.told.append(sign)
+
+    def handle_sign(self, function) -> None:
+        self.receive_sign = function
+
 
 @define(eq=False)
 class FakeInstances:
--- a/test/test_fleet_shares.py
+++ b/test/test_fleet_shares.py
@@ -28,7 +28,7 @@
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
-@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("seed", [1, 2, 3])
 def test_fleet_shares_like_one_queue(name, seed):
     """Guards against shares that hold at each daemon but not over the fleet."""
     errors = list(Simulation(SCENARIOS[name], seed).run())
@@ -98,12 +98,14 @@
     names = NameIndex.make(["main", "spare"], ["hinge", "clamp"])
     beat = peer_pb2.Beat()
     demands = {HINGE: PoolDemand(3, 125), PoolTeam("spare", "clamp"): PoolDemand(0, 7)}
-    names.encode(beat, [*demands.items(), (PoolTeam("gone", "x"), PoolDemand(1, 1))])
-    assert names.decode(beat) == demands
-    assert NameIndex.make(["main", "spare"], ["hinge"]).decode(beat) == {}
+    names.encode_pools(
+        beat, [*demands.items(), (PoolTeam("gone", "x"), PoolDemand(1, 1))]
+    )
+    assert names.decode_pools(beat) == demands
+    assert NameIndex.make(["main", "spare"], ["hinge"]).decode_pools(beat) == {}
     beat.pools.add(pool=9, figures=[0, 1, 1])
     beat.pools.add(pool=0, figures=[9, 1, 1, 0])
-    assert names.decode(beat) == demands
+    assert names.decode_pools(beat) == demands
 
 
 def test_figures_of_a_sample_are_scaled_to_the_living():
