Keep waves and moves going past instances that disappear

An instance that the platform no longer knows raised an error in each step, which ended the step of its pool and of all later pools of the daemon. An instance that was removed after 60 s of absence kept its row and was never adopted again, and one that vanished while joining stayed in the list for ever. A move or a change of a wave whose reply was lost was reported as refused although it had taken effect.

Instances and pools are now stepped apart from each other, an instance that returns joins again, and the rows are read before a refusal. The platform stand-in remembers the fence of a stop for a task that has not arrived, as the in-memory workers do.

The four new tests in test_maintenance.py guard against one fault each.

--- a/emulator/tasks.py
+++ b/emulator/tasks.py
@@ -186,6 +186,10 @@
     def act(self, worker_name: str, verb: str, message: TaskActionMessage) -> None:
         """Renew, checkpoint, throttle or stop a task."""
         worker = self._find_worker(worker_name)
+        if verb == "stop":
+            # A start that is still on its way must not follow the stop.
+            seen = worker.fences.get(message.task, 0)
+            worker.fences[message.task] = max(message.fence, seen)
         task = worker.tasks.get(message.task)
         if task is None:
             raise UnknownTask(f"task {message.task!r} is not on {worker_name!r}")
--- a/hemlockstand/jobs/quarantine.py
+++ b/hemlockstand/jobs/quarantine.py
@@ -14,8 +14,10 @@
     Task,
     TeamWork,
     WorkerState,
+    advance_last_run,
     drop_entry,
     release_task,
+    stop_task,
 )
 
 DISTINCT_WORKERS = 3  # failures on fewer could be the workers' fault
@@ -38,7 +40,7 @@
         evolve(
             work,
             running=drop_entry(work.running, task.name),
-            last_run={**work.last_run, task.job: task.run},
+            last_run=advance_last_run(work, task.job, task.run),
             failed_on=drop_entry(work.failed_on, task.job),
             starts=drop_entry(work.starts, task.job),
         ),
@@ -62,7 +64,7 @@
     """
     worker_known_bad = worker.quarantine is not None
     worker = _blame_worker(release_task(worker, task), task, now)
-    work = evolve(work, running=drop_entry(work.running, task.name))
+    work = stop_task(work, task)
     if worker_known_bad:
         return _forgive_start(work, task), worker
     failed_on = work.failed_on.get(task.job, ())
@@ -103,7 +105,8 @@
     return evolve(
         work,
         parked={**work.parked, task.job: parked},
-        last_run={**work.last_run, task.job: task.run},
+        last_run=advance_last_run(work, task.job, task.run),
+        demanded=drop_entry(work.demanded, task.name),
     )
 
 
--- a/hemlockstand/jobs/records.py
+++ b/hemlockstand/jobs/records.py
@@ -26,6 +26,7 @@
 
     ``fence`` grows with each start of any task of the team. ``started_at`` is
     in seconds since the epoch. ``checkpointed`` tasks hold no resources.
+    ``asked_at`` is when a submitter asked for the run, 0 for scheduled runs.
     """
 
     name: str
@@ -37,6 +38,7 @@
     priority: Priority
     started_at: float
     checkpointed: bool = False
+    asked_at: float = 0.0
 
 
 @frozen
@@ -207,6 +209,28 @@
     )
 
 
+def stop_task(work: TeamWork, task: Task) -> TeamWork:
+    """Return the work without a start that ended before its run was done.
+
+    A scheduled run is due again by its schedule; one that a submitter asked
+    for stands nowhere else, so it is asked for again.
+    """
+    work = evolve(work, running=drop_entry(work.running, task.name))
+    if not task.asked_at:
+        return work
+    asked = DemandedRun(task.job, task.run, task.asked_at)
+    return work.with_demanded({**work.demanded, task.name: asked})
+
+
+def advance_last_run(work: TeamWork, job: str, run: str) -> dict[str, str]:
+    """Return the last run of each job after one more run has ended.
+
+    Runs may end out of order, and an earlier run must not make a later one
+    due again.
+    """
+    return {**work.last_run, job: max(run, work.last_run.get(job, ""))}
+
+
 def release_task(worker: WorkerState, task: Task) -> WorkerState:
     """Return the worker without the task, if it still holds that start."""
     held = worker.allocations.get(task.name)
--- a/hemlockstand/jobs/schedules.py
+++ b/hemlockstand/jobs/schedules.py
@@ -23,6 +23,7 @@
 UNIT_SECONDS = {"s": 1, "m": 60, "h": 3600, "d": 86_400}
 MAX_PERIOD_SECONDS = 366 * 86_400
 RUN_FORMAT = "%Y%m%dT%H%M%SZ"
+DEMANDED_RUN_FORMAT = "%Y%m%dT%H%M%S.%fZ"
 
 
 @frozen
@@ -118,6 +119,15 @@
     return due.strftime(RUN_FORMAT)
 
 
+def name_demanded_run(asked: datetime) -> str:
+    """Return the identifier of a run that was asked for at that time.
+
+    It has microseconds, because two runs of a job that are asked for within
+    one second are different runs.
+    """
+    return asked.strftime(DEMANDED_RUN_FORMAT)
+
+
 def is_wanted(job: Job | None, team: str, pool: str, day: date) -> bool:
     """Return whether the configuration wants the job for the team there and then."""
     if job is None:
--- a/hemlockstand/maintenance/records.py
+++ b/hemlockstand/maintenance/records.py
@@ -160,6 +160,7 @@
 
 
 def remove_member(pool: PoolState, instance: str) -> PoolState:
-    """Return the pool without the member and without its disruption."""
+    """Return the pool without the instance and without its disruption."""
     kept = tuple(name for name in pool.members if name != instance)
-    return evolve(end_disruption(pool, instance), members=kept)
+    joining = tuple(name for name in pool.joining if name != instance)
+    return evolve(end_disruption(pool, instance), members=kept, joining=joining)
--- a/hemlockstand/maintenance/rounds.py
+++ b/hemlockstand/maintenance/rounds.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, evolve, field
+from loguru import logger
 
+from hemlockstand.errors import HemlockstandError, PlatformUnavailable
 from hemlockstand.maintenance.budgets import choose_recalls, find_unavailable
 from hemlockstand.maintenance.records import (
     INSTANCE_PREFIX,
@@ -11,6 +13,7 @@
     Phase,
     PoolState,
     Wave,
+    add_joining,
     add_member,
     decode_instance,
     encode_instance,
@@ -22,6 +25,8 @@
 from hemlockstand.model import Pool
 from hemlockstand.platform.interface import InstanceKind, InstanceRecord, Operation
 
+log = logger.bind(module=__name__)
+
 GONE_SECONDS = 60.0  # absence from the list after which a member is removed
 ADOPT_BATCH = 50  # instances adopted in one transaction
 
@@ -49,12 +54,25 @@
         instances = await self.read_instances(state)
         for instance in instances.values():
             if instance.phase is not Phase.SERVING:
-                await self.steps.advance(instance)
+                await self._advance(instance)
         await self._recall_excess(state, instances)
         for wave in rolling:
             await self._step_wave(wave, pool.name)
         return await self.steps.read_pool(pool.name)
 
+    async def _advance(self, instance: InstanceState) -> None:
+        """Take the next step of an instance.
+
+        One that the platform refuses, because it was replaced, must not keep
+        the others of its pool from their steps.
+        """
+        try:
+            await self.steps.advance(instance)
+        except PlatformUnavailable:
+            raise
+        except HemlockstandError as error:
+            log.info("instance {} takes no step: {}", instance.id, error)
+
     async def read_instances(self, state: PoolState) -> dict[str, InstanceState]:
         """Return the rows of the members and of those that are joining."""
         names = [*state.members, *state.joining]
@@ -74,10 +92,12 @@
         """
         changed = evolve(state, budget=pool.budget)
         operations: list[Operation] = []
-        for record in await self._find_new(pool, state):
-            changed = add_member(changed, record.id)
-            fresh = InstanceState(record.id, pool.name, since=self.steps.clock())
-            operations.append(encode_instance(fresh))
+        for instance in await self._find_new(pool, state):
+            if instance.version == 0:
+                changed = add_member(changed, instance.id)
+            else:
+                changed = add_joining(changed, instance.id)
+            operations.append(encode_instance(instance))
         for name in self._find_gone(state):
             changed = remove_member(changed, name)
         if changed == state:
@@ -88,27 +108,40 @@
         await self.steps.commit(operations)
         return await self.steps.read_pool(pool.name)
 
-    async def _find_new(self, pool: Pool, state: PoolState) -> list[InstanceRecord]:
+    async def _find_new(self, pool: Pool, state: PoolState) -> list[InstanceState]:
+        """Return listed instances that belong to the pool and are not in it.
+
+        One that was removed and came back joins again, because it may still
+        be drained. Only its row tells its pool, which a move has changed.
+        """
+        now = self.steps.clock()
         listed = [
             record
             for record in self.list_records().values()
             if record.pool == pool.name
             and record.kind is not InstanceKind.ENTRY
-            and record.id not in state.members
+            and record.id not in (*state.members, *state.joining)
         ][:ADOPT_BATCH]
         keys = [INSTANCE_PREFIX + record.id for record in listed]
         rows = await self.steps.table.read_many(keys) if keys else []
+        found = (
+            decode_instance(record.id, row)
+            for record, row in zip(listed, rows, strict=True)
+        )
         return [
-            record for record, row in zip(listed, rows, strict=True) if row.version == 0
+            _renew_instance(instance, pool.name, now)
+            for instance in found
+            if instance.version == 0 or instance.pool == pool.name
         ]
 
     def _find_gone(self, state: PoolState) -> list[str]:
         now = self.steps.clock()
         records = self.list_records()
-        absent = {name for name in state.members if name not in records}
+        known = {*state.members, *state.joining}
+        absent = {name for name in known if name not in records}
         for name in absent:
             self._absent_since.setdefault(name, now)
-        for name in set(state.members) - absent:
+        for name in known - absent:
             self._absent_since.pop(name, None)
         return [
             name for name in absent if now - self._absent_since[name] > GONE_SECONDS
@@ -139,3 +172,10 @@
             if not begun:
                 return
             state = await self.steps.read_pool(name)
+
+
+def _renew_instance(instance: InstanceState, pool: str, now: float) -> InstanceState:
+    """Return the row of an instance that enters a pool, new or again."""
+    if instance.version == 0:
+        return InstanceState(instance.id, pool, since=now)
+    return evolve(instance, phase=Phase.JOINING, since=now, wave="", target="")
--- a/hemlockstand/maintenance/service.py
+++ b/hemlockstand/maintenance/service.py
@@ -14,7 +14,12 @@
 
 from hemlockstand.configuration.service import ConfigurationService
 from hemlockstand.coordination.rendezvous import OwnerIndex
-from hemlockstand.errors import HemlockstandError, InvalidInput, NotFound
+from hemlockstand.errors import (
+    HemlockstandError,
+    InvalidInput,
+    NotFound,
+    PlatformUnavailable,
+)
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.maintenance.records import (
     POOL_PREFIX,
@@ -138,11 +143,20 @@
             try:
                 waves = await self._read_waves()
                 for pool in list(self._list_owned()):
-                    self.pools[pool.name] = await self.rounds.step_pool(pool, waves)
+                    await self._step_pool(pool, waves)
                 await self._finish_waves(waves)
             except HemlockstandError as error:
                 log.info("maintenance step failed: {}", error)
 
+    async def _step_pool(self, pool: Pool, waves: list[Wave]) -> None:
+        """Step one pool; its failure must not hold up the others."""
+        try:
+            self.pools[pool.name] = await self.rounds.step_pool(pool, waves)
+        except PlatformUnavailable:
+            raise
+        except HemlockstandError as error:
+            log.info("step of pool {} failed: {}", pool.name, error)
+
     def _list_owned(self) -> Iterator[Pool]:
         members = [
             member.name
@@ -217,7 +231,10 @@
         resumed = state is WaveState.RUNNING
         changed = evolve(wave, state=state, bad=() if resumed else wave.bad, reason="")
         if not await self.steps.commit([encode_wave(changed)]):
-            raise InvalidInput(f"wave {name!r} changed meanwhile", "wave_changed")
+            # The reply may have been lost after the write took effect.
+            now = (await self.show_wave(name)).wave
+            if now.state is not state:
+                raise InvalidInput(f"wave {name!r} changed meanwhile", "wave_changed")
         return changed
 
     async def list_waves(self) -> list[Wave]:
--- a/hemlockstand/maintenance/steps.py
+++ b/hemlockstand/maintenance/steps.py
@@ -153,7 +153,14 @@
             )
         pool = await self.read_pool(instance.pool)
         reason = f"move to {target}"
-        if not await self.disrupt(pool, instance, records, reason, target=target):
+        if await self.disrupt(pool, instance, records, reason, target=target):
+            return
+        # The reply may have been lost after the move was committed.
+        moving = await self.read_instance(name)
+        if moving.version == instance.version or target not in (
+            moving.target,
+            moving.pool,
+        ):
             raise InvalidInput(
                 f"pool {pool.name!r} has no budget for moving {name!r} now",
                 code="budget_exhausted",
--- a/test/test_maintenance.py
+++ b/test/test_maintenance.py
@@ -6,7 +6,12 @@
 from hypothesis import given, settings, strategies
 
 from emulator.local_machines import LocalMachines
-from hemlockstand.errors import HemlockstandError, InvalidInput, OutcomeUnknown
+from hemlockstand.errors import (
+    HemlockstandError,
+    InvalidInput,
+    NotFound,
+    OutcomeUnknown,
+)
 from hemlockstand.maintenance.records import (
     INSTANCE_PREFIX,
     POOL_PREFIX,
@@ -286,3 +291,84 @@
         await rounds.steps.move(name, target, fleet.machines.list_records())
     except InvalidInput:
         pass
+
+
+class _Refusing:
+    """Machines of a platform that does not know some instances any more."""
+
+    def __init__(self, machines, gone):
+        self.machines = machines
+        self.gone = gone
+
+    def __getattr__(self, name):
+        return getattr(self.machines, name)
+
+    async def health(self, instance):
+        if instance in self.gone:
+            raise NotFound(f"instance {instance!r} does not exist")
+        return await self.machines.health(instance)
+
+
+async def test_replaced_instance_does_not_hold_up_its_pool(fleet):
+    """Guards against a wave that stops at an instance that is no more."""
+    rounds = fleet.make_rounds()
+    await fleet.repeat(rounds, 1)
+    await fleet.start_wave()
+    await fleet.step(rounds)
+    gone = next(
+        name
+        for name in fleet.machines.pools
+        if fleet.read_instance(name).phase is not Phase.SERVING
+    )
+    rounds.steps.machines = _Refusing(fleet.machines, {gone})
+    await fleet.repeat(rounds, 60)
+    done = {
+        name
+        for name in fleet.machines.pools
+        if fleet.read_instance(name).maintained_at >= 1000
+    }
+    assert done == set(fleet.machines.pools) - {gone}
+
+
+async def test_instance_that_was_away_joins_its_pool_again(fleet):
+    """Guards against capacity that is lost when a data centre was cut off."""
+    rounds = fleet.make_rounds()
+    await fleet.repeat(rounds, 1)
+    records = fleet.machines.list_records()
+    away = records.pop("i03")
+    await fleet.repeat(rounds, 70)
+    assert "i03" not in (await rounds.steps.read_pool("frame")).members
+    fleet.machines.states["i03"] = _draining("i03")
+    records["i03"] = away
+    await fleet.repeat(rounds, 3)
+    assert "i03" in (await rounds.steps.read_pool("frame")).members
+    assert fleet.machines.is_serving("i03")
+    fleet.check_invariants()
+
+
+async def test_joining_instance_that_disappears_is_forgotten(fleet):
+    """Guards against a pool that waits for ever for an instance on its way."""
+    rounds = fleet.make_rounds()
+    await fleet.repeat(rounds, 1)
+    records = fleet.machines.list_records()
+    await rounds.steps.move("i00", "ledger", records)
+    await rounds.step_pool(FRAME, [])
+    assert (await rounds.steps.read_pool("ledger")).joining == ("i00",)
+    del records["i00"]
+    rounds.steps.machines = _Refusing(fleet.machines, {"i00"})
+    await fleet.repeat(rounds, 70)
+    assert (await rounds.steps.read_pool("ledger")).joining == ()
+
+
+async def test_move_whose_reply_was_lost_is_not_refused(fleet):
+    """Guards against an operator who is told that a begun move was refused."""
+    rounds = fleet.make_rounds()
+    await fleet.repeat(rounds, 1)
+
+    async def lose_reply(operations):
+        await fleet.table.transact(operations)
+        raise OutcomeUnknown("reply lost")
+
+    rounds.steps.table = _LossyTable(fleet.table, lose_reply)
+    await rounds.steps.move("i00", "ledger", fleet.machines.list_records())
+    assert fleet.read_instance("i00").target == "ledger"
