Batch cancellations, pace all writes of jobs, and keep asked runs

Faults found by the process tests and by reading: a run on demand was lost when its worker rebooted or failed it; two runs asked for within a second had one name and ran again after the first had ended; a submit whose reply was lost could be repeated after the run had ended; an older run that ended late moved last_run back and made a newer one due again; a task on a worker that left the list counted as running for ever; and the wait for a silent worker went on through a pause in which another daemon could renew leases.

Cancellations of a team share a transaction and wait for the rate of writes. A round writes at most half of what is left within any second, and what exceeds it waits; leases are renewed regardless.

--- a/bench/capacity_rounds.py
+++ b/bench/capacity_rounds.py
@@ -99,6 +99,7 @@
     return SimpleNamespace(
         settings=SimpleNamespace(
             daemon=SimpleNamespace(name="entry-000"),
+            jobs=SimpleNamespace(writes_per_second=50),
             maintenance=SimpleNamespace(health_wait_seconds=600, max_bad_instances=2),
         ),
         find=lambda name, kind: services[name],
--- /dev/null
+++ b/hemlockstand/jobs/cancels.py
@@ -0,0 +1,102 @@
+"""Cancellations that arrive together share one transaction per team."""
+
+from collections.abc import Awaitable, Callable, Iterable
+
+import trio
+from attrs import define, evolve, field
+
+from hemlockstand.errors import HemlockstandError
+from hemlockstand.jobs.records import Task, TeamWork
+
+Commit = Callable[[str, set[str], Callable[[TeamWork], TeamWork]], Awaitable[None]]
+
+
+@define(eq=False)
+class Cancellation:
+    """One job to cancel, up to the run that is due; ``tasks`` were running."""
+
+    job: str
+    pool: str
+    run: str
+    tasks: tuple[Task, ...] = ()
+    ended: bool = False
+    error: HemlockstandError | None = None
+
+
+@define
+class CancelBatches:
+    """Collects the cancellations of each team while one is being committed.
+
+    Whichever caller finds the team free commits for all that wait. There is
+    no task in the background, so that a caller who goes away takes no other
+    cancellation with it. ``commit(team, pools, change)`` applies a change to
+    the team's row and tells the owners of the pools.
+    """
+
+    commit: Commit
+    _waiting: dict[str, list[Cancellation]] = field(factory=dict)
+    _locks: dict[str, trio.Lock] = field(factory=dict)
+
+    async def cancel(self, team: str, job: str, pool: str, run: str) -> list[Task]:
+        """Cancel the job's runs; return the tasks that were running.
+
+        Raises ``PlatformUnavailable``.
+        """
+        own = Cancellation(job, pool, run)
+        self._waiting.setdefault(team, []).append(own)
+        try:
+            async with self._locks.setdefault(team, trio.Lock()):
+                if not own.ended:
+                    await self._commit_waiting(team)
+        finally:
+            self._forget(team, own)
+        if own.error is not None:
+            raise own.error
+        return list(own.tasks)
+
+    async def _commit_waiting(self, team: str) -> None:
+        batch = list(self._waiting[team])
+        found: dict[str, tuple[Task, ...]] = {}
+
+        def remove(work: TeamWork) -> TeamWork:
+            found.clear()
+            for entry in batch:
+                found[entry.job] = _list_running(work, entry.job)
+            return remove_jobs(work, {entry.job: entry.run for entry in batch})
+
+        error = None
+        try:
+            await self.commit(team, {entry.pool for entry in batch}, remove)
+        except HemlockstandError as caught:
+            # All fail together: each trying again in turn would add up their
+            # timeouts in an outage.
+            error = caught
+        for entry in batch:
+            entry.tasks = found.get(entry.job, ())
+            entry.error = error
+            entry.ended = True
+            self._forget(team, entry)
+
+    def _forget(self, team: str, entry: Cancellation) -> None:
+        waiting = self._waiting.get(team, [])
+        if entry in waiting:
+            waiting.remove(entry)
+
+
+def _list_running(work: TeamWork, job: str) -> tuple[Task, ...]:
+    return tuple(task for task in work.running.values() if task.job == job)
+
+
+def remove_jobs(work: TeamWork, runs: dict[str, str]) -> TeamWork:
+    """Return the work without the runs of the jobs, up to a run of each."""
+    newest = {job: max(run, work.last_run.get(job, "")) for job, run in runs.items()}
+    return evolve(
+        work,
+        running=_drop_jobs(work.running.items(), runs),
+        demanded=_drop_jobs(work.demanded.items(), runs),
+        last_run={**work.last_run, **newest},
+    )
+
+
+def _drop_jobs(entries: Iterable, runs: dict[str, str]) -> dict:
+    return {name: entry for name, entry in entries if entry.job not in runs}
--- a/hemlockstand/jobs/rounds.py
+++ b/hemlockstand/jobs/rounds.py
@@ -26,6 +26,7 @@
     drop_entry,
     release_task,
     start_task,
+    stop_task,
 )
 from hemlockstand.jobs.relief import Checkpoint, Relief, Stop, Throttle, relieve_worker
 from hemlockstand.jobs.schedules import is_wanted
@@ -70,6 +71,28 @@
     failed: int = 0
     placed: int = 0
     unplaced: list[Unplaced] = field(factory=list)
+    ended: list[tuple[str, int]] = field(factory=list)
+
+    def copy(self) -> "Draft":
+        """Return a copy that later changes of this draft leave alone."""
+        return Draft(
+            dict(self.works),
+            dict(self.workers),
+            list(self.starts),
+            list(self.checkpoints),
+            self.finished,
+            self.failed,
+            self.placed,
+            list(self.unplaced),
+            list(self.ended),
+        )
+
+    def count_changed(self, store: JobStore) -> int:
+        """Return how many rows differ from the stored ones."""
+        works = sum(store.works.get(n) is not work for n, work in self.works.items())
+        return works + sum(
+            store.workers.get(n) is not worker for n, worker in self.workers.items()
+        )
 
 
 @define
@@ -89,31 +112,56 @@
     list_sites: Callable[[], dict[str, Site]]
     sum_fleet: Callable[[], Shape]
     wakes: UnwantedWakes = field(factory=UnwantedWakes)
+    _round_at: float = -inf
     _renewed: dict[tuple[str, int], float] = field(factory=dict)
     _missing_since: dict[tuple[str, int], float] = field(factory=dict)
     _peaks: dict[tuple[str, int], Shape] = field(factory=dict)
 
-    async def run_round(self, configuration: Configuration) -> RoundOutcome | None:
+    async def run_round(
+        self, configuration: Configuration, max_writes: float = inf
+    ) -> RoundOutcome | None:
         """Run one round; ``None`` means that another daemon came first.
 
+        Half of ``max_writes`` is for tasks that ended, so that they do not
+        hold up urgent placements. What exceeds it waits for a later round;
+        leases are renewed in any case. One change is made even if it takes
+        more rows than allowed, unless ``max_writes`` is 0.
+
         Raises ``PlatformUnavailable`` when the table is down.
         """
         now = self.clock()
+        if now - self._round_at > self.lease_seconds / 3:
+            # This daemon was paused or without a table, and another one may
+            # have renewed the leases meanwhile.
+            self._missing_since.clear()
+        self._round_at = now
         sites = self.list_sites()
         await self._load(configuration, sites)
         draft = Draft(dict(self.store.works), dict(self.store.workers))
         for name in list(draft.workers):
+            before = draft.copy()
             await self._settle_worker(draft, configuration, sites, name, now)
-        self._place(draft, configuration, sites, now)
+            if not self._is_allowed(draft, before, max_writes / 2):
+                draft = before
+        self._place(draft, configuration, sites, now, max_writes)
         sent_at = trio.current_time()
         works = draft.works.values()
         if not await self.store.commit(works, draft.workers.values()):
             return None
+        for key in draft.ended:
+            self._peaks.pop(key, None)
         await self._act(draft, sent_at)
         return RoundOutcome(
             draft.placed, draft.finished, draft.failed, tuple(draft.unplaced)
         )
 
+    def _is_allowed(self, draft: Draft, before: Draft, max_writes: float) -> bool:
+        changed = draft.count_changed(self.store)
+        if changed <= max_writes:
+            return True
+        earlier = before.count_changed(self.store)
+        return changed == earlier or (earlier == 0 and max_writes > 0)
+
     async def _load(self, configuration: Configuration, sites: dict[str, Site]) -> None:
         teams = {
             job.team for job in configuration.jobs.values() if job.pool == self.pool
@@ -124,7 +172,21 @@
             for worker in self.store.workers.values()
             for allocation in worker.allocations.values()
         }
-        await self.store.load(sorted(holders), ())
+        await self.store.load(sorted(holders), sorted(self._find_left(configuration)))
+
+    def _find_left(self, configuration: Configuration) -> set[str]:
+        """Return the workers of running tasks, also those that left the list.
+
+        Their tasks would otherwise count as running for ever.
+        """
+        return {
+            task.worker
+            for work in self.store.works.values()
+            for task in work.running.values()
+            if not task.checkpointed
+            and task.job in configuration.jobs
+            and configuration.jobs[task.job].pool == self.pool
+        }
 
     async def _settle_worker(
         self,
@@ -223,7 +285,9 @@
         work, worker = record_success(
             draft.works[team], draft.workers[task.worker], task
         )
-        peak = self._peaks.pop((task.name, task.fence), task.shape)
+        key = task.name, task.fence
+        peak = self._peaks.get(key, task.shape)
+        draft.ended.append(key)
         size = learn_size(work.sizes.get(task.job), peak, now - task.started_at)
         draft.works[team] = evolve(work, sizes={**work.sizes, task.job: size})
         draft.workers[task.worker] = worker
@@ -233,7 +297,7 @@
         self, draft: Draft, team: str, task: Task, report: TaskReport, now: float
     ) -> None:
         log.info("task {} failed on {}: {}", task.name, task.worker, report.detail)
-        self._peaks.pop((task.name, task.fence), None)
+        draft.ended.append((task.name, task.fence))
         draft.works[team], draft.workers[task.worker] = record_failure(
             draft.works[team], draft.workers[task.worker], task, now
         )
@@ -299,6 +363,7 @@
         configuration: Configuration,
         sites: dict[str, Site],
         now: float,
+        max_writes: float,
     ) -> None:
         present = {name: site for name, site in sites.items() if name in draft.workers}
         state = PoolState(present, draft.workers, now)
@@ -308,6 +373,12 @@
         for decision in place_runs(order, state):
             match decision:
                 case Placement():
+                    rows = 2 + len(
+                        {victim.allocation.team for victim in decision.victims}
+                    )
+                    changed = draft.count_changed(self.store)
+                    if changed + rows > max_writes and (changed or not max_writes):
+                        return
                     _apply_placement(draft, decision, now)
                 case Unplaced():
                     draft.unplaced.append(decision)
@@ -428,8 +499,7 @@
 
 def _drop(draft: Draft, team: str, task: Task) -> None:
     """Forget a start that no longer runs; the run is due again."""
-    work = draft.works[team]
-    draft.works[team] = evolve(work, running=drop_entry(work.running, task.name))
+    draft.works[team] = stop_task(draft.works[team], task)
     draft.workers[task.worker] = release_task(draft.workers[task.worker], task)
 
 
@@ -441,6 +511,13 @@
     draft.workers[task.worker] = release_task(draft.workers[task.worker], task)
 
 
+def _find_asked_at(work: TeamWork, name: str) -> float:
+    """Return when the run was asked for, 0 if its schedule made it due."""
+    if name in work.demanded:
+        return work.demanded[name].asked_at
+    return work.running[name].asked_at if name in work.running else 0.0
+
+
 def _apply_placement(draft: Draft, placement: Placement, now: float) -> None:
     run = placement.run
     for victim in placement.victims:
@@ -458,6 +535,7 @@
         run.shape,
         run.priority,
         now,
+        asked_at=_find_asked_at(work, run.name),
     )
     draft.works[run.team], worker = start_task(
         work, draft.workers[placement.worker], task
--- a/hemlockstand/jobs/service.py
+++ b/hemlockstand/jobs/service.py
@@ -25,6 +25,8 @@
     PlatformUnavailable,
     TableConflict,
 )
+from hemlockstand.jobs.cancels import CancelBatches
+from hemlockstand.jobs.pacing import WritePacer
 from hemlockstand.jobs.placement import Site, Unplaced
 from hemlockstand.jobs.records import (
     WORK_PREFIX,
@@ -40,7 +42,7 @@
     name_task,
 )
 from hemlockstand.jobs.rounds import PoolRounds, RoundOutcome
-from hemlockstand.jobs.schedules import is_wanted, name_run
+from hemlockstand.jobs.schedules import is_wanted, name_demanded_run, name_run
 from hemlockstand.jobs.shapes import NOTHING, add_shapes
 from hemlockstand.jobs.store import JobStore
 from hemlockstand.kernel import Kernel, Service, register
@@ -56,6 +58,7 @@
 MAX_BACKOFF_SECONDS = 30.0
 FLEET_SECONDS = 2.0  # the members of pools are read as often
 MAX_ATTEMPTS = 8  # conditional writes that race with a round of the owner
+CONFLICT_SECONDS = 0.01  # first pause after a conflict; each later one doubles
 
 
 @frozen
@@ -90,9 +93,11 @@
         self.maintenance = kernel.find("maintenance", MaintenanceService)
         self.rounds: dict[str, PoolRounds] = {}
         self.outcomes: dict[str, RoundOutcome] = {}
+        self.pacer = WritePacer(self.settings.jobs.writes_per_second)
         self._random = Random(self.settings.daemon.name)
         self._tasks: dict[str, trio.CancelScope] = {}
         self._owners = OwnerIndex()
+        self._cancels = CancelBatches(self._change_paced)
         self._fleet = NOTHING
         self._fleet_at = -inf
 
@@ -128,7 +133,7 @@
 
     async def _serve_pool(self, pool: str, scope: trio.CancelScope) -> None:
         section = self.settings.jobs
-        self.rounds[pool] = PoolRounds(
+        placer = PoolRounds(
             pool,
             JobStore(self.platform.table),
             self.platform.workers,
@@ -138,39 +143,36 @@
             lambda: self._list_sites(pool),
             self._sum_fleet,
         )
+        self.rounds[pool] = placer
         with scope:
             try:
-                await self._repeat_rounds(pool)
+                await self._repeat_rounds(placer)
             finally:
-                del self.rounds[pool]
+                # The pool may have come back already, with other rounds.
+                if self.rounds.get(pool) is placer:
+                    del self.rounds[pool]
 
-    async def _repeat_rounds(self, pool: str) -> None:
+    async def _repeat_rounds(self, placer: PoolRounds) -> None:
+        pool = placer.pool
         section = self.settings.jobs
         backoff = section.interval_seconds
         seen = 0
         while True:
-            placer = self.rounds[pool]
-            before = placer.store.writes
             try:
                 marker = await self.platform.table.read(MARKER_PREFIX + pool)
                 if marker.version != seen:
                     placer.store.forget()
                     seen = marker.version
-                outcome = await placer.run_round(self.configuration.current)
+                outcome = await self.pacer.run_round(placer, self.configuration.current)
                 if outcome is not None:
                     self.outcomes[pool] = outcome
                 backoff = section.interval_seconds
-            except PlatformUnavailable as error:
+            except HemlockstandError as error:
                 # Doubles with jitter, so that all pools of all daemons do not
                 # return at the same moment when the table is back.
                 backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
                 log.info("round of pool {} failed: {}", pool, error)
-            written = placer.store.writes - before
-            pause = max(
-                backoff * self._random.uniform(0.5, 1.0),
-                written / section.writes_per_second,
-            )
-            await trio.sleep(pause)
+            await trio.sleep(backoff * self._random.uniform(0.5, 1.0))
 
     def _list_sites(self, pool: str) -> dict[str, Site]:
         open_names = {record.id for record in self.maintenance.list_open([pool])}
@@ -215,14 +217,22 @@
             raise InvalidInput(
                 f"job {job!r} of team {team!r} is not wanted today", code="not_wanted"
             )
-        run = name_run(now)
+        run = name_demanded_run(now)
         asked = DemandedRun(job, run, now.timestamp())
         task = name_task(job, run)
 
+        tried = False
+
         def add(work: TeamWork) -> TeamWork:
+            nonlocal tried
+            # After a lost reply the run may have started or ended already.
+            known = task in work.running or work.last_run.get(job) == run
+            if tried and known:
+                return work
+            tried = True
             return work.with_demanded({**work.demanded, task: asked})
 
-        await self._change_work(team, pool, add)
+        await self._change_work(team, {pool}, add)
         return task
 
     async def cancel(self, job: str) -> list[str]:
@@ -231,34 +241,14 @@
         Raises ``NotFound`` and ``PlatformUnavailable``.
         """
         found = self.find_job(job)
-        cancelled = {}
         run = name_run(datetime.now(UTC))
-
-        def remove(work: TeamWork) -> TeamWork:
-            cancelled.clear()
-            cancelled.update(
-                (name, task) for name, task in work.running.items() if task.job == job
-            )
-            running = {
-                name: task for name, task in work.running.items() if task.job != job
-            }
-            demanded = {
-                name: asked for name, asked in work.demanded.items() if asked.job != job
-            }
-            return evolve(
-                work,
-                running=running,
-                demanded=demanded,
-                last_run={**work.last_run, job: run},
-            )
-
-        await self._change_work(found.team, found.pool, remove)
-        for name, task in cancelled.items():
+        tasks = await self._cancels.cancel(found.team, job, found.pool, run)
+        for task in tasks:
             try:
-                await self.platform.workers.stop(task.worker, name, task.fence)
+                await self.platform.workers.stop(task.worker, task.name, task.fence)
             except HemlockstandError as error:
-                log.info("stop of cancelled task {} failed: {}", name, error)
-        return list(cancelled)
+                log.info("stop of cancelled task {} failed: {}", task.name, error)
+        return [task.name for task in tasks]
 
     async def unpark(self, job: str) -> None:
         """Return a parked job to placement.
@@ -275,7 +265,7 @@
             )
 
         found = self.find_job(job)
-        await self._change_work(found.team, found.pool, clear)
+        await self._change_work(found.team, {found.pool}, clear)
 
     async def release_worker(self, worker: str) -> None:
         """End a worker's quarantine and forget its failures.
@@ -302,25 +292,44 @@
             if worker in pool.members:
                 yield Put(MARKER_PREFIX + name, {"worker": worker}, None)
 
+    async def _change_paced(
+        self, team: str, pools: set[str], change: Callable[[TeamWork], TeamWork]
+    ) -> None:
+        """Apply a change within the daemon's rate of writes."""
+        await self.pacer.wait(1 + len(pools))
+        await self._change_work(team, pools, change, counted=True)
+
     async def _change_work(
-        self, team: str, pool: str, change: Callable[[TeamWork], TeamWork]
+        self,
+        team: str,
+        pools: set[str],
+        change: Callable[[TeamWork], TeamWork],
+        counted: bool = False,
     ) -> None:
         """Apply a change to a team's row; a lost reply is read back.
 
-        The marker tells the pool's owner to read its cached rows again.
+        The markers tell the pools' owners to read their cached rows again.
+        ``counted`` says that the pacer knows of the first attempt already.
         """
-        for _ in range(MAX_ATTEMPTS):
+        for attempt in range(MAX_ATTEMPTS):
             row = await self.platform.table.read(WORK_PREFIX + team)
             changed = change(decode_work(team, row))
             operation = encode_work(changed)
             if operation.value == row.value:
                 return
+            markers = [
+                Put(MARKER_PREFIX + pool, {"team": team}, None) for pool in pools
+            ]
+            if attempt or not counted:
+                self.pacer.spend(1 + len(markers))
             try:
-                marker = Put(MARKER_PREFIX + pool, {"team": team}, None)
-                await self.platform.table.transact([operation, marker])
+                await self.platform.table.transact([operation, *markers])
                 return
             except (TableConflict, OutcomeUnknown) as error:
                 log.info("work of team {} is read again: {}", team, error.code)
+            # Spreads the writers of one row, which would collide again.
+            longest = CONFLICT_SECONDS * 2**attempt
+            await trio.sleep(self._random.uniform(0, longest))
         raise PlatformUnavailable(f"the row of team {team!r} keeps changing")
 
     def find_job(self, job: str) -> Job:
--- a/hemlockstand/jobs/store.py
+++ b/hemlockstand/jobs/store.py
@@ -69,13 +69,16 @@
         operations += [encode_worker(worker) for worker in changed_workers]
         if not operations:
             return True
+        # Counted before the outcome is known: a lost reply may hide a write.
+        self.writes += len(operations)
         try:
             versions = await self.table.transact(operations)
         except (TableConflict, OutcomeUnknown) as error:
+            if isinstance(error, TableConflict):
+                self.writes -= len(operations)
             log.info("job rows are read again after {}", error.code)
             self.forget()
             return False
-        self.writes += len(operations)
         self.transactions += 1
         self._keep(changed_works, changed_workers, versions)
         return True
--- a/test/test_job_rounds.py
+++ b/test/test_job_rounds.py
@@ -9,6 +9,12 @@
 from emulator.local_workers import LocalWorkers
 from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
 from hemlockstand.jobs.placement import Site
+from hemlockstand.jobs.records import (
+    DemandedRun,
+    decode_work,
+    encode_work,
+    name_task,
+)
 from hemlockstand.jobs.rounds import Draft, PoolRounds
 from hemlockstand.jobs.shapes import add_shapes
 from hemlockstand.jobs.store import JobStore
@@ -288,3 +294,116 @@
     rounds = bench.make_rounds()
     await rounds.run_round(make_configuration(*jobs))
     assert rounds.store.writes <= 2 * len(bench.workers.started)
+
+
+async def _ask(bench, job, run="20261204T055500.000000Z"):
+    """Ask for a run in the team's row, as the jobs service does."""
+    row = await bench.table.read(f"work/{job.team}")
+    work = decode_work(job.team, row)
+    task = name_task(job.name, run)
+    asked = DemandedRun(job.name, run, bench.now)
+    changed = work.with_demanded({**work.demanded, task: asked})
+    await bench.table.transact([encode_work(changed)])
+    return task
+
+
+async def test_asked_run_is_not_lost_with_its_worker(bench):
+    """Guards against a run on demand that nobody starts after a reboot."""
+    job = make_job("once", schedule="on demand")
+    task = await _ask(bench, job)
+    rounds = bench.make_rounds()
+    await bench.repeat(rounds, make_configuration(job), 2)
+    bench.now += 31  # the lease ends while nobody renews it
+    await bench.repeat(rounds, make_configuration(job), 3)
+    assert bench.workers.count_running(task) == 1
+    bench.workers.finish(task)
+    await bench.repeat(rounds, make_configuration(job), 3)
+    assert len(bench.workers.started) == 2
+
+
+async def test_asked_run_that_failed_is_tried_again(bench):
+    """Guards against a run on demand that one bad worker swallows."""
+    job = make_job("once", schedule="on demand")
+    task = await _ask(bench, job)
+    bench.workers.broken = {"w0"}
+    await bench.repeat(bench.make_rounds(), make_configuration(job), 4)
+    assert bench.workers.count_running(task) == 1
+    assert [worker for worker, _, _ in bench.workers.started][0] == "w0"
+
+
+async def test_older_run_that_ends_late_does_not_repeat_a_newer_one(bench):
+    """Guards against a finished run that becomes due again."""
+    job = make_job("report")
+    asked = await _ask(bench, job)
+    rounds = bench.make_rounds()
+    await bench.repeat(rounds, make_configuration(job), 2)
+    bench.workers.finish("report:20261204T060000Z")
+    await bench.repeat(rounds, make_configuration(job), 2)
+    bench.workers.finish(asked)
+    await bench.repeat(rounds, make_configuration(job), 3)
+    assert len(bench.workers.started) == 2
+
+
+async def test_run_on_a_worker_that_left_the_list_is_due_again(bench):
+    """Guards against a run that counts as running for ever."""
+    configuration = make_configuration(make_job("report"))
+    await bench.repeat(bench.make_rounds(), configuration, 2)
+    worker, task, _ = bench.workers.started[0]
+    del bench.sites[worker]
+    bench.workers.unreachable = {worker}
+    await bench.repeat(bench.make_rounds(), configuration, 50)
+    assert [name for _, name, _ in bench.workers.started] == [task, task]
+    assert bench.workers.started[1][0] != worker
+
+
+async def test_observation_starts_again_after_a_pause(bench):
+    """Guards against a task that moves although another daemon renews it."""
+    configuration = make_configuration(make_job("report"))
+    paused, other = bench.make_rounds(), bench.make_rounds()
+    await bench.repeat(paused, configuration, 2)
+    worker, task, _ = bench.workers.started[0]
+    bench.workers.unreachable = {worker}
+    await bench.repeat(paused, configuration, 1)
+    bench.workers.unreachable = set()
+    await bench.repeat(other, configuration, 50)
+    bench.workers.unreachable = {worker}
+    await bench.repeat(paused, configuration, 3)
+    bench.workers.unreachable = set()
+    assert bench.workers.count_running(task) == 1
+    assert len(bench.workers.started) == 1
+
+
+@pytest.mark.parametrize("allowed", [0, 4, 12])
+async def test_round_stays_within_its_writes(bench, allowed):
+    """Guards against a backlog that is written in one second after an outage."""
+    jobs = [make_job(f"job-{number}", cores=1.0) for number in range(12)]
+    configuration = make_configuration(*jobs)
+    rounds = bench.make_rounds()
+    spent = []
+    for _ in range(12):
+        before = rounds.store.writes
+        await rounds.run_round(configuration, allowed)
+        spent.append(rounds.store.writes - before)
+        bench.now += 6
+    assert max(spent) <= allowed
+    assert len(bench.workers.started) == (12 if allowed else 0)
+    for task in list(bench.workers.list_running()):
+        bench.workers.finish(task)
+    for _ in range(12):
+        before = rounds.store.writes
+        await rounds.run_round(configuration, allowed)
+        spent.append(rounds.store.writes - before)
+        bench.now += 6
+    assert max(spent) <= allowed
+    assert len(rounds.store.works["frame"].last_run) == (12 if allowed else 0)
+
+
+async def test_leases_are_renewed_without_any_writes(bench):
+    """Guards against tasks that stop while the writes are used up."""
+    rounds = bench.make_rounds()
+    configuration = make_configuration(make_job("report"))
+    await rounds.run_round(configuration)
+    for _ in range(20):
+        bench.now += 5
+        await rounds.run_round(configuration, 0)
+    assert bench.workers.count_running("report:20261204T060000Z") == 1
