--- a/bench/jobs.py
+++ b/bench/jobs.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 
 from bench.figures import Figure, Side
+from bench.job_writes import measure_cancels, measure_catch_up
 from emulator.local_workers import LocalWorkers
 from hemlockstand.errors import HemlockstandError, OutcomeUnknown, PlatformUnavailable
 from hemlockstand.jobs.placement import Site
@@ -318,6 +319,10 @@
         async for figure in measure():
             figures.append(figure)
     figures.append(await measure_double_starts())
+    async for figure in measure_cancels(make_job, make_configuration):
+        figures.append(figure)
+    async for figure in measure_catch_up(make_sites, make_job, make_configuration, NOW):
+        figures.append(figure)
     return figures
 
 
