Test jobs and maintenance of daemon processes under faults

Kill, outage, lost replies, a paused owner, a worker that fails everything and a wave of cancellations, judged from the platform stand-in's record.

--- /dev/null
+++ b/test/test_process_jobs.py
@@ -0,0 +1,306 @@
+"""Faults against the jobs and the maintenance of daemons that are processes.
+
+All verdicts come from the record of the platform stand-in and no verdict
+depends on speed: a test waits for what must happen eventually, and then
+checks what must never happen. The tests share one fleet; each leaves it
+without faults and with all daemons running.
+"""
+
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+
+import httpx
+import pytest
+from attrs import evolve
+
+from emulator.checks import find_budget_violations, find_double_starts
+from emulator.fleet import SHEETS, Fleet, read_sheet
+from emulator.layout import TOKEN, FleetError
+from emulator.shapes import SMALL
+from hemlockstand.coordination.rendezvous import OwnerIndex
+
+SHAPE = evolve(SMALL, workers=4, daemons=3)
+POOLS = ("hinge-workers", "ledger-workers")
+BUDGETS = dict.fromkeys(POOLS, 1)
+EVENTUALLY_SECONDS = 25
+LEASE_SECONDS = 3
+OUTAGE_SECONDS = 2
+# A message that was on its way when a fault began has arrived by then.
+SETTLE_SECONDS = 1.0
+# Longer than the time in which a committed start may still be sent.
+START_WINDOW_SECONDS = 2.5
+TRIALS = 12  # jobs that run when they are asked for
+LONG_JOBS = 24  # jobs that run until they are cancelled
+BROKEN_WORKER = "hinge-worker-2"
+MAX_WORKER_STARTS = 5
+
+QUICK = {
+    "daemon": {"balancer_lag_seconds": 0.2},
+    "platform": {"timeout_seconds": 1, "instance_poll_seconds": 0.3},
+    "peers": {
+        "interval_seconds": 0.3,
+        "timeout_seconds": 0.5,
+        "suspect_after_seconds": 2,
+    },
+    "configuration": {"poll_seconds": 0.4},
+    "jobs": {"interval_seconds": 0.2, "lease_seconds": LEASE_SECONDS},
+    "maintenance": {"interval_seconds": 0.2},
+}
+HEADERS = {"Authorization": f"Bearer {TOKEN}"}
+
+
+def list_trials():
+    return [f"hinge-trial-{number}" for number in range(TRIALS)]
+
+
+def list_long_jobs():
+    return [f"hinge-long-{number}" for number in range(LONG_JOBS)]
+
+
+def write_sheet(path):
+    """Write the small sheet with larger pools and jobs that run on demand."""
+    rows = read_sheet(SHEETS / SHAPE.sheet)
+    for row in rows:
+        if row["name"] in POOLS:
+            row["size"] = str(SHAPE.workers)
+        if row["kind"] == "team":
+            row["job_limit"] = "1"
+    pattern = next(row for row in rows if row["name"] == "hinge-reindex")
+    small = {"schedule": "on demand", "cores": "1", "memory_mb": "1024"}
+    names = [*list_trials(), *list_long_jobs()]
+    rows += [{**pattern, **small, "name": name} for name in names]
+    lines = [",".join(rows[0]), *(",".join(row.values()) for row in rows)]
+    path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
+class JobFleet:
+    """A fleet of three daemons with what the tests of jobs ask of it."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+
+    def post(self, path, daemon="entry-1", **fields):
+        url = f"http://{self.fleet.daemons[daemon].operator}/o/{path}"
+        response = httpx.post(
+            url, json=fields, headers=HEADERS, timeout=30, trust_env=False
+        )
+        return response.status_code, response.json()
+
+    def run_job(self, job, daemon="entry-1"):
+        """Ask for a run and return its task."""
+        status, body = self.post("job/run", daemon, job=job)
+        assert status == 200, body
+        return body["task"]
+
+    def read_events(self, kind="", since=0):
+        events = self.fleet.read_record(since)["events"]
+        return [event for event in events if kind in ("", event["event"])]
+
+    def count_events(self):
+        return len(self.read_events())
+
+    def list_done(self):
+        ends = self.read_events("task_end")
+        return [event["task"] for event in ends if event["state"] == "done"]
+
+    def wait_done(self, tasks):
+        self.wait(lambda: set(tasks) <= set(self.list_done()))
+
+    def wait(self, check):
+        return self.fleet.wait_until(check, EVENTUALLY_SECONDS)
+
+    def wait_runs_of(self, job, since):
+        """Wait until a run of the job has started after an event."""
+        self.wait(
+            lambda: any(
+                event["task"].startswith(job)
+                for event in self.read_events("task_start", since)
+            )
+        )
+
+    def start_wave(self, name):
+        status, body = self.post("wave/start", wave=name, pools=" ".join(POOLS))
+        assert status == 200, body
+
+    def wait_wave(self, name, since):
+        """Wait for the end of a wave and check that it rebooted each worker."""
+        key = f"wave/{name}"
+        try:
+            self.wait(lambda: self.fleet.read_rows(key)[key]["state"] == "done")
+        except FleetError:
+            pytest.fail(self.describe_wave(since))
+        reboots = Counter(
+            event["instance"] for event in self.read_events("reboot", since)
+        )
+        workers = {f"{pool[:-1]}-{n + 1}" for pool in POOLS for n in range(4)}
+        assert reboots == Counter(workers)
+
+    def describe_wave(self, since):
+        """Return what stands in the way of a wave that does not end."""
+        instances = self.fleet.read_rows("instance/").values()
+        moving = [row for row in instances if row["phase"] != "serving"]
+        events = [
+            (event["event"], event.get("instance"))
+            for event in self.read_events(since=since)
+            if event.get("instance")
+        ]
+        return f"{moving} {self.fleet.read_rows('wave/')} {events}"
+
+    def find_owner(self, pool):
+        """Return the daemon that places the jobs of a pool."""
+        names = list(self.fleet.daemons)
+        for name in names:
+            if pool in OwnerIndex().select(name, POOLS, names):
+                return name
+        raise AssertionError(f"nobody owns {pool}")
+
+    def list_pools_of_instances(self):
+        """Yield after each write how many pools hold each instance."""
+        url = f"{self.fleet.layout.platform}/table/history"
+        rows = self.fleet.http.get(url, params={"prefix": "pool/"}).json()["history"]
+        held = {}
+        for row in rows:
+            value = row["value"] or {}
+            held[row["key"]] = {
+                *value.get("members", ()),
+                *value.get("joining", ()),
+            }
+            yield Counter(name for names in held.values() for name in names)
+
+    def check(self):
+        """Check the record against what must hold at all times."""
+        events = self.read_events()
+        assert find_double_starts(events) == []
+        assert find_budget_violations(events, BUDGETS) == []
+        for counts in self.list_pools_of_instances():
+            assert max(counts.values(), default=0) <= 1
+        done = Counter(self.list_done())
+        assert [task for task, count in done.items() if count > 1] == []
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory):
+    path = tmp_path_factory.mktemp("sheet") / "jobs.csv"
+    write_sheet(path)
+    with Fleet(SHAPE, overrides=QUICK) as fleet:
+        fleet.start_platform()
+        fleet.set_faults(reboot_seconds=0.2, instance_list_lag_seconds=0.3)
+        fleet.set_profiles(
+            {"*": {"duration_seconds": 0.5}}
+            | {job: {"duration_seconds": 300} for job in list_long_jobs()}
+        )
+        fleet.start_daemons()
+        fleet.apply_sheet(path)
+        found = JobFleet(fleet)
+        found.wait_runs_of("ledger-close", 0)
+        yield found
+
+
+@pytest.fixture
+def jobs(shared):
+    yield shared
+    shared.check()
+
+
+def test_wave_goes_on_when_the_owner_of_a_pool_is_killed(jobs):
+    """Guards against a wave that stops with the daemon that steps it."""
+    mark = jobs.count_events()
+    jobs.start_wave("killed")
+    jobs.wait(lambda: jobs.read_events("reboot", mark))
+    owner = jobs.find_owner(POOLS[0])
+    jobs.fleet.daemons[owner].running.kill()
+    jobs.wait_wave("killed", mark)
+    after = jobs.count_events()
+    jobs.wait_runs_of("ledger-close", after)
+    jobs.fleet.start_daemon(owner)
+    jobs.fleet.wait_ready(owner)
+
+
+def test_outage_delays_a_wave_and_placement(jobs):
+    """Guards against disruptions in an outage and against lost runs after it."""
+    mark = jobs.count_events()
+    jobs.start_wave("outage")
+    jobs.wait(lambda: jobs.read_events("drain", mark))
+    tasks = [jobs.run_job(job) for job in list_trials()]
+    jobs.fleet.set_faults(table={"mode": "down"})
+    time.sleep(SETTLE_SECONDS)
+    settled = jobs.count_events()
+    time.sleep(OUTAGE_SECONDS)
+    begun = [
+        event
+        for event in jobs.read_events(since=settled)
+        if event["event"] in ("drain", "task_start")
+    ]
+    jobs.fleet.set_faults(table={"mode": "up"})
+    assert begun == []
+    jobs.wait_wave("outage", mark)
+    jobs.wait_done(tasks)
+
+
+def test_lost_replies_repeat_neither_runs_nor_disruptions(jobs):
+    """Guards against a write that is repeated because its reply was lost."""
+    mark = jobs.count_events()
+    jobs.start_wave("lossy")
+    jobs.fleet.set_faults(table={"mode": "lose_replies", "probability": 0.4})
+    tasks = [jobs.run_job(job) for job in list_trials()]
+    jobs.wait_done(tasks)
+    jobs.wait_wave("lossy", mark)
+    jobs.fleet.set_faults(table={"mode": "up"})
+
+
+def test_paused_owner_starts_nothing_twice(jobs):
+    """Guards against a daemon that acts on old rows when it resumes."""
+    task = jobs.run_job(list_long_jobs()[0])
+    jobs.wait_runs_of(task, 0)
+    owner = jobs.find_owner(POOLS[0])
+    child = jobs.fleet.daemons[owner].running
+    child.pause()
+    time.sleep(LEASE_SECONDS + 1)
+    child.resume()
+    mark = jobs.count_events()
+    jobs.wait_runs_of("ledger-close", mark)
+    jobs.wait_done([jobs.run_job(list_trials()[0], owner)])
+    status, body = jobs.post("job/cancel", job=list_long_jobs()[0])
+    assert status == 200, body
+
+
+def test_worker_that_fails_everything_is_quarantined(jobs):
+    """Guards against a bad worker that uses up the starts of good jobs."""
+    mark = jobs.count_events()
+    jobs.fleet.set_faults(failing_workers=[BROKEN_WORKER])
+    tasks = [jobs.run_job(job) for job in list_trials()]
+    key = f"worker/{BROKEN_WORKER}"
+    jobs.wait(lambda: jobs.fleet.read_rows(key)[key].get("quarantine"))
+    jobs.wait_done(tasks)
+    starts = Counter(event["worker"] for event in jobs.read_events("task_start", mark))
+    assert starts[BROKEN_WORKER] <= MAX_WORKER_STARTS
+    jobs.fleet.set_faults(failing_workers=[])
+    status, body = jobs.post("instance/release", instance=BROKEN_WORKER)
+    assert status == 200, body
+
+
+def test_no_cancelled_job_starts_after_a_wave_of_cancellations(jobs):
+    """Guards against cancelled runs that start, or run on, afterwards."""
+    names = list_long_jobs()
+    with ThreadPoolExecutor(len(names)) as threads:
+        tasks = list(threads.map(jobs.run_job, names))
+        daemons = [f"entry-{number % 3 + 1}" for number in range(len(names))]
+        answers = threads.map(
+            lambda name, daemon: jobs.post("job/cancel", daemon, job=name),
+            names,
+            daemons,
+        )
+        assert [status for status, _ in answers] == [200] * len(names)
+    mark = jobs.count_events()
+    time.sleep(START_WINDOW_SECONDS)
+    started = {event["task"] for event in jobs.read_events("task_start", mark)}
+    assert not started & set(tasks)
+    starts = Counter(event["task"] for event in jobs.read_events("task_start"))
+    jobs.wait(
+        lambda: all(
+            starts[task]
+            == sum(event["task"] == task for event in jobs.read_events("task_end"))
+            for task in tasks
+        )
+    )
