Tell a slot the deadline of the request that it is used for

Cause: a slot that was waited for has the longest deadline that is granted (30 s), as any waiting request may get it.

--- a/hemlockstand/requests/dispatch.py
+++ b/hemlockstand/requests/dispatch.py
@@ -299,7 +299,7 @@
         A daemon that was paused finds here that its lease or the key has
         lapsed meanwhile.
         """
-        if not slot.may_send():
+        if not slot.may_send(waiter.request.deadline):
             return False
         if not waiter.is_keyed:
             return True
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -149,7 +149,8 @@
     limits: "FakeLimits"
     team: str
 
-    def may_send(self) -> bool:
+    def may_send(self, deadline: float | None = None) -> bool:
+        self.limits.deadlines.append(deadline)
         return self.limits.lease_is_valid
 
     def release(self, certain: bool) -> None:
@@ -165,6 +166,7 @@
     running: Counter = field(factory=Counter)
     most_running: Counter = field(factory=Counter)
     uncertain: int = 0
+    deadlines: list = field(factory=list)
     _changed: trio.Event = field(factory=trio.Event)
 
     def take(self, team: str, deadline: float, keyed: bool) -> FakeSlot | None:
--- a/test/test_request_failures.py
+++ b/test/test_request_failures.py
@@ -293,6 +293,15 @@
     assert upstream.received == []
 
 
+async def test_slot_is_told_the_deadline_of_its_request(path):
+    """Guards against a slot that an uncertain end holds for the longest
+    deadline, because the slot was taken for any waiting request."""
+    async with path([QUOTES], [FakeUpstream(answer_at_once)]) as around:
+        request = make_request()
+        await around.dispatch.execute(request)
+        assert around.limits.deadlines == [request.deadline]
+
+
 async def test_permission_is_checked_after_connecting(path):
     """Guards against a check that is stale after a slow connection."""
     upstream = FakeUpstream(answer_at_once)
