Keep the newer limit when slots are returned under an older one

Cause: a daemon that returned slots just after another had written the row under a newer configuration wrote its own old limit together with the newer version. Such a row can be written by nobody, as it seems to come from another configuration of the same version, and the team had no slots until the next change of the configuration. A checkpoint before each call to the table, which the merged stand-in has, made test_fleet_serves_as_much_as_one_limit fail.

The new test fails without it.

Conclusion: a write under an older configuration changes the holders only.

--- a/hemlockstand/coordination/escrow.py
+++ b/hemlockstand/coordination/escrow.py
@@ -289,12 +289,18 @@
 def make_value(
     row: Row, holders: Mapping[str, Mapping[str, int]], split: Split
 ) -> dict[str, Any]:
-    """Return the row's new value, which never names an older configuration."""
+    """Return the row's new value, which keeps the limit of a newer configuration.
+
+    A holder that has not seen the newer one yet may still return slots.
+    """
+    held = {name: parts for name, parts in holders.items() if parts}
+    if row.value.get("version", 0) > split.version:
+        return {**row.value, "holders": held}
     return {
         "limit": split.limit,
-        "version": max(split.version, row.value.get("version", 0)),
+        "version": split.version,
         "parts": dict(split.parts),
-        "holders": {name: held for name, held in holders.items() if held},
+        "holders": held,
     }
 
 
--- a/test/helper.py
+++ b/test/helper.py
@@ -85,8 +85,7 @@
         return await self.shared.transact(operations)
 
     async def _pass(self) -> None:
-        if self.delay_seconds:
-            await trio.sleep(self.delay_seconds)
+        await trio.sleep(self.delay_seconds)
         if self.down:
             raise PlatformUnavailable("table is down")
 
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -5,6 +5,8 @@
 import pytest
 import trio
 
+from hemlockstand.coordination.escrow import ELASTIC, Escrow, split_limit
+from hemlockstand.platform.memory import MemoryTable
 from hemlockstand.requests.limits import LimitsService
 from test.fleet_fakes import Fleet
 
@@ -233,6 +235,22 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_return_under_an_older_configuration_keeps_the_newer_limit():
+    """Guards against a row that shows the old limit as that of the newer
+    configuration, which nobody may write or take from any more."""
+    table = MemoryTable()
+    old = split_limit(20, 0.0, ["dc1"], 1)
+    new = split_limit(1, 0.0, ["dc1"], 2)
+    first = Escrow(table, "limit/hinge", "entry-1/a")
+    second = Escrow(table, "limit/hinge", "entry-2/a")
+    await first.take({ELASTIC: 5}, old)
+    await second.settle({}, new)
+    await first.shrink({}, old)
+    row = await table.read("limit/hinge")
+    assert (row.value["limit"], row.value["version"]) == (1, 2)
+    assert await second.take({ELASTIC: 1}, new) == {ELASTIC: 1}
+
+
 @pytest.mark.parametrize("seed", range(8))
 async def test_fleet_serves_as_much_as_one_limit(autojump_clock, tmp_path, seed):
     """Differential test against one counter that sees all requests.
