Let a daemon under light load keep its slots and fetch the first at once

Cause: at half load on 20 ms upstreams, a daemon of nine stood still for up to 0.54 s at a time: all its requests waited for a slot of the team and started together. A daemon counted every slot not in use at that instant as idle and gave it away when another daemon's demand, seconds old, said that it waited. Its own next request waited for the next round (0.5 s), which made it ask, and so on around the fleet. Ruled out: the executors (each stall hit both executors of one daemon at once), the load tool (the same load sent directly had no stalls), the concurrency window (the first stall of each daemon came with its first request).

Now the largest use of the last 2 to 4 s, up to the daemon's fair part of the limit, does not count as idle, and a request without a slot starts a move at once if the team's last move is at least one round ago. Limits are kept as before: only the choice of what to give changes.

--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -65,6 +65,11 @@
         self._lease = self._make_lease()
         self._teams: dict[str, TeamSlots] = {}
         self._seen: dict[str, tuple[Team, int]] = {}
+        self._move_limiter = trio.CapacityLimiter(MOVES_AT_ONCE)
+        self._moving: set[str] = set()
+        self._moved_at: dict[str, float] = {}
+        self._in_want: set[str] = set()
+        self._wanted = trio.Event()
         self._stopped = False
         self._longest_deadline = self.settings.requests.max_deadline_seconds
 
@@ -77,6 +82,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._renew_forever)
             nursery.start_soon(self._move_forever)
+            nursery.start_soon(self._move_on_demand)
             nursery.start_soon(self._reclaim_forever)
 
     async def stop(self) -> None:
@@ -118,6 +124,7 @@
                 if slot is not None:
                     slot.deadline = self.clock() + self._longest_deadline
                     return slot
+                self._move_soon(team)
                 with trio.move_on_at(min(deadline, slots.next_free_at())):
                     await slots.changed.wait()
             return None
@@ -270,14 +277,14 @@
         await release_holder(self.table, self._lease, keep)
 
     async def _move_forever(self) -> None:
-        limiter = trio.CapacityLimiter(MOVES_AT_ONCE)
         while True:
             view = view_demands(self.peers, self.settings.daemon)
             async with trio.open_nursery() as nursery:
                 for team, slots in tuple(self._teams.items()):
-                    self.peers.publish_demand(team, measure_demand(slots))
+                    demand = measure_demand(slots, view.daemons)
+                    self.peers.publish_demand(team, demand)
                     if self._needs_move(team, slots, view):
-                        nursery.start_soon(self._move_team, team, view, limiter)
+                        nursery.start_soon(self._move_team, team, view)
             await trio.sleep(self.settings.limits.rebalance_seconds)
 
     def _needs_move(self, team: str, slots: TeamSlots, view: DemandView) -> bool:
@@ -288,13 +295,39 @@
         is_capped = slots.cap is not None
         return is_wanted or is_capped or slots.is_changed() or not slots.is_within()
 
-    async def _move_team(
-        self, team: str, view: DemandView, limiter: trio.CapacityLimiter
-    ) -> None:
-        async with limiter:
-            if self._lease.is_valid():
-                await self._try("move", partial(self._move, team, view))
-            self._teams[team].notify()
+    def _move_soon(self, team: str) -> None:
+        """Move slots before the next round if the last move is long ago.
+
+        A daemon without slots would let its first request wait for the round.
+        """
+        last = self._moved_at.get(team, float("-inf"))
+        if self.clock() - last < self.settings.limits.rebalance_seconds:
+            return
+        self._in_want.add(team)
+        self._wanted.set()
+
+    async def _move_on_demand(self) -> None:
+        while True:
+            await self._wanted.wait()
+            self._wanted = trio.Event()
+            teams, self._in_want = self._in_want, set()
+            view = view_demands(self.peers, self.settings.daemon)
+            async with trio.open_nursery() as nursery:
+                for team in teams:
+                    nursery.start_soon(self._move_team, team, view)
+
+    async def _move_team(self, team: str, view: DemandView) -> None:
+        if team in self._moving:
+            return
+        self._moving.add(team)
+        self._moved_at[team] = self.clock()
+        try:
+            async with self._move_limiter:
+                if self._lease.is_valid():
+                    await self._try("move", partial(self._move, team, view))
+                self._teams[team].notify()
+        finally:
+            self._moving.discard(team)
 
     async def _move(self, team: str, view: DemandView) -> None:
         slots = self._teams[team]
--- a/hemlockstand/requests/moves.py
+++ b/hemlockstand/requests/moves.py
@@ -71,21 +71,25 @@
     return DemandView(len(centres), neighbours, others, wanted)
 
 
-def measure_demand(slots: TeamSlots) -> Demand:
-    """Return this daemon's demand for the team.
+def measure_demand(slots: TeamSlots, daemons: int) -> Demand:
+    """Return this daemon's demand for the team among so many other daemons.
 
+    Of its fair part, it counts as idle only what it has not used lately:
+    under light load its requests come with pauses, and after giving its
+    slots away the next one would wait for a transaction.
     A caller may wait on behalf of a whole queue without saying so. As much
     as is running is assumed to wait then, so that slots double each round.
     """
     running = slots.running()
-    idle = max(0, slots.held() - running)
+    kept = min(slots.recently_running(), slots.split.limit // (daemons + 1))
+    idle = max(0, slots.held() - max(running, kept))
     waiting = max(slots.waiting, running) if slots.waiting else 0
     return Demand(waiting, running, idle, slots.served)
 
 
 def plan_move(slots: TeamSlots, view: DemandView) -> Move:
     """Choose the next transaction for a team."""
-    mine = measure_demand(slots)
+    mine = measure_demand(slots, view.daemons)
     others = view.others(slots.team)
     missing = mine.waiting - mine.idle
     slots.cap = None
@@ -99,7 +103,8 @@
     if mine.idle == 0 or wanted == 0:
         return Stay()
     total_idle = mine.idle + sum(demand.idle for demand in others)
-    return _plan_give(slots, -(-wanted * mine.idle // total_idle))
+    given = -(-wanted * mine.idle // total_idle)
+    return _plan_give(slots, min(given, mine.idle))
 
 
 def _fair_target(mine: Demand, others: Iterable[Demand], limit: int) -> int | None:
--- a/hemlockstand/requests/slots.py
+++ b/hemlockstand/requests/slots.py
@@ -15,6 +15,9 @@
 
 Clock = Callable[[], float]
 
+# The largest use is remembered for one to two of these periods.
+USE_SECONDS = 2.0
+
 
 @define(eq=False)
 class Slot:
@@ -47,6 +50,33 @@
         self._owner.end(self, certain)
 
 
+@define
+class RecentUse:
+    """The largest value of the current period and of the one before."""
+
+    _began: float = float("-inf")
+    _current: int = 0
+    _before: int = 0
+
+    def record(self, now: float, value: int) -> None:
+        """Take a value of this moment."""
+        self._advance(now)
+        self._current = max(self._current, value)
+
+    def find(self, now: float) -> int:
+        """Return the largest value of the last seconds."""
+        self._advance(now)
+        return max(self._current, self._before)
+
+    def _advance(self, now: float) -> None:
+        if now - self._began < USE_SECONDS:
+            return
+        is_next = now - self._began < 2 * USE_SECONDS
+        self._before = self._current if is_next else 0
+        self._current = 0
+        self._began = now
+
+
 @define(eq=False)
 class TeamSlots:
     """The slots of one team; ``may_use(part, keyed)`` checks the proofs."""
@@ -62,6 +92,7 @@
     served: int = 0
     cap: int | None = None
     changed: trio.Event = field(factory=trio.Event)
+    _recent: "RecentUse" = field(factory=lambda: RecentUse())
     _open: dict[str, set[Slot]] = field(factory=dict)
     _held: dict[str, list[float]] = field(factory=dict)
 
@@ -85,6 +116,7 @@
             if free and self.may_use(part, keyed):
                 slot = Slot(self.team, part, deadline, keyed, self)
                 self._open.setdefault(part, set()).add(slot)
+                self._recent.record(self.clock(), self.running())
                 return slot
         return None
 
@@ -132,6 +164,10 @@
         """Return how many slots of all parts are taken or held."""
         return sum(map(self.count, self.parts()))
 
+    def recently_running(self) -> int:
+        """Return the largest number of slots in use in the last seconds."""
+        return max(self.running(), self._recent.find(self.clock()))
+
     def held(self) -> int:
         """Return how many slots this daemon has in the table."""
         return sum(map(self.escrow.usable, self.parts()))
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -5,7 +5,9 @@
 import pytest
 import trio
 
+from hemlockstand.peers.demands import Demand
 from hemlockstand.requests.limits import LimitsService
+from hemlockstand.requests.slots import USE_SECONDS
 from test.fleet_fakes import Fleet
 
 
@@ -273,3 +275,65 @@
     finally:
         if slot is not None:
             slot.release(certain=True)
+
+
+async def test_first_request_does_not_wait_for_a_round(autojump_clock, tmp_path):
+    """Guards against the wait of a round for the first request after a pause."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 8)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        await trio.sleep(10.1 * first.settings.limits.rebalance_seconds)
+        began = trio.current_time()
+        slot = await first.wait_slot("hinge", began + 5, True)
+        assert slot.may_send()
+        assert trio.current_time() - began < first.settings.limits.rebalance_seconds / 4
+        nursery.cancel_scope.cancel()
+
+
+async def test_moves_on_demand_keep_their_distance(autojump_clock, tmp_path):
+    """Guards against a table write for each request of a team at its limit."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 1)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        second = await run_service(fleet.add("entry-2"), nursery)
+        held = await first.wait_slot("hinge", trio.current_time() + 5, True)
+        assert held.may_send()
+        moves = 0
+        move = second._move
+
+        async def count(team, view):
+            nonlocal moves
+            moves += 1
+            await move(team, view)
+
+        second._move = count
+        for _ in range(200):
+            now = trio.current_time()
+            assert await second.wait_slot("hinge", now + 0.01, True) is None
+        assert moves <= 2 / second.settings.limits.rebalance_seconds + 2
+        nursery.cancel_scope.cancel()
+
+
+async def test_daemon_under_light_load_keeps_what_it_uses(autojump_clock, tmp_path):
+    """Guards against slots that are given away in each pause between requests,
+    and against slots that a daemon keeps without using them."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 8)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        fleet.add("entry-2")
+        deadline = trio.current_time() + 20
+        slots = [await first.wait_slot("hinge", deadline, True) for _ in range(3)]
+        await trio.sleep(1.0)
+        for slot in slots:
+            slot.release(certain=True)
+        demand = Demand(waiting=100, running=0, idle=0, served=0)
+        fleet.peers["entry-2"].publish_demand("hinge", demand)
+        held = first._teams["hinge"].held
+        await trio.sleep(2.1 * first.settings.limits.rebalance_seconds)
+        assert held() == 3
+        await trio.sleep(2 * USE_SECONDS)
+        assert held() == 0
+        nursery.cancel_scope.cancel()
