Measure latency, goodput, shares and a rolling replacement

bench.latency puts nine daemons before one pool of 8 slots. Latency is measured in turns with the same load sent directly to the executors; shares with two teams whose callers are spread unevenly and differently; goodput against bench.naive, nine processes with the same HTTP libraries that pass requests on in turn. bench.rolling replaces nine daemons with SIGTERM behind the balancer while 80 requests a second arrive.

Decisions: goodput counts answers within the caller's deadline of 1 s, from 3 s into the peak on.

--- a/bench/latency.py
+++ b/bench/latency.py
@@ -7,7 +7,6 @@
 """
 
 import csv
-import time
 from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence
 from pathlib import Path
@@ -45,12 +44,14 @@
 SLOW_FACTOR = 8.0
 SHORT_FACTOR = 2.0
 DEADLINE_MS = 1000
+# That of the sheet's quotes. With 1 s a daemon has room for 3 waiting
+# requests, so the queue of the smaller team is empty at times.
+SHARE_DEADLINE_MS = 2000
 PEAK = 5.0
 PEAK_SECONDS = 10.0
 SETTLING_SECONDS = 3.0
 SHARE_SECONDS = 14.0
-# Of ten callers of a team, how many are at each daemon: uneven, and different
-# for the two teams.
+# How many callers of each team are at each daemon.
 SPREAD = {"hinge": (3, 2, 1, 1, 1, 1, 1, 1, 1), "clamp": (1, 1, 1, 1, 1, 1, 1, 2, 5)}
 NAIVE_PORT = 8110
 
@@ -148,7 +149,7 @@
                     team,
                     PEAK / 2 * capacity,
                     keys[team],
-                    DEADLINE_MS,
+                    SHARE_DEADLINE_MS,
                 )
             ],
             SHARE_SECONDS,
@@ -157,7 +158,6 @@
         )
         for team in SHARES
     }
-    began = time.monotonic()
     loads = [start_load(fleet, f"share-{team}", plans[team]) for team in plans]
     reports = [load.finish() for load in loads]
     began = max(report["begin"] for report in reports)
--- a/bench/rolling.py
+++ b/bench/rolling.py
@@ -43,7 +43,6 @@
     stopping: Event = field(factory=Event)
     longest_none: float = 0.0
     longest_short: float = 0.0
-    fewest: int = 1 << 30
 
     def follow(self) -> None:
         """Poll the readiness of all daemons until told to stop."""
@@ -52,7 +51,6 @@
             while not self.stopping.wait(POLL_SECONDS):
                 count = sum(_is_ready(client, url) for url in self.urls)
                 now = time.monotonic()
-                self.fewest = min(self.fewest, count)
                 none_since = now if count else none_since
                 short_since = now if count >= self.wanted else short_since
                 self.longest_none = max(self.longest_none, now - none_since)
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -31,6 +31,8 @@
     "spread",
     "faults",
     "control",
+    "latency",
+    "rolling",
 )
 RECORDS = Path(__file__).with_name("records")
 NOTABLE_CHANGE = 0.2
