--- a/hemlockstand/platform/http.py
+++ b/hemlockstand/platform/http.py
@@ -79,7 +79,8 @@
             raise _lost_reply(changes, f"{method} {path}: {error!r}") from error
         request = response.request
         self.bytes_sent += len(request.content) + _measure_headers(request.headers)
-        self.bytes_received += len(response.content)
+        # Bodies may be compressed; this is their length in transit.
+        self.bytes_received += response.num_bytes_downloaded
         self.bytes_received += _measure_headers(response.headers)
         _check_status(response, changes)
         return response
@@ -231,9 +232,10 @@
         response = await self._http.call("GET", f"/workers/{worker}", False)
         return cattrs.structure(response.json(), WorkerReport)
 
-    async def reports(self) -> list[WorkerReport]:
-        """Return the lagging reports of all workers."""
-        response = await self._http.call("GET", "/workers", False)
+    async def reports(self, workers: Sequence[str]) -> list[WorkerReport]:
+        """Return the lagging reports of those workers that give one."""
+        body = {"workers": list(workers)}
+        response = await self._http.call("POST", "/workers/reports", False, json=body)
         return cattrs.structure(response.json()["workers"], list[WorkerReport])
 
     async def _act(
--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -278,15 +278,19 @@
 
     async def _move_forever(self) -> None:
         while True:
-            view = view_demands(self.peers, self.settings.daemon)
-            async with trio.open_nursery() as nursery:
-                for team, slots in tuple(self._teams.items()):
-                    demand = measure_demand(slots, view.daemons)
-                    self.peers.publish_demand(team, demand)
-                    if self._needs_move(team, slots, view):
-                        nursery.start_soon(self._move_team, team, view)
+            await self.move_all()
             await trio.sleep(self.settings.limits.rebalance_seconds)
 
+    async def move_all(self) -> None:
+        """Publish the demand of all teams and move slots where needed."""
+        view = view_demands(self.peers, self.settings.daemon)
+        async with trio.open_nursery() as nursery:
+            for team, slots in tuple(self._teams.items()):
+                demand = measure_demand(slots, view.daemons)
+                self.peers.publish_demand(team, demand)
+                if self._needs_move(team, slots, view):
+                    nursery.start_soon(self._move_team, team, view)
+
     def _needs_move(self, team: str, slots: TeamSlots, view: DemandView) -> bool:
         """Return whether somebody waits or the limit has changed."""
         if self._find_team(team) is None:
--- a/hemlockstand/requests/moves.py
+++ b/hemlockstand/requests/moves.py
@@ -84,7 +84,7 @@
     kept = min(slots.recently_running(), slots.split.limit // (daemons + 1))
     idle = max(0, slots.held() - max(running, kept))
     waiting = max(slots.waiting, running) if slots.waiting else 0
-    return Demand(waiting, running, idle, slots.served)
+    return Demand(waiting, running, idle)
 
 
 def plan_move(slots: TeamSlots, view: DemandView) -> Move:
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -329,7 +329,7 @@
         await trio.sleep(1.0)
         for slot in slots:
             slot.release(certain=True)
-        demand = Demand(waiting=100, running=0, idle=0, served=0)
+        demand = Demand(waiting=100, running=0, idle=0)
         fleet.peers["entry-2"].publish_demand("hinge", demand)
         held = first._teams["hinge"].held
         await trio.sleep(2.1 * first.settings.limits.rebalance_seconds)
