--- a/test/test_orders.py
+++ b/test/test_orders.py
@@ -169,7 +169,7 @@
     and against an order that cannot run elsewhere after its "not run"."""
     fleet = Fleet(tmp_path)
     kernel = fleet.add("entry-1")
-    kernel.link.seconds = 10.0
+    kernel.link.delay_seconds = 10.0
     async with trio.open_nursery() as nursery:
         first = await run_service(kernel, nursery)
         second = await run_service(fleet.add("entry-2"), nursery)
@@ -187,7 +187,7 @@
         for order in ("sent", "waiting"):
             assert isinstance(verdicts[order], NotRun), order
         # The insert that was on its way arrives late and is deleted again.
-        kernel.link.seconds = 0.0
+        kernel.link.delay_seconds = 0.0
         await trio.sleep(20.0)
         assert fleet.table.rows == {}
         for order in ("sent", "waiting"):
@@ -203,11 +203,11 @@
         first = await run_service(kernel, nursery)
         second = await run_service(fleet.add("entry-2"), nursery)
         claim = await first.claim("hinge", "order-1")
-        kernel.link.seconds = 10.0
+        kernel.link.delay_seconds = 10.0
         began = trio.current_time()
         await first.finish(claim, NotRun(Reason.UPSTREAM_REFUSED, "full", 1.0))
         assert trio.current_time() - began <= 1.0
-        kernel.link.seconds = 0.0
+        kernel.link.delay_seconds = 0.0
         await trio.sleep(15.0)
         assert isinstance(await second.claim("hinge", "order-1"), Claim)
         nursery.cancel_scope.cancel()
