--- a/bench/capacity_calls.py
+++ b/bench/capacity_calls.py
@@ -32,8 +32,9 @@
     encode_pool,
 )
 from hemlockstand.peers.beats import BeatMaker
-from hemlockstand.peers.demands import Demand, DemandBoard
+from hemlockstand.peers.demands import Demand, DemandBoard, PoolDemand, PoolTeam
 from hemlockstand.peers.messages import decode_report
+from hemlockstand.peers.names import NameIndex
 from hemlockstand.peers.transport import PeerClient, PeerServer, Traffic
 from hemlockstand.platform.http import HttpPlatform
 from hemlockstand.platform.interface import Put, Shape, TaskStart
@@ -314,10 +315,16 @@
         view.hear(evolve(peer, version=9_000_000))
     board = DemandBoard()
     for number in range(TARGET.teams):
-        board.publish(f"team-{number:03}", Demand(3, 17, 2, 1_234_567 + number))
+        board.publish(f"team-{number:03}", Demand(3, 17, 2))
     name = "entry-900"
     maker = BeatMaker(name, f"{name}-01234567", names[0], view, board, tracker)
     maker.address = "10.9.9.9:8102"
+    pools = [f"pool-{number:03}" for number in range(TARGET.pools)]
+    teams = [f"team-{number:03}" for number in range(TARGET.teams)]
+    maker.names = NameIndex.make(pools, teams)
+    for number, team in enumerate(teams):
+        place = PoolTeam(pools[number % TARGET.pools], team)
+        maker.pool_board.publish(place, PoolDemand(3, 250))
     return PeerPair(maker, tracker)
 
 
--- a/bench/capacity_rounds.py
+++ b/bench/capacity_rounds.py
@@ -79,7 +79,7 @@
             # A peer's beats carry 6 figures; it is heard about once in ten
             # seconds, so 6 of its teams are known at any time.
             known = (f"team-{(number * 6 + n) % teams:05}" for n in range(6))
-            figures = {team: Demand(0, 2, 1, 1000) for team in known}
+            figures = {team: Demand(0, 2, 1) for team in known}
             self._board.receive(f"entry-{number:03}", figures)
 
     def members(self) -> list[Member]:
@@ -116,7 +116,7 @@
     }
     platform = SimpleNamespace(table=None, machines=None, workers=None)
     services = {
-        "platform": SimpleNamespace(platform=platform),
+        "platform": SimpleNamespace(platform=platform, polled=None),
         "configuration": SimpleNamespace(current=Configuration(pools=configured)),
         "peers": IdlePeers(daemons),
     }
--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -220,7 +220,7 @@
     for size in (90, 180, 360, 720):
         board = DemandBoard()
         for number in range(size // 6):
-            demands = {f"team-{n:03}": Demand(1, 2, 3, 4) for n in range(6)}
+            demands = {f"team-{n:03}": Demand(1, 2, 3) for n in range(6)}
             board.receive(f"entry-{number}", demands)
         points.append((size, time_calls(board.list_peers, 20)))
     # Six beats a second with 6 figures each are kept for ten seconds.
--- a/bench/capacity_work.py
+++ b/bench/capacity_work.py
@@ -7,8 +7,8 @@
     CPU_LIMIT,
     JOB_ROUNDS_PER_SECOND,
     MAINTENANCE_PER_SECOND,
-    MEMBER_READS_PER_SECOND,
     OWNER_CHECKS_PER_SECOND,
+    POLLED_PER_SECOND,
     REBOOT_SECONDS,
     SIX_WEEKS_DAYS,
     TASK_RENEWALS_PER_SECOND,
@@ -64,16 +64,17 @@
     reads = TARGET.pools_per_daemon / REPORT_SECONDS
     report = costs.at_target("reports_cpu") * reads
     renew = costs.per_unit("renewals_cpu") * tasks
-    marker = costs.at("table_read_cpu", 1) * rounds
+    polled_rows = TARGET.pools_per_daemon + 2
+    polled = costs.at("table_read_cpu", polled_rows) * POLLED_PER_SECOND
     calls_design = (
-        "one renewal for all tasks of a worker with leases of 90 s, reports that "
-        "name only what changed, and one marker row for all pools"
+        "one renewal for all tasks of a worker with leases of 90 s, and reports that "
+        "name only what changed"
     )
     yield make_line(
         role,
         Quantity.CPU,
         "reports, renewals and marker rows",
-        costs.percent(report + renew + marker, 1),
+        costs.percent(report + renew + polled, 1),
         "% core",
         "jobs/rounds.py, platform/http.py",
         CPU_LIMIT,
@@ -81,7 +82,7 @@
     )
     volume = costs.at_target("reports_bytes") * reads
     volume += costs.per_unit("renewals_bytes") * tasks
-    volume += costs.at("table_read_bytes", 1) * rounds
+    volume += costs.at("table_read_bytes", polled_rows) * POLLED_PER_SECOND
     yield make_line(
         role,
         Quantity.BYTES,
@@ -109,8 +110,8 @@
     yield make_line(
         role,
         Quantity.READS,
-        "marker rows of all pools",
-        sum_fleet(rounds),
+        "marker rows, read together",
+        sum_fleet(POLLED_PER_SECOND),
         "1/s",
         module,
     )
@@ -148,9 +149,9 @@
         "% core",
         "maintenance/service.py, coordination/rendezvous.py",
     )
-    calls = costs.at_target("step_pool_reads").value * pools + 1
+    calls = costs.at_target("step_pool_reads").value * pools
     step = costs.at_target("step_pool_list") + costs.at("table_read_cpu", 1)
-    cpu = step * pools + costs.at("table_read_cpu", 1)
+    cpu = step * pools
     yield make_line(
         role,
         Quantity.CPU,
@@ -160,11 +161,10 @@
         module,
     )
     volume = (costs.at("table_read_bytes", 0) + costs.at_target("pool_row")) * pools
-    volume += costs.at("table_read_bytes", 0)
     yield make_line(
         role,
         Quantity.BYTES,
-        "steps of its pools in which nothing changes, and the waves",
+        "steps of its pools in which nothing changes",
         volume * MAINTENANCE_PER_SECOND,
         "B/s",
         module,
@@ -189,7 +189,7 @@
         "% core",
         "maintenance/service.py _refresh",
     )
-    reads = calls * MAINTENANCE_PER_SECOND + MEMBER_READS_PER_SECOND
+    reads = calls * MAINTENANCE_PER_SECOND
     yield make_line(
         role, Quantity.READS, "of all daemons", sum_fleet(reads), "1/s", module
     )
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -135,6 +135,7 @@
         view = MembershipView(SUSPECT_SECONDS, self.clock.read, random)
         board = DemandBoard(self.clock.read)
         beats = BeatMaker(name, f"{name}-1", data_centre, view, board, tracker)
+        beats.pool_board = DemandBoard(self.clock.read)
         beats.address = f"{name}:8102"
         return Simulated(name, data_centre, tracker, view, beats)
 
