--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -35,12 +35,11 @@
     plan_move,
     view_demands,
 )
-from hemlockstand.requests.reclaim import Reclaimer, release_holder
+from hemlockstand.requests.reclaim import LIMIT_PREFIX, Reclaimer, release_holder
 from hemlockstand.requests.slots import Slot, TeamSlots
 
 log = logger.bind(module=__name__)
 
-LIMIT_PREFIX = "limit/"
 DEADLINE_TOLERANCE_SECONDS = 0.05  # admission computes deadlines before take
 MOVES_AT_ONCE = 8
 IDLE_POLL_SECONDS = 0.05
@@ -65,6 +64,11 @@
         self._lease = self._make_lease()
         self._teams: dict[str, TeamSlots] = {}
         self._seen: dict[str, tuple[Team, int]] = {}
+        self._move_limiter = trio.CapacityLimiter(MOVES_AT_ONCE)
+        self._moving: set[str] = set()
+        self._moved_at: dict[str, float] = {}
+        self._in_want: set[str] = set()
+        self._wanted = trio.Event()
         self._stopped = False
         self._longest_deadline = self.settings.requests.max_deadline_seconds
 
@@ -77,6 +81,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._renew_forever)
             nursery.start_soon(self._move_forever)
+            nursery.start_soon(self._move_on_demand)
             nursery.start_soon(self._reclaim_forever)
 
     async def stop(self) -> None:
@@ -118,6 +123,7 @@
                 if slot is not None:
                     slot.deadline = self.clock() + self._longest_deadline
                     return slot
+                self._move_soon(team)
                 with trio.move_on_at(min(deadline, slots.next_free_at())):
                     await slots.changed.wait()
             return None
@@ -127,7 +133,8 @@
     def _find_team(self, team: str) -> TeamSlots | None:
         """Return the team's slots with the limit in force, or None."""
         slots = self._teams.get(team)
-        if slots is not None and slots.split.version == self._version():
+        version = self.configuration.current.version
+        if slots is not None and slots.split.version == version:
             return slots
         split = self._find_split(team)
         if split is None:
@@ -145,9 +152,6 @@
         slots.split = split
         return slots
 
-    def _version(self) -> int:
-        return self.configuration.current.version
-
     def _make_escrow(self, team: str) -> Escrow:
         return Escrow(self.table, LIMIT_PREFIX + team, self._lease.holder)
 
@@ -276,13 +280,13 @@
 
     async def move_all(self) -> None:
         """Publish the demand of all teams and move slots where needed."""
-        limiter = trio.CapacityLimiter(MOVES_AT_ONCE)
         view = view_demands(self.peers, self.settings.daemon)
         async with trio.open_nursery() as nursery:
             for team, slots in tuple(self._teams.items()):
-                self.peers.publish_demand(team, measure_demand(slots))
+                demand = measure_demand(slots, view.daemons)
+                self.peers.publish_demand(team, demand)
                 if self._needs_move(team, slots, view):
-                    nursery.start_soon(self._move_team, team, view, limiter)
+                    nursery.start_soon(self._move_team, team, view)
 
     def _needs_move(self, team: str, slots: TeamSlots, view: DemandView) -> bool:
         """Return whether somebody waits or the limit has changed."""
@@ -292,13 +296,39 @@
         is_capped = slots.cap is not None
         return is_wanted or is_capped or slots.is_changed() or not slots.is_within()
 
-    async def _move_team(
-        self, team: str, view: DemandView, limiter: trio.CapacityLimiter
-    ) -> None:
-        async with limiter:
-            if self._lease.is_valid():
-                await self._try("move", partial(self._move, team, view))
-            self._teams[team].notify()
+    def _move_soon(self, team: str) -> None:
+        """Move slots before the next round if the last move is long ago.
+
+        A daemon without slots would let its first request wait for the round.
+        """
+        last = self._moved_at.get(team, float("-inf"))
+        if self.clock() - last < self.settings.limits.rebalance_seconds:
+            return
+        self._in_want.add(team)
+        self._wanted.set()
+
+    async def _move_on_demand(self) -> None:
+        while True:
+            await self._wanted.wait()
+            self._wanted = trio.Event()
+            teams, self._in_want = self._in_want, set()
+            view = view_demands(self.peers, self.settings.daemon)
+            async with trio.open_nursery() as nursery:
+                for team in teams:
+                    nursery.start_soon(self._move_team, team, view)
+
+    async def _move_team(self, team: str, view: DemandView) -> None:
+        if team in self._moving:
+            return
+        self._moving.add(team)
+        self._moved_at[team] = self.clock()
+        try:
+            async with self._move_limiter:
+                if self._lease.is_valid():
+                    await self._try("move", partial(self._move, team, view))
+                self._teams[team].notify()
+        finally:
+            self._moving.discard(team)
 
     async def _move(self, team: str, view: DemandView) -> None:
         slots = self._teams[team]
--- a/test/daemons.py
+++ b/test/daemons.py
@@ -48,12 +48,13 @@
 class Fleet:
     """Daemons that share a table and talk over 127.0.0.1."""
 
-    def __init__(self, nursery, directory, monkeypatch) -> None:
+    def __init__(self, nursery, directory, monkeypatch, services=()) -> None:
         self.table = MemoryTable()
         self.objects = MemoryObjects()
         self.daemons: dict[str, Daemon] = {}
         self._nursery = nursery
         self._directory = directory
+        self._services = ("configuration", "freshness", "peers", *services)
         self._platform = None
         monkeypatch.setattr(
             "hemlockstand.platform.service.HttpPlatform",
@@ -75,18 +76,17 @@
     async def add(self, name: str, data_centre: str, down: bool = False) -> Daemon:
         """Start a daemon that knows all earlier ones as seeds."""
         seeds = ", ".join(entry.peers.address for entry in self.daemons.values())
-        path = write_settings(self._directory, FAST)
+        path = write_settings(self._directory, FAST, name, data_centre)
         text = path.read_text()
         text = text.replace(
             "[peers]", f"[peers]\ninterval_seconds = 0.1\nseeds = {seeds}"
         )
-        text = text.replace("name = entry-1", f"name = {name}")
-        text = text.replace("data_centre = dc1\n", f"data_centre = {data_centre}\n")
+        text = text.replace("[platform]", "[platform]\ninstance_poll_seconds = 0.1")
         path.write_text(text)
         self._platform = MemoryPlatform(SwitchedTable(self.table), self.objects)
         self._platform.table.down = down
         self._platform.instances.down = True
-        kernel = Kernel(load_settings(path), ("configuration", "freshness", "peers"))
+        kernel = Kernel(load_settings(path), self._services)
         await self._nursery.start(kernel.serve)
         self.daemons[name] = Daemon(kernel, self._platform)
         return self.daemons[name]
--- a/test/fakes.py
+++ b/test/fakes.py
@@ -22,7 +22,6 @@
     Queue,
     Team,
 )
-from hemlockstand.platform.interface import InstanceKind, InstanceRecord, InstanceState
 from hemlockstand.platform.memory import MemoryTable
 from hemlockstand.platform.service import PlatformService
 from hemlockstand.requests.admission import AdmissionService
@@ -31,7 +30,13 @@
 from hemlockstand.requests.upstreams import UpstreamsService
 from hemlockstand.settings import load_settings
 from hemlockstand.verdict import NotRun, Reason
-from test.helper import write_settings
+from test.helper import (
+    FakeConfiguration,
+    FakeFreshness,
+    ListedInstances,
+    make_record,
+    write_settings,
+)
 
 
 @frozen(eq=False)
@@ -74,6 +79,9 @@
     connections: int = 0
     running: int = 0
     most_running: int = 0
+    health_checks: int = 0
+    is_leaving: bool = False
+    is_closed: bool = False
     address: str = ""
 
     CLOSE = b"<close>"
@@ -96,6 +104,12 @@
         except trio.BrokenResourceError:
             return
 
+    def _show_health(self) -> bytes:
+        self.health_checks += 1
+        body = b'{"leaving": true}' if self.is_leaving else b"{}"
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        return head.encode() + body
+
     async def _handle_one(self, stream: trio.SocketStream, buffer: bytearray) -> bool:
         while b"\r\n\r\n" not in buffer:
             data = await stream.receive_some()
@@ -114,6 +128,9 @@
             rest += data
         buffer[:] = rest[length:]
         received = Received(lines[0].split()[1], headers, rest[:length])
+        if received.path == "/health":
+            await stream.send_all(self._show_health())
+            return True
         self.received.append(received)
         self.running += 1
         self.most_running = max(self.most_running, self.running)
@@ -132,7 +149,8 @@
     limits: "FakeLimits"
     team: str
 
-    def may_send(self) -> bool:
+    def may_send(self, deadline: float | None = None) -> bool:
+        self.limits.deadlines.append(deadline)
         return self.limits.lease_is_valid
 
     def release(self, certain: bool) -> None:
@@ -148,6 +166,7 @@
     running: Counter = field(factory=Counter)
     most_running: Counter = field(factory=Counter)
     uncertain: int = 0
+    deadlines: list = field(factory=list)
     _changed: trio.Event = field(factory=trio.Event)
 
     def take(self, team: str, deadline: float, keyed: bool) -> FakeSlot | None:
@@ -209,23 +228,6 @@
         return self.outcomes.get((team, request_id), missing)
 
 
-@define(eq=False)
-class FakeConfiguration:
-    """A configuration that a test replaces at will."""
-
-    current: Configuration
-
-
-@define(eq=False)
-class FakeFreshness:
-    """Freshness that a test switches."""
-
-    fresh: bool = True
-
-    def is_fresh(self, scope: Any) -> bool:
-        return self.fresh
-
-
 @define(eq=False)
 class FakePeers:
     """Peers whose answers a test decides."""
@@ -238,6 +240,8 @@
     published: dict = field(factory=dict)
     heard: dict = field(factory=dict)
     known: list = field(factory=list)
+    told: list = field(factory=list)
+    receive_sign: Any = None
 
     async def forward(self, daemon_incarnation, message, timeout_seconds=None):
         await trio.lowlevel.checkpoint()
@@ -261,30 +265,11 @@
     def pool_demands(self):
         return self.heard
 
+    def tell_sign(self, sign) -> None:
+        self.told.append(sign)
 
-@define(eq=False)
-class FakeInstances:
-    """The platform's instance list."""
-
-    records: list[InstanceRecord] = field(factory=list)
-
-    async def list(self) -> list[InstanceRecord]:
-        await trio.lowlevel.checkpoint()
-        return list(self.records)
-
-
-def make_record(upstream_id: str, address: str, pool: str) -> InstanceRecord:
-    """Return the list entry of an executor in the daemon's data centre."""
-    return InstanceRecord(
-        upstream_id,
-        InstanceKind.EXECUTOR,
-        "central",
-        "dc1",
-        "rack1",
-        address,
-        InstanceState.LIVE,
-        pool,
-    )
+    def handle_sign(self, function) -> None:
+        self.receive_sign = function
 
 
 def make_queue(name: str, team: str = "hinge", **changes: Any) -> Queue:
@@ -326,7 +311,7 @@
     limits: FakeLimits
     orders: FakeOrders
     peers: FakePeers
-    instances: FakeInstances
+    instances: ListedInstances
     table: MemoryTable
 
     @property
@@ -384,7 +369,7 @@
     }
     for name, fake in fakes.items():
         register(_make_service(name, fake))
-    instances = FakeInstances()
+    instances = ListedInstances()
     table = MemoryTable()
 
     @register
--- a/test/test_limits.py
+++ b/test/test_limits.py
@@ -5,7 +5,11 @@
 import pytest
 import trio
 
+from hemlockstand.coordination.escrow import ELASTIC, Escrow, split_limit
+from hemlockstand.peers.demands import Demand
+from hemlockstand.platform.memory import MemoryTable
 from hemlockstand.requests.limits import LimitsService
+from hemlockstand.requests.slots import USE_SECONDS
 from test.fleet_fakes import Fleet
 
 
@@ -78,7 +82,7 @@
         first = await run_service(kernel, nursery)
         assert await serve_for(first, "hinge", 1)
         freshness = kernel.find("freshness", object)
-        kernel.link.up = False
+        kernel.link.down = True
         freshness.outage = {"fleet": True, "data_centre": True}
         for _ in range(100):
             assert await serve_for(first, "hinge", 5)
@@ -96,7 +100,7 @@
         first = await run_service(kernel, nursery)
         assert await serve_for(first, "hinge", 1)
         freshness = kernel.find("freshness", object)
-        kernel.link.up = False
+        kernel.link.down = True
         freshness.outage["data_centre"] = True
         freshness.fresh["fleet"] = False
         await trio.sleep(300)
@@ -233,6 +237,22 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_return_under_an_older_configuration_keeps_the_newer_limit():
+    """Guards against a row that shows the old limit as that of the newer
+    configuration, which nobody may write or take from any more."""
+    table = MemoryTable()
+    old = split_limit(20, 0.0, ["dc1"], 1)
+    new = split_limit(1, 0.0, ["dc1"], 2)
+    first = Escrow(table, "limit/hinge", "entry-1/a")
+    second = Escrow(table, "limit/hinge", "entry-2/a")
+    await first.take({ELASTIC: 5}, old)
+    await second.settle({}, new)
+    await first.shrink({}, old)
+    row = await table.read("limit/hinge")
+    assert (row.value["limit"], row.value["version"]) == (1, 2)
+    assert await second.take({ELASTIC: 1}, new) == {ELASTIC: 1}
+
+
 @pytest.mark.parametrize("seed", range(8))
 async def test_fleet_serves_as_much_as_one_limit(autojump_clock, tmp_path, seed):
     """Differential test against one counter that sees all requests.
@@ -273,3 +293,65 @@
     finally:
         if slot is not None:
             slot.release(certain=True)
+
+
+async def test_first_request_does_not_wait_for_a_round(autojump_clock, tmp_path):
+    """Guards against the wait of a round for the first request after a pause."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 8)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        await trio.sleep(10.1 * first.settings.limits.rebalance_seconds)
+        began = trio.current_time()
+        slot = await first.wait_slot("hinge", began + 5, True)
+        assert slot.may_send()
+        assert trio.current_time() - began < first.settings.limits.rebalance_seconds / 4
+        nursery.cancel_scope.cancel()
+
+
+async def test_moves_on_demand_keep_their_distance(autojump_clock, tmp_path):
+    """Guards against a table write for each request of a team at its limit."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 1)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        second = await run_service(fleet.add("entry-2"), nursery)
+        held = await first.wait_slot("hinge", trio.current_time() + 5, True)
+        assert held.may_send()
+        moves = 0
+        move = second._move
+
+        async def count(team, view):
+            nonlocal moves
+            moves += 1
+            await move(team, view)
+
+        second._move = count
+        for _ in range(200):
+            now = trio.current_time()
+            assert await second.wait_slot("hinge", now + 0.01, True) is None
+        assert moves <= 2 / second.settings.limits.rebalance_seconds + 2
+        nursery.cancel_scope.cancel()
+
+
+async def test_daemon_under_light_load_keeps_what_it_uses(autojump_clock, tmp_path):
+    """Guards against slots that are given away in each pause between requests,
+    and against slots that a daemon keeps without using them."""
+    fleet = Fleet(tmp_path)
+    fleet.configuration.set_limit("hinge", 8)
+    async with trio.open_nursery() as nursery:
+        first = await run_service(fleet.add("entry-1"), nursery)
+        fleet.add("entry-2")
+        deadline = trio.current_time() + 20
+        slots = [await first.wait_slot("hinge", deadline, True) for _ in range(3)]
+        await trio.sleep(1.0)
+        for slot in slots:
+            slot.release(certain=True)
+        demand = Demand(waiting=100, running=0, idle=0)
+        fleet.peers["entry-2"].publish_demand("hinge", demand)
+        held = first._teams["hinge"].held
+        await trio.sleep(2.1 * first.settings.limits.rebalance_seconds)
+        assert held() == 3
+        await trio.sleep(2 * USE_SECONDS)
+        assert held() == 0
+        nursery.cancel_scope.cancel()
