--- a/bench/job_writes.py
+++ b/bench/job_writes.py
@@ -107,7 +107,7 @@
 def _make_service(table: MemoryTable, configuration: Configuration) -> JobsService:
     platform = SimpleNamespace(table=table, workers=LocalWorkers(trio.current_time))
     services = {
-        "platform": SimpleNamespace(platform=platform),
+        "platform": SimpleNamespace(platform=platform, polled=None),
         "configuration": SimpleNamespace(current=configuration),
         "peers": SimpleNamespace(members=list),
         "maintenance": None,
--- /dev/null
+++ b/hemlockstand/jobs/drafts.py
@@ -0,0 +1,149 @@
+"""Changes that a placement round collects before it commits them."""
+
+from collections.abc import Iterable, Iterator
+
+from attrs import define, evolve, field, frozen
+
+from hemlockstand.jobs.placement import Placement, Site, Unplaced
+from hemlockstand.jobs.quarantine import count_probe
+from hemlockstand.jobs.records import (
+    Task,
+    TeamWork,
+    WorkerState,
+    release_task,
+    start_task,
+    stop_task,
+)
+from hemlockstand.jobs.store import JobStore
+from hemlockstand.model import Configuration, Job
+from hemlockstand.platform.interface import Shape
+
+
+@frozen
+class RoundOutcome:
+    """What a round did, for metrics and operators."""
+
+    placed: int
+    finished: int
+    failed: int
+    unplaced: tuple[Unplaced, ...] = ()
+
+
+@define
+class Draft:
+    """Changes of a round before they are committed."""
+
+    works: dict[str, TeamWork]
+    workers: dict[str, WorkerState]
+    starts: list[tuple[str, Task]] = field(factory=list)
+    checkpoints: list[Task] = field(factory=list)
+    finished: int = 0
+    failed: int = 0
+    placed: int = 0
+    unplaced: list[Unplaced] = field(factory=list)
+    ended: list[tuple[str, int]] = field(factory=list)
+
+    def copy(self) -> "Draft":
+        """Return a copy that later changes of this draft leave alone."""
+        return Draft(
+            dict(self.works),
+            dict(self.workers),
+            list(self.starts),
+            list(self.checkpoints),
+            self.finished,
+            self.failed,
+            self.placed,
+            list(self.unplaced),
+            list(self.ended),
+        )
+
+    def count_changed(self, store: JobStore) -> int:
+        """Return how many rows differ from the stored ones."""
+        works = sum(store.works.get(n) is not work for n, work in self.works.items())
+        return works + sum(
+            store.workers.get(n) is not worker for n, worker in self.workers.items()
+        )
+
+
+def list_tasks(draft: Draft, worker: str) -> Iterator[tuple[str, Task]]:
+    """Yield the team and the task of each start that the worker holds."""
+    for name, allocation in draft.workers[worker].allocations.items():
+        work = draft.works.get(allocation.team)
+        task = work.running.get(name) if work is not None else None
+        if task is not None and task.fence == allocation.fence:
+            yield allocation.team, task
+
+
+def list_waiting(
+    work: TeamWork, configuration: Configuration
+) -> Iterator[tuple[str, Job | None, str, float]]:
+    """Yield checkpointed tasks and demanded runs of jobs that are not parked."""
+    for task in work.running.values():
+        if task.checkpointed:
+            job = configuration.jobs.get(task.job)
+            yield task.name, job, task.run, task.started_at
+    for name, demanded in work.demanded.items():
+        if demanded.job not in work.parked and name not in work.running:
+            job = configuration.jobs.get(demanded.job)
+            yield name, job, demanded.run, demanded.asked_at
+
+
+def find_largest(sites: Iterable[Site]) -> Shape:
+    """Return the largest amount of each resource that some worker has."""
+    largest = Shape(0.0, 0, 0)
+    for site in sites:
+        largest = Shape(
+            max(largest.cores, site.capacity.cores),
+            max(largest.memory_mb, site.capacity.memory_mb),
+            max(largest.accelerators, site.capacity.accelerators),
+        )
+    return largest
+
+
+def drop_start(draft: Draft, team: str, task: Task) -> None:
+    """Forget a start that no longer runs; the run is due again."""
+    draft.works[team] = stop_task(draft.works[team], task)
+    draft.workers[task.worker] = release_task(draft.workers[task.worker], task)
+
+
+def suspend_task(draft: Draft, team: str, task: Task) -> None:
+    """Release the resources of a checkpointed task and keep its run."""
+    work = draft.works[team]
+    suspended = evolve(task, checkpointed=True)
+    draft.works[team] = evolve(work, running={**work.running, task.name: suspended})
+    draft.workers[task.worker] = release_task(draft.workers[task.worker], task)
+
+
+def _find_asked_at(work: TeamWork, name: str) -> float:
+    """Return when the run was asked for, 0 if its schedule made it due."""
+    if name in work.demanded:
+        return work.demanded[name].asked_at
+    return work.running[name].asked_at if name in work.running else 0.0
+
+
+def apply_placement(draft: Draft, placement: Placement, now: float) -> None:
+    """Put a placement into the draft, with the displacement of its victims."""
+    run = placement.run
+    for victim in placement.victims:
+        team = victim.allocation.team
+        task = draft.works[team].running[victim.task]
+        suspend_task(draft, team, task)
+        draft.checkpoints.append(task)
+    work = draft.works[run.team]
+    task = Task(
+        run.name,
+        run.job,
+        run.run,
+        placement.worker,
+        work.fence + 1,
+        run.shape,
+        run.priority,
+        now,
+        asked_at=_find_asked_at(work, run.name),
+    )
+    draft.works[run.team], worker = start_task(
+        work, draft.workers[placement.worker], task
+    )
+    draft.workers[placement.worker] = count_probe(worker)
+    draft.starts.append((run.team, task))
+    draft.placed += 1
--- a/hemlockstand/maintenance/steps.py
+++ b/hemlockstand/maintenance/steps.py
@@ -231,6 +231,9 @@
             await self.machines.undrain(instance.id)
         elif health.phase == "drained" and not rebooted:
             await self.machines.reboot(instance.id)
+        elif health.phase == "serving" and not rebooted:
+            # A daemon that had read the row before has undone the drain.
+            await self.machines.drain(instance.id)
 
     async def _advance_joining(
         self, instance: InstanceState, health: MachineHealth
@@ -294,6 +297,7 @@
 
     async def recall(self, instance: InstanceState) -> None:
         """Undo a planned disruption that has not gone beyond draining."""
+        instance = await self.read_instance(instance.id)
         if instance.phase is not Phase.DRAINING:
             return
         await self.machines.undrain(instance.id)
--- a/test/test_maintenance.py
+++ b/test/test_maintenance.py
@@ -2,7 +2,7 @@
 
 import pytest
 import trio
-from attrs import define, field
+from attrs import define, evolve, field
 from hypothesis import given, settings, strategies
 
 from emulator.local_machines import LocalMachines
@@ -19,9 +19,12 @@
     Phase,
     Wave,
     WaveState,
+    add_disruption,
     decode_instance,
     decode_pool,
     decode_wave,
+    encode_instance,
+    encode_pool,
     encode_wave,
 )
 from hemlockstand.maintenance.rounds import MaintenanceRounds
@@ -309,6 +312,37 @@
         return await self.machines.health(instance)
 
 
+async def test_instance_that_was_undrained_before_its_reboot_is_rebooted(fleet):
+    """Guards against a wave that waits for a reboot that nobody asked for.
+
+    The reply to the write before the reboot was lost, and the drain was
+    undone by a step that still had the older row.
+    """
+    rounds = fleet.make_rounds()
+    await fleet.repeat(rounds, 1)
+    await fleet.start_wave()
+    pool = await rounds.steps.read_pool("frame")
+    instance = await rounds.steps.read_instance("i00")
+    rebooting = evolve(instance, phase=Phase.REBOOTING, since=fleet.now, wave="w1")
+    disrupted = add_disruption(pool, "i00", "wave w1")
+    await rounds.steps.commit([encode_pool(disrupted), encode_instance(rebooting)])
+    await fleet.repeat(rounds, 4)
+    assert fleet.machines.reboots.count("i00") == 1
+    assert fleet.read_instance("i00").phase is Phase.SERVING
+
+
+async def test_recall_leaves_an_instance_alone_that_went_on(fleet):
+    """Guards against a drain that is undone after the reboot was decided."""
+    rounds = fleet.make_rounds()
+    await fleet.repeat(rounds, 1)
+    stale = evolve(fleet.read_instance("i00"), phase=Phase.DRAINING)
+    rebooting = evolve(fleet.read_instance("i00"), phase=Phase.REBOOTING)
+    await rounds.steps.commit([encode_instance(rebooting)])
+    await fleet.machines.drain("i00")
+    await rounds.steps.recall(stale)
+    assert not fleet.machines.is_serving("i00")
+
+
 async def test_replaced_instance_does_not_hold_up_its_pool(fleet):
     """Guards against a wave that stops at an instance that is no more."""
     rounds = fleet.make_rounds()
