--- a/bench/faults.py
+++ b/bench/faults.py
@@ -103,6 +103,12 @@
         """Start the killed daemon again, as a new incarnation."""
         self.fleet.start_daemon(KILLED)
 
+    def count_replacement(self) -> None:
+        """Excuse nothing at the replaced daemon from now on."""
+        self.fleet.wait_ready(KILLED)
+        began, _ = self.disturbed[KILLED]
+        self.disturbed[KILLED] = (began, time.monotonic())
+
     def pause(self) -> None:
         """Pause a daemon with SIGSTOP."""
         self.disturbed[PAUSED] = (time.monotonic(), float("inf"))
@@ -155,6 +161,7 @@
     (22.0, FaultRun.lose_replies),
     (24.0, FaultRun.fill_executor),
     (26.0, FaultRun.recover_platform),
+    (26.5, FaultRun.count_replacement),
     (27.0, FaultRun.cut),
     (30.0, FaultRun.recover_executors),
     (34.0, FaultRun.heal),
