--- a/hemlockstand/jobs/service.py
+++ b/hemlockstand/jobs/service.py
@@ -1,8 +1,8 @@
 """The jobs service: one task per pool that this daemon places jobs for.
 
 Rendezvous hashing over the live daemons assigns each pool to one of them.
-That is only a hint which avoids conflicts; the conditional writes keep every
-promise when two daemons believe that they own a pool.
+That is only a hint which avoids conflicts; the conditional writes enforce every
+guarantee when two daemons believe that they own a pool.
 """
 
 from collections.abc import Callable, Iterable, Iterator
--- a/hemlockstand/kernel.py
+++ b/hemlockstand/kernel.py
@@ -88,7 +88,7 @@
         """Start all services, run until ``stopping`` is set, then stop them.
 
         An error in the background work of any service ends the daemon: one
-        that runs without a part of itself would break promises silently.
+        that runs without a part of itself would violate guarantees silently.
         """
         async with trio.open_nursery() as nursery:
             for name in order_services(self._wanted):
--- a/test/test_bench_faults.py
+++ b/test/test_bench_faults.py
@@ -1,4 +1,4 @@
-"""The judgement of a run with faults finds each broken promise."""
+"""The judgement of a run with faults finds each violated guarantee."""
 
 from bench.faults import (
     Evidence,
@@ -80,7 +80,7 @@
     assert measure_amplification(requests, [make_run(name) for name in names]) == 1.5
 
 
-def test_a_broken_promise_fails_its_figure():
+def test_a_violated_guarantee_fails_its_figure():
     """Guards against a figure that never reaches its bound's wrong side."""
     requests = [
         make_request("refused", "not-run"),
--- a/test/test_job_rounds.py
+++ b/test/test_job_rounds.py
@@ -1,4 +1,4 @@
-"""Placement rounds keep their promises through failures and races."""
+"""Placement rounds keep their guarantees through failures and races."""
 
 from datetime import UTC, date, datetime
 
