--- a/test/test_job_cancels.py
+++ b/test/test_job_cancels.py
@@ -1,15 +1,26 @@
 """Cancellations and the pacing of writes."""
 
+from datetime import date
+from types import SimpleNamespace
+
 import pytest
 import trio
 from attrs import evolve
 
-from hemlockstand.errors import PlatformUnavailable
+from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
 from hemlockstand.jobs.cancels import CancelBatches
 from hemlockstand.jobs.pacing import WritePacer
-from hemlockstand.jobs.records import Task, TeamWork
-from hemlockstand.model import Priority
+from hemlockstand.jobs.records import (
+    Task,
+    TeamWork,
+    decode_work,
+    drop_entry,
+    encode_work,
+)
+from hemlockstand.jobs.service import JobsService
+from hemlockstand.model import Configuration, Job, Priority
 from hemlockstand.platform.interface import Shape
+from hemlockstand.platform.memory import MemoryTable
 
 RUN = "20261204T060000Z"
 LATER = "20261204T070000Z"
@@ -127,3 +138,50 @@
         within = [other for other in sent if moment <= other < moment + 1]
         assert 3 * len(within) <= 10
     assert len(sent) == 40
+
+
+class OwnerIsFaster(MemoryTable):
+    """Loses the reply to a submit whose run ends before it is read back."""
+
+    lost = False
+
+    async def transact(self, operations):
+        versions = await super().transact(operations)
+        if self.lost:
+            return versions
+        self.lost = True
+        work = decode_work("frame", await self.read("work/frame"))
+        ((task, asked),) = work.demanded.items()
+        done = evolve(
+            work,
+            demanded=drop_entry(work.demanded, task),
+            last_run={asked.job: asked.run},
+        )
+        await super().transact([encode_work(done)])
+        raise OutcomeUnknown("reply lost")
+
+
+def make_service(table, job):
+    platform = SimpleNamespace(table=table)
+    services = {
+        "platform": SimpleNamespace(platform=platform, polled=None),
+        "configuration": SimpleNamespace(current=Configuration(jobs={job.name: job})),
+        "peers": None,
+        "maintenance": None,
+    }
+    settings = SimpleNamespace(
+        daemon=SimpleNamespace(name="entry-1"),
+        jobs=SimpleNamespace(writes_per_second=50),
+    )
+    return JobsService(
+        SimpleNamespace(settings=settings, find=lambda name, kind: services[name])
+    )
+
+
+async def test_submit_is_not_repeated_after_its_run_has_ended():
+    """Guards against a second run because the reply to the first was lost."""
+    day = date(2999, 1, 1)
+    job = Job("once", "frame", "p", "on demand", day, Priority.BATCH, 1, 1000, 1)
+    table = OwnerIsFaster()
+    await make_service(table, job).submit("once", "frame")
+    assert decode_work("frame", await table.read("work/frame")).demanded == {}
--- a/test/test_job_rounds.py
+++ b/test/test_job_rounds.py
@@ -368,6 +368,8 @@
     bench.workers.unreachable = set()
     await bench.repeat(other, configuration, 50)
     bench.workers.unreachable = {worker}
+    # A next start would go to another worker.
+    bench.sites[worker] = evolve(bench.sites[worker], open=False)
     await bench.repeat(paused, configuration, 3)
     bench.workers.unreachable = set()
     assert bench.workers.count_running(task) == 1
