--- a/bench/runner.py
+++ b/bench/runner.py
@@ -20,7 +20,18 @@
 
 from bench.figures import Figure, Side
 
-GROUPS: tuple[str, ...] = ()
+GROUPS: tuple[str, ...] = (
+    "buffers",
+    "jobs",
+    "limits",
+    "maintenance",
+    "peers",
+    "requests_overload",
+    "requests_path",
+    "spread",
+    "faults",
+    "control",
+)
 RECORDS = Path(__file__).with_name("records")
 NOTABLE_CHANGE = 0.2
 
@@ -46,7 +57,7 @@
 
 def load_last_record() -> dict[str, float]:
     """Return the values of the newest recorded run by figure name."""
-    records = sorted(RECORDS.glob("*.json"))
+    records = sorted(RECORDS.glob("[0-9]*.json"))
     if not records:
         return {}
     figures = json.loads(records[-1].read_text())["figures"]
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -22,6 +22,7 @@
 from typing import Any
 
 import httpx
+import msgspec
 from attrs import define, field
 
 from emulator.layout import (
@@ -32,6 +33,7 @@
     Layout,
     Overrides,
 )
+from emulator.load import LoadPlan
 from emulator.network import (
     BALANCER_CONTROL_PORT,
     BALANCER_PORT,
@@ -40,13 +42,14 @@
     Network,
     reserve_network,
 )
-from emulator.processes import ChildGroup
+from emulator.processes import Child, ChildGroup
 from emulator.shapes import FleetShape
 
 SHEETS = Path(__file__).with_name("sheets")
 START_SECONDS = 30.0
 POLL_SECONDS = 0.05
 CTL_SECONDS = 40.0
+LOAD_END_SECONDS = 60.0
 WAIT_IN_FORCE = "--wait=10"
 
 
@@ -56,7 +59,9 @@
 
     ``overrides`` are settings by section for all daemons. ``service_ms`` is
     the mean service time of the executors. With ``linked``, a link proxy
-    stands between the data centres, so that ``cut`` can separate them.
+    stands between the data centres, so that ``cut`` can separate them. With
+    ``metered``, it also stands between all daemons and before the platform,
+    so that ``count_links`` counts the control traffic.
     """
 
     shape: FleetShape
@@ -65,6 +70,7 @@
     spread: float = 0.3
     balancer_lag_seconds: float = 0.5
     linked: bool = False
+    metered: bool = False
     layout: Layout = field(init=False)
     children: ChildGroup = field(init=False)
     http: httpx.Client = field(init=False)
@@ -76,7 +82,12 @@
         directory = Path(self._temporary.name)
         self._network = reserve_network()
         self.layout = Layout(
-            self.shape, self._network, directory, self.overrides, self.linked
+            self.shape,
+            self._network,
+            directory,
+            self.overrides,
+            self.linked,
+            self.metered,
         )
         self.children = ChildGroup(directory)
         self.http = httpx.Client(trust_env=False, timeout=10)
@@ -105,12 +116,16 @@
 
     def start(self) -> None:
         """Start everything and wait until it is ready."""
+        self.start_processes()
+        self.start_balancer()
+
+    def start_processes(self) -> None:
+        """Start everything but the balancer and wait until it is ready."""
         self.start_platform()
-        if self.linked:
+        if self.layout.links:
             self.start_links()
         self.start_upstreams()
         self.start_daemons()
-        self.start_balancer()
 
     def start_platform(self) -> None:
         """Start the platform stand-in and register all instances."""
@@ -154,6 +169,20 @@
         names = [f"{data_centre}>*", f"*>{data_centre}>*"]
         self._post(self._link_url, {"names": names, "mode": mode})
 
+    def count_links(self) -> dict[str, tuple[int, int]]:
+        """Return the bytes and chunks that have passed each link."""
+        links = self.http.get(self._link_url).json()["links"]
+        return {link["name"]: (link["bytes"], link["chunks"]) for link in links}
+
+    def operate(self, daemon: str, path: str, **body: Any) -> dict[str, Any]:
+        """Make a change through the operator interface of a daemon."""
+        url = f"http://{self.daemons[daemon].operator}/o/{path}"
+        headers = {"Authorization": f"Bearer {TOKEN}", "X-Operator": "bench"}
+        response = self.http.post(url, json=body, headers=headers)
+        if response.status_code != 200:
+            raise FleetError(f"{url}: {response.status_code} {response.text}")
+        return response.json()
+
     def start_upstreams(self) -> None:
         """Start one process of executors per desk."""
         for desk in self.shape.desks:
@@ -275,6 +304,21 @@
         granted = self.ctl("key", "grant", name, f"--team={team}", WAIT_IN_FORCE)
         return granted["key"]
 
+    def start_load(self, name: str, plan: LoadPlan) -> Child:
+        """Start the load tool as a process with a plan."""
+        path = self.children.directory / f"{name}.plan"
+        path.write_bytes(msgspec.json.encode(plan))
+        report = path.with_suffix(".report")
+        arguments = [f"--plan={path}", f"--report={report}"]
+        return self.children.start(name, "emulator.load", arguments)
+
+    def finish_load(self, load: Child, seconds: float = LOAD_END_SECONDS) -> dict:
+        """Wait for a load process and return its report."""
+        if load.wait(seconds) != 0:
+            raise FleetError(f"load {load.name} failed:\n{load.read_log_tail()}")
+        path = self.children.directory / f"{load.name}.report"
+        return msgspec.json.decode(path.read_bytes())
+
     def set_faults(self, **values: Any) -> None:
         """Set switches of the platform stand-in."""
         self._post(f"{self.layout.platform}/faults", values)
--- a/emulator/processes.py
+++ b/emulator/processes.py
@@ -1,27 +1,16 @@
 """Child processes with log files, always ended by their own id."""
 
-import ctypes
 import os
 import signal
 import subprocess
 import sys
-import time
 from collections.abc import Sequence
 from pathlib import Path
 
 from attrs import define, field
 
-STOP_SECONDS = 5.0
-PR_SET_PDEATHSIG = 1
 LOG_TAIL_LINES = 30
 
-_libc = ctypes.CDLL(None, use_errno=True)
-
-
-def _die_with_parent() -> None:
-    """Ask the kernel to kill this child when its parent is killed."""
-    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-
 
 @define
 class Child:
@@ -77,26 +66,20 @@
         log = self.directory / f"{name}.log"
         with log.open("ab") as stream:
             process = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments],
+                [sys.executable, "-m", "emulator.child", module, *arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=stream,
                 stderr=subprocess.STDOUT,
                 env=os.environ | {"PYTHONUNBUFFERED": "1"},
-                preexec_fn=_die_with_parent,
             )
         child = Child(name, process, log)
         self.children[name] = child
         return child
 
     def close(self) -> None:
-        """End all processes, gracefully at first."""
+        """Kill all processes; nothing in a fleet outlives its directory."""
         for child in self.children.values():
             if child.alive:
-                child.resume()
-                child.terminate()
-        deadline = time.monotonic() + STOP_SECONDS
+                child.process.kill()
         for child in self.children.values():
-            try:
-                child.wait(max(0.05, deadline - time.monotonic()))
-            except subprocess.TimeoutExpired:
-                child.kill()
+            child.process.wait()
--- a/hemlockstand/jobs/service.py
+++ b/hemlockstand/jobs/service.py
@@ -5,8 +5,9 @@
 promise when two daemons believe that they own a pool.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from datetime import UTC, datetime
+from math import inf
 from random import Random
 from time import time
 
@@ -15,7 +16,7 @@
 from loguru import logger
 
 from hemlockstand.configuration.service import ConfigurationService
-from hemlockstand.coordination.rendezvous import choose_owner
+from hemlockstand.coordination.rendezvous import OwnerIndex
 from hemlockstand.errors import (
     HemlockstandError,
     InvalidInput,
@@ -24,7 +25,7 @@
     PlatformUnavailable,
     TableConflict,
 )
-from hemlockstand.jobs.placement import Site, Unplaced, sum_capacity
+from hemlockstand.jobs.placement import Site, Unplaced
 from hemlockstand.jobs.records import (
     WORK_PREFIX,
     WORKER_PREFIX,
@@ -35,22 +36,27 @@
     decode_worker,
     drop_entry,
     encode_work,
+    encode_worker,
     name_task,
 )
 from hemlockstand.jobs.rounds import PoolRounds, RoundOutcome
 from hemlockstand.jobs.schedules import is_wanted, name_run
+from hemlockstand.jobs.shapes import NOTHING, add_shapes
 from hemlockstand.jobs.store import JobStore
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.maintenance.service import MaintenanceService
 from hemlockstand.model import Configuration, Job, PoolKind
 from hemlockstand.peers.service import PeersService
-from hemlockstand.platform.interface import Put, Shape
+from hemlockstand.platform.interface import InstanceRecord, Put, Shape
 from hemlockstand.platform.service import PlatformService
 
 log = logger.bind(module=__name__)
 
 MARKER_PREFIX = "jobs/marker/"  # one row per pool, written when others change jobs
+POLL_FRACTION = 0.8  # part of an interval for which a polled row is shared
 MAX_BACKOFF_SECONDS = 30.0
+REPORT_SECONDS = 2.0  # the usage in reports lags by seconds
+FLEET_SECONDS = 2.0  # the members of pools are read as often
 MAX_ATTEMPTS = 8  # conditional writes that race with a round of the owner
 
 
@@ -80,7 +86,8 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self.platform = kernel.find("platform", PlatformService).platform
+        service = kernel.find("platform", PlatformService)
+        self.platform, self.polled = service.platform, service.polled
         self.configuration = kernel.find("configuration", ConfigurationService)
         self.peers = kernel.find("peers", PeersService)
         self.maintenance = kernel.find("maintenance", MaintenanceService)
@@ -88,6 +95,9 @@
         self.outcomes: dict[str, RoundOutcome] = {}
         self._random = Random(self.settings.daemon.name)
         self._tasks: dict[str, trio.CancelScope] = {}
+        self._owners = OwnerIndex()
+        self._fleet = NOTHING
+        self._fleet_at = -inf
 
     async def run(self) -> None:
         """Start and end the tasks of the pools as ownership changes."""
@@ -112,10 +122,12 @@
         ]
         if self.settings.daemon.name not in members:
             members.append(self.settings.daemon.name)
-        for pool in self.configuration.current.pools.values():
-            if pool.kind is PoolKind.WORKERS:
-                if choose_owner(pool.name, members) == self.settings.daemon.name:
-                    yield pool.name
+        own = self.settings.daemon.name
+        return self._owners.select(own, self._list_worker_pools(), members)
+
+    def _list_worker_pools(self) -> list[str]:
+        pools = self.configuration.current.pools.values()
+        return [pool.name for pool in pools if pool.kind is PoolKind.WORKERS]
 
     async def _serve_pool(self, pool: str, scope: trio.CancelScope) -> None:
         section = self.settings.jobs
@@ -128,6 +140,7 @@
             time,
             lambda: self._list_sites(pool),
             self._sum_fleet,
+            REPORT_SECONDS,
         )
         with scope:
             try:
@@ -143,45 +156,53 @@
             placer = self.rounds[pool]
             before = placer.store.writes
             try:
-                marker = await self.platform.table.read(MARKER_PREFIX + pool)
+                marker = await self.polled.read(
+                    MARKER_PREFIX + pool, section.interval_seconds * POLL_FRACTION
+                )
                 if marker.version != seen:
                     placer.store.forget()
                     seen = marker.version
                 outcome = await placer.run_round(self.configuration.current)
                 if outcome is not None:
                     self.outcomes[pool] = outcome
-                backoff = section.interval_seconds
+                backoff = pause = section.interval_seconds
             except PlatformUnavailable as error:
                 # Doubles with jitter, so that all pools of all daemons do not
                 # return at the same moment when the table is back.
                 backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+                pause = backoff * self._random.uniform(0.5, 1.0)
                 log.info("round of pool {} failed: {}", pool, error)
             written = placer.store.writes - before
-            pause = max(
-                backoff * self._random.uniform(0.5, 1.0),
-                written / section.writes_per_second,
-            )
-            await trio.sleep(pause)
+            await trio.sleep(max(pause, written / section.writes_per_second))
 
     def _list_sites(self, pool: str) -> dict[str, Site]:
+        open_names = {record.id for record in self.maintenance.list_open([pool])}
         return {
             record.id: Site(
                 record.id,
                 record.data_centre,
                 record.rack,
-                Shape(record.cores, record.memory_mb, record.accelerators),
-                self.maintenance.is_open(record.id),
+                _get_capacity(record),
+                record.id in open_names,
             )
             for record in self.maintenance.members(pool)
         }
 
     def _sum_fleet(self) -> Shape:
-        return sum_capacity(
-            site
-            for pool in self.configuration.current.pools.values()
-            if pool.kind is PoolKind.WORKERS
-            for site in self._list_sites(pool.name).values()
-        )
+        """Return the capacity of all open workers, as of some seconds ago.
+
+        It is the denominator of shares, so the age of the lagging instance
+        list hardly matters; each round of each pool needs it.
+        """
+        now = trio.current_time()
+        if now - self._fleet_at >= FLEET_SECONDS:
+            self._fleet = self._measure_fleet()
+            self._fleet_at = now
+        return self._fleet
+
+    def _measure_fleet(self) -> Shape:
+        pools = self._list_worker_pools()
+        return add_shapes(map(_get_capacity, self.maintenance.list_open(pools)))
 
     async def submit(self, job: str, team: str) -> str:
         """Ask for a run of a job now; return the name of the task.
@@ -212,7 +233,7 @@
 
         Raises ``NotFound`` and ``PlatformUnavailable``.
         """
-        found = self._find_job(job)
+        found = self.find_job(job)
         cancelled = {}
         run = name_run(datetime.now(UTC))
 
@@ -256,9 +277,34 @@
                 starts=drop_entry(work.starts, job),
             )
 
-        found = self._find_job(job)
+        found = self.find_job(job)
         await self._change_work(found.team, found.pool, clear)
 
+    async def release_worker(self, worker: str) -> None:
+        """End a worker's quarantine and forget its failures.
+
+        Raises ``NotFound`` if it is not in quarantine, ``PlatformUnavailable``,
+        and ``OutcomeUnknown`` if the row keeps changing.
+        """
+        for _ in range(MAX_ATTEMPTS):
+            state = await self.show_worker(worker)
+            if state.quarantine is None:
+                raise NotFound(f"worker {worker!r} is not in quarantine")
+            released = evolve(state, quarantine=None, failed_jobs=(), failed_starts=0)
+            try:
+                operations = [encode_worker(released), *self._mark_pool_of(worker)]
+                await self.platform.table.transact(operations)
+                return
+            except TableConflict as error:
+                log.info("worker {} is read again: {}", worker, error.code)
+        raise OutcomeUnknown(f"the row of worker {worker!r} keeps changing")
+
+    def _mark_pool_of(self, worker: str) -> Iterator[Put]:
+        """Yield the write that makes the pool's owner read its rows again."""
+        for name, pool in self.maintenance.pools.items():
+            if worker in pool.members:
+                yield Put(MARKER_PREFIX + name, {"worker": worker}, None)
+
     async def _change_work(
         self, team: str, pool: str, change: Callable[[TeamWork], TeamWork]
     ) -> None:
@@ -280,7 +326,8 @@
                 log.info("work of team {} is read again: {}", team, error.code)
         raise PlatformUnavailable(f"the row of team {team!r} keeps changing")
 
-    def _find_job(self, job: str) -> Job:
+    def find_job(self, job: str) -> Job:
+        """Return the job in force; raises ``NotFound``."""
         found = self.configuration.current.jobs.get(job)
         if found is None:
             raise NotFound(f"job {job!r} does not exist")
@@ -311,6 +358,10 @@
         ]
 
 
+def _get_capacity(record: InstanceRecord) -> Shape:
+    return Shape(record.cores, record.memory_mb, record.accelerators)
+
+
 def _describe_job(job: Job, work: TeamWork, configuration: Configuration) -> JobStatus:
     task = next((t for t in work.running.values() if t.job == job.name), None)
     parked = work.parked.get(job.name)
--- a/hemlockstand/maintenance/service.py
+++ b/hemlockstand/maintenance/service.py
@@ -5,7 +5,7 @@
 act at once.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from time import time
 
 import trio
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from hemlockstand.configuration.service import ConfigurationService
-from hemlockstand.coordination.rendezvous import choose_owner
+from hemlockstand.coordination.rendezvous import OwnerIndex
 from hemlockstand.errors import HemlockstandError, InvalidInput, NotFound
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.maintenance.records import (
@@ -27,7 +27,12 @@
     encode_wave,
 )
 from hemlockstand.maintenance.rounds import MaintenanceRounds
-from hemlockstand.maintenance.steps import MEMBERS_KEY, InstanceSteps
+from hemlockstand.maintenance.steps import (
+    MEMBERS_KEY,
+    WAVES_KEY,
+    InstanceSteps,
+    mark_waves,
+)
 from hemlockstand.maintenance.waves import count_left
 from hemlockstand.model import Pool
 from hemlockstand.peers.service import PeersService
@@ -57,7 +62,8 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self.platform = kernel.find("platform", PlatformService).platform
+        service = kernel.find("platform", PlatformService)
+        self.platform, self.polled = service.platform, service.polled
         self.configuration = kernel.find("configuration", ConfigurationService)
         self.peers = kernel.find("peers", PeersService)
         section = self.settings.maintenance
@@ -71,6 +77,9 @@
         self.records: dict[str, InstanceRecord] = {}
         self.pools: dict[str, PoolState] = {}
         self._members_version = -1
+        self._waves: list[Wave] = []
+        self._waves_version = -1
+        self._owners = OwnerIndex()
         self.rounds = MaintenanceRounds(self.steps, lambda: self.records)
 
     def members(self, pool: str) -> tuple[InstanceRecord, ...]:
@@ -79,14 +88,24 @@
         names = state.members if state is not None else ()
         return tuple(self.records[name] for name in names if name in self.records)
 
-    def is_open(self, instance: str) -> bool:
-        """Return whether the instance takes new work."""
-        record = self.records.get(instance)
-        if record is None or record.state == "leaving":
-            return False
-        if instance in self.configuration.current.drains:
-            return False
-        return not any(instance in pool.disruptions for pool in self.pools.values())
+    def list_open(self, pools: Iterable[str]) -> Iterator[InstanceRecord]:
+        """Yield the members of the pools that take new work."""
+        closed = self._list_closed()
+        for pool in pools:
+            for record in self.members(pool):
+                if record.id not in closed and record.state != "leaving":
+                    yield record
+
+    def _list_closed(self) -> set[str]:
+        """Return the instances that are drained or planned to be unavailable.
+
+        An instance may be a member of one pool while the disruption stands in
+        the row of another, so all pools count.
+        """
+        closed = set(self.configuration.current.drains)
+        for pool in self.pools.values():
+            closed.update(pool.disruptions)
+        return closed
 
     async def start(self) -> None:
         """Read the members once, so that dependants do not start without."""
@@ -113,7 +132,7 @@
     async def _refresh(self) -> None:
         listed = await self.platform.instances.list()
         self.records = {record.id: record for record in listed}
-        epoch = await self.platform.table.read(MEMBERS_KEY)
+        epoch = await self.polled.read(MEMBERS_KEY, MEMBERS_POLL_SECONDS / 2)
         if epoch.version == self._members_version:
             return
         for row in await self.platform.table.scan(POOL_PREFIX, limit=1000):
@@ -139,14 +158,27 @@
             if member.alive and not member.leaving
         ]
         own = self.settings.daemon.name
-        for pool in self.configuration.current.pools.values():
-            if choose_owner(pool.name, {own, *members}) == own:
-                yield pool
+        pools = self.configuration.current.pools
+        for name in self._owners.select(own, pools, {own, *members}):
+            yield pools[name]
 
     async def _read_waves(self) -> list[Wave]:
-        rows = await self.platform.table.scan(WAVE_PREFIX)
-        waves = (decode_wave(row) for row in rows)
-        return [wave for wave in waves if wave.state is not WaveState.DONE]
+        """Return the waves that are not done.
+
+        They are read when some changed by an operator, and in each step while
+        one is under way.
+        """
+        marker = await self.polled.read(
+            WAVES_KEY, self.settings.maintenance.interval_seconds / 2
+        )
+        if marker.version != self._waves_version or self._waves:
+            self._waves = [
+                wave
+                for wave in await self.list_waves()
+                if wave.state is not WaveState.DONE
+            ]
+            self._waves_version = marker.version
+        return self._waves
 
     async def _finish_waves(self, waves: list[Wave]) -> None:
         """Mark waves as done that have nothing left; the first pool's owner acts."""
@@ -188,7 +220,7 @@
                     f"pool {pool!r} has no availability budget", "no_budget"
                 )
         wave = Wave(name, pools, time())
-        if not await self.steps.commit([encode_wave(wave)]):
+        if not await self.steps.commit([encode_wave(wave), mark_waves(name)]):
             row = await self.platform.table.read(WAVE_PREFIX + name)
             if row.version == 0 or decode_wave(row).started_at != wave.started_at:
                 raise InvalidInput(f"wave {name!r} exists already", "wave_exists")
@@ -205,7 +237,7 @@
             raise InvalidInput(f"wave {name!r} is done", "wave_done")
         resumed = state is WaveState.RUNNING
         changed = evolve(wave, state=state, bad=() if resumed else wave.bad, reason="")
-        if not await self.steps.commit([encode_wave(changed)]):
+        if not await self.steps.commit([encode_wave(changed), mark_waves(name)]):
             raise InvalidInput(f"wave {name!r} changed meanwhile", "wave_changed")
         return changed
 
--- a/hemlockstand/requests/limits.py
+++ b/hemlockstand/requests/limits.py
@@ -26,6 +26,7 @@
     PlatformUnavailable,
 )
 from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.model import Team
 from hemlockstand.platform.service import PlatformService
 from hemlockstand.requests.moves import (
     DemandView,
@@ -62,6 +63,7 @@
         self._session_number = 0
         self._lease = self._make_lease()
         self._teams: dict[str, TeamSlots] = {}
+        self._seen: dict[str, tuple[Team, int]] = {}
         self._stopped = False
         self._longest_deadline = self.settings.requests.max_deadline_seconds
 
@@ -148,13 +150,22 @@
 
     def _find_split(self, team: str) -> Split | None:
         current = self.configuration.current
-        if team not in current.teams:
+        entity = current.teams.get(team)
+        if entity is None:
+            self._seen.pop(team, None)
             return None
+        # Versions share unchanged entities, so another object shows a change
+        # also when the limit was changed and changed back in between.
+        known, since = self._seen.get(team, (None, 0))
+        if known is not entity:
+            since = current.version
+            self._seen[team] = (entity, since)
         return split_limit(
-            current.teams[team].request_limit,
+            entity.request_limit,
             self.settings.limits.reserved_fraction,
             self.settings.daemon.data_centres,
             current.version,
+            since,
         )
 
     def _may_use(self, team: str, part: str, keyed: bool) -> bool:
@@ -256,16 +267,20 @@
         await release_holder(self.table, self._lease, keep)
 
     async def _move_forever(self) -> None:
-        limiter = trio.CapacityLimiter(MOVES_AT_ONCE)
         while True:
-            view = view_demands(self.peers, self.settings.daemon)
-            async with trio.open_nursery() as nursery:
-                for team, slots in tuple(self._teams.items()):
-                    self.peers.publish_demand(team, measure_demand(slots))
-                    if self._needs_move(team, slots, view):
-                        nursery.start_soon(self._move_team, team, view, limiter)
+            await self.move_all()
             await trio.sleep(self.settings.limits.rebalance_seconds)
 
+    async def move_all(self) -> None:
+        """Publish the demand of all teams and move slots where needed."""
+        limiter = trio.CapacityLimiter(MOVES_AT_ONCE)
+        view = view_demands(self.peers, self.settings.daemon)
+        async with trio.open_nursery() as nursery:
+            for team, slots in tuple(self._teams.items()):
+                self.peers.publish_demand(team, measure_demand(slots))
+                if self._needs_move(team, slots, view):
+                    nursery.start_soon(self._move_team, team, view, limiter)
+
     def _needs_move(self, team: str, slots: TeamSlots, view: DemandView) -> bool:
         """Return whether somebody waits or the limit has changed."""
         if self._find_team(team) is None:
--- a/hemlockstand/requests/upstreams.py
+++ b/hemlockstand/requests/upstreams.py
@@ -25,7 +25,11 @@
 from hemlockstand.platform.interface import InstanceRecord
 from hemlockstand.platform.service import PlatformService
 from hemlockstand.requests.connections import KEEP_ALIVE_SECONDS, ConnectionStack
-from hemlockstand.requests.executors import Executor, ExecutorRegistry
+from hemlockstand.requests.executors import (
+    Executor,
+    ExecutorRegistry,
+    list_executors,
+)
 from hemlockstand.requests.messages import Request
 from hemlockstand.requests.neighbours import ConfigurationSource, PeersSource
 from hemlockstand.requests.signs import SignWatch
@@ -38,7 +42,7 @@
 _TIMEOUTS = {"connect": CONNECT_SECONDS}
 MAX_CACHED_URLS = 4096
 MAX_ANSWER_BYTES = 16 << 20
-DRAIN_CHECK_SECONDS = 0.1
+DRAIN_CHECK_SECONDS = 0.3
 READ_ALL_SECONDS = 10.0
 REFUSAL_RETRY_SECONDS = 1.0
 # A call that ends at its deadline counts as a failure of the upstream only if
@@ -79,7 +83,7 @@
 
 @register
 class UpstreamsService(Service):
-    """Knows the executors of this data centre and calls them."""
+    """Knows the executors of all pools and calls them."""
 
     name = "upstreams"
     needs = ("platform", "configuration", "peers")
@@ -215,7 +219,7 @@
         except HemlockstandError as error:
             log.warning("instance list not read: {}", error)
             return
-        own = tuple(self.registry.find_own(records))
+        own = tuple(list_executors(records))
         await self._read_states(own)
         gone = self.registry.follow_list(own, self._states)
         self._apply_drains()
--- a/test/helper.py
+++ b/test/helper.py
@@ -56,7 +56,7 @@
         return list(self.records)
 
 
-@define(slots=False)
+@define
 class SwitchedTable:
     """A table that one daemon reaches over a path that can be cut."""
 
@@ -168,3 +168,23 @@
         }
         version = self.current.version + 1
         self.current = evolve(self.current, version=version, teams=teams)
+
+
+class YieldingTable(MemoryTable):
+    """A table whose calls let other tasks run first, as real calls do."""
+
+    async def read(self, key):
+        await trio.lowlevel.checkpoint()
+        return await super().read(key)
+
+    async def read_many(self, keys):
+        await trio.lowlevel.checkpoint()
+        return await super().read_many(keys)
+
+    async def scan(self, prefix, after="", limit=500):
+        await trio.lowlevel.checkpoint()
+        return await super().scan(prefix, after, limit)
+
+    async def transact(self, operations):
+        await trio.lowlevel.checkpoint()
+        return await super().transact(operations)
--- a/test/operator_fakes.py
+++ b/test/operator_fakes.py
@@ -18,6 +18,7 @@
 from hemlockstand.model import Configuration
 from hemlockstand.operators.interface import OperatorsService
 from hemlockstand.peers.service import PeersService
+from hemlockstand.platform.polling import PolledRows
 from hemlockstand.platform.service import PlatformService
 from hemlockstand.settings import load_settings
 from test.helper import (
@@ -104,6 +105,7 @@
 
     def __init__(self, kernel: Kernel, platform: MemoryPlatform) -> None:
         self.platform = platform
+        self.polled = PolledRows(platform.table)
 
 
 @define
