--- a/hemlockstand/peers/demands.py
+++ b/hemlockstand/peers/demands.py
@@ -29,7 +29,7 @@
         return bool(self.waiting or self.running or self.idle)
 
 
-@frozen
+@frozen(cache_hash=True)
 class PoolTeam:
     """A pool and a team with work for it."""
 
@@ -113,28 +113,23 @@
 
         A daemon that was heard of lately is named even if it had no figures.
         """
-        for daemon in tuple(self._peers):
-            valid = dict(self._list_valid(self._peers[daemon]))
-            if valid or self._is_recent(self._heard_at[daemon]):
-                self._peers[daemon] = valid
+        valid_since = self.clock() - self.keep_seconds
+        listed = {}
+        for daemon, figures in tuple(self._peers.items()):
+            for key in [
+                key for key, at in figures.items() if at.changed_at <= valid_since
+            ]:
+                del figures[key]
+            if figures or self._heard_at[daemon] > valid_since:
+                listed[daemon] = {key: at.demand for key, at in figures.items()}
             else:
                 del self._peers[daemon], self._heard_at[daemon]
-        return {
-            daemon: {key: dated.demand for key, dated in figures.items()}
-            for daemon, figures in self._peers.items()
-        }
+        return listed
 
     def _list_active(self) -> Iterator[Key]:
         for key, dated in self._own.items():
             if dated.demand.is_active or self._is_recent(dated.changed_at):
                 yield key
 
-    def _list_valid(
-        self, figures: Mapping[Key, _Dated[Kind]]
-    ) -> Iterator[tuple[Key, _Dated[Kind]]]:
-        for key, dated in figures.items():
-            if self._is_recent(dated.changed_at):
-                yield key, dated
-
     def _is_recent(self, time: float) -> bool:
         return self.clock() - time < self.keep_seconds
