--- a/bench/runner.py
+++ b/bench/runner.py
@@ -28,9 +28,12 @@
     "peers",
     "requests_overload",
     "requests_path",
+    "shares",
     "spread",
     "faults",
     "control",
+    "latency",
+    "rolling",
 )
 RECORDS = Path(__file__).with_name("records")
 NOTABLE_CHANGE = 0.2
--- a/hemlockstand/jobs/rounds.py
+++ b/hemlockstand/jobs/rounds.py
@@ -7,25 +7,32 @@
 worker accepts at most once.
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from datetime import UTC, datetime
 from math import inf
 
 import trio
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 from loguru import logger
 
 from hemlockstand.errors import HemlockstandError, InvalidInput
 from hemlockstand.jobs.accounting import FairOrder, Pending
+from hemlockstand.jobs.drafts import (
+    Draft,
+    RoundOutcome,
+    apply_placement,
+    drop_start,
+    find_largest,
+    list_tasks,
+    list_waiting,
+    suspend_task,
+)
 from hemlockstand.jobs.placement import Placement, PoolState, Site, Unplaced, place_runs
-from hemlockstand.jobs.quarantine import count_probe, record_failure, record_success
+from hemlockstand.jobs.quarantine import record_failure, record_success
 from hemlockstand.jobs.records import (
     Task,
     TeamWork,
-    WorkerState,
     drop_entry,
-    release_task,
-    start_task,
 )
 from hemlockstand.jobs.relief import Checkpoint, Relief, Stop, Throttle, relieve_worker
 from hemlockstand.jobs.schedules import is_wanted
@@ -48,30 +55,6 @@
 GONE_MARGIN_SECONDS = 5.0  # added to the lease before a silent worker's tasks move
 
 
-@frozen
-class RoundOutcome:
-    """What a round did, for metrics and operators."""
-
-    placed: int
-    finished: int
-    failed: int
-    unplaced: tuple[Unplaced, ...] = ()
-
-
-@define
-class Draft:
-    """Changes of a round before they are committed."""
-
-    works: dict[str, TeamWork]
-    workers: dict[str, WorkerState]
-    starts: list[tuple[str, Task]] = field(factory=list)
-    checkpoints: list[Task] = field(factory=list)
-    finished: int = 0
-    failed: int = 0
-    placed: int = 0
-    unplaced: list[Unplaced] = field(factory=list)
-
-
 @define
 class PoolRounds:
     """Places the jobs of one pool.
@@ -91,40 +74,74 @@
     sum_fleet: Callable[[], Shape]
     report_seconds: float = 0.0
     wakes: UnwantedWakes = field(factory=UnwantedWakes)
+    _round_at: float = -inf
     _renewed: dict[tuple[str, int], float] = field(factory=dict)
     _missing_since: dict[tuple[str, int], float] = field(factory=dict)
     _peaks: dict[tuple[str, int], Shape] = field(factory=dict)
     _reported_at: float = -inf
 
-    async def run_round(self, configuration: Configuration) -> RoundOutcome | None:
+    @property
+    def _margin_seconds(self) -> float:
+        """Longest gap in the observation of a silent worker.
+
+        A renewal by another daemon within such a gap extends the lease by as
+        much, so the same time is added to the lease.
+        """
+        return max(GONE_MARGIN_SECONDS, self.lease_seconds / 3)
+
+    async def run_round(
+        self, configuration: Configuration, max_writes: float = inf
+    ) -> RoundOutcome | None:
         """Run one round; ``None`` means that another daemon came first.
 
+        Half of ``max_writes`` is for tasks that ended, so that they do not
+        hold up urgent placements. What exceeds it waits for a later round;
+        leases are renewed in any case. One change is made even if it takes
+        more rows than allowed, unless ``max_writes`` is 0.
+
         Raises ``PlatformUnavailable`` when the table is down.
         """
         now = self.clock()
+        if now - self._round_at > self._margin_seconds:
+            # This daemon was paused or without a table, and another one may
+            # have renewed the leases meanwhile.
+            self._missing_since.clear()
+        self._round_at = now
         sites = self.list_sites()
         await self._load(configuration, sites)
         draft = Draft(dict(self.store.works), dict(self.store.workers))
         reports = await self._read_reports(draft, now)
         for name in list(draft.workers):
+            before = draft.copy()
             await self._release_orphans(draft, name, now)
             if reports is not None:
                 report = reports.get(name, WorkerReport(name, ()))
                 await self._settle_worker(
                     draft, configuration, sites, name, report, now
                 )
+            if not self._is_allowed(draft, before, max_writes / 2):
+                draft = before
             if name in sites and not sites[name].open:
-                draft.checkpoints.extend(task for _, task in _list_tasks(draft, name))
-        self._place(draft, configuration, sites, now)
+                draft.checkpoints.extend(task for _, task in list_tasks(draft, name))
+        self._place(draft, configuration, sites, now, max_writes)
         sent_at = trio.current_time()
         works = draft.works.values()
         if not await self.store.commit(works, draft.workers.values()):
             return None
+        for key in draft.ended:
+            self._peaks.pop(key, None)
         await self._act(draft, sent_at)
         return RoundOutcome(
             draft.placed, draft.finished, draft.failed, tuple(draft.unplaced)
         )
 
+    def _is_allowed(self, draft: Draft, before: Draft, max_writes: float) -> bool:
+        changed = draft.count_changed(self.store)
+        if changed <= max_writes:
+            return True
+        earlier = before.count_changed(self.store)
+        return changed == earlier or (earlier == 0 and max_writes > 0)
+
     async def _load(self, configuration: Configuration, sites: dict[str, Site]) -> None:
         teams = {
             job.team for job in configuration.jobs.values() if job.pool == self.pool
@@ -135,7 +152,21 @@
             for worker in self.store.workers.values()
             for allocation in worker.allocations.values()
         }
-        await self.store.load(sorted(holders), ())
+        await self.store.load(sorted(holders), sorted(self._find_left(configuration)))
+
+    def _find_left(self, configuration: Configuration) -> set[str]:
+        """Return the workers of running tasks, also those that left the list.
+
+        Their tasks would otherwise count as running for ever.
+        """
+        return {
+            task.worker
+            for work in self.store.works.values()
+            for task in work.running.values()
+            if not task.checkpointed
+            and task.job in configuration.jobs
+            and configuration.jobs[task.job].pool == self.pool
+        }
 
     async def _settle_worker(
         self,
@@ -146,7 +177,7 @@
         report: WorkerReport,
         now: float,
     ) -> None:
-        tasks = list(_list_tasks(draft, name))
+        tasks = list(list_tasks(draft, name))
         if not tasks:
             return
         told = {(entry.task, entry.fence): entry for entry in report.tasks}
@@ -161,7 +192,7 @@
 
     async def _release_orphans(self, draft: Draft, name: str, now: float) -> None:
         """Free what a worker holds for tasks that their team has cancelled."""
-        known = {task.name for _, task in _list_tasks(draft, name)}
+        known = {task.name for _, task in list_tasks(draft, name)}
         for task, held in tuple(draft.workers[name].allocations.items()):
             if task not in known and await self._fence_off(name, task, held.fence, now):
                 worker = draft.workers[name]
@@ -179,7 +210,7 @@
         try:
             await self.workers.stop(worker, task, fence)
         except HemlockstandError as error:
-            if now - since < self.lease_seconds + GONE_MARGIN_SECONDS:
+            if now - since < self.lease_seconds + self._margin_seconds:
                 log.info("task {} may still run: {}", task, error)
                 return False
         self._missing_since.pop((task, fence), None)
@@ -197,7 +228,7 @@
         """
         if now - self._reported_at < self.report_seconds:
             return None
-        busy = [name for name in draft.workers if any(_list_tasks(draft, name))]
+        busy = [name for name in draft.workers if any(list_tasks(draft, name))]
         if not busy:
             return {}
         try:
@@ -205,6 +236,8 @@
         except HemlockstandError as error:
             log.info("workers of pool {} give no reports: {}", self.pool, error)
             return None
+        if now - self._reported_at > self._margin_seconds:
+            self._missing_since.clear()
         self._reported_at = now
         return {report.worker: report for report in reports}
 
@@ -228,9 +261,9 @@
             case TaskState.FAILED:
                 self._fail(draft, team, task, report, now)
             case TaskState.CHECKPOINTED:
-                _suspend(draft, team, task)
+                suspend_task(draft, team, task)
             case TaskState.STOPPED:
-                _drop(draft, team, task)
+                drop_start(draft, team, task)
             case _:
                 await self._keep(draft, configuration, team, task, now)
 
@@ -247,7 +280,9 @@
         work, worker = record_success(
             draft.works[team], draft.workers[task.worker], task
         )
-        peak = self._peaks.pop((task.name, task.fence), task.shape)
+        key = task.name, task.fence
+        peak = self._peaks.get(key, task.shape)
+        draft.ended.append(key)
         size = learn_size(work.sizes.get(task.job), peak, now - task.started_at)
         draft.works[team] = evolve(work, sizes={**work.sizes, task.job: size})
         draft.workers[task.worker] = worker
@@ -257,7 +292,7 @@
         self, draft: Draft, team: str, task: Task, report: TaskReport, now: float
     ) -> None:
         log.info("task {} failed on {}: {}", task.name, task.worker, report.detail)
-        self._peaks.pop((task.name, task.fence), None)
+        draft.ended.append((task.name, task.fence))
         draft.works[team], draft.workers[task.worker] = record_failure(
             draft.works[team], draft.workers[task.worker], task, now
         )
@@ -301,7 +336,7 @@
         if now - since < START_WINDOW_SECONDS:
             draft.starts.append((team, task))
         elif await self._fence_off(task.worker, task.name, task.fence, now):
-            _drop(draft, team, task)
+            drop_start(draft, team, task)
 
     async def _relieve(self, draft: Draft, worker: str, relief: Relief) -> None:
         held = draft.workers[worker].allocations[relief.task]
@@ -323,6 +358,7 @@
         configuration: Configuration,
         sites: dict[str, Site],
         now: float,
+        max_writes: float,
     ) -> None:
         present = {name: site for name, site in sites.items() if name in draft.workers}
         state = PoolState(present, draft.workers, now)
@@ -332,7 +368,13 @@
         for decision in place_runs(order, state):
             match decision:
                 case Placement():
-                    _apply_placement(draft, decision, now)
+                    rows = 2 + len(
+                        {victim.allocation.team for victim in decision.victims}
+                    )
+                    changed = draft.count_changed(self.store)
+                    if changed + rows > max_writes and (changed or not max_writes):
+                        return
+                    apply_placement(draft, decision, now)
                 case Unplaced():
                     draft.unplaced.append(decision)
 
@@ -348,14 +390,14 @@
         due = self.wakes.select_wanted(
             find_due(jobs, at), configuration.teams, draft.works, at
         )
-        bounds = SizeBounds(_find_largest(sites.values()))
+        bounds = SizeBounds(find_largest(sites.values()))
         for entry in select_unfinished(due, draft.works):
             work = draft.works[entry.job.team]
             yield self._make_pending(
                 entry.job, work, entry.name, entry.run, entry.due_at, bounds
             )
         for work in draft.works.values():
-            for name, job, run, since in _list_waiting(work, configuration):
+            for name, job, run, since in list_waiting(work, configuration):
                 if is_wanted(job, work.team, self.pool, at.date()):
                     yield self._make_pending(job, work, name, run, since, bounds)
 
@@ -415,77 +457,3 @@
                 log.warning("worker refuses task {}: {}", task.name, error)
         except HemlockstandError as error:
             log.info("start of task {} failed: {}", task.name, error)
-
-
-def _list_tasks(draft: Draft, worker: str) -> Iterator[tuple[str, Task]]:
-    for name, allocation in draft.workers[worker].allocations.items():
-        work = draft.works.get(allocation.team)
-        task = work.running.get(name) if work is not None else None
-        if task is not None and task.fence == allocation.fence:
-            yield allocation.team, task
-
-
-def _list_waiting(
-    work: TeamWork, configuration: Configuration
-) -> Iterator[tuple[str, Job | None, str, float]]:
-    """Yield checkpointed tasks and demanded runs of jobs that are not parked."""
-    for task in work.running.values():
-        if task.checkpointed:
-            job = configuration.jobs.get(task.job)
-            yield task.name, job, task.run, task.started_at
-    for name, demanded in work.demanded.items():
-        if demanded.job not in work.parked and name not in work.running:
-            job = configuration.jobs.get(demanded.job)
-            yield name, job, demanded.run, demanded.asked_at
-
-
-def _find_largest(sites: Iterable[Site]) -> Shape:
-    largest = Shape(0.0, 0, 0)
-    for site in sites:
-        largest = Shape(
-            max(largest.cores, site.capacity.cores),
-            max(largest.memory_mb, site.capacity.memory_mb),
-            max(largest.accelerators, site.capacity.accelerators),
-        )
-    return largest
-
-
-def _drop(draft: Draft, team: str, task: Task) -> None:
-    """Forget a start that no longer runs; the run is due again."""
-    work = draft.works[team]
-    draft.works[team] = evolve(work, running=drop_entry(work.running, task.name))
-    draft.workers[task.worker] = release_task(draft.workers[task.worker], task)
-
-
-def _suspend(draft: Draft, team: str, task: Task) -> None:
-    """Release the resources of a checkpointed task and keep its run."""
-    work = draft.works[team]
-    suspended = evolve(task, checkpointed=True)
-    draft.works[team] = evolve(work, running={**work.running, task.name: suspended})
-    draft.workers[task.worker] = release_task(draft.workers[task.worker], task)
-
-
-def _apply_placement(draft: Draft, placement: Placement, now: float) -> None:
-    run = placement.run
-    for victim in placement.victims:
-        team = victim.allocation.team
-        task = draft.works[team].running[victim.task]
-        _suspend(draft, team, task)
-        draft.checkpoints.append(task)
-    work = draft.works[run.team]
-    task = Task(
-        run.name,
-        run.job,
-        run.run,
-        placement.worker,
-        work.fence + 1,
-        run.shape,
-        run.priority,
-        now,
-    )
-    draft.works[run.team], worker = start_task(
-        work, draft.workers[placement.worker], task
-    )
-    draft.workers[placement.worker] = count_probe(worker)
-    draft.starts.append((run.team, task))
-    draft.placed += 1
--- a/hemlockstand/maintenance/steps.py
+++ b/hemlockstand/maintenance/steps.py
@@ -154,7 +154,14 @@
             )
         pool = await self.read_pool(instance.pool)
         reason = f"move to {target}"
-        if not await self.disrupt(pool, instance, records, reason, target=target):
+        if await self.disrupt(pool, instance, records, reason, target=target):
+            return
+        # The reply may have been lost after the move was committed.
+        moving = await self.read_instance(name)
+        if moving.version == instance.version or target not in (
+            moving.target,
+            moving.pool,
+        ):
             raise InvalidInput(
                 f"pool {pool.name!r} has no budget for moving {name!r} now",
                 code="budget_exhausted",
@@ -224,6 +231,9 @@
             await self.machines.undrain(instance.id)
         elif health.phase == "drained" and not rebooted:
             await self.machines.reboot(instance.id)
+        elif health.phase == "serving" and not rebooted:
+            # A daemon that had read the row before has undone the drain.
+            await self.machines.drain(instance.id)
 
     async def _advance_joining(
         self, instance: InstanceState, health: MachineHealth
@@ -287,6 +297,7 @@
 
     async def recall(self, instance: InstanceState) -> None:
         """Undo a planned disruption that has not gone beyond draining."""
+        instance = await self.read_instance(instance.id)
         if instance.phase is not Phase.DRAINING:
             return
         await self.machines.undrain(instance.id)
--- a/test/helper.py
+++ b/test/helper.py
@@ -104,6 +104,26 @@
         """Close nothing."""
 
 
+class YieldingTable(MemoryTable):
+    """A table whose calls let other tasks run first, as real calls do."""
+
+    async def read(self, key):
+        await trio.lowlevel.checkpoint()
+        return await super().read(key)
+
+    async def read_many(self, keys):
+        await trio.lowlevel.checkpoint()
+        return await super().read_many(keys)
+
+    async def scan(self, prefix, after="", limit=500):
+        await trio.lowlevel.checkpoint()
+        return await super().scan(prefix, after, limit)
+
+    async def transact(self, operations):
+        await trio.lowlevel.checkpoint()
+        return await super().transact(operations)
+
+
 def make_record(upstream_id: str, address: str, pool: str) -> InstanceRecord:
     """Return the list entry of an executor in the daemon's data centre."""
     return InstanceRecord(
@@ -168,23 +188,3 @@
         }
         version = self.current.version + 1
         self.current = evolve(self.current, version=version, teams=teams)
-
-
-class YieldingTable(MemoryTable):
-    """A table whose calls let other tasks run first, as real calls do."""
-
-    async def read(self, key):
-        await trio.lowlevel.checkpoint()
-        return await super().read(key)
-
-    async def read_many(self, keys):
-        await trio.lowlevel.checkpoint()
-        return await super().read_many(keys)
-
-    async def scan(self, prefix, after="", limit=500):
-        await trio.lowlevel.checkpoint()
-        return await super().scan(prefix, after, limit)
-
-    async def transact(self, operations):
-        await trio.lowlevel.checkpoint()
-        return await super().transact(operations)
