--- a/bench/capacity_rounds.py
+++ b/bench/capacity_rounds.py
@@ -31,7 +31,7 @@
 from hemlockstand.maintenance.service import MaintenanceService
 from hemlockstand.model import Configuration, Pool, PoolKind, Team
 from hemlockstand.peers.demands import Demand, DemandBoard
-from hemlockstand.peers.service import Member
+from hemlockstand.peers.members import Member
 from hemlockstand.platform.interface import (
     InstanceKind,
     InstanceRecord,
--- a/test/helper.py
+++ b/test/helper.py
@@ -56,7 +56,7 @@
         return list(self.records)
 
 
-@define(slots=False)
+@define
 class SwitchedTable:
     """A table that one daemon reaches over a path that can be cut."""
 
