List retired jobs that are still triggered, with their cost

Cause: operators are to see what is still triggered unwanted and what it would cost; the daemon counted it per house, but nothing showed it.

Ways weighed: the counts of the daemon that owns a pool (lost with it, and only there) and the schedule itself, which any daemon can read. Before: no verb. After: job unwanted, and the metric hemlockstand_unwanted_runs_total. The module of due runs has the usual term in its name.

--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -32,7 +32,7 @@
 )
 from hemlockstand.coordination.escrow import ELASTIC, Escrow, split_limit
 from hemlockstand.coordination.lease import HolderLease, HolderWatch, LeaseTerms
-from hemlockstand.jobs.wakes import find_due
+from hemlockstand.jobs.triggers import find_due
 from hemlockstand.model import (
     Access,
     Configuration,
@@ -262,7 +262,7 @@
         )
     yield make_series(
         "find_due",
-        "jobs/wakes.py",
+        "jobs/triggers.py",
         "jobs of a pool",
         "us",
         TARGET.jobs / TARGET.pools,
--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -213,7 +213,7 @@
     ),
     Mutation(
         "Only wanted work runs",
-        "wakes are checked against the configuration in force",
+        "triggers are checked against the configuration in force",
         "hemlockstand/jobs/schedules.py",
         "    return job.team == team and job.pool == pool and day <= job.last_day",
         "    return True",
--- a/hemlockstand/ctl/fleet.py
+++ b/hemlockstand/ctl/fleet.py
@@ -26,6 +26,17 @@
     return show
 
 
+async def show_unwanted(context: Context) -> ExitCode:
+    """Show the retired jobs that are still triggered."""
+    result = await context.client.get("job/unwanted")
+    rows = [
+        [_show(entry[name]) for name in UNWANTED_COLUMNS]
+        for entry in result["unwanted"]
+    ]
+    context.show(result, format_table(UNWANTED_COLUMNS, rows))
+    return ExitCode.OK
+
+
 def make_show(noun: str) -> Run:
     """Return a verb that shows one object of a list with all its fields."""
 
@@ -166,6 +177,14 @@
             return str(value)
 
 
+UNWANTED_COLUMNS = (
+    "job",
+    "team",
+    "house",
+    "last_day",
+    "runs_a_day",
+    "instance_hours_a_day",
+)
 TEAM_COLUMNS = ("name", "house", "share", "share_part", "request_limit", "job_limit")
 POOL_COLUMNS = ("name", "kind", "data_centres", "size", "budget")
 QUEUE_COLUMNS = ("name", "team", "access", "idempotent", "priority", "pool")
@@ -191,6 +210,7 @@
     ),
     Command(("instance", "move"), "Move an instance to the pool --to.", move, ("ID",)),
     Command(("job", "list"), "List the jobs.", make_list("job", JOB_COLUMNS)),
+    Command(("job", "unwanted"), "List retired jobs still triggered.", show_unwanted),
     Command(("job", "show"), "Show a job.", make_show("job"), ("NAME",)),
     Command(
         ("job", "run"), "Ask for a run now.", make_action("job/run", "job"), ("NAME",)
--- a/hemlockstand/jobs/rounds.py
+++ b/hemlockstand/jobs/rounds.py
@@ -38,7 +38,7 @@
 from hemlockstand.jobs.schedules import is_wanted
 from hemlockstand.jobs.sizing import SizeBounds, estimate_shape, learn_size
 from hemlockstand.jobs.store import JobStore
-from hemlockstand.jobs.wakes import UnwantedWakes, find_due, select_unfinished
+from hemlockstand.jobs.triggers import UnwantedTriggers, find_due, select_unfinished
 from hemlockstand.model import Configuration, Job
 from hemlockstand.platform.interface import (
     Shape,
@@ -73,7 +73,7 @@
     list_sites: Callable[[], dict[str, Site]]
     sum_fleet: Callable[[], Shape]
     report_seconds: float = 0.0
-    wakes: UnwantedWakes = field(factory=UnwantedWakes)
+    unwanted: UnwantedTriggers = field(factory=UnwantedTriggers)
     _round_at: float = -inf
     _renewed: dict[tuple[str, int], float] = field(factory=dict)
     _missing_since: dict[tuple[str, int], float] = field(factory=dict)
@@ -387,7 +387,7 @@
     ) -> Iterator[Pending]:
         at = datetime.fromtimestamp(now, UTC)
         jobs = [job for job in configuration.jobs.values() if job.pool == self.pool]
-        due = self.wakes.select_wanted(
+        due = self.unwanted.select_wanted(
             find_due(jobs, at), configuration.teams, draft.works, at
         )
         bounds = SizeBounds(find_largest(sites.values()))
--- a/hemlockstand/jobs/schedules.py
+++ b/hemlockstand/jobs/schedules.py
@@ -114,6 +114,19 @@
             return None
 
 
+def count_daily_runs(schedule: Schedule) -> float:
+    """Return how many runs are due a day on average."""
+    match schedule:
+        case Every(period=period):
+            return timedelta(days=1) / period
+        case Daily():
+            return 1.0
+        case Weekly():
+            return 1 / 7
+        case OnDemand():
+            return 0.0
+
+
 def name_run(due: datetime) -> str:
     """Return the identifier of the run due at that time; it sorts by time."""
     return due.strftime(RUN_FORMAT)
--- a/hemlockstand/jobs/service.py
+++ b/hemlockstand/jobs/service.py
@@ -45,6 +45,7 @@
 from hemlockstand.jobs.schedules import is_wanted, name_demanded_run, name_run
 from hemlockstand.jobs.shapes import NOTHING, add_shapes
 from hemlockstand.jobs.store import JobStore
+from hemlockstand.jobs.triggers import UnwantedJob, list_unwanted
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.maintenance.service import MaintenanceService
 from hemlockstand.model import Configuration, Job, PoolKind
@@ -349,16 +350,29 @@
     async def list_jobs(self) -> list[JobStatus]:
         """Return all jobs with their state; raises ``PlatformUnavailable``."""
         configuration = self.configuration.current
-        teams = sorted({job.team for job in configuration.jobs.values()})
-        rows = await self.platform.table.read_many([WORK_PREFIX + t for t in teams])
-        works = {
-            team: decode_work(team, row) for team, row in zip(teams, rows, strict=True)
-        }
+        works = await self._read_works(configuration)
         return [
             _describe_job(job, works[job.team], configuration)
             for job in configuration.jobs.values()
         ]
 
+    async def list_unwanted(self) -> list[UnwantedJob]:
+        """Return the retired jobs that are still triggered, with their cost.
+
+        Raises ``PlatformUnavailable``.
+        """
+        configuration = self.configuration.current
+        works = await self._read_works(configuration)
+        jobs, teams = configuration.jobs.values(), configuration.teams
+        return list(list_unwanted(jobs, teams, works, datetime.now(UTC)))
+
+    async def _read_works(self, configuration: Configuration) -> dict[str, TeamWork]:
+        teams = sorted({job.team for job in configuration.jobs.values()})
+        rows = await self.platform.table.read_many([WORK_PREFIX + t for t in teams])
+        return {
+            team: decode_work(team, row) for team, row in zip(teams, rows, strict=True)
+        }
+
     async def show_worker(self, worker: str) -> WorkerState:
         """Return a worker's allocations and quarantine."""
         row = await self.platform.table.read(WORKER_PREFIX + worker)
--- a/hemlockstand/jobs/wakes.py
+++ b/hemlockstand/jobs/triggers.py
@@ -1,4 +1,4 @@
-"""Runs that are due, and those that wake although nobody wants them."""
+"""Runs that are due, and triggers of jobs that nobody wants any more."""
 
 from collections.abc import Iterable, Iterator, Mapping
 from datetime import datetime
@@ -7,11 +7,13 @@
 
 from hemlockstand.jobs.records import ObservedSize, TeamWork, name_task
 from hemlockstand.jobs.schedules import (
+    count_daily_runs,
     find_last_due,
     is_wanted,
     name_run,
     parse_schedule,
 )
+from hemlockstand.metrics import UNWANTED_RUNS
 from hemlockstand.model import Job, Team
 
 SECONDS_PER_HOUR = 3600
@@ -33,7 +35,7 @@
 
 @frozen
 class Refusal:
-    """A run that woke unwanted, with what it would have cost."""
+    """A run that was triggered unwanted, with what it would have cost."""
 
     job: str
     team: str
@@ -75,7 +77,7 @@
 
 
 @define
-class UnwantedWakes:
+class UnwantedTriggers:
     """Counts unwanted runs per house and what they would have cost."""
 
     counts: dict[str, int] = field(factory=dict)
@@ -104,6 +106,7 @@
     def _count(self, refusal: Refusal) -> None:
         house = refusal.house
         self.newest[refusal.job] = refusal
+        UNWANTED_RUNS.labels(house).inc()
         self.counts[house] = self.counts.get(house, 0) + 1
         hours = self.instance_hours.get(house, 0.0) + refusal.instance_hours
         self.instance_hours[house] = hours
@@ -123,3 +126,44 @@
         f"last wanted on {job.last_day.isoformat()}",
         seconds / SECONDS_PER_HOUR,
     )
+
+
+@frozen
+class UnwantedJob:
+    """A retired job that is still triggered, and its cost a day if it ran."""
+
+    job: str
+    team: str
+    house: str
+    last_day: str
+    runs_a_day: float
+    instance_hours_a_day: float
+
+
+def list_unwanted(
+    jobs: Iterable[Job],
+    teams: Mapping[str, Team],
+    works: Mapping[str, TeamWork],
+    now: datetime,
+) -> Iterator[UnwantedJob]:
+    """Yield the jobs of the sheet whose schedule goes on after their last day.
+
+    The cost follows from the schedule and the run time that was observed, or
+    the declared one if the job has not run, so any daemon can tell it.
+    """
+    for job in jobs:
+        runs = count_daily_runs(parse_schedule(job.schedule))
+        if now.date() <= job.last_day or runs == 0:
+            continue
+        work = works.get(job.team)
+        size = work.sizes.get(job.name) if work is not None else None
+        seconds = job.run_minutes * 60 if size is None else size.run_seconds
+        team = teams.get(job.team)
+        yield UnwantedJob(
+            job.name,
+            job.team,
+            team.house if team is not None else "unknown",
+            job.last_day.isoformat(),
+            runs,
+            runs * seconds / SECONDS_PER_HOUR,
+        )
--- a/hemlockstand/metrics.py
+++ b/hemlockstand/metrics.py
@@ -23,3 +23,8 @@
 PEER_FAILURES = Counter(
     "hemlockstand_peer_failures_total", "Failed or refused peer calls.", ["code"]
 )
+UNWANTED_RUNS = Counter(
+    "hemlockstand_unwanted_runs_total",
+    "Runs of retired jobs that were triggered and refused.",
+    ["house"],
+)
--- a/hemlockstand/operators/fleet.py
+++ b/hemlockstand/operators/fleet.py
@@ -124,6 +124,11 @@
             "jobs": [job | known.get(job["name"], {}) for job in listed["jobs"]]
         }
 
+    async def list_unwanted(self, request: OperatorRequest) -> dict[str, Any]:
+        """Return the retired jobs that are still triggered, with their cost."""
+        unwanted = await self._find("jobs", JobsService).list_unwanted()
+        return {"unwanted": [to_json(job) for job in unwanted]}
+
     async def run_job(self, request: OperatorRequest) -> dict[str, Any]:
         """Ask for a run of a job now, on behalf of its team."""
         jobs = self._find("jobs", JobsService)
--- a/hemlockstand/operators/routes.py
+++ b/hemlockstand/operators/routes.py
@@ -40,6 +40,7 @@
             ("GET", "instance/status"): fleet.show_instances,
             ("GET", "job/list"): fleet.list_jobs,
             ("POST", "instance/release"): fleet.release_worker,
+            ("GET", "job/unwanted"): fleet.list_unwanted,
             ("POST", "job/run"): fleet.run_job,
             ("POST", "job/cancel"): fleet.cancel_job,
             ("POST", "job/unpark"): fleet.unpark_job,
--- a/test/test_job_rounds.py
+++ b/test/test_job_rounds.py
@@ -123,8 +123,8 @@
     rounds = bench.make_rounds()
     await bench.repeat(rounds, make_configuration(retired), 3)
     assert bench.workers.started == []
-    assert rounds.wakes.counts == {"frame": 1}
-    assert rounds.wakes.instance_hours["frame"] == pytest.approx(10 / 60)
+    assert rounds.unwanted.counts == {"frame": 1}
+    assert rounds.unwanted.instance_hours["frame"] == pytest.approx(10 / 60)
 
 
 async def test_running_job_that_becomes_unwanted_is_checkpointed(bench):
--- a/test/test_operators_fleet.py
+++ b/test/test_operators_fleet.py
@@ -2,8 +2,12 @@
 
 import json
 from contextlib import asynccontextmanager
+from datetime import date
+
+from attrs import evolve
 
 from emulator.local_machines import LocalMachines
+from hemlockstand.configuration.changes import Change, PutEntity
 from hemlockstand.ctl.exits import ExitCode
 from hemlockstand.errors import PlatformUnavailable
 from hemlockstand.jobs.records import (
@@ -152,3 +156,19 @@
         shown = await read(daemon, "job", "show", "reconcile")
         assert (shown["state"], shown["schedule"]) == ("unknown", "daily 02:30")
         assert "table is down" in shown["detail"]
+
+
+async def test_retired_jobs_are_listed_with_their_cost(tmp_path):
+    """Guards against retired schedules that nobody sees."""
+    async with run_fleet(tmp_path) as daemon:
+        assert (await read(daemon, "job", "unwanted"))["unwanted"] == []
+        current = daemon.configuration.current
+        job = evolve(current.jobs["reconcile"], last_day=date(2020, 1, 1))
+        change = Change(
+            "c-retire", "planner", "2026-12-04T06:00:00Z", (PutEntity(job),)
+        )
+        await daemon.configuration.commit(change, current.version)
+        (listed,) = (await read(daemon, "job", "unwanted"))["unwanted"]
+        assert (listed["job"], listed["last_day"]) == ("reconcile", "2020-01-01")
+        assert listed["runs_a_day"] == 1.0
+        assert listed["instance_hours_a_day"] == job.run_minutes / 60
