Refuse with 503 while a daemon has no configuration yet

Cause: a new daemon knew no queue and answered unknown_queue (404), which a caller takes as final. Before: the new test got 404. After: 503 with configuration_not_fresh and Retry-After.

--- a/hemlockstand/requests/admission.py
+++ b/hemlockstand/requests/admission.py
@@ -184,7 +184,7 @@
         configuration = self._configuration.current
         queue = configuration.queues.get(name)
         if queue is None:
-            raise refuse(Reason.UNKNOWN_QUEUE, f"queue {name[:160]!r} does not exist")
+            raise _refuse_queue(configuration, name)
         _check_team(configuration, queue, presented)
         key = None
         if queue.access is not Access.OPEN:
@@ -324,6 +324,17 @@
             REFUSALS.labels(verdict.reason.value).inc()
 
 
+def _refuse_queue(configuration: Configuration, name: str) -> Refused:
+    """Return the refusal; a daemon that knows no queue at all has just started."""
+    if not configuration.queues:
+        return refuse(
+            Reason.CONFIGURATION_NOT_FRESH,
+            "the daemon has no configuration yet",
+            FRESHNESS_RETRY_SECONDS,
+        )
+    return refuse(Reason.UNKNOWN_QUEUE, f"queue {name[:160]!r} does not exist")
+
+
 def _check_team(
     configuration: Configuration, queue: Queue, presented: Presented
 ) -> None:
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -4,7 +4,7 @@
 import pytest
 import trio
 
-from hemlockstand.model import Access
+from hemlockstand.model import Access, Configuration
 from test.fakes import (
     FakeUpstream,
     make_answer,
@@ -308,3 +308,14 @@
             await client.post("/v1/queues/quotes")
             with trio.fail_after(15):
                 await around.admission.stop()
+
+
+async def test_daemon_without_configuration_asks_to_come_back(monkeypatch, tmp_path):
+    """Guards against a 404, which callers take as final, from a new daemon."""
+    nothing = Configuration()
+    async with run_request_path(monkeypatch, tmp_path, nothing, {}) as around:
+        async with around.make_client() as client:
+            response = await client.post("/v1/queues/quotes")
+    assert response.status_code == 503
+    assert response.json()["code"] == "configuration_not_fresh"
+    assert int(response.headers["Retry-After"]) >= 1
