Read the configuration's head together with the other polled rows

The holder row that was read with the head has not existed under that key since sessions have rows of their own.

--- a/hemlockstand/configuration/service.py
+++ b/hemlockstand/configuration/service.py
@@ -18,7 +18,6 @@
     ConfigurationStore,
     decode_head,
 )
-from hemlockstand.coordination.lease import HOLDER_PREFIX
 from hemlockstand.coordination.membership import Peer
 from hemlockstand.coordination.versions import VersionedCopy, VersionGap
 from hemlockstand.errors import (
@@ -32,7 +31,6 @@
 from hemlockstand.peers.peer_pb2 import FetchReply
 from hemlockstand.peers.service import PeersService
 from hemlockstand.peers.transport import PeerRefusal
-from hemlockstand.platform.interface import Row
 from hemlockstand.platform.service import PlatformService
 
 log = logger.bind(module=__name__)
@@ -58,16 +56,14 @@
         section = self.settings.configuration
         self._freshness = kernel.find("freshness", FreshnessService)
         self._peers = kernel.find("peers", PeersService)
-        self._store = ConfigurationStore(
-            kernel.find("platform", PlatformService).platform
-        )
+        service = kernel.find("platform", PlatformService)
+        self._store = ConfigurationStore(service.platform)
+        self._polled = service.polled
         self._copy: VersionedCopy[Configuration, CommittedChange] = VersionedCopy(
             apply=_apply, state=Configuration(), keep=section.snapshot_every
         )
-        self._holder_key = HOLDER_PREFIX + self.settings.daemon.name
         self._newer_peer: Peer | None = None
         self._newer_heard = trio.Event()
-        self.holder: Row | None = None
         self.loaded = False
 
     @property
@@ -206,14 +202,12 @@
             self._freshness.record_platform_failure()
 
     async def _read_platform(self, sent_at: float) -> None:
-        keys = [HEAD_KEY, self._holder_key]
-        head_row, holder_row = await self._store.platform.table.read_many(keys)
-        head = decode_head(head_row)
+        # The rows that other services poll come along with each of these reads.
+        head = decode_head(await self._polled.read(HEAD_KEY, max_age=0.0))
         if head.version > self.current.version:
             await self._catch_up(head.version)
         self._freshness.record_platform_read(sent_at, head.version)
         if head.version >= self.current.version:
-            self.holder = holder_row
             self._note_loaded()
 
     async def _catch_up(self, version: int) -> None:
--- a/hemlockstand/maintenance/service.py
+++ b/hemlockstand/maintenance/service.py
@@ -137,7 +137,7 @@
     async def _refresh(self) -> None:
         listed = await self.platform.instances.list()
         self.records = {record.id: record for record in listed}
-        epoch = await self.polled.read(MEMBERS_KEY, MEMBERS_POLL_SECONDS / 2)
+        epoch = await self.polled.read(MEMBERS_KEY, MEMBERS_POLL_SECONDS)
         if epoch.version == self._members_version:
             return
         for row in await self.platform.table.scan(POOL_PREFIX, limit=1000):
@@ -183,7 +183,7 @@
         one is under way.
         """
         marker = await self.polled.read(
-            WAVES_KEY, self.settings.maintenance.interval_seconds / 2
+            WAVES_KEY, self.settings.maintenance.interval_seconds
         )
         if marker.version != self._waves_version or self._waves:
             self._waves = [
