Ask for stamps only when the own proof is no longer young

Cause: an idle daemon used 3.8% of a core (bound 2.7); a third of its exchanges asked the data centre whose stamp was oldest, which matters only in an outage or a cut.

--- a/hemlockstand/coordination/freshness.py
+++ b/hemlockstand/coordination/freshness.py
@@ -45,6 +45,9 @@
 # A daemon of a data centre that reached the platform this recently, as part of
 # the bound, contradicts a stamp of another daemon there that did not.
 CONTRADICTION_FRACTION = 0.5
+# A proof younger than this part of the bound needs no stamps yet. A read each
+# quarter of the bound keeps it younger.
+YOUNG_FRACTION = 0.375
 # Proofs are valid for 60 seconds at most, so older failures are of no use.
 FAILURE_MEMORY_SECONDS = 60.0
 
@@ -199,8 +202,14 @@
         wanted = self._list_data_centres(scope)
         return max(self._stamp_age(name) for name in wanted)
 
-    def oldest_stamp(self) -> str:
-        """Return the data centre that was heard of longest ago."""
+    def oldest_stamp(self) -> str | None:
+        """Return the data centre that was heard of longest ago.
+
+        Returns ``None`` while the newest proof is young: nobody needs stamps
+        then, and asking for them was a third of all exchanges.
+        """
+        if self.age(Scope.FLEET) < self.bound_seconds * YOUNG_FRACTION:
+            return None
         return min(self.data_centres, key=self._last_news)
 
     def record_news(self, data_centre: str) -> None:
--- a/hemlockstand/coordination/membership.py
+++ b/hemlockstand/coordination/membership.py
@@ -250,11 +250,11 @@
         """Tell whether the peer is in the list of candidates."""
         return name in self._listed
 
-    def choose_targets(self, data_centre: str, oldest: str) -> list[Peer]:
+    def choose_targets(self, data_centre: str, oldest: str | None) -> list[Peer]:
         """Choose whom to exchange with in this round, without repeats.
 
         One random peer of the own data centre, one of the others, and one of
-        the data centre that was heard of longest ago.
+        the data centre that was heard of longest ago, if any is asked for.
         """
         chosen: dict[str, Peer] = {}
         for matches in (
