--- a/bench/faults.py
+++ b/bench/faults.py
@@ -55,6 +55,7 @@
 # Answers that reach a caller this long after the resumption may have been
 # delayed by the pause.
 RESUME_SECONDS = 1.0
+MAX_TRACED = 5  # wrongly refused requests of which all tries are printed
 NOT_SENT = ("not-run", "not_connected")
 KNOWN = ("answered", "not-run", "may-have-run")
 
@@ -261,6 +262,10 @@
     ):
         if found:
             print(f"# faults: {name}: {found[:10]}", flush=True)
+    for name in false_refusals[:MAX_TRACED]:
+        tried = [entry for entry in requests if entry["id"] == name]
+        ran = [run for run in runs if run["request"] == name]
+        print(f"# faults: {name}: {tried} ran as {ran}", flush=True)
     overrun = measure_overrun(runs, evidence.limits)
     print(f"# faults: most at once {measure_overlap(runs)}")
     yield Figure("limit_overrun", overrun, "requests", 0)
--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -123,7 +123,7 @@
         'A refusal that says "not run" is true',
         "an earlier try that may have run overrides a later refusal",
         "hemlockstand/requests/dispatch.py",
-        "        if isinstance(verdict, NotRun) and uncertain is not None:",
+        "        if isinstance(verdict, NotRun) and earlier is not None:",
         "        if False:",
         ("test/test_request_failures.py",),
         ("false_not_run",),
--- a/hemlockstand/requests/dispatch.py
+++ b/hemlockstand/requests/dispatch.py
@@ -206,20 +206,20 @@
         """Try until there is a verdict that must not or cannot be retried."""
         pool = self._find_pool(queue.pool)
         pool.budget.record_first_try()
-        uncertain: MayHaveRun | None = None
+        earlier: Answered | MayHaveRun | None = None
         avoid: str | None = None
         for number in count(1):
             waiter = self._make_waiter(request, queue, avoid)
             verdict = await self._try_once(pool, waiter, is_retry=number > 1)
-            if isinstance(verdict, MayHaveRun):
-                uncertain = verdict
+            if isinstance(verdict, Answered | MayHaveRun):
+                earlier = verdict
             if not _may_retry(verdict, queue) or not pool.budget.try_spend():
                 break
             avoid = waiter.executor.id if waiter.executor is not None else None
             await trio.sleep(self._backoff.delay(number))
-        # "Not run" is true only if no earlier try may have run.
-        if isinstance(verdict, NotRun) and uncertain is not None:
-            return uncertain
+        # "Not run" is true only if no earlier try ran or may have run.
+        if isinstance(verdict, NotRun) and earlier is not None:
+            return earlier
         return verdict
 
     async def _try_once(
--- a/test/test_request_failures.py
+++ b/test/test_request_failures.py
@@ -172,6 +172,22 @@
     assert len(calls) >= 2
 
 
+async def test_not_run_is_not_claimed_after_a_failed_answer(path):
+    """Guards against 'not run' for a request that ran and was answered 500."""
+    calls = []
+
+    async def respond(received):
+        calls.append(received)
+        if len(calls) == 1:
+            return make_answer(received, status=500)
+        return await refuse_full(received)
+
+    async with path([QUOTES], [FakeUpstream(respond)], retry_fraction=1.0) as around:
+        verdict = await around.dispatch.execute(make_request(seconds=0.5))
+    assert isinstance(verdict, Answered) and verdict.status == 500
+    assert len(calls) >= 2
+
+
 async def test_executor_that_fails_fast_attracts_little_work(path):
     """Guards against a failing executor that looks idle and gets it all."""
     upstreams = [FakeUpstream(fail_at_once)]
