--- a/hemlockstand/jobs/service.py
+++ b/hemlockstand/jobs/service.py
@@ -12,7 +12,7 @@
 from time import time
 
 import trio
-from attrs import evolve, frozen
+from attrs import evolve
 from loguru import logger
 
 from hemlockstand.configuration.service import ConfigurationService
@@ -44,6 +44,7 @@
 from hemlockstand.jobs.rounds import PoolRounds, RoundOutcome
 from hemlockstand.jobs.schedules import is_wanted, name_demanded_run, name_run
 from hemlockstand.jobs.shapes import NOTHING, add_shapes
+from hemlockstand.jobs.statuses import JobStatus, describe_job
 from hemlockstand.jobs.store import JobStore
 from hemlockstand.jobs.triggers import UnwantedJob, list_unwanted
 from hemlockstand.kernel import Kernel, Service, register
@@ -64,23 +65,6 @@
 CONFLICT_SECONDS = 0.01  # first pause after a conflict; each later one doubles
 
 
-@frozen
-class JobStatus:
-    """A job as operators see it.
-
-    ``state`` is ``wanted``, ``retired``, ``running``, ``checkpointed`` or
-    ``parked``.
-    """
-
-    name: str
-    team: str
-    pool: str
-    state: str
-    last_run: str
-    worker: str
-    detail: str
-
-
 @register
 class JobsService(Service):
     """Places, watches and cancels jobs."""
@@ -351,8 +335,9 @@
         """Return all jobs with their state; raises ``PlatformUnavailable``."""
         configuration = self.configuration.current
         works = await self._read_works(configuration)
+        today = datetime.now(UTC).date()
         return [
-            _describe_job(job, works[job.team], configuration)
+            describe_job(job, works[job.team], today)
             for job in configuration.jobs.values()
         ]
 
@@ -387,27 +372,3 @@
 
 def _get_capacity(record: InstanceRecord) -> Shape:
     return Shape(record.cores, record.memory_mb, record.accelerators)
-
-
-def _describe_job(job: Job, work: TeamWork, configuration: Configuration) -> JobStatus:
-    task = next((t for t in work.running.values() if t.job == job.name), None)
-    parked = work.parked.get(job.name)
-    today = datetime.now(UTC).date()
-    if parked is not None:
-        state, detail = "parked", f"{parked.reason}: {', '.join(parked.workers)}"
-    elif task is not None:
-        state = "checkpointed" if task.checkpointed else "running"
-        detail = f"fence {task.fence}"
-    elif is_wanted(job, job.team, job.pool, today):
-        state, detail = "wanted", job.schedule
-    else:
-        state, detail = "retired", f"last wanted on {job.last_day.isoformat()}"
-    return JobStatus(
-        job.name,
-        job.team,
-        job.pool,
-        state,
-        work.last_run.get(job.name, ""),
-        task.worker if task is not None else "",
-        detail,
-    )
