--- a/hemlockstand/jobs/rounds.py
+++ b/hemlockstand/jobs/rounds.py
@@ -425,16 +425,16 @@
 
     async def _act(self, draft: Draft, committed_at: float) -> None:
         for task in draft.checkpoints:
-            await self._send(self.workers.checkpoint, task)
+            await self._checkpoint(task)
         async with trio.open_nursery() as nursery:
             for team, task in draft.starts:
                 nursery.start_soon(self._start, team, task, committed_at)
 
-    async def _send(self, call: Callable, task: Task) -> None:
+    async def _checkpoint(self, task: Task) -> None:
         try:
-            await call(task.worker, task.name, task.fence)
+            await self.workers.checkpoint(task.worker, task.name, task.fence)
         except HemlockstandError as error:
-            log.info("message about task {} failed: {}", task.name, error)
+            log.info("checkpoint of task {} failed: {}", task.name, error)
 
     async def _start(self, team: str, task: Task, committed_at: float) -> None:
         """Send a start unless this daemon was paused since the commit."""
