--- a/hemlockstand/daemon.py
+++ b/hemlockstand/daemon.py
@@ -1,5 +1,8 @@
 """The daemon process: ``hemlockd --settings FILE.ini``.
 
+With ``--fleet`` it schedules jobs on the fleet platform, with the settings
+that ``hemlockstand.fleet.settings`` describes.
+
 Exit codes: 0 after a graceful stop, 1 after an error, 2 for bad settings.
 """
 
@@ -12,16 +15,15 @@
 from loguru import logger
 
 from hemlockstand.errors import SettingsError
-from hemlockstand.health import HealthService
+from hemlockstand.fleet.settings import FleetSettings, load_fleet_settings
 from hemlockstand.kernel import Kernel
-from hemlockstand.logs import configure_logs
-from hemlockstand.peers.service import PeersService
+from hemlockstand.logs import configure_fleet_logs, configure_logs
 from hemlockstand.settings import Settings, load_settings
-from hemlockstand.traces import configure_traces
 
 log = logger.bind(module=__name__)
 
 SETTINGS = flags.DEFINE_string("settings", None, "Settings file of the daemon.")
+FLEET = flags.DEFINE_boolean("fleet", False, "Schedule jobs on the fleet platform.")
 
 EXIT_SETTINGS = 2
 
@@ -42,10 +44,20 @@
     "hemlockstand.operators.interface",
 )
 
+# Modules and services of a daemon on the fleet platform, in the order in
+# which they start; they stop in reverse.
+FLEET_SERVICE_MODULES = (
+    "hemlockstand.fleet.services",
+    "hemlockstand.fleet.configuration",
+    "hemlockstand.fleet.frontend",
+    "hemlockstand.fleet.scheduler",
+)
+FLEET_SERVICES = ("row_store", "fleet_configuration", "frontend", "scheduler")
+
 
-def load_services() -> None:
+def load_services(modules: tuple[str, ...] = SERVICE_MODULES) -> None:
     """Import the modules that register services."""
-    for module in SERVICE_MODULES:
+    for module in modules:
         import_module(module)
 
 
@@ -65,22 +77,58 @@
 
 async def leave(kernel: Kernel) -> None:
     """Report not ready, serve late arrivals, then stop the services."""
+    # The daemon on the fleet platform does without these services.
+    from hemlockstand.health import HealthService
+    from hemlockstand.peers.service import PeersService
+
     kernel.find("health", HealthService).leave()
     kernel.find("peers", PeersService).leaving = True
     await trio.sleep(kernel.settings.daemon.balancer_lag_seconds)
     kernel.stopping.set()
 
 
+async def serve_fleet(settings: FleetSettings) -> None:
+    """Run a daemon on the fleet platform until SIGTERM or SIGINT."""
+    kernel = Kernel(settings, FLEET_SERVICES)
+    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*signals) as received:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(kernel.serve)
+            log.info("daemon {} is serving", settings.daemon.name)
+            async for number in received:
+                if number == signal.SIGHUP:
+                    report_reload(settings)
+                    continue
+                log.info("stopping after signal {}", number)
+                break
+            kernel.stopping.set()
+    log.info("daemon {} has stopped", settings.daemon.name)
+
+
+def report_reload(settings: FleetSettings) -> None:
+    """Read the settings again and say what a restart would change."""
+    try:
+        changed = load_fleet_settings(SETTINGS.value) != settings
+    except SettingsError as error:
+        log.error("settings not reloaded: {}", error)
+        return
+    log.info("settings read again", outcome="changed" if changed else "unchanged")
+
+
 def run_daemon(argv: list[str]) -> int:
     """Run the daemon and return its exit code."""
     if SETTINGS.value is None or len(argv) > 1:
-        print("usage: hemlockd --settings FILE.ini", file=sys.stderr)
+        print("usage: hemlockd [--fleet] --settings FILE.ini", file=sys.stderr)
         return EXIT_SETTINGS
     try:
+        if FLEET.value:
+            return run_fleet(load_fleet_settings(SETTINGS.value))
         settings = load_settings(SETTINGS.value)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
+    from hemlockstand.traces import configure_traces
+
     configure_logs(settings.log, settings.daemon.name)
     configure_traces(settings.trace, settings.daemon.name)
     load_services()
@@ -88,6 +136,14 @@
     return 0
 
 
+def run_fleet(settings: FleetSettings) -> int:
+    """Run a daemon on the fleet platform and return its exit code."""
+    configure_fleet_logs(settings.log, settings.daemon.name)
+    load_services(FLEET_SERVICE_MODULES)
+    trio.run(serve_fleet, settings)
+    return 0
+
+
 def main() -> None:
     """Entry point of ``hemlockd``."""
     app.run(run_daemon)
--- /dev/null
+++ b/hemlockstand/fleet/configuration.py
@@ -0,0 +1,124 @@
+"""The operator's configuration and waves, followed in the store."""
+
+import time
+
+import msgspec
+import trio
+from loguru import logger
+
+from hemlockstand.coordination.lease import make_lease_clock
+from hemlockstand.errors import InvalidInput, PlatformUnavailable
+from hemlockstand.fleet.model import FleetConfig, Wave
+from hemlockstand.fleet.services import RowStoreService
+from hemlockstand.fleet.settings import FleetSettings
+from hemlockstand.fleet.storage import CONFIG_KEY, OPERATOR_TABLE, WAVE_PREFIX
+from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.platform.decoding import decode_config, decode_wave
+from hemlockstand.platform.rows import HistoryGone, RowPage, StoredRow
+
+log = logger.bind(module=__name__)
+
+# Part of the time in which a configuration must be in force that may pass
+# since the store last confirmed it; the rest is for the request itself.
+FRESH_FRACTION = 0.8
+FOLLOW_SECONDS = 0.5  # three calls fit into the time until a copy is too old
+RETRY_SECONDS = 0.1
+
+
+@register
+class FleetConfigurationService(Service):
+    """Keeps the newest configuration; versions never go back."""
+
+    name = "fleet_configuration"
+    needs = ("row_store",)
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        settings: FleetSettings = kernel.settings
+        self._rows = kernel.find("row_store", RowStoreService).rows
+        self._fresh_seconds = settings.bounds.config_apply_ms / 1000 * FRESH_FRACTION
+        self._clock = make_lease_clock(time.monotonic)
+        self._confirmed_at = float("-inf")
+        self._version: int | None = None
+        self._connected = True
+        self.current: FleetConfig | None = None
+        self.waves: dict[int, Wave] = {}
+        self.changed = trio.Event()
+
+    @property
+    def age_seconds(self) -> float:
+        """Time since the store last confirmed the copy."""
+        return self._clock() - self._confirmed_at
+
+    @property
+    def fresh(self) -> bool:
+        """Whether every configuration that must be in force is known."""
+        return self.current is not None and self.age_seconds < self._fresh_seconds
+
+    async def run(self) -> None:
+        """Follow the operator's rows."""
+        while True:
+            sent_at = self._clock()
+            try:
+                await self._follow()
+            except HistoryGone:
+                self._version = None
+            except PlatformUnavailable as error:
+                self._note_connection(False, str(error))
+                await trio.sleep(RETRY_SECONDS)
+            else:
+                self._confirmed_at = sent_at
+                self._note_connection(True, "")
+
+    async def _follow(self) -> None:
+        if self._version is None:
+            page = await self._rows.read_all(OPERATOR_TABLE)
+        else:
+            page = await self._rows.follow(
+                OPERATOR_TABLE, self._version, FOLLOW_SECONDS
+            )
+        self._apply(page)
+        self._version = page.version
+
+    def _apply(self, page: RowPage) -> None:
+        for row in page.rows:
+            try:
+                self._apply_row(row)
+            except (InvalidInput, msgspec.DecodeError) as error:
+                log.error("operator row {} is not used: {}", row.key, error)
+        if page.rows:
+            self.changed.set()
+            self.changed = trio.Event()
+
+    def _apply_row(self, row: StoredRow) -> None:
+        if row.value is None:
+            return
+        if row.key == CONFIG_KEY:
+            self._apply_config(decode_config(row.value))
+        elif row.key.startswith(WAVE_PREFIX):
+            wave = decode_wave(row.value)
+            self.waves[wave.number] = wave
+            log.info(
+                "wave {} requested",
+                wave.number,
+                instances=len(wave.instances),
+                maximum=wave.maximum,
+                duration_s=wave.duration_s,
+            )
+
+    def _apply_config(self, config: FleetConfig) -> None:
+        if self.current is not None and config.version <= self.current.version:
+            return
+        self.current = config
+        log.info(
+            "configuration {} in force",
+            config.version,
+            queues=len(config.queues),
+            tenants=len(config.tenants),
+        )
+
+    def _note_connection(self, connected: bool, detail: str) -> None:
+        if connected != self._connected:
+            self._connected = connected
+            word = "regained" if connected else "lost"
+            log.warning("store {}", word, detail=detail)
--- /dev/null
+++ b/hemlockstand/fleet/executors.py
@@ -0,0 +1,313 @@
+"""The scheduler's view of one executor, and the task that keeps it current.
+
+The executor's own lists decide what runs there. Three kinds of doubt are
+resolved without guessing:
+
+* A start without an answer may be carried out seconds later. The next call
+  carries a higher fencing token, after which the executor refuses the order,
+  and its answer shows whether the run is there.
+* What runs on an executor that cannot be reached ends when the last lease
+  that was granted to it has certainly run out.
+* A new lifetime has nothing of the earlier one.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import trio
+from attrs import define, field
+from loguru import logger
+
+from hemlockstand.errors import HemlockstandError, OutcomeUnknown, PlatformUnavailable
+from hemlockstand.fleet.ledger import Run, RunState, Subtask
+from hemlockstand.fleet.model import EndEntry, ExecutorEntry, HoldAnswer, Resources
+from hemlockstand.platform.executors import (
+    ExecutorClient,
+    OrderRefused,
+    OtherLifetime,
+)
+
+log = logger.bind(module=__name__)
+
+SLOWEST_CLOCK = 0.98  # an executor's clock may be 2% slow
+# An order without an answer is carried out at most 12 s after it was sent.
+LATE_ORDER_SECONDS = 12.5
+RETRY_SECONDS = 0.3
+UNSTORED_POLL_SECONDS = 0.02
+LAPSE_MARGIN_SECONDS = 0.15
+_NEVER = float("-inf")
+
+
+class ExecutorEvents(Protocol):
+    """What the scheduler is told; all methods return at once."""
+
+    def note_ended(
+        self, executor: "Executor", subtask: Subtask | None, end: EndEntry
+    ) -> None:
+        """Note an end that the executor lists."""
+
+    def note_lost(self, executor: "Executor", subtask: Subtask, reason: str) -> None:
+        """Note that a run is over without an end in the list."""
+
+    def note_running(self, executor: "Executor", answer: HoldAnswer) -> None:
+        """Note runs that the scheduler did not know of, and readings."""
+
+    def may_order(self) -> bool:
+        """Return whether the scheduler's lease is valid."""
+
+    def lease_end(self) -> float:
+        """Return until when leases may be granted, in the scheduler's clock."""
+
+
+@define(eq=False)
+class Executor:
+    """An executor in one lifetime after another."""
+
+    entry: ExecutorEntry
+    client: ExecutorClient
+    fence: int
+    clock: Callable[[], float]
+    events: ExecutorEvents
+    hold_seconds: float
+    present: bool = True
+    settled: bool = False
+    born_ms: int | None = None
+    noted: int = 0
+    acked: int = 0
+    runs: dict[str, Subtask] = field(factory=dict)
+    used: Resources = field(factory=Resources)
+    filled: Resources = field(factory=Resources)
+    lapses_at: float = _NEVER
+    answered_at: float = _NEVER
+    failing_since: float | None = None
+    failed_in_row: int = 0
+    quarantined_until: float = _NEVER
+    crowded_until: float = _NEVER
+    reserved: bool = False
+    listed: bool = False
+    closed: bool = False
+    _clock_ms: int | None = None
+    _clock_at: float = 0.0
+    _wake: trio.Event = field(factory=trio.Event)
+    _waiting: trio.CancelScope | None = None
+
+    @property
+    def id(self) -> str:
+        """Identifier of the executor."""
+        return self.entry.id
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call was answered."""
+        return self.failing_since is None
+
+    def has_room(self, size: Resources, fills: bool) -> bool:
+        """Return whether a subtask fits; one that fills needs no cpu."""
+        capacity = self.entry.capacity
+        if self.used.memory_mb + size.memory_mb > capacity.memory_mb:
+            return False
+        if self.used.accelerators + size.accelerators > capacity.accelerators:
+            return False
+        return fills or self.used.cpu_millis + size.cpu_millis <= capacity.cpu_millis
+
+    def free_cpu(self) -> int:
+        """Return the thousandths of a core that nothing has taken."""
+        return self.entry.capacity.cpu_millis - self.used.cpu_millis
+
+    def add_run(self, subtask: Subtask) -> None:
+        """Count a run against the capacity."""
+        self.runs[subtask.name] = subtask
+        self.used = self.used.add(_sized(subtask), 1)
+        self.wake()
+
+    def remove_run(self, subtask: Subtask) -> None:
+        """Free the capacity of a run."""
+        if self.runs.pop(subtask.name, None) is not None:
+            self.used = self.used.add(_sized(subtask), -1)
+
+    def wake(self) -> None:
+        """Let the task look at the executor again."""
+        self._wake.set()
+
+    def look_now(self) -> None:
+        """Cut a waiting call short, because its answer would be too late."""
+        if self._waiting is not None:
+            self._waiting.cancel()
+        self.wake()
+
+    def raise_fence(self) -> None:
+        """Make the executor refuse all orders that were sent before."""
+        self.fence += 1
+        self.look_now()
+
+    def update_entry(self, entry: ExecutorEntry) -> None:
+        """Take over what the executor says of itself in the store."""
+        self.entry = entry
+        self.present = True
+        if entry.born_ms is not None and self.born_ms is not None:
+            if entry.born_ms > self.born_ms:
+                self._start_lifetime(entry.born_ms, "new entry")
+
+    def make_due(self) -> int | None:
+        """Return the executor's clock at the end of the lease.
+
+        None as long as the executor's clock is not known. The clock counts
+        as slow, so that a lease has certainly run out at ``lapses_at``.
+        """
+        if self._clock_ms is None:
+            return None
+        until = self.events.lease_end()
+        self.lapses_at = max(self.lapses_at, until)
+        ahead = (until - self._clock_at) * 1000 * SLOWEST_CLOCK
+        return self._clock_ms + int(ahead)
+
+    def note_clock(self, clock_ms: int | None) -> None:
+        """Note the executor's clock as of a response that just arrived."""
+        if clock_ms is not None:
+            self._clock_ms = clock_ms
+            self._clock_at = self.clock()
+
+    def _needs_look(self) -> bool:
+        return bool(self.runs) or not self.settled or self.noted > self.acked
+
+    async def run(self) -> None:
+        """Hold the executor's runs until it has gone."""
+        while not self.closed:
+            self._wake = trio.Event()
+            if not self._needs_look():
+                await self._wake.wait()
+                continue
+            await self._look()
+        await self.client.close()
+
+    async def _look(self) -> None:
+        if not self.events.may_order() and self.clock() > self.events.lease_end():
+            await trio.sleep(RETRY_SECONDS)
+            return
+        try:
+            with trio.CancelScope() as scope:
+                self._waiting = scope
+                await self._hold()
+        except OtherLifetime:
+            self.failing_since = self.failing_since or self.clock()
+            self._end_lifetime("another executor at the address")
+            await trio.sleep(RETRY_SECONDS)
+        except (PlatformUnavailable, OutcomeUnknown, OrderRefused) as error:
+            await self._note_failure(error)
+        finally:
+            self._waiting = None
+
+    async def _hold(self) -> None:
+        unstored = self.noted > self.acked
+        # With ends to acknowledge the executor answers at once, so the wait
+        # is here, for the store.
+        if unstored:
+            await trio.sleep(UNSTORED_POLL_SECONDS)
+        wait = 0.0 if self.noted > self.acked or not self.settled else self.hold_seconds
+        sent_at = self.clock()
+        fence = self.fence
+        acked = self.acked
+        first = self._clock_ms is None
+        answer = await self.client.hold(self.make_due(), fence, acked, wait)
+        self.note_clock(answer.clock_ms)
+        self.answered_at = self.clock()
+        if self.failing_since is not None:
+            log.info("executor {} regained", self.id)
+        self.failing_since = None
+        self._settle(answer, sent_at, fence)
+        if unstored and self.noted > self.acked:
+            await trio.sleep(5 * UNSTORED_POLL_SECONDS)
+        if first and self.runs:
+            self.wake()
+
+    async def _note_failure(self, error: HemlockstandError) -> None:
+        now = self.clock()
+        if self.failing_since is None:
+            self.failing_since = now
+            log.warning("executor {} lost", self.id, detail=str(error))
+        if now > self.lapses_at + LAPSE_MARGIN_SECONDS:
+            for subtask in list(self.runs.values()):
+                self._lose(subtask, "lease has run out")
+        await trio.sleep(RETRY_SECONDS)
+
+    def _settle(self, answer: HoldAnswer, sent_at: float, fence: int) -> None:
+        """Bring the runs in line with the executor's lists."""
+        if answer.born_ms is not None and answer.born_ms != self.born_ms:
+            if self.born_ms is not None:
+                self._start_lifetime(answer.born_ms, "new lifetime")
+            self.born_ms = answer.born_ms
+        listed = {entry.subtask: entry for entry in answer.running}
+        for end in answer.ended:
+            if end.number > self.noted:
+                self._note_end(end)
+        now = self.clock()
+        for subtask in list(self.runs.values()):
+            run = subtask.run
+            if run is None or run.executor != self.id:
+                self.remove_run(subtask)
+                continue
+            entry = listed.get(subtask.name)
+            if entry is not None and entry.run == run.number:
+                _note_listed(run, entry.percent, entry.load, entry.checkpoint, now)
+            elif run.answered_at is not None and run.answered_at < sent_at:
+                self._lose(subtask, "not in the executor's list")
+            elif run.state is RunState.UNSURE and run.fence < fence:
+                self._lose(subtask, "the order was not carried out")
+        self.events.note_running(self, answer)
+        self.settled = True
+
+    def _note_end(self, end: EndEntry) -> None:
+        self.noted = end.number
+        subtask = self.runs.get(end.subtask)
+        if subtask is not None and subtask.run is not None:
+            if subtask.run.number == end.run:
+                self.remove_run(subtask)
+        self.events.note_ended(self, subtask, end)
+
+    def _lose(self, subtask: Subtask, reason: str) -> None:
+        self.remove_run(subtask)
+        self.events.note_lost(self, subtask, reason)
+
+    def _start_lifetime(self, born_ms: int, reason: str) -> None:
+        log.info("executor {} starts a new lifetime", self.id, detail=reason)
+        self._end_lifetime(reason)
+        self.born_ms = born_ms
+        self._clock_ms = None
+        self.settled = False
+        self.raise_fence()
+
+    def _end_lifetime(self, reason: str) -> None:
+        self.noted = 0
+        self.acked = 0
+        for subtask in list(self.runs.values()):
+            run = subtask.run
+            if run is not None and run.state is RunState.UNSURE:
+                # The order could still be carried out by the next lifetime.
+                subtask.not_before = run.ordered_at + LATE_ORDER_SECONDS
+            self._lose(subtask, reason)
+
+    def close(self) -> None:
+        """End the task."""
+        self.closed = True
+        self.look_now()
+
+
+def _sized(subtask: Subtask) -> Resources:
+    size = subtask.step.size
+    if subtask.step.fills:
+        return Resources(0, size.memory_mb, size.accelerators)
+    return size
+
+
+def _note_listed(
+    run: Run, percent: int, load: int, checkpoint: str, now: float
+) -> None:
+    if run.state in (RunState.STARTING, RunState.UNSURE):
+        run.state = RunState.RUNNING
+    if run.answered_at is None:
+        run.answered_at = now
+    if percent != run.percent:
+        run.percent = percent
+        run.percent_at = now
+    run.load = load
+    run.checkpoint = checkpoint or run.checkpoint
--- /dev/null
+++ b/hemlockstand/fleet/frontend.py
@@ -0,0 +1,281 @@
+"""The callers' interface to jobs.
+
+A job is accepted once its row is stored, whichever daemon took it and
+whether or not there is a scheduler at that moment. All answers about jobs
+come from the store.
+"""
+
+import time
+
+import trio
+from attrs import frozen
+from hypercorn.config import Config as HypercornConfig
+from hypercorn.trio import serve
+from loguru import logger
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from hemlockstand.asgi import shield_sends
+from hemlockstand.errors import InvalidInput, OutcomeUnknown, PlatformUnavailable
+from hemlockstand.fleet.configuration import FleetConfigurationService
+from hemlockstand.fleet.metrics import ANSWERS, REQUEST_SECONDS
+from hemlockstand.fleet.model import FleetConfig, JobState, Queue
+from hemlockstand.fleet.services import RowStoreService
+from hemlockstand.fleet.settings import FleetSettings
+from hemlockstand.fleet.storage import (
+    JOBS_TABLE,
+    PENDING_KEY,
+    SCHEDULER_TABLE,
+    JobRows,
+    cancel_write,
+    decode_pending,
+    group_rows,
+    job_range,
+    job_write,
+)
+from hemlockstand.kernel import Kernel, Service, register
+from hemlockstand.platform.callers import (
+    Call,
+    encode_error,
+    encode_pending,
+    encode_state,
+    read_call,
+)
+from hemlockstand.platform.decoding import JOB_ID, decode_submission
+from hemlockstand.platform.rows import RowConflict, RowExpectation, RowWrite
+
+log = logger.bind(module=__name__)
+
+MAX_CALLER_SECONDS = 30.0
+RETRY_PAUSE_SECONDS = 0.05
+# Time in which the balancer notices that a daemon is not ready: two misses.
+BALANCER_SECONDS = 2.2
+# A caller that comes back after this finds a store outage over or a new daemon.
+RETRY_AFTER_SECONDS = 1
+KEEP_ALIVE_SECONDS = 60.0
+
+
+@frozen
+class Answer:
+    """A status with a body."""
+
+    status: int
+    body: bytes = b"{}"
+    retry_after: bool = False
+
+
+def refuse(status: int, detail: str) -> Answer:
+    """Return an answer that says why the request was not carried out."""
+    return Answer(status, encode_error(detail), status in (429, 503))
+
+
+@register
+class FrontendService(Service):
+    """Takes jobs, cancels and questions from callers."""
+
+    name = "frontend"
+    needs = ("row_store", "fleet_configuration")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        settings: FleetSettings = kernel.settings
+        self._listen = settings.listen
+        self._rows = kernel.find("row_store", RowStoreService).rows
+        self._configuration = kernel.find(
+            "fleet_configuration", FleetConfigurationService
+        )
+        self._grace_seconds = settings.bounds.grace_s
+        self._leaving = False
+        self._closing = trio.Event()
+        self._closed = trio.Event()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send new connections."""
+        return self._configuration.current is not None and not self._leaving
+
+    async def run(self) -> None:
+        """Serve callers and the balancer."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._serve, self._make_ready_app(), "readiness")
+            await self._serve(self._make_app(), "callers")
+            self._closed.set()
+
+    async def stop(self) -> None:
+        """Report not ready, then finish the requests in progress."""
+        self._leaving = True
+        await trio.sleep(BALANCER_SECONDS)
+        self._closing.set()
+        with trio.move_on_after(self._grace_seconds / 2):
+            await self._closed.wait()
+
+    async def _serve(self, app: QuartTrio, kind: str) -> None:
+        config = HypercornConfig()
+        config.bind = [getattr(self._listen, kind)]
+        config.accesslog = None
+        config.errorlog = None
+        config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+        config.graceful_timeout = self._grace_seconds / 3
+        trigger = self._closing.wait
+        await serve(shield_sends(app), config, shutdown_trigger=trigger, mode="asgi")
+
+    def _make_ready_app(self) -> QuartTrio:
+        app = QuartTrio(__name__ + ".readiness")
+
+        @app.get("/ready")
+        async def answer_ready() -> Response:
+            return Response(b"", 200 if self.ready else 503)
+
+        return app
+
+    def _make_app(self) -> QuartTrio:
+        app = QuartTrio(__name__)
+        # The operator's limit is checked against the configuration in force.
+        app.config["MAX_CONTENT_LENGTH"] = None
+
+        @app.route("/", defaults={"path": ""}, methods=["GET", "POST", "DELETE"])
+        @app.route("/<path:path>", methods=["GET", "POST", "DELETE"])
+        async def answer_call(path: str) -> Response:
+            started_at = time.monotonic()
+            call = read_call(request)
+            answer = await self._answer(call)
+            seconds = time.monotonic() - started_at
+            ANSWERS.labels(call.method, answer.status).inc()
+            REQUEST_SECONDS.labels(call.method).observe(seconds)
+            response = Response(
+                answer.body, answer.status, content_type="application/json"
+            )
+            if answer.retry_after:
+                response.headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
+            if self._leaving:
+                response.headers["Connection"] = "close"
+            return response
+
+        return app
+
+    async def _answer(self, call: Call) -> Answer:
+        config = self._configuration.current
+        if config is None:
+            return refuse(503, "no configuration yet")
+        queue = config.find_queue(call.host, call.path)
+        if queue is None:
+            return self._require_fresh() or refuse(404, "no such queue")
+        tenant = config.tenants_by_key.get(call.key)
+        if tenant is None and not queue.public:
+            return self._require_fresh() or refuse(401, "unknown key")
+        # A withdrawn key or a dropped queue must not be served from an old copy.
+        stale = self._require_fresh()
+        if stale is not None:
+            return stale
+        job = call.path[len(queue.prefix) :]
+        if not job and call.method == "GET":
+            return await self._count_pending(queue)
+        if JOB_ID.fullmatch(job) is None:
+            return refuse(400, f"{job!r} is not a job id of 16 hexadecimal digits")
+        match call.method:
+            case "POST":
+                tenant_name = "" if tenant is None else tenant.name
+                return await self._submit(call, config, queue, job, tenant_name)
+            case "DELETE":
+                return await self._cancel(job, call)
+            case _:
+                return await self._show(job)
+
+    def _require_fresh(self) -> Answer | None:
+        if self._configuration.fresh:
+            return None
+        age = self._configuration.age_seconds
+        log.info("refused: configuration is too old", age_seconds=round(age, 3))
+        return refuse(503, "the configuration is not known to be current")
+
+    async def _submit(
+        self, call: Call, config: FleetConfig, queue: Queue, job: str, tenant: str
+    ) -> Answer:
+        body = await request.get_data()
+        if len(body) > config.max_body_bytes:
+            return refuse(413, f"the body has over {config.max_body_bytes} bytes")
+        now_ms = int(time.time() * 1000)
+        try:
+            spec = decode_submission(body, job, queue, tenant, now_ms)
+        except InvalidInput as error:
+            log.info("job refused", job=job, detail=str(error))
+            return refuse(400, error.message)
+        expected = (RowExpectation(JOBS_TABLE, job, 0),)
+        answer = await self._store(call, job_write(spec), expected)
+        log.info(
+            "job submitted",
+            job=job,
+            queue=queue.name,
+            tenant=tenant,
+            config=config.version,
+            outcome=answer.status,
+        )
+        return answer
+
+    async def _cancel(self, job: str, call: Call) -> Answer:
+        rows = await self._read_job(job)
+        if rows is None:
+            return refuse(503, "the store does not answer")
+        if rows.spec is None:
+            return refuse(410, "no such job")
+        if rows.state.final:
+            return Answer(200, encode_state(rows.state))
+        write = cancel_write(job, int(time.time() * 1000))
+        answer = await self._store(call, write, ())
+        log.info("cancel requested", job=job, outcome=answer.status)
+        if answer.status == 200:
+            return Answer(200, encode_state(JobState.CANCELLED))
+        return answer
+
+    async def _show(self, job: str) -> Answer:
+        rows = await self._read_job(job)
+        if rows is None:
+            return refuse(503, "the store does not answer")
+        if rows.spec is None:
+            return refuse(410, "no such job")
+        return Answer(200, encode_state(rows.state))
+
+    async def _read_job(self, job: str) -> JobRows | None:
+        try:
+            page = await self._rows.read(JOBS_TABLE, *job_range(job))
+        except PlatformUnavailable as error:
+            log.info("state not read", job=job, detail=str(error))
+            return None
+        return group_rows(page.rows).get(job, JobRows())
+
+    async def _count_pending(self, queue: Queue) -> Answer:
+        try:
+            row = await self._rows.read_one(SCHEDULER_TABLE, PENDING_KEY)
+        except PlatformUnavailable as error:
+            log.info("pending not read", queue=queue.name, detail=str(error))
+            return refuse(503, "the store does not answer")
+        count = decode_pending(row.value).get(queue.name, 0)
+        return Answer(200, encode_pending(count))
+
+    async def _store(
+        self, call: Call, write: RowWrite, expected: tuple[RowExpectation, ...]
+    ) -> Answer:
+        """Write a row and say what is certain about it.
+
+        After a write without an answer, "not accepted" would be a guess: the
+        write may be applied seconds later. It is repeated under the same
+        condition, and the caller gets 504 if it stays open.
+        """
+        seconds = min(call.remaining_seconds, MAX_CALLER_SECONDS)
+        give_up_at = trio.current_time() + seconds
+        unsure = False
+        while True:
+            try:
+                await self._rows.write([write], expected)
+                return Answer(200)
+            except RowConflict:
+                return Answer(200)
+            except PlatformUnavailable as error:
+                if not unsure:
+                    return refuse(503, error.message)
+            except OutcomeUnknown as error:
+                unsure = True
+                log.warning("write without an answer", key=write.key, detail=str(error))
+            if trio.current_time() + RETRY_PAUSE_SECONDS > give_up_at:
+                return refuse(504, "it is not known whether the request was stored")
+            await trio.sleep(RETRY_PAUSE_SECONDS)
--- /dev/null
+++ b/hemlockstand/fleet/lease.py
@@ -0,0 +1,185 @@
+"""The scheduler's lease, a row that each of its transactions changes.
+
+The holder's every transaction expects the row at the version it knows and
+writes it anew. So a transaction extends the lease, a deposed holder can
+change nothing, and a transaction whose answer was lost cannot be applied
+once a later one was.
+"""
+
+from collections.abc import Callable, Mapping, Sequence
+
+import attrs
+import trio
+from attrs import define
+from loguru import logger
+
+from hemlockstand.coordination.lease import LeaseLost
+from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
+from hemlockstand.fleet.storage import (
+    LEASE_KEY,
+    SCHEDULER_TABLE,
+    LeaseRecord,
+    decode_lease,
+    lease_write,
+)
+from hemlockstand.platform.rows import (
+    RowConflict,
+    RowExpectation,
+    RowKey,
+    RowStore,
+    RowWrite,
+    StoredRow,
+)
+
+log = logger.bind(module=__name__)
+
+# Added to the lease before another daemon takes over: clocks may differ by 1%.
+TAKEOVER_MARGIN = 1.05
+RETRY_SECONDS = 0.1
+_NEVER = float("-inf")
+
+
+@define(eq=False)
+class SchedulerLease:
+    """The lease of one holder."""
+
+    rows: RowStore
+    record: LeaseRecord
+    version: int
+    lease_seconds: float
+    clock: Callable[[], float]
+    valid_until: float = _NEVER
+
+    @property
+    def valid(self) -> bool:
+        """Whether the holder may give orders; ask before each of them."""
+        return self.clock() < self.valid_until
+
+    async def commit(
+        self,
+        writes: Sequence[RowWrite] = (),
+        removed: Sequence[RowKey] = (),
+        executors: Mapping[str, tuple[str, str]] | None = None,
+        release: bool = False,
+    ) -> None:
+        """Apply the writes and extend the lease.
+
+        Raises ``LeaseLost``, or ``PlatformUnavailable`` if nothing was
+        applied. A lost answer is resolved before this returns.
+        """
+        record = attrs.evolve(
+            self.record,
+            holder="" if release else self.record.holder,
+            sequence=self.record.sequence + 1,
+            executors=self.record.executors if executors is None else executors,
+        )
+        batch = [lease_write(record), *writes]
+        sent_at = self.clock()
+        unsure = False
+        while True:
+            try:
+                version = await self._write(batch, removed)
+                break
+            except RowConflict as conflict:
+                version = self._recognise(conflict.rows, record)
+                break
+            except PlatformUnavailable:
+                if not unsure:
+                    raise
+            except OutcomeUnknown as error:
+                unsure = True
+                log.warning("commit without an answer", detail=str(error))
+            await trio.sleep(RETRY_SECONDS)
+        self.record = record
+        self.version = version
+        self.valid_until = sent_at + self.lease_seconds
+
+    async def _write(self, batch: Sequence[RowWrite], removed: Sequence[RowKey]) -> int:
+        expected = (RowExpectation(SCHEDULER_TABLE, LEASE_KEY, self.version),)
+        return await self.rows.write(batch, expected, removed)
+
+    def _recognise(self, rows: Sequence[StoredRow], record: LeaseRecord) -> int:
+        """Return the version of the row if an earlier try has written it."""
+        for row in rows:
+            found = decode_lease(row.value)
+            if found is None:
+                continue
+            if found.session == record.session and found.sequence == record.sequence:
+                return row.version
+        self.valid_until = _NEVER
+        raise LeaseLost("another daemon has become the scheduler")
+
+
+@define(eq=False)
+class LeaseWatch:
+    """Looks at the lease of another holder and takes it when it has ended.
+
+    ``delay_seconds`` lets a better suited daemon go first.
+    """
+
+    rows: RowStore
+    holder: str
+    session: str
+    lease_seconds: float
+    clock: Callable[[], float]
+    delay_seconds: float = 0.0
+    previous: LeaseRecord | None = None
+    _seen_version: int | None = None
+    _seen_at: float = _NEVER
+    _attempted_at: float = _NEVER
+
+    async def try_acquire(self) -> SchedulerLease | None:
+        """Look at the row and return the lease if it could be taken.
+
+        A holder counts as gone when its row did not change for the lease
+        while the store could be read. Raises ``PlatformUnavailable``.
+        """
+        try:
+            row = await self.rows.read_one(SCHEDULER_TABLE, LEASE_KEY)
+        except PlatformUnavailable:
+            self._seen_version = None
+            raise
+        record = decode_lease(row.value)
+        if record is not None and record.session == self.session:
+            # An earlier attempt without an answer was applied after all.
+            return self._make_lease(record, row.version, self._attempted_at)
+        if row.version != self._seen_version:
+            self._seen_version = row.version
+            self._seen_at = self.clock()
+        if not self._has_ended(record):
+            return None
+        return await self._acquire(record, row.version)
+
+    def _has_ended(self, record: LeaseRecord | None) -> bool:
+        unchanged = self.clock() - self._seen_at
+        if record is None or not record.holder:
+            return unchanged >= self.delay_seconds
+        wait = self.lease_seconds * TAKEOVER_MARGIN + self.delay_seconds
+        return unchanged >= wait
+
+    async def _acquire(
+        self, record: LeaseRecord | None, version: int
+    ) -> SchedulerLease | None:
+        self.previous = record
+        epoch = 1 if record is None else record.epoch + 1
+        executors = {} if record is None else record.executors
+        new = LeaseRecord(self.holder, self.session, epoch, 0, executors)
+        expected = (RowExpectation(SCHEDULER_TABLE, LEASE_KEY, version),)
+        self._attempted_at = self.clock()
+        try:
+            new_version = await self.rows.write([lease_write(new)], expected)
+        except RowConflict:
+            return None
+        except OutcomeUnknown as error:
+            log.warning("attempt at the lease without an answer", detail=str(error))
+            return None
+        return self._make_lease(new, new_version, self._attempted_at)
+
+    def _make_lease(
+        self, record: LeaseRecord, version: int, sent_at: float
+    ) -> SchedulerLease:
+        lease = SchedulerLease(
+            self.rows, record, version, self.lease_seconds, self.clock
+        )
+        lease.valid_until = sent_at + self.lease_seconds
+        return lease
--- /dev/null
+++ b/hemlockstand/fleet/ledger.py
@@ -0,0 +1,397 @@
+"""The scheduler's jobs in memory: which subtasks wait, run and are done.
+
+The ledger is rebuilt from the store's rows and the executors' lists after
+each change of the scheduler. What it learns of ends is written to the status
+rows of the jobs; starts are not written, the executors' lists show them.
+"""
+
+from collections.abc import Iterable, Iterator
+from enum import Enum, auto
+from heapq import heappop, heappush
+
+from attrs import define, field
+from loguru import logger
+
+from hemlockstand.fleet.model import (
+    FleetConfig,
+    JobSpec,
+    JobState,
+    JobStatus,
+    Resources,
+    Step,
+)
+
+log = logger.bind(module=__name__)
+
+DEFAULT_ATTEMPTS = 1  # of a queue that the configuration no longer holds
+
+
+class RunState(Enum):
+    """State of a run as the scheduler believes it."""
+
+    STARTING = auto()  # the order is in flight
+    UNSURE = auto()  # the order got no answer and may still be carried out
+    RUNNING = auto()
+    STOPPING = auto()
+
+
+@define(eq=False, slots=True)
+class Run:
+    """A run of a subtask on an executor; times are of the scheduler's clock."""
+
+    number: int
+    executor: str
+    fence: int
+    ordered_at: float
+    state: RunState = RunState.STARTING
+    answered_at: float | None = None
+    percent: int = 0
+    percent_at: float = 0.0
+    load: int = 0
+    pace: int = 100
+    checkpoint: str = ""
+
+
+@define(eq=False, slots=True)
+class Subtask:
+    """One of the alike subtasks of a step."""
+
+    step_run: "StepRun"
+    index: int
+    name: str
+    runs: int = 0
+    run: Run | None = None
+    done: bool = False
+    failures: int = 0
+    checkpoint: str = ""
+    not_before: float = 0.0
+    avoid: set[str] = field(factory=set)
+
+    @property
+    def step(self) -> Step:
+        """The step that the subtask belongs to."""
+        return self.step_run.step
+
+    @property
+    def job(self) -> "Job":
+        """The job that the subtask belongs to."""
+        return self.step_run.job
+
+
+@define(eq=False, slots=True)
+class StepRun:
+    """A step in one occurrence of a job."""
+
+    job: "Job"
+    occurrence: int
+    position: int
+    step: Step
+    subtasks: list[Subtask] = field(factory=list)
+    waiting: dict[int, Subtask] = field(factory=dict)
+    done: int = 0  # bit set of the indexes that are done
+    unlocked_at: float = 0.0
+
+    @property
+    def key(self) -> str:
+        """Identifier within the job, as in the status row."""
+        return f"{self.occurrence}.{self.position}"
+
+    @property
+    def name(self) -> str:
+        """Identifier across jobs."""
+        return f"{self.job.id}.{self.key}"
+
+    @property
+    def complete(self) -> bool:
+        """Whether all subtasks have ended as done."""
+        return self.done == (1 << self.step.count) - 1
+
+    @property
+    def unlocked(self) -> bool:
+        """Whether the subtasks may run."""
+        return bool(self.subtasks)
+
+
+@define(eq=False, slots=True)
+class Job:
+    """A job that has not ended, or ended a short time ago."""
+
+    spec: JobSpec
+    version: int
+    state: JobState = JobState.QUEUED
+    steps: dict[tuple[int, int], StepRun] = field(factory=dict)
+    cancelled: bool = False
+    started: bool = False
+    ended_ms: int = 0
+    accepted_at: float = 0.0
+    deadline: float = 0.0
+
+    @property
+    def id(self) -> str:
+        """Identifier that the caller chose."""
+        return self.spec.id
+
+    def subtasks(self) -> Iterator[Subtask]:
+        """Yield the subtasks of all unlocked steps."""
+        return (
+            subtask for step_run in self.steps.values() for subtask in step_run.subtasks
+        )
+
+    def runs(self) -> Iterator[Subtask]:
+        """Yield the subtasks that have a run."""
+        return (subtask for subtask in self.subtasks() if subtask.run is not None)
+
+    def make_status(self) -> JobStatus:
+        """Return what is stored of the job."""
+        if self.state.final:
+            return JobStatus(self.state, ended_ms=self.ended_ms)
+        done = {run.key: run.done for run in self.steps.values() if run.done}
+        failures = {
+            f"{subtask.step_run.key}.{subtask.index}": subtask.failures
+            for subtask in self.subtasks()
+            if subtask.failures and not subtask.step.lasting
+        }
+        return JobStatus(self.state, done, failures)
+
+
+@define(eq=False)
+class Ledger:
+    """All jobs of the fleet.
+
+    ``dirty`` names the jobs whose status row is out of date.
+    """
+
+    run_base: int = 0
+    jobs: dict[str, Job] = field(factory=dict)
+    ready: dict[str, StepRun] = field(factory=dict)
+    dirty: set[str] = field(factory=set)
+    in_use: dict[str, Resources] = field(factory=dict)
+    ended: list[tuple[int, str]] = field(factory=list)
+    _due: list[tuple[float, str, int]] = field(factory=list)
+
+    def add(
+        self,
+        spec: JobSpec,
+        version: int,
+        status: JobStatus | None,
+        now: float,
+        now_ms: int,
+    ) -> Job | None:
+        """Add a job as the store has it; return None if it is known."""
+        if spec.id in self.jobs:
+            return None
+        age = max(0.0, (now_ms - spec.accepted_ms) / 1000)
+        job = Job(spec, version, accepted_at=now - age)
+        self.jobs[spec.id] = job
+        if status is not None:
+            job.state = status.state
+            job.started = status.state is not JobState.QUEUED
+            if status.state.final:
+                self._retire(job, status.ended_ms)
+                return job
+        self._create_steps(job, status or JobStatus(JobState.QUEUED))
+        for occurrence in range(spec.occurrences):
+            due_at = now
+            if spec.timed:
+                due_ms = spec.start_at_ms + occurrence * spec.interval_ms
+                due_at = now + (due_ms - now_ms) / 1000
+            heappush(self._due, (due_at, spec.id, occurrence))
+        self.release_due(now)
+        return job
+
+    def _create_steps(self, job: Job, status: JobStatus) -> None:
+        for occurrence in range(job.spec.occurrences):
+            for position, step in enumerate(job.spec.steps):
+                step_run = StepRun(job, occurrence, position, step)
+                step_run.done = status.done.get(step_run.key, 0)
+                job.steps[occurrence, position] = step_run
+        for name, count in status.failures.items():
+            log.debug("job {} had {} failures of {}", job.id, count, name)
+        job_failures = status.failures
+        for step_run in job.steps.values():
+            if any(name.startswith(step_run.key + ".") for name in job_failures):
+                self._create_subtasks(step_run)
+                for subtask in step_run.subtasks:
+                    key = f"{step_run.key}.{subtask.index}"
+                    subtask.failures = job_failures.get(key, 0)
+
+    def _create_subtasks(self, step_run: StepRun) -> None:
+        if step_run.subtasks:
+            return
+        for index in range(step_run.step.count):
+            name = f"{step_run.name}.{index}"
+            subtask = Subtask(step_run, index, name, self.run_base)
+            subtask.done = bool(step_run.done >> index & 1)
+            step_run.subtasks.append(subtask)
+
+    def next_due(self) -> float | None:
+        """Return when the next occurrence is due."""
+        return self._due[0][0] if self._due else None
+
+    def release_due(self, now: float) -> bool:
+        """Unlock the occurrences that are due; return whether there were any."""
+        released = False
+        while self._due and self._due[0][0] <= now:
+            _, job_id, occurrence = heappop(self._due)
+            job = self.jobs.get(job_id)
+            if job is None or job.state.final or job.cancelled:
+                continue
+            self._unlock(job, occurrence, now)
+            released = True
+        return released
+
+    def _unlock(self, job: Job, occurrence: int, now: float) -> None:
+        for position, step in enumerate(job.spec.steps):
+            step_run = job.steps[occurrence, position]
+            if step_run.complete or step_run.unlocked_at:
+                continue
+            if all(job.steps[occurrence, earlier].complete for earlier in step.after):
+                step_run.unlocked_at = now
+                self._create_subtasks(step_run)
+                for subtask in step_run.subtasks:
+                    if not subtask.done and subtask.run is None:
+                        self.set_waiting(subtask)
+
+    def set_waiting(self, subtask: Subtask) -> None:
+        """Queue a subtask for placement."""
+        subtask.step_run.waiting[subtask.index] = subtask
+        self.ready[subtask.step_run.name] = subtask.step_run
+
+    def unset_waiting(self, subtask: Subtask) -> None:
+        """Take a subtask out of the queue."""
+        step_run = subtask.step_run
+        step_run.waiting.pop(subtask.index, None)
+        if not step_run.waiting:
+            self.ready.pop(step_run.name, None)
+
+    def find(self, name: str) -> Subtask | None:
+        """Return a subtask of a job that has not ended.
+
+        A step that is still locked here may run all the same: a previous
+        scheduler started it on ends that were not stored yet.
+        """
+        job_id, _, rest = name.partition(".")
+        job = self.jobs.get(job_id)
+        if job is None or job.state.final:
+            return None
+        try:
+            occurrence, position, index = (int(part) for part in rest.split("."))
+            step_run = job.steps[occurrence, position]
+        except (ValueError, KeyError):
+            log.warning("executor reports {}, which is no subtask", name)
+            return None
+        self._create_subtasks(step_run)
+        if index >= len(step_run.subtasks):
+            log.warning("executor reports {}, which is no subtask", name)
+            return None
+        return step_run.subtasks[index]
+
+    def attach(self, subtask: Subtask, run: Run) -> None:
+        """Give a subtask its run, and count it against the tenant."""
+        self.unset_waiting(subtask)
+        subtask.run = run
+        subtask.runs = max(subtask.runs, run.number)
+        self._use(subtask, 1)
+
+    def detach(self, subtask: Subtask) -> None:
+        """Take the run from a subtask."""
+        subtask.run = None
+        self._use(subtask, -1)
+
+    def _use(self, subtask: Subtask, times: int) -> None:
+        tenant = subtask.job.spec.tenant
+        used = self.in_use.get(tenant, Resources())
+        self.in_use[tenant] = used.add(subtask.step.size, times)
+
+    def set_started(self, job: Job) -> None:
+        """Note that a subtask of the job has begun."""
+        if job.started:
+            return
+        job.started = True
+        if job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+            self.dirty.add(job.id)
+
+    def set_done(self, subtask: Subtask, now: float, now_ms: int) -> None:
+        """Note that a subtask has ended as done, and unlock what follows."""
+        if subtask.done:
+            return
+        step_run = subtask.step_run
+        job = subtask.job
+        members = step_run.subtasks if step_run.step.gang else (subtask,)
+        for member in members:
+            member.done = True
+            step_run.done |= 1 << member.index
+            self.unset_waiting(member)
+        self.dirty.add(job.id)
+        if not step_run.complete:
+            return
+        self._unlock(job, step_run.occurrence, now)
+        if all(other.complete for other in job.steps.values()):
+            self.finish(job, JobState.COMPLETED, now_ms)
+
+    def add_failure(self, subtask: Subtask, attempts: int, now_ms: int) -> None:
+        """Count a failed run; the job fails with the last attempt."""
+        subtask.failures += 1
+        if subtask.step.lasting:
+            return
+        self.dirty.add(subtask.job.id)
+        if subtask.failures >= attempts and not subtask.done:
+            self.finish(subtask.job, JobState.FAILED, now_ms)
+
+    def finish(self, job: Job, state: JobState, now_ms: int) -> None:
+        """End a job; its runs are stopped by the scheduler."""
+        if job.state.final:
+            return
+        job.state = state
+        for subtask in job.subtasks():
+            self.unset_waiting(subtask)
+        self.dirty.add(job.id)
+        self._retire(job, now_ms)
+        log.info("job ended", job=job.id, outcome=state.value)
+
+    def _retire(self, job: Job, now_ms: int) -> None:
+        job.ended_ms = now_ms
+        heappush(self.ended, (now_ms, job.id))
+
+    def expire(self, before_ms: int, limit: int) -> list[str]:
+        """Forget jobs that ended before a time; return their ids."""
+        expired = []
+        while self.ended and self.ended[0][0] < before_ms and len(expired) < limit:
+            _, job_id = self.ended[0]
+            if job_id in self.dirty:
+                break
+            heappop(self.ended)
+            self.jobs.pop(job_id, None)
+            expired.append(job_id)
+        return expired
+
+    def count_pending(self) -> dict[str, int]:
+        """Return the jobs without due times that have not begun, by queue."""
+        counts: dict[str, int] = {}
+        for job in self.jobs.values():
+            if job.started or job.state.final or job.spec.timed or job.cancelled:
+                continue
+            counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
+        return counts
+
+
+def find_pool(job: Job, config: FleetConfig) -> str:
+    """Return the pool that runs a job's subtasks by the configuration."""
+    queue = config.queues_by_name.get(job.spec.queue)
+    return job.spec.pool if queue is None else queue.pool
+
+
+def find_attempts(job: Job, config: FleetConfig) -> int:
+    """Return how often a subtask of the job may fail."""
+    queue = config.queues_by_name.get(job.spec.queue)
+    return DEFAULT_ATTEMPTS if queue is None else queue.attempts
+
+
+def estimate_chain_seconds(steps: Iterable[Step]) -> float:
+    """Return the estimated seconds of the longest chain of steps."""
+    finished: list[float] = []
+    for step in steps:
+        start = max((finished[earlier] for earlier in step.after), default=0.0)
+        finished.append(start + step.estimate_ms / 1000)
+    return max(finished, default=0.0)
--- /dev/null
+++ b/hemlockstand/fleet/metrics.py
@@ -0,0 +1,27 @@
+"""Prometheus metrics of the fleet's services, and their address."""
+
+from prometheus_client import Counter, Gauge, Histogram, generate_latest
+
+ANSWERS = Counter(
+    "hemlockstand_answers_total", "Answers to callers.", ["method", "status"]
+)
+REQUEST_SECONDS = Histogram(
+    "hemlockstand_answer_seconds", "Time from arrival to the answer.", ["method"]
+)
+STARTS = Counter(
+    "hemlockstand_starts_total", "Start orders to executors, by outcome.", ["outcome"]
+)
+ENDS = Counter("hemlockstand_ends_total", "Ends of runs, by kind.", ["kind"])
+COMMITS = Counter(
+    "hemlockstand_commits_total", "The scheduler's transactions.", ["outcome"]
+)
+FIRST_START_SECONDS = Histogram(
+    "hemlockstand_first_start_seconds", "Time from acceptance to the first start."
+)
+LEADING = Gauge("hemlockstand_scheduler", "1 while this daemon is the scheduler.")
+WAITING = Gauge("hemlockstand_waiting_subtasks", "Subtasks that wait for a place.")
+
+
+def render_metrics() -> bytes:
+    """Return all metrics as text."""
+    return generate_latest()
--- /dev/null
+++ b/hemlockstand/fleet/model.py
@@ -0,0 +1,378 @@
+"""Types that the scheduler, the frontends and the adapter share.
+
+The adapter in ``hemlockstand.platform`` decodes the platform's messages into
+these types. Sizes are thousandths of a core, megabytes and whole
+accelerators; times are milliseconds unless a name says seconds.
+"""
+
+from collections.abc import Mapping
+from enum import StrEnum
+from functools import cached_property
+
+from attrs import field, frozen
+
+
+@frozen
+class Resources:
+    """Resources of a subtask, an executor or a tenant's maximum."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def fits(self, room: "Resources") -> bool:
+        """Return whether this fits into the room."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+    def add(self, other: "Resources", times: int = 1) -> "Resources":
+        """Return the sum of this and ``times`` the other."""
+        return Resources(
+            self.cpu_millis + times * other.cpu_millis,
+            self.memory_mb + times * other.memory_mb,
+            self.accelerators + times * other.accelerators,
+        )
+
+    def scale(self, factor: float) -> "Resources":
+        """Return the resources multiplied and rounded down."""
+        return Resources(
+            int(self.cpu_millis * factor),
+            int(self.memory_mb * factor),
+            int(self.accelerators * factor),
+        )
+
+
+@frozen
+class Advice:
+    """Terms under which a queue's policy names the executors it allows."""
+
+    decision_ms: int
+    per_executor_ms: int
+    validity_ms: int
+
+
+@frozen
+class Queue:
+    """A queue of jobs, selected by host and path prefix.
+
+    ``slack_factor`` times the longest chain of work plus ``objective_ms`` is
+    the time in which a job should complete.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    pool: str
+    public: bool
+    priority: int
+    attempts: int
+    slack_factor: float
+    objective_ms: int
+    advice: Advice | None = None
+
+
+@frozen
+class Pool:
+    """A service whose executors run the subtasks of its queues."""
+
+    name: str
+    admission_check: bool
+    standby: bool
+
+
+@frozen
+class Tenant:
+    """A tenant with its keys, its share and what it may have running."""
+
+    name: str
+    keys: frozenset[str]
+    weight: float
+    maximum: Resources
+
+
+@frozen(slots=False)
+class FleetConfig:
+    """One version of the operator's configuration."""
+
+    version: int
+    queues: tuple[Queue, ...]
+    pools: Mapping[str, Pool]
+    tenants: Mapping[str, Tenant]
+    max_body_bytes: int
+
+    @cached_property
+    def queues_by_name(self) -> Mapping[str, Queue]:
+        """The queues by name."""
+        return {queue.name: queue for queue in self.queues}
+
+    @cached_property
+    def tenants_by_key(self) -> Mapping[str, Tenant]:
+        """The tenants by each of their keys."""
+        return {key: tenant for tenant in self.tenants.values() for key in tenant.keys}
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of the path, if any."""
+        matches = (
+            queue
+            for queue in self.queues
+            if queue.host == host and path.startswith(queue.prefix)
+        )
+        return max(matches, key=lambda queue: len(queue.prefix), default=None)
+
+
+@frozen
+class ExecutorEntry:
+    """What an executor says of itself in the store.
+
+    ``born_ms`` identifies its lifetime: after a restart under the same id it
+    differs, and nothing of the earlier lifetime runs any more.
+    """
+
+    id: str
+    pool: str
+    address: str
+    data_centre: str
+    draining: bool
+    remaining_ms: int | None
+    born_ms: int | None
+    capacity: Resources
+    labels: tuple[str, ...]
+
+    @property
+    def rack(self) -> str:
+        """Rack of the executor; the labels hold its kind, then its rack."""
+        return self.labels[1] if len(self.labels) > 1 else ""
+
+
+class InstanceState(StrEnum):
+    """State of an instance of the fleet."""
+
+    UP = "up"
+    MOVING = "moving"
+    UPKEEP = "upkeep"
+    DOWN = "down"
+
+
+@frozen
+class InstanceEntry:
+    """An instance as the machines' interface lists it.
+
+    ``executor`` is empty while nothing runs there, as on standby.
+    """
+
+    name: str
+    pool: str
+    state: InstanceState
+    data_centre: str
+    labels: tuple[str, ...]
+    capacity: Resources
+    executor: str
+
+    @property
+    def rack(self) -> str:
+        """Rack of the instance."""
+        return self.labels[1] if len(self.labels) > 1 else ""
+
+
+@frozen
+class Wave:
+    """A request to maintain instances within a time.
+
+    ``maximum`` is how many of them may be down for it at once.
+    """
+
+    number: int
+    instances: tuple[str, ...]
+    duration_s: float
+    maximum: int
+
+
+@frozen
+class Step:
+    """A step of a job: ``count`` alike subtasks.
+
+    ``after`` holds the positions of the steps that must be done first.
+    ``fills`` means that its cpu is taken from what others leave unused.
+    """
+
+    count: int
+    size: Resources
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    data_rack: str = ""
+    max_per_executor: int = 0
+    speculative: bool = False
+    lasting: bool = False
+    image: str = ""
+    target_ms: int = 0
+    fills: bool = False
+    max_unavailable: int = 0
+
+
+@frozen
+class JobSpec:
+    """A job as it was accepted.
+
+    ``repeats`` greater than 0 makes occurrence K due at ``start_at_ms`` plus
+    K times ``interval_ms``, Unix time.
+    """
+
+    id: str
+    queue: str
+    pool: str
+    tenant: str
+    payload: str
+    steps: tuple[Step, ...]
+    repeats: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+    accepted_ms: int = 0
+
+    @property
+    def occurrences(self) -> int:
+        """How many times the steps run."""
+        return max(1, self.repeats)
+
+    @property
+    def timed(self) -> bool:
+        """Whether the occurrences have due times."""
+        return self.repeats > 0
+
+    @property
+    def lasting(self) -> bool:
+        """Whether a step runs until the job is cancelled."""
+        return any(step.lasting for step in self.steps)
+
+
+class JobState(StrEnum):
+    """State of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def final(self) -> bool:
+        """Whether the state cannot change any more."""
+        return self in (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+
+
+@frozen
+class JobStatus:
+    """What the scheduler has stored of a job.
+
+    ``done`` holds, by ``K.STEP``, the subtasks that have ended as done, as a
+    bit set; ``failures`` counts failed runs by ``K.STEP.INDEX``.
+    """
+
+    state: JobState
+    done: Mapping[str, int] = field(factory=dict)
+    failures: Mapping[str, int] = field(factory=dict)
+    ended_ms: int = 0
+
+
+@frozen
+class RunEntry:
+    """A run that an executor has.
+
+    ``load`` is the tail of the response times in milliseconds for a subtask
+    that serves users, and the cpu in use for any other.
+    """
+
+    subtask: str
+    run: int
+    checkpoint: str
+    percent: int
+    load: int
+
+
+class EndKind(StrEnum):
+    """How a run ended; ``BROKEN`` is a gang that lost another member."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+@frozen
+class EndEntry:
+    """An end that an executor lists until its number is acknowledged."""
+
+    number: int
+    subtask: str
+    run: int
+    kind: EndKind
+    checkpoint: str
+
+
+@frozen
+class HoldAnswer:
+    """All that an executor has running and has ended since the acknowledged."""
+
+    clock_ms: int
+    born_ms: int | None
+    running: tuple[RunEntry, ...]
+    ended: tuple[EndEntry, ...]
+
+
+class Refusal(StrEnum):
+    """Why an executor did not start a run."""
+
+    FENCE = "fence"
+    OLD = "old"
+    LATE = "late"
+    ROOM = "room"
+    TICKET = "ticket"
+    INVALID = "invalid"
+    UNHEALTHY = "unhealthy"
+    OTHER_LIFETIME = "other lifetime"
+
+
+@frozen
+class Started:
+    """The run is there."""
+
+    clock_ms: int | None
+
+
+@frozen
+class Refused:
+    """The run did not start and will not start from this order."""
+
+    reason: Refusal
+    clock_ms: int | None = None
+
+
+@frozen
+class Unanswered:
+    """The order may be carried out, now or seconds later."""
+
+    detail: str
+
+
+StartOutcome = Started | Refused | Unanswered
+
+
+@frozen
+class StartOrder:
+    """An order to run a subtask until ``due_ms`` on the executor's clock."""
+
+    subtask: str
+    run: int
+    payload: str
+    due_ms: int
+    fence: int
+    checkpoint: str = ""
+    ticket: str = ""
--- /dev/null
+++ b/hemlockstand/fleet/placement.py
@@ -0,0 +1,241 @@
+"""Which waiting subtask starts on which executor.
+
+Steps are taken in order of urgency. All subtasks of a step are alike, so a
+step that finds no executor is passed over at once, and smaller ones behind
+it use the room.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+
+from attrs import define, field, frozen
+
+from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.ledger import Ledger, StepRun, Subtask, find_pool
+from hemlockstand.fleet.model import FleetConfig, Queue, Resources, Tenant
+
+# A subtask that failed or stood still on an executor goes elsewhere if that
+# many other executors of the pool could take it.
+MIN_ALTERNATIVES = 1
+LATE_FACTOR = 3.0  # a job earns nothing after three times its objective
+
+
+@frozen
+class Placement:
+    """A subtask and the executor that is to run it."""
+
+    subtask: Subtask
+    executor: Executor
+
+
+@define(eq=False)
+class Placer:
+    """Chooses executors for the waiting subtasks of a ledger.
+
+    ``gated`` names the pools in which runs of an earlier scheduler may exist
+    unseen; jobs up to ``gate_version`` wait there.
+    """
+
+    ledger: Ledger
+    executors: Mapping[str, Executor]
+    gate_version: int = 0
+    gated: set[str] = field(factory=set)
+
+    def place(self, config: FleetConfig, now: float) -> Iterator[Placement]:
+        """Yield placements; the caller starts each before asking for the next."""
+        pools = self._group_executors(now)
+        order = sorted(
+            self.ledger.ready.values(),
+            key=lambda step_run: rank_step(step_run, config, now),
+        )
+        for step_run in order:
+            pool = find_pool(step_run.job, config)
+            if pool in self.gated and step_run.job.version <= self.gate_version:
+                continue
+            yield from self._place_step(step_run, pools.get(pool, ()), config, now)
+
+    def _group_executors(self, now: float) -> dict[str, list[Executor]]:
+        pools: dict[str, list[Executor]] = {}
+        for executor in self.executors.values():
+            if is_usable(executor, now):
+                pools.setdefault(executor.entry.pool, []).append(executor)
+        return pools
+
+    def _place_step(
+        self,
+        step_run: StepRun,
+        executors: Iterable[Executor],
+        config: FleetConfig,
+        now: float,
+    ) -> Iterator[Placement]:
+        tenant = config.tenants.get(step_run.job.spec.tenant)
+        if step_run.step.gang:
+            yield from self._place_gang(step_run, list(executors), tenant, now)
+            return
+        waiting = [
+            subtask
+            for subtask in step_run.waiting.values()
+            if subtask.not_before <= now
+        ]
+        for subtask in waiting:
+            if not self._is_within_maximum(tenant, step_run.step.size):
+                return
+            executor = choose_executor(subtask, executors, now)
+            if executor is None:
+                return
+            yield Placement(subtask, executor)
+
+    def _place_gang(
+        self,
+        step_run: StepRun,
+        executors: list[Executor],
+        tenant: Tenant | None,
+        now: float,
+    ) -> Iterator[Placement]:
+        """Place all members or none; they wait for each other."""
+        members = step_run.subtasks
+        if len(step_run.waiting) < len(members):
+            return
+        if any(member.not_before > now for member in members):
+            return
+        total = step_run.step.size.scale(len(members))
+        if not self._is_within_maximum(tenant, total):
+            return
+        chosen = choose_gang(step_run, executors)
+        number = max(member.runs for member in members)
+        checkpoint = max(member.checkpoint for member in members)
+        for member, executor in zip(members, chosen, strict=False):
+            member.runs = number
+            member.checkpoint = checkpoint
+            yield Placement(member, executor)
+
+    def _is_within_maximum(self, tenant: Tenant | None, size: Resources) -> bool:
+        if tenant is None:
+            return True
+        used = self.ledger.in_use.get(tenant.name, Resources()).add(size)
+        maximum = tenant.maximum
+        return (
+            (not maximum.cpu_millis or used.cpu_millis <= maximum.cpu_millis)
+            and (not maximum.memory_mb or used.memory_mb <= maximum.memory_mb)
+            and (not maximum.accelerators or used.accelerators <= maximum.accelerators)
+        )
+
+
+def is_usable(executor: Executor, now: float) -> bool:
+    """Return whether an executor may get new runs."""
+    return (
+        executor.present
+        and executor.listed
+        and executor.settled
+        and executor.reachable
+        and not executor.entry.draining
+        and not executor.reserved
+        and not executor.closed
+        and executor.quarantined_until <= now
+    )
+
+
+def rank_step(
+    step_run: StepRun, config: FleetConfig, now: float
+) -> tuple[int, int, int, float, int]:
+    """Return the sort key of a waiting step, smallest first.
+
+    Lasting work is small and must be back within seconds. Jobs that can earn
+    nothing any more come after all others.
+    """
+    queue: Queue | None = config.queues_by_name.get(step_run.job.spec.queue)
+    priority = queue.priority if queue is not None else 0
+    job = step_run.job
+    late = 0 if step_run.step.lasting or now < job.deadline else 1
+    lasting = 0 if step_run.step.lasting else 1
+    return lasting, late, priority, job.deadline, -step_run.position
+
+
+def choose_executor(
+    subtask: Subtask, executors: Iterable[Executor], now: float
+) -> Executor | None:
+    """Return the best executor that can take the subtask now."""
+    step = subtask.step
+    usable = [
+        executor
+        for executor in executors
+        if executor.crowded_until <= now
+        and executor.has_room(step.size, step.fills)
+        and (not step.label or step.label in executor.entry.labels)
+        and is_below_cap(subtask.step_run, executor)
+    ]
+    others = [executor for executor in usable if executor.id not in subtask.avoid]
+    if len(others) >= MIN_ALTERNATIVES:
+        usable = others
+    racks = find_racks(subtask.step_run) if step.same_rack else frozenset()
+    return min(
+        usable,
+        key=lambda executor: rank_executor(subtask, executor, racks),
+        default=None,
+    )
+
+
+def is_below_cap(step_run: StepRun, executor: Executor) -> bool:
+    """Return whether another subtask of the step may run on the executor."""
+    cap = step_run.step.max_per_executor
+    if not cap:
+        return True
+    count = sum(1 for other in executor.runs.values() if other.step_run is step_run)
+    return count < cap
+
+
+def find_racks(step_run: StepRun) -> frozenset[str]:
+    """Return the executors' ids on which subtasks of the step run."""
+    return frozenset(
+        subtask.run.executor for subtask in step_run.subtasks if subtask.run is not None
+    )
+
+
+def rank_executor(
+    subtask: Subtask, executor: Executor, neighbours: frozenset[str]
+) -> tuple[int, int, int, str]:
+    """Return the sort key of an executor for a subtask, smallest first.
+
+    Subtasks that fill go where they disturb the least; others go where they
+    leave the least room, which keeps whole executors free for large ones.
+    """
+    step = subtask.step
+    remote = 1 if step.data_rack and step.data_rack != executor.entry.rack else 0
+    apart = 0 if not neighbours or executor.id in neighbours else 1
+    if step.fills:
+        serving = sum(1 for other in executor.runs.values() if other.step.target_ms)
+        return remote + apart, serving, -executor.free_cpu(), executor.id
+    return remote + apart, executor.failed_in_row, executor.free_cpu(), executor.id
+
+
+def choose_gang(step_run: StepRun, executors: list[Executor]) -> list[Executor]:
+    """Return an executor for each member, or none at all."""
+    step = step_run.step
+    by_rack: dict[str, list[Executor]] = {}
+    for executor in executors:
+        if step.label and step.label not in executor.entry.labels:
+            continue
+        by_rack.setdefault(executor.entry.rack, []).append(executor)
+    groups = sorted(by_rack.values(), key=len, reverse=True)
+    if not step.same_rack:
+        groups = [[executor for group in groups for executor in group]]
+    for group in [*groups, [member for part in groups for member in part]]:
+        chosen = fill_group(step_run, group)
+        if chosen:
+            return chosen
+    return []
+
+
+def fill_group(step_run: StepRun, executors: list[Executor]) -> list[Executor]:
+    """Return executors with room for all members, or none."""
+    step = step_run.step
+    chosen: list[Executor] = []
+    for executor in executors:
+        cap = step.max_per_executor or step.count
+        taken = 0
+        while len(chosen) < step.count and taken < cap:
+            size = step.size.scale(taken + 1)
+            if not executor.has_room(size, step.fills):
+                break
+            chosen.append(executor)
+            taken += 1
+    return chosen if len(chosen) == step.count else []
--- /dev/null
+++ b/hemlockstand/fleet/scheduler.py
@@ -0,0 +1,114 @@
+"""The scheduler: one daemon at a time decides what runs where.
+
+Every daemon watches the lease and takes it when its holder has gone. The
+holder reads all jobs, asks every executor what it has, and then places,
+stores ends and answers changes until it loses the lease or stops.
+"""
+
+import time
+from uuid import uuid4
+
+import msgspec
+import trio
+from loguru import logger
+
+from hemlockstand.coordination.lease import LeaseLost, make_lease_clock
+from hemlockstand.errors import InvalidInput, PlatformUnavailable
+from hemlockstand.fleet.configuration import FleetConfigurationService
+from hemlockstand.fleet.leader import Leader
+from hemlockstand.fleet.lease import LeaseWatch, SchedulerLease
+from hemlockstand.fleet.metrics import LEADING
+from hemlockstand.fleet.services import RowStoreService
+from hemlockstand.fleet.settings import FleetSettings
+from hemlockstand.kernel import Kernel, Service, register
+
+log = logger.bind(module=__name__)
+
+# A daemon with a smaller share of a processor lets larger ones go first.
+SMALL_DAEMON_DELAY_SECONDS = 0.3
+FULL_SHARE = 1.0
+
+
+@register
+class SchedulerService(Service):
+    """Watches the lease, and leads while this daemon holds it."""
+
+    name = "scheduler"
+    needs = ("row_store", "fleet_configuration", "frontend")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        settings: FleetSettings = kernel.settings
+        self._settings = settings
+        self._rows = kernel.find("row_store", RowStoreService).rows
+        self._configuration = kernel.find(
+            "fleet_configuration", FleetConfigurationService
+        )
+        self._clock = make_lease_clock(time.monotonic)
+        self._leader: Leader | None = None
+        self._leaving = False
+        self._stopped = trio.Event()
+
+    async def run(self) -> None:
+        """Lead whenever the lease can be had."""
+        while not self._leaving:
+            watch = self._make_watch()
+            lease = await self._wait_for_lease(watch)
+            if lease is None:
+                break
+            await self._lead(lease, watch)
+        self._stopped.set()
+        await trio.sleep_forever()
+
+    async def stop(self) -> None:
+        """Hand the lease over."""
+        self._leaving = True
+        if self._leader is not None:
+            self._leader.leave()
+            with trio.move_on_after(self._settings.bounds.grace_s / 4):
+                await self._stopped.wait()
+
+    def _make_watch(self) -> LeaseWatch:
+        share = self._settings.daemon.processor_share
+        lacking = max(0.0, FULL_SHARE - share)
+        return LeaseWatch(
+            rows=self._rows,
+            holder=self._settings.daemon.name,
+            session=uuid4().hex,
+            lease_seconds=self._settings.scheduler.lease_seconds,
+            clock=self._clock,
+            delay_seconds=lacking * SMALL_DAEMON_DELAY_SECONDS,
+        )
+
+    async def _wait_for_lease(self, watch: LeaseWatch) -> SchedulerLease | None:
+        while not self._leaving:
+            if self._configuration.current is not None:
+                try:
+                    lease = await watch.try_acquire()
+                except PlatformUnavailable as error:
+                    log.debug("lease not read: {}", error)
+                    lease = None
+                if lease is not None:
+                    return lease
+            await trio.sleep(self._settings.scheduler.watch_seconds)
+        return None
+
+    async def _lead(self, lease: SchedulerLease, watch: LeaseWatch) -> None:
+        record = lease.record
+        log.info("scheduler starts", epoch=record.epoch, version=lease.version)
+        LEADING.set(1)
+        self._leader = Leader(
+            self._settings, self._rows, self._configuration, lease, self._clock
+        )
+        try:
+            await self._leader.run(fresh=watch.previous is None)
+            log.info("scheduler ends", epoch=record.epoch, detail="released")
+        except* LeaseLost as group:
+            detail = str(group.exceptions[0])
+            log.warning("scheduler ends", epoch=record.epoch, detail=detail)
+        except* (PlatformUnavailable, InvalidInput, msgspec.DecodeError) as group:
+            detail = repr(group.exceptions[0])
+            log.error("scheduler ends", epoch=record.epoch, detail=detail)
+        finally:
+            LEADING.set(0)
+            self._leader = None
--- /dev/null
+++ b/hemlockstand/fleet/settings.py
@@ -0,0 +1,110 @@
+"""Settings of a daemon that schedules jobs on the fleet platform.
+
+The platform writes the file from ``deploy/settings.ini``, a template in the
+format of the other settings files.
+"""
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from attrs import frozen
+
+from hemlockstand.settings import LogSettings, option, read_settings
+
+DEFAULTS_FILE = Path(__file__).with_name("defaults.ini")
+
+
+@frozen
+class FleetDaemonSettings:
+    """Identity of this daemon."""
+
+    name: str = option("Unique name of the daemon.")
+    data_centre: str = option("Data centre of the daemon.")
+    processor_share: float = option("Processor of this daemon, in cores.", 0.01, 1024)
+
+
+@frozen
+class FleetListenSettings:
+    """Addresses the daemon listens on, as IP:PORT."""
+
+    callers: str = option("Address for callers.")
+    readiness: str = option("Address that the balancer asks for readiness.")
+    metrics: str = option("Address of the metrics.")
+
+
+@frozen
+class FleetPlatformSettings:
+    """Addresses of the platform's services, as IP:PORT."""
+
+    store: str = option("Address of the row store.")
+    instances: str = option("Address of the machines' interface.")
+    advice: str = option("Address of the advice; may be empty.")
+
+
+@frozen
+class BoundSettings:
+    """Bounds that the platform states; the units stand in the names."""
+
+    longest_hold_ms: float = option("Longest lease of an executor.", 100, 600_000)
+    stop_ms: float = option("Longest time an executor takes to stop a run.", 1, 60_000)
+    config_apply_ms: float = option(
+        "Time until a configuration must be in force everywhere.", 100, 60_000
+    )
+    grace_s: float = option("Time between SIGTERM and SIGKILL.", 0.1, 600)
+    status_s: float = option("Time for which a finished job is shown.", 1, 86_400)
+    remote_factor: float = option("Slow-down of a subtask away from its data.", 1, 100)
+    move_s: float = option("Time an instance takes to change its pool.", 0, 600)
+    upkeep_s: float = option("Time the upkeep of an instance takes.", 0, 86_400)
+    notice_ms: float = option(
+        "Time after which a subtask that is not at work counts as away.", 0, 60_000
+    )
+    order_turn_ms: float = option(
+        "Time between the orders of two holders for one instance.", 0, 60_000
+    )
+
+
+@frozen
+class SchedulerSettings:
+    """The scheduler, which one daemon at a time runs."""
+
+    lease_seconds: float = option("Validity of the scheduler's lease.", 0.5, 60)
+    renew_seconds: float = option("Interval between renewals.", 0.1, 30)
+    watch_seconds: float = option(
+        "Interval at which other daemons look at the lease.", 0.1, 30
+    )
+    hold_seconds: float = option(
+        "Longest wait of an executor for the end of a run before it answers.", 0, 2
+    )
+
+
+@frozen
+class FleetSettings:
+    """All sections."""
+
+    daemon: FleetDaemonSettings
+    listen: FleetListenSettings
+    platform: FleetPlatformSettings
+    bounds: BoundSettings
+    scheduler: SchedulerSettings
+    log: LogSettings
+
+
+def load_fleet_settings(path: str | Path) -> FleetSettings:
+    """Read and check the settings; raises ``SettingsError``."""
+    return read_settings(FleetSettings, DEFAULTS_FILE, path, _check_relations)
+
+
+def _check_relations(sections: dict[str, Any], path: Path) -> Iterator[str]:
+    scheduler = sections["scheduler"]
+    if scheduler.renew_seconds * 3 > scheduler.lease_seconds:
+        yield (
+            f"{path}: [scheduler] renew_seconds = {scheduler.renew_seconds}: "
+            "must be at most a third of lease_seconds"
+        )
+    bounds = sections["bounds"]
+    if bounds.longest_hold_ms < 2000 * scheduler.lease_seconds:
+        yield (
+            f"{path}: [scheduler] lease_seconds = {scheduler.lease_seconds}: "
+            "must be at most half of longest_hold_ms"
+        )
--- /dev/null
+++ b/hemlockstand/fleet/storage.py
@@ -0,0 +1,157 @@
+"""Rows that the daemons share through the platform's store.
+
+All rows lie in one part, so that the scheduler changes them in one
+transaction with its lease: a scheduler that has been replaced can change
+nothing any more. A job has up to three rows, which sort next to each other::
+
+    jobs  5c0e7a21d94b36f8          the job, written once by the frontend
+    jobs  5c0e7a21d94b36f8/cancel   a caller's cancel
+    jobs  5c0e7a21d94b36f8/status   what the scheduler has stored of it
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import attrs
+import msgspec
+from attrs import field, frozen
+
+from hemlockstand.fleet.model import JobSpec, JobState, JobStatus
+from hemlockstand.platform.rows import RowWrite, StoredRow
+
+JOBS_TABLE = "jobs"
+SCHEDULER_TABLE = "scheduler"
+STATUS_TABLE = "status"
+OPERATOR_TABLE = "op"
+EXECUTORS_TABLE = "servers"
+CONFIG_KEY = "config"
+WAVE_PREFIX = "wave/"
+LEASE_KEY = "lease"
+PENDING_KEY = "pending"
+
+_CANCEL = "/cancel"
+_STATUS = "/status"
+_AFTER_SLASH = "0"  # the character that sorts after the slash
+
+_spec_decoder = msgspec.json.Decoder(JobSpec)
+_status_decoder = msgspec.json.Decoder(JobStatus)
+
+
+@frozen
+class JobRows:
+    """The rows of one job as read; ``version`` is that of the job's row."""
+
+    spec: JobSpec | None = None
+    status: JobStatus | None = None
+    cancelled: bool = False
+    version: int = 0
+
+    @property
+    def state(self) -> JobState:
+        """State to show to callers."""
+        if self.status is not None and self.status.state.final:
+            return self.status.state
+        if self.cancelled:
+            return JobState.CANCELLED
+        return JobState.QUEUED if self.status is None else self.status.state
+
+
+@frozen
+class LeaseRecord:
+    """The scheduler's lease row.
+
+    ``epoch`` grows with each holder, and ``sequence`` with each of a holder's
+    writes. ``executors`` holds pool and address of those that may have runs.
+    An empty ``holder`` has released the lease.
+    """
+
+    holder: str
+    session: str
+    epoch: int
+    sequence: int
+    executors: Mapping[str, tuple[str, str]] = field(factory=dict)
+
+
+_lease_decoder = msgspec.json.Decoder(LeaseRecord)
+
+
+def encode_compact(value: Any) -> bytes:
+    """Return an attrs object as JSON without the fields that have defaults."""
+    body = attrs.asdict(value, filter=_differs_from_default)
+    return msgspec.json.encode(body)
+
+
+def _differs_from_default(attribute: attrs.Attribute, value: Any) -> bool:
+    default = attribute.default
+    if isinstance(default, attrs.Factory):
+        return bool(value)
+    return default is attrs.NOTHING or value != default
+
+
+def job_range(job: str) -> tuple[str, str]:
+    """Return the range of keys of a job's rows."""
+    return job, job + _AFTER_SLASH
+
+
+def job_write(spec: JobSpec) -> RowWrite:
+    """Return the row of an accepted job."""
+    return RowWrite(JOBS_TABLE, spec.id, encode_compact(spec))
+
+
+def cancel_write(job: str, now_ms: int) -> RowWrite:
+    """Return the row that cancels a job."""
+    return RowWrite(JOBS_TABLE, job + _CANCEL, str(now_ms).encode())
+
+
+def status_write(job: str, status: JobStatus) -> RowWrite:
+    """Return the status row of a job."""
+    return RowWrite(JOBS_TABLE, job + _STATUS, encode_compact(status))
+
+
+def job_keys(job: str) -> tuple[str, str, str]:
+    """Return the keys of all rows of a job."""
+    return job, job + _CANCEL, job + _STATUS
+
+
+def group_rows(rows: Iterable[StoredRow]) -> dict[str, JobRows]:
+    """Return the jobs in some rows by their ids.
+
+    Raises ``msgspec.DecodeError`` for a row that no daemon has written.
+    """
+    jobs: dict[str, JobRows] = {}
+    for row in rows:
+        if row.value is None:
+            continue
+        job, _, kind = row.key.partition("/")
+        known = jobs.get(job, JobRows())
+        match kind:
+            case "":
+                spec = _spec_decoder.decode(row.value)
+                known = attrs.evolve(known, spec=spec, version=row.version)
+            case "cancel":
+                known = attrs.evolve(known, cancelled=True)
+            case "status":
+                status = _status_decoder.decode(row.value)
+                known = attrs.evolve(known, status=status)
+        jobs[job] = known
+    return jobs
+
+
+def decode_lease(value: bytes | None) -> LeaseRecord | None:
+    """Return the lease in a row, if there is one."""
+    return None if value is None else _lease_decoder.decode(value)
+
+
+def lease_write(record: LeaseRecord) -> RowWrite:
+    """Return the row of a lease."""
+    return RowWrite(SCHEDULER_TABLE, LEASE_KEY, encode_compact(record))
+
+
+def pending_write(counts: Mapping[str, int]) -> RowWrite:
+    """Return the row of the jobs that have not started, by queue."""
+    return RowWrite(SCHEDULER_TABLE, PENDING_KEY, msgspec.json.encode(counts))
+
+
+def decode_pending(value: bytes | None) -> Mapping[str, int]:
+    """Return the counts by queue; none are stored before the first job."""
+    return {} if value is None else msgspec.json.decode(value, type=dict[str, int])
--- a/hemlockstand/logs.py
+++ b/hemlockstand/logs.py
@@ -1,7 +1,12 @@
-"""Structured logs on standard error, as JSON lines or text."""
+"""Structured logs, as JSON lines or text.
+
+The daemon on the fleet platform writes to standard output and never waits
+for it: lines that find no room are dropped and counted.
+"""
 
 import json
 import logging
+import os
 import sys
 from traceback import format_exception
 
@@ -24,8 +29,51 @@
         logger.add(sys.stderr, level=settings.level, format=TEXT_FORMAT, diagnose=False)
 
 
+def configure_fleet_logs(settings: LogSettings, daemon: str) -> None:
+    """Send JSON lines of the set level and above to standard output."""
+    logger.remove()
+    logger.configure(extra={"module": "hemlockstand", "daemon": daemon})
+    os.set_blocking(sys.stdout.fileno(), False)
+    logger.add(LineWriter(sys.stdout.fileno()), level=settings.level, catch=True)
+
+
+class LineWriter:
+    """Writes JSON lines to a file descriptor that does not block."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self.dropped = 0
+        self._rest = b""
+
+    def __call__(self, message) -> None:
+        line = format_line(message.record)
+        if self.dropped:
+            line = {**line, "dropped_lines": self.dropped}
+        text = json.dumps(line, default=str).encode() + b"\n"
+        # The rest of a line that was written in part goes first.
+        if self._write(self._rest) and not self._rest and self._write(text):
+            self.dropped = 0
+        else:
+            self.dropped += 1
+
+    def _write(self, text: bytes) -> bool:
+        """Write what finds room; return whether anything could be written."""
+        if not text:
+            return True
+        try:
+            written = os.write(self._descriptor, text)
+        except BlockingIOError:
+            return False
+        self._rest = text[written:]
+        return True
+
+
 def _write_json(message) -> None:
-    record = message.record
+    print(json.dumps(format_line(message.record), default=str), file=sys.stderr)
+
+
+def format_line(record) -> dict[str, object]:
+    """Return the fields of a log line."""
     line = {
         "time": record["time"].isoformat(),
         "level": record["level"].name,
@@ -34,4 +82,4 @@
     }
     if record["exception"] is not None:
         line["exception"] = "".join(format_exception(record["exception"].value))
-    print(json.dumps(line, default=str), file=sys.stderr)
+    return line
--- /dev/null
+++ b/hemlockstand/platform/advice.py
@@ -0,0 +1,43 @@
+"""Client of the service that knows which executors a queue's policy allows."""
+
+from attrs import frozen
+
+from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
+from hemlockstand.platform.connection import Connection
+
+# The service handles the calls of one daemon in turn, each for up to seconds.
+ADVICE_SECONDS = 10.0
+MAX_EXECUTORS = 100  # in one call
+
+
+@frozen
+class StepAdvice:
+    """Tickets by executor id, valid for ``validity_ms`` from the response."""
+
+    tickets: dict[str, str]
+    validity_ms: int
+
+
+class AdviceClient:
+    """Asks which executors may run a step."""
+
+    def __init__(self, address: str) -> None:
+        self._connection = Connection(address)
+
+    async def ask(self, step: str, executors: list[str]) -> StepAdvice:
+        """Return the advice for a step; raises ``PlatformUnavailable``."""
+        body = {"Step": step, "Workers": executors[:MAX_EXECUTORS]}
+        try:
+            reply = await self._connection.call("POST", "/advise", ADVICE_SECONDS, body)
+            if reply.status != 200:
+                raise PlatformUnavailable(f"the advice answered {reply.status}")
+            answer = reply.decode()
+            rows = answer.get("Allowed") or []
+            tickets = {str(row[0]): str(row[1]) for row in rows}
+            return StepAdvice(tickets, int(answer.get("ValidityMs") or 0))
+        except OutcomeUnknown as error:
+            raise PlatformUnavailable(str(error)) from error
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._connection.close()
--- /dev/null
+++ b/hemlockstand/platform/callers.py
@@ -0,0 +1,49 @@
+"""How callers present a request and read the answer."""
+
+from typing import Any
+
+import msgspec
+from attrs import frozen
+
+from hemlockstand.fleet.model import JobState
+
+DEFAULT_WAIT_SECONDS = 3.0  # for callers that do not say how long they wait
+_BEARER = "Bearer "
+
+
+@frozen
+class Call:
+    """A caller's request; ``key`` is empty if none was shown."""
+
+    method: str
+    host: str
+    path: str
+    key: str
+    remaining_seconds: float
+
+
+def read_call(request: Any) -> Call:
+    """Return what a request says about itself."""
+    authorization = request.headers.get("Authorization", "")
+    key = ""
+    if authorization.startswith(_BEARER):
+        key = authorization[len(_BEARER) :]
+    host = request.headers.get("Host", "").partition(":")[0]
+    wait_ms = request.headers.get("Deadline-Ms", "")
+    seconds = int(wait_ms) / 1000 if wait_ms.isdigit() else DEFAULT_WAIT_SECONDS
+    return Call(request.method, host, request.path, key, seconds)
+
+
+def encode_state(state: JobState) -> bytes:
+    """Return the body that shows a job's state."""
+    return msgspec.json.encode({"State": state.value})
+
+
+def encode_pending(count: int) -> bytes:
+    """Return the body that shows how many jobs of a queue have not started."""
+    return msgspec.json.encode({"Pending": count})
+
+
+def encode_error(detail: str) -> bytes:
+    """Return the body of a refusal."""
+    return msgspec.json.encode({"Error": detail})
--- /dev/null
+++ b/hemlockstand/platform/connection.py
@@ -0,0 +1,138 @@
+"""HTTP connections to one address of the platform.
+
+``httpcore`` is the transport under ``httpx``. The scheduler makes hundreds of
+small calls a second, and without the layers of httpx above it a call costs
+about half as much processor time.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+import httpcore
+import msgspec
+import trio
+from attrs import define, field, frozen
+from loguru import logger
+
+from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
+
+log = logger.bind(module=__name__)
+
+# Fits one more than the largest number of orders in flight to an executor.
+MAX_CONNECTIONS = 12
+CONNECT_SECONDS = 0.5  # four round trips between the farthest data centres
+KEEPALIVE_SECONDS = 30.0
+
+# After these no byte of the request has been sent.
+_NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+
+_decoder = msgspec.json.Decoder()
+_encoder = msgspec.json.Encoder()
+
+
+@frozen
+class Reply:
+    """A complete response."""
+
+    status: int
+    content: bytes
+    headers: Mapping[bytes, bytes]
+
+    def decode(self) -> Mapping[str, Any]:
+        """Return the body as a mapping; raises ``OutcomeUnknown``."""
+        try:
+            body = _decoder.decode(self.content)
+        except msgspec.DecodeError as error:
+            raise OutcomeUnknown(f"unreadable response: {error}") from error
+        if not isinstance(body, dict):
+            raise OutcomeUnknown("response is not an object")
+        return body
+
+
+@define(eq=False)
+class Connection:
+    """Kept connections to one address, with a time limit on every call."""
+
+    address: str
+    calls: int = 0
+    bytes_received: int = 0
+    _pool: httpcore.AsyncConnectionPool = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._pool = _open_pool()
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        seconds: float,
+        body: object | None = None,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> Reply:
+        """Send a request and return the response.
+
+        Raises ``PlatformUnavailable`` if nothing was sent, and
+        ``OutcomeUnknown`` if the request may have been carried out. After a
+        failure all connections are replaced, because one that has gone
+        silent shows no error of its own.
+        """
+        self.calls += 1
+        content = b"" if body is None else _encoder.encode(body)
+        sent_headers = [(b"Host", self.address.encode())]
+        if body is not None:
+            sent_headers.append((b"Content-Type", b"application/json"))
+            sent_headers.append((b"Content-Length", str(len(content)).encode()))
+        sent_headers.extend((name.encode(), text.encode()) for name, text in headers)
+        pool = self._pool
+        try:
+            with trio.fail_after(seconds + CONNECT_SECONDS):
+                response = await pool.request(
+                    method,
+                    f"http://{self.address}{target}",
+                    headers=sent_headers,
+                    content=content,
+                    extensions={
+                        "timeout": {
+                            "connect": CONNECT_SECONDS,
+                            "pool": CONNECT_SECONDS,
+                            "read": seconds,
+                            "write": seconds,
+                        }
+                    },
+                )
+        except _NOT_SENT as error:
+            await self._replace(pool)
+            raise PlatformUnavailable(
+                f"{method} {target} to {self.address}: {error!r}"
+            ) from error
+        except (
+            httpcore.TimeoutException,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            trio.TooSlowError,
+        ) as error:
+            await self._replace(pool)
+            raise OutcomeUnknown(
+                f"{method} {target} to {self.address}: {error!r}"
+            ) from error
+        self.bytes_received += len(response.content)
+        return Reply(response.status, response.content, dict(response.headers))
+
+    async def _replace(self, pool: httpcore.AsyncConnectionPool) -> None:
+        """Use new connections from now on; calls in flight keep theirs."""
+        if self._pool is pool:
+            self._pool = _open_pool()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        with trio.move_on_after(1) as scope:
+            scope.shield = True
+            await self._pool.aclose()
+
+
+def _open_pool() -> httpcore.AsyncConnectionPool:
+    return httpcore.AsyncConnectionPool(
+        max_connections=MAX_CONNECTIONS,
+        max_keepalive_connections=MAX_CONNECTIONS,
+        keepalive_expiry=KEEPALIVE_SECONDS,
+    )
--- /dev/null
+++ b/hemlockstand/platform/executors.py
@@ -0,0 +1,197 @@
+"""Client of the executors, which run subtasks under leases."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import define, field
+from loguru import logger
+
+from hemlockstand.errors import HemlockstandError, OutcomeUnknown, PlatformUnavailable
+from hemlockstand.fleet.model import (
+    EndEntry,
+    EndKind,
+    HoldAnswer,
+    Refusal,
+    Refused,
+    RunEntry,
+    Started,
+    StartOrder,
+    StartOutcome,
+    Unanswered,
+)
+from hemlockstand.platform.connection import Connection, Reply
+
+log = logger.bind(module=__name__)
+
+ORDER_SECONDS = 0.6  # an executor answers an order within a few milliseconds
+_REFUSALS = {
+    "fence": Refusal.FENCE,
+    "old": Refusal.OLD,
+    "late": Refusal.LATE,
+    "room": Refusal.ROOM,
+    "ticket": Refusal.TICKET,
+}
+
+
+class OtherLifetime(HemlockstandError):
+    """Another executor answers at the address."""
+
+    code = "other_lifetime"
+
+
+class OrderRefused(HemlockstandError):
+    """The executor has seen a higher fencing token, or is unhealthy."""
+
+    code = "order_refused"
+
+
+@define(eq=False)
+class ExecutorClient:
+    """Orders to one executor."""
+
+    executor: str
+    address: str
+    _connection: Connection = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._connection = Connection(self.address)
+
+    async def start(self, order: StartOrder) -> StartOutcome:
+        """Start a run; the outcome says whether it may still begin."""
+        body: dict[str, Any] = {
+            "Task": order.subtask,
+            "Run": order.run,
+            "TaskSpec": order.payload,
+            "DueMs": order.due_ms,
+            "FencingToken": order.fence,
+        }
+        if order.checkpoint:
+            body["Checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["Ticket"] = order.ticket
+        try:
+            reply = await self._call("/run-start", body, ORDER_SECONDS)
+        except PlatformUnavailable:
+            return Refused(Refusal.UNHEALTHY)
+        except OutcomeUnknown as error:
+            return Unanswered(str(error))
+        return _decode_start(reply)
+
+    async def hold(
+        self, due_ms: int | None, fence: int, acked: int, wait_seconds: float
+    ) -> HoldAnswer:
+        """Extend the lease of all that runs and return what runs and ended.
+
+        ``due_ms`` is on the executor's clock, None to extend nothing. Ends up
+        to ``acked`` are forgotten there. Raises ``OtherLifetime``,
+        ``OrderRefused``, ``PlatformUnavailable`` and ``OutcomeUnknown``.
+        """
+        body: dict[str, Any] = {"FencingToken": fence, "Acked": acked}
+        if due_ms is not None:
+            body["DueMs"] = due_ms
+        if wait_seconds > 0:
+            body["WaitMs"] = int(wait_seconds * 1000)
+        reply = await self._call("/hold", body, ORDER_SECONDS + wait_seconds)
+        _require_taken(reply)
+        return _decode_hold(reply)
+
+    async def stop(self, subtask: str, run: int, fence: int) -> None:
+        """Stop a run, and refuse it if it has not arrived yet.
+
+        Raises as ``hold`` does.
+        """
+        body = {"Task": subtask, "Run": run, "FencingToken": fence}
+        _require_taken(await self._call("/run-stop", body, ORDER_SECONDS))
+
+    async def pace(self, subtask: str, run: int, percent: int, fence: int) -> None:
+        """Let a run work at a share of its speed; raises as ``hold`` does."""
+        body = {
+            "Task": subtask,
+            "Run": run,
+            "Percent": percent,
+            "FencingToken": fence,
+        }
+        _require_taken(await self._call("/pace", body, ORDER_SECONDS))
+
+    async def _call(self, path: str, body: object, seconds: float) -> Reply:
+        headers = (("Expected-Instance", self.executor),)
+        return await self._connection.call("POST", path, seconds, body, headers)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._connection.close()
+
+
+def _require_taken(reply: Reply) -> None:
+    if reply.status == 421:
+        raise OtherLifetime("another executor answers at the address")
+    if reply.status == 409:
+        raise OrderRefused(f"refused: {reply.decode().get('Reason')}")
+    if reply.status in (429, 503):
+        raise PlatformUnavailable(f"the executor answered {reply.status}")
+    if reply.status != 200:
+        raise OrderRefused(f"the executor answered {reply.status}")
+
+
+def _decode_start(reply: Reply) -> StartOutcome:
+    clock = _read_clock(reply)
+    match reply.status:
+        case 200:
+            return Started(clock)
+        case 409:
+            reason = _REFUSALS.get(_read_reason(reply), Refusal.INVALID)
+            return Refused(reason, clock)
+        case 421:
+            return Refused(Refusal.OTHER_LIFETIME)
+        case 429 | 503:
+            return Refused(Refusal.UNHEALTHY, clock)
+        case 400:
+            return Refused(Refusal.INVALID, clock)
+        case _:
+            return Unanswered(f"the executor answered {reply.status}")
+
+
+def _read_reason(reply: Reply) -> str:
+    try:
+        return str(reply.decode().get("Reason"))
+    except OutcomeUnknown as error:
+        log.warning("refusal of a start without a readable reason: {}", error)
+        return ""
+
+
+def _read_clock(reply: Reply) -> int | None:
+    """Return the executor's clock; None if the response has no body."""
+    try:
+        clock = reply.decode().get("ClockMs")
+    except OutcomeUnknown:
+        return None
+    return clock if isinstance(clock, int) else None
+
+
+def _decode_hold(reply: Reply) -> HoldAnswer:
+    body = reply.decode()
+    try:
+        return HoldAnswer(
+            int(body["ClockMs"]),
+            _read_born(body),
+            tuple(_decode_run(row) for row in body.get("Running") or ()),
+            tuple(_decode_end(row) for row in body.get("Finished") or ()),
+        )
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise OutcomeUnknown(f"unreadable lists: {error!r}") from error
+
+
+def _read_born(body: Mapping[str, Any]) -> int | None:
+    born = body.get("born")
+    return born if isinstance(born, int) else None
+
+
+def _decode_run(row: list[Any]) -> RunEntry:
+    load = row[4] if len(row) > 4 and row[4] is not None else 0
+    return RunEntry(str(row[0]), int(row[1]), str(row[2] or ""), int(row[3]), int(load))
+
+
+def _decode_end(row: list[Any]) -> EndEntry:
+    return EndEntry(
+        int(row[0]), str(row[1]), int(row[2]), EndKind(row[3]), str(row[4] or "")
+    )
--- /dev/null
+++ b/hemlockstand/platform/rows.py
@@ -0,0 +1,245 @@
+"""Client of the platform's row store."""
+
+from base64 import b64decode, b64encode
+from binascii import Error as Base64Error
+from collections.abc import Mapping, Sequence
+from typing import Any
+from urllib.parse import urlencode
+
+from attrs import frozen
+from loguru import logger
+
+from hemlockstand.errors import NotFound, OutcomeUnknown, PlatformUnavailable
+from hemlockstand.platform.connection import Connection, Reply
+
+log = logger.bind(module=__name__)
+
+PAGE_ROWS = 500  # the most that the store returns in a response
+# A store that is sixty times slower than usual answers within 0.3 s.
+READ_SECONDS = 1.0
+WRITE_SECONDS = 1.5
+
+
+@frozen
+class StoredRow:
+    """A row; ``value`` is None where it was dropped or cannot be read."""
+
+    table: str
+    part: str
+    key: str
+    value: bytes | None
+    version: int
+    dropped: bool = False
+
+
+@frozen
+class RowWrite:
+    """A row to write."""
+
+    table: str
+    key: str
+    value: bytes
+    part: str = ""
+
+
+@frozen
+class RowKey:
+    """A row to remove."""
+
+    table: str
+    key: str
+    part: str = ""
+
+
+@frozen
+class RowExpectation:
+    """A version that a row must have; 0 means that it does not exist."""
+
+    table: str
+    key: str
+    version: int
+    part: str = ""
+
+
+@frozen
+class RowPage:
+    """Rows as of one moment; ``version`` is the store's newest version."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+    more: bool = False
+
+
+class RowConflict(PlatformUnavailable):
+    """An expected version did not hold; nothing was applied."""
+
+    code = "row_conflict"
+
+    def __init__(self, rows: tuple[StoredRow, ...]) -> None:
+        super().__init__("an expected row version did not hold")
+        self.rows = rows
+
+
+class HistoryGone(NotFound):
+    """The store no longer has the changes after the version asked for."""
+
+    code = "history_gone"
+
+
+class RowStore:
+    """Reads, follows and writes rows.
+
+    Reads raise ``PlatformUnavailable``. Writes raise it when nothing was
+    applied, ``RowConflict`` when a condition did not hold, and
+    ``OutcomeUnknown`` when the write may be applied, also seconds later.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._calls = Connection(address)
+        # A waiting read occupies its connection, so it gets one of its own.
+        self._feeds = Connection(address)
+
+    async def read(
+        self, table: str, start: str = "", end: str = "", part: str = ""
+    ) -> RowPage:
+        """Return one page of rows with keys from ``start`` up to ``end``."""
+        query = {"Table": table, "part": part, "Limit": PAGE_ROWS}
+        if start:
+            query["StartKey"] = start
+        if end:
+            query["To"] = end
+        reply = await self._read(f"/rows-get?{urlencode(query)}", READ_SECONDS)
+        return decode_page(table, reply)
+
+    async def read_all(self, table: str, part: str = "") -> RowPage:
+        """Return all rows of a part.
+
+        Pages are read at different moments; the version is that of the first,
+        so that following from it misses no change.
+        """
+        page = await self.read(table, part=part)
+        first = page.version
+        rows = list(page.rows)
+        while page.more:
+            page = await self.read(table, rows[-1].key + "\0", part=part)
+            rows.extend(page.rows)
+        return RowPage(tuple(rows), first)
+
+    async def read_one(self, table: str, key: str) -> StoredRow:
+        """Return a row; one that does not exist has version 0."""
+        page = await self.read(table, key, key + "\0")
+        for row in page.rows:
+            if row.key == key:
+                return row
+        return StoredRow(table, "", key, None, 0, dropped=True)
+
+    async def follow(self, table: str, after: int, wait_seconds: float) -> RowPage:
+        """Return the changes after a version, waiting for the first.
+
+        Raises ``HistoryGone`` when the rows must be read again.
+        """
+        query = {"Table": table, "After": after, "WaitMs": int(wait_seconds * 1000)}
+        seconds = READ_SECONDS + wait_seconds
+        try:
+            reply = await self._feeds.call(
+                "GET", f"/rows-feed?{urlencode(query)}", seconds
+            )
+        except OutcomeUnknown as error:
+            raise PlatformUnavailable(str(error)) from error
+        if reply.status == 410:
+            raise HistoryGone(f"changes of {table} after {after} are gone")
+        _require_ok(reply)
+        return decode_page(table, reply)
+
+    async def write(
+        self,
+        writes: Sequence[RowWrite] = (),
+        expected: Sequence[RowExpectation] = (),
+        removed: Sequence[RowKey] = (),
+    ) -> int:
+        """Apply all or nothing; return the version of the transaction."""
+        body = {
+            "ExpectedRev": [
+                {
+                    "Table": row.table,
+                    "part": row.part,
+                    "Key": row.key,
+                    "RowVersion": row.version,
+                }
+                for row in expected
+            ],
+            "Write": [
+                {
+                    "Table": row.table,
+                    "part": row.part,
+                    "Key": row.key,
+                    "Value": b64encode(row.value).decode(),
+                }
+                for row in writes
+            ],
+            "Remove": [
+                {"Table": row.table, "part": row.part, "Key": row.key}
+                for row in removed
+            ],
+        }
+        reply = await self._calls.call("POST", "/rows-tx", WRITE_SECONDS, body)
+        if reply.status == 200:
+            return int(reply.decode()["RowVersion"])
+        if reply.status == 412:
+            rows = reply.decode().get("rows") or ()
+            raise RowConflict(tuple(_decode_rows("", rows)))
+        if reply.status in (403, 429, 503, 400, 413):
+            raise PlatformUnavailable(f"the store answered {reply.status}")
+        raise OutcomeUnknown(f"the store answered {reply.status}")
+
+    async def _read(self, target: str, seconds: float) -> Reply:
+        try:
+            reply = await self._calls.call("GET", target, seconds)
+        except OutcomeUnknown as error:
+            raise PlatformUnavailable(str(error)) from error
+        _require_ok(reply)
+        return reply
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._calls.close()
+        await self._feeds.close()
+
+
+def _require_ok(reply: Reply) -> None:
+    if reply.status != 200:
+        raise PlatformUnavailable(f"the store answered {reply.status}")
+
+
+def decode_page(table: str, reply: Reply) -> RowPage:
+    """Return the rows of a response; raises ``PlatformUnavailable``."""
+    try:
+        body = reply.decode()
+        return RowPage(
+            tuple(_decode_rows(table, body["rows"])),
+            int(body["RowVersion"]),
+            bool(body.get("HasMore")),
+        )
+    except (OutcomeUnknown, KeyError, TypeError, ValueError) as error:
+        raise PlatformUnavailable(f"unreadable rows of {table}: {error!r}") from error
+
+
+def _decode_rows(table: str, rows: Sequence[Mapping[str, Any]]):
+    for row in rows:
+        dropped = bool(row.get("Deleted"))
+        yield StoredRow(
+            row.get("Table", table),
+            row.get("part", ""),
+            row["Key"],
+            None if dropped else _decode_value(row),
+            int(row["RowVersion"]),
+            dropped,
+        )
+
+
+def _decode_value(row: Mapping[str, Any]) -> bytes | None:
+    try:
+        return b64decode(row["Value"], validate=True)
+    except (KeyError, TypeError, ValueError, Base64Error) as error:
+        log.warning("row {} has an unreadable value: {!r}", row.get("Key"), error)
+        return None
--- a/hemlockstand/settings.py
+++ b/hemlockstand/settings.py
@@ -8,10 +8,10 @@
     settings.keys.freshness_seconds
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from configparser import ConfigParser, Error as ConfigParserError
 from pathlib import Path
-from typing import Any, get_type_hints
+from typing import Any, TypeVar, get_type_hints
 
 import attrs
 from attrs import Attribute, field, frozen
@@ -245,25 +245,43 @@
 
     Raises ``SettingsError`` with all problems found.
     """
+    return read_settings(Settings, DEFAULTS_FILE, path, _check_relations)
+
+
+SettingsType = TypeVar("SettingsType")
+RelationCheck = Callable[[dict[str, Any], Path], Iterator[str]]
+
+
+def read_settings(
+    kind: type[SettingsType],
+    defaults: Path,
+    path: str | Path,
+    check_relations: RelationCheck,
+) -> SettingsType:
+    """Read the sections of a settings class from the defaults and a file.
+
+    ``check_relations`` yields the problems between sections. Raises
+    ``SettingsError`` with all problems found.
+    """
     parser = ConfigParser(interpolation=None)
     problems: list[str] = []
-    for source in (DEFAULTS_FILE, Path(path)):
+    for source in (defaults, Path(path)):
         problems.extend(_read_file(parser, source))
     if problems:
         # The parser leaves unfinished values behind a line it cannot read.
         raise SettingsError(problems)
-    problems.extend(_find_unknown(parser, Path(path)))
+    problems.extend(_find_unknown(parser, kind, Path(path)))
     sections: dict[str, Any] = {}
-    for section, kind in get_type_hints(Settings).items():
-        values, found = _read_section(parser, section, kind, Path(path))
+    for section, section_kind in get_type_hints(kind).items():
+        values, found = _read_section(parser, section, section_kind, Path(path))
         problems.extend(found)
         if not found:
-            sections[section] = kind(**values)
+            sections[section] = section_kind(**values)
     if not problems:
-        problems.extend(_check_relations(sections, Path(path)))
+        problems.extend(check_relations(sections, Path(path)))
     if problems:
         raise SettingsError(problems)
-    return Settings(**sections)
+    return kind(**sections)
 
 
 def _read_file(parser: ConfigParser, path: Path) -> Iterator[str]:
@@ -276,8 +294,8 @@
         yield f"{path}: {' '.join(str(error).split())}"
 
 
-def _find_unknown(parser: ConfigParser, path: Path) -> Iterator[str]:
-    kinds = get_type_hints(Settings)
+def _find_unknown(parser: ConfigParser, kind: type, path: Path) -> Iterator[str]:
+    kinds = get_type_hints(kind)
     for section in parser.sections():
         if section not in kinds:
             yield f"{path}: unknown section [{section}]"
