--- /dev/null
+++ b/hemlockstand/fleet/eviction.py
@@ -0,0 +1,81 @@
+"""Clearing an executor without taking more of a step away than it may miss."""
+
+from collections.abc import Iterator, Mapping
+
+from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.ledger import RunState, Subtask
+
+AT_WORK_PERCENT = 100  # of a lasting subtask; less while it starts up
+
+
+def find_stoppable(
+    executor: Executor, executors: Mapping[str, Executor], now: float
+) -> Iterator[Subtask]:
+    """Yield the lasting subtasks of an executor that may be stopped now.
+
+    Subtasks of the same step are yielded one after the other, so that the
+    caller must stop one before it asks for the next.
+    """
+    for subtask in list(executor.runs.values()):
+        if not subtask.step.lasting or subtask.run is None:
+            continue
+        if subtask.run.state is not RunState.RUNNING:
+            continue
+        if may_stop(subtask, executors) and has_place(subtask, executors, now):
+            yield subtask
+
+
+def may_stop(subtask: Subtask, executors: Mapping[str, Executor]) -> bool:
+    """Return whether the step can miss the subtask for a while."""
+    budget = subtask.step.max_unavailable
+    if not budget or not is_at_work(subtask, executors):
+        return True
+    away = sum(
+        1
+        for other in subtask.step_run.subtasks
+        if other is not subtask and not is_at_work(other, executors)
+    )
+    return away < budget
+
+
+def is_at_work(subtask: Subtask, executors: Mapping[str, Executor]) -> bool:
+    """Return whether a subtask is known to work on a sound executor."""
+    run = subtask.run
+    if run is None or run.state is not RunState.RUNNING:
+        return False
+    executor = executors.get(run.executor)
+    if executor is None or not executor.reachable or executor.entry.draining:
+        return False
+    return run.percent >= AT_WORK_PERCENT and run.pace == AT_WORK_PERCENT
+
+
+def has_place(subtask: Subtask, executors: Mapping[str, Executor], now: float) -> bool:
+    """Return whether another executor could take the subtask at once."""
+    step = subtask.step
+    pool = executors[subtask.run.executor].entry.pool if subtask.run else ""
+    for executor in executors.values():
+        if executor.entry.pool != pool or not can_take(executor, now):
+            continue
+        if step.label and step.label not in executor.entry.labels:
+            continue
+        if not executor.has_room(step.size, step.fills):
+            continue
+        cap = step.max_per_executor
+        same = sum(
+            1 for other in executor.runs.values() if other.step_run is subtask.step_run
+        )
+        if not cap or same < cap:
+            return True
+    return False
+
+
+def can_take(executor: Executor, now: float) -> bool:
+    """Return whether an executor takes new runs."""
+    return (
+        executor.present
+        and executor.settled
+        and executor.reachable
+        and not executor.entry.draining
+        and not executor.reserved
+        and executor.quarantined_until <= now
+    )
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -271,6 +271,7 @@
     def _start_lifetime(self, born_ms: int, reason: str) -> None:
         log.info("executor {} starts a new lifetime", self.id, detail=reason)
         self._end_lifetime(reason)
+        self.reserved = False
         self.born_ms = born_ms
         self._clock_ms = None
         self.settled = False
--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -19,7 +19,7 @@
 from hemlockstand.errors import InvalidInput, OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.metrics import ANSWERS, REQUEST_SECONDS
-from hemlockstand.fleet.model import FleetConfig, JobState, Queue
+from hemlockstand.fleet.model import FleetConfig, JobState, Queue, Step
 from hemlockstand.fleet.services import RowStoreService
 from hemlockstand.fleet.settings import FleetSettings
 from hemlockstand.fleet.storage import (
@@ -69,6 +69,21 @@
     return Answer(status, encode_error(detail), status in (429, 503))
 
 
+def describe_step(step: Step) -> str:
+    """Return the size of a step for the log."""
+    kinds = (
+        ("lasting", step.lasting),
+        ("fills", step.fills),
+        ("gang", step.gang),
+        (f"target {step.target_ms} ms", step.target_ms),
+        (f"cap {step.max_per_executor}", step.max_per_executor),
+        (f"may miss {step.max_unavailable}", step.max_unavailable),
+    )
+    flags = ", ".join(kind for kind, present in kinds if present)
+    size = f"{step.count} x {step.size.cpu_millis}m {step.size.memory_mb}MB"
+    return f"{size} {step.estimate_ms} ms {flags}".strip()
+
+
 @register
 class FrontendService(Service):
     """Takes jobs, cancels and questions from callers."""
@@ -208,6 +223,7 @@
             queue=queue.name,
             tenant=tenant,
             config=config.version,
+            steps=[describe_step(step) for step in spec.steps],
             outcome=answer.status,
         )
         return answer
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -9,6 +9,7 @@
 from hemlockstand.errors import HemlockstandError, InvalidInput, PlatformUnavailable
 from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.instances import EARLIER_ORDER_SECONDS, InstanceManager
 from hemlockstand.fleet.lease import SchedulerLease
 from hemlockstand.fleet.ledger import (
     Job,
@@ -45,13 +46,18 @@
 from hemlockstand.fleet.storage import (
     EXECUTORS_TABLE,
     JOBS_TABLE,
+    SCHEDULER_TABLE,
+    WaveRecord,
+    decode_waves,
     group_rows,
     job_keys,
     pending_write,
     status_write,
+    wave_writes,
 )
 from hemlockstand.platform.decoding import decode_executor
 from hemlockstand.platform.executors import ExecutorClient
+from hemlockstand.platform.machines import InstanceClient
 from hemlockstand.platform.rows import (
     HistoryGone,
     RowKey,
@@ -113,6 +119,15 @@
         self._leaving = trio.Event()
         self._orders = 0
         self._pending: dict[str, int] = {}
+        self._instances = InstanceManager(
+            host=self,
+            client=InstanceClient(settings.platform.instances),
+            holder=settings.daemon.name,
+            fence=epoch,
+            clock=clock,
+            orders_from=clock(),
+        )
+        self._wave_records: dict[int, WaveRecord] = {}
         self._nursery: trio.Nursery
 
     # Lease
@@ -132,6 +147,18 @@
         assert config is not None
         return config
 
+    def want_place(self) -> None:
+        """Have waiting subtasks placed."""
+        self._place_wanted.set()
+
+    def want_commit(self) -> None:
+        """Have changes stored."""
+        self._commit_wanted.set()
+
+    def is_settled(self) -> bool:
+        """Return whether all that runs is known."""
+        return not self._placer.gated
+
     # Life
 
     def leave(self) -> None:
@@ -147,12 +174,18 @@
             self._nursery = nursery
             version = await self._load_jobs()
             servers = await self._load_executors()
+            await self._load_waves()
             if not fresh:
                 self._close_gates()
+                self._instances.orders_from += EARLIER_ORDER_SECONDS
+                self._instances.orders_from += (
+                    self._settings.bounds.order_turn_ms / 1000
+                )
             nursery.start_soon(self._follow_jobs, version)
             nursery.start_soon(self._follow_executors, servers)
             nursery.start_soon(self._place_forever)
             nursery.start_soon(self._tick_forever)
+            nursery.start_soon(self._instances.run)
             await self._commit_until_leaving()
             nursery.cancel_scope.cancel()
 
@@ -183,6 +216,20 @@
                 self._add_executor(entry).present = False
         return page.version
 
+    async def _load_waves(self) -> None:
+        while True:
+            try:
+                page = await self._rows.read_all(SCHEDULER_TABLE)
+                break
+            except PlatformUnavailable as error:
+                await self._wait_for_store(error)
+        self._wave_records = decode_waves(page.rows)
+        self._add_waves()
+
+    def _add_waves(self) -> None:
+        for number, wave in self._configuration.waves.items():
+            self._instances.add_wave(wave, self._wave_records.get(number))
+
     async def _wait_for_store(self, error: HemlockstandError) -> None:
         """Wait before another try; ends the leadership with the lease."""
         log.warning("store does not answer", detail=str(error))
@@ -533,23 +580,23 @@
             subtask.checkpoint = end.checkpoint
         delay = RESTART_SECONDS
         if end.kind is EndKind.FAILED:
-            self._note_failed(executor, subtask, now, now_ms)
+            self._note_failed(executor, subtask, end.run, now_ms)
         if current:
             self._release(subtask, delay)
 
     def _note_failed(
-        self, executor: Executor, subtask: Subtask, now: float, now_ms: int
+        self, executor: Executor, subtask: Subtask, run: int, now_ms: int
     ) -> None:
         executor.failed_in_row += 1
         subtask.avoid.add(executor.id)
         if executor.failed_in_row >= QUARANTINE_FAILURES:
-            executor.quarantined_until = now + QUARANTINE_SECONDS
+            executor.quarantined_until = self._clock() + QUARANTINE_SECONDS
             log.warning(
                 "executor {} is set aside", executor.id, failures=executor.failed_in_row
             )
         job = subtask.job
         attempts = find_attempts(job, self.config)
-        self.ledger.add_failure(subtask, attempts, now_ms)
+        self.ledger.add_failure(subtask, run, attempts, now_ms)
         if job.state.final:
             self._stop_runs(job)
 
@@ -636,6 +683,13 @@
         pending = self.ledger.count_pending()
         if pending != self._pending:
             writes.append(pending_write(pending))
+        waves = [
+            (progress, progress.make_record(), progress.completed)
+            for progress in self._instances.waves.values()
+            if not progress.stored
+        ]
+        for progress, record, completed in waves:
+            writes.extend(wave_writes(progress.wave.number, record, completed))
         noted = {executor: executor.noted for executor in self.executors.values()}
         lifetimes = {executor: executor.born_ms for executor in noted}
         expired = self._expire_jobs()
@@ -652,6 +706,9 @@
             self.ledger.dirty.update(dirty)
             raise
         self._pending = pending
+        for progress, record, completed in waves:
+            current = progress.make_record(), progress.completed
+            progress.stored = current == (record, completed)
         self._note_committed(noted, lifetimes, all_dirty)
         if not all_dirty:
             self._commit_wanted.set()
@@ -682,5 +739,6 @@
             await trio.sleep(TICK_SECONDS)
             self._open_gates()
             self._forget_executors()
+            self._add_waves()
             if self.ledger.ready or self.ledger.next_due() is not None:
                 self._place_wanted.set()
--- a/hemlockstand/fleet/ledger.py
+++ b/hemlockstand/fleet/ledger.py
@@ -62,7 +62,7 @@
     runs: int = 0
     run: Run | None = None
     done: bool = False
-    failures: int = 0
+    failures: set[int] = field(factory=set)
     checkpoint: str = ""
     not_before: float = 0.0
     avoid: set[str] = field(factory=set)
@@ -147,7 +147,7 @@
             return JobStatus(self.state, ended_ms=self.ended_ms)
         done = {run.key: run.done for run in self.steps.values() if run.done}
         failures = {
-            f"{subtask.step_run.key}.{subtask.index}": subtask.failures
+            f"{subtask.step_run.key}.{subtask.index}": tuple(subtask.failures)
             for subtask in self.subtasks()
             if subtask.failures and not subtask.step.lasting
         }
@@ -205,15 +205,13 @@
                 step_run = StepRun(job, occurrence, position, step)
                 step_run.done = status.done.get(step_run.key, 0)
                 job.steps[occurrence, position] = step_run
-        for name, count in status.failures.items():
-            log.debug("job {} had {} failures of {}", job.id, count, name)
         job_failures = status.failures
         for step_run in job.steps.values():
             if any(name.startswith(step_run.key + ".") for name in job_failures):
                 self._create_subtasks(step_run)
                 for subtask in step_run.subtasks:
                     key = f"{step_run.key}.{subtask.index}"
-                    subtask.failures = job_failures.get(key, 0)
+                    subtask.failures = set(job_failures.get(key, ()))
 
     def _create_subtasks(self, step_run: StepRun) -> None:
         if step_run.subtasks:
@@ -330,13 +328,15 @@
         if all(other.complete for other in job.steps.values()):
             self.finish(job, JobState.COMPLETED, now_ms)
 
-    def add_failure(self, subtask: Subtask, attempts: int, now_ms: int) -> None:
-        """Count a failed run; the job fails with the last attempt."""
-        subtask.failures += 1
+    def add_failure(
+        self, subtask: Subtask, run: int, attempts: int, now_ms: int
+    ) -> None:
+        """Count a failed run once; the job fails with the last attempt."""
+        subtask.failures.add(run)
         if subtask.step.lasting:
             return
         self.dirty.add(subtask.job.id)
-        if subtask.failures >= attempts and not subtask.done:
+        if len(subtask.failures) >= attempts and not subtask.done:
             self.finish(subtask.job, JobState.FAILED, now_ms)
 
     def finish(self, job: Job, state: JobState, now_ms: int) -> None:
--- a/hemlockstand/fleet/metrics.py
+++ b/hemlockstand/fleet/metrics.py
@@ -18,6 +18,11 @@
 FIRST_START_SECONDS = Histogram(
     "hemlockstand_first_start_seconds", "Time from acceptance to the first start."
 )
+INSTANCE_ORDERS = Counter(
+    "hemlockstand_instance_orders_total",
+    "Orders to move or maintain instances.",
+    ["kind", "outcome"],
+)
 LEADING = Gauge("hemlockstand_scheduler", "1 while this daemon is the scheduler.")
 WAITING = Gauge("hemlockstand_waiting_subtasks", "Subtasks that wait for a place.")
 
--- a/hemlockstand/fleet/model.py
+++ b/hemlockstand/fleet/model.py
@@ -271,12 +271,14 @@
     """What the scheduler has stored of a job.
 
     ``done`` holds, by ``K.STEP``, the subtasks that have ended as done, as a
-    bit set; ``failures`` counts failed runs by ``K.STEP.INDEX``.
+    bit set; ``failures`` holds the numbers of the failed runs by
+    ``K.STEP.INDEX``, because an end is listed until it was acknowledged and
+    a new scheduler sees it again.
     """
 
     state: JobState
     done: Mapping[str, int] = field(factory=dict)
-    failures: Mapping[str, int] = field(factory=dict)
+    failures: Mapping[str, tuple[int, ...]] = field(factory=dict)
     ended_ms: int = 0
 
 
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -17,6 +17,7 @@
 from attrs import field, frozen
 
 from hemlockstand.fleet.model import JobSpec, JobState, JobStatus
+from hemlockstand.platform.decoding import encode_wave_status
 from hemlockstand.platform.rows import RowWrite, StoredRow
 
 JOBS_TABLE = "jobs"
@@ -72,6 +73,16 @@
     executors: Mapping[str, tuple[str, str]] = field(factory=dict)
 
 
+@frozen
+class WaveRecord:
+    """How far a wave is: upkeep ordered, and certainly begun."""
+
+    seen_ms: int
+    ordered: tuple[str, ...] = ()
+    begun: tuple[str, ...] = ()
+
+
+_wave_decoder = msgspec.json.Decoder(WaveRecord)
 _lease_decoder = msgspec.json.Decoder(LeaseRecord)
 
 
@@ -155,3 +166,21 @@
 def decode_pending(value: bytes | None) -> Mapping[str, int]:
     """Return the counts by queue; none are stored before the first job."""
     return {} if value is None else msgspec.json.decode(value, type=dict[str, int])
+
+
+def wave_writes(number: int, record: WaveRecord, completed: bool) -> list[RowWrite]:
+    """Return the rows of a wave: the scheduler's, and the operator's."""
+    key = f"{WAVE_PREFIX}{number}"
+    return [
+        RowWrite(SCHEDULER_TABLE, key, encode_compact(record)),
+        RowWrite(STATUS_TABLE, key, encode_wave_status(completed)),
+    ]
+
+
+def decode_waves(rows: Iterable[StoredRow]) -> dict[int, WaveRecord]:
+    """Return the waves in the scheduler's rows by their numbers."""
+    return {
+        int(row.key.removeprefix(WAVE_PREFIX)): _wave_decoder.decode(row.value)
+        for row in rows
+        if row.key.startswith(WAVE_PREFIX) and row.value is not None
+    }
