Size pools by the work that arrives within its objective

Cause: the need of a pool was the cpu of all that waited, so queues with estimates far off asked for 48 instances, and 174 moves cost more than the idle time that they saved. Estimates are corrected by a line through what was seen, and a job counts over half of its objective.

--- a/hemlockstand/fleet/capacity.py
+++ b/hemlockstand/fleet/capacity.py
@@ -2,22 +2,29 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from attrs import define, field
 
 from hemlockstand.fleet.executors import Executor
-from hemlockstand.fleet.ledger import Job, Ledger, find_pool
-from hemlockstand.fleet.model import FleetConfig, Resources
-
-# Subtasks of uneven sizes leave about a sixth of an instance unused.
-FILL_FRACTION = 0.85
-# Instances beyond the need of the moment, for the next arrival and for the
-# loss of one.
-SPARE_INSTANCES = 1
-# Part of the work of later steps that counts as needed now: most of it
-# starts within the time that an instance takes to arrive.
-LATER_FRACTION = 0.5
+from hemlockstand.fleet.ledger import Durations, Job, Ledger, find_pool
+from hemlockstand.fleet.model import FleetConfig, Resources, get_room
+
+# Subtasks of uneven sizes leave about a tenth of an instance unused.
+FILL_FRACTION = 0.9
+# Jobs go on arriving as in the last part of the time in which such a job
+# should be done; a shorter view would make a burst of every large job.
+ARRIVAL_FRACTION = 0.5
+LEAST_ARRIVAL_SECONDS = 1.0
+# A late job costs as much as an instance for several seconds, so pools get
+# more than the work of the moment needs.
+HEADROOM = 1.3
+# Jobs without an objective should be done within this time.
+LEAST_WINDOW_SECONDS = 1.0
+# Room for the first jobs of a queue that was idle.
+SPARE_CPU_MILLIS = 16_000
+# A pool with work keeps this many, so that the loss of one leaves another.
+LEAST_INSTANCES = 2
 # An instance costs about as much to move there and back as for three seconds.
 KEEP_SECONDS = 3.0
 
@@ -40,54 +47,99 @@
 
 
 @define
-class Demand:
-    """Work of a pool: its size, and the least instances its caps allow."""
+class Room:
+    """Room that work takes, averaged over the time it may take."""
 
-    size: Resources = field(factory=Resources)
-    least: int = 0
+    cpu_millis: float = 0.0
+    memory_mb: float = 0.0
+    accelerators: float = 0.0
 
-    def count_instances(self, capacity: Resources) -> int:
-        """Return how many instances of a capacity the work needs."""
+    def add(self, size: Resources, count: float) -> None:
+        """Add the room of a number of subtasks."""
+        self.cpu_millis += size.cpu_millis * count
+        self.memory_mb += size.memory_mb * count
+        self.accelerators += size.accelerators * count
+
+    def count_instances(self, capacity: Resources) -> float:
+        """Return how many instances of a capacity the room fills."""
         parts = [
-            self.size.cpu_millis / max(1, capacity.cpu_millis),
-            self.size.memory_mb / max(1, capacity.memory_mb),
+            self.cpu_millis / max(1, capacity.cpu_millis),
+            self.memory_mb / max(1, capacity.memory_mb),
         ]
         if capacity.accelerators:
-            parts.append(self.size.accelerators / capacity.accelerators)
-        needed = math.ceil(max(parts) / FILL_FRACTION)
-        return max(needed, self.least)
+            parts.append(self.accelerators / capacity.accelerators)
+        return max(parts) / FILL_FRACTION
+
+
+@define
+class Demand:
+    """Work of a pool, and the least instances that its caps allow.
+
+    ``present`` is work that is there, ``arriving`` what will be there if
+    jobs go on arriving as in the last seconds.
+    """
 
+    lasting: Room = field(factory=Room)
+    present: Room = field(factory=Room)
+    arriving: Room = field(factory=Room)
+    least: int = LEAST_INSTANCES
 
-def measure_demand(ledger: Ledger, config: FleetConfig) -> dict[str, Demand]:
-    """Return the work of each pool that runs, waits or follows soon."""
+    def count_instances(self, capacity: Resources) -> int:
+        """Return how many instances of a capacity the work needs."""
+        spare = SPARE_CPU_MILLIS / max(1, capacity.cpu_millis)
+        passing = max(
+            self.present.count_instances(capacity),
+            self.arriving.count_instances(capacity),
+            spare / HEADROOM,
+        )
+        needed = self.lasting.count_instances(capacity) + passing * HEADROOM
+        return max(math.ceil(needed), self.least)
+
+
+def measure_demand(
+    ledger: Ledger, config: FleetConfig, now: float
+) -> dict[str, Demand]:
+    """Return the work of each pool that is there or expected soon."""
     demands: dict[str, Demand] = {}
     for job in ledger.jobs.values():
-        if job.state.final or job.cancelled:
-            continue
         demand = demands.setdefault(find_pool(job, config), Demand())
-        add_job(demand, job)
+        if not job.state.final and not job.cancelled:
+            add_job(demand, job, ledger.durations)
+        view = max(LEAST_ARRIVAL_SECONDS, job.objective_seconds * ARRIVAL_FRACTION)
+        if now - job.accepted_at < view and not job.spec.timed:
+            add_arrival(demand, job, ledger.durations, view)
     return demands
 
 
-def add_job(demand: Demand, job: Job) -> None:
-    """Add what a job needs to the demand of its pool."""
+def add_job(demand: Demand, job: Job, durations: Durations) -> None:
+    """Add the work that is left of a job."""
+    window = max(LEAST_WINDOW_SECONDS, job.objective_seconds)
     for step_run in job.steps.values():
         step = step_run.step
         left = step.count - step_run.done.bit_count()
         if not left or (not step_run.unlocked_at and job.spec.timed):
             continue
-        size = step.size
-        if step.fills:
-            size = Resources(0, size.memory_mb, size.accelerators)
-        if step_run.unlocked_at:
-            demand.size = demand.size.add(size, left)
-        else:
-            demand.size = demand.size.add(size.scale(LATER_FRACTION), left)
-        if step.max_per_executor and step_run.unlocked_at:
+        if not step.lasting:
+            seconds = durations.predict(job.spec.queue, step.estimate_ms)
+            demand.present.add(get_room(step), left * min(1.0, seconds / window))
+            continue
+        demand.lasting.add(get_room(step), left)
+        if step.max_per_executor:
             least = math.ceil(left / step.max_per_executor)
             demand.least = max(demand.least, least)
 
 
+def add_arrival(
+    demand: Demand, job: Job, durations: Durations, view_seconds: float
+) -> None:
+    """Add work like that of a job that has come in the last seconds."""
+    for step in job.spec.steps:
+        if not step.lasting:
+            seconds = durations.predict(job.spec.queue, step.estimate_ms)
+            count = step.count * seconds / view_seconds
+            demand.arriving.add(get_room(step), count)
+
+
 def find_capacity(executors: Iterable[Executor]) -> Resources:
     """Return the capacity of the smallest of some executors."""
     return min(
@@ -95,12 +147,3 @@
         key=lambda capacity: capacity.cpu_millis,
         default=Resources(),
     )
-
-
-def count_loads(executors: Mapping[str, Executor]) -> dict[str, int]:
-    """Return the thousandths of a core in use by pool."""
-    loads: dict[str, int] = {}
-    for executor in executors.values():
-        pool = executor.entry.pool
-        loads[pool] = loads.get(pool, 0) + executor.used.cpu_millis
-    return loads
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -20,7 +20,13 @@
 
 from hemlockstand.errors import HemlockstandError, OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.ledger import Run, RunState, Subtask
-from hemlockstand.fleet.model import EndEntry, ExecutorEntry, HoldAnswer, Resources
+from hemlockstand.fleet.model import (
+    EndEntry,
+    ExecutorEntry,
+    HoldAnswer,
+    Resources,
+    get_room,
+)
 from hemlockstand.platform.executors import (
     ExecutorClient,
     OrderRefused,
@@ -117,13 +123,13 @@
     def add_run(self, subtask: Subtask) -> None:
         """Count a run against the capacity."""
         self.runs[subtask.name] = subtask
-        self.used = self.used.add(_sized(subtask), 1)
+        self.used = self.used.add(get_room(subtask.step), 1)
         self.wake()
 
     def remove_run(self, subtask: Subtask) -> None:
         """Free the capacity of a run."""
         if self.runs.pop(subtask.name, None) is not None:
-            self.used = self.used.add(_sized(subtask), -1)
+            self.used = self.used.add(get_room(subtask.step), -1)
 
     def wake(self) -> None:
         """Let the task look at the executor again."""
@@ -293,13 +299,6 @@
         self.look_now()
 
 
-def _sized(subtask: Subtask) -> Resources:
-    size = subtask.step.size
-    if subtask.step.fills:
-        return Resources(0, size.memory_mb, size.accelerators)
-    return size
-
-
 def _note_listed(
     run: Run, percent: int, load: int, checkpoint: str, now: float
 ) -> None:
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -16,7 +16,7 @@
 
 from hemlockstand.errors import HemlockstandError, OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.capacity import (
-    SPARE_INSTANCES,
+    Demand,
     PoolNeed,
     find_capacity,
     measure_demand,
@@ -117,6 +117,7 @@
     instances: dict[str, InstanceEntry] = field(factory=dict)
     plans: dict[str, Plan] = field(factory=dict)
     _needs: dict[str, PoolNeed] = field(factory=dict)
+    _reported: dict[str, tuple[int, int]] = field(factory=dict)
     _listed_at: float = float("-inf")
 
     async def run(self) -> None:
@@ -284,7 +285,7 @@
         if not standby:
             return
         now = self.clock()
-        demands = measure_demand(self.host.ledger, config)
+        demands = measure_demand(self.host.ledger, config, now)
         capacity = find_capacity(
             executor for executor in self.host.executors.values() if executor.present
         )
@@ -295,11 +296,11 @@
         for pool in config.pools.values():
             if pool.standby:
                 continue
-            demand = demands.get(pool.name)
-            count = 0 if demand is None else demand.count_instances(capacity)
+            demand = demands.get(pool.name, Demand())
             need = self._needs.setdefault(pool.name, PoolNeed())
-            wanted = need.note(now, count + SPARE_INSTANCES)
+            wanted = need.note(now, demand.count_instances(capacity))
             members = self._find_members(pool.name)
+            self._report_need(pool.name, len(members), wanted, demand)
             if len(members) > wanted:
                 surplus.extend(self._rank_surplus(members)[: len(members) - wanted])
             elif len(members) < wanted:
@@ -309,12 +310,33 @@
         for instance in surplus:
             self._plan_move(instance, standby[0])
 
+    def _report_need(
+        self, pool: str, members: int, wanted: int, demand: Demand
+    ) -> None:
+        if self._reported.get(pool) == (members, wanted):
+            return
+        self._reported[pool] = members, wanted
+        log.info(
+            "pool needs {} instances",
+            wanted,
+            pool=pool,
+            members=members,
+            present_cpu=int(demand.present.cpu_millis),
+            arriving_cpu=int(demand.arriving.cpu_millis),
+            used_cpu=sum(
+                executor.used.cpu_millis
+                for executor in self.host.executors.values()
+                if executor.entry.pool == pool and executor.present
+            ),
+        )
+
     def _find_members(self, pool: str) -> list[InstanceEntry]:
         """Return the instances that a pool has or is about to have."""
         members = []
         for instance in self.instances.values():
             plan = self.plans.get(instance.name)
-            if plan is not None and plan.pool:
+            if plan is not None:
+                # Upkeep takes the instance away for as long as a move.
                 if plan.pool == pool:
                     members.append(instance)
             elif instance.pool == pool and instance.state is not InstanceState.DOWN:
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -295,8 +295,9 @@
         queue = self.config.queues_by_name.get(job.spec.queue)
         factor = 1.0 if queue is None else queue.slack_factor
         objective = 0.0 if queue is None else queue.objective_ms / 1000
-        chain = estimate_chain_seconds(job.spec.steps)
-        job.deadline = job.accepted_at + LATE_FACTOR * (factor * chain + objective)
+        chain = estimate_chain_seconds(job.spec, self.ledger.durations)
+        job.objective_seconds = factor * chain + objective
+        job.deadline = job.accepted_at + LATE_FACTOR * job.objective_seconds
 
     def _cancel(self, job_id: str, now_ms: int) -> None:
         job = self.ledger.jobs.get(job_id)
@@ -572,6 +573,7 @@
         if end.kind is EndKind.DONE:
             executor.failed_in_row = 0
             if current:
+                self._note_duration(subtask, now)
                 self.ledger.detach(subtask)
             self.ledger.set_started(subtask.job)
             self.ledger.set_done(subtask, now, now_ms)
@@ -584,6 +586,14 @@
         if current:
             self._release(subtask, delay)
 
+    def _note_duration(self, subtask: Subtask, now: float) -> None:
+        run = subtask.run
+        if run is None or run.checkpoint or not subtask.step.estimate_ms:
+            return
+        estimate = subtask.step.estimate_ms / 1000
+        seconds = now - run.ordered_at
+        self.ledger.durations.note(subtask.job.spec.queue, seconds, estimate)
+
     def _note_failed(
         self, executor: Executor, subtask: Subtask, run: int, now_ms: int
     ) -> None:
