Announce steps before their first start and shorten the changes of the scheduler

The rest of the loss stood after a change of the scheduler: 5 s without moves, and all waiting steps of a pool were held back while any of its executors could not be reached. Now an executor that does not answer is granted nothing more; a step is stored as announced before its first start, so that only announced steps wait; instances are stored before they are ordered, so that only those are left alone; a daemon that finds its own name on the lease takes it at once.

--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -61,8 +61,11 @@
     def may_order(self) -> bool:
         """Return whether the scheduler's lease is valid."""
 
-    def lease_end(self) -> float:
-        """Return until when leases may be granted, in the scheduler's clock."""
+    def grant_end(self) -> float:
+        """Return until when to grant leases, in the scheduler's clock."""
+
+    def last_grant_end(self) -> float:
+        """Return until when leases may be granted at the most."""
 
 
 @define(eq=False)
@@ -157,12 +160,14 @@
     def make_due(self) -> int | None:
         """Return the executor's clock at the end of the lease.
 
-        None as long as the executor's clock is not known. The clock counts
-        as slow, so that a lease has certainly run out at ``lapses_at``.
+        None if nothing is to be granted. The clock counts as slow, so that a
+        lease has certainly run out at ``lapses_at``.
         """
-        if self._clock_ms is None:
+        # An executor that does not answer is not granted more: what runs
+        # there is started elsewhere when the lease has run out.
+        if self._clock_ms is None or self.failing_since is not None:
             return None
-        until = self.events.lease_end()
+        until = self.events.grant_end()
         self.lapses_at = max(self.lapses_at, until)
         ahead = (until - self._clock_at) * 1000 * SLOWEST_CLOCK
         return self._clock_ms + int(ahead)
@@ -187,7 +192,7 @@
         await self.client.close()
 
     async def _look(self) -> None:
-        if not self.events.may_order() and self.clock() > self.events.lease_end():
+        if not self.events.may_order() and self.clock() > self.events.last_grant_end():
             await trio.sleep(RETRY_SECONDS)
             return
         try:
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
 
 import attrs
@@ -45,6 +45,9 @@
 # beyond the upkeep itself.
 CLEAR_SECONDS = 4.0
 RETRY_SECONDS = 0.5
+STORED_POLL_SECONDS = 0.01
+# For longer than two holders' orders for an instance must be apart.
+ORDER_MEMORY_SECONDS = 8.0
 
 
 @define(eq=False)
@@ -56,6 +59,7 @@
     wave: int = 0
     planned_at: float = 0.0
     ordering: bool = False
+    stored: bool = False
 
 
 @define(eq=False)
@@ -99,9 +103,6 @@
     def want_commit(self) -> None:
         """Have the progress of waves stored."""
 
-    def is_settled(self) -> bool:
-        """Return whether all that runs is known."""
-
 
 @define(eq=False)
 class InstanceManager:
@@ -112,11 +113,12 @@
     holder: str
     fence: int
     clock: Callable[[], float]
-    orders_from: float
     waves: dict[int, WaveProgress] = field(factory=dict)
     instances: dict[str, InstanceEntry] = field(factory=dict)
     plans: dict[str, Plan] = field(factory=dict)
     _needs: dict[str, PoolNeed] = field(factory=dict)
+    _ordered: dict[str, float] = field(factory=dict)
+    _blocked: dict[str, float] = field(factory=dict)
     _reported: dict[str, tuple[int, int]] = field(factory=dict)
     _listed_at: float = float("-inf")
 
@@ -125,9 +127,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(ROUND_SECONDS)
-                if self.clock() < self.orders_from or not self.host.may_order():
-                    continue
-                if not await self._refresh() or not self.host.is_settled():
+                if not self.host.may_order() or not await self._refresh():
                     continue
                 self._plan()
                 for plan in list(self.plans.values()):
@@ -145,6 +145,30 @@
         self.waves[wave.number] = progress
         self.host.want_commit()
 
+    def block(self, instances: Iterable[str], turn_seconds: float) -> None:
+        """Leave alone for a while what an earlier scheduler has ordered."""
+        until = self.clock() + turn_seconds + EARLIER_ORDER_SECONDS
+        self._blocked = dict.fromkeys(instances, until)
+
+    def find_ordered(self) -> tuple[str, ...]:
+        """Return the instances that the next scheduler must leave alone.
+
+        An instance is stored here before its first order is sent.
+        """
+        oldest = self.clock() - ORDER_MEMORY_SECONDS
+        for name, ordered_at in list(self._ordered.items()):
+            plan = self.plans.get(name)
+            if ordered_at < oldest and (plan is None or not plan.ordering):
+                del self._ordered[name]
+        return tuple(self._ordered)
+
+    def note_stored(self, instances: Iterable[str]) -> None:
+        """Note that the next scheduler knows of these orders."""
+        for name in instances:
+            plan = self.plans.get(name)
+            if plan is not None:
+                plan.stored = True
+
     async def _refresh(self) -> bool:
         """Read the list if it is old; return whether it is known."""
         if self.clock() - self._listed_at < LIST_SECONDS:
@@ -423,6 +447,8 @@
             if executor.runs:
                 self._clear(executor, plan)
                 return
+        if self._blocked.get(plan.instance, 0.0) > self.clock():
+            return
         plan.ordering = True
         nursery.start_soon(self._order, plan, instance)
 
@@ -440,12 +466,13 @@
         """Repeat an order until the platform says what came of it."""
         progress = self.waves.get(plan.wave)
         if progress is not None:
-            if plan.instance not in progress.ordered:
-                progress.ordered.add(plan.instance)
-                progress.stored = False
-                self.host.want_commit()
-            while not progress.stored:
-                await trio.sleep(0.01)
+            progress.ordered.add(plan.instance)
+            progress.stored = False
+        self._ordered[plan.instance] = self.clock()
+        plan.stored = False
+        self.host.want_commit()
+        while not plan.stored or not (progress is None or progress.stored):
+            await trio.sleep(STORED_POLL_SECONDS)
         while self.host.may_order():
             try:
                 outcome = await self._send(plan)
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -9,7 +9,7 @@
 from hemlockstand.errors import HemlockstandError, InvalidInput, PlatformUnavailable
 from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.executors import Executor
-from hemlockstand.fleet.instances import EARLIER_ORDER_SECONDS, InstanceManager
+from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.lease import SchedulerLease
 from hemlockstand.fleet.ledger import (
     Job,
@@ -68,15 +68,18 @@
 
 log = logger.bind(module=__name__)
 
-# Leases of executors outlast the scheduler's lease by this much, so that
-# what runs survives a change of the scheduler.
+# Leases of executors outlast the scheduler's lease by at most this much, so
+# that what runs survives an outage of the store.
 GRANT_SECONDS = 4.0
+# Usual lease of an executor: a change of the scheduler after a kill takes two
+# and a half seconds, and the last renewal may be one second old.
+HOLD_LEASE_SECONDS = 3.7
 # Part of an executor's longest lease that is used, for clocks that differ.
 HOLD_FRACTION = 0.9
 GATE_MARGIN_SECONDS = 0.3
 FENCES_PER_EPOCH = 1_000_000
 RUNS_PER_EPOCH = 1_000
-COMMIT_PAUSE_SECONDS = 0.02  # ends within this time share a transaction
+COMMIT_PAUSE_SECONDS = 0.008  # ends within this time share a transaction
 PLACE_PAUSE_SECONDS = 0.005
 FOLLOW_SECONDS = 1.0
 RETRY_SECONDS = 0.2
@@ -112,12 +115,13 @@
         self._fence = epoch * FENCES_PER_EPOCH
         self.ledger = Ledger(run_base=(epoch - 1) * RUNS_PER_EPOCH)
         self.executors: dict[str, Executor] = {}
-        self._placer = Placer(self.ledger, self.executors, lease.version)
+        self._placer = Placer(self.ledger, self.executors)
         self._took_over_at = clock()
         self._place_wanted = trio.Event()
         self._commit_wanted = trio.Event()
         self._leaving = trio.Event()
         self._orders = 0
+        self._store_failing = False
         self._pending: dict[str, int] = {}
         self._instances = InstanceManager(
             host=self,
@@ -125,7 +129,6 @@
             holder=settings.daemon.name,
             fence=epoch,
             clock=clock,
-            orders_from=clock(),
         )
         self._wave_records: dict[int, WaveRecord] = {}
         self._nursery: trio.Nursery
@@ -136,10 +139,21 @@
         """Return whether orders may be given."""
         return self._lease.valid
 
-    def lease_end(self) -> float:
-        """Return until when leases of executors may be granted."""
+    def last_grant_end(self) -> float:
+        """Return until when leases of executors may be granted at the most."""
         return self._lease.valid_until + self._grant_seconds
 
+    def grant_end(self) -> float:
+        """Return until when to grant leases to executors.
+
+        As short as a change of the scheduler allows, because lost executors
+        delay their work for as long; as long as possible while the store
+        does not answer, because then no scheduler can take over.
+        """
+        if self._store_failing:
+            return self.last_grant_end()
+        return min(self._clock() + HOLD_LEASE_SECONDS, self.last_grant_end())
+
     @property
     def config(self) -> FleetConfig:
         """The configuration in force."""
@@ -155,10 +169,6 @@
         """Have changes stored."""
         self._commit_wanted.set()
 
-    def is_settled(self) -> bool:
-        """Return whether all that runs is known."""
-        return not self._placer.gated
-
     # Life
 
     def leave(self) -> None:
@@ -177,10 +187,8 @@
             await self._load_waves()
             if not fresh:
                 self._close_gates()
-                self._instances.orders_from += EARLIER_ORDER_SECONDS
-                self._instances.orders_from += (
-                    self._settings.bounds.order_turn_ms / 1000
-                )
+                turn_seconds = self._settings.bounds.order_turn_ms / 1000
+                self._instances.block(self._lease.record.ordered, turn_seconds)
             nursery.start_soon(self._follow_jobs, version)
             nursery.start_soon(self._follow_executors, servers)
             nursery.start_soon(self._place_forever)
@@ -289,7 +297,8 @@
                     self._set_deadline(job)
             if found.cancelled:
                 self._cancel(job_id, now_ms)
-        self._place_wanted.set()
+        if self.ledger.dirty:
+            self._commit_wanted.set()
 
     def _set_deadline(self, job: Job) -> None:
         queue = self.config.queues_by_name.get(job.spec.queue)
@@ -402,7 +411,8 @@
 
     def _place(self) -> None:
         now = self._clock()
-        self.ledger.release_due(now)
+        if self.ledger.release_due(now):
+            self._commit_wanted.set()
         if not self.may_order() or not self._configuration.fresh:
             return
         for placement in self._placer.place(self.config, now):
@@ -675,8 +685,10 @@
     async def _try_commit(self) -> None:
         try:
             await self._commit()
+            self._store_failing = False
             COMMITS.labels("applied").inc()
         except PlatformUnavailable as error:
+            self._store_failing = True
             COMMITS.labels("unavailable").inc()
             log.warning("commit failed", detail=str(error))
             await trio.sleep(RETRY_SECONDS)
@@ -684,9 +696,10 @@
     async def _commit(self, release: bool = False) -> None:
         """Store what has changed; then the ends may be forgotten."""
         dirty = list(self.ledger.dirty)[:MAX_STATUS_WRITES]
+        statuses = [self.ledger.jobs[job_id].make_status() for job_id in dirty]
         writes: list[RowWrite] = [
-            status_write(job_id, self.ledger.jobs[job_id].make_status())
-            for job_id in dirty
+            status_write(job_id, status)
+            for job_id, status in zip(dirty, statuses, strict=True)
         ]
         all_dirty = len(dirty) == len(self.ledger.dirty)
         self.ledger.dirty.difference_update(dirty)
@@ -711,11 +724,16 @@
             for executor in self.executors.values()
         }
         try:
-            await self._lease.commit(writes, removed, listed, release)
+            ordered = self._instances.find_ordered()
+            await self._lease.commit(writes, removed, listed, ordered, release)
         except BaseException:
             self.ledger.dirty.update(dirty)
             raise
         self._pending = pending
+        self._instances.note_stored(ordered)
+        if dirty:
+            self.ledger.note_stored(dirty, statuses)
+            self._place_wanted.set()
         for progress, record, completed in waves:
             current = progress.make_record(), progress.completed
             progress.stored = current == (record, completed)
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -60,18 +60,21 @@
         writes: Sequence[RowWrite] = (),
         removed: Sequence[RowKey] = (),
         executors: Mapping[str, tuple[str, str]] | None = None,
+        ordered: tuple[str, ...] = (),
         release: bool = False,
     ) -> None:
         """Apply the writes and extend the lease.
 
-        Raises ``LeaseLost``, or ``PlatformUnavailable`` if nothing was
-        applied. A lost answer is resolved before this returns.
+        ``executors`` and ``ordered`` are for the next holder. Raises
+        ``LeaseLost``, or ``PlatformUnavailable`` if nothing was applied. A
+        lost answer is resolved before this returns.
         """
         record = attrs.evolve(
             self.record,
             holder="" if release else self.record.holder,
             sequence=self.record.sequence + 1,
             executors=self.record.executors if executors is None else executors,
+            ordered=ordered,
         )
         batch = [lease_write(record), *writes]
         sent_at = self.clock()
@@ -154,6 +157,9 @@
         unchanged = self.clock() - self._seen_at
         if record is None or not record.holder:
             return unchanged >= self.delay_seconds
+        if record.holder == self.holder:
+            # The process that held it ran here, and has ended.
+            return True
         wait = self.lease_seconds * TAKEOVER_MARGIN + self.delay_seconds
         return unchanged >= wait
 
@@ -162,8 +168,9 @@
     ) -> SchedulerLease | None:
         self.previous = record
         epoch = 1 if record is None else record.epoch + 1
-        executors = {} if record is None else record.executors
-        new = LeaseRecord(self.holder, self.session, epoch, 0, executors)
+        new = LeaseRecord(self.holder, self.session, epoch, 0)
+        if record is not None:
+            new = attrs.evolve(new, executors=record.executors, ordered=record.ordered)
         expected = (RowExpectation(SCHEDULER_TABLE, LEASE_KEY, version),)
         self._attempted_at = self.clock()
         try:
--- a/hemlockstand/fleet/ledger.py
+++ b/hemlockstand/fleet/ledger.py
@@ -95,6 +95,8 @@
     waiting: dict[int, Subtask] = field(factory=dict)
     done: int = 0  # bit set of the indexes that are done
     unlocked_at: float = 0.0
+    announced: bool = False  # stored as a step that may have started
+    inherited: bool = False  # an earlier scheduler may have started it
 
     @property
     def key(self) -> str:
@@ -157,7 +159,12 @@
             for subtask in self.subtasks()
             if subtask.failures and not subtask.step.lasting
         }
-        return JobStatus(self.state, done, failures)
+        announced = tuple(
+            run.key
+            for run in self.steps.values()
+            if (run.unlocked_at or run.inherited) and not run.complete
+        )
+        return JobStatus(self.state, done, failures, announced)
 
 
 @define(eq=False)
@@ -261,6 +268,8 @@
             for position, step in enumerate(job.spec.steps):
                 step_run = StepRun(job, occurrence, position, step)
                 step_run.done = status.done.get(step_run.key, 0)
+                step_run.inherited = step_run.key in status.announced
+                step_run.announced = step_run.inherited
                 job.steps[occurrence, position] = step_run
         job_failures = status.failures
         for step_run in job.steps.values():
@@ -302,11 +311,23 @@
                 continue
             if all(job.steps[occurrence, earlier].complete for earlier in step.after):
                 step_run.unlocked_at = now
+                if not step_run.announced:
+                    self.dirty.add(job.id)
                 self._create_subtasks(step_run)
                 for subtask in step_run.subtasks:
                     if not subtask.done and subtask.run is None:
                         self.set_waiting(subtask)
 
+    def note_stored(self, jobs: list[str], statuses: list[JobStatus]) -> None:
+        """Note that statuses are stored, which lets their steps start."""
+        for job_id, status in zip(jobs, statuses, strict=True):
+            job = self.jobs.get(job_id)
+            if job is None:
+                continue
+            for step_run in job.steps.values():
+                if step_run.key in status.announced:
+                    step_run.announced = True
+
     def set_waiting(self, subtask: Subtask) -> None:
         """Queue a subtask for placement."""
         subtask.step_run.waiting[subtask.index] = subtask
--- a/hemlockstand/fleet/model.py
+++ b/hemlockstand/fleet/model.py
@@ -280,12 +280,15 @@
     ``done`` holds, by ``K.STEP``, the subtasks that have ended as done, as a
     bit set; ``failures`` holds the numbers of the failed runs by
     ``K.STEP.INDEX``, because an end is listed until it was acknowledged and
-    a new scheduler sees it again.
+    a new scheduler sees it again. ``announced`` holds the steps by
+    ``K.STEP`` that may have been started; it is stored before the first
+    start.
     """
 
     state: JobState
     done: Mapping[str, int] = field(factory=dict)
     failures: Mapping[str, tuple[int, ...]] = field(factory=dict)
+    announced: tuple[str, ...] = ()
     ended_ms: int = 0
 
 
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -32,12 +32,11 @@
     """Chooses executors for the waiting subtasks of a ledger.
 
     ``gated`` names the pools in which runs of an earlier scheduler may exist
-    unseen; jobs up to ``gate_version`` wait there.
+    unseen; steps that it may have started wait there.
     """
 
     ledger: Ledger
     executors: Mapping[str, Executor]
-    gate_version: int = 0
     gated: set[str] = field(factory=set)
 
     def place(self, config: FleetConfig, now: float) -> Iterator[Placement]:
@@ -49,7 +48,7 @@
         )
         for step_run in order:
             pool = find_pool(step_run.job, config)
-            if pool in self.gated and step_run.job.version <= self.gate_version:
+            if not step_run.announced or (step_run.inherited and pool in self.gated):
                 continue
             yield from self._place_step(step_run, pools.get(pool, ()), config, now)
 
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -63,7 +63,8 @@
 
     ``epoch`` grows with each holder, and ``sequence`` with each of a holder's
     writes. ``executors`` holds pool and address of those that may have runs.
-    An empty ``holder`` has released the lease.
+    ``ordered`` holds the instances that were ordered in the last seconds. An
+    empty ``holder`` has released the lease.
     """
 
     holder: str
@@ -71,6 +72,7 @@
     epoch: int
     sequence: int
     executors: Mapping[str, tuple[str, str]] = field(factory=dict)
+    ordered: tuple[str, ...] = ()
 
 
 @frozen
