Leave alone only instances whose order may still matter

Cause: after a takeover all instances that were ordered in the last 8 s were left alone for 5 s, which was most of the standby pool, so the pool whose turn came had 2 instances for 5 s.

--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 import attrs
@@ -23,6 +23,7 @@
 )
 from hemlockstand.fleet.eviction import find_stoppable
 from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.lease import InstanceOrders
 from hemlockstand.fleet.ledger import Ledger, Subtask
 from hemlockstand.fleet.metrics import INSTANCE_ORDERS
 from hemlockstand.fleet.model import FleetConfig, InstanceEntry, InstanceState, Wave
@@ -46,8 +47,8 @@
 CLEAR_SECONDS = 4.0
 RETRY_SECONDS = 0.5
 STORED_POLL_SECONDS = 0.01
-# For longer than two holders' orders for an instance must be apart.
-ORDER_MEMORY_SECONDS = 8.0
+# Clocks of two holders may differ by a few percent.
+TURN_MARGIN = 1.1
 
 
 @define(eq=False)
@@ -113,11 +114,12 @@
     holder: str
     fence: int
     clock: Callable[[], float]
+    turn_seconds: float
     waves: dict[int, WaveProgress] = field(factory=dict)
     instances: dict[str, InstanceEntry] = field(factory=dict)
     plans: dict[str, Plan] = field(factory=dict)
     _needs: dict[str, PoolNeed] = field(factory=dict)
-    _ordered: dict[str, float] = field(factory=dict)
+    _answered: dict[str, float] = field(factory=dict)
     _blocked: dict[str, float] = field(factory=dict)
     _reported: dict[str, tuple[int, int]] = field(factory=dict)
     _listed_at: float = float("-inf")
@@ -145,26 +147,32 @@
         self.waves[wave.number] = progress
         self.host.want_commit()
 
-    def block(self, instances: Iterable[str], turn_seconds: float) -> None:
-        """Leave alone for a while what an earlier scheduler has ordered."""
-        until = self.clock() + turn_seconds + EARLIER_ORDER_SECONDS
-        self._blocked = dict.fromkeys(instances, until)
+    def block(self, orders: InstanceOrders, waited_seconds: float) -> None:
+        """Leave alone for a while what an earlier scheduler has ordered.
 
-    def find_ordered(self) -> tuple[str, ...]:
+        ``waited_seconds`` is the time since it can have had an answer.
+        """
+        now = self.clock()
+        until = now + self.turn_seconds - waited_seconds
+        self._blocked = dict.fromkeys(orders.answered, until)
+        until = now + self.turn_seconds + EARLIER_ORDER_SECONDS
+        self._blocked.update(dict.fromkeys(orders.open, until))
+
+    def find_orders(self) -> InstanceOrders:
         """Return the instances that the next scheduler must leave alone.
 
         An instance is stored here before its first order is sent.
         """
-        oldest = self.clock() - ORDER_MEMORY_SECONDS
-        for name, ordered_at in list(self._ordered.items()):
-            plan = self.plans.get(name)
-            if ordered_at < oldest and (plan is None or not plan.ordering):
-                del self._ordered[name]
-        return tuple(self._ordered)
-
-    def note_stored(self, instances: Iterable[str]) -> None:
+        oldest = self.clock() - self.turn_seconds * TURN_MARGIN
+        for name, answered_at in list(self._answered.items()):
+            if answered_at < oldest:
+                del self._answered[name]
+        in_progress = (plan.instance for plan in self.plans.values() if plan.ordering)
+        return InstanceOrders(tuple(in_progress), tuple(self._answered))
+
+    def note_stored(self, orders: InstanceOrders) -> None:
         """Note that the next scheduler knows of these orders."""
-        for name in instances:
+        for name in orders.open:
             plan = self.plans.get(name)
             if plan is not None:
                 plan.stored = True
@@ -363,10 +371,17 @@
                 # Upkeep takes the instance away for as long as a move.
                 if plan.pool == pool:
                     members.append(instance)
-            elif instance.pool == pool and instance.state is not InstanceState.DOWN:
+            elif instance.pool == pool and self._is_of_use(instance):
                 members.append(instance)
         return members
 
+    def _is_of_use(self, instance: InstanceEntry) -> bool:
+        """Return whether an instance runs work, or will in a moment."""
+        if instance.state is InstanceState.DOWN:
+            return False
+        executor = self._find_executor(instance.name)
+        return executor is None or executor.reachable
+
     def _rank_surplus(self, members: list[InstanceEntry]) -> list[InstanceEntry]:
         """Return the members that can go, those with the least work first."""
         movable = [
@@ -411,18 +426,40 @@
     def _find_sources(
         self, surplus: list[InstanceEntry], standby: list[str]
     ) -> Iterator[InstanceEntry]:
-        """Yield idle instances, then those on standby."""
+        """Yield idle instances, then those on standby.
+
+        Those that cannot be ordered yet, or stand where executors do not
+        answer, come last.
+        """
         for instance in list(surplus):
             executor = self._find_executor(instance.name)
             if executor is not None and not executor.runs:
                 yield instance
-        for instance in self.instances.values():
-            if (
-                instance.pool in standby
-                and instance.state is InstanceState.UP
-                and instance.name not in self.plans
-            ):
-                yield instance
+        lost = self._count_lost()
+        now = self.clock()
+        waiting = [
+            instance
+            for instance in self.instances.values()
+            if instance.pool in standby
+            and instance.state is InstanceState.UP
+            and instance.name not in self.plans
+        ]
+        yield from sorted(
+            waiting,
+            key=lambda instance: (
+                self._blocked.get(instance.name, 0.0) > now,
+                lost.get(instance.data_centre, 0),
+            ),
+        )
+
+    def _count_lost(self) -> dict[str, int]:
+        """Return the executors that do not answer by data centre."""
+        counts: dict[str, int] = {}
+        for executor in self.host.executors.values():
+            if executor.present and not executor.reachable:
+                data_centre = executor.entry.data_centre
+                counts[data_centre] = counts.get(data_centre, 0) + 1
+        return counts
 
     def _plan_move(self, instance: InstanceEntry, pool: str) -> None:
         self._reserve(Plan(instance.name, pool=pool, planned_at=self.clock()))
@@ -468,7 +505,6 @@
         if progress is not None:
             progress.ordered.add(plan.instance)
             progress.stored = False
-        self._ordered[plan.instance] = self.clock()
         plan.stored = False
         self.host.want_commit()
         while not plan.stored or not (progress is None or progress.stored):
@@ -498,6 +534,7 @@
         outcome: OrderOutcome,
         progress: WaveProgress | None,
     ) -> None:
+        self._answered[plan.instance] = self.clock()
         kind = "upkeep" if plan.wave else "move"
         INSTANCE_ORDERS.labels(kind, outcome.value).inc()
         log.info(
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -10,7 +10,7 @@
 from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.instances import InstanceManager
-from hemlockstand.fleet.lease import SchedulerLease
+from hemlockstand.fleet.lease import InstanceOrders, SchedulerLease
 from hemlockstand.fleet.ledger import (
     Job,
     Ledger,
@@ -129,6 +129,7 @@
             holder=settings.daemon.name,
             fence=epoch,
             clock=clock,
+            turn_seconds=settings.bounds.order_turn_ms / 1000,
         )
         self._wave_records: dict[int, WaveRecord] = {}
         self._nursery: trio.Nursery
@@ -187,8 +188,9 @@
             await self._load_waves()
             if not fresh:
                 self._close_gates()
-                turn_seconds = self._settings.bounds.order_turn_ms / 1000
-                self._instances.block(self._lease.record.ordered, turn_seconds)
+                record = self._lease.record
+                orders = InstanceOrders(record.ordered, record.turned)
+                self._instances.block(orders, self._lease.lease_seconds)
             nursery.start_soon(self._follow_jobs, version)
             nursery.start_soon(self._follow_executors, servers)
             nursery.start_soon(self._place_forever)
@@ -724,13 +726,13 @@
             for executor in self.executors.values()
         }
         try:
-            ordered = self._instances.find_ordered()
-            await self._lease.commit(writes, removed, listed, ordered, release)
+            orders = self._instances.find_orders()
+            await self._lease.commit(writes, removed, listed, orders, release)
         except BaseException:
             self.ledger.dirty.update(dirty)
             raise
         self._pending = pending
-        self._instances.note_stored(ordered)
+        self._instances.note_stored(orders)
         if dirty:
             self.ledger.note_stored(dirty, statuses)
             self._place_wanted.set()
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -10,7 +10,7 @@
 
 import attrs
 import trio
-from attrs import define
+from attrs import define, frozen
 from loguru import logger
 
 from hemlockstand.coordination.lease import LeaseLost
@@ -39,6 +39,21 @@
 _NEVER = float("-inf")
 
 
+@frozen
+class InstanceOrders:
+    """Instances that the next holder leaves alone for a while.
+
+    An order of the ``open`` ones may be on its way; that of the ``answered``
+    ones was answered a short time ago.
+    """
+
+    open: tuple[str, ...] = ()
+    answered: tuple[str, ...] = ()
+
+
+NO_ORDERS = InstanceOrders()
+
+
 @define(eq=False)
 class SchedulerLease:
     """The lease of one holder."""
@@ -60,12 +75,12 @@
         writes: Sequence[RowWrite] = (),
         removed: Sequence[RowKey] = (),
         executors: Mapping[str, tuple[str, str]] | None = None,
-        ordered: tuple[str, ...] = (),
+        orders: InstanceOrders = NO_ORDERS,
         release: bool = False,
     ) -> None:
         """Apply the writes and extend the lease.
 
-        ``executors`` and ``ordered`` are for the next holder. Raises
+        ``executors`` and ``orders`` are for the next holder. Raises
         ``LeaseLost``, or ``PlatformUnavailable`` if nothing was applied. A
         lost answer is resolved before this returns.
         """
@@ -74,7 +89,8 @@
             holder="" if release else self.record.holder,
             sequence=self.record.sequence + 1,
             executors=self.record.executors if executors is None else executors,
-            ordered=ordered,
+            ordered=orders.open,
+            turned=orders.answered,
         )
         batch = [lease_write(record), *writes]
         sent_at = self.clock()
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -63,8 +63,9 @@
 
     ``epoch`` grows with each holder, and ``sequence`` with each of a holder's
     writes. ``executors`` holds pool and address of those that may have runs.
-    ``ordered`` holds the instances that were ordered in the last seconds. An
-    empty ``holder`` has released the lease.
+    ``ordered`` holds the instances with an order that may be on its way, and
+    ``turned`` those whose order was answered a short time ago. An empty
+    ``holder`` has released the lease.
     """
 
     holder: str
@@ -73,6 +74,7 @@
     sequence: int
     executors: Mapping[str, tuple[str, str]] = field(factory=dict)
     ordered: tuple[str, ...] = ()
+    turned: tuple[str, ...] = ()
 
 
 @frozen
