--- /dev/null
+++ b/hemlockstand/fleet/advising.py
@@ -0,0 +1,141 @@
+"""Tickets for queues whose policy allows only some executors."""
+
+from collections.abc import Callable, Iterator
+from typing import Protocol
+
+import trio
+from attrs import define, field, frozen
+from loguru import logger
+
+from hemlockstand.errors import PlatformUnavailable
+from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.ledger import Ledger, StepRun, find_pool
+from hemlockstand.fleet.model import FleetConfig
+from hemlockstand.fleet.placement import is_usable
+from hemlockstand.platform.advice import AdviceClient
+
+log = logger.bind(module=__name__)
+
+# A call takes time for each executor it names, and most policies allow some
+# of any eight.
+EXECUTORS_PER_CALL = 8
+ROUND_SECONDS = 0.02
+RETRY_SECONDS = 0.5
+# A ticket that is about to end is not used: the order takes time to arrive.
+USE_FRACTION = 0.8
+
+
+@frozen
+class Ticket:
+    """Permission to run a step on one life of an executor."""
+
+    text: str
+    born_ms: int | None
+    valid_until: float
+
+
+class AdviceHost(Protocol):
+    """What the advisor asks of the scheduler."""
+
+    executors: dict[str, Executor]
+    ledger: Ledger
+
+    @property
+    def config(self) -> FleetConfig:
+        """The configuration in force."""
+
+    def want_place(self) -> None:
+        """Have waiting subtasks placed."""
+
+
+@define(eq=False)
+class Advisor:
+    """Asks for tickets ahead of placement, one call at a time."""
+
+    host: AdviceHost
+    client: AdviceClient
+    clock: Callable[[], float]
+    _tickets: dict[tuple[str, str], Ticket | None] = field(factory=dict)
+
+    def find_ticket(self, step_run: StepRun, executor: Executor) -> str | None:
+        """Return a ticket that is valid now; None if there is none."""
+        ticket = self._tickets.get((step_run.name, executor.id))
+        if ticket is None or ticket.born_ms != executor.born_ms:
+            return None
+        return ticket.text if ticket.valid_until > self.clock() else None
+
+    def drop_ticket(self, step_run: StepRun, executor: Executor) -> None:
+        """Forget a ticket that the executor has refused."""
+        self._tickets.pop((step_run.name, executor.id), None)
+
+    def needs_ticket(self, step_run: StepRun, config: FleetConfig) -> bool:
+        """Return whether starts of the step carry a ticket."""
+        queue = config.queues_by_name.get(step_run.job.spec.queue)
+        return queue is not None and queue.advice is not None
+
+    async def run(self) -> None:
+        """Ask until the scheduler ends."""
+        while True:
+            await trio.sleep(ROUND_SECONDS)
+            for step_run in list(self._find_unadvised()):
+                await self._ask(step_run)
+            self._forget()
+
+    def _find_unadvised(self) -> Iterator[StepRun]:
+        for step_run in list(self.host.ledger.ready.values()):
+            if not self.needs_ticket(step_run, self.host.config):
+                continue
+            executors = self._find_executors(step_run)
+            if executors and not any(
+                self.find_ticket(step_run, executor) for executor in executors
+            ):
+                yield step_run
+
+    def _find_executors(self, step_run: StepRun) -> list[Executor]:
+        pool = find_pool(step_run.job, self.host.config)
+        now = self.clock()
+        return [
+            executor
+            for executor in self.host.executors.values()
+            if executor.entry.pool == pool and is_usable(executor, now)
+        ]
+
+    async def _ask(self, step_run: StepRun) -> None:
+        unknown = [
+            executor
+            for executor in self._find_executors(step_run)
+            if not self._is_known(step_run, executor)
+        ]
+        unknown.sort(key=Executor.free_cpu, reverse=True)
+        asked = unknown[:EXECUTORS_PER_CALL]
+        if not asked:
+            return
+        try:
+            advice = await self.client.ask(
+                step_run.name, [executor.id for executor in asked]
+            )
+        except PlatformUnavailable as error:
+            log.info("no advice", step=step_run.name, detail=str(error))
+            await trio.sleep(RETRY_SECONDS)
+            return
+        valid_until = self.clock() + advice.validity_ms / 1000 * USE_FRACTION
+        for executor in asked:
+            text = advice.tickets.get(executor.id, "")
+            ticket = Ticket(text, executor.born_ms, valid_until)
+            self._tickets[step_run.name, executor.id] = ticket
+        log.info("advice", step=step_run.name, allowed=len(advice.tickets))
+        self.host.want_place()
+
+    def _is_known(self, step_run: StepRun, executor: Executor) -> bool:
+        ticket = self._tickets.get((step_run.name, executor.id))
+        if ticket is None or ticket.born_ms != executor.born_ms:
+            return False
+        # Which executors are allowed does not change, so a refusal stands.
+        return not ticket.text or ticket.valid_until > self.clock()
+
+    def _forget(self) -> None:
+        """Forget the tickets of jobs that have ended."""
+        for name, executor in list(self._tickets):
+            job = self.host.ledger.jobs.get(name.partition(".")[0])
+            if job is None or job.state.final:
+                del self._tickets[name, executor]
--- a/hemlockstand/fleet/eviction.py
+++ b/hemlockstand/fleet/eviction.py
@@ -1,4 +1,8 @@
-"""Clearing an executor without taking more of a step away than it may miss."""
+"""Which runs to stop: to clear an executor, or because they stand still.
+
+A step that lasts is never left with more of its subtasks away than it may
+miss.
+"""
 
 from collections.abc import Iterator, Mapping
 
@@ -6,6 +10,12 @@
 from hemlockstand.fleet.ledger import RunState, Subtask
 
 AT_WORK_PERCENT = 100  # of a lasting subtask; less while it starts up
+# A run whose percent did not change over this time and several looks stands
+# still; one of a minute shows a percent more twice as fast, even on an
+# executor that is slow.
+STALL_SECONDS = 1.5
+STALL_LOOKS = 3
+LONGEST_WATCHED_MS = 60_000
 
 
 def find_stoppable(
@@ -79,3 +89,33 @@
         and not executor.reserved
         and executor.quarantined_until <= now
     )
+
+
+def find_stalled(executor: Executor, now: float) -> Iterator[Subtask]:
+    """Yield the runs of an executor that make no progress."""
+    for subtask in list(executor.runs.values()):
+        run = subtask.run
+        if run is None or run.state is not RunState.RUNNING or run.pace < 100:
+            continue
+        step = subtask.step
+        if step.lasting or step.gang or step.estimate_ms > LONGEST_WATCHED_MS:
+            continue
+        if run.looks >= STALL_LOOKS and now - run.percent_at > STALL_SECONDS:
+            yield subtask
+
+
+def find_leaving(
+    executor: Executor, executors: Mapping[str, Executor], now: float
+) -> Iterator[Subtask]:
+    """Yield the runs of a draining executor that are better off elsewhere.
+
+    Lasting work would end with the executor. Short work ends before, and
+    what keeps its progress loses none by a stop.
+    """
+    for subtask in list(executor.runs.values()):
+        run = subtask.run
+        if run is None or run.state is not RunState.RUNNING or subtask.step.gang:
+            continue
+        movable = subtask.step.lasting or subtask.step.checkpoints
+        if movable and has_place(subtask, executors, now):
+            yield subtask
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -314,5 +314,7 @@
     if percent != run.percent:
         run.percent = percent
         run.percent_at = now
+        run.looks = 0
+    run.looks += 1
     run.load = load
     run.checkpoint = checkpoint or run.checkpoint
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -7,7 +7,9 @@
 from loguru import logger
 
 from hemlockstand.errors import HemlockstandError, InvalidInput, PlatformUnavailable
+from hemlockstand.fleet.advising import Advisor
 from hemlockstand.fleet.configuration import FleetConfigurationService
+from hemlockstand.fleet.eviction import find_leaving, find_stalled
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.lease import InstanceOrders, SchedulerLease
@@ -16,6 +18,7 @@
     Ledger,
     Run,
     RunState,
+    StepRun,
     Subtask,
     estimate_chain_seconds,
     find_attempts,
@@ -41,6 +44,7 @@
     StartOrder,
     Unanswered,
 )
+from hemlockstand.fleet.pacing import PaceChange, find_pace_changes
 from hemlockstand.fleet.placement import LATE_FACTOR, Placer
 from hemlockstand.fleet.settings import FleetSettings
 from hemlockstand.fleet.storage import (
@@ -55,6 +59,7 @@
     status_write,
     wave_writes,
 )
+from hemlockstand.platform.advice import AdviceClient
 from hemlockstand.platform.decoding import decode_executor
 from hemlockstand.platform.executors import ExecutorClient
 from hemlockstand.platform.machines import InstanceClient
@@ -88,6 +93,7 @@
 MAX_EXPIRED = 3  # jobs; each has three rows
 CROWDED_SECONDS = 0.25  # pause after an executor had less room than believed
 QUARANTINE_SECONDS = 3.0
+LONGEST_QUARANTINE_SECONDS = 12.0
 QUARANTINE_FAILURES = 2
 RESTART_SECONDS = 0.05
 STOP_RETRY_SECONDS = 0.3
@@ -115,7 +121,8 @@
         self._fence = epoch * FENCES_PER_EPOCH
         self.ledger = Ledger(run_base=(epoch - 1) * RUNS_PER_EPOCH)
         self.executors: dict[str, Executor] = {}
-        self._placer = Placer(self.ledger, self.executors)
+        self._advisor = Advisor(self, AdviceClient(settings.platform.advice), clock)
+        self._placer = Placer(self.ledger, self.executors, may_run=self._may_run)
         self._took_over_at = clock()
         self._place_wanted = trio.Event()
         self._commit_wanted = trio.Event()
@@ -196,6 +203,7 @@
             nursery.start_soon(self._place_forever)
             nursery.start_soon(self._tick_forever)
             nursery.start_soon(self._instances.run)
+            nursery.start_soon(self._advisor.run)
             await self._commit_until_leaving()
             nursery.cancel_scope.cancel()
 
@@ -420,6 +428,12 @@
         for placement in self._placer.place(self.config, now):
             self._start(placement.subtask, placement.executor)
 
+    def _may_run(self, step_run: StepRun, executor: Executor) -> bool:
+        """Return whether the policy of the step's queue allows an executor."""
+        if not self._advisor.needs_ticket(step_run, self.config):
+            return True
+        return bool(self._advisor.find_ticket(step_run, executor))
+
     def _start(self, subtask: Subtask, executor: Executor) -> None:
         run = Run(subtask.runs + 1, executor.id, executor.fence, self._clock())
         run.checkpoint = subtask.checkpoint
@@ -442,6 +456,7 @@
             due_ms,
             run.fence,
             run.checkpoint,
+            self._advisor.find_ticket(subtask.step_run, executor) or "",
         )
         self._orders += 1
         try:
@@ -498,6 +513,8 @@
             case Refusal.OLD:
                 # The executor has seen a higher number of an earlier scheduler.
                 subtask.runs += RUNS_PER_EPOCH // 10
+            case Refusal.TICKET:
+                self._advisor.drop_ticket(subtask.step_run, executor)
             case Refusal.INVALID:
                 log.error("executor {} refuses {}", executor.id, subtask.name)
                 subtask.not_before = now + 1.0
@@ -609,19 +626,31 @@
     def _note_failed(
         self, executor: Executor, subtask: Subtask, run: int, now_ms: int
     ) -> None:
-        executor.failed_in_row += 1
         subtask.avoid.add(executor.id)
-        if executor.failed_in_row >= QUARANTINE_FAILURES:
-            executor.quarantined_until = self._clock() + QUARANTINE_SECONDS
-            log.warning(
-                "executor {} is set aside", executor.id, failures=executor.failed_in_row
-            )
+        self._set_aside(executor)
         job = subtask.job
         attempts = find_attempts(job, self.config)
         self.ledger.add_failure(subtask, run, attempts, now_ms)
         if job.state.final:
             self._stop_runs(job)
 
+    def _set_aside(self, executor: Executor) -> None:
+        """Count a failure, and leave the executor alone after several."""
+        executor.failed_in_row += 1
+        excess = executor.failed_in_row - QUARANTINE_FAILURES
+        if excess < 0:
+            return
+        seconds = min(
+            LONGEST_QUARANTINE_SECONDS, QUARANTINE_SECONDS * 2 ** (excess // 2)
+        )
+        executor.quarantined_until = self._clock() + seconds
+        log.warning(
+            "executor {} is set aside",
+            executor.id,
+            failures=executor.failed_in_row,
+            seconds=seconds,
+        )
+
     def note_lost(self, executor: Executor, subtask: Subtask, reason: str) -> None:
         """Note that a run is over without an end in the executor's list."""
         run = subtask.run
@@ -661,8 +690,38 @@
             self._nursery.start_soon(
                 self._order_stop, executor, entry.subtask, entry.run
             )
+        self._adjust(executor)
         self._open_gates()
 
+    def _adjust(self, executor: Executor) -> None:
+        """Act on what the lists show: runs to stop, and other paces."""
+        now = self._clock()
+        for subtask in find_stalled(executor, now):
+            log.info("run stands still", subtask=subtask.name, executor=executor.id)
+            subtask.avoid.add(executor.id)
+            self._set_aside(executor)
+            self.stop_run(subtask)
+        if executor.entry.draining:
+            for subtask in find_leaving(executor, self.executors, now):
+                self.stop_run(subtask)
+        for change in list(find_pace_changes(executor)):
+            self._nursery.start_soon(self._order_pace, executor, change)
+
+    async def _order_pace(self, executor: Executor, change: PaceChange) -> None:
+        run = change.subtask.run
+        if run is None or not self.may_order():
+            return
+        before = run.pace
+        run.pace = change.percent
+        name = change.subtask.name
+        try:
+            await executor.client.pace(name, run.number, change.percent, executor.fence)
+        except HemlockstandError as error:
+            run.pace = before
+            log.info("pace not set", subtask=name, detail=str(error))
+            return
+        log.info("pace", subtask=name, percent=change.percent, executor=executor.id)
+
     # Commits
 
     async def _commit_until_leaving(self) -> None:
--- a/hemlockstand/fleet/ledger.py
+++ b/hemlockstand/fleet/ledger.py
@@ -52,6 +52,7 @@
     answered_at: float | None = None
     percent: int = 0
     percent_at: float = 0.0
+    looks: int = 0  # since the percent has changed
     load: int = 0
     pace: int = 100
     checkpoint: str = ""
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -5,7 +5,7 @@
 it use the room.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from attrs import define, field, frozen
 
@@ -32,12 +32,16 @@
     """Chooses executors for the waiting subtasks of a ledger.
 
     ``gated`` names the pools in which runs of an earlier scheduler may exist
-    unseen; steps that it may have started wait there.
+    unseen; steps that it may have started wait there. ``may_run`` says
+    whether the queue's policy allows an executor.
     """
 
     ledger: Ledger
     executors: Mapping[str, Executor]
     gated: set[str] = field(factory=set)
+    may_run: Callable[[StepRun, Executor], bool] = field(
+        default=lambda step_run, executor: True
+    )
 
     def place(self, config: FleetConfig, now: float) -> Iterator[Placement]:
         """Yield placements; the caller starts each before asking for the next."""
@@ -50,7 +54,12 @@
             pool = find_pool(step_run.job, config)
             if not step_run.announced or (step_run.inherited and pool in self.gated):
                 continue
-            yield from self._place_step(step_run, pools.get(pool, ()), config, now)
+            executors = [
+                executor
+                for executor in pools.get(pool, ())
+                if self.may_run(step_run, executor)
+            ]
+            yield from self._place_step(step_run, executors, config, now)
 
     def _group_executors(self, now: float) -> dict[str, list[Executor]]:
         pools: dict[str, list[Executor]] = {}
