Count unseen and unwanted runs against a tenant's maximum

A new scheduler did not count what ran on executors that it had not reached, nor runs of cancelled jobs that it was stopping. Ruled out: the bound of the test (the stand-in counted runs whose lease had run out; mended there). Also ruled out as faults of the product: starts after an end whose executor's lease had lapsed, and late orders to a new lifetime. Ends of a job that has ended unlock nothing any more.

--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -43,6 +43,7 @@
     ended_at: float | None = None
     kind: EndKind | None = None
     acknowledged: bool = False
+    lapsed: bool = False  # the executor's lease ran out after the end
 
 
 @define(eq=False)
@@ -118,6 +119,7 @@
     def advance(self) -> None:
         """Bring the runs up to the present."""
         now = trio.current_time()
+        self._note_lapse()
         for name, run in list(self.running.items()):
             if self.due_ms <= self.clock_ms:
                 self._end(name, EndKind.LAPSED, self.due_ms / 1000 + self.clock_offset)
@@ -127,10 +129,17 @@
                 kind = EndKind.FAILED if run.work.fails else EndKind.DONE
                 self._end(name, kind, run.began_at + run.work.seconds)
 
+    def _note_lapse(self) -> None:
+        """Mark the ends that the scheduler may not rely on any more."""
+        if self.due_ms <= self.clock_ms:
+            for record in self.ended_records.values():
+                record.lapsed = True
+
     def _end(self, name: str, kind: EndKind, at: float) -> None:
         run = self.running.pop(name)
         run.record.ended_at = at
         run.record.kind = kind
+        run.record.lapsed = self.due_ms <= self.clock_ms
         self.numbers += 1
         end = EndEntry(self.numbers, name, run.record.number, kind, "")
         self.ends.append(end)
@@ -145,6 +154,7 @@
         self.running.clear()
         self.ends.clear()
         self.ended_records.clear()
+        self.late.clear()
 
     def restart(self) -> None:
         """Begin a new lifetime under the same id."""
@@ -193,8 +203,9 @@
         if due_ms is not None:
             self.due_ms = max(self.due_ms, due_ms)
         for end in self.ends:
-            if end.number <= acked:
-                self.ended_records[end.number].acknowledged = True
+            record = self.ended_records[end.number]
+            if end.number <= acked and not record.lapsed:
+                record.acknowledged = True
         self.ends = [end for end in self.ends if end.number > acked]
 
     def take_fence(self, fence: int) -> None:
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -36,8 +36,6 @@
 log = logger.bind(module=__name__)
 
 SLOWEST_CLOCK = 0.98  # an executor's clock may be 2% slow
-# An order without an answer is carried out at most 12 s after it was sent.
-LATE_ORDER_SECONDS = 12.5
 RETRY_SECONDS = 0.3
 UNSTORED_POLL_SECONDS = 0.02
 LAPSE_MARGIN_SECONDS = 0.15
@@ -292,10 +290,6 @@
         self.noted = 0
         self.acked = 0
         for subtask in list(self.runs.values()):
-            run = subtask.run
-            if run is not None and run.state is RunState.UNSURE:
-                # The order could still be carried out by the next lifetime.
-                subtask.not_before = run.ordered_at + LATE_ORDER_SECONDS
             self._lose(subtask, reason)
 
     def close(self) -> None:
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -41,6 +41,7 @@
     Refusal,
     Refused,
     Resources,
+    RunEntry,
     Started,
     StartOrder,
     Unanswered,
@@ -606,14 +607,15 @@
                 self.ledger.detach(subtask)
             self.ledger.set_started(subtask.job)
             self.ledger.set_done(subtask, now, now_ms)
+            # Another run may go on where this one was believed to be lost.
+            self.stop_run(subtask)
             return
         if end.checkpoint:
             subtask.checkpoint = end.checkpoint
-        delay = RESTART_SECONDS
         if end.kind is EndKind.FAILED:
             self._note_failed(executor, subtask, end.run, now_ms)
         if current:
-            self._release(subtask, delay)
+            self._release(subtask, RESTART_SECONDS)
 
     def _note_duration(self, subtask: Subtask, now: float) -> None:
         run = subtask.run
@@ -674,25 +676,33 @@
             if entry.subtask in executor.runs:
                 continue
             subtask = self.ledger.find(entry.subtask)
-            if subtask is not None and subtask.run is None and not subtask.done:
-                run = Run(entry.run, executor.id, executor.fence, self._clock())
-                run.state = RunState.RUNNING
-                run.answered_at = self._clock()
-                run.percent = entry.percent
-                run.percent_at = run.answered_at
-                run.checkpoint = entry.checkpoint
-                self.ledger.attach(subtask, run)
-                executor.add_run(subtask)
-                self.ledger.set_started(subtask.job)
-                log.info("run adopted", subtask=entry.subtask, executor=executor.id)
+            if subtask is None or subtask.run is not None:
+                log.info("run not wanted", subtask=entry.subtask, executor=executor.id)
+                self._nursery.start_soon(
+                    self._order_stop, executor, entry.subtask, entry.run
+                )
                 continue
-            log.info("run not wanted", subtask=entry.subtask, executor=executor.id)
-            self._nursery.start_soon(
-                self._order_stop, executor, entry.subtask, entry.run
-            )
+            self._adopt(executor, subtask, entry)
         self._adjust(executor)
         self._open_gates()
 
+    def _adopt(self, executor: Executor, subtask: Subtask, entry: RunEntry) -> None:
+        """Take over a run; what is not wanted counts until it has stopped."""
+        now = self._clock()
+        run = Run(entry.run, executor.id, executor.fence, now)
+        run.state = RunState.RUNNING
+        run.answered_at = now
+        run.percent = entry.percent
+        run.percent_at = now
+        run.checkpoint = entry.checkpoint
+        self.ledger.attach(subtask, run)
+        executor.add_run(subtask)
+        log.info("run adopted", subtask=subtask.name, executor=executor.id)
+        if subtask.done or subtask.job.state.final:
+            self.stop_run(subtask)
+        else:
+            self.ledger.set_started(subtask.job)
+
     def _adjust(self, executor: Executor) -> None:
         """Act on what the lists show: runs to stop, and other paces."""
         now = self._clock()
--- a/hemlockstand/fleet/ledger.py
+++ b/hemlockstand/fleet/ledger.py
@@ -342,15 +342,18 @@
             self.ready.pop(step_run.name, None)
 
     def find(self, name: str) -> Subtask | None:
-        """Return a subtask of a job that has not ended.
+        """Return a subtask by the name that executors use.
 
         A step that is still locked here may run all the same: a previous
-        scheduler started it on ends that were not stored yet.
+        scheduler started it on ends that were not stored yet. So may one of a
+        job that has ended, until its stop has arrived.
         """
         job_id, _, rest = name.partition(".")
         job = self.jobs.get(job_id)
-        if job is None or job.state.final:
+        if job is None:
             return None
+        if not job.steps:
+            self._create_steps(job, JobStatus(job.state))
         try:
             occurrence, position, index = (int(part) for part in rest.split("."))
             step_run = job.steps[occurrence, position]
@@ -391,10 +394,11 @@
 
     def set_done(self, subtask: Subtask, now: float, now_ms: int) -> None:
         """Note that a subtask has ended as done, and unlock what follows."""
-        if subtask.done:
-            return
         step_run = subtask.step_run
         job = subtask.job
+        if subtask.done or job.state.final:
+            subtask.done = True
+            return
         members = step_run.subtasks if step_run.step.gang else (subtask,)
         for member in members:
             member.done = True
@@ -412,7 +416,7 @@
     ) -> None:
         """Count a failed run once; the job fails with the last attempt."""
         subtask.failures.add(run)
-        if subtask.step.lasting:
+        if subtask.step.lasting or subtask.job.state.final:
             return
         self.dirty.add(subtask.job.id)
         if len(subtask.failures) >= attempts and not subtask.done:
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -42,10 +42,12 @@
     may_run: Callable[[StepRun, Executor], bool] = field(
         default=lambda step_run, executor: True
     )
+    _unseen: dict[str, Resources] = field(factory=dict)
 
     def place(self, config: FleetConfig, now: float) -> Iterator[Placement]:
         """Yield placements; the caller starts each before asking for the next."""
         pools = self._group_executors(now)
+        self._unseen = self._measure_unseen(config)
         order = sorted(
             self.ledger.ready.values(),
             key=lambda step_run: rank_step(step_run, config, now),
@@ -61,6 +63,21 @@
             ]
             yield from self._place_step(step_run, executors, config, now)
 
+    def _measure_unseen(self, config: FleetConfig) -> dict[str, Resources]:
+        """Return by tenant what runs of an earlier scheduler may take unseen."""
+        unseen: dict[str, Resources] = {}
+        if not self.gated:
+            return unseen
+        for step_run in self.ledger.ready.values():
+            job = step_run.job
+            if not step_run.inherited or find_pool(job, config) not in self.gated:
+                continue
+            tenant = job.spec.tenant
+            size = step_run.step.size
+            count = len(step_run.waiting)
+            unseen[tenant] = unseen.get(tenant, Resources()).add(size, count)
+        return unseen
+
     def _group_executors(self, now: float) -> dict[str, list[Executor]]:
         pools: dict[str, list[Executor]] = {}
         for executor in self.executors.values():
@@ -120,6 +137,7 @@
         if tenant is None:
             return True
         used = self.ledger.in_use.get(tenant.name, Resources()).add(size)
+        used = used.add(self._unseen.get(tenant.name, Resources()))
         maximum = tenant.maximum
         return (
             (not maximum.cpu_millis or used.cpu_millis <= maximum.cpu_millis)
--- a/test/test_fleet_scheduler.py
+++ b/test/test_fleet_scheduler.py
@@ -298,3 +298,38 @@
         began = sorted(run.began_at - start for run in world.records)
         assert [round(at) for at in began] == [5, 7, 9]
         assert all(at >= 5 + 2 * k for k, at in enumerate(began))
+
+
+async def test_cancelled_job_does_not_go_on_to_its_next_step(clock):
+    """Guards against a step that an end unlocks after the job's cancel."""
+    async with open_world() as world:
+        world.add_executor()
+        world.start_daemon("a")
+        job = world.submit(step(1), step(1, after=(0,)))
+        await world.wait_for(lambda: world.find_running(job), 5)
+        began_at = world.records[0].began_at
+        await trio.sleep(began_at + 0.97 - trio.current_time())
+        world.cancel(job)
+        await trio.sleep(3)
+        assert world.count_runs(job) == 1
+
+
+async def test_unwanted_runs_count_until_they_have_stopped(clock):
+    """Guards against a tenant over its maximum beside runs that are being stopped."""
+    async with open_world() as world:
+        for _ in range(2):
+            world.add_executor()
+        world.configuration.current = make_config(Resources(4000))
+        first = world.start_daemon("a")
+        await trio.sleep(1)
+        job = world.submit(step(4), work=Work(30.0, size=SMALL))
+        await world.wait_for(lambda: world.count_runs(job) == 4, 5)
+        world.kill(first)
+        world.cancel(job)
+        other = world.submit(step(4), work=Work(2.0, size=SMALL))
+        world.start_daemon("b")
+        most = 0
+        while world.state(other) != "completed":
+            most = max(most, len(world.find_running()))
+            await trio.sleep(0.01)
+        assert most == 4
