--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -23,15 +23,13 @@
 from hemlockstand.fleet.services import RowStoreService
 from hemlockstand.fleet.settings import FleetSettings
 from hemlockstand.fleet.storage import (
-    JOBS_TABLE,
     PENDING_KEY,
     SCHEDULER_TABLE,
     JobRows,
     cancel_write,
     decode_pending,
-    group_rows,
-    job_range,
     job_write,
+    read_job,
 )
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.platform.callers import (
@@ -215,8 +213,9 @@
         except InvalidInput as error:
             log.info("job refused", job=job, detail=str(error))
             return refuse(400, error.message)
-        expected = (RowExpectation(JOBS_TABLE, job, 0),)
-        answer = await self._store(call, job_write(spec), expected)
+        write = job_write(spec)
+        expected = (RowExpectation(write.table, write.key, 0, write.part),)
+        answer = await self._store(call, write, expected)
         log.info(
             "job submitted",
             job=job,
@@ -253,11 +252,10 @@
 
     async def _read_job(self, job: str) -> JobRows | None:
         try:
-            page = await self._rows.read(JOBS_TABLE, *job_range(job))
+            return await read_job(self._rows, job)
         except PlatformUnavailable as error:
             log.info("state not read", job=job, detail=str(error))
             return None
-        return group_rows(page.rows).get(job, JobRows())
 
     async def _count_pending(self, queue: Queue) -> Answer:
         try:
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -6,7 +6,12 @@
 import trio
 from loguru import logger
 
-from hemlockstand.errors import HemlockstandError, InvalidInput, PlatformUnavailable
+from hemlockstand.errors import (
+    HemlockstandError,
+    InvalidInput,
+    OutcomeUnknown,
+    PlatformUnavailable,
+)
 from hemlockstand.fleet.advising import Advisor
 from hemlockstand.fleet.clients import FleetClients
 from hemlockstand.fleet.configuration import FleetConfigurationService
@@ -53,11 +58,13 @@
     EXECUTORS_TABLE,
     JOBS_TABLE,
     SCHEDULER_TABLE,
+    STATES_TABLE,
     WaveRecord,
     decode_waves,
+    expired_keys,
     group_rows,
-    job_keys,
     pending_write,
+    read_jobs,
     status_write,
     wave_writes,
 )
@@ -211,7 +218,7 @@
     async def _load_jobs(self) -> int:
         while True:
             try:
-                page = await self._rows.read_all(JOBS_TABLE)
+                page = await read_jobs(self._rows)
                 break
             except PlatformUnavailable as error:
                 await self._wait_for_store(error)
@@ -787,9 +794,9 @@
         noted = {executor: executor.noted for executor in self.executors.values()}
         lifetimes = {executor: executor.born_ms for executor in noted}
         expired = self._expire_jobs()
-        removed = [
-            RowKey(JOBS_TABLE, key) for job_id in expired for key in job_keys(job_id)
-        ]
+        removed = [RowKey(STATES_TABLE, job_id) for job_id in expired]
+        for job_id in expired:
+            self._nursery.start_soon(self._remove_job, job_id)
         listed = {
             executor.id: (executor.entry.pool, executor.entry.address)
             for executor in self.executors.values()
@@ -812,6 +819,13 @@
         if not all_dirty:
             self._commit_wanted.set()
 
+    async def _remove_job(self, job_id: str) -> None:
+        """Remove a job that ended long ago; what fails stays as a dead row."""
+        try:
+            await self._rows.write(removed=expired_keys(job_id))
+        except (PlatformUnavailable, OutcomeUnknown) as error:
+            log.info("rows not removed", job=job_id, detail=str(error))
+
     def _expire_jobs(self) -> list[str]:
         before_ms = int((time.time() - self._settings.bounds.status_s * 1.5) * 1000)
         return self.ledger.expire(before_ms, MAX_EXPIRED)
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -1,12 +1,13 @@
 """Rows that the daemons share through the platform's store.
 
-All rows lie in one part, so that the scheduler changes them in one
+The scheduler's rows lie in one part, so that it changes them in one
 transaction with its lease: a scheduler that has been replaced can change
-nothing any more. A job has up to three rows, which sort next to each other::
+nothing any more. A part applies one transaction after another, so what the
+frontends write is spread over other parts by the job's id::
 
-    jobs  5c0e7a21d94b36f8          the job, written once by the frontend
-    jobs  5c0e7a21d94b36f8/cancel   a caller's cancel
-    jobs  5c0e7a21d94b36f8/status   what the scheduler has stored of it
+    jobs    5c0e7a21d94b36f8          the job, written once by a frontend
+    jobs    5c0e7a21d94b36f8/cancel   a caller's cancel
+    states  5c0e7a21d94b36f8          what the scheduler has stored of it
 """
 
 from collections.abc import Iterable, Mapping
@@ -14,13 +15,16 @@
 
 import attrs
 import msgspec
+import trio
 from attrs import field, frozen
 
+from hemlockstand.errors import PlatformUnavailable
 from hemlockstand.fleet.model import JobSpec, JobState, JobStatus
 from hemlockstand.platform.decoding import encode_wave_status
-from hemlockstand.platform.rows import RowWrite, StoredRow
+from hemlockstand.platform.rows import RowKey, RowPage, RowStore, RowWrite, StoredRow
 
 JOBS_TABLE = "jobs"
+STATES_TABLE = "states"
 SCHEDULER_TABLE = "scheduler"
 STATUS_TABLE = "status"
 OPERATOR_TABLE = "op"
@@ -30,8 +34,10 @@
 LEASE_KEY = "lease"
 PENDING_KEY = "pending"
 
+# Parts of the jobs' table, by the last digit of a job's id.
+JOB_PARTS = tuple("0123456789abcdef")
+
 _CANCEL = "/cancel"
-_STATUS = "/status"
 _AFTER_SLASH = "0"  # the character that sorts after the slash
 
 _spec_decoder = msgspec.json.Decoder(JobSpec)
@@ -108,24 +114,34 @@
     return job, job + _AFTER_SLASH
 
 
+def job_part(job: str) -> str:
+    """Return the part that holds a job and its cancel."""
+    return job[-1]
+
+
 def job_write(spec: JobSpec) -> RowWrite:
     """Return the row of an accepted job."""
-    return RowWrite(JOBS_TABLE, spec.id, encode_compact(spec))
+    return RowWrite(JOBS_TABLE, spec.id, encode_compact(spec), job_part(spec.id))
 
 
 def cancel_write(job: str, now_ms: int) -> RowWrite:
     """Return the row that cancels a job."""
-    return RowWrite(JOBS_TABLE, job + _CANCEL, str(now_ms).encode())
+    value = str(now_ms).encode()
+    return RowWrite(JOBS_TABLE, job + _CANCEL, value, job_part(job))
 
 
 def status_write(job: str, status: JobStatus) -> RowWrite:
     """Return the status row of a job."""
-    return RowWrite(JOBS_TABLE, job + _STATUS, encode_compact(status))
+    return RowWrite(STATES_TABLE, job, encode_compact(status))
 
 
-def job_keys(job: str) -> tuple[str, str, str]:
-    """Return the keys of all rows of a job."""
-    return job, job + _CANCEL, job + _STATUS
+def expired_keys(job: str) -> tuple[RowKey, RowKey]:
+    """Return a job's rows in its own part."""
+    part = job_part(job)
+    return (
+        RowKey(JOBS_TABLE, job, part),
+        RowKey(JOBS_TABLE, job + _CANCEL, part),
+    )
 
 
 def group_rows(rows: Iterable[StoredRow]) -> dict[str, JobRows]:
@@ -140,14 +156,14 @@
         job, _, kind = row.key.partition("/")
         known = jobs.get(job, JobRows())
         match kind:
+            case _ if row.table == STATES_TABLE:
+                status = _status_decoder.decode(row.value)
+                known = attrs.evolve(known, status=status)
             case "":
                 spec = _spec_decoder.decode(row.value)
                 known = attrs.evolve(known, spec=spec, version=row.version)
             case "cancel":
                 known = attrs.evolve(known, cancelled=True)
-            case "status":
-                status = _status_decoder.decode(row.value)
-                known = attrs.evolve(known, status=status)
         jobs[job] = known
     return jobs
 
@@ -188,3 +204,40 @@
         for row in rows
         if row.key.startswith(WAVE_PREFIX) and row.value is not None
     }
+
+
+async def read_job(rows: RowStore, job: str) -> JobRows:
+    """Return the rows of a job; raises ``PlatformUnavailable``."""
+    found: list[StoredRow] = []
+
+    async def read(table: str, part: str) -> None:
+        page = await rows.read(table, *job_range(job), part)
+        found.extend(page.rows)
+
+    await _read_together(
+        [(read, (JOBS_TABLE, job_part(job))), (read, (STATES_TABLE, ""))]
+    )
+    return group_rows(found).get(job, JobRows())
+
+
+async def read_jobs(rows: RowStore) -> RowPage:
+    """Return the rows of all jobs, with the version to follow from."""
+    pages: list[RowPage] = []
+
+    async def read(table: str, part: str) -> None:
+        pages.append(await rows.read_all(table, part))
+
+    parts = [(read, (JOBS_TABLE, part)) for part in JOB_PARTS]
+    await _read_together([*parts, (read, (STATES_TABLE, ""))])
+    found = tuple(row for page in pages for row in page.rows)
+    return RowPage(found, min(page.version for page in pages))
+
+
+async def _read_together(calls: list[tuple[Any, tuple[str, str]]]) -> None:
+    """Make calls at the same time; raises the first failure alone."""
+    try:
+        async with trio.open_nursery() as nursery:
+            for function, arguments in calls:
+                nursery.start_soon(function, *arguments)
+    except* PlatformUnavailable as group:
+        raise PlatformUnavailable(str(group.exceptions[0])) from group
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -12,7 +12,7 @@
 
 from emulator.fleet_executors import ExecutorAccess, ExecutorModel, RecordedRun, Work
 from emulator.fleet_instances import InstanceAccess, InstanceModel
-from emulator.row_store import RowStoreAccess, RowStoreModel
+from emulator.row_store import RowStoreAccess, RowStoreModel, Transaction
 from hemlockstand.coordination.lease import LeaseLost
 from hemlockstand.errors import PlatformUnavailable
 from hemlockstand.fleet.clients import FleetClients
@@ -43,6 +43,7 @@
     cancel_write,
     decode_lease,
     group_rows,
+    job_part,
     job_range,
     job_write,
 )
@@ -154,17 +155,18 @@
             self.work[job] = work
         spec = JobSpec(job, "queue", "pool", tenant, "payload", steps, **values)
         write = job_write(spec)
-        self.store.put(write.table, write.key, write.value)
+        self.store.apply(Transaction((write,), (), ()))
         return job
 
     def cancel(self, job: str) -> None:
         """Store a cancel as a frontend does."""
         write = cancel_write(job, 0)
-        self.store.put(write.table, write.key, write.value)
+        self.store.apply(Transaction((write,), (), ()))
 
     def state(self, job: str) -> str:
         """Return the state that a caller is shown."""
-        rows = self.store.select("jobs", *job_range(job), "")
+        rows = self.store.select("jobs", *job_range(job), job_part(job))
+        rows += self.store.select("states", *job_range(job), "")
         return group_rows(rows)[job].state.value
 
     def lease_holder(self) -> str:
--- a/test/test_fleet_interleavings.py
+++ b/test/test_fleet_interleavings.py
@@ -60,8 +60,8 @@
 
 def check_jobs(world: FleetWorld) -> None:
     """Check that each job has ended, or is at work if it lasts."""
-    jobs = [row.key for row in world.store.select("jobs", "", "", "")]
-    for job in (key for key in jobs if "/" not in key):
+    jobs = {key for table, _, key in world.store.rows if table == "jobs"}
+    for job in (key for key in sorted(jobs) if "/" not in key):
         state = world.state(job)
         if state in ("completed", "failed", "cancelled"):
             running = world.find_running(job)
