Test daemons as processes against the platform's protocol, and serve metrics

The stand-in puts the in-process models behind the published protocol. Found on the way: the metrics address of the settings was not served.

--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -18,7 +18,7 @@
 from hemlockstand.asgi import shield_sends
 from hemlockstand.errors import InvalidInput, OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.configuration import FleetConfigurationService
-from hemlockstand.fleet.metrics import ANSWERS, REQUEST_SECONDS
+from hemlockstand.fleet.metrics import ANSWERS, REQUEST_SECONDS, render_metrics
 from hemlockstand.fleet.model import FleetConfig, JobState, Queue, Step
 from hemlockstand.fleet.services import RowStoreService
 from hemlockstand.fleet.settings import FleetSettings
@@ -51,6 +51,7 @@
 # A caller that comes back after this finds a store outage over or a new daemon.
 RETRY_AFTER_SECONDS = 1
 KEEP_ALIVE_SECONDS = 60.0
+METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
 @frozen
@@ -67,6 +68,17 @@
     return Answer(status, encode_error(detail), status in (429, 503))
 
 
+def make_metrics_app() -> QuartTrio:
+    """Return the application that serves the metrics."""
+    app = QuartTrio(__name__ + ".metrics")
+
+    @app.get("/metrics")
+    async def answer_metrics() -> Response:
+        return Response(render_metrics(), content_type=METRICS_CONTENT_TYPE)
+
+    return app
+
+
 def describe_step(step: Step) -> str:
     """Return the size of a step for the log."""
     kinds = (
@@ -111,6 +123,7 @@
         """Serve callers and the balancer."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._serve, self._make_ready_app(), "readiness")
+            nursery.start_soon(self._serve, make_metrics_app(), "metrics")
             await self._serve(self._make_app(), "callers")
             self._closed.set()
 
--- /dev/null
+++ b/test/test_fleet_daemon.py
@@ -0,0 +1,261 @@
+"""Daemons as processes against the platform's stand-in over HTTP."""
+
+import json
+import signal
+import subprocess
+import sys
+from contextlib import asynccontextmanager
+from functools import partial
+from pathlib import Path
+
+import httpx
+import pytest
+import trio
+from attrs import define, field
+
+from emulator.fleet_platform import FleetPlatform
+from emulator.network import reserve_network
+
+START_SECONDS = 30  # on a machine that is busy with other tests
+CONFIG = {
+    "ConfigVersion": 3,
+    "Routes": [
+        {
+            "Name": "r-quotes",
+            "Hostname": "desk.example",
+            "Prefix": "/quotes/",
+            "Backend": "quotes",
+            "SloMs": 600,
+            "Attempts": 2,
+            "SlackFactor": 1.6,
+        },
+        {
+            "Name": "r-open",
+            "Hostname": "desk.example",
+            "Prefix": "/quotes/open/",
+            "Backend": "quotes",
+            "Public": True,
+        },
+    ],
+    "Services": [{"Name": "quotes", "AdmissionCheck": True}],
+    "Limits": {"MaxBodyBytes": 20_000},
+    "Tenants": [{"Name": "hinge", "ApiKeys": ["the-key"], "Weight": 1}],
+}
+SETTINGS = """
+[daemon]
+name = {name}
+data_centre = dc1
+[listen]
+callers = {host}:8100
+readiness = {host}:8101
+metrics = {host}:8102
+[platform]
+store = {platform}
+instances = {platform}
+advice = {platform}
+[bounds]
+longest_hold_ms = 10000
+stop_ms = 400
+config_apply_ms = 5000
+grace_s = 6
+status_s = 120
+remote_factor = 1.5
+move_s = 1.5
+upkeep_s = 2
+notice_ms = 4500
+order_turn_ms = 3000
+"""
+
+
+@define(eq=False)
+class Fleet:
+    """A platform, and daemons by their hosts."""
+
+    platform: FleetPlatform
+    directory: Path
+    client: httpx.AsyncClient
+    processes: dict[str, subprocess.Popen] = field(factory=dict)
+
+    def start(self, host: str) -> None:
+        """Start a daemon."""
+        path = self.directory / f"{host}.ini"
+        path.write_text(
+            SETTINGS.format(name=host, host=host, platform=self.platform.address)
+        )
+        command = [sys.executable, "-m", "hemlockstand.daemon", "--fleet"]
+        self.processes[host] = subprocess.Popen(
+            [*command, "--settings", str(path)], stdout=subprocess.DEVNULL
+        )
+
+    async def call(self, host: str, method: str, path: str, **values) -> httpx.Response:
+        """Call a daemon as a caller does."""
+        headers = {"Host": "desk.example", "Authorization": "Bearer the-key"}
+        headers.update(values.pop("headers", {}))
+        return await self.client.request(
+            method, f"http://{host}:8100{path}", headers=headers, **values
+        )
+
+    async def wait_ready(self, host: str) -> None:
+        """Wait until the balancer would use a daemon."""
+        with trio.fail_after(START_SECONDS):
+            while True:
+                try:
+                    reply = await self.client.get(f"http://{host}:8101/ready")
+                    if reply.status_code == 200:
+                        return
+                except httpx.TransportError:
+                    pass
+                await trio.sleep(0.05)
+
+    async def wait_state(self, host: str, job: str, state: str) -> None:
+        """Wait until a job is shown in a state."""
+        with trio.fail_after(START_SECONDS):
+            while True:
+                reply = await self.call(host, "GET", f"/quotes/{job}")
+                if reply.status_code == 200 and reply.json()["State"] == state:
+                    return
+                await trio.sleep(0.05)
+
+
+@asynccontextmanager
+async def open_fleet(directory: Path, daemons: int = 1):
+    """Yield a fleet and its hosts, all ready."""
+    network = reserve_network()
+    hosts = [network.host(1, position + 2) for position in range(daemons)]
+    platform = FleetPlatform(f"{network.host(1, 1)}:9000")
+    platform.store.put("op", "config", json.dumps(CONFIG).encode())
+    platform.add_executor("quotes")
+    async with trio.open_nursery() as nursery:
+        await nursery.start(platform.serve)
+        async with httpx.AsyncClient(trust_env=False, timeout=10) as client:
+            fleet = Fleet(platform, directory, client)
+            try:
+                for host in hosts:
+                    fleet.start(host)
+                for host in hosts:
+                    await fleet.wait_ready(host)
+                yield fleet, hosts
+            finally:
+                for process in fleet.processes.values():
+                    process.kill()
+                    process.wait()
+                network.close()
+        nursery.cancel_scope.cancel()
+
+
+def make_job(**values) -> dict:
+    """Return the body of a job with two steps."""
+    step = {"Count": 2, "Cpu": 1000, "MemMb": 256, "EstimatedMs": 500}
+    return {"TaskSpec": "text", "Steps": [step, {**step, "After": [0]}], **values}
+
+
+async def test_job_runs_through(tmp_path):
+    """Guards against a path that breaks anywhere between caller and executor."""
+    async with open_fleet(tmp_path) as (fleet, (host,)):
+        job = "00000000000000a1"
+        reply = await fleet.call(host, "POST", f"/quotes/{job}", json=make_job())
+        assert reply.status_code == 200
+        again = await fleet.call(host, "POST", f"/quotes/{job}", json=make_job())
+        assert again.status_code == 200
+        await fleet.wait_state(host, job, "completed")
+        assert len(fleet.platform.records) == 4
+        assert {run.payload for run in fleet.platform.records} == {"text"}
+        metrics = await fleet.client.get(f"http://{host}:8102/metrics")
+        assert 'hemlockstand_starts_total{outcome="Started"} 4.0' in metrics.text
+
+
+async def test_answers_to_bad_calls(tmp_path):
+    """Guards against a daemon that stores, misreports or dies of bad input."""
+    async with open_fleet(tmp_path) as (fleet, (host,)):
+        call = partial(fleet.call, host)
+        job = "/quotes/00000000000000a2"
+        step = {"Count": 1, "Cpu": 1}
+        bodies = [
+            b"{",
+            b"[]",
+            b"{}",
+            b'{"Steps":[{"Count":0}]}',
+            b'{"Steps":[{"Count":-1}]}',
+            b'{"Steps":[{"Count":1,"Cpu":-5}]}',
+            b'{"Steps":[{"Count":1,"Cpu":"much"}]}',
+            json.dumps({"Steps": [{**step, "After": [0]}]}).encode(),
+            json.dumps({"Steps": [{**step, "After": [1]}, step]}).encode(),
+            json.dumps({"TaskSpec": "x" * 4001, "Steps": [step]}).encode(),
+            json.dumps({"Steps": [{"Count": 100_000, "Cpu": 1}]}).encode(),
+        ]
+        for body in bodies:
+            reply = await call("POST", job, content=body)
+            assert reply.status_code == 400, body
+            assert reply.json()["Error"]
+        large = make_job(TaskSpec="x" * 30_000)
+        assert (await call("POST", job, json=large)).status_code == 413
+        assert (await call("POST", "/quotes/xyz", json=make_job())).status_code == 400
+        wrong = {"Authorization": "Bearer wrong"}
+        reply = await call("POST", job, json=make_job(), headers=wrong)
+        assert reply.status_code == 401
+        reply = await call("POST", "/other/00000000000000a2", json=make_job())
+        assert reply.status_code == 404
+        reply = await call("GET", job, headers={"Host": "other.example"})
+        assert reply.status_code == 404
+        assert (await call("GET", job)).status_code == 410
+        assert (await call("DELETE", job)).status_code == 410
+        assert (await call("GET", "/quotes/")).json() == {"Pending": 0}
+        reply = await call("GET", "/quotes/open/", headers=wrong)
+        assert reply.status_code == 200
+        assert not fleet.platform.records
+
+
+async def test_cancel_ends_a_job(tmp_path):
+    """Guards against a cancel that is acknowledged and not carried out."""
+    async with open_fleet(tmp_path) as (fleet, (host,)):
+        step = {"Count": 3, "Cpu": 1000, "MemMb": 1, "LongRunning": True}
+        job = "00000000000000a3"
+        await fleet.call(host, "POST", f"/quotes/{job}", json={"Steps": [step]})
+        await fleet.wait_state(host, job, "running")
+        reply = await fleet.call(host, "DELETE", f"/quotes/{job}")
+        assert reply.json() == {"State": "cancelled"}
+        reply = await fleet.call(host, "DELETE", f"/quotes/{job}")
+        assert reply.status_code == 200
+        await fleet.wait_state(host, job, "cancelled")
+
+
+async def test_job_survives_the_kill_of_all_daemons(tmp_path):
+    """Guards against an accepted job that only a daemon knew of."""
+    async with open_fleet(tmp_path, daemons=2) as (fleet, hosts):
+        job = "00000000000000a4"
+        await fleet.call(hosts[0], "POST", f"/quotes/{job}", json=make_job())
+        for process in fleet.processes.values():
+            process.kill()
+            process.wait()
+        fleet.start(hosts[1])
+        await fleet.wait_ready(hosts[1])
+        await fleet.wait_state(hosts[1], job, "completed")
+        assert len(fleet.platform.records) >= 4
+
+
+async def test_stop_hands_over_and_exits_cleanly(tmp_path):
+    """Guards against a stop that waits for its kill, or keeps the lease."""
+    async with open_fleet(tmp_path) as (fleet, (host,)):
+        job = "00000000000000a5"
+        await fleet.call(host, "POST", f"/quotes/{job}", json=make_job())
+        await fleet.wait_state(host, job, "completed")
+        process = fleet.processes[host]
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        code = await trio.to_thread.run_sync(process.wait)
+        assert code == 0
+        lease = json.loads(fleet.platform.store.find("scheduler", "lease").value)
+        assert lease["holder"] == ""
+
+
+@pytest.mark.parametrize("text", ["", "[daemon]\nname = x\n", "nonsense"])
+def test_bad_settings_are_named(tmp_path, text):
+    """Guards against a daemon that starts with settings it does not have."""
+    path = tmp_path / "bad.ini"
+    path.write_text(text)
+    command = [sys.executable, "-m", "hemlockstand.daemon", "--fleet"]
+    done = subprocess.run(
+        [*command, "--settings", str(path)], capture_output=True, text=True
+    )
+    assert done.returncode == 2
+    assert str(path) in done.stderr
