--- a/hemlockstand/fleet/capacity.py
+++ b/hemlockstand/fleet/capacity.py
@@ -25,8 +25,8 @@
 SPARE_CPU_MILLIS = 16_000
 # A pool with work keeps this many, so that the loss of one leaves another.
 LEAST_INSTANCES = 2
-# An instance costs about as much to move there and back as for three seconds.
-KEEP_SECONDS = 3.0
+# Moving an instance there and back costs as much as two idle seconds of it.
+KEEP_SECONDS = 1.8
 
 
 @define
