Let daemons with more processor lead first

Cause: on the grown site the scheduler takes half a core, and daemons have 0.5 to 2.2 cores; the first one that saw a free lease took it. Daemons now store what they have, and a smaller one waits a look at the lease for each larger one, up to three. Equal daemons do not wait.

--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -133,7 +133,8 @@
 class LeaseWatch:
     """Looks at the lease of another holder and takes it when it has ended.
 
-    ``delay_seconds`` lets a better suited daemon go first.
+    ``delay_seconds`` lets a better suited daemon go first, and
+    ``first_wait_seconds`` lets all daemons start before anybody holds it.
     """
 
     rows: RowStore
@@ -142,6 +143,7 @@
     lease_seconds: float
     clock: Callable[[], float]
     delay_seconds: float = 0.0
+    first_wait_seconds: float = 0.0
     previous: LeaseRecord | None = None
     _seen_version: int | None = None
     _seen_at: float = _NEVER
@@ -171,7 +173,9 @@
 
     def _has_ended(self, record: LeaseRecord | None) -> bool:
         unchanged = self.clock() - self._seen_at
-        if record is None or not record.holder:
+        if record is None:
+            return unchanged >= self.first_wait_seconds + self.delay_seconds
+        if not record.holder:
             return unchanged >= self.delay_seconds
         if record.holder == self.holder:
             # The process that held it ran here, and has ended.
--- a/hemlockstand/fleet/scheduler.py
+++ b/hemlockstand/fleet/scheduler.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from hemlockstand.coordination.lease import LeaseLost, make_lease_clock
-from hemlockstand.errors import InvalidInput, PlatformUnavailable
+from hemlockstand.errors import InvalidInput, OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.clients import FleetClients
 from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.leader import Leader
@@ -21,6 +21,7 @@
 from hemlockstand.fleet.metrics import LEADING
 from hemlockstand.fleet.services import RowStoreService
 from hemlockstand.fleet.settings import FleetSettings
+from hemlockstand.fleet.storage import DAEMONS_TABLE, daemon_write, decode_daemons
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.platform.advice import AdviceClient
 from hemlockstand.platform.executors import ExecutorClient
@@ -28,9 +29,13 @@
 
 log = logger.bind(module=__name__)
 
-# A daemon with a smaller share of a processor lets larger ones go first.
-SMALL_DAEMON_DELAY_SECONDS = 0.3
-FULL_SHARE = 1.0
+# A daemon lets those with this much more processor go first, each for a look
+# at the lease, up to a number that may be gone.
+LARGER_FACTOR = 1.2
+MOST_WAITED_FOR = 3
+# The first daemons to start wait until the others have said what they are.
+FIRST_WAIT_SECONDS = 0.8
+DAEMONS_SECONDS = 5.0
 
 
 @register
@@ -56,10 +61,13 @@
         )
         self._leader: Leader | None = None
         self._leaving = False
+        self._larger = 0
+        self._daemons_read_at = float("-inf")
         self._stopped = trio.Event()
 
     async def run(self) -> None:
         """Lead whenever the lease can be had."""
+        await self._introduce()
         while not self._leaving:
             watch = self._make_watch()
             lease = await self._wait_for_lease(watch)
@@ -77,22 +85,43 @@
             with trio.move_on_after(self._settings.bounds.grace_s / 4):
                 await self._stopped.wait()
 
+    async def _introduce(self) -> None:
+        """Store what this daemon is, for the choice of the scheduler."""
+        daemon = self._settings.daemon
+        while not self._leaving:
+            try:
+                await self._rows.write([daemon_write(daemon.name, daemon.cores)])
+                return
+            except (PlatformUnavailable, OutcomeUnknown) as error:
+                log.info("daemon not introduced", detail=str(error))
+            await trio.sleep(self._settings.scheduler.watch_seconds)
+
+    async def _count_larger(self) -> None:
+        """Count the daemons that are better suited to lead."""
+        if self._clock() - self._daemons_read_at < DAEMONS_SECONDS:
+            return
+        daemons = decode_daemons((await self._rows.read_all(DAEMONS_TABLE)).rows)
+        self._daemons_read_at = self._clock()
+        own = self._settings.daemon.cores * LARGER_FACTOR
+        self._larger = sum(1 for cores in daemons.values() if cores > own)
+
     def _make_watch(self) -> LeaseWatch:
-        share = self._settings.daemon.processor_share
-        lacking = max(0.0, FULL_SHARE - share)
         return LeaseWatch(
             rows=self._rows,
             holder=self._settings.daemon.name,
             session=uuid4().hex,
             lease_seconds=self._settings.scheduler.lease_seconds,
             clock=self._clock,
-            delay_seconds=lacking * SMALL_DAEMON_DELAY_SECONDS,
+            first_wait_seconds=FIRST_WAIT_SECONDS,
         )
 
     async def _wait_for_lease(self, watch: LeaseWatch) -> SchedulerLease | None:
         while not self._leaving:
             if self._configuration.current is not None:
                 try:
+                    await self._count_larger()
+                    looks = min(self._larger, MOST_WAITED_FOR)
+                    watch.delay_seconds = looks * self._settings.scheduler.watch_seconds
                     lease = await watch.try_acquire()
                 except PlatformUnavailable as error:
                     log.debug("lease not read: {}", error)
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -21,7 +21,15 @@
 
     name: str = option("Unique name of the daemon.")
     data_centre: str = option("Data centre of the daemon.")
-    processor_share: float = option("Processor of this daemon, in cores.", 0.01, 1024)
+    processor_share: float = option("Share of a core of this daemon.", 0.001, 1024)
+    processor_speed: float = option(
+        "Speed of that core, 1 for a usual one.", 0.01, 1024
+    )
+
+    @property
+    def cores(self) -> float:
+        """Processor of this daemon, in usual cores."""
+        return self.processor_share * self.processor_speed
 
 
 @frozen
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -26,6 +26,7 @@
 JOBS_TABLE = "jobs"
 STATES_TABLE = "states"
 SCHEDULER_TABLE = "scheduler"
+DAEMONS_TABLE = "daemons"
 STATUS_TABLE = "status"
 OPERATOR_TABLE = "op"
 EXECUTORS_TABLE = "servers"
@@ -92,6 +93,14 @@
     begun: tuple[str, ...] = ()
 
 
+@frozen
+class DaemonRecord:
+    """What a daemon says of itself; it stays when the daemon has gone."""
+
+    cores: float
+
+
+_daemon_decoder = msgspec.json.Decoder(DaemonRecord)
 _wave_decoder = msgspec.json.Decoder(WaveRecord)
 _lease_decoder = msgspec.json.Decoder(LeaseRecord)
 
@@ -188,6 +197,20 @@
     return {} if value is None else msgspec.json.decode(value, type=dict[str, int])
 
 
+def daemon_write(name: str, cores: float) -> RowWrite:
+    """Return the row of a daemon."""
+    return RowWrite(DAEMONS_TABLE, name, encode_compact(DaemonRecord(cores)))
+
+
+def decode_daemons(rows: Iterable[StoredRow]) -> dict[str, float]:
+    """Return the cores of all daemons by their names."""
+    return {
+        row.key: _daemon_decoder.decode(row.value).cores
+        for row in rows
+        if row.value is not None
+    }
+
+
 def wave_writes(number: int, record: WaveRecord, completed: bool) -> list[RowWrite]:
     """Return the rows of a wave: the scheduler's, and the operator's."""
     key = f"{WAVE_PREFIX}{number}"
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -56,7 +56,7 @@
 def make_settings(name: str) -> FleetSettings:
     """Return settings of a daemon."""
     return FleetSettings(
-        FleetDaemonSettings(name, "dc1", 1.0),
+        FleetDaemonSettings(name, "dc1", 1.0, 1.0),
         FleetListenSettings("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"),
         FleetPlatformSettings("store:1", "machines:1", ""),
         BoundSettings(10_000, 400, 2000, 6, 120, 1.5, 1.5, 2, 4500, 3000),
