--- a/test/test_fleet_scheduler.py
+++ b/test/test_fleet_scheduler.py
@@ -333,3 +333,61 @@
             most = max(most, len(world.find_running()))
             await trio.sleep(0.01)
         assert most == 4
+
+
+async def test_gang_starts_together_or_not_at_all(clock):
+    """Guards against members that wait for others which have no room."""
+    async with open_world() as world:
+        world.add_executor()
+        world.start_daemon("a")
+        large = Resources(9000, 512)
+        work = Work(2.0, size=large)
+        job = world.submit(Step(2, large, 2000, gang=True), work=work)
+        await trio.sleep(3)
+        assert world.count_runs(job) == 0
+        world.add_executor()
+        await world.wait_for(lambda: world.state(job) == "completed", 8)
+        assert {run.number for run in world.records} == {1}
+        began = [run.began_at for run in world.records]
+        assert len(began) == 2
+        assert max(began) - min(began) < 0.1
+
+
+async def test_draining_executor_gets_nothing_and_is_cleared(clock):
+    """Guards against new work, or work that lasts, on an executor that leaves."""
+    async with open_world() as world:
+        leaving = world.add_executor()
+        world.start_daemon("a")
+        job = world.submit(step(lasting=True), work=Work(LASTING, size=SMALL))
+        await world.wait_for(lambda: world.find_running(job), 5)
+        other = world.add_executor()
+        leaving.draining = True
+        world.announce(leaving)
+        await world.wait_for(lambda: world.count_runs(job) == 2, 4)
+        assert world.records[-1].executor == other.id
+        short = world.submit(step(5))
+        await world.wait_for(lambda: world.state(short) == "completed", 8)
+        placed = {
+            run.executor for run in world.records if run.subtask.startswith(short)
+        }
+        assert placed == {other.id}
+        world.check_runs()
+
+
+async def test_failing_executor_is_set_aside(clock):
+    """Guards against an executor that fails all it starts and gets everything."""
+    async with open_world() as world:
+        bad = world.add_executor()
+        world.add_executor()
+        world.start_daemon("a")
+        jobs = [world.submit(step(1)) for _ in range(12)]
+        describe = bad.describe
+        bad.describe = lambda subtask: Work(
+            0.1, fails=True, size=describe(subtask).size
+        )
+        await world.wait_for(
+            lambda: all(world.state(job) in ("completed", "failed") for job in jobs), 20
+        )
+        failed = [run for run in world.records if run.executor == bad.id]
+        assert len(failed) <= 12
+        assert sum(world.state(job) == "failed" for job in jobs) == 0
