--- a/hemlockstand/fleet/advising.py
+++ b/hemlockstand/fleet/advising.py
@@ -1,7 +1,6 @@
 """Tickets for queues whose policy allows only some executors."""
 
-from collections.abc import Callable, Iterator
-from typing import Protocol
+from collections.abc import Iterator
 
 import trio
 from attrs import define, field, frozen
@@ -9,9 +8,10 @@
 
 from hemlockstand.errors import PlatformUnavailable
 from hemlockstand.fleet.executors import Executor
-from hemlockstand.fleet.ledger import Ledger, StepRun, find_pool
+from hemlockstand.fleet.ledger import StepRun, find_pool
 from hemlockstand.fleet.model import FleetConfig
 from hemlockstand.fleet.placement import is_usable
+from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.platform.advice import AdviceClient
 
 log = logger.bind(module=__name__)
@@ -34,27 +34,12 @@
     valid_until: float
 
 
-class AdviceHost(Protocol):
-    """What the advisor asks of the scheduler."""
-
-    executors: dict[str, Executor]
-    ledger: Ledger
-
-    @property
-    def config(self) -> FleetConfig:
-        """The configuration in force."""
-
-    def want_place(self) -> None:
-        """Have waiting subtasks placed."""
-
-
 @define(eq=False)
 class Advisor:
     """Asks for tickets ahead of placement, one call at a time."""
 
-    host: AdviceHost
+    state: SchedulerState
     client: AdviceClient
-    clock: Callable[[], float]
     _tickets: dict[tuple[str, str], Ticket | None] = field(factory=dict)
 
     def find_ticket(self, step_run: StepRun, executor: Executor) -> str | None:
@@ -62,7 +47,7 @@
         ticket = self._tickets.get((step_run.name, executor.id))
         if ticket is None or ticket.born_ms != executor.born_ms:
             return None
-        return ticket.text if ticket.valid_until > self.clock() else None
+        return ticket.text if ticket.valid_until > self.state.clock() else None
 
     def drop_ticket(self, step_run: StepRun, executor: Executor) -> None:
         """Forget a ticket that the executor has refused."""
@@ -82,8 +67,8 @@
             self._forget()
 
     def _find_unadvised(self) -> Iterator[StepRun]:
-        for step_run in list(self.host.ledger.ready.values()):
-            if not self.needs_ticket(step_run, self.host.config):
+        for step_run in list(self.state.ledger.ready.values()):
+            if not self.needs_ticket(step_run, self.state.config):
                 continue
             executors = self._find_executors(step_run)
             if executors and not any(
@@ -92,11 +77,11 @@
                 yield step_run
 
     def _find_executors(self, step_run: StepRun) -> list[Executor]:
-        pool = find_pool(step_run.job, self.host.config)
-        now = self.clock()
+        pool = find_pool(step_run.job, self.state.config)
+        now = self.state.clock()
         return [
             executor
-            for executor in self.host.executors.values()
+            for executor in self.state.executors.values()
             if executor.entry.pool == pool and is_usable(executor, now)
         ]
 
@@ -118,24 +103,24 @@
             log.info("no advice", step=step_run.name, detail=str(error))
             await trio.sleep(RETRY_SECONDS)
             return
-        valid_until = self.clock() + advice.validity_ms / 1000 * USE_FRACTION
+        valid_until = self.state.clock() + advice.validity_ms / 1000 * USE_FRACTION
         for executor in asked:
             text = advice.tickets.get(executor.id, "")
             ticket = Ticket(text, executor.born_ms, valid_until)
             self._tickets[step_run.name, executor.id] = ticket
         log.info("advice", step=step_run.name, allowed=len(advice.tickets))
-        self.host.want_place()
+        self.state.want_place()
 
     def _is_known(self, step_run: StepRun, executor: Executor) -> bool:
         ticket = self._tickets.get((step_run.name, executor.id))
         if ticket is None or ticket.born_ms != executor.born_ms:
             return False
         # Which executors are allowed does not change, so a refusal stands.
-        return not ticket.text or ticket.valid_until > self.clock()
+        return not ticket.text or ticket.valid_until > self.state.clock()
 
     def _forget(self) -> None:
         """Forget the tickets of jobs that have ended."""
         for name, executor in list(self._tickets):
-            job = self.host.ledger.jobs.get(name.partition(".")[0])
+            job = self.state.ledger.jobs.get(name.partition(".")[0])
             if job is None or job.state.final:
                 del self._tickets[name, executor]
--- a/hemlockstand/fleet/capacity.py
+++ b/hemlockstand/fleet/capacity.py
@@ -6,8 +6,9 @@
 
 from attrs import define, field
 
+from hemlockstand.fleet.durations import Durations
 from hemlockstand.fleet.executors import Executor
-from hemlockstand.fleet.ledger import Durations, Job, Ledger, find_pool
+from hemlockstand.fleet.ledger import Job, Ledger, find_pool
 from hemlockstand.fleet.model import FleetConfig, Resources, get_room
 
 # Subtasks of uneven sizes leave about a tenth of an instance unused.
--- /dev/null
+++ b/hemlockstand/fleet/commits.py
@@ -0,0 +1,133 @@
+"""The scheduler's transactions, which extend its lease."""
+
+import time
+
+import trio
+from attrs import define, field
+from loguru import logger
+
+from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
+from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.instances import InstanceManager
+from hemlockstand.fleet.metrics import COMMITS
+from hemlockstand.fleet.state import SchedulerState
+from hemlockstand.fleet.storage import (
+    STATES_TABLE,
+    expired_keys,
+    pending_write,
+    status_write,
+    wave_writes,
+)
+from hemlockstand.platform.rows import RowKey, RowWrite
+
+log = logger.bind(module=__name__)
+
+COMMIT_PAUSE_SECONDS = 0.008  # ends within this time share a transaction
+RETRY_SECONDS = 0.2
+MAX_STATUS_WRITES = 80  # of the 100 entries that a transaction may have
+MAX_EXPIRED = 3  # jobs; each has three rows
+# Finished jobs are kept for longer than they must be shown, for late callers.
+KEEP_FACTOR = 1.5
+
+
+@define(eq=False)
+class Commits:
+    """Collects what has changed into one transaction after another."""
+
+    state: SchedulerState
+    instances: InstanceManager
+    _pending: dict[str, int] = field(factory=dict)
+
+    async def run(self, leaving: trio.Event) -> None:
+        """Store changes and extend the lease until the scheduler leaves."""
+        renew_seconds = self.state.settings.scheduler.renew_seconds
+        while not leaving.is_set():
+            await self.state.wait_commit(renew_seconds, COMMIT_PAUSE_SECONDS)
+            await self._try_commit()
+
+    async def _try_commit(self) -> None:
+        try:
+            await self.commit()
+            self.state.store_failing = False
+            COMMITS.labels("applied").inc()
+        except PlatformUnavailable as error:
+            self.state.store_failing = True
+            COMMITS.labels("unavailable").inc()
+            log.warning("commit failed", detail=str(error))
+            await trio.sleep(RETRY_SECONDS)
+
+    async def commit(self, release: bool = False) -> None:
+        """Store what has changed; then the ends may be forgotten."""
+        dirty = list(self.state.ledger.dirty)[:MAX_STATUS_WRITES]
+        statuses = [self.state.ledger.jobs[job_id].make_status() for job_id in dirty]
+        writes: list[RowWrite] = [
+            status_write(job_id, status)
+            for job_id, status in zip(dirty, statuses, strict=True)
+        ]
+        all_dirty = len(dirty) == len(self.state.ledger.dirty)
+        self.state.ledger.dirty.difference_update(dirty)
+        pending = self.state.ledger.count_pending()
+        if pending != self._pending:
+            writes.append(pending_write(pending))
+        waves = [
+            (progress, progress.make_record(), progress.completed)
+            for progress in self.instances.waves.waves.values()
+            if not progress.stored
+        ]
+        for progress, record, completed in waves:
+            writes.extend(wave_writes(progress.wave.number, record, completed))
+        noted = {executor: executor.noted for executor in self.state.executors.values()}
+        lifetimes = {executor: executor.born_ms for executor in noted}
+        expired = self._expire_jobs()
+        removed = [RowKey(STATES_TABLE, job_id) for job_id in expired]
+        for job_id in expired:
+            self.state.nursery.start_soon(self._remove_job, job_id)
+        listed = {
+            executor.id: (executor.entry.pool, executor.entry.address)
+            for executor in self.state.executors.values()
+        }
+        try:
+            orders = self.instances.find_orders()
+            await self.state.lease.commit(writes, removed, listed, orders, release)
+        except BaseException:
+            self.state.ledger.dirty.update(dirty)
+            raise
+        self._pending = pending
+        self.instances.note_stored(orders)
+        if dirty:
+            self.state.ledger.note_stored(dirty, statuses)
+            self.state.want_place()
+        for progress, record, completed in waves:
+            current = progress.make_record(), progress.completed
+            progress.stored = current == (record, completed)
+        self._note_committed(noted, lifetimes, all_dirty)
+        if not all_dirty:
+            self.state.want_commit()
+
+    async def _remove_job(self, job_id: str) -> None:
+        """Remove a job that ended long ago; what fails stays as a dead row."""
+        try:
+            await self.state.rows.write(removed=expired_keys(job_id))
+        except (PlatformUnavailable, OutcomeUnknown) as error:
+            log.info("rows not removed", job=job_id, detail=str(error))
+
+    def _expire_jobs(self) -> list[str]:
+        before_ms = int(
+            (time.time() - self.state.settings.bounds.status_s * KEEP_FACTOR) * 1000
+        )
+        return self.state.ledger.expire(before_ms, MAX_EXPIRED)
+
+    def _note_committed(
+        self,
+        noted: dict[Executor, int],
+        lifetimes: dict[Executor, int | None],
+        all_dirty: bool,
+    ) -> None:
+        for executor, number in noted.items():
+            if not executor.listed:
+                executor.listed = True
+                self.state.want_place()
+            if all_dirty and executor.born_ms == lifetimes[executor]:
+                if number > executor.acked:
+                    executor.acked = number
+                    executor.wake()
--- /dev/null
+++ b/hemlockstand/fleet/moves.py
@@ -0,0 +1,179 @@
+"""Moves of instances between pools and standby, as work needs them."""
+
+from collections.abc import Callable, Iterator
+
+from attrs import define, field
+from loguru import logger
+
+from hemlockstand.fleet.capacity import Demand, PoolNeed, find_capacity, measure_demand
+from hemlockstand.fleet.model import InstanceEntry, InstanceState
+from hemlockstand.fleet.plans import InstancePlans, Plan
+
+log = logger.bind(module=__name__)
+
+
+@define(eq=False)
+class MovePlanner:
+    """Plans moves; ``is_blocked`` says what cannot be ordered yet."""
+
+    plans: InstancePlans
+    is_blocked: Callable[[str], bool]
+    _needs: dict[str, PoolNeed] = field(factory=dict)
+    _reported: dict[str, tuple[int, int]] = field(factory=dict)
+
+    def plan(self) -> None:
+        """Reserve instances for moves to where they are needed."""
+        config = self.plans.state.config
+        standby = [pool.name for pool in config.pools.values() if pool.standby]
+        if not standby:
+            return
+        now = self.plans.state.clock()
+        demands = measure_demand(self.plans.state.ledger, config, now)
+        capacity = find_capacity(
+            executor
+            for executor in self.plans.state.executors.values()
+            if executor.present
+        )
+        if not capacity.cpu_millis:
+            return
+        surplus: list[InstanceEntry] = []
+        lacking: list[tuple[int, str]] = []
+        for pool in config.pools.values():
+            if pool.standby:
+                continue
+            demand = demands.get(pool.name, Demand())
+            need = self._needs.setdefault(pool.name, PoolNeed())
+            wanted = need.note(now, demand.count_instances(capacity))
+            members = self._find_members(pool.name)
+            self._report_need(pool.name, len(members), wanted, demand)
+            if len(members) > wanted:
+                surplus.extend(self._rank_surplus(members)[: len(members) - wanted])
+            elif len(members) < wanted:
+                lacking.append((wanted - len(members), pool.name))
+        for missing, pool in sorted(lacking, reverse=True):
+            self._bring_in(pool, missing, surplus, standby)
+        for instance in surplus:
+            self._plan_move(instance, standby[0])
+
+    def _report_need(
+        self, pool: str, members: int, wanted: int, demand: Demand
+    ) -> None:
+        if self._reported.get(pool) == (members, wanted):
+            return
+        self._reported[pool] = members, wanted
+        log.info(
+            "pool needs {} instances",
+            wanted,
+            pool=pool,
+            members=members,
+            present_cpu=int(demand.present.cpu_millis),
+            arriving_cpu=int(demand.arriving.cpu_millis),
+            used_cpu=sum(
+                executor.used.cpu_millis
+                for executor in self.plans.state.executors.values()
+                if executor.entry.pool == pool and executor.present
+            ),
+        )
+
+    def _find_members(self, pool: str) -> list[InstanceEntry]:
+        """Return the instances that a pool has or is about to have."""
+        members = []
+        for instance in self.plans.instances.values():
+            plan = self.plans.current.get(instance.name)
+            if plan is not None:
+                # Upkeep takes the instance away for as long as a move.
+                if plan.pool == pool:
+                    members.append(instance)
+            elif instance.pool == pool and self._is_of_use(instance):
+                members.append(instance)
+        return members
+
+    def _is_of_use(self, instance: InstanceEntry) -> bool:
+        """Return whether an instance runs work, or will in a moment."""
+        if instance.state is InstanceState.DOWN:
+            return False
+        executor = self.plans.find_executor(instance.name)
+        return executor is None or executor.reachable
+
+    def _rank_surplus(self, members: list[InstanceEntry]) -> list[InstanceEntry]:
+        """Return the members that can go, those with the least work first."""
+        movable = [
+            instance
+            for instance in members
+            if instance.name not in self.plans.current
+            and instance.state is InstanceState.UP
+            and self._is_idle_enough(instance)
+        ]
+        return sorted(movable, key=self.plans.weigh)
+
+    def _is_idle_enough(self, instance: InstanceEntry) -> bool:
+        executor = self.plans.find_executor(instance.name)
+        if executor is None:
+            return False
+        return not executor.entry.draining
+
+    def _bring_in(
+        self,
+        pool: str,
+        missing: int,
+        surplus: list[InstanceEntry],
+        standby: list[str],
+    ) -> None:
+        for plan in list(self.plans.current.values()):
+            if missing <= 0:
+                return
+            instance = self.plans.instances.get(plan.instance)
+            if instance is None or plan.wave or plan.ordering:
+                continue
+            if instance.pool == pool and plan.pool != pool:
+                self.plans.drop(plan)
+                missing -= 1
+        for instance in self._find_sources(surplus, standby):
+            if missing <= 0:
+                return
+            if instance in surplus:
+                surplus.remove(instance)
+            self._plan_move(instance, pool)
+            missing -= 1
+
+    def _find_sources(
+        self, surplus: list[InstanceEntry], standby: list[str]
+    ) -> Iterator[InstanceEntry]:
+        """Yield idle instances, then those on standby.
+
+        Those that cannot be ordered yet, or stand where executors do not
+        answer, come last.
+        """
+        for instance in list(surplus):
+            executor = self.plans.find_executor(instance.name)
+            if executor is not None and not executor.runs:
+                yield instance
+        lost = self._count_lost()
+        waiting = [
+            instance
+            for instance in self.plans.instances.values()
+            if instance.pool in standby
+            and instance.state is InstanceState.UP
+            and instance.name not in self.plans.current
+        ]
+        yield from sorted(
+            waiting,
+            key=lambda instance: (
+                self.is_blocked(instance.name),
+                lost.get(instance.data_centre, 0),
+            ),
+        )
+
+    def _count_lost(self) -> dict[str, int]:
+        """Return the executors that do not answer by data centre."""
+        counts: dict[str, int] = {}
+        for executor in self.plans.state.executors.values():
+            if executor.present and not executor.reachable:
+                data_centre = executor.entry.data_centre
+                counts[data_centre] = counts.get(data_centre, 0) + 1
+        return counts
+
+    def _plan_move(self, instance: InstanceEntry, pool: str) -> None:
+        self.plans.reserve(
+            Plan(instance.name, pool=pool, planned_at=self.plans.state.clock())
+        )
--- /dev/null
+++ b/hemlockstand/fleet/orders.py
@@ -0,0 +1,192 @@
+"""Orders to executors: starts, stops and paces, and what came of them."""
+
+import trio
+from attrs import define
+from loguru import logger
+
+from hemlockstand.errors import HemlockstandError
+from hemlockstand.fleet.advising import Advisor
+from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.ledger import Job, Run, RunState, Subtask
+from hemlockstand.fleet.metrics import FIRST_START_SECONDS, STARTS
+from hemlockstand.fleet.model import Refusal, Refused, Started, StartOrder, Unanswered
+from hemlockstand.fleet.pacing import PaceChange
+from hemlockstand.fleet.state import SchedulerState
+
+log = logger.bind(module=__name__)
+
+RUNS_PER_EPOCH = 1_000
+CROWDED_SECONDS = 0.25  # pause after an executor had less room than believed
+RESTART_SECONDS = 0.05
+STOP_RETRY_SECONDS = 0.3
+# After a refusal that no other executor would avoid.
+INVALID_RETRY_SECONDS = 1.0
+
+
+@define(eq=False)
+class Orders:
+    """Gives orders; ``open`` counts starts without an outcome yet."""
+
+    state: SchedulerState
+    advisor: Advisor
+    open: int = 0
+
+    def start(self, subtask: Subtask, executor: Executor) -> None:
+        """Start a subtask on an executor."""
+        run = Run(subtask.runs + 1, executor.id, executor.fence, self.state.clock())
+        run.checkpoint = subtask.checkpoint
+        self.state.ledger.attach(subtask, run)
+        executor.add_run(subtask)
+        self.state.nursery.start_soon(self._order_start, subtask, run, executor)
+
+    async def _order_start(
+        self, subtask: Subtask, run: Run, executor: Executor
+    ) -> None:
+        due_ms = executor.make_due()
+        if due_ms is None or not self.state.may_order():
+            self._give_back(subtask, run, executor, 0.0)
+            return
+        job = subtask.job
+        order = StartOrder(
+            subtask.name,
+            run.number,
+            job.spec.payload,
+            due_ms,
+            run.fence,
+            run.checkpoint,
+            self.advisor.find_ticket(subtask.step_run, executor) or "",
+        )
+        self.open += 1
+        try:
+            outcome = await executor.client.start(order)
+        finally:
+            self.open -= 1
+        STARTS.labels(type(outcome).__name__).inc()
+        log.info(
+            "start",
+            job=job.id,
+            subtask=subtask.name,
+            run=run.number,
+            executor=executor.id,
+            fence=run.fence,
+            outcome=repr(outcome),
+        )
+        match outcome:
+            case Started(clock_ms):
+                executor.note_clock(clock_ms)
+                self._note_started(subtask, run)
+            case Refused(reason, clock_ms):
+                executor.note_clock(clock_ms)
+                self._note_refused(subtask, run, executor, reason)
+            case Unanswered():
+                if subtask.run is run and run.state is RunState.STARTING:
+                    run.state = RunState.UNSURE
+                if subtask.run is run:
+                    executor.raise_fence()
+
+    def _note_started(self, subtask: Subtask, run: Run) -> None:
+        if subtask.run is not run:
+            return
+        run.answered_at = self.state.clock()
+        run.percent_at = run.answered_at
+        if run.state is RunState.STARTING:
+            run.state = RunState.RUNNING
+        job = subtask.job
+        if not job.started:
+            FIRST_START_SECONDS.observe(run.answered_at - job.accepted_at)
+        self.state.ledger.set_started(job)
+        if job.state.final:
+            self.stop_run(subtask)
+
+    def _note_refused(
+        self, subtask: Subtask, run: Run, executor: Executor, reason: Refusal
+    ) -> None:
+        now = self.state.clock()
+        match reason:
+            case Refusal.ROOM:
+                executor.crowded_until = now + CROWDED_SECONDS
+            case Refusal.UNHEALTHY | Refusal.OTHER_LIFETIME:
+                executor.crowded_until = now + CROWDED_SECONDS
+                subtask.avoid.add(executor.id)
+            case Refusal.OLD:
+                # The executor has seen a higher number of an earlier scheduler.
+                subtask.runs += RUNS_PER_EPOCH // 10
+            case Refusal.TICKET:
+                self.advisor.drop_ticket(subtask.step_run, executor)
+            case Refusal.INVALID:
+                log.error("executor {} refuses {}", executor.id, subtask.name)
+                subtask.not_before = now + INVALID_RETRY_SECONDS
+        self._give_back(subtask, run, executor, RESTART_SECONDS)
+
+    def _give_back(
+        self, subtask: Subtask, run: Run, executor: Executor, delay: float
+    ) -> None:
+        """Let a subtask wait again whose run has certainly not begun."""
+        if subtask.run is not run:
+            return
+        executor.remove_run(subtask)
+        self.release(subtask, delay)
+
+    def release(self, subtask: Subtask, delay: float) -> None:
+        """Take the run from a subtask, which waits again if it is wanted."""
+        if subtask.run is not None:
+            subtask.checkpoint = subtask.run.checkpoint or subtask.checkpoint
+        self.state.ledger.detach(subtask)
+        if subtask.done or subtask.job.state.final:
+            return
+        subtask.not_before = max(subtask.not_before, self.state.clock() + delay)
+        self.state.ledger.set_waiting(subtask)
+        self.state.want_place()
+
+    def stop_runs(self, job: Job) -> None:
+        """Stop all runs of a job."""
+        for subtask in list(job.runs()):
+            self.stop_run(subtask)
+
+    def stop_run(self, subtask: Subtask) -> None:
+        """Stop the run of a subtask; its end arrives with the lists."""
+        run = subtask.run
+        if run is None or run.state is RunState.STOPPING:
+            return
+        executor = self.state.executors.get(run.executor)
+        if executor is None:
+            return
+        if run.state is not RunState.UNSURE:
+            run.state = RunState.STOPPING
+        self.state.nursery.start_soon(
+            self.order_stop, executor, subtask.name, run.number
+        )
+
+    async def order_stop(self, executor: Executor, name: str, number: int) -> None:
+        """Repeat a stop until the executor has taken it or the run is over."""
+        while True:
+            if not self.state.may_order():
+                return
+            try:
+                await executor.client.stop(name, number, executor.fence)
+            except HemlockstandError as error:
+                log.info("stop failed", subtask=name, run=number, detail=str(error))
+            else:
+                log.info("stop", subtask=name, run=number, executor=executor.id)
+                executor.wake()
+                return
+            await trio.sleep(STOP_RETRY_SECONDS)
+            subtask = executor.runs.get(name)
+            if subtask is None or subtask.run is None or subtask.run.number != number:
+                return
+
+    async def order_pace(self, executor: Executor, change: PaceChange) -> None:
+        """Set the pace of a run; the next look tries again after a failure."""
+        run = change.subtask.run
+        if run is None or not self.state.may_order():
+            return
+        before = run.pace
+        run.pace = change.percent
+        name = change.subtask.name
+        try:
+            await executor.client.pace(name, run.number, change.percent, executor.fence)
+        except HemlockstandError as error:
+            run.pace = before
+            log.info("pace not set", subtask=name, detail=str(error))
+            return
+        log.info("pace", subtask=name, percent=change.percent, executor=executor.id)
--- /dev/null
+++ b/hemlockstand/fleet/plans.py
@@ -0,0 +1,74 @@
+"""What is to happen to instances."""
+
+from attrs import define, field
+from loguru import logger
+
+from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.model import InstanceEntry
+from hemlockstand.fleet.state import SchedulerState
+
+log = logger.bind(module=__name__)
+
+
+@define(eq=False)
+class Plan:
+    """What is to happen to an instance: a move, or upkeep for a wave."""
+
+    instance: str
+    pool: str = ""
+    wave: int = 0
+    planned_at: float = 0.0
+    ordering: bool = False
+    stored: bool = False
+
+
+@define(eq=False)
+class InstancePlans:
+    """The instances as listed, and the plan that each has at most."""
+
+    state: SchedulerState
+    instances: dict[str, InstanceEntry] = field(factory=dict)
+    current: dict[str, Plan] = field(factory=dict)
+
+    def drop_gone(self) -> None:
+        """Drop the plans of instances that have gone."""
+        for name in list(self.current):
+            if name not in self.instances and not self.current[name].ordering:
+                self.drop(self.current[name])
+
+    def drop(self, plan: Plan) -> None:
+        """Drop a plan; the executor gets work again."""
+        self.current.pop(plan.instance, None)
+        executor = self.find_executor(plan.instance)
+        if executor is not None and executor.reserved:
+            executor.reserved = False
+            self.state.want_place()
+
+    def find_executor(self, name: str) -> Executor | None:
+        """Return the executor of an instance, if it has entered the store."""
+        instance = self.instances.get(name)
+        if instance is None or not instance.executor:
+            return None
+        return self.state.executors.get(instance.executor)
+
+    def reserve(self, plan: Plan) -> None:
+        """Plan; the executor gets nothing new from now on."""
+        self.current[plan.instance] = plan
+        executor = self.find_executor(plan.instance)
+        if executor is not None:
+            executor.reserved = True
+        log.info(
+            "instance planned",
+            instance=plan.instance,
+            pool=plan.pool,
+            wave=plan.wave,
+            runs=0 if executor is None else len(executor.runs),
+        )
+
+    def weigh(self, instance: InstanceEntry) -> tuple[int, int]:
+        """Return the sort key of an instance, that with the least work first."""
+        executor = self.find_executor(instance.name)
+        if executor is None:
+            return 0, 0
+        lasting = sum(1 for other in executor.runs.values() if other.step.lasting)
+        return 1 + lasting, executor.used.cpu_millis
--- a/hemlockstand/fleet/scheduler.py
+++ b/hemlockstand/fleet/scheduler.py
@@ -135,16 +135,18 @@
         record = lease.record
         log.info("scheduler starts", epoch=record.epoch, version=lease.version)
         LEADING.set(1)
-        self._leader = Leader(
-            self._settings,
-            self._rows,
-            self._configuration,
-            lease,
-            self._clock,
-            self._clients,
-        )
         try:
-            await self._leader.run(fresh=watch.previous is None)
+            async with trio.open_nursery() as nursery:
+                self._leader = Leader(
+                    self._settings,
+                    self._rows,
+                    self._configuration,
+                    lease,
+                    self._clock,
+                    self._clients,
+                    nursery,
+                )
+                await self._leader.run(fresh=watch.previous is None)
             log.info("scheduler ends", epoch=record.epoch, detail="released")
         except* LeaseLost as group:
             detail = str(group.exceptions[0])
--- /dev/null
+++ b/hemlockstand/fleet/state.py
@@ -0,0 +1,96 @@
+"""What the parts of the scheduler share during a leadership."""
+
+from collections.abc import Callable
+
+import trio
+from attrs import define, field
+
+from hemlockstand.fleet.configuration import FleetConfigurationService
+from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.lease import SchedulerLease
+from hemlockstand.fleet.ledger import Ledger
+from hemlockstand.fleet.model import FleetConfig
+from hemlockstand.fleet.settings import FleetSettings
+from hemlockstand.platform.rows import RowStore
+
+# Leases of executors outlast the scheduler's lease by at most this much, so
+# that what runs survives an outage of the store.
+GRANT_SECONDS = 4.0
+# Usual lease of an executor: a change of the scheduler after a kill takes two
+# and a half seconds, and the last renewal may be one second old.
+HOLD_LEASE_SECONDS = 3.7
+# Part of an executor's longest lease that is used, for clocks that differ.
+HOLD_FRACTION = 0.9
+
+
+@define(eq=False)
+class SchedulerState:
+    """Jobs, executors and lease, and the wishes for the next round."""
+
+    settings: FleetSettings
+    rows: RowStore
+    configuration: FleetConfigurationService
+    lease: SchedulerLease
+    clock: Callable[[], float]
+    nursery: trio.Nursery
+    ledger: Ledger
+    executors: dict[str, Executor] = field(factory=dict)
+    store_failing: bool = False
+    took_over_at: float = field(init=False)
+    _place_wanted: trio.Event = field(factory=trio.Event)
+    _commit_wanted: trio.Event = field(factory=trio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        self.took_over_at = self.clock()
+
+    @property
+    def config(self) -> FleetConfig:
+        """The configuration in force; there is one before the lease is taken."""
+        config = self.configuration.current
+        assert config is not None
+        return config
+
+    @property
+    def grant_seconds(self) -> float:
+        """How long leases of executors may outlast the scheduler's lease."""
+        longest = self.settings.bounds.longest_hold_ms / 1000 * HOLD_FRACTION
+        return min(GRANT_SECONDS, longest - self.lease.lease_seconds)
+
+    def may_order(self) -> bool:
+        """Return whether orders may be given."""
+        return self.lease.valid
+
+    def last_grant_end(self) -> float:
+        """Return until when leases of executors may be granted at the most."""
+        return self.lease.valid_until + self.grant_seconds
+
+    def grant_end(self) -> float:
+        """Return until when to grant leases to executors.
+
+        As short as a change of the scheduler allows, because lost executors
+        delay their work for as long; as long as possible while the store
+        does not answer, because then no scheduler can take over.
+        """
+        if self.store_failing:
+            return self.last_grant_end()
+        return min(self.clock() + HOLD_LEASE_SECONDS, self.last_grant_end())
+
+    def want_place(self) -> None:
+        """Have waiting subtasks placed."""
+        self._place_wanted.set()
+
+    async def wait_place(self) -> None:
+        """Wait until subtasks may find a place."""
+        await self._place_wanted.wait()
+        self._place_wanted = trio.Event()
+
+    def want_commit(self) -> None:
+        """Have changes stored."""
+        self._commit_wanted.set()
+
+    async def wait_commit(self, seconds: float, pause_seconds: float) -> None:
+        """Wait for changes, and shortly for more; at most some seconds."""
+        with trio.move_on_after(seconds):
+            await self._commit_wanted.wait()
+            await trio.sleep(pause_seconds)
+        self._commit_wanted = trio.Event()
--- /dev/null
+++ b/hemlockstand/fleet/waves.py
@@ -0,0 +1,136 @@
+"""Upkeep of instances in waves."""
+
+import time
+
+from attrs import define, field
+from loguru import logger
+
+from hemlockstand.fleet.model import InstanceEntry, InstanceState, Wave
+from hemlockstand.fleet.plans import InstancePlans, Plan
+from hemlockstand.fleet.storage import WaveRecord
+
+log = logger.bind(module=__name__)
+
+# Part of a pool that may be reserved for upkeep while there is time.
+UPKEEP_FRACTION = 0.25
+# Time that an instance needs from its reservation to the end of its upkeep,
+# beyond the upkeep itself.
+CLEAR_SECONDS = 4.0
+
+
+@define(eq=False)
+class WaveProgress:
+    """How far a wave is; an order is stored before it is sent."""
+
+    wave: Wave
+    seen_ms: int
+    ordered: set[str] = field(factory=set)
+    begun: set[str] = field(factory=set)
+    back: set[str] = field(factory=set)
+    completed: bool = False
+    stored: bool = False
+
+    def make_record(self) -> WaveRecord:
+        """Return what is stored of the wave."""
+        return WaveRecord(
+            self.seen_ms, tuple(sorted(self.ordered)), tuple(sorted(self.begun))
+        )
+
+
+@define(eq=False)
+class WavePlanner:
+    """Plans the upkeep of waves within their maximum and the pools' need."""
+
+    plans: InstancePlans
+    waves: dict[int, WaveProgress] = field(factory=dict)
+
+    def add(self, wave: Wave, record: WaveRecord | None) -> None:
+        """Note a wave, with what an earlier scheduler has stored of it."""
+        if wave.number in self.waves:
+            return
+        if record is None:
+            record = WaveRecord(int(time.time() * 1000))
+        progress = WaveProgress(wave, record.seen_ms)
+        progress.begun.update(record.begun)
+        progress.ordered.update(record.ordered)
+        self.waves[wave.number] = progress
+        self.plans.state.want_commit()
+
+    def note_instances(self) -> None:
+        """Note which instances are back, and which waves are complete."""
+        for progress in self.waves.values():
+            self._note_progress(progress)
+
+    def _note_progress(self, progress: WaveProgress) -> None:
+        for name in progress.begun:
+            instance = self.plans.instances.get(name)
+            if instance is None or instance.state is InstanceState.UP:
+                progress.back.add(name)
+        done = all(
+            name in progress.back or name not in self.plans.instances
+            for name in progress.wave.instances
+        )
+        if done and not progress.completed:
+            progress.completed = True
+            progress.stored = False
+            log.info("wave {} completed", progress.wave.number)
+            self.plans.state.want_commit()
+
+    def plan(self) -> None:
+        """Reserve instances for the waves that are not complete."""
+        for progress in sorted(self.waves.values(), key=lambda item: item.wave.number):
+            if not progress.completed:
+                self._plan_wave(progress)
+
+    def _plan_wave(self, progress: WaveProgress) -> None:
+        wave = progress.wave
+        down = len(progress.ordered | progress.begun) - len(progress.back)
+        planned = [
+            plan
+            for plan in self.plans.current.values()
+            if plan.wave == wave.number and plan.instance not in progress.ordered
+        ]
+        free = wave.maximum - down - len(planned)
+        for instance in self._rank_upkeep(progress):
+            if free <= 0:
+                return
+            if not self._may_reserve(instance, progress):
+                continue
+            plan = Plan(
+                instance.name, wave=wave.number, planned_at=self.plans.state.clock()
+            )
+            self.plans.reserve(plan)
+            free -= 1
+
+    def _rank_upkeep(self, progress: WaveProgress) -> list[InstanceEntry]:
+        """Return the instances left, those with the least work first."""
+        left = [
+            self.plans.instances[name]
+            for name in progress.wave.instances
+            if name in self.plans.instances
+            and name not in progress.begun
+            and name not in self.plans.current
+            and self.plans.instances[name].state is InstanceState.UP
+        ]
+        return sorted(left, key=self.plans.weigh)
+
+    def _may_reserve(self, instance: InstanceEntry, progress: WaveProgress) -> bool:
+        """Return whether the pool can miss the instance now.
+
+        Towards the end of the wave's time it must.
+        """
+        if self.plans.find_executor(instance.name) is None:
+            return not instance.executor
+        members = [
+            other
+            for other in self.plans.instances.values()
+            if other.pool == instance.pool
+        ]
+        reserved = sum(1 for other in members if other.name in self.plans.current)
+        wave = progress.wave
+        left = len(wave.instances) - len(progress.begun)
+        rounds = -(-left // max(1, wave.maximum))
+        elapsed = time.time() - progress.seen_ms / 1000
+        pressed = elapsed + rounds * CLEAR_SECONDS * 2 > wave.duration_s
+        fraction = 2 * UPKEEP_FRACTION if pressed else UPKEEP_FRACTION
+        return reserved < max(1, int(len(members) * fraction))
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -212,11 +212,18 @@
             daemon.instances,
             None,
         )
-        daemon.leader = Leader(
-            settings, daemon.rows, self.configuration, lease, trio.current_time, clients
-        )
         try:
-            await daemon.leader.run(fresh=watch.previous is None)
+            async with trio.open_nursery() as nursery:
+                daemon.leader = Leader(
+                    settings,
+                    daemon.rows,
+                    self.configuration,
+                    lease,
+                    trio.current_time,
+                    clients,
+                    nursery,
+                )
+                await daemon.leader.run(fresh=watch.previous is None)
         except* LeaseLost:
             daemon.leader = None
 
--- a/test/test_fleet_decoding.py
+++ b/test/test_fleet_decoding.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hemlockstand.errors import InvalidInput
-from hemlockstand.fleet.ledger import Durations
+from hemlockstand.fleet.durations import Durations
 from hemlockstand.fleet.model import InstanceState, JobSpec, Queue, Resources
 from hemlockstand.fleet.pacing import choose_pace
 from hemlockstand.fleet.storage import encode_compact, group_rows, job_write
--- a/test/test_fleet_scheduler.py
+++ b/test/test_fleet_scheduler.py
@@ -4,8 +4,8 @@
 import trio
 
 from emulator.fleet_executors import Work
-from hemlockstand.fleet.leader import GRANT_SECONDS
 from hemlockstand.fleet.model import Resources, Step
+from hemlockstand.fleet.state import GRANT_SECONDS
 from test.fleet_world import LASTING, SMALL, make_config, open_world
 
 TAKEOVER_SECONDS = 3.0  # lease, watch interval and loading
