--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -213,6 +213,8 @@
             return
         for placement in self._placer.place(self.state.config, now):
             self._orders.start(placement.subtask, placement.executor)
+        if self.state.ledger.dirty:
+            self.state.want_commit()
 
     def _may_run(self, step_run: StepRun, executor: Executor) -> bool:
         """Return whether the policy of the step's queue allows an executor."""
--- a/hemlockstand/fleet/ledger.py
+++ b/hemlockstand/fleet/ledger.py
@@ -92,7 +92,8 @@
     waiting: dict[int, Subtask] = field(factory=dict)
     done: int = 0  # bit set of the indexes that are done
     unlocked_at: float = 0.0
-    announced: bool = False  # stored as a step that may have started
+    wanted: bool = False  # is to be stored as a step that may have started
+    announced: bool = False  # is stored as such
     inherited: bool = False  # an earlier scheduler may have started it
 
     @property
@@ -159,7 +160,7 @@
         announced = tuple(
             run.key
             for run in self.steps.values()
-            if (run.unlocked_at or run.inherited) and not run.complete
+            if (run.wanted or run.inherited) and not run.complete
         )
         return JobStatus(self.state, done, failures, announced)
 
@@ -258,13 +259,17 @@
                 continue
             if all(job.steps[occurrence, earlier].complete for earlier in step.after):
                 step_run.unlocked_at = now
-                if not step_run.announced:
-                    self.dirty.add(job.id)
                 self._create_subtasks(step_run)
                 for subtask in step_run.subtasks:
                     if not subtask.done and subtask.run is None:
                         self.set_waiting(subtask)
 
+    def announce(self, step_run: StepRun) -> None:
+        """Have a step stored as one that may have started."""
+        if not step_run.wanted:
+            step_run.wanted = True
+            self.dirty.add(step_run.job.id)
+
     def note_stored(self, jobs: list[str], statuses: list[JobStatus]) -> None:
         """Note that statuses are stored, which lets their steps start."""
         for job_id, status in zip(jobs, statuses, strict=True):
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -16,6 +16,9 @@
 # A subtask that failed or stood still on an executor goes elsewhere if that
 # many other executors of the pool could take it.
 MIN_ALTERNATIVES = 1
+# Part of a pool's room for which steps are announced ahead, so that no room
+# waits for the store.
+AHEAD_FRACTION = 0.25
 LATE_FACTOR = 3.0  # a job earns nothing after three times its objective
 
 
@@ -48,13 +51,24 @@
         """Yield placements; the caller starts each before asking for the next."""
         pools = self._group_executors(now)
         self._unseen = self._measure_unseen(config)
+        rooms: dict[str, float] = {}
         order = sorted(
             self.ledger.ready.values(),
             key=lambda step_run: rank_step(step_run, config, now),
         )
         for step_run in order:
             pool = find_pool(step_run.job, config)
-            if not step_run.announced or (step_run.inherited and pool in self.gated):
+            if step_run.inherited and pool in self.gated:
+                continue
+            if pool not in rooms:
+                rooms[pool] = count_room(pools.get(pool, ()))
+            room = rooms[pool]
+            rooms[pool] -= len(step_run.waiting) * max(1, step_run.step.size.cpu_millis)
+            if not step_run.announced:
+                # What cannot start yet stays unannounced, so that it would
+                # not wait for lost executors after a takeover.
+                if room > 0:
+                    self.ledger.announce(step_run)
                 continue
             executors = [
                 executor
@@ -146,6 +160,14 @@
         )
 
 
+def count_room(executors: Iterable[Executor]) -> float:
+    """Return the thousandths of a core for which steps may be announced."""
+    return sum(
+        executor.free_cpu() + executor.entry.capacity.cpu_millis * AHEAD_FRACTION
+        for executor in executors
+    )
+
+
 def is_usable(executor: Executor, now: float) -> bool:
     """Return whether an executor may get new runs."""
     return (
