Repeat an open upkeep order of an earlier scheduler

Cause: an instance whose order was stored, but not known to have begun, counted against the wave's maximum and was never planned again, so a wave with a maximum of 1 hung after a takeover.

--- a/hemlockstand/fleet/waves.py
+++ b/hemlockstand/fleet/waves.py
@@ -92,15 +92,18 @@
         ]
         free = wave.maximum - down - len(planned)
         for instance in self._rank_upkeep(progress):
-            if free <= 0:
-                return
+            # An order of an earlier scheduler counts already, and is repeated
+            # to learn what came of it.
+            counted = instance.name in progress.ordered
+            if free <= 0 and not counted:
+                continue
             if not self._may_reserve(instance, progress):
                 continue
             plan = Plan(
                 instance.name, wave=wave.number, planned_at=self.plans.state.clock()
             )
             self.plans.reserve(plan)
-            free -= 1
+            free -= 0 if counted else 1
 
     def _rank_upkeep(self, progress: WaveProgress) -> list[InstanceEntry]:
         """Return the instances left, those with the least work first."""
