Keep the executors that may have runs in a row for each pool

Cause: the lease row held all executors, 52 bytes each, and is written with each transaction: 9 KB 30 times a second on the grown sites, and over the 64 KB of a row from about 1,250 executors on. A roster row is written when it changes.

--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -15,6 +15,7 @@
     STATES_TABLE,
     expired_keys,
     pending_write,
+    roster_write,
     status_write,
     wave_writes,
 )
@@ -32,11 +33,15 @@
 
 @define(eq=False)
 class Commits:
-    """Collects what has changed into one transaction after another."""
+    """Collects what has changed into one transaction after another.
+
+    ``rosters`` is what the store has of the executors that may have runs.
+    """
 
     state: SchedulerState
     instances: InstanceManager
     _pending: dict[str, int] = field(factory=dict)
+    rosters: dict[str, dict[str, str]] = field(factory=dict)
 
     async def run(self, leaving: trio.Event) -> None:
         """Store changes and extend the lease until the scheduler leaves."""
@@ -82,17 +87,18 @@
         removed = [RowKey(STATES_TABLE, job_id) for job_id in expired]
         for job_id in expired:
             self.state.nursery.start_soon(self._remove_job, job_id)
-        listed = {
-            executor.id: (executor.entry.pool, executor.entry.address)
-            for executor in self.state.executors.values()
-        }
+        rosters = self._list_executors()
+        for pool, addresses in rosters.items():
+            if addresses != self.rosters.get(pool):
+                writes.append(roster_write(pool, addresses))
         try:
             orders = self.instances.find_orders()
-            await self.state.lease.commit(writes, removed, listed, orders, release)
+            await self.state.lease.commit(writes, removed, orders, release)
         except BaseException:
             self.state.ledger.dirty.update(dirty)
             raise
         self._pending = pending
+        self.rosters = rosters
         self.instances.note_stored(orders)
         if dirty:
             self.state.ledger.note_stored(dirty, statuses)
@@ -111,6 +117,14 @@
         except (PlatformUnavailable, OutcomeUnknown) as error:
             log.info("rows not removed", job=job_id, detail=str(error))
 
+    def _list_executors(self) -> dict[str, dict[str, str]]:
+        """Return the addresses by pool; a pool that is empty now is kept."""
+        rosters: dict[str, dict[str, str]] = {pool: {} for pool in self.rosters}
+        for executor in self.state.executors.values():
+            addresses = rosters.setdefault(executor.entry.pool, {})
+            addresses[executor.id] = executor.entry.address
+        return rosters
+
     def _expire_jobs(self) -> list[str]:
         before_ms = int(
             (time.time() - self.state.settings.bounds.status_s * KEEP_FACTOR) * 1000
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -29,6 +29,7 @@
     JOBS_TABLE,
     SCHEDULER_TABLE,
     WaveRecord,
+    decode_rosters,
     decode_waves,
     group_rows,
     read_jobs,
@@ -99,7 +100,7 @@
         start_soon = self.state.nursery.start_soon
         version = await self._load_jobs()
         entries = await self._roster.load()
-        await self._load_waves()
+        await self._load_own_rows()
         if not fresh:
             self._gates.close()
             record = self.state.lease.record
@@ -136,13 +137,16 @@
         log.info("jobs loaded", jobs=len(self.state.ledger.jobs), version=page.version)
         return page.version
 
-    async def _load_waves(self) -> None:
+    async def _load_own_rows(self) -> None:
+        """Read what an earlier scheduler has stored for its successor."""
         while True:
             try:
                 page = await self.state.rows.read_all(SCHEDULER_TABLE)
                 break
             except PlatformUnavailable as error:
                 await wait_for_store(self.state, error)
+        self._commits.rosters = decode_rosters(page.rows)
+        self._roster.add_known(self._commits.rosters)
         self._wave_records = decode_waves(page.rows)
         self._add_waves()
 
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -6,7 +6,7 @@
 once a later one was.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 import trio
@@ -74,21 +74,19 @@
         self,
         writes: Sequence[RowWrite] = (),
         removed: Sequence[RowKey] = (),
-        executors: Mapping[str, tuple[str, str]] | None = None,
         orders: InstanceOrders = NO_ORDERS,
         release: bool = False,
     ) -> None:
         """Apply the writes and extend the lease.
 
-        ``executors`` and ``orders`` are for the next holder. Raises
-        ``LeaseLost``, or ``PlatformUnavailable`` if nothing was applied. A
-        lost answer is resolved before this returns.
+        ``orders`` is for the next holder. Raises ``LeaseLost``, or
+        ``PlatformUnavailable`` if nothing was applied. A lost answer is
+        resolved before this returns.
         """
         record = attrs.evolve(
             self.record,
             holder="" if release else self.record.holder,
             sequence=self.record.sequence + 1,
-            executors=self.record.executors if executors is None else executors,
             ordered=orders.open,
             turned=orders.answered,
         )
@@ -190,12 +188,7 @@
         epoch = 1 if record is None else record.epoch + 1
         new = LeaseRecord(self.holder, self.session, epoch, 0)
         if record is not None:
-            new = attrs.evolve(
-                new,
-                executors=record.executors,
-                ordered=record.ordered,
-                turned=record.turned,
-            )
+            new = attrs.evolve(new, ordered=record.ordered, turned=record.turned)
         expected = (RowExpectation(SCHEDULER_TABLE, LEASE_KEY, version),)
         self._attempted_at = self.clock()
         try:
--- a/hemlockstand/fleet/roster.py
+++ b/hemlockstand/fleet/roster.py
@@ -1,6 +1,6 @@
 """The executors, as their entries in the store name them."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import trio
 from attrs import define
@@ -40,13 +40,18 @@
             except PlatformUnavailable as error:
                 await wait_for_store(self.state, error)
         self._apply_executor_rows(page.rows)
-        for executor, (pool, address) in self.state.lease.record.executors.items():
-            if executor not in self.state.executors:
+        return page.version
+
+    def add_known(self, rosters: Mapping[str, Mapping[str, str]]) -> None:
+        """Add executors of an earlier scheduler that have left the store."""
+        for pool, addresses in rosters.items():
+            for executor, address in addresses.items():
+                if executor in self.state.executors:
+                    continue
                 entry = ExecutorEntry(
                     executor, pool, address, "", False, None, None, Resources(), ()
                 )
                 self._add_executor(entry).present = False
-        return page.version
 
     async def follow(self, version: int) -> None:
         """Follow the entries until the scheduler ends."""
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -16,7 +16,7 @@
 import attrs
 import msgspec
 import trio
-from attrs import field, frozen
+from attrs import frozen
 
 from hemlockstand.errors import PlatformUnavailable
 from hemlockstand.fleet.model import JobSpec, JobState, JobStatus
@@ -34,6 +34,7 @@
 WAVE_PREFIX = "wave/"
 LEASE_KEY = "lease"
 PENDING_KEY = "pending"
+ROSTER_PREFIX = "roster/"
 
 # Parts of the jobs' table, by the last digit of a job's id.
 JOB_PARTS = tuple("0123456789abcdef")
@@ -69,7 +70,7 @@
     """The scheduler's lease row.
 
     ``epoch`` grows with each holder, and ``sequence`` with each of a holder's
-    writes. ``executors`` holds pool and address of those that may have runs.
+    writes.
     ``ordered`` holds the instances with an order that may be on its way, and
     ``turned`` those whose order was answered a short time ago. An empty
     ``holder`` has released the lease.
@@ -79,7 +80,6 @@
     session: str
     epoch: int
     sequence: int
-    executors: Mapping[str, tuple[str, str]] = field(factory=dict)
     ordered: tuple[str, ...] = ()
     turned: tuple[str, ...] = ()
 
@@ -187,6 +187,26 @@
     return RowWrite(SCHEDULER_TABLE, LEASE_KEY, encode_compact(record))
 
 
+def roster_write(pool: str, addresses: Mapping[str, str]) -> RowWrite:
+    """Return the row of a pool's executors that may have runs.
+
+    A row for each pool, because all of a large fleet do not fit into one.
+    """
+    value = msgspec.json.encode(addresses)
+    return RowWrite(SCHEDULER_TABLE, ROSTER_PREFIX + pool, value)
+
+
+def decode_rosters(rows: Iterable[StoredRow]) -> dict[str, dict[str, str]]:
+    """Return the addresses of executors by their ids and pools."""
+    return {
+        row.key.removeprefix(ROSTER_PREFIX): msgspec.json.decode(
+            row.value, type=dict[str, str]
+        )
+        for row in rows
+        if row.key.startswith(ROSTER_PREFIX) and row.value is not None
+    }
+
+
 def pending_write(counts: Mapping[str, int]) -> RowWrite:
     """Return the row of the jobs that have not started, by queue."""
     return RowWrite(SCHEDULER_TABLE, PENDING_KEY, msgspec.json.encode(counts))
