Count lasting work that was starting up as at work

A subtask whose last reading, up to 0.8 s old, was from its startup was stopped freely, although it had begun to work and another of its step was away.

--- a/hemlockstand/fleet/eviction.py
+++ b/hemlockstand/fleet/eviction.py
@@ -36,9 +36,16 @@
 
 
 def may_stop(subtask: Subtask, executors: Mapping[str, Executor]) -> bool:
-    """Return whether the step can miss the subtask for a while."""
+    """Return whether the step can miss the subtask for a while.
+
+    One that was still starting up when the executor last answered counts as
+    at work: it may have begun since.
+    """
     budget = subtask.step.max_unavailable
-    if not budget or not is_at_work(subtask, executors):
+    if not budget or subtask.run is None:
+        return True
+    executor = executors.get(subtask.run.executor)
+    if executor is not None and executor.entry.draining:
         return True
     away = sum(
         1
--- /dev/null
+++ b/test/test_fleet_eviction.py
@@ -0,0 +1,55 @@
+"""Which lasting subtasks may be stopped."""
+
+import pytest
+
+from hemlockstand.fleet.eviction import may_stop
+from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.ledger import Job, Run, RunState, StepRun, Subtask
+from hemlockstand.fleet.model import ExecutorEntry, JobSpec, Resources, Step
+
+
+def make_executor(name: str, draining: bool = False) -> Executor:
+    """Return an executor that answers."""
+    size = Resources(16_000, 32_768)
+    entry = ExecutorEntry(name, "pool", "a:1", "dc1", draining, None, 1, size, ())
+    return Executor(entry, None, 1, lambda: 0.0, None, 0.8, settled=True)
+
+
+def make_subtasks(percents: list[int | None]) -> list[Subtask]:
+    """Return a step's subtasks on ``i-0``; None for one that has no run."""
+    step = Step(len(percents), Resources(1000), lasting=True, max_unavailable=1)
+    job = Job(JobSpec("00000000000000c1", "q", "pool", "", "", (step,)), 1)
+    step_run = StepRun(job, 0, 0, step)
+    for index, percent in enumerate(percents):
+        subtask = Subtask(step_run, index, f"{step_run.name}.{index}")
+        if percent is not None:
+            run = Run(1, "i-0", 1, 0.0, RunState.RUNNING, percent=percent)
+            subtask.run = run
+        step_run.subtasks.append(subtask)
+    return step_run.subtasks
+
+
+@pytest.mark.parametrize(
+    ("percents", "allowed"),
+    [
+        ([100, 100, 100], True),
+        ([100, 100, None], False),
+        ([100, 100, 50], False),
+        ([50, 100, 100], True),
+        ([50, 100, None], False),
+    ],
+)
+def test_budget_of_a_step(percents, allowed):
+    """Guards against a stop of what has begun to work since the last answer.
+
+    Found on days on which a scheduler was replaced and work was moved twice:
+    a reading from before the startup had ended made the stop look free.
+    """
+    executors = {"i-0": make_executor("i-0")}
+    assert may_stop(make_subtasks(percents)[0], executors) is allowed
+
+
+def test_leaving_executor_is_cleared():
+    """Guards against work that ends with its executor for the budget's sake."""
+    executors = {"i-0": make_executor("i-0", draining=True)}
+    assert may_stop(make_subtasks([100, None])[0], executors)
