Say once which executors take runs, and drop what nothing reads

eviction.py repeated the conditions and the cap of placement.py; two fields of an executor and a wake-up after its first answer had no effect. A lost race for the lease and an answer without a clock are logged.

--- a/hemlockstand/fleet/eviction.py
+++ b/hemlockstand/fleet/eviction.py
@@ -8,6 +8,7 @@
 
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.ledger import RunState, Subtask
+from hemlockstand.fleet.placement import can_take, is_below_cap
 
 AT_WORK_PERCENT = 100  # of a lasting subtask; less while it starts up
 # A run whose percent did not change over this time and several looks stands
@@ -77,27 +78,11 @@
             continue
         if not executor.has_room(step.size, step.fills):
             continue
-        cap = step.max_per_executor
-        same = sum(
-            1 for other in executor.runs.values() if other.step_run is subtask.step_run
-        )
-        if not cap or same < cap:
+        if is_below_cap(subtask.step_run, executor):
             return True
     return False
 
 
-def can_take(executor: Executor, now: float) -> bool:
-    """Return whether an executor takes new runs."""
-    return (
-        executor.present
-        and executor.settled
-        and executor.reachable
-        and not executor.entry.draining
-        and not executor.reserved
-        and executor.quarantined_until <= now
-    )
-
-
 def find_stalled(executor: Executor, now: float) -> Iterator[Subtask]:
     """Yield the runs of an executor that make no progress."""
     for subtask in list(executor.runs.values()):
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -83,9 +83,7 @@
     acked: int = 0
     runs: dict[str, Subtask] = field(factory=dict)
     used: Resources = field(factory=Resources)
-    filled: Resources = field(factory=Resources)
     lapses_at: float = _NEVER
-    answered_at: float = _NEVER
     failing_since: float | None = None
     failed_in_row: int = 0
     quarantined_until: float = _NEVER
@@ -216,18 +214,14 @@
         sent_at = self.clock()
         fence = self.fence
         acked = self.acked
-        first = self._clock_ms is None
         answer = await self.client.hold(self.make_due(), fence, acked, wait)
         self.note_clock(answer.clock_ms)
-        self.answered_at = self.clock()
         if self.failing_since is not None:
             log.info("executor {} regained", self.id)
         self.failing_since = None
         self._settle(answer, sent_at, fence)
         if unstored and self.noted > self.acked:
             await trio.sleep(5 * UNSTORED_POLL_SECONDS)
-        if first and self.runs:
-            self.wake()
 
     async def _note_failure(self, error: HemlockstandError) -> None:
         now = self.clock()
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -194,6 +194,7 @@
         try:
             new_version = await self.rows.write([lease_write(new)], expected)
         except RowConflict:
+            log.info("another daemon was first at the lease", version=version)
             return None
         except OutcomeUnknown as error:
             log.warning("attempt at the lease without an answer", detail=str(error))
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -169,15 +169,18 @@
 
 
 def is_usable(executor: Executor, now: float) -> bool:
-    """Return whether an executor may get new runs."""
+    """Return whether an executor may get new runs now."""
+    return can_take(executor, now) and executor.listed and not executor.closed
+
+
+def can_take(executor: Executor, now: float) -> bool:
+    """Return whether an executor takes new runs, once it is listed."""
     return (
         executor.present
-        and executor.listed
         and executor.settled
         and executor.reachable
         and not executor.entry.draining
         and not executor.reserved
-        and not executor.closed
         and executor.quarantined_until <= now
     )
 
@@ -214,10 +217,12 @@
     others = [executor for executor in usable if executor.id not in subtask.avoid]
     if len(others) >= MIN_ALTERNATIVES:
         usable = others
-    racks = find_racks(subtask.step_run) if step.same_rack else frozenset()
+    neighbours = frozenset()
+    if step.same_rack:
+        neighbours = find_neighbours(subtask.step_run)
     return min(
         usable,
-        key=lambda executor: rank_executor(subtask, executor, racks),
+        key=lambda executor: rank_executor(subtask, executor, neighbours),
         default=None,
     )
 
@@ -231,7 +236,7 @@
     return count < cap
 
 
-def find_racks(step_run: StepRun) -> frozenset[str]:
+def find_neighbours(step_run: StepRun) -> frozenset[str]:
     """Return the executors' ids on which subtasks of the step run."""
     return frozenset(
         subtask.run.executor for subtask in step_run.subtasks if subtask.run is not None
--- a/hemlockstand/platform/executors.py
+++ b/hemlockstand/platform/executors.py
@@ -163,7 +163,9 @@
     """Return the executor's clock; None if the response has no body."""
     try:
         clock = reply.decode().get("ClockMs")
-    except OutcomeUnknown:
+    except OutcomeUnknown as error:
+        # Some refusals have no body; the next hold brings the clock.
+        log.debug("answer to a start without a clock: {}", error)
         return None
     return clock if isinstance(clock, int) else None
 
