--- a/hemlockstand/ctl/settings_page.py
+++ b/hemlockstand/ctl/settings_page.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from hemlockstand.fleet import settings as fleet
 from hemlockstand.settings import DEFAULTS_FILE, Settings
 
 TYPE_NAMES = {bool: "yes or no", int: "whole number", float: "number", str: "text"}
@@ -25,17 +26,33 @@
 section, key and value, before anything starts; the exit code is then 2.
 """
 
+FLEET_INTRODUCTION = """# Settings with --fleet
+
+`hemlockd --fleet --settings FILE.ini` schedules jobs on the fleet platform. Its
+sections are in `hemlockstand/fleet/settings.py`, the defaults in
+`hemlockstand/fleet/defaults.ini`. The platform fills in `deploy/settings.ini` at each
+start.
+"""
+
 
 def write_page() -> str:
     """Return the text of the page."""
-    defaults = ConfigParser(interpolation=None)
-    defaults.read_string(DEFAULTS_FILE.read_text(encoding="utf-8"))
-    parts = [INTRODUCTION]
-    for section, kind in get_type_hints(Settings).items():
-        parts.append("\n".join(_write_section(section, kind, defaults)))
+    parts = [
+        INTRODUCTION,
+        *_write_sections(Settings, DEFAULTS_FILE),
+        FLEET_INTRODUCTION,
+        *_write_sections(fleet.FleetSettings, fleet.DEFAULTS_FILE),
+    ]
     return "\n".join(parts)
 
 
+def _write_sections(settings: type, defaults_file: Path) -> Iterator[str]:
+    defaults = ConfigParser(interpolation=None)
+    defaults.read_string(defaults_file.read_text(encoding="utf-8"))
+    for section, kind in get_type_hints(settings).items():
+        yield "\n".join(_write_section(section, kind, defaults))
+
+
 def _write_section(section: str, kind: type, defaults: ConfigParser) -> Iterator[str]:
     yield f"## [{section}]"
     yield ""
--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -166,6 +166,8 @@
             call = read_call(request)
             answer = await self._answer(call)
             seconds = time.monotonic() - started_at
+            if answer.status != 200:
+                self._report_refusal(call, answer)
             ANSWERS.labels(call.method, answer.status).inc()
             REQUEST_SECONDS.labels(call.method).observe(seconds)
             response = Response(
@@ -179,6 +181,18 @@
 
         return app
 
+    def _report_refusal(self, call: Call, answer: Answer) -> None:
+        config = self._configuration.current
+        log.info(
+            "call refused",
+            method=call.method,
+            path=call.path,
+            outcome=answer.status,
+            detail=answer.body.decode(),
+            config=None if config is None else config.version,
+            config_age=round(self._configuration.age_seconds, 3),
+        )
+
     async def _answer(self, call: Call) -> Answer:
         config = self._configuration.current
         if config is None:
@@ -210,8 +224,6 @@
     def _require_fresh(self) -> Answer | None:
         if self._configuration.fresh:
             return None
-        age = self._configuration.age_seconds
-        log.info("refused: configuration is too old", age_seconds=round(age, 3))
         return refuse(503, "the configuration is not known to be current")
 
     async def _submit(
@@ -224,7 +236,6 @@
         try:
             spec = decode_submission(body, job, queue, tenant, now_ms)
         except InvalidInput as error:
-            log.info("job refused", job=job, detail=str(error))
             return refuse(400, error.message)
         write = job_write(spec)
         expected = (RowExpectation(write.table, write.key, 0, write.part),)
--- a/hemlockstand/fleet/ledger.py
+++ b/hemlockstand/fleet/ledger.py
@@ -420,9 +420,10 @@
             return
         self.dirty.add(subtask.job.id)
         if len(subtask.failures) >= attempts and not subtask.done:
-            self.finish(subtask.job, JobState.FAILED, now_ms)
+            detail = f"{subtask.name} has failed {attempts} times"
+            self.finish(subtask.job, JobState.FAILED, now_ms, detail)
 
-    def finish(self, job: Job, state: JobState, now_ms: int) -> None:
+    def finish(self, job: Job, state: JobState, now_ms: int, detail: str = "") -> None:
         """End a job; its runs are stopped by the scheduler."""
         if job.state.final:
             return
@@ -431,7 +432,7 @@
             self.unset_waiting(subtask)
         self.dirty.add(job.id)
         self._retire(job, now_ms)
-        log.info("job ended", job=job.id, outcome=state.value)
+        log.info("job ended", job=job.id, outcome=state.value, detail=detail)
 
     def _retire(self, job: Job, now_ms: int) -> None:
         job.ended_ms = now_ms
