Withhold instance orders of a lost lease, and count an instance gone after three lists

Cause, found by reading: the lease was checked before a connection was had, and a daemon that stood still meanwhile sent its order afterwards; nobody but us checks the fence of these orders. A wave counted an instance that one list did not show as gone, so it could be said to be completed too early. Ruled out: checking again after the connect in the manager, as the pool connects within the call.

--- a/emulator/fleet_instances.py
+++ b/emulator/fleet_instances.py
@@ -8,7 +8,7 @@
 
 from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.model import InstanceEntry, InstanceState
-from hemlockstand.platform.machines import OrderOutcome
+from hemlockstand.platform.machines import Holder, OrderOutcome
 
 
 @frozen
@@ -80,12 +80,16 @@
 
 @define(eq=False)
 class InstanceAccess:
-    """One daemon's client of the machines, as ``InstanceClient``."""
+    """One daemon's client of the machines, as ``InstanceClient``.
+
+    Lists miss the ``hidden`` instances.
+    """
 
     model: InstanceModel
     closed: bool = False
     lost_answers: int = 0
     call_seconds: float = 0.005
+    hidden: set[str] = field(factory=set)
 
     async def _reach(self) -> None:
         await trio.sleep(self.call_seconds)
@@ -96,11 +100,13 @@
         """Return all instances."""
         await self._reach()
         self.model.advance()
-        return list(self.model.instances.values())
+        return [
+            entry
+            for name, entry in self.model.instances.items()
+            if name not in self.hidden
+        ]
 
-    async def move(
-        self, instance: str, pool: str, holder: str, fence: int
-    ) -> OrderOutcome:
+    async def move(self, instance: str, pool: str, holder: Holder) -> OrderOutcome:
         """Move an instance."""
         await self._reach()
         known = self.model.instances.get(instance)
@@ -108,11 +114,9 @@
             outcome = OrderOutcome.TAKEN
         else:
             outcome = self.model.change(instance, InstanceState.MOVING, pool)
-        return self._record(instance, "move", holder, fence, outcome)
+        return self._record(instance, "move", holder, outcome)
 
-    async def maintain(
-        self, instance: str, wave: int, holder: str, fence: int
-    ) -> OrderOutcome:
+    async def maintain(self, instance: str, wave: int, holder: Holder) -> OrderOutcome:
         """Start the upkeep of an instance."""
         await self._reach()
         done = self.model.maintained.setdefault(wave, [])
@@ -124,13 +128,14 @@
             outcome = self.model.change(instance, InstanceState.UPKEEP, pool)
             if outcome is OrderOutcome.TAKEN:
                 done.append(instance)
-        return self._record(instance, "upkeep", holder, fence, outcome)
+        return self._record(instance, "upkeep", holder, outcome)
 
     def _record(
-        self, instance: str, kind: str, holder: str, fence: int, outcome: OrderOutcome
+        self, instance: str, kind: str, holder: Holder, outcome: OrderOutcome
     ) -> OrderOutcome:
-        now = trio.current_time()
-        order = RecordedOrder(now, instance, kind, holder, fence, outcome)
+        order = RecordedOrder(
+            trio.current_time(), instance, kind, holder.name, holder.fence, outcome
+        )
         self.model.orders.append(order)
         if self.lost_answers:
             self.lost_answers -= 1
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -23,7 +23,7 @@
 from hemlockstand.fleet.plans import InstancePlans, Plan
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.waves import WavePlanner, WaveProgress
-from hemlockstand.platform.machines import InstanceClient, OrderOutcome
+from hemlockstand.platform.machines import Holder, InstanceClient, OrderOutcome
 
 log = logger.bind(module=__name__)
 
@@ -183,13 +183,12 @@
         plan.ordering = False
 
     async def _send(self, plan: Plan) -> OrderOutcome:
-        if plan.wave:
-            return await self.client.maintain(
-                plan.instance, plan.wave, self.state.settings.daemon.name, self.fence
-            )
-        return await self.client.move(
-            plan.instance, plan.pool, self.state.settings.daemon.name, self.fence
+        holder = Holder(
+            self.state.settings.daemon.name, self.fence, self.state.may_order
         )
+        if plan.wave:
+            return await self.client.maintain(plan.instance, plan.wave, holder)
+        return await self.client.move(plan.instance, plan.pool, holder)
 
     def _note_outcome(
         self,
--- a/hemlockstand/fleet/waves.py
+++ b/hemlockstand/fleet/waves.py
@@ -1,6 +1,7 @@
 """Upkeep of instances in waves."""
 
 import time
+from collections import Counter
 
 from attrs import define, field
 from loguru import logger
@@ -16,6 +17,9 @@
 # Time that an instance needs from its reservation to the end of its upkeep,
 # beyond the upkeep itself.
 CLEAR_SECONDS = 4.0
+# An instance that so many lists in a row do not show is gone. One may miss it
+# between two of its pages.
+GONE_LISTS = 3
 
 
 @define(eq=False)
@@ -27,6 +31,7 @@
     ordered: set[str] = field(factory=set)
     begun: set[str] = field(factory=set)
     back: set[str] = field(factory=set)
+    absent: Counter[str] = field(factory=Counter)
     completed: bool = False
     stored: bool = False
 
@@ -62,14 +67,17 @@
             self._note_progress(progress)
 
     def _note_progress(self, progress: WaveProgress) -> None:
-        for name in progress.begun:
+        for name in progress.wave.instances:
             instance = self.plans.instances.get(name)
-            if instance is None or instance.state is InstanceState.UP:
+            if instance is None:
+                progress.absent[name] += 1
+                continue
+            progress.absent[name] = 0
+            if name in progress.begun and instance.state is InstanceState.UP:
                 progress.back.add(name)
-        done = all(
-            name in progress.back or name not in self.plans.instances
-            for name in progress.wave.instances
-        )
+        gone = {name for name, lists in progress.absent.items() if lists >= GONE_LISTS}
+        progress.back.update(gone & progress.begun)
+        done = progress.back | gone >= set(progress.wave.instances)
         if done and not progress.completed:
             progress.completed = True
             progress.stored = False
--- a/hemlockstand/platform/connection.py
+++ b/hemlockstand/platform/connection.py
@@ -5,7 +5,7 @@
 about half as much processor time.
 """
 
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import httpcore
@@ -26,10 +26,17 @@
 # After these no byte of the request has been sent.
 _NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 
+# What httpcore reports directly before it writes the first byte of a request.
+_BEFORE_WRITE = "http11.send_request_headers.started"
+
 _decoder = msgspec.json.Decoder()
 _encoder = msgspec.json.Encoder()
 
 
+class _Withheld(Exception):
+    """The request must not be sent any more."""
+
+
 @frozen
 class Reply:
     """A complete response."""
@@ -68,9 +75,12 @@
         seconds: float,
         body: object | None = None,
         headers: tuple[tuple[str, str], ...] = (),
+        may_send: Callable[[], bool] | None = None,
     ) -> Reply:
         """Send a request and return the response.
 
+        ``may_send`` is asked directly before the first byte is written: a
+        process may stand still for seconds while it waits for a connection.
         Raises ``PlatformUnavailable`` if nothing was sent, and
         ``OutcomeUnknown`` if the request may have been carried out. After a
         failure all connections are replaced, because one that has gone
@@ -83,6 +93,16 @@
             sent_headers.append((b"Content-Type", b"application/json"))
             sent_headers.append((b"Content-Length", str(len(content)).encode()))
         sent_headers.extend((name.encode(), text.encode()) for name, text in headers)
+        extensions: dict[str, Any] = {
+            "timeout": {
+                "connect": CONNECT_SECONDS,
+                "pool": CONNECT_SECONDS,
+                "read": seconds,
+                "write": seconds,
+            }
+        }
+        if may_send is not None:
+            extensions["trace"] = _make_guard(may_send)
         pool = self._pool
         try:
             with trio.fail_after(seconds + CONNECT_SECONDS):
@@ -91,15 +111,10 @@
                     f"http://{self.address}{target}",
                     headers=sent_headers,
                     content=content,
-                    extensions={
-                        "timeout": {
-                            "connect": CONNECT_SECONDS,
-                            "pool": CONNECT_SECONDS,
-                            "read": seconds,
-                            "write": seconds,
-                        }
-                    },
+                    extensions=extensions,
                 )
+        except _Withheld as error:
+            raise PlatformUnavailable(f"{method} {target} was not sent") from error
         except _NOT_SENT as error:
             await self._replace(pool)
             raise PlatformUnavailable(
@@ -130,6 +145,16 @@
             await self._pool.aclose()
 
 
+def _make_guard(may_send: Callable[[], bool]) -> Callable[..., Awaitable[None]]:
+    """Return a trace hook that ends the call where it may not be sent."""
+
+    async def check(event: str, info: Mapping[str, Any]) -> None:
+        if event == _BEFORE_WRITE and not may_send():
+            raise _Withheld
+
+    return check
+
+
 def _open_pool() -> httpcore.AsyncConnectionPool:
     return httpcore.AsyncConnectionPool(
         max_connections=MAX_CONNECTIONS,
--- a/hemlockstand/platform/machines.py
+++ b/hemlockstand/platform/machines.py
@@ -1,8 +1,10 @@
 """Client of the platform's machines, which move between pools and get upkeep."""
 
+from collections.abc import Callable
 from enum import StrEnum
 from urllib.parse import urlencode
 
+from attrs import frozen
 from loguru import logger
 
 from hemlockstand.errors import InvalidInput, OutcomeUnknown, PlatformUnavailable
@@ -24,10 +26,23 @@
     REFUSED = "refused"
 
 
+@frozen
+class Holder:
+    """Who gives orders, and whether it still may.
+
+    The platform need not check the token, so ``may_order`` is asked directly
+    before each order is sent.
+    """
+
+    name: str
+    fence: int
+    may_order: Callable[[], bool]
+
+
 class InstanceClient:
     """Lists instances, moves them and starts their upkeep.
 
-    Orders carry the holder and its fencing token. They raise
+    Orders carry the holder's name and fencing token. They raise
     ``PlatformUnavailable`` if nothing was done, and ``OutcomeUnknown``.
     """
 
@@ -58,25 +73,21 @@
             raise PlatformUnavailable(f"the list of machines answered {reply.status}")
         return reply
 
-    async def move(
-        self, instance: str, pool: str, holder: str, fence: int
-    ) -> OrderOutcome:
+    async def move(self, instance: str, pool: str, holder: Holder) -> OrderOutcome:
         """Move an instance to a pool; what runs on it ends at once."""
         body = {"Machine": instance, "Pool": pool}
-        return await self._order("/machine-move", body, holder, fence)
+        return await self._order("/machine-move", body, holder)
 
-    async def maintain(
-        self, instance: str, wave: int, holder: str, fence: int
-    ) -> OrderOutcome:
+    async def maintain(self, instance: str, wave: int, holder: Holder) -> OrderOutcome:
         """Start the upkeep of an instance; what runs on it ends at once."""
         body = {"Machine": instance, "Wave": wave}
-        return await self._order("/machine-upkeep", body, holder, fence)
+        return await self._order("/machine-upkeep", body, holder)
 
-    async def _order(
-        self, path: str, body: object, holder: str, fence: int
-    ) -> OrderOutcome:
-        headers = (("Lease-Holder", holder), ("Fencing-Token", str(fence)))
-        reply = await self._connection.call("POST", path, ORDER_SECONDS, body, headers)
+    async def _order(self, path: str, body: object, holder: Holder) -> OrderOutcome:
+        headers = (("Lease-Holder", holder.name), ("Fencing-Token", str(holder.fence)))
+        reply = await self._connection.call(
+            "POST", path, ORDER_SECONDS, body, headers, holder.may_order
+        )
         match reply.status:
             case 200:
                 return OrderOutcome.TAKEN
--- a/test/test_fleet_instances.py
+++ b/test/test_fleet_instances.py
@@ -173,3 +173,24 @@
         (later,) = find_later()
         assert later.fence > ordered.fence
         assert later.at - ordered.at >= 3.0
+
+
+async def test_instance_that_one_list_misses_is_not_gone(clock):
+    """Guards against a wave said to be completed before an instance's upkeep."""
+    async with open_world() as world:
+        world.add_instances("pool", 3)
+        names = list(world.instances.instances)
+        add_wave(world, names, maximum=1)
+        daemon = world.start_daemon("a")
+
+        def find_left() -> set[str]:
+            return set(names) - set(world.instances.maintained.get(1, ()))
+
+        await world.wait_for(lambda: len(find_left()) == 1, 20)
+        await trio.sleep(0.2)
+        daemon.instances.hidden.update(find_left())
+        await trio.sleep(1.0)
+        assert "completed" not in read_status(world)
+        daemon.instances.hidden.clear()
+        await world.wait_for(lambda: "completed" in read_status(world), 30)
+        assert sorted(world.instances.maintained[1]) == sorted(names)
