Pause filling work at once when a target is missed by a quarter

Cause, by counting looks: from 100 % to 0 took four looks of up to 0.85 s, which with the half second that a reading covers is as long as a target may be missed (4 s). Now two looks. The test states the faster steps; its earlier bound (50 at 1.2 of the target) was the fault.

--- a/hemlockstand/fleet/pacing.py
+++ b/hemlockstand/fleet/pacing.py
@@ -11,6 +11,9 @@
 # fills beside it is slowed down, and below which that may speed up again.
 SLOW_FRACTION = 0.75
 SPEED_FRACTION = 0.5
+# Above its target by this factor, what fills beside it is paused at once: a
+# target may be missed for a few looks only.
+PAUSE_FACTOR = 1.25
 SLOWEST_PERCENT = 10  # below this a subtask is better paused
 SPEED_STEP_PERCENT = 15
 FULL_PERCENT = 100
@@ -49,8 +52,10 @@
 
 def choose_pace(percent: int, strain: float) -> int:
     """Return the next pace; ``strain`` is the worst tail by its target."""
+    if strain > PAUSE_FACTOR:
+        return 0
     if strain > SLOW_FRACTION:
-        slower = percent // 2
+        slower = percent // 4 if strain > 1 else percent // 2
         return slower if slower >= SLOWEST_PERCENT else 0
     if strain < SPEED_FRACTION:
         return min(FULL_PERCENT, percent + SPEED_STEP_PERCENT)
--- a/test/test_fleet_decoding.py
+++ b/test/test_fleet_decoding.py
@@ -157,7 +157,9 @@
 
 def test_pace_falls_fast_and_rises_slowly():
     """Guards against filling work that keeps users over their target."""
-    assert choose_pace(100, 1.2) == 50
+    assert choose_pace(100, 0.9) == 50
+    assert choose_pace(100, 1.2) == 25
+    assert choose_pace(100, 1.3) == 0
     assert choose_pace(12, 0.9) == 0
     assert choose_pace(0, 0.2) == 15
     assert choose_pace(95, 0.2) == 100
