Wait for the last grants after a restart, and distrust rows of before the takeover

Causes, found by reading; each test failed first: * A scheduler that took its own lease after a restart, or a released one, counted earlier grants from the takeover although they count from the lease's end, 1.8 s later: a subtask could run twice. * Rows that are older than the lease were loaded as the present state. * Entries that went while the store forgot its history stayed present, and older entries that are read again replaced newer ones. * A new lifetime was given work by the capacity and labels of the old entry. * The rest of a gang waited for a member whose start was refused.

--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -93,6 +93,7 @@
     draining: bool = False
     lost_answers: int = 0
     late_orders: int = 0
+    unhealthy_orders: int = 0
     late: list[StartOrder] = field(factory=list)
 
     @property
@@ -286,6 +287,9 @@
             model.late.append(order)
             await trio.sleep(0.5)
             return Unanswered("held back")
+        if model.unhealthy_orders:
+            model.unhealthy_orders -= 1
+            return Refused(Refusal.UNHEALTHY)
         outcome = model.begin(order)
         if model.lost_answers:
             model.lost_answers -= 1
--- a/emulator/row_store.py
+++ b/emulator/row_store.py
@@ -126,7 +126,8 @@
 
     ``closed`` refuses all calls. ``lost_answers`` counts writes that are
     applied without an answer, ``late_writes`` those that are applied after
-    ``late_seconds``.
+    ``late_seconds``. Reads of the ``old_tables`` give what was there before
+    the first write.
     """
 
     model: RowStoreModel
@@ -136,6 +137,7 @@
     late_seconds: float = 3.0
     call_seconds: float = 0.004
     late: list[Transaction] = field(factory=list)
+    old_tables: set[str] = field(factory=set)
 
     async def _call(self) -> None:
         await trio.sleep(self.call_seconds)
@@ -147,6 +149,8 @@
     ) -> RowPage:
         """Return rows as ``RowStore.read``."""
         await self._call()
+        if table in self.old_tables:
+            return RowPage((), 0)
         rows = self.model.select(table, start, end, part)
         return RowPage(rows, self.model.version)
 
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -106,6 +106,16 @@
         """Whether the last call was answered."""
         return self.failing_since is None
 
+    @property
+    def described(self) -> bool:
+        """Whether the entry in the store is that of the present lifetime.
+
+        A new lifetime may have another capacity and other labels, and its
+        lists may be read before its entry.
+        """
+        born_ms = self.entry.born_ms
+        return born_ms is None or self.born_ms is None or born_ms == self.born_ms
+
     def has_room(self, size: Resources, fills: bool) -> bool:
         """Return whether a subtask fits; one that fills needs no cpu."""
         capacity = self.entry.capacity
--- a/hemlockstand/fleet/gates.py
+++ b/hemlockstand/fleet/gates.py
@@ -31,8 +31,8 @@
         """Open the pools in which no unseen run can exist any more."""
         if not self.gated:
             return
-        waited = self.state.clock() - self.state.took_over_at
-        if waited > self.state.grant_seconds + GATE_MARGIN_SECONDS:
+        now = self.state.clock()
+        if now > self.state.earlier_grants_end + GATE_MARGIN_SECONDS:
             still_gated: set[str] = set()
         else:
             still_gated = {
@@ -43,5 +43,5 @@
         opened = self.gated - still_gated
         if opened:
             self.gated -= opened
-            log.info("pools open", pools=len(opened), seconds=round(waited, 3))
+            log.info("pools open", pools=sorted(opened), gated=len(self.gated))
             self.state.want_place()
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable
+from functools import partial
 
 import trio
 from loguru import logger
@@ -22,7 +23,7 @@
 from hemlockstand.fleet.orders import RUNS_PER_EPOCH, Orders
 from hemlockstand.fleet.placement import LATE_FACTOR, Placer
 from hemlockstand.fleet.reports import Reports
-from hemlockstand.fleet.roster import Roster, wait_for_store
+from hemlockstand.fleet.roster import Roster, read_current
 from hemlockstand.fleet.settings import FleetSettings
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.storage import (
@@ -127,24 +128,15 @@
             log.warning("lease not released", detail=str(error))
 
     async def _load_jobs(self) -> int:
-        while True:
-            try:
-                page = await read_jobs(self.state.rows)
-                break
-            except PlatformUnavailable as error:
-                await wait_for_store(self.state, error)
+        page = await read_current(self.state, partial(read_jobs, self.state.rows))
         self._apply_job_rows(page.rows)
         log.info("jobs loaded", jobs=len(self.state.ledger.jobs), version=page.version)
         return page.version
 
     async def _load_own_rows(self) -> None:
         """Read what an earlier scheduler has stored for its successor."""
-        while True:
-            try:
-                page = await self.state.rows.read_all(SCHEDULER_TABLE)
-                break
-            except PlatformUnavailable as error:
-                await wait_for_store(self.state, error)
+        read = partial(self.state.rows.read_all, SCHEDULER_TABLE)
+        page = await read_current(self.state, read)
         self._commits.rosters = decode_rosters(page.rows)
         self._roster.add_known(self._commits.rosters)
         self._wave_records = decode_waves(page.rows)
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -131,6 +131,8 @@
         """Take the run from a subtask, which waits again if it is wanted."""
         if subtask.run is not None:
             subtask.checkpoint = subtask.run.checkpoint or subtask.checkpoint
+            if subtask.step.gang:
+                self._stop_members(subtask, subtask.run.number)
         self.state.ledger.detach(subtask)
         if subtask.done or subtask.job.state.final:
             return
@@ -138,6 +140,14 @@
         self.state.ledger.set_waiting(subtask)
         self.state.want_place()
 
+    def _stop_members(self, lost: Subtask, number: int) -> None:
+        """Stop the rest of a gang, which would wait in vain for a member."""
+        for member in lost.step_run.subtasks:
+            if member is lost or member.run is None:
+                continue
+            if member.run.number == number:
+                self.stop_run(member)
+
     def stop_runs(self, job: Job) -> None:
         """Stop all runs of a job."""
         for subtask in list(job.runs()):
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -179,6 +179,7 @@
         executor.present
         and executor.settled
         and executor.reachable
+        and executor.described
         and not executor.entry.draining
         and not executor.reserved
         and executor.quarantined_until <= now
--- a/hemlockstand/fleet/roster.py
+++ b/hemlockstand/fleet/roster.py
@@ -1,12 +1,13 @@
 """The executors, as their entries in the store name them."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from functools import partial
 
 import trio
-from attrs import define
+from attrs import define, field
 from loguru import logger
 
-from hemlockstand.errors import HemlockstandError, InvalidInput, PlatformUnavailable
+from hemlockstand.errors import InvalidInput, PlatformUnavailable
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.model import ExecutorEntry, Resources
 from hemlockstand.fleet.reports import Reports
@@ -14,7 +15,7 @@
 from hemlockstand.fleet.storage import EXECUTORS_TABLE
 from hemlockstand.platform.decoding import decode_executor
 from hemlockstand.platform.executors import ExecutorClient
-from hemlockstand.platform.rows import HistoryGone, StoredRow
+from hemlockstand.platform.rows import HistoryGone, RowPage, StoredRow
 
 log = logger.bind(module=__name__)
 
@@ -30,18 +31,23 @@
     connect: Callable[[str, str], ExecutorClient]
     reports: Reports
     fence: int
+    _versions: dict[str, int] = field(factory=dict)
 
     async def load(self) -> int:
         """Read all entries; return the version to follow from."""
-        while True:
-            try:
-                page = await self.state.rows.read_all(EXECUTORS_TABLE)
-                break
-            except PlatformUnavailable as error:
-                await wait_for_store(self.state, error)
+        read = partial(self.state.rows.read_all, EXECUTORS_TABLE)
+        page = await read_current(self.state, read)
         self._apply_executor_rows(page.rows)
+        self._remove_unlisted(page)
         return page.version
 
+    def _remove_unlisted(self, page: RowPage) -> None:
+        """Note which entries went while their removal was not followed."""
+        listed = {row.key for row in page.rows}
+        for executor_id in self.state.executors.keys() - listed:
+            if self._versions.get(executor_id, 0) <= page.version:
+                self._remove_entry(executor_id)
+
     def add_known(self, rosters: Mapping[str, Mapping[str, str]]) -> None:
         """Add executors of an earlier scheduler that have left the store."""
         for pool, addresses in rosters.items():
@@ -72,6 +78,10 @@
 
     def _apply_executor_rows(self, rows: Iterable[StoredRow]) -> None:
         for row in rows:
+            # Entries that are read again may be older than those followed.
+            if row.version < self._versions.get(row.key, 0):
+                continue
+            self._versions[row.key] = row.version
             if row.value is None:
                 self._remove_entry(row.key)
                 continue
@@ -122,17 +132,30 @@
         for executor in list(self.state.executors.values()):
             if executor.present or executor.runs:
                 continue
-            if now > max(
-                executor.lapses_at, self.state.took_over_at + self.state.grant_seconds
-            ):
+            if now > max(executor.lapses_at, self.state.earlier_grants_end):
                 executor.close()
                 del self.state.executors[executor.id]
+                self._versions.pop(executor.id, None)
                 log.info("executor {} is forgotten", executor.id)
 
 
-async def wait_for_store(state: SchedulerState, error: HemlockstandError) -> None:
-    """Wait before another try; ends the leadership with the lease."""
-    log.warning("store does not answer", detail=str(error))
-    if not state.lease.valid:
-        await state.lease.commit()
-    await trio.sleep(RETRY_SECONDS)
+async def read_current(
+    state: SchedulerState, read: Callable[[], Awaitable[RowPage]]
+) -> RowPage:
+    """Read rows until the store gives them as of the lease or later.
+
+    Older ones could lack what an earlier scheduler has stored last. The
+    leadership ends with the lease.
+    """
+    while True:
+        least = state.lease.version
+        try:
+            page = await read()
+            if page.version >= least:
+                return page
+            log.warning("rows are old", version=page.version, lease=least)
+        except PlatformUnavailable as error:
+            log.warning("store does not answer", detail=str(error))
+        if not state.lease.valid:
+            await state.lease.commit()
+        await trio.sleep(RETRY_SECONDS)
--- a/hemlockstand/fleet/state.py
+++ b/hemlockstand/fleet/state.py
@@ -36,13 +36,9 @@
     ledger: Ledger
     executors: dict[str, Executor] = field(factory=dict)
     store_failing: bool = False
-    took_over_at: float = field(init=False)
     _place_wanted: trio.Event = field(factory=trio.Event)
     _commit_wanted: trio.Event = field(factory=trio.Event)
 
-    def __attrs_post_init__(self) -> None:
-        self.took_over_at = self.clock()
-
     @property
     def config(self) -> FleetConfig:
         """The configuration in force; there is one before the lease is taken."""
@@ -56,6 +52,11 @@
         longest = self.settings.bounds.longest_hold_ms / 1000 * HOLD_FRACTION
         return min(GRANT_SECONDS, longest - self.lease.lease_seconds)
 
+    @property
+    def earlier_grants_end(self) -> float:
+        """Until when leases that an earlier scheduler granted may last."""
+        return self.lease.earlier_until + self.grant_seconds
+
     def may_order(self) -> bool:
         """Return whether orders may be given."""
         return self.lease.valid
--- a/test/test_fleet_lease.py
+++ b/test/test_fleet_lease.py
@@ -137,3 +137,21 @@
     lease = await acquire(watch)
     assert read_record(model).session == lease.record.session
     assert lease.record.epoch == 1
+
+
+async def test_grants_of_a_holder_that_ended_at_once_are_waited_for(autojump_clock):
+    """Guards against a second run beside one that the last grant still covers.
+
+    A released lease, and that of a process that ended on the same machine,
+    are taken before they have run out.
+    """
+    model = RowStoreModel()
+    first = await acquire(make_watch(model, "a", "first"))
+    second = await acquire(make_watch(model, "a", "second"))
+    assert second.earlier_until >= first.valid_until
+    ends_at = second.valid_until
+    await second.commit(release=True)
+    third = await acquire(make_watch(model, "b"))
+    assert third.earlier_until >= max(ends_at, second.valid_until)
+    fourth = await acquire(make_watch(model, "c"))
+    assert third.valid_until <= fourth.earlier_until <= trio.current_time()
--- a/test/test_fleet_scheduler.py
+++ b/test/test_fleet_scheduler.py
@@ -4,7 +4,7 @@
 import trio
 
 from emulator.fleet_executors import Work
-from hemlockstand.fleet.model import Resources, Step
+from hemlockstand.fleet.model import EndKind, Resources, Step
 from hemlockstand.fleet.state import GRANT_SECONDS
 from test.fleet_world import LASTING, SMALL, make_config, open_world
 
@@ -391,3 +391,93 @@
         failed = [run for run in world.records if run.executor == bad.id]
         assert len(failed) <= 12
         assert sum(world.state(job) == "failed" for job in jobs) == 0
+
+
+async def test_restarted_scheduler_waits_for_its_own_grants(clock):
+    """Guards against a second run after a restart during an outage of the store.
+
+    Grants reach further while the store does not answer, and the daemon that
+    led takes its own lease again before it has run out.
+    """
+    async with open_world() as world:
+        lost = world.add_executor()
+        first = world.start_daemon("a")
+        job = world.submit(step(lasting=True), work=Work(LASTING, size=SMALL))
+        await world.wait_for(lambda: world.find_running(job), 5)
+        await trio.sleep(1)
+        first.rows.closed = True
+        await trio.sleep(0.7)
+        world.kill(first)
+        world.start_daemon("a").cut_off.add(lost.id)
+        world.add_executor()
+        await world.wait_for(lambda: world.count_runs(job) == 2, 10)
+        world.check_runs()
+
+
+async def test_new_lifetime_takes_nothing_before_its_entry(clock):
+    """Guards against runs that a smaller new lifetime at the address can't hold.
+
+    The lists of a new lifetime may be read before its entry in the store.
+    """
+    async with open_world() as world:
+        executor = world.add_executor()
+        world.start_daemon("a")
+        job = world.submit(step(lasting=True), work=Work(LASTING, size=SMALL))
+        await world.wait_for(lambda: world.find_running(job), 5)
+        executor.restart()
+        executor.capacity = Resources(2000, 32_768)
+        await trio.sleep(1)
+        wide = world.submit(step(6), work=Work(1.0, size=SMALL))
+        await trio.sleep(3)
+        assert world.count_runs(wide) == 0
+        world.announce(executor)
+        await world.wait_for(lambda: world.state(wide) == "completed", 10)
+
+
+async def test_gang_that_lost_a_member_is_stopped(clock):
+    """Guards against members that wait for one whose start was refused."""
+    async with open_world() as world:
+        first = world.add_executor()
+        other = world.add_executor()
+        world.start_daemon("a")
+        await trio.sleep(1)
+        other.unhealthy_orders = 1
+        large = Resources(9000, 512)
+        work = Work(2.0, size=large)
+        job = world.submit(Step(2, large, 2000, gang=True), work=work)
+        await world.wait_for(lambda: world.state(job) == "completed", 8)
+        stopped = [run for run in world.records if run.kind is EndKind.STOPPED]
+        assert [run.executor for run in stopped] == [first.id]
+        assert stopped[0].ended_at - stopped[0].began_at < 1.0
+        assert {run.number for run in world.records[1:]} == {2}
+
+
+async def test_entry_that_went_unseen_is_removed(clock):
+    """Guards against an executor that counts as present after its entry has gone.
+
+    The store may forget its history together with the removal.
+    """
+    async with open_world() as world:
+        executor = world.add_executor()
+        world.add_executor()
+        daemon = world.start_daemon("a")
+        await trio.sleep(2)
+        world.store.remove("servers", executor.id)
+        world.store.forget_history()
+        await trio.sleep(1)
+        known = daemon.leader.state.executors.get(executor.id)
+        assert known is None or not known.present
+
+
+async def test_rows_older_than_the_lease_are_not_used(clock):
+    """Guards against a scheduler that starts from rows of before its takeover."""
+    async with open_world() as world:
+        world.add_executor()
+        job = world.submit(step(1))
+        daemon = world.start_daemon("a")
+        daemon.rows.old_tables.add("states")
+        await trio.sleep(3)
+        assert world.lease_holder() == "a"
+        assert world.count_runs(job) == 0
+        daemon.rows.old_tables.clear()
+        await world.wait_for(lambda: world.state(job) == "completed", 5)
