Hold steps back only for executors that an earlier scheduler has stored

Their entries stay in the store for up to 4.5 s, and the rosters kept them until their leases had run out. An executor that our own order has ended is now dropped from the rosters at once, and only executors of the rosters are waited for: an executor gets nothing before its name is stored. Ruled out: taking a refused connection for a proof, as a cut may refuse.

--- a/hemlockstand/fleet/gates.py
+++ b/hemlockstand/fleet/gates.py
@@ -1,5 +1,7 @@
 """Pools in which runs of an earlier scheduler may exist unseen."""
 
+from collections.abc import Iterable
+
 from attrs import define, field
 from loguru import logger
 
@@ -15,32 +17,35 @@
     """Holds announced steps back until all that may run them has answered.
 
     What runs on an executor that does not answer ends with its lease, so the
-    gates open after the longest one at the latest.
+    gates open after the longest one at the latest. An executor gets nothing
+    before its name is stored, so only those that the earlier scheduler has
+    stored may have runs.
     """
 
     state: SchedulerState
     gated: set[str] = field(factory=set)
+    _inherited: set[str] = field(factory=set)
+
+    def close(self, inherited: Iterable[str]) -> None:
+        """Hold back announced steps in the pools of the inherited executors."""
+        self._inherited.update(inherited)
+        self.gated.update(self._find_unsettled())
 
-    def close(self) -> None:
-        """Hold back announced steps in all pools that have executors."""
-        self.gated.update(
-            executor.entry.pool for executor in self.state.executors.values()
-        )
+    def _find_unsettled(self) -> set[str]:
+        """Return the pools of the executors that have not answered yet."""
+        return {
+            executor.entry.pool
+            for executor in self.state.executors.values()
+            if executor.id in self._inherited and not executor.settled
+        }
 
     def open(self) -> None:
         """Open the pools in which no unseen run can exist any more."""
         if not self.gated:
             return
         now = self.state.clock()
-        if now > self.state.earlier_grants_end + GATE_MARGIN_SECONDS:
-            still_gated: set[str] = set()
-        else:
-            still_gated = {
-                executor.entry.pool
-                for executor in self.state.executors.values()
-                if not executor.settled
-            }
-        opened = self.gated - still_gated
+        over = now > self.state.earlier_grants_end + GATE_MARGIN_SECONDS
+        opened = self.gated - (set() if over else self._find_unsettled())
         if opened:
             self.gated -= opened
             log.info("pools open", pools=sorted(opened), gated=len(self.gated))
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -213,7 +213,7 @@
         if outcome is OrderOutcome.TAKEN:
             self._listed_at = float("-inf")
             if executor is not None:
-                executor.present = False
+                self._drop_executor(executor)
             if progress is not None:
                 progress.begun.add(plan.instance)
                 progress.stored = False
@@ -227,6 +227,16 @@
         if outcome is OrderOutcome.REFUSED or plan.pool:
             self.plans.drop(plan)
 
+    def _drop_executor(self, executor: Executor) -> None:
+        """Forget an executor that the order has ended.
+
+        Its name leaves the store, so that after a takeover nobody waits for
+        an answer from it.
+        """
+        executor.close()
+        self.state.executors.pop(executor.id, None)
+        self.state.want_commit()
+
     def _mark_changing(self, plan: Plan, instance: InstanceEntry) -> None:
         """Show the order in the list until it is read again."""
         state = InstanceState.UPKEEP if plan.wave else InstanceState.MOVING
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -103,7 +103,11 @@
         entries = await self._roster.load()
         await self._load_own_rows()
         if not fresh:
-            self._gates.close()
+            self._gates.close(
+                executor
+                for addresses in self._commits.rosters.values()
+                for executor in addresses
+            )
             record = self.state.lease.record
             orders = InstanceOrders(record.ordered, record.turned)
             self._instances.block(orders, self.state.lease.lease_seconds)
--- a/test/test_fleet_instances.py
+++ b/test/test_fleet_instances.py
@@ -194,3 +194,32 @@
         daemon.instances.hidden.clear()
         await world.wait_for(lambda: "completed" in read_status(world), 30)
         assert sorted(world.instances.maintained[1]) == sorted(names)
+
+
+async def test_moved_executors_hold_up_no_takeover(clock):
+    """Guards against steps that wait for executors which our own moves ended.
+
+    Found on a day with a frozen scheduler: its successor held back all steps
+    of a pool for 4 s, because 13 executors of moved instances did not answer.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 6)
+        world.add_instances("standby", 2)
+        first = world.start_daemon("a")
+        await trio.sleep(0.5)
+        world.start_daemon("b")
+        entries = dict(world.store.rows)
+        job = world.submit(Step(2, SMALL, 1000), work=Work(12.0, size=SMALL))
+        await world.wait_for(lambda: world.instances.orders, 20)
+        await trio.sleep(0.3)
+        # Entries of moved instances stay in the store for seconds.
+        for (table, _, key), row in entries.items():
+            if table == "servers" and world.store.find(table, key) is None:
+                world.store.put(table, key, row.value)
+        for record in world.find_running(job):
+            world.executors[record.executor].crash()
+        world.kill(first)
+        killed_at = trio.current_time()
+        await world.wait_for(lambda: len(world.find_running(job)) == 2, 10)
+        assert trio.current_time() - killed_at < 3.5
+        world.check_runs()
