Let a whole turn pass for instances of a released lease

Cause, found by reading: the turn between two holders' orders for one instance was shortened by a lease that had run out, also when the lease was released or taken by the same daemon after a restart, where no time has passed. Two holders in touch could order one instance 1.6 s apart (3 s are asked for). The test failed before.

--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -85,7 +85,7 @@
     def block(self, orders: InstanceOrders, waited_seconds: float) -> None:
         """Leave alone for a while what an earlier scheduler has ordered.
 
-        ``waited_seconds`` is the time since it can have had an answer.
+        ``waited_seconds`` is the time since it can have stored an answer.
         """
         now = self.state.clock()
         until = now + self.turn_seconds - waited_seconds
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -110,7 +110,8 @@
             )
             record = self.state.lease.record
             orders = InstanceOrders(record.ordered, record.turned)
-            self._instances.block(orders, self.state.lease.lease_seconds)
+            waited = self.state.clock() - self.state.lease.earlier_renewed_at
+            self._instances.block(orders, waited)
         start_soon(self._follow_jobs, version)
         start_soon(self._roster.follow, entries)
         start_soon(self._place_forever)
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -64,8 +64,13 @@
     lease_seconds: float
     clock: Callable[[], float]
     valid_until: float = _NEVER
-    # Until when the previous holder may have believed that it held the lease.
-    earlier_until: float = _NEVER
+    # When the previous holder may have renewed the lease for the last time.
+    earlier_renewed_at: float = _NEVER
+
+    @property
+    def earlier_until(self) -> float:
+        """Until when the previous holder may have given orders."""
+        return self.earlier_renewed_at + self.lease_seconds * TAKEOVER_MARGIN
 
     @property
     def valid(self) -> bool:
@@ -148,7 +153,7 @@
     _seen_version: int | None = None
     _seen_at: float = _NEVER
     _attempted_at: float = _NEVER
-    _earlier_until: float = _NEVER
+    _earlier_renewed_at: float = _NEVER
 
     async def try_acquire(self) -> SchedulerLease | None:
         """Look at the row and return the lease if it could be taken.
@@ -173,14 +178,14 @@
         return await self._acquire(record, row.version)
 
     def _has_ended(self, record: LeaseRecord | None) -> bool:
-        """Return whether the holder has gone, and note what it may have granted.
+        """Return whether the holder has gone, and note when it was there last.
 
-        A holder that released the lease, or ended on this machine, may have
-        renewed it a moment ago, so its grants count from the whole lease.
+        One that released the lease, or ended on this machine, may have renewed
+        it a moment ago.
         """
         now = self.clock()
         unchanged = now - self._seen_at
-        self._earlier_until = now + self.lease_seconds
+        self._earlier_renewed_at = now
         if record is None:
             return unchanged >= self.first_wait_seconds + self.delay_seconds
         if not record.holder:
@@ -188,9 +193,9 @@
         if record.holder == self.holder:
             # The process that held it ran here, and has ended.
             return True
-        wait = self.lease_seconds * TAKEOVER_MARGIN
-        self._earlier_until = self._seen_at + wait
-        return unchanged >= wait + self.delay_seconds
+        self._earlier_renewed_at = self._seen_at
+        wait = self.lease_seconds * TAKEOVER_MARGIN + self.delay_seconds
+        return unchanged >= wait
 
     async def _acquire(
         self, record: LeaseRecord | None, version: int
@@ -219,5 +224,5 @@
             self.rows, record, version, self.lease_seconds, self.clock
         )
         lease.valid_until = sent_at + self.lease_seconds
-        lease.earlier_until = self._earlier_until
+        lease.earlier_renewed_at = self._earlier_renewed_at
         return lease
--- a/test/test_fleet_instances.py
+++ b/test/test_fleet_instances.py
@@ -223,3 +223,34 @@
         await world.wait_for(lambda: len(world.find_running(job)) == 2, 10)
         assert trio.current_time() - killed_at < 3.5
         world.check_runs()
+
+
+async def test_instance_of_a_released_lease_waits_for_its_turn(clock):
+    """Guards against a second holder's order within the turn of the first.
+
+    A released lease is taken at once, so nothing of the turn has passed yet.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 6)
+        world.add_instances("standby", 1)
+        first = world.start_daemon("a")
+        await trio.sleep(1)
+        world.start_daemon("b")
+        await world.wait_for(lambda: world.instances.orders, 20)
+        await trio.sleep(0.3)
+        world.stop(first)
+        size = Resources(8000, 512)
+        for _ in range(10):
+            world.submit(Step(6, size, 2000), work=Work(2.0, size=size))
+        ordered = {order.instance: order for order in world.instances.orders}
+
+        def find_later():
+            return [
+                order
+                for order in world.instances.orders
+                if order.holder == "b" and order.instance in ordered
+            ]
+
+        await world.wait_for(lambda: len(find_later()) >= 3, 20)
+        for later in find_later():
+            assert later.at - ordered[later.instance].at >= 3.0
--- a/test/test_fleet_lease.py
+++ b/test/test_fleet_lease.py
@@ -155,3 +155,4 @@
     assert third.earlier_until >= max(ends_at, second.valid_until)
     fourth = await acquire(make_watch(model, "c"))
     assert third.valid_until <= fourth.earlier_until <= trio.current_time()
+    assert fourth.earlier_renewed_at <= trio.current_time() - LEASE_SECONDS
