Keep pools at the operator's size until the first job

Ruled out: no moves at all before the first job, as lasting work may need more instances. test_pool_follows_its_demand asked for a shrunk pool before any job; it now asks that the pool keeps its size till then, and shrinks after the first.

--- a/hemlockstand/fleet/moves.py
+++ b/hemlockstand/fleet/moves.py
@@ -20,6 +20,7 @@
     is_blocked: Callable[[str], bool]
     _needs: dict[str, PoolNeed] = field(factory=dict)
     _reported: dict[str, tuple[int, int]] = field(factory=dict)
+    _demand_seen: bool = False
 
     def plan(self) -> None:
         """Reserve instances for moves to where they are needed."""
@@ -45,6 +46,8 @@
             need = self._needs.setdefault(pool.name, PoolNeed())
             wanted = need.note(now, demand.count_instances(capacity))
             members = self._find_members(pool.name)
+            if not self._has_demand():
+                wanted = max(wanted, len(members))
             self._report_need(pool.name, len(members), wanted, demand)
             if len(members) > wanted:
                 surplus.extend(self._rank_surplus(members)[: len(members) - wanted])
@@ -55,6 +58,17 @@
         for instance in surplus:
             self._plan_move(instance, standby[0])
 
+    def _has_demand(self) -> bool:
+        """Return whether there has been work to size pools by.
+
+        Until then none shrinks below the size that the operator has given it,
+        which the first jobs need.
+        """
+        if not self._demand_seen:
+            jobs = self.plans.state.ledger.jobs.values()
+            self._demand_seen = any(not job.spec.lasting for job in jobs)
+        return self._demand_seen
+
     def _report_need(
         self, pool: str, members: int, wanted: int, demand: Demand
     ) -> None:
--- a/test/test_fleet_instances.py
+++ b/test/test_fleet_instances.py
@@ -118,6 +118,9 @@
                 if instance.pool == "pool"
             )
 
+        await trio.sleep(5)
+        assert count() == 6
+        world.submit(Step(1, SMALL, 1000))
         await world.wait_for(lambda: count() == 2, 20)
         size = Resources(4000, 512)
         work = Work(2.0, size=size)
@@ -234,6 +237,7 @@
         world.add_instances("pool", 6)
         world.add_instances("standby", 1)
         first = world.start_daemon("a")
+        world.submit(Step(1, SMALL, 1000))
         await trio.sleep(1)
         world.start_daemon("b")
         await world.wait_for(lambda: world.instances.orders, 20)
