--- a/hemlockstand/fleet/state.py
+++ b/hemlockstand/fleet/state.py
@@ -16,8 +16,9 @@
 # Leases of executors outlast the scheduler's lease by at most this much, so
 # that what runs survives an outage of the store.
 GRANT_SECONDS = 4.0
-# Usual lease of an executor: a change of the scheduler after a kill takes two
-# and a half seconds, and the last renewal may be one second old.
+# Usual lease of an executor: a change of the scheduler after a kill takes up
+# to two seconds, more on a slow machine, and the last renewal may be one
+# second old.
 HOLD_LEASE_SECONDS = 3.7
 # Part of an executor's longest lease that is used, for clocks that differ.
 HOLD_FRACTION = 0.9
--- a/hemlockstand/platform/rows.py
+++ b/hemlockstand/platform/rows.py
@@ -6,18 +6,23 @@
 from typing import Any
 from urllib.parse import urlencode
 
+import trio
 from attrs import frozen
 from loguru import logger
 
+from hemlockstand.coordination.timeouts import AdaptiveTimeout
 from hemlockstand.errors import NotFound, OutcomeUnknown, PlatformUnavailable
 from hemlockstand.platform.connection import Connection, Reply
 
 log = logger.bind(module=__name__)
 
 PAGE_ROWS = 500  # the most that the store returns in a response
-# A store that is sixty times slower than usual answers within 0.3 s.
+# The store answers within 0.01 s, and within 0.3 s when it is sixty times
+# slower than usual.
+LEAST_SECONDS = 0.4
 READ_SECONDS = 1.0
 WRITE_SECONDS = 1.5
+READ_TRIES = 2  # the second one on a new connection
 
 
 @frozen
@@ -98,6 +103,8 @@
         self._calls = Connection(address)
         # A waiting read occupies its connection, so it gets one of its own.
         self._feeds = Connection(address)
+        self._read_timeout = AdaptiveTimeout(LEAST_SECONDS, READ_SECONDS)
+        self._write_timeout = AdaptiveTimeout(LEAST_SECONDS, WRITE_SECONDS)
 
     async def read(
         self, table: str, start: str = "", end: str = "", part: str = ""
@@ -108,7 +115,7 @@
             query["StartKey"] = start
         if end:
             query["To"] = end
-        reply = await self._read(f"/rows-get?{urlencode(query)}", READ_SECONDS)
+        reply = await self._read(f"/rows-get?{urlencode(query)}")
         return decode_page(table, reply)
 
     async def read_all(self, table: str, part: str = "") -> RowPage:
@@ -182,7 +189,7 @@
                 for row in removed
             ],
         }
-        reply = await self._calls.call("POST", "/rows-tx", WRITE_SECONDS, body)
+        reply = await self._call("POST", "/rows-tx", self._write_timeout, body)
         if reply.status == 200:
             return int(reply.decode()["RowVersion"])
         if reply.status == 412:
@@ -192,14 +199,30 @@
             raise PlatformUnavailable(f"the store answered {reply.status}")
         raise OutcomeUnknown(f"the store answered {reply.status}")
 
-    async def _read(self, target: str, seconds: float) -> Reply:
-        try:
-            reply = await self._calls.call("GET", target, seconds)
-        except OutcomeUnknown as error:
-            raise PlatformUnavailable(str(error)) from error
+    async def _read(self, target: str) -> Reply:
+        for attempt in range(1, READ_TRIES + 1):
+            try:
+                reply = await self._call("GET", target, self._read_timeout)
+                break
+            except OutcomeUnknown as error:
+                if attempt == READ_TRIES:
+                    raise PlatformUnavailable(str(error)) from error
+                log.debug("read is repeated: {}", error)
         _require_ok(reply)
         return reply
 
+    async def _call(
+        self, method: str, target: str, timeout: AdaptiveTimeout, body: Any = None
+    ) -> Reply:
+        sent_at = trio.current_time()
+        try:
+            reply = await self._calls.call(method, target, timeout.seconds, body)
+        except OutcomeUnknown:
+            timeout.note_silence()
+            raise
+        timeout.note_answer(trio.current_time() - sent_at)
+        return reply
+
     async def close(self) -> None:
         """Close all connections."""
         await self._calls.close()
--- a/test/test_platform_connection.py
+++ b/test/test_platform_connection.py
@@ -3,8 +3,13 @@
 import pytest
 import trio
 
+from hemlockstand.coordination.timeouts import AdaptiveTimeout
 from hemlockstand.errors import PlatformUnavailable
 from hemlockstand.platform.connection import Connection
+from hemlockstand.platform.rows import RowStore
+
+
+BODY = b'{"rows": [], "RowVersion": 7}'
 
 
 class Listener:
@@ -19,13 +24,12 @@
         self.accepted += 1
         async for data in stream:
             self.read += data
-            await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(BODY)}\r\n\r\n"
+            await stream.send_all(head.encode() + BODY)
 
 
-@pytest.fixture
-async def listener(nursery):
-    """A listener with the address it serves."""
-    listener = Listener()
+async def serve(nursery, listener):
+    """Yield a listener with the address that it serves."""
     (opened,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
     host, port = opened.socket.getsockname()[:2]
     listener.address = f"{host}:{port}"
@@ -34,6 +38,13 @@
     nursery.cancel_scope.cancel()
 
 
+@pytest.fixture
+async def listener(nursery):
+    """A listener that answers."""
+    async for listener in serve(nursery, Listener()):
+        yield listener
+
+
 async def test_order_is_withheld_when_it_may_not_be_sent(listener):
     """Guards against an order of a scheduler that stood still while it connected."""
     connection = Connection(listener.address)
@@ -46,3 +57,47 @@
     assert reply.status == 200
     assert b"POST /a" in listener.read
     await connection.close()
+
+
+class SilentListener(Listener):
+    """Does not answer on its first connections."""
+
+    silent = 1
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        if self.accepted < self.silent:
+            self.accepted += 1
+            await trio.sleep_forever()
+        await super().serve(stream)
+
+
+@pytest.fixture
+async def silent_listener(nursery):
+    """A listener with a connection that goes silent."""
+    async for listener in serve(nursery, SilentListener()):
+        yield listener
+
+
+async def test_read_is_repeated_on_a_new_connection(silent_listener):
+    """Guards against a caller who is refused because one connection is silent."""
+    store = RowStore(silent_listener.address)
+    row = await store.read_one("jobs", "a")
+    assert (row.version, silent_listener.accepted) == (0, 2)
+    await store.close()
+
+
+async def test_timeouts_follow_the_service():
+    """Guards against a lost answer that stops a scheduler for its whole lease,
+    and against timeouts that a slow store can't meet.
+    """
+    timeout = AdaptiveTimeout(0.4, 1.5)
+    for _ in range(20):
+        timeout.note_answer(0.01)
+    assert timeout.seconds == 0.4
+    for expected in (0.8, 1.5, 1.5):
+        timeout.note_silence()
+        assert timeout.seconds == expected
+    for _ in range(20):
+        timeout.note_answer(0.35)
+    assert 0.4 < timeout.seconds < 1.5
