--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -79,6 +79,7 @@
     records: list[RecordedRun]
     capacity: Resources = field(factory=lambda: Resources(16_000, 32_768))
     rack: str = "r1"
+    kind: str = "a"
     data_centre: str = "dc1"
     born_ms: int = 1
     fence: int = 0
@@ -112,7 +113,7 @@
                 "Cpu": self.capacity.cpu_millis,
                 "MemMb": self.capacity.memory_mb,
             },
-            "Labels": ["a", self.rack],
+            "Labels": [self.kind, self.rack],
             "born": self.born_ms,
         }
         return json.dumps(body).encode()
--- a/hemlockstand/fleet/capacity.py
+++ b/hemlockstand/fleet/capacity.py
@@ -77,14 +77,20 @@
     """Work of a pool, and the least instances that its caps allow.
 
     ``present`` is work that is there, ``arriving`` what will be there if
-    jobs go on arriving as in the last seconds.
+    jobs go on arriving as in the last seconds. ``labelled`` is the part of
+    the present and lasting work that only executors with a label may run.
     """
 
     lasting: Room = field(factory=Room)
     present: Room = field(factory=Room)
     arriving: Room = field(factory=Room)
+    labelled: dict[str, Room] = field(factory=dict)
     least: int = LEAST_INSTANCES
 
+    def count_labelled(self, label: str, capacity: Resources) -> int:
+        """Return how many instances with a label the work needs."""
+        return math.ceil(self.labelled[label].count_instances(capacity))
+
     def count_instances(self, capacity: Resources) -> int:
         """Return how many instances of a capacity the work needs."""
         spare = SPARE_CPU_MILLIS / max(1, capacity.cpu_millis)
@@ -113,19 +119,30 @@
 
 
 def add_job(demand: Demand, job: Job, durations: Durations) -> None:
-    """Add the work that is left of a job."""
+    """Add the work that is left of a job.
+
+    Lasting work and gangs need their room at once; other work may take it in
+    turns.
+    """
     window = max(LEAST_WINDOW_SECONDS, job.objective_seconds)
     for step_run in job.steps.values():
         step = step_run.step
         left = step.count - step_run.done.bit_count()
         if not left or (not step_run.unlocked_at and job.spec.timed):
             continue
-        if not step.lasting:
+        if step.lasting:
+            share = 1.0
+            demand.lasting.add(get_room(step), left)
+        else:
             seconds = durations.predict(job.spec.queue, step.estimate_ms)
-            demand.present.add(get_room(step), left * min(1.0, seconds / window))
-            continue
-        demand.lasting.add(get_room(step), left)
-        if step.max_per_executor:
+            share = min(1.0, seconds / window)
+            if step.gang and step_run.unlocked:
+                share = 1.0
+            demand.present.add(get_room(step), left * share)
+        if step.label:
+            labelled = demand.labelled.setdefault(step.label, Room())
+            labelled.add(get_room(step), left * share)
+        if step.max_per_executor and (step.lasting or step.gang):
             least = math.ceil(left / step.max_per_executor)
             demand.least = max(demand.least, least)
 
--- a/hemlockstand/fleet/moves.py
+++ b/hemlockstand/fleet/moves.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator
 
-from attrs import define, field
+from attrs import define, field, frozen
 from loguru import logger
 
 from hemlockstand.fleet.capacity import Demand, PoolNeed, find_capacity, measure_demand
@@ -12,6 +12,19 @@
 log = logger.bind(module=__name__)
 
 
+@frozen
+class Lack:
+    """Instances that a pool needs, with a label unless that is empty."""
+
+    missing: int
+    pool: str
+    label: str = ""
+
+    def fits(self, instance: InstanceEntry) -> bool:
+        """Return whether an instance would be of use."""
+        return not self.label or self.label in instance.labels
+
+
 @define(eq=False)
 class MovePlanner:
     """Plans moves; ``is_blocked`` says what cannot be ordered yet."""
@@ -38,7 +51,7 @@
         if not capacity.cpu_millis:
             return
         surplus: list[InstanceEntry] = []
-        lacking: list[tuple[int, str]] = []
+        lacking: list[Lack] = []
         for pool in config.pools.values():
             if pool.standby:
                 continue
@@ -49,12 +62,21 @@
             if not self._has_demand():
                 wanted = max(wanted, len(members))
             self._report_need(pool.name, len(members), wanted, demand)
+            kept: list[InstanceEntry] = []
+            for label in demand.labelled:
+                count = demand.count_labelled(label, capacity)
+                labelled = [item for item in members if label in item.labels]
+                kept.extend(labelled[:count])
+                if len(labelled) < count:
+                    lacking.append(Lack(count - len(labelled), pool.name, label))
             if len(members) > wanted:
-                surplus.extend(self._rank_surplus(members)[: len(members) - wanted])
+                free = [item for item in members if item not in kept]
+                surplus.extend(self._rank_surplus(free)[: len(members) - wanted])
             elif len(members) < wanted:
-                lacking.append((wanted - len(members), pool.name))
-        for missing, pool in sorted(lacking, reverse=True):
-            self._bring_in(pool, missing, surplus, standby)
+                lacking.append(Lack(wanted - len(members), pool.name))
+        # Those with a label first: others may take any instance.
+        for lack in sorted(lacking, key=lambda item: (not item.label, -item.missing)):
+            self._bring_in(lack, surplus, standby)
         for instance in surplus:
             self._plan_move(instance, standby[0])
 
@@ -128,23 +150,27 @@
 
     def _bring_in(
         self,
-        pool: str,
-        missing: int,
+        lack: Lack,
         surplus: list[InstanceEntry],
         standby: list[str],
     ) -> None:
+        missing, pool = lack.missing, lack.pool
         for plan in list(self.plans.current.values()):
             if missing <= 0:
                 return
             instance = self.plans.instances.get(plan.instance)
             if instance is None or plan.wave or plan.ordering:
                 continue
+            if not lack.fits(instance):
+                continue
             if instance.pool == pool and plan.pool != pool:
                 self.plans.drop(plan)
                 missing -= 1
         for instance in self._find_sources(surplus, standby):
             if missing <= 0:
                 return
+            if not lack.fits(instance):
+                continue
             if instance in surplus:
                 surplus.remove(instance)
             self._plan_move(instance, pool)
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -110,13 +110,17 @@
         self.store.remove("servers", executor)
 
     def _join(self, instance: InstanceEntry) -> str:
-        model = self.add_executor(instance.pool, rack=instance.rack)
+        model = self.add_executor(instance.pool, instance.rack, instance.labels[0])
         return model.id
 
-    def add_executor(self, pool: str = "pool", rack: str = "r1") -> ExecutorModel:
+    def add_executor(
+        self, pool: str = "pool", rack: str = "r1", kind: str = "a"
+    ) -> ExecutorModel:
         """Add an executor and its entry in the store."""
         executor = f"i-{next(self._ids)}"
-        model = ExecutorModel(executor, pool, self.describe, self.records, rack=rack)
+        model = ExecutorModel(
+            executor, pool, self.describe, self.records, rack=rack, kind=kind
+        )
         model.clock_offset = trio.current_time() - 1000 * next(self._ids)
         self.executors[executor] = model
         self.announce(model)
@@ -126,11 +130,13 @@
         """Write an executor's entry."""
         self.store.put("servers", model.id, model.entry())
 
-    def add_instances(self, pool: str, number: int, racks: int = 2) -> None:
+    def add_instances(
+        self, pool: str, number: int, racks: int = 2, kind: str = "a"
+    ) -> None:
         """Add instances, with executors unless the pool is the standby."""
         for position in range(number):
             name = f"m-{next(self._ids)}"
-            labels = ("a", f"r{position % racks + 1}")
+            labels = (kind, f"r{position % racks + 1}")
             entry = InstanceEntry(
                 name, pool, InstanceState.UP, "dc1", labels, Resources(16_000), ""
             )
--- a/test/test_fleet_instances.py
+++ b/test/test_fleet_instances.py
@@ -258,3 +258,39 @@
         await world.wait_for(lambda: len(find_later()) >= 3, 20)
         for later in find_later():
             assert later.at - ordered[later.instance].at >= 3.0
+
+
+async def test_pool_grows_to_the_room_of_a_gang(clock):
+    """Guards against a gang that waits for ever, as its members need their room
+    at once and pools are sized by work that takes turns.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 2)
+        world.add_instances("standby", 6)
+        world.start_daemon("a")
+        size = Resources(9000, 512)
+        work = Work(2.0, size=size)
+        job = world.submit(Step(6, size, 2000, gang=True), work=work)
+        await world.wait_for(lambda: world.state(job) == "completed", 15)
+        capped = Step(5, SMALL, 2000, gang=True, max_per_executor=1)
+        job = world.submit(capped, work=Work(2.0, size=SMALL))
+        await world.wait_for(lambda: world.state(job) == "completed", 15)
+        world.check_runs()
+
+
+async def test_pool_gets_the_labels_that_its_work_needs(clock):
+    """Guards against work that waits for ever, as all instances that may run it
+    are on standby.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 3)
+        world.add_instances("standby", 2, kind="b")
+        world.start_daemon("a")
+        job = world.submit(Step(4, SMALL, 1000, label="b"))
+        await world.wait_for(lambda: world.state(job) == "completed", 15)
+        lasting = Step(2, SMALL, lasting=True, label="b")
+        job = world.submit(lasting, work=Work(LASTING, size=SMALL))
+        await world.wait_for(lambda: len(world.find_running(job)) == 2, 10)
+        await trio.sleep(10)
+        assert len(world.find_running(job)) == 2
+        assert world.count_runs(job) == 2
