--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -10,8 +10,9 @@
 from attrs import define, field, frozen
 
 from hemlockstand.fleet.executors import Executor
-from hemlockstand.fleet.ledger import Ledger, StepRun, Subtask, find_pool
+from hemlockstand.fleet.ledger import Ledger, find_pool
 from hemlockstand.fleet.model import FleetConfig, Queue, Resources, Tenant
+from hemlockstand.fleet.work import StepRun, Subtask
 
 # A subtask that failed or stood still on an executor goes elsewhere if that
 # many other executors of the pool could take it.
@@ -218,12 +219,12 @@
     others = [executor for executor in usable if executor.id not in subtask.avoid]
     if len(others) >= MIN_ALTERNATIVES:
         usable = others
-    neighbours = frozenset()
+    racks: frozenset[str] = frozenset()
     if step.same_rack:
-        neighbours = find_neighbours(subtask.step_run)
+        racks = find_racks(subtask.step_run, executors)
     return min(
         usable,
-        key=lambda executor: rank_executor(subtask, executor, neighbours),
+        key=lambda executor: rank_executor(subtask, executor, racks),
         default=None,
     )
 
@@ -237,24 +238,28 @@
     return count < cap
 
 
-def find_neighbours(step_run: StepRun) -> frozenset[str]:
-    """Return the executors' ids on which subtasks of the step run."""
-    return frozenset(
+def find_racks(step_run: StepRun, executors: Iterable[Executor]) -> frozenset[str]:
+    """Return the racks of those executors on which subtasks of the step run."""
+    ids = {
         subtask.run.executor for subtask in step_run.subtasks if subtask.run is not None
+    }
+    return frozenset(
+        executor.entry.rack for executor in executors if executor.id in ids
     )
 
 
 def rank_executor(
-    subtask: Subtask, executor: Executor, neighbours: frozenset[str]
+    subtask: Subtask, executor: Executor, racks: frozenset[str]
 ) -> tuple[int, int, int, str]:
     """Return the sort key of an executor for a subtask, smallest first.
 
+    ``racks`` are those that a step which should stay in one rack has taken.
     Subtasks that fill go where they disturb the least; others go where they
     leave the least room, which keeps whole executors free for large ones.
     """
     step = subtask.step
     remote = 1 if step.data_rack and step.data_rack != executor.entry.rack else 0
-    apart = 0 if not neighbours or executor.id in neighbours else 1
+    apart = 0 if not racks or executor.entry.rack in racks else 1
     if step.fills:
         serving = sum(1 for other in executor.runs.values() if other.step.target_ms)
         return remote + apart, serving, -executor.free_cpu(), executor.id
--- a/test/test_fleet_scheduler.py
+++ b/test/test_fleet_scheduler.py
@@ -481,3 +481,18 @@
         assert world.count_runs(job) == 0
         daemon.rows.old_tables.clear()
         await world.wait_for(lambda: world.state(job) == "completed", 5)
+
+
+async def test_step_of_one_rack_stays_there(clock):
+    """Guards against a step that leaves its rack when its first executor is full."""
+    async with open_world() as world:
+        for rack in ("r1", "r2", "r2", "r1"):
+            world.add_executor(rack=rack)
+        world.start_daemon("a")
+        size = Resources(8000, 512)
+        job = world.submit(
+            Step(4, size, 1000, same_rack=True), work=Work(2.0, size=size)
+        )
+        await world.wait_for(lambda: world.count_runs(job) == 4, 5)
+        racks = {world.executors[run.executor].rack for run in world.records}
+        assert len(racks) == 1
