Split jobs and runs from the ledger, and drop settings that nothing reads

Five bounds of the settings (stop_ms, remote_factor, move_s, upkeep_s, notice_ms) were checked and never read.

--- a/hemlockstand/fleet/advising.py
+++ b/hemlockstand/fleet/advising.py
@@ -8,10 +8,11 @@
 
 from hemlockstand.errors import PlatformUnavailable
 from hemlockstand.fleet.executors import Executor
-from hemlockstand.fleet.ledger import StepRun, find_pool
+from hemlockstand.fleet.ledger import find_pool
 from hemlockstand.fleet.model import FleetConfig
 from hemlockstand.fleet.placement import is_usable
 from hemlockstand.fleet.state import SchedulerState
+from hemlockstand.fleet.work import StepRun
 from hemlockstand.platform.advice import AdviceClient
 
 log = logger.bind(module=__name__)
--- a/hemlockstand/fleet/capacity.py
+++ b/hemlockstand/fleet/capacity.py
@@ -8,8 +8,9 @@
 
 from hemlockstand.fleet.durations import Durations
 from hemlockstand.fleet.executors import Executor
-from hemlockstand.fleet.ledger import Job, Ledger, find_pool
+from hemlockstand.fleet.ledger import Ledger, find_pool
 from hemlockstand.fleet.model import FleetConfig, Resources, get_room
+from hemlockstand.fleet.work import Job
 
 # Subtasks of uneven sizes leave about a tenth of an instance unused.
 FILL_FRACTION = 0.9
--- a/hemlockstand/fleet/eviction.py
+++ b/hemlockstand/fleet/eviction.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterator, Mapping
 
 from hemlockstand.fleet.executors import Executor
-from hemlockstand.fleet.ledger import RunState, Subtask
 from hemlockstand.fleet.placement import can_take, is_below_cap
+from hemlockstand.fleet.work import RunState, Subtask
 
 AT_WORK_PERCENT = 100  # of a lasting subtask; less while it starts up
 # A run whose percent did not change over this time and several looks stands
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -19,7 +19,6 @@
 from loguru import logger
 
 from hemlockstand.errors import HemlockstandError, OutcomeUnknown, PlatformUnavailable
-from hemlockstand.fleet.ledger import Run, RunState, Subtask
 from hemlockstand.fleet.model import (
     EndEntry,
     ExecutorEntry,
@@ -27,6 +26,7 @@
     Resources,
     get_room,
 )
+from hemlockstand.fleet.work import Run, RunState, Subtask
 from hemlockstand.platform.executors import (
     ExecutorClient,
     OrderRefused,
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -16,13 +16,13 @@
 from hemlockstand.fleet.eviction import find_stoppable
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.lease import InstanceOrders
-from hemlockstand.fleet.ledger import Subtask
 from hemlockstand.fleet.metrics import INSTANCE_ORDERS
 from hemlockstand.fleet.model import InstanceEntry, InstanceState
 from hemlockstand.fleet.moves import MovePlanner
 from hemlockstand.fleet.plans import InstancePlans, Plan
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.waves import WavePlanner, WaveProgress
+from hemlockstand.fleet.work import Subtask
 from hemlockstand.platform.machines import Holder, InstanceClient, OrderOutcome
 
 log = logger.bind(module=__name__)
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -17,7 +17,7 @@
 from hemlockstand.fleet.gates import Gates
 from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.lease import InstanceOrders, SchedulerLease
-from hemlockstand.fleet.ledger import Job, Ledger, StepRun
+from hemlockstand.fleet.ledger import Ledger
 from hemlockstand.fleet.metrics import WAITING
 from hemlockstand.fleet.model import JobState
 from hemlockstand.fleet.orders import RUNS_PER_EPOCH, Orders
@@ -35,6 +35,7 @@
     group_rows,
     read_jobs,
 )
+from hemlockstand.fleet.work import Job, StepRun
 from hemlockstand.platform.rows import HistoryGone, RowStore, StoredRow
 
 log = logger.bind(module=__name__)
--- a/hemlockstand/fleet/ledger.py
+++ b/hemlockstand/fleet/ledger.py
@@ -5,8 +5,6 @@
 rows of the jobs; starts are not written, the executors' lists show them.
 """
 
-from collections.abc import Iterator
-from enum import Enum, auto
 from heapq import heappop, heappush
 
 from attrs import define, field
@@ -19,152 +17,14 @@
     JobState,
     JobStatus,
     Resources,
-    Step,
 )
+from hemlockstand.fleet.work import Job, Run, StepRun, Subtask
 
 log = logger.bind(module=__name__)
 
 DEFAULT_ATTEMPTS = 1  # of a queue that the configuration no longer holds
 
 
-class RunState(Enum):
-    """State of a run as the scheduler believes it."""
-
-    STARTING = auto()  # the order is in flight
-    UNSURE = auto()  # the order got no answer and may still be carried out
-    RUNNING = auto()
-    STOPPING = auto()
-
-
-@define(eq=False, slots=True)
-class Run:
-    """A run of a subtask on an executor; times are of the scheduler's clock."""
-
-    number: int
-    executor: str
-    fence: int
-    ordered_at: float
-    state: RunState = RunState.STARTING
-    answered_at: float | None = None
-    percent: int = 0
-    percent_at: float = 0.0
-    looks: int = 0  # since the percent has changed
-    load: int = 0
-    pace: int = 100
-    checkpoint: str = ""
-
-
-@define(eq=False, slots=True)
-class Subtask:
-    """One of the alike subtasks of a step."""
-
-    step_run: "StepRun"
-    index: int
-    name: str
-    runs: int = 0
-    run: Run | None = None
-    done: bool = False
-    failures: set[int] = field(factory=set)
-    checkpoint: str = ""
-    not_before: float = 0.0
-    avoid: set[str] = field(factory=set)
-
-    @property
-    def step(self) -> Step:
-        """The step that the subtask belongs to."""
-        return self.step_run.step
-
-    @property
-    def job(self) -> "Job":
-        """The job that the subtask belongs to."""
-        return self.step_run.job
-
-
-@define(eq=False, slots=True)
-class StepRun:
-    """A step in one occurrence of a job."""
-
-    job: "Job"
-    occurrence: int
-    position: int
-    step: Step
-    subtasks: list[Subtask] = field(factory=list)
-    waiting: dict[int, Subtask] = field(factory=dict)
-    done: int = 0  # bit set of the indexes that are done
-    unlocked_at: float = 0.0
-    wanted: bool = False  # is to be stored as a step that may have started
-    announced: bool = False  # is stored as such
-    inherited: bool = False  # an earlier scheduler may have started it
-
-    @property
-    def key(self) -> str:
-        """Identifier within the job, as in the status row."""
-        return f"{self.occurrence}.{self.position}"
-
-    @property
-    def name(self) -> str:
-        """Identifier across jobs."""
-        return f"{self.job.id}.{self.key}"
-
-    @property
-    def complete(self) -> bool:
-        """Whether all subtasks have ended as done."""
-        return self.done == (1 << self.step.count) - 1
-
-    @property
-    def unlocked(self) -> bool:
-        """Whether the subtasks may run."""
-        return bool(self.subtasks)
-
-
-@define(eq=False, slots=True)
-class Job:
-    """A job that has not ended, or ended a short time ago."""
-
-    spec: JobSpec
-    version: int
-    state: JobState = JobState.QUEUED
-    steps: dict[tuple[int, int], StepRun] = field(factory=dict)
-    cancelled: bool = False
-    started: bool = False
-    ended_ms: int = 0
-    accepted_at: float = 0.0
-    deadline: float = 0.0
-    objective_seconds: float = 0.0
-
-    @property
-    def id(self) -> str:
-        """Identifier that the caller chose."""
-        return self.spec.id
-
-    def subtasks(self) -> Iterator[Subtask]:
-        """Yield the subtasks of all unlocked steps."""
-        return (
-            subtask for step_run in self.steps.values() for subtask in step_run.subtasks
-        )
-
-    def runs(self) -> Iterator[Subtask]:
-        """Yield the subtasks that have a run."""
-        return (subtask for subtask in self.subtasks() if subtask.run is not None)
-
-    def make_status(self) -> JobStatus:
-        """Return what is stored of the job."""
-        if self.state.final:
-            return JobStatus(self.state, ended_ms=self.ended_ms)
-        done = {run.key: run.done for run in self.steps.values() if run.done}
-        failures = {
-            f"{subtask.step_run.key}.{subtask.index}": tuple(subtask.failures)
-            for subtask in self.subtasks()
-            if subtask.failures and not subtask.step.lasting
-        }
-        announced = tuple(
-            run.key
-            for run in self.steps.values()
-            if (run.wanted or run.inherited) and not run.complete
-        )
-        return JobStatus(self.state, done, failures, announced)
-
-
 @define(eq=False)
 class Ledger:
     """All jobs of the fleet.
--- a/hemlockstand/fleet/pacing.py
+++ b/hemlockstand/fleet/pacing.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from hemlockstand.fleet.executors import Executor
-from hemlockstand.fleet.ledger import RunState, Subtask
+from hemlockstand.fleet.work import RunState, Subtask
 
 # Part of its target up to which a serving subtask's tail may rise before what
 # fills beside it is slowed down, and below which that may speed up again.
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -8,12 +8,13 @@
 from hemlockstand.fleet.eviction import find_leaving, find_stalled
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.gates import Gates
-from hemlockstand.fleet.ledger import Run, RunState, Subtask, find_attempts
+from hemlockstand.fleet.ledger import find_attempts
 from hemlockstand.fleet.metrics import ENDS
 from hemlockstand.fleet.model import EndEntry, EndKind, HoldAnswer, RunEntry
 from hemlockstand.fleet.orders import RESTART_SECONDS, Orders
 from hemlockstand.fleet.pacing import find_pace_changes
 from hemlockstand.fleet.state import SchedulerState
+from hemlockstand.fleet.work import Run, RunState, Subtask
 
 log = logger.bind(module=__name__)
 
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -55,18 +55,11 @@
     """Bounds that the platform states; the units stand in the names."""
 
     longest_hold_ms: float = option("Longest lease of an executor.", 100, 600_000)
-    stop_ms: float = option("Longest time an executor takes to stop a run.", 1, 60_000)
     config_apply_ms: float = option(
         "Time until a configuration must be in force everywhere.", 100, 60_000
     )
     grace_s: float = option("Time between SIGTERM and SIGKILL.", 0.1, 600)
     status_s: float = option("Time for which a finished job is shown.", 1, 86_400)
-    remote_factor: float = option("Slow-down of a subtask away from its data.", 1, 100)
-    move_s: float = option("Time an instance takes to change its pool.", 0, 600)
-    upkeep_s: float = option("Time the upkeep of an instance takes.", 0, 86_400)
-    notice_ms: float = option(
-        "Time after which a subtask that is not at work counts as away.", 0, 60_000
-    )
     order_turn_ms: float = option(
         "Time between the orders of two holders for one instance.", 0, 60_000
     )
--- a/test/test_fleet_daemon.py
+++ b/test/test_fleet_daemon.py
@@ -55,14 +55,9 @@
 advice = {platform}
 [bounds]
 longest_hold_ms = 10000
-stop_ms = 400
 config_apply_ms = 5000
 grace_s = 6
 status_s = 120
-remote_factor = 1.5
-move_s = 1.5
-upkeep_s = 2
-notice_ms = 4500
 order_turn_ms = 3000
 """
 
--- a/test/test_fleet_eviction.py
+++ b/test/test_fleet_eviction.py
@@ -4,8 +4,8 @@
 
 from hemlockstand.fleet.eviction import may_stop
 from hemlockstand.fleet.executors import Executor
-from hemlockstand.fleet.ledger import Job, Run, RunState, StepRun, Subtask
 from hemlockstand.fleet.model import ExecutorEntry, JobSpec, Resources, Step
+from hemlockstand.fleet.work import Job, Run, RunState, StepRun, Subtask
 
 
 def make_executor(name: str, draining: bool = False) -> Executor:
