--- a/hemlockstand/fleet/moves.py
+++ b/hemlockstand/fleet/moves.py
@@ -74,7 +74,6 @@
                 surplus.extend(self._rank_surplus(free)[: len(members) - wanted])
             elif len(members) < wanted:
                 lacking.append(Lack(wanted - len(members), pool.name))
-        self.plans.lacking = {lack.pool for lack in lacking}
         # Those with a label first: others may take any instance.
         for lack in sorted(lacking, key=lambda item: (not item.label, -item.missing)):
             self._bring_in(lack, surplus, standby)
--- a/hemlockstand/fleet/plans.py
+++ b/hemlockstand/fleet/plans.py
@@ -24,15 +24,11 @@
 
 @define(eq=False)
 class InstancePlans:
-    """The instances as listed, and the plan that each has at most.
-
-    ``lacking`` names the pools that have fewer instances than they need.
-    """
+    """The instances as listed, and the plan that each has at most."""
 
     state: SchedulerState
     instances: dict[str, InstanceEntry] = field(factory=dict)
     current: dict[str, Plan] = field(factory=dict)
-    lacking: set[str] = field(factory=set)
 
     def drop_gone(self) -> None:
         """Drop the plans of instances that have gone."""
--- a/hemlockstand/fleet/waves.py
+++ b/hemlockstand/fleet/waves.py
@@ -14,9 +14,9 @@
 
 # Part of a pool that may be reserved for upkeep while there is time.
 UPKEEP_FRACTION = 0.25
-# Time that an instance needs from its reservation to the end of its upkeep:
-# its work ends within four seconds, and the upkeep takes two.
-TURN_SECONDS = 6.0
+# Time that an instance needs from its reservation to the end of its upkeep,
+# beyond the upkeep itself.
+CLEAR_SECONDS = 4.0
 # An instance that so many lists in a row do not show is gone. One may miss it
 # between two of its pages.
 GONE_LISTS = 3
@@ -128,8 +128,7 @@
     def _may_reserve(self, instance: InstanceEntry, progress: WaveProgress) -> bool:
         """Return whether the pool can miss the instance now.
 
-        One that has less than it needs keeps all until the end of the wave's
-        time is near; demand comes and goes faster than that.
+        Towards the end of the wave's time it must.
         """
         if self.plans.find_executor(instance.name) is None:
             return not instance.executor
@@ -143,8 +142,6 @@
         left = len(wave.instances) - len(progress.begun)
         rounds = -(-left // max(1, wave.maximum))
         elapsed = time.time() - progress.seen_ms / 1000
-        pressed = elapsed + rounds * TURN_SECONDS > wave.duration_s
-        if instance.pool in self.plans.lacking and not pressed:
-            return False
+        pressed = elapsed + rounds * CLEAR_SECONDS * 2 > wave.duration_s
         fraction = 2 * UPKEEP_FRACTION if pressed else UPKEEP_FRACTION
         return reserved < max(1, int(len(members) * fraction))
