--- a/bench/fleet_mutations.py
+++ b/bench/fleet_mutations.py
@@ -6,6 +6,8 @@
 LEASE_TESTS = ("test/test_fleet_lease.py",)
 INSTANCE_TESTS = ("test/test_fleet_instances.py",)
 FRONTEND_TESTS = ("test/test_fleet_frontend.py",)
+CONNECTION_TESTS = ("test/test_platform_connection.py",)
+SLOWNESS_TESTS = ("test/test_fleet_slowness.py",)
 
 FLEET_MUTATIONS = (
     Mutation(
@@ -120,4 +122,116 @@
         "if False:",
         INSTANCE_TESTS,
     ),
+    Mutation(
+        "Fleet: no subtask runs twice after a restart",
+        "the last grants are waited for from the lease's latest renewal",
+        "hemlockstand/fleet/lease.py",
+        "self._earlier_renewed_at = now",
+        "self._earlier_renewed_at = now - self.lease_seconds",
+        LEASE_TESTS,
+    ),
+    Mutation(
+        "Fleet: a scheduler starts from what was stored last",
+        "rows older than the lease are read again",
+        "hemlockstand/fleet/roster.py",
+        "if page.version >= least:",
+        "if True:",
+        SCHEDULER_TESTS,
+    ),
+    Mutation(
+        "Fleet: an executor that has gone counts for nothing",
+        "entries that a new reading lacks are removed",
+        "hemlockstand/fleet/roster.py",
+        "self._remove_unlisted(page)",
+        "pass",
+        SCHEDULER_TESTS,
+    ),
+    Mutation(
+        "Fleet: a new lifetime gets what it can hold",
+        "nothing is placed before its own entry is read",
+        "hemlockstand/fleet/executors.py",
+        "or born_ms == self.born_ms",
+        "or True",
+        SCHEDULER_TESTS,
+    ),
+    Mutation(
+        "Fleet: no member of a gang waits in vain",
+        "the rest of a gang is stopped with a lost member",
+        "hemlockstand/fleet/orders.py",
+        "self._stop_members(subtask, subtask.run.number)",
+        "pass",
+        SCHEDULER_TESTS,
+    ),
+    Mutation(
+        "Fleet: a gang gets its room at once",
+        "pools are sized for the whole of a gang",
+        "hemlockstand/fleet/capacity.py",
+        "if step.gang and step_run.unlocked:",
+        "if False:",
+        INSTANCE_TESTS,
+    ),
+    Mutation(
+        "Fleet: work with a label gets its instances",
+        "instances with the label are brought in",
+        "hemlockstand/fleet/moves.py",
+        "if len(labelled) < count:",
+        "if False:",
+        INSTANCE_TESTS,
+    ),
+    Mutation(
+        "Fleet: a wave is completed only when it is",
+        "an instance counts as gone after three lists",
+        "hemlockstand/fleet/waves.py",
+        "if lists >= GONE_LISTS",
+        "if lists",
+        INSTANCE_TESTS,
+    ),
+    Mutation(
+        "Fleet: a takeover waits for no ended executor",
+        "only executors that were stored are waited for",
+        "hemlockstand/fleet/gates.py",
+        "if executor.id in self._inherited and not executor.settled",
+        "if not executor.settled",
+        INSTANCE_TESTS,
+    ),
+    Mutation(
+        "Fleet: a takeover waits for no moved executor",
+        "an executor leaves the store with its instance's order",
+        "hemlockstand/fleet/instances.py",
+        "self._drop_executor(executor)",
+        "executor.present = False",
+        INSTANCE_TESTS,
+    ),
+    Mutation(
+        "Fleet: holders take turns after a release",
+        "a released lease shortens no turn",
+        "hemlockstand/fleet/leader.py",
+        "waited = self.state.clock() - self.state.lease.earlier_renewed_at",
+        "waited = self.state.lease.lease_seconds",
+        INSTANCE_TESTS,
+    ),
+    Mutation(
+        "Fleet: the first jobs find room",
+        "pools keep their size until there is work",
+        "hemlockstand/fleet/moves.py",
+        "if not self._has_demand():",
+        "if False:",
+        INSTANCE_TESTS,
+    ),
+    Mutation(
+        "Fleet: a holder that stood still orders no instance",
+        "the lease is checked directly before the first byte",
+        "hemlockstand/platform/connection.py",
+        "if event == _BEFORE_WRITE and not may_send():",
+        "if False:",
+        CONNECTION_TESTS,
+    ),
+    Mutation(
+        "Fleet: a slow machine does not make the fleet slow",
+        "a scheduler whose timers fire late gives way",
+        "hemlockstand/fleet/scheduler.py",
+        "while not self._lag.slow:",
+        "while True:",
+        SLOWNESS_TESTS,
+    ),
 )
