Count whole instances for gangs and lasting work

Cause: a gang of six subtasks of 9 of 16 cores needs six instances, but pools were sized by the sum of cores, five. Found by taking the sizing for gangs out again: the test had passed for another reason, the view of arrivals. The same holds for lasting work of over half an instance. Both tests failed before.

--- a/bench/fleet_mutations.py
+++ b/bench/fleet_mutations.py
@@ -207,7 +207,7 @@
         "a released lease shortens no turn",
         "hemlockstand/fleet/leader.py",
         "waited = self.state.clock() - self.state.lease.earlier_renewed_at",
-        "waited = self.state.lease.lease_seconds",
+        "waited = self._instances.turn_seconds",
         INSTANCE_TESTS,
     ),
     Mutation(
--- a/hemlockstand/fleet/capacity.py
+++ b/hemlockstand/fleet/capacity.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Iterable
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from hemlockstand.fleet.durations import Durations
 from hemlockstand.fleet.executors import Executor
@@ -73,6 +73,31 @@
         return max(parts) / FILL_FRACTION
 
 
+@frozen
+class Block:
+    """Subtasks that need their room at the same time."""
+
+    size: Resources
+    count: int
+
+    def count_instances(self, capacity: Resources) -> float:
+        """Return how many instances of a capacity they need by themselves.
+
+        A subtask cannot be split, so those of over half an instance need one
+        each.
+        """
+        fitting = [
+            room // needed
+            for room, needed in (
+                (capacity.cpu_millis, self.size.cpu_millis),
+                (capacity.memory_mb, self.size.memory_mb),
+                (capacity.accelerators, self.size.accelerators),
+            )
+            if needed
+        ]
+        return self.count / max(1, min(fitting, default=self.count))
+
+
 @define
 class Demand:
     """Work of a pool, and the least instances that its caps allow.
@@ -80,12 +105,15 @@
     ``present`` is work that is there, ``arriving`` what will be there if
     jobs go on arriving as in the last seconds. ``labelled`` is the part of
     the present and lasting work that only executors with a label may run.
+    ``lasting_blocks`` and ``gangs`` are the work that takes no turns.
     """
 
     lasting: Room = field(factory=Room)
     present: Room = field(factory=Room)
     arriving: Room = field(factory=Room)
     labelled: dict[str, Room] = field(factory=dict)
+    lasting_blocks: list[Block] = field(factory=list)
+    gangs: list[Block] = field(factory=list)
     least: int = LEAST_INSTANCES
 
     def count_labelled(self, label: str, capacity: Resources) -> int:
@@ -100,7 +128,10 @@
             self.arriving.count_instances(capacity),
             spare / HEADROOM,
         )
-        needed = self.lasting.count_instances(capacity) + passing * HEADROOM
+        blocks = sum(block.count_instances(capacity) for block in self.lasting_blocks)
+        lasting = max(self.lasting.count_instances(capacity), blocks)
+        gang = max((block.count_instances(capacity) for block in self.gangs), default=0)
+        needed = lasting + max(passing * HEADROOM, math.ceil(gang))
         return max(math.ceil(needed), self.least)
 
 
@@ -134,11 +165,13 @@
         if step.lasting:
             share = 1.0
             demand.lasting.add(get_room(step), left)
+            demand.lasting_blocks.append(Block(get_room(step), left))
         else:
             seconds = durations.predict(job.spec.queue, step.estimate_ms)
             share = min(1.0, seconds / window)
             if step.gang and step_run.unlocked:
                 share = 1.0
+                demand.gangs.append(Block(get_room(step), left))
             demand.present.add(get_room(step), left * share)
         if step.label:
             labelled = demand.labelled.setdefault(step.label, Room())
--- a/test/test_fleet_instances.py
+++ b/test/test_fleet_instances.py
@@ -189,8 +189,10 @@
         def find_left() -> set[str]:
             return set(names) - set(world.instances.maintained.get(1, ()))
 
-        await world.wait_for(lambda: len(find_left()) == 1, 20)
-        await trio.sleep(0.2)
+        def is_one_left() -> bool:
+            return len(find_left()) == 1 and not world.instances.count_down(1)
+
+        await world.wait_for(is_one_left, 20)
         daemon.instances.hidden.update(find_left())
         await trio.sleep(1.0)
         assert "completed" not in read_status(world)
@@ -247,6 +249,13 @@
         for _ in range(10):
             world.submit(Step(6, size, 2000), work=Work(2.0, size=size))
         ordered = {order.instance: order for order in world.instances.orders}
+        await world.wait_for(lambda: world.daemons["b"].leader is not None, 5)
+        await trio.sleep(0.5)
+        manager = world.daemons["b"].leader._instances
+        last = max(ordered.values(), key=lambda order: order.at)
+        while trio.current_time() < last.at + 3.0:
+            assert manager._is_blocked(last.instance)
+            await trio.sleep(0.05)
 
         def find_later():
             return [
@@ -269,9 +278,12 @@
         world.add_instances("standby", 6)
         world.start_daemon("a")
         size = Resources(9000, 512)
-        work = Work(2.0, size=size)
-        job = world.submit(Step(6, size, 2000, gang=True), work=work)
-        await world.wait_for(lambda: world.state(job) == "completed", 15)
+        gang = Step(6, size, 2000, after=(0,), gang=True)
+        job = world.submit(Step(1, SMALL, 5000), gang)
+        # So long that the job no longer counts as one that has just arrived.
+        world.work[f"{job}.0.0"] = Work(9.0, size=SMALL)
+        world.work[f"{job}.0.1"] = Work(2.0, size=size)
+        await world.wait_for(lambda: world.state(job) == "completed", 25)
         capped = Step(5, SMALL, 2000, gang=True, max_per_executor=1)
         job = world.submit(capped, work=Work(2.0, size=SMALL))
         await world.wait_for(lambda: world.state(job) == "completed", 15)
@@ -294,3 +306,14 @@
         await trio.sleep(10)
         assert len(world.find_running(job)) == 2
         assert world.count_runs(job) == 2
+
+
+async def test_pool_grows_to_wide_lasting_work(clock):
+    """Guards against lasting work whose last subtasks find no whole instance."""
+    async with open_world() as world:
+        world.add_instances("pool", 2)
+        world.add_instances("standby", 8)
+        world.start_daemon("a")
+        size = Resources(8500, 512)
+        job = world.submit(Step(8, size, lasting=True), work=Work(LASTING, size=size))
+        await world.wait_for(lambda: len(world.find_running(job)) == 8, 15)
