Shut down the gRPC servers that tests leave started

Cause of the test run that hung twice in a garbage collection: a kernel that a test cancels stops none of its services, and a gRPC server that was started and not shut down waits for ever in its finaliser. The former fixture only kept them out of collections.

--- a/test/conftest.py
+++ b/test/conftest.py
@@ -1,11 +1,13 @@
 """Keeps log lines out of the output and gives each test the same schedule."""
 
-import gc
-
 import pytest
 import trio
 from loguru import logger
 
+from hemlockstand.peers.transport import PeerServer
+
+STOP_SECONDS = 5
+
 logger.remove()
 
 
@@ -23,11 +25,22 @@
 
 
 @pytest.fixture(autouse=True)
-def keep_garbage():
-    """Keep what earlier tests leave behind out of later garbage collections.
+def stop_peer_servers(monkeypatch):
+    """Shut down the gRPC servers of kernels that a test cancels.
 
-    A gRPC server that a test did not shut down waits for its shutdown when it
-    is collected, in whichever later test that happens, and for ever.
+    A cancelled kernel stops none of its services. A server that was started
+    and not shut down waits for its shutdown when it is collected, in whichever
+    later test that happens, and for ever.
     """
+    servers = []
+    listen = PeerServer.listen
+
+    def listen_and_note(server: PeerServer, host: str, port: int) -> int:
+        bound = listen(server, host, port)
+        servers.append(server._server)
+        return bound
+
+    monkeypatch.setattr(PeerServer, "listen", listen_and_note)
     yield
-    gc.freeze()
+    for server in servers:
+        server.stop(0).wait(STOP_SECONDS)
