Mend faults in expiry, takeovers and input checks

An expired job's status row went before its job rows, so a failure between them made a finished job run again. A scheduler that loaded did not renew its lease and ended when the store failed; its late renewal dropped the previous holder's open orders for instances from the lease row. Deadline-Ms with a superscript digit, a write answered without a version and malformed advice raised undocumented errors. Another job under a known id was answered 200. A call refused before its body arrived broke its connection.

--- a/emulator/row_store.py
+++ b/emulator/row_store.py
@@ -139,7 +139,9 @@
     no answer and are kept in ``late`` until ``apply_late``; then
     ``lost_answers`` are applied but not answered.
     Reads of the ``stale_tables`` return an empty table at version 0, as before
-    the first write.
+    the first write; those of the ``failing_tables`` fail, and those of the
+    ``slow_tables`` take so many seconds longer. With ``failing_removals``,
+    transactions without a condition that remove rows fail.
     """
 
     model: RowStoreModel
@@ -150,6 +152,9 @@
     call_seconds: float = 0.004
     late: list[Transaction] = field(factory=list)
     stale_tables: set[str] = field(factory=set)
+    failing_tables: set[str] = field(factory=set)
+    slow_tables: dict[str, float] = field(factory=dict)
+    failing_removals: bool = False
 
     async def _call(self) -> None:
         await trio.sleep(self.call_seconds)
@@ -161,6 +166,9 @@
     ) -> RowPage:
         """Return rows as ``RowStore.read`` does."""
         await self._call()
+        await trio.sleep(self.slow_tables.get(table, 0.0))
+        if table in self.failing_tables:
+            raise PlatformUnavailable(f"table {table} cannot be read")
         if table in self.stale_tables:
             return RowPage((), 0)
         rows = self.model.select(table, start, end, part)
@@ -188,6 +196,8 @@
     async def write(self, writes=(), expected=(), removed=()) -> int:
         """Apply a transaction as ``RowStore.write`` does."""
         await self._call()
+        if self.failing_removals and removed and not expected:
+            raise PlatformUnavailable("rows cannot be removed")
         transaction = Transaction(tuple(writes), tuple(expected), tuple(removed))
         if self.late_writes:
             self.late_writes -= 1
--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -1,6 +1,7 @@
 """The scheduler's transactions, which extend its lease."""
 
 import time
+from itertools import islice
 
 import trio
 from attrs import define, field
@@ -25,8 +26,9 @@
 
 COMMIT_PAUSE_SECONDS = 0.008  # ends within this time share a transaction
 RETRY_SECONDS = 0.2
+EXPIRY_RETRY_SECONDS = 1.0
 MAX_STATUS_WRITES = 80  # a transaction may have 100 entries
-MAX_EXPIRED = 3  # jobs in one transaction; each has three rows
+MAX_EXPIRED = 3  # jobs to expire with one transaction
 # Finished jobs are kept longer than they have to be shown, by this factor, for
 # late callers.
 KEEP_FACTOR = 1.5
@@ -37,13 +39,16 @@
     """Stores changes in one transaction after another.
 
     ``known_executors`` holds the stored addresses of the executors that may
-    have runs, by pool and id.
+    have runs, by pool and id. ``removable`` holds the expired jobs of which
+    only the status row is left. It goes last: without it, the row of a
+    finished job would be loaded as a job that has not started.
     """
 
     state: SchedulerState
     instances: InstanceManager
     _pending: dict[str, int] = field(factory=dict)
     known_executors: dict[str, dict[str, str]] = field(factory=dict)
+    removable: set[str] = field(factory=set)
 
     async def run(self, leaving: trio.Event) -> None:
         """Store changes and extend the lease until the scheduler leaves."""
@@ -92,10 +97,10 @@
             for executor in self.state.executors.values()
         }
         lifetimes = {executor: executor.born_ms for executor in last_handled}
-        expired = self._expire_jobs()
-        removed = [RowKey(STATES_TABLE, job_id) for job_id in expired]
-        for job_id in expired:
+        for job_id in self._expire_jobs():
             self.state.nursery.start_soon(self._remove_job, job_id)
+        expired = self._choose_removable()
+        removed = [RowKey(STATES_TABLE, job_id) for job_id in expired]
         known_executors = self._list_executors()
         for pool, addresses in known_executors.items():
             if addresses != self.known_executors.get(pool):
@@ -106,6 +111,7 @@
         except BaseException:
             self.state.registry.dirty.update(dirty)
             raise
+        self.removable.difference_update(expired)
         self._pending = pending
         self.known_executors = known_executors
         self.instances.mark_stored(orders)
@@ -120,16 +126,31 @@
             self.state.request_commit()
 
     async def _remove_job(self, job_id: str) -> None:
-        """Remove the rows of a job that ended long ago.
+        """Remove the rows of a job that ended long ago, but its status row."""
+        while True:
+            try:
+                await self.state.rows.write(removed=expired_keys(job_id))
+            except (PlatformUnavailable, OutcomeUnknown) as error:
+                log.info(
+                    "rows of an expired job not removed; repeating it",
+                    job=job_id,
+                    detail=str(error),
+                )
+                await trio.sleep(EXPIRY_RETRY_SECONDS)
+                continue
+            self.removable.add(job_id)
+            self.state.request_commit()
+            return
 
-        The removal is not repeated, so rows stay in the store if it fails.
+    def _choose_removable(self) -> list[str]:
+        """Return the jobs whose status rows the next transaction removes.
+
+        A job that was submitted again keeps its row, which is written anew.
         """
-        try:
-            await self.state.rows.write(removed=expired_keys(job_id))
-        except (PlatformUnavailable, OutcomeUnknown) as error:
-            log.info(
-                "rows of an expired job not removed", job=job_id, detail=str(error)
-            )
+        for job_id in self.removable & self.state.registry.jobs.keys():
+            self.removable.discard(job_id)
+            self.state.registry.dirty.add(job_id)
+        return list(islice(self.removable, MAX_EXPIRED))
 
     def _list_executors(self) -> dict[str, dict[str, str]]:
         """Return the executors' addresses by pool, including empty pools."""
--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -5,7 +5,9 @@
 """
 
 import time
+from collections.abc import Callable, Sequence
 
+import attrs
 import trio
 from attrs import frozen
 from hypercorn.config import Config as HypercornConfig
@@ -27,6 +29,7 @@
     JobRows,
     cancel_write,
     decode_pending,
+    group_rows,
     job_write,
     read_job,
 )
@@ -39,7 +42,13 @@
     read_call,
 )
 from hemlockstand.platform.decoding import JOB_ID, decode_submission
-from hemlockstand.platform.rows import RowConflict, RowExpectation, RowWrite
+from hemlockstand.platform.rows import (
+    RowConflict,
+    RowExpectation,
+    RowWrite,
+    StoredRow,
+    make_stored_row,
+)
 
 log = logger.bind(module=__name__)
 
@@ -68,6 +77,31 @@
     return Answer(status, encode_error(detail), status in (429, 503))
 
 
+FindDifference = Callable[[RowWrite, Sequence[StoredRow]], str]
+
+
+def _find_difference(write: RowWrite, rows: Sequence[StoredRow]) -> str:
+    """Return how a stored job differs from a submission under its id, if so.
+
+    What the configuration adds to a submission is not compared, because the
+    configuration may have changed between the two.
+    """
+    new = group_rows([make_stored_row(write)])[write.key].spec
+    old = group_rows(row for row in rows if row.key == write.key).get(write.key)
+    if old is None or old.spec is None:
+        return ""
+    same_config = attrs.evolve(
+        new,
+        queue=old.spec.queue,
+        pool=old.spec.pool,
+        tenant=old.spec.tenant,
+        accepted_ms=old.spec.accepted_ms,
+    )
+    if same_config == old.spec:
+        return ""
+    return f"another job with the id {write.key} was submitted before"
+
+
 def make_metrics_app() -> QuartTrio:
     """Return the application that serves the metrics."""
     app = QuartTrio(__name__ + ".metrics")
@@ -163,13 +197,13 @@
         @app.route("/<path:path>", methods=["GET", "POST", "DELETE"])
         async def answer_call(path: str) -> Response:
             started_at = time.monotonic()
-            call = read_call(request)
-            answer = await self._answer(call)
+            # An answer before the body has arrived would make the server close
+            # the connection, and the caller's next request on it would fail.
+            body = await request.get_data()
+            answer = await self._answer_request(body)
             seconds = time.monotonic() - started_at
-            if answer.status != 200:
-                self._log_refusal(call, answer)
-            ANSWERS.labels(call.method, answer.status).inc()
-            REQUEST_SECONDS.labels(call.method).observe(seconds)
+            ANSWERS.labels(request.method, answer.status).inc()
+            REQUEST_SECONDS.labels(request.method).observe(seconds)
             response = Response(
                 answer.body, answer.status, content_type="application/json"
             )
@@ -193,7 +227,19 @@
             config_age=round(self._configuration.age_seconds, 3),
         )
 
-    async def _answer(self, call: Call) -> Answer:
+    async def _answer_request(self, body: bytes) -> Answer:
+        """Return the answer to the present request, and log a refusal."""
+        try:
+            call = read_call(request)
+        except InvalidInput as error:
+            log.info("request of a caller was not read", detail=error.message)
+            return refuse(400, error.message)
+        answer = await self._answer(call, body)
+        if answer.status != 200:
+            self._log_refusal(call, answer)
+        return answer
+
+    async def _answer(self, call: Call, body: bytes) -> Answer:
         config = self._configuration.current
         if config is None:
             return refuse(503, "no configuration yet")
@@ -215,7 +261,7 @@
         match call.method:
             case "POST":
                 tenant_name = "" if tenant is None else tenant.name
-                return await self._submit(call, config, queue, job, tenant_name)
+                return await self._submit(call, body, config, queue, job, tenant_name)
             case "DELETE":
                 return await self._cancel(job, call)
             case _:
@@ -227,9 +273,14 @@
         return refuse(503, "the configuration is not known to be current")
 
     async def _submit(
-        self, call: Call, config: FleetConfig, queue: Queue, job: str, tenant: str
+        self,
+        call: Call,
+        body: bytes,
+        config: FleetConfig,
+        queue: Queue,
+        job: str,
+        tenant: str,
     ) -> Answer:
-        body = await request.get_data()
         if len(body) > config.max_body_bytes:
             return refuse(413, f"the body has over {config.max_body_bytes} bytes")
         now_ms = int(time.time() * 1000)
@@ -239,7 +290,7 @@
             return refuse(400, error.message)
         write = job_write(spec)
         expected = (RowExpectation(write.table, write.key, 0, write.part),)
-        answer = await self._store(call, write, expected)
+        answer = await self._store(call, write, expected, _find_difference)
         log.info(
             "job submitted",
             job=job,
@@ -260,7 +311,7 @@
         if rows.state.final:
             return Answer(200, encode_state(rows.state))
         write = cancel_write(job, int(time.time() * 1000))
-        answer = await self._store(call, write, ())
+        answer = await self._store(call, write)
         log.info("cancel requested", job=job, outcome=answer.status)
         if answer.status == 200:
             return Answer(200, encode_state(JobState.CANCELLED))
@@ -295,13 +346,18 @@
         return Answer(200, encode_pending(count))
 
     async def _store(
-        self, call: Call, write: RowWrite, expected: tuple[RowExpectation, ...]
+        self,
+        call: Call,
+        write: RowWrite,
+        expected: tuple[RowExpectation, ...] = (),
+        find_difference: FindDifference | None = None,
     ) -> Answer:
         """Write a row and return an answer that is certain to be true.
 
         A write without an answer may be applied seconds later, so the request
         cannot be called refused. The write is repeated under the same
-        condition, and the caller gets 504 if its outcome stays unknown.
+        condition, and the caller gets 504 if its outcome stays unknown. If the
+        row exists, ``find_difference`` says why the caller gets 409.
         """
         seconds = min(call.remaining_seconds, MAX_CALLER_SECONDS)
         give_up_at = trio.current_time() + seconds
@@ -310,8 +366,9 @@
             try:
                 await self._rows.write([write], expected)
                 return Answer(200)
-            except RowConflict:
-                return Answer(200)
+            except RowConflict as conflict:
+                difference = find_difference and find_difference(write, conflict.rows)
+                return refuse(409, difference) if difference else Answer(200)
             except PlatformUnavailable as error:
                 if not unsure:
                     return refuse(503, error.message)
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -104,9 +104,13 @@
         exist.
         """
         start_soon = self.state.nursery.start_soon
-        version = await self._load_jobs()
-        entries = await self._executor_directory.load()
-        await self._load_own_rows()
+        loaded = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.state.keep_lease, loaded)
+            version = await self._load_jobs()
+            entries = await self._executor_directory.load()
+            await self._load_own_rows()
+            loaded.set()
         if not fresh:
             self._barrier.block_pools(
                 executor
@@ -182,6 +186,9 @@
                 )
                 if job is not None:
                     self._set_deadline(job)
+            elif found.status is not None and job_id not in self.state.registry.jobs:
+                # Its job has expired under a previous scheduler.
+                self._commits.removable.add(job_id)
             if found.cancelled:
                 self._cancel(job_id, now_ms)
         if self.state.registry.dirty:
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -121,6 +121,11 @@
         self.version = version
         self.valid_until = sent_at + self.lease_seconds
 
+    async def renew(self) -> None:
+        """Extend the lease and change nothing else; raises as ``commit``."""
+        orders = InstanceOrders(self.record.ordered, self.record.turned)
+        await self.commit(orders=orders)
+
     async def _write(self, batch: Sequence[RowWrite], removed: Sequence[RowKey]) -> int:
         expected = (RowExpectation(SCHEDULER_TABLE, LEASE_KEY, self.version),)
         return await self.rows.write(batch, expected, removed)
--- a/hemlockstand/fleet/state.py
+++ b/hemlockstand/fleet/state.py
@@ -108,15 +108,28 @@
             await trio.sleep(pause_seconds)
         self._commit_requested = trio.Event()
 
+    async def keep_lease(self, stop: trio.Event) -> None:
+        """Renew the lease, without other changes, until ``stop`` is set.
+
+        Raises ``LeaseLost``. A renewal in flight is never cancelled, because
+        its outcome would stay unknown.
+        """
+        while not stop.is_set():
+            with trio.move_on_after(self.settings.scheduler.renew_seconds):
+                await stop.wait()
+            try:
+                await self.lease.renew()
+            except PlatformUnavailable as error:
+                log.warning("scheduler lease not renewed", detail=str(error))
+                await trio.sleep(RETRY_SECONDS)
+
 
 async def read_current(
     state: SchedulerState, read: Callable[[], Awaitable[RowPage]]
 ) -> RowPage:
     """Read rows until they are at least as new as the lease row.
 
-    Older rows could lack what a previous scheduler has stored last. A lease
-    that has expired meanwhile is renewed, which raises ``LeaseLost`` if
-    another daemon has taken it, and ``PlatformUnavailable``.
+    Older rows could lack what a previous scheduler has stored last.
     """
     while True:
         least = state.lease.version
@@ -131,6 +144,4 @@
             )
         except PlatformUnavailable as error:
             log.warning("rows could not be read from the store", detail=str(error))
-        if not state.lease.valid:
-            await state.lease.commit()
         await trio.sleep(RETRY_SECONDS)
--- a/hemlockstand/platform/advice.py
+++ b/hemlockstand/platform/advice.py
@@ -28,7 +28,8 @@
     async def ask(self, step: str, executors: list[str]) -> StepAdvice:
         """Return the advice for a step; raises ``PlatformUnavailable``.
 
-        Executors beyond the first ``MAX_EXECUTORS`` are left out.
+        A malformed answer counts as none. Executors beyond the first
+        ``MAX_EXECUTORS`` are left out.
         """
         body = {"Step": step, "Workers": executors[:MAX_EXECUTORS]}
         try:
@@ -41,8 +42,8 @@
             rows = answer.get("Allowed") or []
             tickets = {str(row[0]): str(row[1]) for row in rows}
             return StepAdvice(tickets, int(answer.get("ValidityMs") or 0))
-        except OutcomeUnknown as error:
-            raise PlatformUnavailable(str(error)) from error
+        except (OutcomeUnknown, TypeError, ValueError, LookupError) as error:
+            raise PlatformUnavailable(f"no usable advice: {error!r}") from error
 
     async def close(self) -> None:
         """Close all connections."""
--- a/hemlockstand/platform/rows.py
+++ b/hemlockstand/platform/rows.py
@@ -47,6 +47,11 @@
     part: str = ""
 
 
+def make_stored_row(write: RowWrite, version: int = 0) -> StoredRow:
+    """Return a row as it will be read once a write was applied."""
+    return StoredRow(write.table, write.part, write.key, write.value, version)
+
+
 @frozen
 class RowKey:
     """A row to remove."""
@@ -201,11 +206,15 @@
             ],
         }
         reply = await self._call("POST", "/rows-tx", self._write_timeout, body)
-        if reply.status == 200:
-            return int(reply.decode()["RowVersion"])
-        if reply.status == 412:
-            rows = reply.decode().get("rows") or ()
-            raise RowConflict(tuple(_decode_rows("", rows)))
+        try:
+            if reply.status == 200:
+                return int(reply.decode()["RowVersion"])
+            if reply.status == 412:
+                raise RowConflict(tuple(_decode_rows("", reply.decode()["rows"])))
+        except (KeyError, TypeError, ValueError) as error:
+            raise OutcomeUnknown(
+                f"unreadable response {reply.status} to a write: {error!r}"
+            ) from error
         if reply.status in (403, 429, 503, 400, 413):
             raise PlatformUnavailable(f"the store answered {reply.status}")
         raise OutcomeUnknown(f"the store answered {reply.status}")
--- a/test/test_fleet_frontend.py
+++ b/test/test_fleet_frontend.py
@@ -2,6 +2,7 @@
 
 import json
 
+import attrs
 import pytest
 import trio
 from attrs import define, field
@@ -117,12 +118,39 @@
 
 
 async def test_same_job_twice_is_one_job(frontend):
-    """Guards against a repeated submission that adds or replaces a job."""
+    """Guards against a repeated submission that adds a job or is refused.
+
+    The configuration may change the queue's pool between the two.
+    """
+    assert (await frontend.call("POST", body=BODY))[0] == 200
+    config = frontend.kernel.configuration.current
+    queue = attrs.evolve(config.queues[0], pool="standby")
+    frontend.kernel.configuration.current = attrs.evolve(config, queues=(queue,))
+    assert (await frontend.call("POST", body=BODY))[0] == 200
+    assert len(frontend.model.rows) == 1
+
+
+@pytest.mark.parametrize(
+    "change", [{"TaskSpec": "other"}, {"Steps": [{"Count": 2, "Cpu": 100}]}]
+)
+async def test_other_job_under_a_known_id_is_refused(frontend, change):
+    """Guards against a second job that its caller is told was accepted."""
     assert (await frontend.call("POST", body=BODY))[0] == 200
-    other = {**BODY, "TaskSpec": "other"}
-    assert (await frontend.call("POST", body=other))[0] == 200
-    (row,) = frontend.model.rows.values()
-    assert b"other" not in row.value
+    (stored,) = frontend.model.rows.values()
+    status, content, _ = await frontend.call("POST", body={**BODY, **change})
+    assert status == 409
+    assert JOB in content["Error"]
+    assert list(frontend.model.rows.values()) == [stored]
+
+
+@pytest.mark.parametrize("text", ["\u00b2", "9" * 5000, "-1", "soon", "nan", "inf"])
+async def test_bad_deadline_is_named(frontend, text):
+    """Guards against a header that ends the request with an internal error."""
+    status, content, _ = await frontend.call(
+        "GET", **{"Deadline-Ms": text.encode().decode("latin-1")}
+    )
+    assert status == 400
+    assert "Deadline-Ms" in content["Error"]
 
 
 async def test_old_configuration_serves_nothing(frontend):
--- a/test/test_platform_connection.py
+++ b/test/test_platform_connection.py
@@ -4,9 +4,10 @@
 import trio
 
 from hemlockstand.coordination.timeouts import AdaptiveTimeout
-from hemlockstand.errors import PlatformUnavailable
+from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
+from hemlockstand.platform.advice import AdviceClient
 from hemlockstand.platform.connection import Connection
-from hemlockstand.platform.rows import RowStore
+from hemlockstand.platform.rows import RowStore, RowWrite
 
 BODY = b'{"rows": [], "RowVersion": 7}'
 
@@ -105,3 +106,135 @@
     for _ in range(20):
         timeout.record_response(0.35)
     assert 0.4 < timeout.seconds < 1.5
+
+
+class ScriptedListener(Listener):
+    """Answers with the given bytes, and closes if ``closes`` is set."""
+
+    answers = (b"",)
+    closes = False
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        self.accepted += 1
+        async for data in stream:
+            self.read += data
+            for part in self.answers:
+                await stream.send_all(part)
+                await trio.sleep(0.01)
+            if self.closes:
+                await stream.aclose()
+                return
+
+
+@pytest.fixture
+async def scripted_listener(nursery):
+    """Yield a listener whose answers the test sets."""
+    async for listener in serve(nursery, ScriptedListener()):
+        yield listener
+
+
+async def test_calls_share_a_connection(listener):
+    """Guards against a connection for each call, which costs most of a call."""
+    connection = Connection(listener.address)
+    for _ in range(5):
+        assert (await connection.call("GET", "/a", 1.0)).content == BODY
+    assert listener.accepted == 1
+    await connection.close()
+
+
+@pytest.mark.parametrize(
+    ("answers", "closes", "content"),
+    [
+        ((b"HTTP/1.1 200 OK\r\nContent-", b"Length: 2\r\n\r\n{", b"}"), False, b"{}"),
+        (
+            (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n",
+                b"1\r\n}\r\n0\r\n\r\n",
+            ),
+            False,
+            b"{}",
+        ),
+        ((b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{", b"}"), True, b"{}"),
+        (
+            (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}",),
+            True,
+            b"{}",
+        ),
+    ],
+)
+async def test_framings_of_a_response(scripted_listener, answers, closes, content):
+    """Guards against a response that is cut short or mixed with the next."""
+    scripted_listener.answers = answers
+    scripted_listener.closes = closes
+    connection = Connection(scripted_listener.address)
+    for number in (1, 2):
+        reply = await connection.call("GET", "/a", 1.0)
+        assert reply.content == content
+        assert scripted_listener.accepted == (number if closes else 1)
+    await connection.close()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}",
+        b"no response at all\r\n\r\n",
+        b"",
+    ],
+)
+async def test_broken_response_leaves_the_outcome_unknown(scripted_listener, answer):
+    """Guards against a broken response that ends the process or means "not run"."""
+    scripted_listener.answers = (answer,) if answer else ()
+    scripted_listener.closes = True
+    connection = Connection(scripted_listener.address)
+    with pytest.raises(OutcomeUnknown):
+        await connection.call("POST", "/a", 1.0, {})
+    await connection.close()
+
+
+async def test_cancelled_call_leaves_its_response_to_nobody(scripted_listener):
+    """Guards against a call that reads the response to an earlier one."""
+    scripted_listener.answers = (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{", b"}")
+    connection = Connection(scripted_listener.address)
+    with trio.move_on_after(0.005) as scope:
+        await connection.call("GET", "/a", 1.0)
+    assert scope.cancelled_caught
+    assert (await connection.call("GET", "/b", 1.0)).content == b"{}"
+    assert scripted_listener.accepted == 2
+    await connection.close()
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        (200, b"{}"),
+        (200, b'{"RowVersion": null}'),
+        (200, b"[]"),
+        (412, b"{}"),
+        (412, b'{"rows": [{}]}'),
+        (412, b"\xff"),
+    ],
+)
+async def test_unreadable_answer_to_a_write(scripted_listener, status, body):
+    """Guards against a write that is called refused, or ends the process."""
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+    scripted_listener.answers = (head.encode() + body,)
+    store = RowStore(scripted_listener.address)
+    with pytest.raises(OutcomeUnknown):
+        await store.write([RowWrite("jobs", "a", b"")])
+    await store.close()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b'{"Allowed": 5}', b'{"Allowed": [["a"]]}', b'{"ValidityMs": "long"}', b"[]"],
+)
+async def test_malformed_advice_is_none(scripted_listener, body):
+    """Guards against malformed advice that ends the scheduler."""
+    head = f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n\r\n"
+    scripted_listener.answers = (head.encode() + body,)
+    client = AdviceClient(scripted_listener.address)
+    with pytest.raises(PlatformUnavailable):
+        await client.ask("a.0.0", ["i-1"])
+    await client.close()
