Start steps that can still be in time before late ones

Load pattern: a queue's turn, in which 2.5 times as many jobs arrive for 5 s as the pool can run. Cause: waiting steps were ordered by deadline, three times the objective; the first jobs that waited too long made all later ones late. Change: policy/waiting.py ranks by what a job can still be worth; the placer leaves room to a step in more urgent need whose announcement is being stored.

--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -18,6 +18,7 @@
     JobStatus,
     Resources,
 )
+from hemlockstand.fleet.policy.waiting import measure_chain
 from hemlockstand.fleet.work import Job, Run, StepRun, Subtask
 
 log = logger.bind(module=__name__)
@@ -121,11 +122,19 @@
                 continue
             if all(job.steps[occurrence, earlier].complete for earlier in step.after):
                 step_run.unlocked_at = now
+                step_run.remaining_seconds = self._predict_remaining(step_run)
                 self._create_subtasks(step_run)
                 for subtask in step_run.subtasks:
                     if not subtask.done and subtask.run is None:
                         self.set_waiting(subtask)
 
+    def _predict_remaining(self, step_run: StepRun) -> float:
+        spec = step_run.job.spec
+        seconds = [
+            self.durations.predict(spec.queue, step.estimate_ms) for step in spec.steps
+        ]
+        return measure_chain(spec, step_run.position, seconds)
+
     def announce(self, step_run: StepRun) -> None:
         """Request that a step is stored as one that may have started."""
         if not step_run.announce_requested:
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -20,7 +20,8 @@
 from hemlockstand.fleet.metrics import WAITING
 from hemlockstand.fleet.model import JobState
 from hemlockstand.fleet.orders import RUNS_PER_EPOCH, Orders
-from hemlockstand.fleet.placement import LATE_FACTOR, Placer
+from hemlockstand.fleet.placement import Placer
+from hemlockstand.fleet.policy.waiting import LATE_FACTOR
 from hemlockstand.fleet.reports import ExecutorReportHandler
 from hemlockstand.fleet.settings import FleetSettings
 from hemlockstand.fleet.state import SchedulerState, read_current
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -6,12 +6,14 @@
 """
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from operator import itemgetter
 
 from attrs import define, field, frozen
 
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import JobRegistry, find_pool
-from hemlockstand.fleet.model import FleetConfig, Queue, Resources, Tenant
+from hemlockstand.fleet.model import FleetConfig, Resources, Tenant
+from hemlockstand.fleet.policy.waiting import StepRank, rank_step
 from hemlockstand.fleet.work import StepRun, Subtask
 
 # A subtask that failed or made no progress on an executor avoids it if at
@@ -20,7 +22,6 @@
 # Part of a pool's capacity for which steps are announced ahead of their start,
 # so that free capacity need not wait for the store.
 ANNOUNCE_AHEAD_FRACTION = 0.25
-LATE_FACTOR = 3.0  # a job is worth nothing after three times its objective
 
 
 @frozen
@@ -31,6 +32,28 @@
     executor: Executor
 
 
+@define
+class HeldRoom:
+    """Room that late steps leave to steps whose announcement is being stored.
+
+    The store takes milliseconds, and the late step would take the room for
+    the time of a subtask.
+    """
+
+    cpu_millis: int = 0
+    _first: StepRank | None = None
+
+    def add(self, rank: StepRank, cpu_millis: int) -> None:
+        """Hold room for a step; steps are added in the order of their rank."""
+        self.cpu_millis += cpu_millis
+        self._first = self._first or rank
+
+    def outranks(self, rank: StepRank) -> bool:
+        """Return whether room is held for a step in more urgent need."""
+        first = self._first
+        return first is not None and first.timeliness < rank.timeliness
+
+
 @define(eq=False)
 class Placer:
     """Chooses executors for the waiting subtasks of a job registry.
@@ -53,25 +76,34 @@
         pools = self._group_executors(now)
         self._unconfirmed_use = self._measure_unconfirmed_use(config)
         announceable_cpu: dict[str, float] = {}
+        held_cpu: dict[str, HeldRoom] = {}
         order = sorted(
-            self.registry.ready.values(),
-            key=lambda step_run: rank_step(step_run, config, now),
+            (
+                (rank_step(step_run, config, now), step_run)
+                for step_run in self.registry.ready.values()
+            ),
+            key=itemgetter(0),
         )
-        for step_run in order:
+        for rank, step_run in order:
             pool = find_pool(step_run.job, config)
             if step_run.inherited and pool in self.blocked_pools:
                 continue
             if pool not in announceable_cpu:
                 announceable_cpu[pool] = count_announceable_cpu(pools.get(pool, ()))
             remaining_cpu = announceable_cpu[pool]
-            announceable_cpu[pool] -= len(step_run.waiting) * max(
-                1, step_run.step.size.cpu_millis
-            )
+            needed_cpu = len(step_run.waiting) * max(1, step_run.step.size.cpu_millis)
+            announceable_cpu[pool] -= needed_cpu
+            held = held_cpu.setdefault(pool, HeldRoom())
             if not step_run.announced:
                 # Steps that cannot start yet are not announced: after a
                 # takeover, announced ones wait for unreachable executors.
                 if remaining_cpu > 0:
                     self.registry.announce(step_run)
+                    held.add(rank, needed_cpu)
+                continue
+            if held.outranks(rank) and held.cpu_millis >= sum(
+                executor.free_cpu() for executor in pools.get(pool, ())
+            ):
                 continue
             executors = [
                 executor
@@ -198,22 +230,6 @@
     )
 
 
-def rank_step(
-    step_run: StepRun, config: FleetConfig, now: float
-) -> tuple[int, int, int, float, int]:
-    """Return the sort key of a waiting step, smallest first.
-
-    Lasting subtasks come first: they are small and must run again within
-    seconds. Jobs that are too late to be worth anything come last.
-    """
-    queue: Queue | None = config.queues_by_name.get(step_run.job.spec.queue)
-    priority = queue.priority if queue is not None else 0
-    job = step_run.job
-    late = 0 if step_run.step.lasting or now < job.deadline else 1
-    lasting = 0 if step_run.step.lasting else 1
-    return lasting, late, priority, job.deadline, -step_run.position
-
-
 def choose_executor(
     subtask: Subtask, executors: Iterable[Executor], now: float
 ) -> Executor | None:
--- /dev/null
+++ b/hemlockstand/fleet/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, apart from input and output."""
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -73,6 +73,8 @@
     waiting: dict[int, Subtask] = field(factory=dict)
     done: int = 0  # bit set of the indexes that are done
     unlocked_at: float = 0.0
+    # Predicted time of the longest chain from this step on.
+    remaining_seconds: float = 0.0
     announce_requested: bool = False  # is to be stored as possibly started
     announced: bool = False  # is stored as possibly started
     inherited: bool = False  # a previous scheduler may have started it
@@ -92,6 +94,11 @@
         """Whether all subtasks have ended as done."""
         return self.done == (1 << self.step.count) - 1
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a subtask runs or is done."""
+        return len(self.waiting) < self.step.count
+
     @property
     def unlocked(self) -> bool:
         """Whether the subtasks may run."""
