Watch the lease from few daemons, and keep a slow load from passing it on

Load pattern: hundreds of daemons read the lease four times and the operator's rows twice a second, though one can lead and nothing changes; and a load that makes every machine slow, in which 16 schedulers followed each other in 30 s. Change: eight candidates watch closely (policy/candidacy.py), the others every second; the operator's rows are followed in calls a third as long as a copy may be old; a scheduler that took over from a slow one keeps the lease for 15 s. Ruled out: following the lease row (the leader writes it up to 80 times a second); daemons that publish how slow they are (one write each every second).

--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -10,6 +10,7 @@
 from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.instances import InstanceManager
+from hemlockstand.fleet.lease import Release
 from hemlockstand.fleet.metrics import COMMITS
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.storage import (
@@ -72,8 +73,11 @@
             )
             await trio.sleep(RETRY_SECONDS)
 
-    async def commit(self, release: bool = False) -> None:
-        """Store changes; executors may then forget the ends in them."""
+    async def commit(self, release: Release | None = None) -> None:
+        """Store changes; executors may then forget the ends in them.
+
+        ``release`` is the reason for which the lease is given up with them.
+        """
         dirty = list(self.state.registry.dirty)[:MAX_STATUS_WRITES]
         statuses = [self.state.registry.jobs[job_id].make_status() for job_id in dirty]
         writes: list[RowWrite] = [
--- a/hemlockstand/fleet/configuration.py
+++ b/hemlockstand/fleet/configuration.py
@@ -21,7 +21,9 @@
 # A copy counts as current for this part of the time until a configuration must
 # be in force; the rest is for the request itself.
 FRESH_FRACTION = 0.8
-FOLLOW_SECONDS = 0.5  # three calls fit into the time until a copy is too old
+# A copy is confirmed when a call ends and counts from when it was sent, so it
+# becomes as old as two calls; a third of the time remains.
+FOLLOW_FRACTION = 1 / 3
 RETRY_SECONDS = 0.1
 
 
@@ -75,7 +77,7 @@
             page = await self._rows.read_all(OPERATOR_TABLE)
         else:
             page = await self._rows.follow(
-                OPERATOR_TABLE, self._version, FOLLOW_SECONDS
+                OPERATOR_TABLE, self._version, self._fresh_seconds * FOLLOW_FRACTION
             )
         self._apply(page)
         self._version = page.version
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -16,7 +16,7 @@
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.job_registry import JobRegistry
-from hemlockstand.fleet.lease import InstanceOrders, SchedulerLease
+from hemlockstand.fleet.lease import InstanceOrders, Release, SchedulerLease
 from hemlockstand.fleet.metrics import WAITING
 from hemlockstand.fleet.model import JobState
 from hemlockstand.fleet.orders import RUNS_PER_EPOCH, Orders
@@ -93,9 +93,12 @@
         )
         self._wave_records: dict[int, WaveRecord] = {}
         self._leaving = trio.Event()
+        self._slow = False
+        self.follows_slow = lease.record.follows_slow
 
-    def leave(self) -> None:
-        """Stop placing and release the lease."""
+    def leave(self, slow: bool = False) -> None:
+        """Stop placing and release the lease; ``slow`` tells why."""
+        self._slow = slow
         self._leaving.set()
 
     async def run(self, fresh: bool) -> None:
@@ -138,7 +141,8 @@
             while self._orders.open_starts:
                 await trio.sleep(ORDERS_POLL_SECONDS)
         try:
-            await self._commits.commit(release=True)
+            reason = Release.SLOW if self._slow else Release.STOPPED
+            await self._commits.commit(reason)
         except PlatformUnavailable as error:
             log.warning("scheduler lease not released", detail=str(error))
 
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable, Sequence
+from enum import Enum, auto
 
 import attrs
 import trio
@@ -39,6 +40,13 @@
 _NEVER = float("-inf")
 
 
+class Release(Enum):
+    """Why a holder gives up its lease."""
+
+    STOPPED = auto()
+    SLOW = auto()
+
+
 @frozen
 class InstanceOrders:
     """Instances for which the next holder must not give orders for a while.
@@ -82,7 +90,7 @@
         writes: Sequence[RowWrite] = (),
         removed: Sequence[RowKey] = (),
         orders: InstanceOrders = NO_ORDERS,
-        release: bool = False,
+        release: Release | None = None,
     ) -> None:
         """Apply the writes and extend the lease.
 
@@ -93,6 +101,7 @@
         record = attrs.evolve(
             self.record,
             holder="" if release else self.record.holder,
+            slow=release is Release.SLOW,
             sequence=self.record.sequence + 1,
             ordered=orders.open,
             turned=orders.answered,
@@ -213,7 +222,12 @@
         epoch = 1 if record is None else record.epoch + 1
         new = LeaseRecord(self.holder, self.session, epoch, 0)
         if record is not None:
-            new = attrs.evolve(new, ordered=record.ordered, turned=record.turned)
+            new = attrs.evolve(
+                new,
+                ordered=record.ordered,
+                turned=record.turned,
+                follows_slow=record.slow,
+            )
         expected = (RowExpectation(SCHEDULER_TABLE, LEASE_KEY, version),)
         self._attempted_at = self.clock()
         try:
--- a/hemlockstand/fleet/scheduler.py
+++ b/hemlockstand/fleet/scheduler.py
@@ -21,6 +21,7 @@
 from hemlockstand.fleet.leader import Leader
 from hemlockstand.fleet.lease import LeaseWatch, SchedulerLease
 from hemlockstand.fleet.metrics import LEADING
+from hemlockstand.fleet.policy.candidacy import Candidacy, find_candidacy
 from hemlockstand.fleet.services import RowStoreService
 from hemlockstand.fleet.settings import FleetSettings
 from hemlockstand.fleet.storage import DAEMONS_TABLE, daemon_write, decode_daemons
@@ -31,20 +32,21 @@
 
 log = logger.bind(module=__name__)
 
-# Daemons whose processor capacity is larger by this factor have precedence:
-# each of them delays this daemon by one check of the lease. The number is
-# limited, since some of them may be gone.
-LARGER_FACTOR = 1.2
+# Each daemon with a larger processor capacity delays this one by one check of
+# the lease. The number is limited, since some of them may be gone.
 MAX_WAITED_FOR = 3
 # Before the first acquisition daemons wait until all have stored their
 # processor capacity.
 FIRST_WAIT_SECONDS = 0.8
-DAEMONS_REFRESH_SECONDS = 5.0
+DAEMONS_REFRESH_SECONDS = 20.0
 # Delay of a daemon on a slow machine, so that others take the lease first. It
 # stays for a while after the daemon has released the lease as too slow.
 SLOW_DELAY_SECONDS = 2.0
 SLOW_COOLDOWN_SECONDS = 6.0
 SLOW_CHECK_SECONDS = 0.2
+# A scheduler that becomes slow this soon after it took over from another that
+# was slow is so from its work, and the next one would be as well.
+SLOW_HANDOVER_SECONDS = 15.0
 
 
 @register
@@ -72,7 +74,7 @@
         self._cooldown_until = float("-inf")
         self._leader: Leader | None = None
         self._leaving = False
-        self._larger_daemons = 0
+        self._candidacy = Candidacy()
         self._daemons_read_at = float("-inf")
         self._stopped = trio.Event()
 
@@ -114,14 +116,14 @@
                 )
             await trio.sleep(self._settings.scheduler.watch_seconds)
 
-    async def _count_larger_daemons(self) -> None:
-        """Count the daemons with a larger processor capacity."""
+    async def _update_candidacy(self) -> None:
+        """Find this daemon's place among those that may lead."""
         if self._clock() - self._daemons_read_at < DAEMONS_REFRESH_SECONDS:
             return
         daemons = decode_daemons((await self._rows.read_all(DAEMONS_TABLE)).rows)
         self._daemons_read_at = self._clock()
-        own = self._settings.daemon.cores * LARGER_FACTOR
-        self._larger_daemons = sum(1 for cores in daemons.values() if cores > own)
+        own = self._settings.daemon
+        self._candidacy = find_candidacy(own.name, own.cores, daemons)
 
     def _make_watch(self) -> LeaseWatch:
         return LeaseWatch(
@@ -137,7 +139,7 @@
         while not self._leaving:
             if self._configuration.current is not None:
                 try:
-                    await self._count_larger_daemons()
+                    await self._update_candidacy()
                     watch.delay_seconds = self._choose_delay()
                     lease = await watch.try_acquire()
                 except PlatformUnavailable as error:
@@ -145,27 +147,36 @@
                     lease = None
                 if lease is not None:
                     return lease
-            await trio.sleep(self._settings.scheduler.watch_seconds)
+            await trio.sleep(
+                self._settings.scheduler.watch_seconds * self._candidacy.interval_factor
+            )
         return None
 
     def _choose_delay(self) -> float:
         """Return the time for which other daemons have precedence."""
-        waited_for = min(self._larger_daemons, MAX_WAITED_FOR)
+        waited_for = min(self._candidacy.larger_daemons, MAX_WAITED_FOR)
         delay = waited_for * self._settings.scheduler.watch_seconds
         if self._lag.slow or self._clock() < self._cooldown_until:
             delay += SLOW_DELAY_SECONDS
         return delay
 
     async def _step_down_when_slow(self, leader: Leader) -> None:
-        """Release the lease once this machine has become slow."""
-        while not self._lag.slow:
+        """Release the lease once this machine has become slow.
+
+        A scheduler that took over from a slow one keeps the lease for a while:
+        if the load makes every machine slow, further changes only add to it.
+        """
+        began_at = self._clock()
+        while not self._lag.slow or (
+            leader.follows_slow and self._clock() - began_at < SLOW_HANDOVER_SECONDS
+        ):
             await trio.sleep(SLOW_CHECK_SECONDS)
         log.warning(
             "machine is slow; the scheduler releases its lease",
             lag_seconds=round(self._lag.seconds, 3),
         )
         self._cooldown_until = self._clock() + SLOW_COOLDOWN_SECONDS
-        leader.leave()
+        leader.leave(slow=True)
 
     async def _lead(self, lease: SchedulerLease, watch: LeaseWatch) -> None:
         record = lease.record
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -72,7 +72,8 @@
     ``epoch`` rises with each holder, and ``sequence`` with each write of a
     holder. ``ordered`` holds the instances with an order that may still be in
     flight, and ``turned`` those whose order was answered a short time ago.
-    ``holder`` is empty after a release.
+    ``holder`` is empty after a release, and ``slow`` is set if it was released
+    by a slow machine; ``follows_slow`` then marks the next holder.
     """
 
     holder: str
@@ -81,6 +82,8 @@
     sequence: int
     ordered: tuple[str, ...] = ()
     turned: tuple[str, ...] = ()
+    slow: bool = False
+    follows_slow: bool = False
 
 
 @frozen
--- a/test/test_fleet_lease.py
+++ b/test/test_fleet_lease.py
@@ -6,7 +6,7 @@
 from emulator.row_store import RowStoreAccess, RowStoreModel
 from hemlockstand.coordination.lease import LeaseLost
 from hemlockstand.errors import PlatformUnavailable
-from hemlockstand.fleet.lease import InstanceOrders, LeaseWatch
+from hemlockstand.fleet.lease import InstanceOrders, LeaseWatch, Release
 from hemlockstand.fleet.storage import decode_lease
 from hemlockstand.platform.rows import RowWrite
 
@@ -125,7 +125,7 @@
     model = RowStoreModel()
     lease = await acquire(make_watch(model, "a"))
     orders = InstanceOrders(("m-1",), ("m-2",))
-    await lease.commit(orders=orders, release=True)
+    await lease.commit(orders=orders, release=Release.STOPPED)
     started_at = trio.current_time()
     taken = await acquire(make_watch(model, "b"))
     assert trio.current_time() - started_at < 0.2
@@ -153,7 +153,7 @@
     second = await acquire(make_watch(model, "a", "second"))
     assert second.previous_valid_until >= first.valid_until
     ends_at = second.valid_until
-    await second.commit(release=True)
+    await second.commit(release=Release.STOPPED)
     third = await acquire(make_watch(model, "b"))
     assert third.previous_valid_until >= max(ends_at, second.valid_until)
     fourth = await acquire(make_watch(model, "c"))
