Search a full pool once in a round of placement

Load pattern: a peak in which hundreds of steps wait and nothing is free; each round looked at every executor for every announced step. Change: policy/placing.py keeps a pool's room during a round; a step that is larger than the largest free room is passed over. Which executor a subtask gets does not change.

--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -13,15 +13,13 @@
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import JobRegistry, find_pool
 from hemlockstand.fleet.model import FleetConfig, Resources, Tenant
-from hemlockstand.fleet.policy.waiting import StepRank, rank_step
+from hemlockstand.fleet.policy.placing import PoolRoom
+from hemlockstand.fleet.policy.waiting import rank_step
 from hemlockstand.fleet.work import StepRun, Subtask
 
 # A subtask that failed or made no progress on an executor avoids it if at
 # least this many other executors of the pool have room.
 MIN_ALTERNATIVES = 1
-# Part of a pool's capacity for which steps are announced ahead of their start,
-# so that free capacity need not wait for the store.
-ANNOUNCE_AHEAD_FRACTION = 0.25
 
 
 @frozen
@@ -32,28 +30,6 @@
     executor: Executor
 
 
-@define
-class HeldRoom:
-    """Room that late steps leave to steps whose announcement is being stored.
-
-    The store takes milliseconds, and the late step would take the room for
-    the time of a subtask.
-    """
-
-    cpu_millis: int = 0
-    _first: StepRank | None = None
-
-    def add(self, rank: StepRank, cpu_millis: int) -> None:
-        """Hold room for a step; steps are added in the order of their rank."""
-        self.cpu_millis += cpu_millis
-        self._first = self._first or rank
-
-    def outranks(self, rank: StepRank) -> bool:
-        """Return whether room is held for a step in more urgent need."""
-        first = self._first
-        return first is not None and first.timeliness < rank.timeliness
-
-
 @define(eq=False)
 class Placer:
     """Chooses executors for the waiting subtasks of a job registry.
@@ -75,8 +51,6 @@
         """Yield placements; the caller starts each before it asks for more."""
         pools = self._group_executors(now)
         self._unconfirmed_use = self._measure_unconfirmed_use(config)
-        announceable_cpu: dict[str, float] = {}
-        held_cpu: dict[str, HeldRoom] = {}
         order = sorted(
             (
                 (rank_step(step_run, config, now), step_run)
@@ -88,29 +62,22 @@
             pool = find_pool(step_run.job, config)
             if step_run.inherited and pool in self.blocked_pools:
                 continue
-            if pool not in announceable_cpu:
-                announceable_cpu[pool] = count_announceable_cpu(pools.get(pool, ()))
-            remaining_cpu = announceable_cpu[pool]
-            needed_cpu = len(step_run.waiting) * max(1, step_run.step.size.cpu_millis)
-            announceable_cpu[pool] -= needed_cpu
-            held = held_cpu.setdefault(pool, HeldRoom())
+            room = pools.setdefault(pool, PoolRoom([]))
+            may_announce = room.count_step(step_run)
             if not step_run.announced:
-                # Steps that cannot start yet are not announced: after a
-                # takeover, announced ones wait for unreachable executors.
-                if remaining_cpu > 0:
+                if may_announce:
                     self.registry.announce(step_run)
-                    held.add(rank, needed_cpu)
+                    room.hold(rank, step_run)
                 continue
-            if held.outranks(rank) and held.cpu_millis >= sum(
-                executor.free_cpu() for executor in pools.get(pool, ())
-            ):
+            if room.is_held_from(rank) or not room.may_fit(step_run.step):
                 continue
             executors = [
                 executor
-                for executor in pools.get(pool, ())
+                for executor in room.executors
                 if self.may_run(step_run, executor)
             ]
             yield from self._place_step(step_run, executors, config, now)
+            room.forget_free_cpu()
 
     def _measure_unconfirmed_use(self, config: FleetConfig) -> dict[str, Resources]:
         """Return the resources that unknown runs may use, by tenant.
@@ -135,12 +102,12 @@
             )
         return use_by_tenant
 
-    def _group_executors(self, now: float) -> dict[str, list[Executor]]:
+    def _group_executors(self, now: float) -> dict[str, PoolRoom]:
         pools: dict[str, list[Executor]] = {}
         for executor in self.executors.values():
             if is_usable(executor, now):
                 pools.setdefault(executor.entry.pool, []).append(executor)
-        return pools
+        return {pool: PoolRoom(executors) for pool, executors in pools.items()}
 
     def _place_step(
         self,
@@ -203,15 +170,6 @@
         )
 
 
-def count_announceable_cpu(executors: Iterable[Executor]) -> float:
-    """Return the thousandths of a core for which to announce steps."""
-    return sum(
-        executor.free_cpu()
-        + executor.entry.capacity.cpu_millis * ANNOUNCE_AHEAD_FRACTION
-        for executor in executors
-    )
-
-
 def is_usable(executor: Executor, now: float) -> bool:
     """Return whether an executor may get new runs now."""
     return accepts_runs(executor, now) and executor.recorded and not executor.closed
--- a/test/test_fleet_load.py
+++ b/test/test_fleet_load.py
@@ -4,8 +4,13 @@
 import trio
 
 from emulator.fleet_executors import SubtaskBehaviour
+from hemlockstand.fleet.capacity import Demand, add_job
+from hemlockstand.fleet.durations import Durations
+from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.model import JobSpec
+from hemlockstand.fleet.policy.arrivals import ArrivedWork, estimate_rate
 from hemlockstand.fleet.policy.waiting import measure_chain
+from hemlockstand.fleet.work import Job, StepRun
 from test.fleet_world import SMALL, make_step, open_world
 
 SECONDS = 0.8
@@ -81,3 +86,59 @@
     seconds = [1.0, 2.0, 5.0, 1.0]
     chains = [measure_chain(spec, position, seconds) for position in range(4)]
     assert chains == [7.0, 3.0, 6.0, 1.0]
+
+
+def replay_arrivals(per_second: float, seconds: float, amount: float = 10.0):
+    """Return the work that has arrived after some seconds of a turn."""
+    count = int(per_second * seconds)
+    return [ArrivedWork(seconds - n / per_second, amount) for n in range(count)]
+
+
+@pytest.mark.parametrize("per_second", [20, 60])
+def test_turn_is_seen_before_an_instance_could_have_joined(per_second):
+    """Guards against a pool that grows when half of a turn is over."""
+    rate = estimate_rate(replay_arrivals(per_second, 0.5))
+    assert rate >= 0.5 * per_second * 10.0
+    assert rate <= per_second * 10.0
+
+
+def test_large_job_is_no_turn():
+    """Guards against instances that are moved for each large job."""
+    usual = replay_arrivals(2, 1.0)
+    large = ArrivedWork(0.1, 200.0)
+    assert estimate_rate([*usual, large]) < 2 * 10.0 * 2
+
+
+def test_waiting_job_needs_its_room_in_the_time_that_is_left():
+    """Guards against a pool that does not grow for jobs about to be late."""
+    spec = JobSpec("a", "queue", "pool", "team", "", (make_step(8, 0.8),))
+    needs = []
+    for waited in (0.0, 0.8, 5.0):
+        job = Job(spec, 1, accepted_at=100.0 - waited, objective_seconds=2.0)
+        job.steps[0, 0] = StepRun(job, 0, 0, spec.steps[0])
+        demand = Demand()
+        add_job(demand, job, Durations(), 100.0)
+        needs.append(demand.present.cpu_millis)
+    assert needs[1] == pytest.approx(needs[0] * 2.0 / 1.2)
+    assert needs[2] == pytest.approx(needs[0])
+
+
+async def test_full_pool_is_not_searched_for_every_step(clock, monkeypatch):
+    """Guards against a scheduler that is busy with finding no room at a peak."""
+    async with open_world() as world:
+        for _ in range(EXECUTORS):
+            world.add_executor()
+        world.start_daemon("a")
+        await trio.sleep(2)
+        for _ in range(100):
+            world.submit(make_step(SUBTASKS), work=SubtaskBehaviour(5.0, size=SMALL))
+        await world.wait_for(lambda: len(world.find_running()) == EXECUTORS * 16, 4)
+        await trio.sleep(1)
+        leader = world.daemons["a"].leader
+        searched = []
+        monkeypatch.setattr(
+            Executor, "has_room", lambda *args: searched.append(args) or False
+        )
+        assert len(leader.state.registry.ready) > 80
+        assert not list(leader._placer.place(leader.state.config, leader.state.clock()))
+        assert len(searched) <= EXECUTORS
