--- a/hemlockstand/fleet/policy/waiting.py
+++ b/hemlockstand/fleet/policy/waiting.py
@@ -15,10 +15,10 @@
 from hemlockstand.fleet.work import StepRun
 
 LATE_FACTOR = 3.0  # a job is worth nothing after three times its objective
-# Predictions are uncertain. A job has certainly enough time if it has more
-# than the larger multiple of what is predicted, and too little below the
-# smaller one.
+# Predicted durations are uncertain. A job that has this many times its predicted
+# chain left will be in time.
 AMPLE_FACTOR = 1.3
+# A job that has less than this many times its predicted chain left will be late.
 SCARCE_FACTOR = 0.8
 
 
--- a/hemlockstand/fleet/scheduler.py
+++ b/hemlockstand/fleet/scheduler.py
@@ -44,8 +44,8 @@
 SLOW_DELAY_SECONDS = 2.0
 SLOW_COOLDOWN_SECONDS = 6.0
 SLOW_CHECK_SECONDS = 0.2
-# A scheduler that becomes slow this soon after it took over from another that
-# was slow is so from its work, and the next one would be as well.
+# A scheduler that becomes slow within this time after it took over from a slow
+# one is overloaded, and its successor would be as well.
 SLOW_HANDOVER_SECONDS = 15.0
 
 
