--- a/hemlockstand/platform/connection.py
+++ b/hemlockstand/platform/connection.py
@@ -2,7 +2,7 @@
 
 They use ``httptools`` to parse responses and trio's sockets to carry them. The
 scheduler makes hundreds of small calls a second, and a call through
-``httpcore``, the transport of ``httpx``, takes five times the processor time.
+``httpcore``, the transport of ``httpx``, takes over three times the processor time.
 """
 
 from collections import deque
