--- a/test/test_fleet_scheduler.py
+++ b/test/test_fleet_scheduler.py
@@ -63,6 +63,24 @@
         world.check_runs()
 
 
+async def test_executor_that_is_slow_to_report_keeps_its_work(clock):
+    """Guards against a second run of work whose executor still answers.
+
+    The store drops the entry of an executor that has not reported for a while.
+    """
+    async with open_world() as world:
+        executor = world.add_executor()
+        world.start_daemon("a")
+        job = world.submit(make_step(4), work=SubtaskBehaviour(20.0, size=SMALL))
+        await world.wait_for(lambda: world.count_runs(job) == 4, 5)
+        world.store.remove("servers", executor.id)
+        world.add_executor()
+        await trio.sleep(12)
+        world.register_executor(executor)
+        await world.wait_for(lambda: world.state(job) == "completed", 15)
+        assert world.count_runs(job) == 4
+
+
 async def test_job_fails_after_its_attempts(clock):
     """Guards against a failing job that is retried for ever."""
     async with open_world() as world:
--- a/test/test_fleet_takeovers.py
+++ b/test/test_fleet_takeovers.py
@@ -166,3 +166,46 @@
         assert world.count_runs(job) == 0
         daemon.rows.stale_tables.clear()
         await world.wait_for(lambda: world.state(job) == "completed", 5)
+
+
+async def test_order_of_a_paused_scheduler_arrives_after_the_takeover(clock):
+    """Guards against an order that a scheduler gave before it was paused.
+
+    It reaches the executor after another scheduler has run the subtask.
+    """
+    async with open_world() as world:
+        executor = world.add_executor()
+        world.add_executor()
+        executor.late_orders = 1
+        first = world.start_daemon("a")
+        job = world.submit(make_step(4))
+        await world.wait_for(lambda: world.count_runs(job) == 3, 5)
+        world.kill(first)
+        world.start_daemon("b")
+        await world.wait_for(lambda: world.state(job) == "completed", 15)
+        executor.execute_late_orders()
+        await trio.sleep(2)
+        world.check_runs()
+        assert world.count_runs(job) == 4
+
+
+async def test_executor_that_left_gets_nothing_from_the_next_scheduler(clock):
+    """Guards against an executor that is in use again after a takeover.
+
+    The next scheduler knows it from the rows of the previous one, and it
+    still answers.
+    """
+    async with open_world() as world:
+        gone = world.add_executor()
+        first = world.start_daemon("a")
+        job = world.submit(make_step(1), work=SubtaskBehaviour(0.5, size=SMALL))
+        await world.wait_for(lambda: world.state(job) == "completed", 5)
+        world.store.remove("servers", gone.id)
+        await trio.sleep(0.5)
+        world.kill(first)
+        other = world.add_executor()
+        world.start_daemon("b")
+        jobs = [world.submit(make_step(8)) for _ in range(3)]
+        for job in jobs:
+            await world.wait_for(lambda job=job: world.state(job) == "completed", 15)
+        assert {run.executor for run in world.records[1:]} == {other.id}
