Log why lasting subtasks are not at work

A placement that finds no executor left no line, so the hypotheses of the incident of idle lasting subtasks (executors believed unreachable, all in quarantine, a run that no executor has, a blocked pool) could not be told apart. A lasting step that is idle for 2.5 s is now reported with the states of its runs and the executors of its pool by what keeps them from taking a subtask. The line of a reserved instance names its executor.

No decision changes.

--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -14,6 +14,7 @@
 from hemlockstand.fleet.durations import estimate_chain_seconds
 from hemlockstand.fleet.executor_directory import ExecutorDirectory
 from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.idle_report import IdleReporter
 from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.job_registry import JobRegistry
 from hemlockstand.fleet.lease import InstanceOrders, Release, SchedulerLease
@@ -91,6 +92,9 @@
         self._placer = Placer(
             registry, self.state.executors, self._barrier.blocked_pools, self._may_run
         )
+        self._idle_reporter = IdleReporter(
+            self.state, self._barrier.blocked_pools, self._may_run
+        )
         self._wave_records: dict[int, WaveRecord] = {}
         self._leaving = trio.Event()
         self._slow = False
@@ -249,6 +253,7 @@
             self._barrier.unblock_pools()
             self._executor_directory.remove_gone()
             self._add_waves()
+            self._idle_reporter.check()
             registry = self.state.registry
             if registry.ready or registry.next_due() is not None:
                 self.state.request_placement()
--- a/hemlockstand/fleet/plans.py
+++ b/hemlockstand/fleet/plans.py
@@ -64,6 +64,7 @@
         log.info(
             "instance reserved for a move or maintenance",
             instance=plan.instance,
+            executor="" if executor is None else executor.id,
             pool=plan.pool,
             wave=plan.wave,
             runs=0 if executor is None else len(executor.runs),
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -295,7 +295,8 @@
 
 def make_step(count: int = 1, seconds: float = 1.0, **values) -> Step:
     """Return a step of small subtasks."""
-    return Step(count, SMALL, int(seconds * 1000), **values)
+    size = values.pop("size", SMALL)
+    return Step(count, size, int(seconds * 1000), **values)
 
 
 def make_config(maximum: Resources | None = None, attempts: int = 2) -> FleetConfig:
