Poll an executor that does not answer until it answers again

Cause: an executor was polled only while it had runs, unread lists or ends to acknowledge. One that did not answer until its leases had expired lost its runs and was never asked again, so it counted as unreachable until its lifetime changed or it left the store. After a cut between the scheduler and an executor that still reached the store, its entry stayed, and its room was never used.

Evidence: test_executor_that_answers_again_takes_work failed before (TooSlowError: no second run 10 s after the cut had ended).

Ruled out: waking the task on each new entry in the store; the entries of other writers and of executors that are cut off from the store alone say nothing about the path from the scheduler.

An idle executor that does not answer is asked every 0.7 s, and an answer makes it reachable.

--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -37,6 +37,8 @@
 
 MIN_CLOCK_RATE = 0.98  # an executor's clock may run up to 2% slow
 RETRY_SECONDS = 0.3
+# Pause between polls of an executor that does not answer and has no runs.
+IDLE_RETRY_SECONDS = 0.7
 UNSTORED_POLL_SECONDS = 0.02
 LEASE_EXPIRY_MARGIN_SECONDS = 0.15
 _NEVER = float("-inf")
@@ -200,7 +202,17 @@
             self._clock_at = self.clock()
 
     def _needs_poll(self) -> bool:
-        return bool(self.runs) or not self.reconciled or self.last_handled > self.acked
+        """Return whether there is something to learn from the executor.
+
+        One that does not answer is polled even without runs, because only its
+        answer shows that it can take runs again.
+        """
+        return (
+            bool(self.runs)
+            or not self.reconciled
+            or not self.reachable
+            or self.last_handled > self.acked
+        )
 
     async def run(self) -> None:
         """Poll the executor and extend its lease until it is closed."""
@@ -260,7 +272,7 @@
         if now > self.lease_expires_at + LEASE_EXPIRY_MARGIN_SECONDS:
             for subtask in list(self.runs.values()):
                 self._report_lost(subtask, "lease has expired")
-        await trio.sleep(RETRY_SECONDS)
+        await trio.sleep(RETRY_SECONDS if self.runs else IDLE_RETRY_SECONDS)
 
     def _reconcile(self, answer: HoldAnswer, sent_at: float, fence: int) -> None:
         """Update the known runs from the executor's lists."""
