Start lasting subtasks again that ended as done

Seen by callers: a subtask that lasts does not run, with room for it.

Cause: an end of the kind done was taken for the last one. The subtask was stored as done, no scheduler started it again, and a job of which all subtasks ended so was shown as completed.

Evidence: test_lasting_subtask_that_ends_as_done_starts_again failed before (TooSlowError: the subtask is not started again).

--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -167,6 +167,11 @@
         self.ended_records[self.last_end_number] = run.record
         self.refused_up_to[name] = run.record.number
 
+    def end_run(self, subtask: str, kind: EndKind) -> None:
+        """End a run now, as if by itself."""
+        self.advance()
+        self._end(subtask, kind, trio.current_time())
+
     def crash(self) -> None:
         """End all runs without listing their ends, and drop the listed ones."""
         self.advance()
--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -78,7 +78,8 @@
         for occurrence in range(job.spec.occurrences):
             for position, step in enumerate(job.spec.steps):
                 step_run = StepRun(job, occurrence, position, step)
-                step_run.done = status.done.get(step_run.key, 0)
+                if not step.lasting:
+                    step_run.done = status.done.get(step_run.key, 0)
                 step_run.inherited = step_run.key in status.announced
                 step_run.announced = step_run.inherited
                 job.steps[occurrence, position] = step_run
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -69,7 +69,7 @@
         subtask.runs = max(subtask.runs, end.run)
         now = self.state.clock()
         now_ms = int(time.time() * 1000)
-        if end.kind is EndKind.DONE:
+        if end.kind is EndKind.DONE and not subtask.step.lasting:
             executor.failed_in_row = 0
             if current:
                 self._record_duration(subtask, now)
--- a/test/test_fleet_lasting.py
+++ b/test/test_fleet_lasting.py
@@ -4,6 +4,7 @@
 import trio
 
 from emulator.fleet_executors import SubtaskBehaviour
+from hemlockstand.fleet.model import EndKind
 from test.fleet_world import LASTING, SMALL, make_step, open_world
 
 
@@ -32,3 +33,26 @@
         await world.wait_for(lambda: world.find_running(job), 2)
         assert world.count_runs(job) == 2
         world.check_runs()
+
+
+async def test_lasting_subtask_that_ends_as_done_starts_again(clock):
+    """Guards against an end that is taken for the last one of lasting work.
+
+    Only a cancel ends work that lasts; the subtask must also start again under
+    the next scheduler.
+    """
+    async with open_world() as world:
+        executor = world.add_executor()
+        daemon = world.start_daemon("a")
+        job = world.submit(
+            make_step(2, lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        await world.wait_for(lambda: len(world.find_running(job)) == 2, 5)
+        executor.end_run(f"{job}.0.0.1", EndKind.DONE)
+        await world.wait_for(lambda: len(world.find_running(job)) == 2, 2)
+        assert world.state(job) == "running"
+        executor.end_run(f"{job}.0.0.0", EndKind.DONE)
+        await world.wait_for(lambda: not executor.ends, 2)
+        world.kill(daemon)
+        world.start_daemon("b")
+        await world.wait_for(lambda: len(world.find_running(job)) == 2, 8)
