Repeat a stop order that was due while the lease had lapsed

Seen by callers: a cancelled job runs on; an instance that waits for its runs to stop is never moved or maintained. Found while looking for places where a task gives up an order that nothing takes up again, the class of fault behind idle lasting subtasks.

Cause: a stop ended without effect if the scheduler might not give orders at that moment. The run counted as stopping from then on, so no later stop was sent, also after the same scheduler had renewed its lease.

Evidence: test_stop_is_repeated_after_a_late_renewal failed before (TooSlowError: the run goes on).

The order now waits until the lease is valid again; if it is lost, the task ends with the scheduler's term.

--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -173,28 +173,35 @@
         )
 
     async def order_stop(self, executor: Executor, name: str, number: int) -> None:
-        """Repeat a stop order until it is accepted or the run is over."""
+        """Repeat a stop order until it is accepted or the run is over.
+
+        While no orders may be given it waits: the lease may be renewed yet, and
+        nothing else would repeat the stop.
+        """
         while True:
-            if not self.state.may_order():
-                return
-            try:
-                await executor.client.stop(name, number, executor.fence)
-            except HemlockstandError as error:
-                log.info("run not stopped", subtask=name, run=number, detail=str(error))
-            else:
-                log.info(
-                    "executor accepted the stop of a run",
-                    subtask=name,
-                    run=number,
-                    executor=executor.id,
-                )
-                executor.wake()
+            if self.state.may_order() and await self._try_stop(executor, name, number):
                 return
             await trio.sleep(STOP_RETRY_SECONDS)
             subtask = executor.runs.get(name)
             if subtask is None or subtask.run is None or subtask.run.number != number:
                 return
 
+    async def _try_stop(self, executor: Executor, name: str, number: int) -> bool:
+        """Send a stop order; return whether the executor accepted it."""
+        try:
+            await executor.client.stop(name, number, executor.fence)
+        except HemlockstandError as error:
+            log.info("run not stopped", subtask=name, run=number, detail=str(error))
+            return False
+        log.info(
+            "executor accepted the stop of a run",
+            subtask=name,
+            run=number,
+            executor=executor.id,
+        )
+        executor.wake()
+        return True
+
     async def order_pace(self, executor: Executor, change: PaceChange) -> None:
         """Set the pace of a run; after a failure the next poll tries again."""
         run = change.subtask.run
--- a/test/test_fleet_lasting.py
+++ b/test/test_fleet_lasting.py
@@ -56,3 +56,21 @@
         world.kill(daemon)
         world.start_daemon("b")
         await world.wait_for(lambda: len(world.find_running(job)) == 2, 8)
+
+
+async def test_stop_is_repeated_after_a_late_renewal(clock):
+    """Guards against a run that is never stopped.
+
+    The lease had lapsed for a moment when the stop was due, and was renewed by
+    the same scheduler.
+    """
+    async with open_world() as world:
+        world.add_executor()
+        daemon = world.start_daemon("a")
+        job = world.submit(
+            make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        await world.wait_for(lambda: world.find_running(job), 5)
+        daemon.leader.state.lease.valid_until = trio.current_time() - 0.1
+        world.cancel(job)
+        await world.wait_for(lambda: not world.find_running(job), 3)
