Use quarantined executors for lasting work that finds no other

Seen by callers: a subtask that lasts does not run, with room for it.

Cause: two failures in a row put an executor into quarantine, for 3 s and up to 12 s. Lasting subtasks may fail at any time, and in a quiet pool no other run ends as done and clears the count, so all executors of the pool could be in quarantine at once while nothing ran on them.

Evidence: test_quarantine_of_a_whole_pool_holds_up_no_lasting_work and ..._holds_up_no_job failed before (gaps of 2.5, 5.5 and 11.5 s after the 4th, 8th and 12th failure; the job waits for 12 s).

Ruled out: not to count the failures of lasting subtasks, since they may be all that shows a failing executor in a quiet pool.

As long as others have room, they get nothing (test_quarantined_executor_gets_nothing_...).

--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -71,12 +71,7 @@
                 continue
             if room.is_held_from(rank) or not room.may_fit(step_run.step):
                 continue
-            executors = [
-                executor
-                for executor in room.executors
-                if self.may_run(step_run, executor)
-            ]
-            yield from self._place_step(step_run, executors, config, now)
+            yield from self._place_step(step_run, room, config, now)
             room.forget_free_cpu()
 
     def _measure_unconfirmed_use(self, config: FleetConfig) -> dict[str, Resources]:
@@ -103,22 +98,24 @@
         return use_by_tenant
 
     def _group_executors(self, now: float) -> dict[str, PoolRoom]:
-        pools: dict[str, list[Executor]] = {}
+        groups: dict[str, tuple[list[Executor], list[Executor]]] = {}
         for executor in self.executors.values():
-            if is_usable(executor, now):
-                pools.setdefault(executor.entry.pool, []).append(executor)
-        return {pool: PoolRoom(executors) for pool, executors in pools.items()}
+            if not (is_sound(executor) and is_recorded(executor)):
+                continue
+            usable, quarantined = groups.setdefault(executor.entry.pool, ([], []))
+            group = usable if executor.quarantined_until <= now else quarantined
+            group.append(executor)
+        return {pool: PoolRoom(*group) for pool, group in groups.items()}
 
     def _place_step(
-        self,
-        step_run: StepRun,
-        executors: Iterable[Executor],
-        config: FleetConfig,
-        now: float,
+        self, step_run: StepRun, room: PoolRoom, config: FleetConfig, now: float
     ) -> Iterator[Placement]:
         tenant = config.tenants.get(step_run.job.spec.tenant)
+        executors = self._select_allowed(step_run, room.executors)
         if step_run.step.gang:
-            yield from self._place_gang(step_run, list(executors), tenant, now)
+            resort = room.find_last_resort(step_run.subtasks[0], now)
+            executors += self._select_allowed(step_run, resort)
+            yield from self._place_gang(step_run, executors, tenant, now)
             return
         waiting = [
             subtask
@@ -129,10 +126,20 @@
             if not self._is_within_maximum(tenant, step_run.step.size):
                 return
             executor = choose_executor(subtask, executors, now)
+            if executor is None:
+                resort = room.find_last_resort(subtask, now)
+                allowed = self._select_allowed(step_run, resort)
+                executor = choose_executor(subtask, allowed, now)
             if executor is None:
                 return
             yield Placement(subtask, executor)
 
+    def _select_allowed(
+        self, step_run: StepRun, executors: Iterable[Executor]
+    ) -> list[Executor]:
+        """Return the executors that the policy of the step's queue allows."""
+        return [executor for executor in executors if self.may_run(step_run, executor)]
+
     def _place_gang(
         self,
         step_run: StepRun,
@@ -172,11 +179,21 @@
 
 def is_usable(executor: Executor, now: float) -> bool:
     """Return whether an executor may get new runs now."""
-    return accepts_runs(executor, now) and executor.recorded and not executor.closed
+    return accepts_runs(executor, now) and is_recorded(executor)
+
+
+def is_recorded(executor: Executor) -> bool:
+    """Return whether the next scheduler would know of the executor's runs."""
+    return executor.recorded and not executor.closed
 
 
 def accepts_runs(executor: Executor, now: float) -> bool:
     """Return whether an executor could get new runs once it is recorded."""
+    return is_sound(executor) and executor.quarantined_until <= now
+
+
+def is_sound(executor: Executor) -> bool:
+    """Return whether an executor is known, answers and is not to be emptied."""
     return (
         executor.is_in_store
         and executor.reconciled
@@ -184,7 +201,6 @@
         and executor.is_entry_current
         and not executor.entry.draining
         and not executor.reserved
-        and executor.quarantined_until <= now
     )
 
 
--- a/hemlockstand/fleet/policy/placing.py
+++ b/hemlockstand/fleet/policy/placing.py
@@ -12,25 +12,36 @@
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.model import Step
 from hemlockstand.fleet.policy.waiting import StepRank
-from hemlockstand.fleet.work import StepRun
+from hemlockstand.fleet.work import StepRun, Subtask
 
 # Part of a pool's capacity for which steps are announced ahead of their start,
 # so that free capacity need not wait for the store.
 ANNOUNCE_AHEAD_FRACTION = 0.25
+# Wait for an executor that is not in quarantine. Lasting work must be at work
+# again within seconds of its end, a quarantine may last longer.
+QUARANTINE_WAIT_SECONDS = 1.0
 
 
 @define(eq=False)
 class PoolRoom:
-    """Free room of a pool, for steps in the order of their rank."""
+    """Free room of a pool, for steps in the order of their rank.
+
+    ``quarantined`` holds the executors on which runs have failed in a row.
+    They are the last resort of lasting work, which fails by itself as well,
+    and of a pool that has no others.
+    """
 
     executors: list[Executor]
+    quarantined: list[Executor] = field(factory=list)
     _announceable_cpu: float = field(init=False)
     _held_cpu: int = 0
     _held_for: StepRank | None = None
     _largest_free_cpu: int | None = None
 
     def __attrs_post_init__(self) -> None:
-        self._announceable_cpu = count_announceable_cpu(self.executors)
+        self._announceable_cpu = count_announceable_cpu(
+            self.executors or self.quarantined
+        )
 
     def count_step(self, step_run: StepRun) -> bool:
         """Count a step's need; return whether it may be announced.
@@ -59,9 +70,17 @@
         free = sum(executor.free_cpu() for executor in self.executors)
         return self._held_cpu >= free
 
+    def find_last_resort(self, subtask: Subtask, now: float) -> list[Executor]:
+        """Return the quarantined executors if the subtask may use them now."""
+        if self.executors and not subtask.step.lasting:
+            return []
+        waits_since = max(subtask.not_before, subtask.step_run.unlocked_at)
+        overdue = now - waits_since >= QUARANTINE_WAIT_SECONDS
+        return self.quarantined if overdue else []
+
     def may_fit(self, step: Step) -> bool:
         """Return whether an executor may have the cpu for a subtask."""
-        if step.fills:
+        if step.fills or step.lasting or not self.executors:
             return True
         if self._largest_free_cpu is None:
             self._largest_free_cpu = max(
--- a/test/test_fleet_lasting.py
+++ b/test/test_fleet_lasting.py
@@ -74,3 +74,50 @@
         daemon.leader.state.lease.valid_until = trio.current_time() - 0.1
         world.cancel(job)
         await world.wait_for(lambda: not world.find_running(job), 3)
+
+
+async def test_quarantine_of_a_whole_pool_holds_up_no_lasting_work(clock):
+    """Guards against lasting work that waits for the end of a quarantine.
+
+    In a quiet pool its own failures put all executors into quarantine, for
+    twelve seconds in the end, and no other run clears their counts.
+    """
+    async with open_world() as world:
+        for _ in range(2):
+            world.add_executor()
+        world.start_daemon("a")
+        job = world.submit(
+            make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        for _ in range(12):
+            await world.wait_for(lambda: world.find_running(job), 3)
+            await trio.sleep(0.5)
+            (run,) = world.find_running(job)
+            world.executors[run.executor].end_run(run.subtask, EndKind.FAILED)
+
+
+async def test_quarantine_of_a_whole_pool_holds_up_no_job(clock):
+    """Guards against jobs that wait although every executor is free."""
+    async with open_world() as world:
+        for _ in range(2):
+            world.add_executor()
+        daemon = world.start_daemon("a")
+        await trio.sleep(1)
+        for executor in daemon.leader.state.executors.values():
+            executor.quarantined_until = trio.current_time() + 12
+        job = world.submit(make_step(2))
+        await world.wait_for(lambda: world.state(job) == "completed", 5)
+
+
+async def test_quarantined_executor_gets_nothing_while_others_have_room(clock):
+    """Guards against starts that a failing executor would fail again."""
+    async with open_world() as world:
+        for _ in range(2):
+            world.add_executor()
+        daemon = world.start_daemon("a")
+        await trio.sleep(1)
+        failing, _ = daemon.leader.state.executors.values()
+        failing.quarantined_until = trio.current_time() + 12
+        job = world.submit(make_step(30), make_step(2, lasting=True))
+        await world.wait_for(lambda: world.count_runs(f"{job}.0.0") == 30, 8)
+        assert all(run.executor != failing.id for run in world.records)
