Let the lists of a new lifetime decide which runs were lost

What callers could see: a subtask runs twice at the same time (TWICE). Found by reading, while the crash of an executor was to be told from its other ends.

Cause: a new entry of an executor in the store ended all runs that the scheduler knew there. An idle executor is not polled, so one that had started again could get an order before its new entry was read; the run of the new lifetime then counted as lost, and started elsewhere after 50 ms if the lists had not arrived by then.

Evidence: test_run_of_an_unannounced_lifetime_is_kept failed before (4 runs of 2 subtasks, calls taking 0.1 s). test_order_in_flight_to_a_new_lifetime_runs_once held before and shows that late orders stay safe.

Ruled out: comparing the time of the order with the start of the lifetime; the clocks of the two machines may differ.

A new lifetime now only asks for new lists under a higher fencing token. Runs that are not in them were lost, those that are go on.

--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -8,7 +8,9 @@
   order, and its answer shows whether the run exists.
 * Runs on an unreachable executor end when the last lease that was granted to
   it has certainly expired.
-* After a restart (a new lifetime) the executor has none of its earlier runs.
+* After a restart (a new lifetime) the executor has none of its earlier runs. It
+  may have runs that were ordered before the restart was known, so its lists in
+  the new lifetime decide.
 """
 
 from collections.abc import Callable
@@ -104,6 +106,7 @@
     reserved: bool = False
     recorded: bool = False
     closed: bool = False
+    _restarted: bool = False  # the lists of the new lifetime were not read yet
     _clock_ms: int | None = None
     _clock_at: float = 0.0
     _wake: trio.Event = field(factory=trio.Event)
@@ -278,13 +281,14 @@
         """Update the known runs from the executor's lists."""
         if answer.born_ms is not None and answer.born_ms != self.born_ms:
             if self.born_ms is not None:
-                self._start_lifetime(answer.born_ms, "new lifetime")
+                self._start_lifetime(answer.born_ms, "lists of runs")
             self.born_ms = answer.born_ms
         listed = {entry.subtask: entry for entry in answer.running}
         for end in answer.ended:
             if end.number > self.last_handled:
                 self._handle_end(end)
         now = self.clock()
+        missing = "new lifetime" if self._restarted else "not in the executor's list"
         for subtask in list(self.runs.values()):
             run = subtask.run
             if run is None or run.executor != self.id:
@@ -294,11 +298,12 @@
             if entry is not None and entry.run == run.number:
                 _update_run(run, entry.percent, entry.load, entry.checkpoint, now)
             elif run.answered_at is not None and run.answered_at < sent_at:
-                self._report_lost(subtask, "not in the executor's list")
+                self._report_lost(subtask, missing)
             elif run.state is RunState.UNSURE and run.fence < fence:
                 self._report_lost(subtask, "the start order was not carried out")
         self.events.handle_running(self, answer)
         self.reconciled = True
+        self._restarted = False
 
     def _handle_end(self, end: EndEntry) -> None:
         self.last_handled = end.number
@@ -313,20 +318,26 @@
         self.events.handle_lost_run(self, subtask, reason)
 
     def _start_lifetime(self, born_ms: int, reason: str) -> None:
+        """Expect new lists; runs that are not in them were lost."""
         log.info("executor {} starts a new lifetime", self.id, detail=reason)
-        self._end_lifetime(reason)
+        self._forget_ends()
         self.reserved = False
         self.born_ms = born_ms
         self._clock_ms = None
         self.reconciled = False
+        self._restarted = True
         self.raise_fence()
 
     def _end_lifetime(self, reason: str) -> None:
-        self.last_handled = 0
-        self.acked = 0
+        self._forget_ends()
         for subtask in list(self.runs.values()):
             self._report_lost(subtask, reason)
 
+    def _forget_ends(self) -> None:
+        """Expect the numbers of ends to start anew."""
+        self.last_handled = 0
+        self.acked = 0
+
     def close(self) -> None:
         """Let the task end."""
         self.closed = True
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -104,6 +104,7 @@
     configuration: FakeFleetConfiguration = field(init=False)
     instances: InstanceModel = field(init=False)
     daemons: dict[str, Daemon] = field(factory=dict)
+    call_seconds: float = 0.002
     _ids: count = field(factory=lambda: count(1))
 
     def __attrs_post_init__(self) -> None:
@@ -223,7 +224,11 @@
             await trio.sleep(settings.scheduler.watch_seconds)
         clients = FleetClients(
             lambda executor, address: ExecutorAccess(
-                self.executors, executor, address, daemon.cut_off.__contains__
+                self.executors,
+                executor,
+                address,
+                daemon.cut_off.__contains__,
+                self.call_seconds,
             ),
             daemon.instances,
             None,
--- /dev/null
+++ b/test/test_fleet_lifetimes.py
@@ -0,0 +1,60 @@
+"""Executors that start again under their id, on virtual time."""
+
+import pytest
+import trio
+
+from emulator.fleet_executors import SubtaskBehaviour
+from test.fleet_world import LASTING, SMALL, make_step, open_world
+
+
+@pytest.fixture
+def clock(autojump_clock):
+    """Virtual time that jumps to the next event."""
+    return autojump_clock
+
+
+async def test_run_of_an_unannounced_lifetime_is_kept(clock):
+    """Guards against a second run beside one that a new lifetime has begun.
+
+    An idle executor starts again and gets a start order. Its new entry reaches
+    the store while the scheduler still waits for the executor's lists.
+    """
+    async with open_world() as world:
+        for _ in range(2):
+            world.add_executor()
+        world.call_seconds = 0.1
+        world.start_daemon("a")
+        await trio.sleep(2)
+        executor = world.executors["i-1"]
+        executor.restart()
+        job = world.submit(
+            make_step(2, lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        await world.wait_for(lambda: executor.running, 5)
+        world.register_executor(executor)
+        await trio.sleep(3)
+        assert world.count_runs(job) == 2
+        world.check_runs()
+
+
+async def test_order_in_flight_to_a_new_lifetime_runs_once(clock):
+    """Guards against a second run while the first order may still arrive."""
+    async with open_world() as world:
+        executor = world.add_executor()
+        world.add_executor()
+        world.start_daemon("a")
+        await trio.sleep(1)
+        for model in world.executors.values():
+            model.late_orders = 1
+        job = world.submit(make_step(1, seconds=3.0))
+        await world.wait_for(
+            lambda: any(model.late for model in world.executors.values()), 3
+        )
+        (executor,) = (model for model in world.executors.values() if model.late)
+        late = list(executor.late)
+        executor.restart()
+        executor.late = late
+        world.register_executor(executor)
+        executor.execute_late_orders()
+        await world.wait_for(lambda: world.state(job) == "completed", 15)
+        world.check_runs()
