Give up a subtask that crashes the executors that start it

Cause: runs that were lost in a crash waited together and were packed together again, with the cause of the crash among them, for ever. Nothing counted crashes.

A crash is told from a cut by a new lifetime, another executor at the address, or a refused connection when the lease expires. It counts under each subtask that the executor had; the count is stored with the job, so the next scheduler knows it. Subtasks with a crash are spread, those with two are started apart, and one is given up after the second crash if it was alone and had just started, after the third if it had just started, and after the fourth in any case.

Ruled out: giving up after two crashes in any case, which fails sound jobs that lay beside the cause; starting each suspect apart, which would hold up the work of a rack that has failed.

Not covered: a subtask that crashes its executor later than 5 s after its start.

--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -11,7 +11,11 @@
 import trio
 from attrs import define, field
 
-from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
+from hemlockstand.errors import (
+    ConnectionRefused,
+    OutcomeUnknown,
+    PlatformUnavailable,
+)
 from hemlockstand.fleet.model import (
     EndEntry,
     EndKind,
@@ -28,6 +32,8 @@
 from hemlockstand.platform.executors import ExecutorReplaced, OrderRefused
 
 STOP_SECONDS = 0.2
+CRASH_SECONDS = 0.01
+RESTART_SECONDS = 3.0  # time until an executor is back after a crash
 STARTUP_SECONDS = 0.3  # time until a lasting subtask reports 100 percent
 
 
@@ -51,13 +57,15 @@
     """The behaviour of a subtask.
 
     It takes ``seconds`` and then fails if ``fails``; one that ``stalls`` makes
-    no progress and does not end by itself. ``size`` is the resources that it
-    occupies.
+    no progress and does not end by itself. One that is ``deadly`` crashes its
+    executor ``CRASH_SECONDS`` after its start. ``size`` is the resources that
+    it occupies.
     """
 
     seconds: float = 1.0
     fails: bool = False
     stalls: bool = False
+    deadly: bool = False
     size: Resources = field(factory=Resources)
 
     @property
@@ -73,6 +81,9 @@
     began_at: float
     stops_at: float | None = None
 
+    def kills_executor(self, now: float) -> bool:
+        return self.behaviour.deadly and now >= self.began_at + CRASH_SECONDS
+
 
 @define(eq=False)
 class ExecutorModel:
@@ -84,7 +95,8 @@
     leaves all calls without an answer; of the coming start orders,
     ``lost_answers`` are carried out without an answer, ``late_orders`` are
     held in ``late`` until ``execute_late_orders``, and ``unhealthy_orders``
-    are refused.
+    are refused. After a crash no process listens until ``back_at``;
+    ``on_restart`` is called when it is back.
     """
 
     id: str
@@ -110,6 +122,9 @@
     late_orders: int = 0
     unhealthy_orders: int = 0
     late: list[StartOrder] = field(factory=list)
+    crashed_at: list[float] = field(factory=list)
+    back_at: float | None = None
+    on_restart: Callable[["ExecutorModel"], None] = field(default=lambda model: None)
 
     @property
     def clock_ms(self) -> int:
@@ -135,7 +150,13 @@
     def advance(self) -> None:
         """End the runs that have ended by now or whose lease has expired."""
         now = trio.current_time()
+        if self.back_at is not None and self.back_at <= now:
+            self.back_at = None
+            self.restart()
+            self.on_restart(self)
         self._mark_lapsed_ends()
+        if any(run.kills_executor(now) for run in self.running.values()):
+            self.crash_process()
         for name, run in list(self.running.items()):
             if self.due_ms <= self.clock_ms:
                 self._end(name, EndKind.LAPSED, self.due_ms / 1000 + self.clock_offset)
@@ -172,9 +193,19 @@
         self.advance()
         self._end(subtask, kind, trio.current_time())
 
+    def crash_process(self) -> None:
+        """Crash, and start again with the same id after some seconds."""
+        now = trio.current_time()
+        self.crashed_at.append(now)
+        self.back_at = now + RESTART_SECONDS
+        self._drop_runs()
+
     def crash(self) -> None:
         """End all runs without listing their ends, and drop the listed ones."""
         self.advance()
+        self._drop_runs()
+
+    def _drop_runs(self) -> None:
         for run in self.running.values():
             run.record.ended_at = trio.current_time()
         self.running.clear()
@@ -305,6 +336,9 @@
         if model.unresponsive or self.cut(self.executor):
             await trio.sleep(0.5)
             raise OutcomeUnknown("no answer")
+        model.advance()
+        if model.back_at is not None:
+            raise ConnectionRefused("no process listens")
         return model
 
     async def start(self, order: StartOrder) -> StartOutcome:
@@ -315,6 +349,8 @@
             return Unanswered(str(error))
         except ExecutorReplaced:
             return Refused(Refusal.OTHER_LIFETIME)
+        except PlatformUnavailable:
+            return Refused(Refusal.UNHEALTHY)
         if model.late_orders:
             model.late_orders -= 1
             model.late.append(order)
@@ -339,7 +375,7 @@
         while not model.ends and trio.current_time() < give_up_at:
             await trio.sleep(0.02)
             model.advance()
-            if model.unresponsive:
+            if model.unresponsive or model.back_at is not None:
                 raise OutcomeUnknown("no answer")
         return model.make_hold_answer()
 
--- a/hemlockstand/errors.py
+++ b/hemlockstand/errors.py
@@ -45,6 +45,12 @@
     code = "platform_unavailable"
 
 
+class ConnectionRefused(PlatformUnavailable):
+    """No process listens at the address; nothing was applied."""
+
+    code = "connection_refused"
+
+
 class OutcomeUnknown(HemlockstandError):
     """The call may have been applied; reading the rows shows if it was."""
 
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -13,14 +13,19 @@
   the new lifetime decide.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import trio
 from attrs import define, field
 from loguru import logger
 
-from hemlockstand.errors import HemlockstandError, OutcomeUnknown, PlatformUnavailable
+from hemlockstand.errors import (
+    ConnectionRefused,
+    HemlockstandError,
+    OutcomeUnknown,
+    PlatformUnavailable,
+)
 from hemlockstand.fleet.model import (
     EndEntry,
     ExecutorEntry,
@@ -59,6 +64,14 @@
     ) -> None:
         """Handle a run that is over without an end in the executor's list."""
 
+    def handle_crash(
+        self, executor: "Executor", aboard: list[tuple[Subtask, float]]
+    ) -> None:
+        """Handle a crash before its runs are reported as lost.
+
+        ``aboard`` holds the subtasks with the ages of their runs in seconds.
+        """
+
     def handle_running(self, executor: "Executor", answer: HoldAnswer) -> None:
         """Handle unknown runs and the progress in an executor's answer."""
 
@@ -107,6 +120,10 @@
     recorded: bool = False
     closed: bool = False
     _restarted: bool = False  # the lists of the new lifetime were not read yet
+    _left_drained: bool = False  # the earlier lifetime ended as it was meant to
+    # Runs that were lost with an expired lease, with the times of their orders;
+    # the next lifetime shows whether the executor had crashed.
+    _lapsed: list[tuple[Subtask, float]] = field(factory=list)
     _clock_ms: int | None = None
     _clock_at: float = 0.0
     _wake: trio.Event = field(factory=trio.Event)
@@ -176,11 +193,11 @@
 
     def update_entry(self, entry: ExecutorEntry) -> None:
         """Apply a newer entry of the executor in the store."""
-        self.entry = entry
-        self.is_in_store = True
         if entry.born_ms is not None and self.born_ms is not None:
             if entry.born_ms > self.born_ms:
                 self._start_lifetime(entry.born_ms, "new entry")
+        self.entry = entry
+        self.is_in_store = True
 
     def extend_lease(self) -> int | None:
         """Extend the lease and return its end on the executor's clock.
@@ -238,7 +255,7 @@
         except ExecutorReplaced:
             self.failing_since = self.failing_since or self.clock()
             self._end_lifetime("another executor at the address")
-            await trio.sleep(RETRY_SECONDS)
+            await trio.sleep(IDLE_RETRY_SECONDS)
         except (PlatformUnavailable, OutcomeUnknown, OrderRefused) as error:
             await self._handle_poll_failure(error)
         finally:
@@ -260,9 +277,6 @@
         acked = self.acked
         answer = await self.client.hold(self.extend_lease(), fence, acked, wait)
         self.update_clock(answer.clock_ms)
-        if self.failing_since is not None:
-            log.info("executor {} answers again", self.id)
-        self.failing_since = None
         self._reconcile(answer, sent_at, fence)
         if unstored and self.last_handled > self.acked:
             await trio.sleep(5 * UNSTORED_POLL_SECONDS)
@@ -273,6 +287,9 @@
             self.failing_since = now
             log.warning("executor {} does not answer", self.id, detail=str(error))
         if now > self.lease_expires_at + LEASE_EXPIRY_MARGIN_SECONDS:
+            if isinstance(error, ConnectionRefused):
+                self._report_crash(self.runs.values())
+            self._lapsed.extend(self._list_orders(self.runs.values()))
             for subtask in list(self.runs.values()):
                 self._report_lost(subtask, "lease has expired")
         await trio.sleep(RETRY_SECONDS if self.runs else IDLE_RETRY_SECONDS)
@@ -288,7 +305,7 @@
             if end.number > self.last_handled:
                 self._handle_end(end)
         now = self.clock()
-        missing = "new lifetime" if self._restarted else "not in the executor's list"
+        lost: dict[Subtask, str] = {}
         for subtask in list(self.runs.values()):
             run = subtask.run
             if run is None or run.executor != self.id:
@@ -298,12 +315,20 @@
             if entry is not None and entry.run == run.number:
                 _update_run(run, entry.percent, entry.load, entry.checkpoint, now)
             elif run.answered_at is not None and run.answered_at < sent_at:
-                self._report_lost(subtask, missing)
+                lost[subtask] = "not in the executor's list"
             elif run.state is RunState.UNSURE and run.fence < fence:
-                self._report_lost(subtask, "the start order was not carried out")
+                lost[subtask] = "the start order was not carried out"
+        if self._restarted:
+            self._report_crash(lost)
+        for subtask, reason in lost.items():
+            self._report_lost(subtask, "new lifetime" if self._restarted else reason)
+        if self.failing_since is not None:
+            log.info("executor {} answers again", self.id)
+        self.failing_since = None
+        self._restarted = self._left_drained = False
+        self._lapsed.clear()
         self.events.handle_running(self, answer)
         self.reconciled = True
-        self._restarted = False
 
     def _handle_end(self, end: EndEntry) -> None:
         self.last_handled = end.number
@@ -326,10 +351,29 @@
         self._clock_ms = None
         self.reconciled = False
         self._restarted = True
+        self._left_drained = self.entry.draining
         self.raise_fence()
 
+    def _list_orders(self, subtasks: Iterable[Subtask]) -> list[tuple[Subtask, float]]:
+        return [
+            (subtask, subtask.run.ordered_at)
+            for subtask in subtasks
+            if subtask.run is not None
+        ]
+
+    def _report_crash(self, subtasks: Iterable[Subtask]) -> None:
+        """Report the runs that the executor had when it stopped answering."""
+        orders = [*self._lapsed, *self._list_orders(subtasks)]
+        self._lapsed.clear()
+        if not orders or self.entry.draining or self._left_drained:
+            return
+        failed_at = self.clock() if self.failing_since is None else self.failing_since
+        ages = [(subtask, failed_at - ordered_at) for subtask, ordered_at in orders]
+        self.events.handle_crash(self, ages)
+
     def _end_lifetime(self, reason: str) -> None:
         self._forget_ends()
+        self._report_crash(self.runs.values())
         for subtask in list(self.runs.values()):
             self._report_lost(subtask, reason)
 
--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -83,13 +83,14 @@
                 step_run.inherited = step_run.key in status.announced
                 step_run.announced = step_run.inherited
                 job.steps[occurrence, position] = step_run
-        job_failures = status.failures
+        marked = {*status.failures, *status.crashes}
         for step_run in job.steps.values():
-            if any(name.startswith(step_run.key + ".") for name in job_failures):
+            if any(name.startswith(step_run.key + ".") for name in marked):
                 self._create_subtasks(step_run)
                 for subtask in step_run.subtasks:
                     key = f"{step_run.key}.{subtask.index}"
-                    subtask.failures = set(job_failures.get(key, ()))
+                    subtask.failures = set(status.failures.get(key, ()))
+                    subtask.crashes = status.crashes.get(key, 0)
 
     def _create_subtasks(self, step_run: StepRun) -> None:
         if step_run.subtasks:
@@ -250,6 +251,18 @@
             detail = f"{subtask.name} has failed {attempts} times"
             self.finish(subtask.job, JobState.FAILED, now_ms, detail)
 
+    def add_crash(self, subtask: Subtask) -> None:
+        """Count a crash of an executor under a subtask."""
+        if not subtask.job.state.final:
+            subtask.crashes += 1
+            self.dirty.add(subtask.job.id)
+
+    def clear_crashes(self, subtask: Subtask) -> None:
+        """Forget the crashes under a subtask that has turned out harmless."""
+        if subtask.crashes and not subtask.job.state.final:
+            subtask.crashes = 0
+            self.dirty.add(subtask.job.id)
+
     def finish(self, job: Job, state: JobState, now_ms: int, detail: str = "") -> None:
         """End a job; its runs are stopped by the scheduler."""
         if job.state.final:
--- a/hemlockstand/fleet/metrics.py
+++ b/hemlockstand/fleet/metrics.py
@@ -12,6 +12,9 @@
     "hemlockstand_starts_total", "Start orders to executors, by outcome.", ["outcome"]
 )
 ENDS = Counter("hemlockstand_ends_total", "Ends of runs, by kind.", ["kind"])
+CRASHES = Counter(
+    "hemlockstand_executor_crashes_total", "Crashes of executors that had runs."
+)
 COMMITS = Counter(
     "hemlockstand_commits_total", "The scheduler's transactions.", ["outcome"]
 )
--- a/hemlockstand/fleet/model.py
+++ b/hemlockstand/fleet/model.py
@@ -285,7 +285,8 @@
     ``K.STEP.INDEX``: an end is listed until it is acknowledged, so a new
     scheduler may see one that is counted already. ``announced`` holds the
     steps by ``K.STEP`` that may have been started; it is stored before the
-    first start.
+    first start. ``crashes`` holds, by ``K.STEP.INDEX``, how many executors have
+    crashed under a subtask.
     """
 
     state: JobState
@@ -293,6 +294,7 @@
     failures: Mapping[str, tuple[int, ...]] = field(factory=dict)
     announced: tuple[str, ...] = ()
     ended_ms: int = 0
+    crashes: Mapping[str, int] = field(factory=dict)
 
 
 @frozen
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -9,6 +9,7 @@
 from hemlockstand.fleet.metrics import FIRST_START_SECONDS, STARTS
 from hemlockstand.fleet.model import Refusal, Refused, Started, StartOrder, Unanswered
 from hemlockstand.fleet.pacing import PaceChange
+from hemlockstand.fleet.policy.crashes import ISOLATION_SECONDS, is_isolated
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.tickets import TicketCache
 from hemlockstand.fleet.work import Job, Run, RunState, Subtask
@@ -38,6 +39,8 @@
         run.checkpoint = subtask.checkpoint
         self.state.registry.attach(subtask, run)
         executor.add_run(subtask)
+        if is_isolated(subtask):
+            executor.backoff_until = self.state.clock() + ISOLATION_SECONDS
         self.state.nursery.start_soon(self._order_start, subtask, run, executor)
 
     async def _order_start(
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -13,6 +13,7 @@
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import JobRegistry, find_pool
 from hemlockstand.fleet.model import FleetConfig, Resources, Tenant
+from hemlockstand.fleet.policy.crashes import is_isolated, is_suspect
 from hemlockstand.fleet.policy.placing import PoolRoom
 from hemlockstand.fleet.policy.waiting import rank_step
 from hemlockstand.fleet.work import StepRun, Subtask
@@ -115,7 +116,8 @@
         if step_run.step.gang:
             resort = room.find_last_resort(step_run.subtasks[0], now)
             executors += self._select_allowed(step_run, resort)
-            yield from self._place_gang(step_run, executors, tenant, now)
+            free = [item for item in executors if item.backoff_until <= now]
+            yield from self._place_gang(step_run, free, tenant, now)
             return
         waiting = [
             subtask
@@ -130,6 +132,8 @@
                 resort = room.find_last_resort(subtask, now)
                 allowed = self._select_allowed(step_run, resort)
                 executor = choose_executor(subtask, allowed, now)
+            if executor is None and is_isolated(subtask):
+                continue
             if executor is None:
                 return
             yield Placement(subtask, executor)
@@ -217,6 +221,8 @@
         and (not step.label or step.label in executor.entry.labels)
         and is_below_cap(subtask.step_run, executor)
     ]
+    if is_isolated(subtask):
+        usable = [executor for executor in usable if not count_suspects(executor)]
     others = [executor for executor in usable if executor.id not in subtask.avoid]
     if len(others) >= MIN_ALTERNATIVES:
         usable = others
@@ -230,6 +236,11 @@
     )
 
 
+def count_suspects(executor: Executor) -> int:
+    """Return how many runs belong to subtasks under which an executor crashed."""
+    return sum(1 for subtask in executor.runs.values() if is_suspect(subtask))
+
+
 def is_below_cap(step_run: StepRun, executor: Executor) -> bool:
     """Return whether another subtask of the step may run on the executor."""
     cap = step_run.step.max_per_executor
@@ -257,11 +268,14 @@
     ``racks`` are those in which a step that should stay in one rack has runs.
     Subtasks that use spare cpu go where the fewest subtasks serve users;
     others go where they leave the least cpu, which keeps whole executors free
-    for large subtasks.
+    for large subtasks. Those under which an executor crashed are spread, so
+    that the next crash tells them apart and takes few others with it.
     """
     step = subtask.step
     remote = 1 if step.data_rack and step.data_rack != executor.entry.rack else 0
     apart = 0 if not racks or executor.entry.rack in racks else 1
+    if is_suspect(subtask):
+        return remote + apart, count_suspects(executor), len(executor.runs), executor.id
     if step.fills:
         serving = sum(1 for other in executor.runs.values() if other.step.target_ms)
         return remote + apart, serving, -executor.free_cpu(), executor.id
--- /dev/null
+++ b/hemlockstand/fleet/policy/crashes.py
@@ -0,0 +1,94 @@
+"""Subtasks suspected of crashing the executors that start them.
+
+Load pattern: a subtask crashes each executor that starts it. The runs beside
+it are lost with it, wait together, are packed together again and lose the next
+executor together, so that one subtask takes a pool away. A crash alone does
+not tell which of the runs caused it. Subtasks under which an executor crashed
+are therefore spread over executors, those under which two did are started
+apart from each other, and one that is left as the cause is given up::
+
+    >>> runs = [CrashedRun(subtask=None, job="a", age_seconds=0.01, crashes=2)]
+    >>> [verdict.gives_up for verdict in judge_crash(runs)]
+    [True]
+"""
+
+from collections.abc import Iterable, Iterator
+
+from attrs import frozen
+
+from hemlockstand.fleet.work import Subtask
+
+# A run that was ordered within this time before the crash is more likely its
+# cause than one that had been at work for longer.
+RECENT_SECONDS = 0.5
+# A subtask that has been at work for this long does not crash its executor.
+CLEARED_SECONDS = 5.0
+# Crashes after which a subtask is started apart from other suspects.
+ISOLATED_CRASHES = 2
+# Crashes after which a subtask is given up: if it was alone and had just
+# started, if it is a likely cause, and in any case.
+ALONE_CRASHES = 2
+LIKELY_CRASHES = 3
+CERTAIN_CRASHES = 4
+# Time in which nothing else is started beside an isolated subtask.
+ISOLATION_SECONDS = RECENT_SECONDS
+
+
+@frozen
+class CrashedRun:
+    """A run that an executor had when it crashed.
+
+    ``age_seconds`` is the time from its order to the crash, ``crashes`` the
+    number of executors that have crashed under its subtask, this one included.
+    """
+
+    subtask: Subtask
+    job: str
+    age_seconds: float
+    crashes: int
+
+    @property
+    def recent(self) -> bool:
+        """Whether the run had only just started."""
+        return self.age_seconds <= RECENT_SECONDS
+
+
+@frozen
+class CrashVerdict:
+    """Whether to give a subtask up after a crash."""
+
+    subtask: Subtask
+    gives_up: bool
+
+
+def judge_crash(runs: Iterable[CrashedRun]) -> Iterator[CrashVerdict]:
+    """Yield a verdict on each subtask that an executor had when it crashed."""
+    aboard = list(runs)
+    any_recent = any(run.recent for run in aboard)
+    alone = len({run.job for run in aboard}) == 1
+    for run in aboard:
+        likely = run.recent or not any_recent
+        gives_up = (
+            run.crashes >= CERTAIN_CRASHES
+            or (likely and run.crashes >= LIKELY_CRASHES)
+            or (alone and run.recent and run.crashes >= ALONE_CRASHES)
+        )
+        yield CrashVerdict(run.subtask, gives_up)
+
+
+def is_suspect(subtask: Subtask) -> bool:
+    """Return whether an executor has crashed under a subtask."""
+    return subtask.crashes > 0
+
+
+def is_isolated(subtask: Subtask) -> bool:
+    """Return whether a subtask is started apart from other suspects."""
+    return subtask.crashes >= ISOLATED_CRASHES
+
+
+def is_cleared(subtask: Subtask, now: float) -> bool:
+    """Return whether the present run shows that a suspect is not the cause."""
+    run = subtask.run
+    if not subtask.crashes or run is None or run.answered_at is None:
+        return False
+    return now - run.answered_at >= CLEARED_SECONDS
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -8,10 +8,11 @@
 from hemlockstand.fleet.eviction import find_movable, find_stalled
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import find_max_attempts
-from hemlockstand.fleet.metrics import ENDS
-from hemlockstand.fleet.model import EndEntry, EndKind, HoldAnswer, RunEntry
+from hemlockstand.fleet.metrics import CRASHES, ENDS
+from hemlockstand.fleet.model import EndEntry, EndKind, HoldAnswer, JobState, RunEntry
 from hemlockstand.fleet.orders import RESTART_DELAY_SECONDS, Orders
 from hemlockstand.fleet.pacing import find_pace_changes
+from hemlockstand.fleet.policy.crashes import CrashedRun, is_cleared, judge_crash
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.takeover_barrier import TakeoverBarrier
 from hemlockstand.fleet.work import Run, RunState, Subtask
@@ -82,6 +83,7 @@
         if end.checkpoint:
             subtask.checkpoint = end.checkpoint
         if end.kind is EndKind.FAILED:
+            self.state.registry.clear_crashes(subtask)
             self._handle_failed_run(executor, subtask, end.run, now_ms)
         if current:
             self.orders.requeue(subtask, RESTART_DELAY_SECONDS)
@@ -141,6 +143,33 @@
             run.state = RunState.UNSURE
         self.orders.requeue(subtask, RESTART_DELAY_SECONDS)
 
+    def handle_crash(
+        self, executor: Executor, aboard: list[tuple[Subtask, float]]
+    ) -> None:
+        """Count a crash under each subtask; give up one that is its cause."""
+        log.warning("executor {} crashed", executor.id, runs=len(aboard))
+        CRASHES.inc()
+        runs = []
+        for subtask, age in aboard:
+            self.state.registry.add_crash(subtask)
+            subtask.avoid.add(executor.id)
+            runs.append(CrashedRun(subtask, subtask.job.id, age, subtask.crashes))
+        for verdict in judge_crash(runs):
+            run = verdict.subtask.run
+            runs_elsewhere = run is not None and run.executor != executor.id
+            if verdict.gives_up and not runs_elsewhere:
+                self._give_up(verdict.subtask)
+        self.state.request_commit()
+
+    def _give_up(self, subtask: Subtask) -> None:
+        job = subtask.job
+        if subtask.done or job.state.final:
+            return
+        detail = f"{subtask.crashes} executors have crashed under {subtask.name}"
+        now_ms = int(time.time() * 1000)
+        self.state.registry.finish(job, JobState.FAILED, now_ms, detail)
+        self.orders.stop_runs(job)
+
     def handle_running(self, executor: Executor, answer: HoldAnswer) -> None:
         """Adopt or stop runs that this scheduler has not started."""
         for entry in answer.running:
@@ -181,6 +210,10 @@
     def _act_on_lists(self, executor: Executor) -> None:
         """Stop runs without progress or to be moved, and adjust paces."""
         now = self.state.clock()
+        for subtask in executor.runs.values():
+            if is_cleared(subtask, now):
+                self.state.registry.clear_crashes(subtask)
+                self.state.request_commit()
         for subtask in find_stalled(executor, now):
             log.info(
                 "run makes no progress and gets stopped",
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -46,6 +46,7 @@
     run: Run | None = None
     done: bool = False
     failures: set[int] = field(factory=set)
+    crashes: int = 0  # executors that crashed under it
     checkpoint: str = ""
     not_before: float = 0.0
     avoid: set[str] = field(factory=set)
@@ -145,9 +146,14 @@
             for subtask in self.subtasks()
             if subtask.failures and not subtask.step.lasting
         }
+        crashes = {
+            f"{subtask.step_run.key}.{subtask.index}": subtask.crashes
+            for subtask in self.subtasks()
+            if subtask.crashes and not subtask.done
+        }
         announced = tuple(
             run.key
             for run in self.steps.values()
             if (run.announce_requested or run.inherited) and not run.complete
         )
-        return JobStatus(self.state, done, failures, announced)
+        return JobStatus(self.state, done, failures, announced, crashes=crashes)
--- a/hemlockstand/platform/connection.py
+++ b/hemlockstand/platform/connection.py
@@ -14,7 +14,11 @@
 import trio
 from attrs import define, field, frozen
 
-from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
+from hemlockstand.errors import (
+    ConnectionRefused,
+    OutcomeUnknown,
+    PlatformUnavailable,
+)
 
 # Room for one call more than the largest number of orders in flight to an
 # executor.
@@ -144,7 +148,8 @@
 
         ``may_send`` is called directly before the first byte is sent, because
         the process may be paused for seconds while it waits for a connection.
-        Raises ``PlatformUnavailable`` if nothing was sent, and
+        Raises ``PlatformUnavailable`` if nothing was sent,
+        ``ConnectionRefused`` if that is because no process listens there, and
         ``OutcomeUnknown`` if the request may have been carried out. After a
         failure all connections are replaced, because a connection that has
         stopped responding reports no error itself.
@@ -192,7 +197,8 @@
                 stream = await self._open_stream()
         except (OSError, trio.TooSlowError) as error:
             self._replace(generation)
-            raise PlatformUnavailable(f"{name}: {error!r}") from error
+            kind = ConnectionRefused if _is_refused(error) else PlatformUnavailable
+            raise kind(f"{name}: {error!r}") from error
         reusable = False
         try:
             if may_send is not None and not may_send():
@@ -244,6 +250,18 @@
         self._close_idle()
 
 
+def _is_refused(error: BaseException) -> bool:
+    """Return whether every attempt to connect was refused."""
+    match error.__cause__:
+        case BaseExceptionGroup() as group:
+            return all(
+                isinstance(attempt, ConnectionRefusedError)
+                for attempt in group.exceptions
+            )
+        case cause:
+            return isinstance(cause, ConnectionRefusedError)
+
+
 async def _exchange(stream: trio.SocketStream, request: bytes) -> _ResponseReader:
     """Send a request and read the response to it."""
     await stream.send_all(request)
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -128,6 +128,7 @@
             executor, pool, self.describe, self.records, rack=rack, kind=kind
         )
         model.clock_offset = trio.current_time() - 1000 * next(self._ids)
+        model.on_restart = self.register_executor
         self.executors[executor] = model
         self.register_executor(model)
         return model
--- /dev/null
+++ b/test/test_fleet_crashes.py
@@ -0,0 +1,165 @@
+"""Subtasks that crash the executors that start them, on virtual time."""
+
+from random import Random
+
+import pytest
+import trio
+
+from emulator.fleet_executors import SubtaskBehaviour
+from hemlockstand.fleet.policy.crashes import CrashedRun, judge_crash
+from test.fleet_world import LASTING, SMALL, make_step, open_world
+
+# The users' bound on starts of a subtask after three executors have crashed
+# under it, and those that led to these crashes.
+MAX_DEADLY_STARTS = 5
+DEADLY = SubtaskBehaviour(1.0, deadly=True, size=SMALL)
+
+
+@pytest.fixture
+def clock(autojump_clock):
+    """Virtual time that jumps to the next event."""
+    return autojump_clock
+
+
+def submit_deadly(world, *steps, work=DEADLY):
+    """Submit a job of which the first subtask crashes its executor."""
+    job = world.submit(*steps)
+    world.work[f"{job}.0.0.0"] = work
+    return job
+
+
+def count_crashes(world):
+    """Return how many times executors have crashed."""
+    return sum(len(model.crashed_at) for model in world.executors.values())
+
+
+async def test_deadly_subtask_is_given_up(clock):
+    """Guards against a subtask that crashes executor after executor.
+
+    Replays the load of a busy pool: the runs beside it are lost with it and
+    must not crash the next executors together.
+    """
+    async with open_world() as world:
+        for _ in range(6):
+            world.add_executor()
+        world.start_daemon("a")
+        await trio.sleep(1)
+        jobs = [world.submit(make_step(6)) for _ in range(4)]
+        deadly = submit_deadly(world, make_step(4))
+        jobs += [world.submit(make_step(6)) for _ in range(4)]
+        await world.wait_for(lambda: world.state(deadly) == "failed", 20)
+        await trio.sleep(15)
+        assert world.count_runs(f"{deadly}.0.0.0") <= 3
+        assert count_crashes(world) <= 3
+        assert [world.state(job) for job in jobs] == ["completed"] * 8
+        world.check_runs()
+
+
+async def test_deadly_subtask_that_lasts_is_given_up(clock):
+    """Guards against lasting work that is restarted through all executors."""
+    async with open_world() as world:
+        for _ in range(4):
+            world.add_executor()
+        world.start_daemon("a")
+        await trio.sleep(1)
+        job = submit_deadly(
+            world,
+            make_step(3, lasting=True),
+            work=SubtaskBehaviour(LASTING, deadly=True, size=SMALL),
+        )
+        sound = world.submit(
+            make_step(4, lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        await world.wait_for(lambda: world.state(job) == "failed", 25)
+        await world.wait_for(lambda: len(world.find_running(sound)) == 4, 8)
+        await trio.sleep(20)
+        assert world.count_runs(f"{job}.0.0.0") <= MAX_DEADLY_STARTS
+        assert len(world.find_running(sound)) == 4
+
+
+async def test_deadly_gang_is_given_up(clock):
+    """Guards against a gang of which a member crashes its executor each time."""
+    async with open_world() as world:
+        for _ in range(4):
+            world.add_executor()
+        world.start_daemon("a")
+        await trio.sleep(1)
+        job = submit_deadly(world, make_step(6, gang=True))
+        await world.wait_for(lambda: world.state(job) == "failed", 30)
+        assert world.count_runs(f"{job}.0.0.0") <= MAX_DEADLY_STARTS
+
+
+async def test_crashes_are_counted_over_takeovers(clock):
+    """Guards against a next scheduler that starts the count anew."""
+    async with open_world() as world:
+        for _ in range(6):
+            world.add_executor()
+        daemon = world.start_daemon("a")
+        await trio.sleep(1)
+        deadly = submit_deadly(world, make_step(2))
+        for name in ("b", "c"):
+            crashes = count_crashes(world)
+            await world.wait_for(lambda n=crashes: count_crashes(world) > n, 20)
+            await trio.sleep(3.3)
+            world.kill(daemon)
+            daemon = world.start_daemon(name)
+        await world.wait_for(lambda: world.state(deadly) == "failed", 30)
+        await trio.sleep(10)
+        assert world.count_runs(f"{deadly}.0.0.0") <= MAX_DEADLY_STARTS
+
+
+async def test_crashed_executor_is_told_from_one_that_is_cut_off(clock):
+    """Guards against work that is given up because its executors were cut off."""
+    async with open_world() as world:
+        for _ in range(3):
+            world.add_executor()
+        daemon = world.start_daemon("a")
+        job = world.submit(
+            make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        for _ in range(5):
+            await world.wait_for(lambda: world.find_running(job), 10)
+            (run,) = world.find_running(job)
+            await trio.sleep(0.2)
+            daemon.cut_off.clear()
+            daemon.cut_off.add(run.executor)
+            await world.wait_for(lambda: not world.find_running(job), 10)
+        daemon.cut_off.clear()
+        await world.wait_for(lambda: world.find_running(job), 10)
+        assert world.state(job) == "running"
+
+
+@pytest.mark.parametrize("seed", range(12))
+async def test_random_crashes_give_up_no_sound_job(clock, seed):
+    """Guards against sound jobs that are given up for crashes at random.
+
+    Each executor crashes once in 20 s, a thousand times as often as the users'.
+    """
+    random = Random(seed)
+    async with open_world() as world:
+        for _ in range(6):
+            world.add_executor()
+        world.start_daemon("a")
+        await trio.sleep(1)
+        lasting = world.submit(
+            make_step(4, lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        jobs = []
+        for _ in range(80):
+            jobs.append(world.submit(make_step(random.randint(1, 6))))
+            await trio.sleep(random.uniform(0.1, 0.5))
+            if random.random() < 0.09:
+                model = random.choice(list(world.executors.values()))
+                if model.back_at is None:
+                    model.crash_process()
+        await trio.sleep(20)
+        assert [world.state(job) for job in jobs] == ["completed"] * 80
+        assert len(world.find_running(lasting)) == 4
+        world.check_runs()
+
+
+def test_old_runs_are_not_blamed_for_a_recent_start():
+    """Guards against long runs that are given up for what starts beside them."""
+    runs = [CrashedRun("old", "a", 20.0, 3), CrashedRun("new", "b", 0.01, 3)]
+    verdicts = {item.subtask: item.gives_up for item in judge_crash(runs)}
+    assert verdicts == {"old": False, "new": True}
