Ask for more tickets while the executors with tickets are full

What callers could see: subtasks of a queue with advice wait, lasting ones among them, with room for them on executors that nobody asked about (LOST).

Cause: tickets were requested only while no executor of the pool had one for the step. With tickets for eight executors that were full, the rest of the step waited until these expired.

Evidence: test_tickets_of_full_executors_hold_up_no_lasting_work failed before (8 of 10 subtasks run for the validity of 30 s).

A step without a ticket for an executor with room asks again, about executors with room only, so that a full pool costs no calls.

--- a/hemlockstand/fleet/tickets.py
+++ b/hemlockstand/fleet/tickets.py
@@ -10,7 +10,7 @@
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import find_pool
 from hemlockstand.fleet.model import FleetConfig
-from hemlockstand.fleet.placement import is_usable
+from hemlockstand.fleet.placement import is_below_cap, is_usable
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.work import StepRun
 from hemlockstand.platform.advice import AdviceClient
@@ -75,10 +75,12 @@
         for step_run in list(self.state.registry.ready.values()):
             if not self.needs_ticket(step_run, self.state.config):
                 continue
-            executors = self._find_executors(step_run)
-            if executors and not any(
-                self.find_ticket(step_run, executor) for executor in executors
-            ):
+            with_ticket = [
+                executor
+                for executor in self._find_executors(step_run)
+                if self.find_ticket(step_run, executor)
+            ]
+            if not any(has_room(step_run, executor) for executor in with_ticket):
                 yield step_run
 
     def _find_executors(self, step_run: StepRun) -> list[Executor]:
@@ -91,11 +93,13 @@
         ]
 
     async def _request_tickets(self, step_run: StepRun) -> None:
+        executors = self._find_executors(step_run)
         unknown = [
-            executor
-            for executor in self._find_executors(step_run)
-            if not self._is_known(step_run, executor)
+            executor for executor in executors if not self._is_known(step_run, executor)
         ]
+        if any(self.find_ticket(step_run, executor) for executor in executors):
+            # Its executors are full; tickets for other full ones do not help.
+            unknown = [item for item in unknown if has_room(step_run, item)]
         unknown.sort(key=Executor.free_cpu, reverse=True)
         asked = unknown[:EXECUTORS_PER_CALL]
         if not asked:
@@ -134,3 +138,9 @@
             job = self.state.registry.jobs.get(name.partition(".")[0])
             if job is None or job.state.final:
                 del self._tickets[name, executor]
+
+
+def has_room(step_run: StepRun, executor: Executor) -> bool:
+    """Return whether a subtask of the step fits on the executor now."""
+    step = step_run.step
+    return executor.has_room(step.size, step.fills) and is_below_cap(step_run, executor)
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -24,6 +24,7 @@
 from hemlockstand.fleet.leader import Leader
 from hemlockstand.fleet.lease import LeaseWatch
 from hemlockstand.fleet.model import (
+    Advice,
     EndKind,
     FleetConfig,
     InstanceEntry,
@@ -52,6 +53,7 @@
     job_range,
     job_write,
 )
+from hemlockstand.platform.advice import StepAdvice
 from hemlockstand.settings import LogSettings
 
 LASTING = float("inf")
@@ -92,6 +94,16 @@
     scope: trio.CancelScope = field(factory=trio.CancelScope)
 
 
+@define(eq=False)
+class AdviceModel:
+    """An advice service that allows every executor, as ``AdviceClient``."""
+
+    async def ask(self, step: str, executors: list[str]) -> StepAdvice:
+        """Return a ticket for each executor that the call names."""
+        await trio.sleep(0.05)
+        return StepAdvice({name: f"{step} {name}" for name in executors}, 30_000)
+
+
 @define(eq=False)
 class FleetWorld:
     """Models of the platform, and the daemons that use it."""
@@ -232,7 +244,7 @@
                 self.call_seconds,
             ),
             daemon.instances,
-            None,
+            AdviceModel(),
         )
         try:
             async with trio.open_nursery() as nursery:
@@ -305,10 +317,12 @@
     return Step(count, size, int(seconds * 1000), **values)
 
 
-def make_config(maximum: Resources | None = None, attempts: int = 2) -> FleetConfig:
+def make_config(
+    maximum: Resources | None = None, attempts: int = 2, advice: Advice | None = None
+) -> FleetConfig:
     """Return a configuration with a queue, its pool and a standby pool."""
     queue = Queue(
-        "queue", "host", "/queue/", "pool", False, 0, attempts, 1.6, 600, None
+        "queue", "host", "/queue/", "pool", False, 0, attempts, 1.6, 600, advice
     )
     pools = (Pool("pool", True, False), Pool("standby", True, True))
     tenant = Tenant("team", frozenset({"key"}), 1.0, maximum or Resources())
--- a/test/test_fleet_lasting.py
+++ b/test/test_fleet_lasting.py
@@ -4,8 +4,8 @@
 import trio
 
 from emulator.fleet_executors import SubtaskBehaviour
-from hemlockstand.fleet.model import EndKind
-from test.fleet_world import LASTING, SMALL, make_step, open_world
+from hemlockstand.fleet.model import Advice, EndKind, Resources
+from test.fleet_world import LASTING, SMALL, make_config, make_step, open_world
 
 
 @pytest.fixture
@@ -121,3 +121,18 @@
         job = world.submit(make_step(30), make_step(2, lasting=True))
         await world.wait_for(lambda: world.count_runs(f"{job}.0.0") == 30, 8)
         assert all(run.executor != failing.id for run in world.records)
+
+
+async def test_tickets_of_full_executors_hold_up_no_lasting_work(clock):
+    """Guards against subtasks that wait until tickets for full executors expire."""
+    large = Resources(12_000, 512)
+    async with open_world() as world:
+        world.configuration.current = make_config(advice=Advice(20, 1, 30_000))
+        for _ in range(10):
+            world.add_executor()
+        world.start_daemon("a")
+        job = world.submit(
+            make_step(10, lasting=True, size=large),
+            work=SubtaskBehaviour(LASTING, size=large),
+        )
+        await world.wait_for(lambda: len(world.find_running(job)) == 10, 5)
