Log the age of lists of instances against orders

'instances listed' gives the start and the end of the read and the instances whose order was answered in between; 'order for an instance answered' gives when it was sent and answered, on the same clock.

The test fails without the lines: no list is found that ended before the first order was sent.

--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -122,12 +122,24 @@
         """Read the list if it is old; return whether there is one."""
         if self.state.clock() - self._listed_at < LIST_SECONDS:
             return bool(self.plans.instances)
+        began_at = self.state.clock()
         try:
             listed = await self.client.list_instances()
         except HemlockstandError as error:
             log.info("instance list could not be read", detail=str(error))
             return False
         self._listed_at = self.state.clock()
+        log.info(
+            "instances listed",
+            instances=len(listed),
+            read_began=round(began_at, 3),
+            read_ended=round(self._listed_at, 3),
+            ordered_meanwhile=sorted(
+                name
+                for name, answered_at in self._answered.items()
+                if answered_at >= began_at
+            ),
+        )
         self.plans.instances = {instance.name: instance for instance in listed}
         self.waves.update_instances()
         return True
@@ -176,6 +188,7 @@
         while not plan.stored or not (progress is None or progress.stored):
             await trio.sleep(STORED_POLL_SECONDS)
         while self.state.may_order():
+            sent_at = self.state.clock()
             try:
                 outcome = await self._send(plan)
             except (PlatformUnavailable, OutcomeUnknown) as error:
@@ -186,7 +199,7 @@
                 )
                 await trio.sleep(RETRY_SECONDS)
                 continue
-            self._handle_outcome(plan, instance, outcome, progress)
+            self._handle_outcome(plan, instance, outcome, progress, sent_at)
             return
         plan.ordering = False
 
@@ -204,6 +217,7 @@
         instance: InstanceEntry,
         outcome: OrderOutcome,
         progress: WaveProgress | None,
+        sent_at: float,
     ) -> None:
         self._answered[plan.instance] = self.state.clock()
         kind = "upkeep" if plan.wave else "move"
@@ -216,6 +230,8 @@
             wave=plan.wave,
             fence=self.fence,
             outcome=outcome.value,
+            sent=round(sent_at, 3),
+            answered=round(self._answered[plan.instance], 3),
         )
         executor = self.plans.find_executor(plan.instance)
         if outcome is OrderOutcome.ACCEPTED:
--- a/test/test_fleet_instances.py
+++ b/test/test_fleet_instances.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+from loguru import logger
 
 from emulator.fleet_executors import SubtaskBehaviour
 from hemlockstand.fleet.model import Resources, Step, Wave
@@ -333,3 +334,31 @@
             Step(8, size, lasting=True), work=SubtaskBehaviour(LASTING, size=size)
         )
         await world.wait_for(lambda: len(world.find_running(job)) == 8, 15)
+
+
+async def test_log_shows_the_age_of_lists_against_orders(clock):
+    """Guards against lists whose age against the orders cannot be told."""
+    lines = []
+    handler = logger.add(lambda message: lines.append(message.record), level="INFO")
+    try:
+        async with open_world() as world:
+            world.add_instances("pool", 2)
+            add_wave(world, list(world.instances.instances), maximum=1)
+            world.start_daemon("a")
+            await world.wait_for(lambda: "completed" in read_status(world), 25)
+    finally:
+        logger.remove(handler)
+    orders = [
+        line["extra"]
+        for line in lines
+        if line["message"] == "order for an instance answered"
+    ]
+    lists = [line["extra"] for line in lines if line["message"] == "instances listed"]
+    assert len(orders) == 2
+    for order in orders:
+        assert any(item["read_ended"] < order["sent"] for item in lists)
+        assert order["sent"] < order["answered"]
+        assert any(order["answered"] < item["read_began"] for item in lists)
+    for item in lists:
+        assert item["read_began"] < item["read_ended"]
+        assert item["ordered_meanwhile"] == []
