Store which instances of a wave have returned

Seen on virtual time: an instance fails after its maintenance, then the scheduler is killed. The next one knows that the maintenance has begun and finds the instance down, so it counts against the maximum for good; with a maximum of 1 the wave hangs. After a change of the scheduler a completed wave was also shown as running until the first lists had been read.

Cause: only the orders and the begun maintenance were stored; the end of it was told from the present list, which says nothing of the past.

Fix: the wave's row holds the returned instances as well, written with the next transaction, which extends the lease anyway. A wave all of whose instances have returned is completed from the start. Rows without the field decode as before.

Seen to fail before, with the code of the parent commit:

test_next_scheduler_knows_which_instances_have_returned trio.TooSlowError after 40 s test_completed_wave_stays_completed AssertionError: assert 'completed' in '{"State":"running"}'

test_wave_row_of_an_earlier_version_can_be_read passes before and after.

--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -92,12 +92,14 @@
 
     ``seen_ms`` is the time at which a scheduler first read the wave.
     ``ordered`` holds the instances whose maintenance was ordered, ``begun``
-    those whose maintenance has certainly begun.
+    those whose maintenance has certainly begun, and ``returned`` those whose
+    maintenance is over. Rows of earlier versions lack ``returned``.
     """
 
     seen_ms: int
     ordered: tuple[str, ...] = ()
     begun: tuple[str, ...] = ()
+    returned: tuple[str, ...] = ()
 
 
 @frozen
--- a/hemlockstand/fleet/waves.py
+++ b/hemlockstand/fleet/waves.py
@@ -27,8 +27,9 @@
     """Progress of a wave; an order is stored before it is sent.
 
     ``returned`` holds the instances whose maintenance is over or that
-    disappeared during it. ``missing_lists`` counts the lists in a row that
-    lack an instance.
+    disappeared during it; once the wave is completed, also those that
+    disappeared before. ``missing_lists`` counts the lists in a row that lack an
+    instance.
     """
 
     wave: Wave
@@ -43,7 +44,10 @@
     def make_record(self) -> WaveRecord:
         """Return the scheduler's row of the wave."""
         return WaveRecord(
-            self.seen_ms, tuple(sorted(self.ordered)), tuple(sorted(self.begun))
+            self.seen_ms,
+            tuple(sorted(self.ordered)),
+            tuple(sorted(self.begun)),
+            tuple(sorted(self.returned)),
         )
 
 
@@ -67,6 +71,8 @@
         progress = WaveProgress(wave, record.seen_ms)
         progress.begun.update(record.begun)
         progress.ordered.update(record.ordered)
+        progress.returned.update(record.returned)
+        progress.completed = progress.returned >= set(wave.instances)
         self.waves[wave.number] = progress
         self.plans.state.request_commit()
 
@@ -76,6 +82,7 @@
             self._update_progress(progress)
 
     def _update_progress(self, progress: WaveProgress) -> None:
+        known = len(progress.returned)
         for name in progress.wave.instances:
             instance = self.plans.instances.get(name)
             if instance is None:
@@ -91,8 +98,12 @@
         }
         progress.returned.update(gone & progress.begun)
         done = progress.returned | gone >= set(progress.wave.instances)
+        if len(progress.returned) > known:
+            # The next transaction, which extends the lease, is soon enough.
+            progress.stored = False
         if done and not progress.completed:
             progress.completed = True
+            progress.returned.update(gone)
             progress.stored = False
             log.info("wave {} completed", progress.wave.number)
             self.plans.state.request_commit()
--- a/test/test_fleet_waves.py
+++ b/test/test_fleet_waves.py
@@ -2,9 +2,12 @@
 
 import pytest
 import trio
+from attrs import evolve
 
 from emulator.fleet_executors import SubtaskBehaviour
-from hemlockstand.fleet.model import Resources, Step
+from hemlockstand.fleet.model import InstanceState, Resources, Step
+from hemlockstand.fleet.storage import WaveRecord, decode_waves
+from hemlockstand.platform.rows import StoredRow
 from test.fleet_world import LASTING, add_wave, open_world, read_status
 
 
@@ -56,3 +59,56 @@
         ordered = [order.instance for order in world.instances.orders]
         assert len(ordered) >= 6
         assert len(ordered) == len(set(ordered))
+
+
+async def test_next_scheduler_knows_which_instances_have_returned(clock):
+    """Guards against a wave that waits for an instance that was maintained.
+
+    It fails after its maintenance, and then the scheduler is killed.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 3)
+        names = list(world.instances.instances)
+        first = world.start_daemon("a")
+        await trio.sleep(1)
+        world.start_daemon("b")
+        add_wave(world, names, maximum=1)
+
+        def find_returned() -> set[str]:
+            return first.leader._instances.waves.waves[1].returned
+
+        await world.wait_for(lambda: world.instances.maintained.get(1), 10)
+        await world.wait_for(find_returned, 10)
+        (name,) = find_returned()
+        await trio.sleep(0.5)
+        instance = world.instances.instances[name]
+        world.instances.instances[name] = evolve(
+            instance, state=InstanceState.DOWN, executor=""
+        )
+        world.kill(first)
+        await world.wait_for(lambda: "completed" in read_status(world), 40)
+        assert sorted(world.instances.maintained[1]) == sorted(names)
+
+
+async def test_completed_wave_stays_completed(clock):
+    """Guards against the status ``running`` after ``completed``."""
+    async with open_world() as world:
+        world.add_instances("pool", 3)
+        names = list(world.instances.instances)
+        add_wave(world, [*names[:2], "m-gone"], maximum=1)
+        first = world.start_daemon("a")
+        await world.wait_for(lambda: "completed" in read_status(world), 25)
+        world.start_daemon("b")
+        await trio.sleep(0.5)
+        world.kill(first)
+        await world.wait_for(lambda: world.lease_holder() == "b", 10)
+        for _ in range(100):
+            assert "completed" in read_status(world)
+            await trio.sleep(0.02)
+
+
+def test_wave_row_of_an_earlier_version_can_be_read():
+    """Guards against a scheduler that cannot read its predecessor's waves."""
+    value = b'{"seen_ms":5,"ordered":["m-1","m-2"],"begun":["m-1"]}'
+    row = StoredRow("scheduler", "", "wave/7", value, 1)
+    assert decode_waves([row]) == {7: WaveRecord(5, ("m-1", "m-2"), ("m-1",))}
