Do not count removed instances against the maximum of a wave

Seen on virtual time: an upkeep order has no answer when the scheduler is killed, and its instance is removed. The next scheduler counts the instance as ordered for good, as it can never repeat the order; with a maximum of 1 the wave hangs until its time is over, and beyond.

Cause: what is down was counted as ordered less returned, and an instance returns only if its maintenance is known to have begun.

Fix: an instance that three lists in a row lack does not count. Ruled out: to remove it from the ordered ones, since it counts again if it is listed later.

test_ordered_instance_that_is_gone_holds_up_no_wave failed before with trio.TooSlowError after 40 s.

--- a/bench/fleet_mutations.py
+++ b/bench/fleet_mutations.py
@@ -113,7 +113,7 @@
         "Fleet: a wave keeps its maximum",
         "instances that are down or planned count against it",
         "hemlockstand/fleet/waves.py",
-        "free = wave.maximum - down - len(planned)",
+        "free = wave.maximum - progress.count_down() - len(planned)",
         "free = 100",
         INSTANCE_TESTS,
     ),
--- a/hemlockstand/fleet/waves.py
+++ b/hemlockstand/fleet/waves.py
@@ -41,6 +41,16 @@
     completed: bool = False
     stored: bool = False
 
+    def find_gone(self) -> set[str]:
+        """Return the instances that no longer exist."""
+        return {
+            name for name, lists in self.missing_lists.items() if lists >= GONE_LISTS
+        }
+
+    def count_down(self) -> int:
+        """Return how many instances are or may be down for the wave."""
+        return len((self.ordered | self.begun) - self.returned - self.find_gone())
+
     def make_record(self) -> WaveRecord:
         """Return the scheduler's row of the wave."""
         return WaveRecord(
@@ -91,11 +101,7 @@
             progress.missing_lists[name] = 0
             if name in progress.begun and instance.state is InstanceState.UP:
                 progress.returned.add(name)
-        gone = {
-            name
-            for name, lists in progress.missing_lists.items()
-            if lists >= GONE_LISTS
-        }
+        gone = progress.find_gone()
         progress.returned.update(gone & progress.begun)
         done = progress.returned | gone >= set(progress.wave.instances)
         if len(progress.returned) > known:
@@ -116,13 +122,12 @@
 
     def _plan_wave(self, progress: WaveProgress) -> None:
         wave = progress.wave
-        down = len(progress.ordered | progress.begun) - len(progress.returned)
         planned = [
             plan
             for plan in self.plans.current.values()
             if plan.wave == wave.number and plan.instance not in progress.ordered
         ]
-        free = wave.maximum - down - len(planned)
+        free = wave.maximum - progress.count_down() - len(planned)
         for instance in self._rank_remaining(progress):
             # An order of a previous scheduler counts already. It is repeated
             # to learn its outcome.
--- a/test/test_fleet_waves.py
+++ b/test/test_fleet_waves.py
@@ -112,3 +112,33 @@
     value = b'{"seen_ms":5,"ordered":["m-1","m-2"],"begun":["m-1"]}'
     row = StoredRow("scheduler", "", "wave/7", value, 1)
     assert decode_waves([row]) == {7: WaveRecord(5, ("m-1", "m-2"), ("m-1",))}
+
+
+async def test_ordered_instance_that_is_gone_holds_up_no_wave(clock):
+    """Guards against a wave that hangs on an order for a removed instance.
+
+    The scheduler is killed before it has the answer, and then the instance is
+    removed.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 3)
+        names = list(world.instances.instances)
+        first = world.start_daemon("a")
+        await trio.sleep(1)
+        world.start_daemon("b")
+        first.instances.order_seconds = 1.0
+        add_wave(world, names, maximum=1)
+        progress = first.leader._instances.waves.waves
+
+        def find_ordered() -> set[str]:
+            return progress[1].ordered if 1 in progress else set()
+
+        await world.wait_for(find_ordered, 10)
+        (name,) = find_ordered()
+        await trio.sleep(0.5)
+        world.kill(first)
+        executor = world.instances.instances.pop(name).executor
+        world.executors.pop(executor).crash()
+        world.store.remove("servers", executor)
+        await world.wait_for(lambda: "completed" in read_status(world), 40)
+        assert sorted(world.instances.maintained[1]) == sorted({*names} - {name})
