Keep executors that joined before an order was answered

Seen on virtual time: the answer of an upkeep order is lost. When the order is repeated after 2.5 s, the instance is back from its maintenance with a new executor, which is not reserved and has runs. The repeated order is answered as accepted, and the new executor was closed: nobody polled it any more, and the job of its runs had not completed 60 s later.

Cause: _handle_outcome closed the executor that the list showed at the time of the answer, not the one that the order had been sent for. The answer says that the order is done, not when; the list may be newer than what it tells of.

Fix: a plan holds the executor and its lifetime at the time of the order. Only this one is closed, and only without runs. An executor that is kept wrongly, because it has ended after all, fails its polls; its runs are started elsewhere once its lease has expired. Ruled out: to reserve new executors while an order is open, as the store shows them before the list does.

--- a/bench/fleet_mutations.py
+++ b/bench/fleet_mutations.py
@@ -201,8 +201,8 @@
         "Fleet: a takeover does not wait for moved executors",
         "an executor is removed from the store when its instance is ordered",
         "hemlockstand/fleet/instances.py",
-        "self._drop_executor(executor)",
-        "executor.is_in_store = False",
+        "self._drop_executor(plan)",
+        "pass",
         INSTANCE_TESTS,
     ),
     Mutation(
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -166,6 +166,8 @@
         if self._is_blocked(plan.instance):
             return
         plan.ordering = True
+        plan.executor = executor
+        plan.born_ms = None if executor is None else executor.born_ms
         nursery.start_soon(self._order, plan, instance)
 
     def _stop_remaining_runs(self, executor: Executor, plan: Plan) -> None:
@@ -234,11 +236,9 @@
             sent=round(sent_at, 3),
             answered=round(self._answered[plan.instance], 3),
         )
-        executor = self.plans.find_executor(plan.instance)
         if outcome is OrderOutcome.ACCEPTED:
             self._listed_at = float("-inf")
-            if executor is not None:
-                self._drop_executor(executor)
+            self._drop_executor(plan)
             if progress is not None:
                 progress.begun.add(plan.instance)
                 progress.stored = False
@@ -252,14 +252,21 @@
         if outcome is OrderOutcome.REFUSED or plan.pool:
             self.plans.drop(plan)
 
-    def _drop_executor(self, executor: Executor) -> None:
-        """Remove an executor whose instance is moved or maintained.
+    def _drop_executor(self, plan: Plan) -> None:
+        """Remove the executor that an accepted order has ended.
 
         Its name leaves the store, so that no scheduler waits for its answer
-        after a takeover.
+        after a takeover. The instance may have another executor by now, if an
+        earlier attempt was carried out and its answer was lost, or the same
+        executor may have restarted. Either may have runs and is kept; if it
+        has ended too, its polls fail.
         """
+        executor = plan.executor
+        if executor is None or executor.runs or executor.born_ms != plan.born_ms:
+            return
         executor.close()
-        self.state.executors.pop(executor.id, None)
+        if self.state.executors.get(executor.id) is executor:
+            del self.state.executors[executor.id]
         self.state.request_commit()
 
     def _mark_changing(self, plan: Plan, instance: InstanceEntry) -> None:
--- a/hemlockstand/fleet/plans.py
+++ b/hemlockstand/fleet/plans.py
@@ -17,7 +17,8 @@
     """A planned move of an instance, or its maintenance for a wave.
 
     ``ordering`` is set while the order is in progress, ``stored`` once the
-    order is in the lease row, where the next scheduler finds it.
+    order is in the lease row, where the next scheduler finds it. ``executor``
+    and ``born_ms`` are the executor, and its lifetime, that the order ends.
     """
 
     instance: str
@@ -26,6 +27,8 @@
     planned_at: float = 0.0
     ordering: bool = False
     stored: bool = False
+    executor: Executor | None = None
+    born_ms: int | None = None
 
 
 @define(eq=False)
