Reserve executors for as long as their plans

Seen on virtual time, both by reading what changes while an order or a list is open:

* An executor restarts under its id while the order for its instance is on its way.
The reservation ended with the lifetime, runs were started there, and the order ended them when it was carried out.
* One list of instances lacks an instance that has a plan.
The plan was dropped, and its executor stayed reserved without one: the list that lacked the instance was also used to find the executor to set free.

Cause: the reservation was a flag of the executor that several places set and cleared by what the list or the lifetime said at that time.

Fix: a plan holds the executor that it reserves; planning, dropping and an accepted order set and clear the flag through the plan alone.

Seen to fail before, with the code of the parent commit:

test_executor_restarted_during_an_order_gets_no_runs AssertionError: assert 'i-2' not in {'i-2', 'i-5'} test_executor_of_a_dropped_plan_gets_runs_again AssertionError: assert not True

--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -78,7 +78,8 @@
     handled, ``acked`` that of the last one that it has stored, which the
     executor may forget. ``recorded`` means that the executor's name is stored
     for the next scheduler; before that it gets no runs. ``reserved`` means
-    that its instance is about to be moved or maintained.
+    that its instance is about to be moved or maintained; it lasts as long as
+    the plan, also over restarts.
     """
 
     entry: ExecutorEntry
@@ -303,7 +304,6 @@
     def _start_lifetime(self, born_ms: int, reason: str) -> None:
         log.info("executor {} starts a new lifetime", self.id, detail=reason)
         self._end_lifetime(reason)
-        self.reserved = False
         self.born_ms = born_ms
         self._clock_ms = None
         self.reconciled = False
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -149,15 +149,14 @@
         """Stop runs on the instance, or send the order if there are none."""
         if plan.ordering:
             return
-        executor = self.plans.find_executor(plan.instance)
         instance = self.plans.instances.get(plan.instance)
         if instance is None:
             return
+        executor = self.plans.reserve_executor(plan)
         if executor is None and instance.executor:
             # Either the list of instances or that of executors is out of date.
             return
         if executor is not None:
-            executor.reserved = True
             if not executor.reconciled or not executor.reachable:
                 return
             if executor.runs:
@@ -166,7 +165,6 @@
         if self._is_blocked(plan.instance):
             return
         plan.ordering = True
-        plan.executor = executor
         plan.born_ms = None if executor is None else executor.born_ms
         nursery.start_soon(self._order, plan, instance)
 
@@ -262,7 +260,10 @@
         has ended too, its polls fail.
         """
         executor = plan.executor
-        if executor is None or executor.runs or executor.born_ms != plan.born_ms:
+        if executor is None:
+            return
+        executor.reserved = False
+        if executor.runs or executor.born_ms != plan.born_ms:
             return
         executor.close()
         if self.state.executors.get(executor.id) is executor:
--- a/hemlockstand/fleet/plans.py
+++ b/hemlockstand/fleet/plans.py
@@ -18,7 +18,8 @@
 
     ``ordering`` is set while the order is in progress, ``stored`` once the
     order is in the lease row, where the next scheduler finds it. ``executor``
-    and ``born_ms`` are the executor, and its lifetime, that the order ends.
+    is the reserved one, which the order ends, and ``born_ms`` its lifetime when
+    the order was given.
     """
 
     instance: str
@@ -72,9 +73,8 @@
     def drop(self, plan: Plan) -> None:
         """Drop a plan, so that the executor can get runs again."""
         self.current.pop(plan.instance, None)
-        executor = self.find_executor(plan.instance)
-        if executor is not None and executor.reserved:
-            executor.reserved = False
+        if plan.executor is not None:
+            plan.executor.reserved = False
             self.state.request_placement()
 
     def find_executor(self, name: str) -> Executor | None:
@@ -87,9 +87,7 @@
     def reserve(self, plan: Plan) -> None:
         """Add a plan; its executor gets no new runs from now on."""
         self.current[plan.instance] = plan
-        executor = self.find_executor(plan.instance)
-        if executor is not None:
-            executor.reserved = True
+        executor = self.reserve_executor(plan)
         log.info(
             "instance reserved for a move or maintenance",
             instance=plan.instance,
@@ -98,6 +96,16 @@
             runs=0 if executor is None else len(executor.runs),
         )
 
+    def reserve_executor(self, plan: Plan) -> Executor | None:
+        """Reserve the present executor of a plan's instance, and return it."""
+        executor = self.find_executor(plan.instance)
+        if plan.executor is not None:
+            plan.executor.reserved = False
+        if executor is not None:
+            executor.reserved = True
+        plan.executor = executor
+        return executor
+
     def get_work_key(self, instance: InstanceEntry) -> tuple[int, int]:
         """Return the sort key of an instance; the least work comes first."""
         executor = self.find_executor(instance.name)
--- a/test/test_instance_orders.py
+++ b/test/test_instance_orders.py
@@ -5,7 +5,7 @@
 
 from emulator.fleet_executors import SubtaskBehaviour
 from hemlockstand.fleet.model import Resources, Step
-from test.fleet_world import add_wave, open_world, read_status
+from test.fleet_world import SMALL, add_wave, open_world, read_status
 
 
 @pytest.fixture
@@ -38,3 +38,51 @@
         assert daemon.leader.state.executors[executor].runs
         await world.wait_for(lambda: world.state(job) == "completed", 20)
         world.check_runs()
+
+
+async def test_executor_restarted_during_an_order_gets_no_runs(clock):
+    """Guards against runs that an open order ends.
+
+    The executor of the instance starts a new lifetime under its id before the
+    order is carried out.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 2)
+        names = list(world.instances.instances)
+        daemon = world.start_daemon("a")
+        await trio.sleep(1)
+        daemon.instances.order_seconds = 1.5
+        add_wave(world, names[:1], maximum=1)
+        waves = daemon.leader._instances.waves.waves
+        await world.wait_for(lambda: 1 in waves and waves[1].ordered, 10)
+        await trio.sleep(0.3)
+        executor = world.instances.instances[names[0]].executor
+        world.executors[executor].restart()
+        world.register_executor(world.executors[executor])
+        work = SubtaskBehaviour(0.5, size=Resources(4000, 512))
+        job = world.submit(Step(30, Resources(4000, 512), 500), work=work)
+        await world.wait_for(lambda: "completed" in read_status(world), 20)
+        assert executor not in {run.executor for run in world.records}
+        await world.wait_for(lambda: world.state(job) == "completed", 20)
+        world.check_runs()
+
+
+async def test_executor_of_a_dropped_plan_gets_runs_again(clock):
+    """Guards against an executor that stays reserved without a plan.
+
+    One list lacks its instance, so the plan is dropped.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 2)
+        names = list(world.instances.instances)
+        daemon = world.start_daemon("a")
+        work = SubtaskBehaviour(6.0, size=SMALL)
+        job = world.submit(Step(2, SMALL, 6000, max_per_executor=1), work=work)
+        await world.wait_for(lambda: len(world.find_running(job)) == 2, 10)
+        add_wave(world, names[:1], maximum=1)
+        plans = daemon.leader._instances.plans
+        await world.wait_for(lambda: names[0] in plans.current, 10)
+        executor = plans.find_executor(names[0])
+        daemon.instances.hidden.add(names[0])
+        await world.wait_for(lambda: not plans.current, 10)
+        assert not executor.reserved
