Keep executors that an inherited or repeated order has not ended

Cause: the order of a scheduler is carried out, but not answered before the scheduler is killed. The next one finds the instance back with its new executor, and repeats the order to learn its outcome. 'Accepted' also means that it was done before, but the executor was closed and forgotten. It is found again only when its row in the store changes.

Fix: a plan notes that an attempt, also one of a previous scheduler, got no answer. Its executor is then kept and has to answer a poll before it gets runs: one that has ended gets none. With a single attempt the executor is removed at once, as before. Ruled out: to compare ids in the list, which may show either executor at the time of the answer.

test_executor_from_after_an_inherited_order_is_kept failed before with trio.TooSlowError (a job that needs both executors had not completed).

--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -182,6 +182,8 @@
         """Repeat an order until its outcome is known."""
         progress = self.waves.waves.get(plan.wave)
         if progress is not None:
+            if plan.instance in progress.ordered:
+                plan.unanswered = True
             progress.ordered.add(plan.instance)
             progress.stored = False
         plan.stored = False
@@ -193,6 +195,8 @@
             try:
                 outcome = await self._send(plan)
             except (PlatformUnavailable, OutcomeUnknown) as error:
+                if isinstance(error, OutcomeUnknown):
+                    plan.unanswered = True
                 log.info(
                     "order for an instance failed; it is repeated",
                     instance=plan.instance,
@@ -254,16 +258,17 @@
         """Remove the executor that an accepted order has ended.
 
         Its name leaves the store, so that no scheduler waits for its answer
-        after a takeover. The instance may have another executor by now, if an
-        earlier attempt was carried out and its answer was lost, or the same
-        executor may have restarted. Either may have runs and is kept; if it
-        has ended too, its polls fail.
+        after a takeover. After an attempt without an answer, or a restart, the
+        order may have been carried out before this executor, or its present
+        lifetime, began. It is then kept, and gets no runs before it answers.
         """
         executor = plan.executor
         if executor is None:
             return
         executor.reserved = False
-        if executor.runs or executor.born_ms != plan.born_ms:
+        if plan.unanswered or executor.runs or executor.born_ms != plan.born_ms:
+            executor.reconciled = False
+            executor.wake()
             return
         executor.close()
         if self.state.executors.get(executor.id) is executor:
--- a/hemlockstand/fleet/plans.py
+++ b/hemlockstand/fleet/plans.py
@@ -19,7 +19,9 @@
     ``ordering`` is set while the order is in progress, ``stored`` once the
     order is in the lease row, where the next scheduler finds it. ``executor``
     is the reserved one, which the order ends, and ``born_ms`` its lifetime when
-    the order was given.
+    the order was given. ``unanswered`` is set once an attempt, also one of a
+    previous scheduler, got no answer: it may have been carried out before the
+    one that is answered, or may be later.
     """
 
     instance: str
@@ -30,6 +32,7 @@
     stored: bool = False
     executor: Executor | None = None
     born_ms: int | None = None
+    unanswered: bool = False
 
 
 @define(eq=False)
--- a/test/test_instance_orders.py
+++ b/test/test_instance_orders.py
@@ -86,3 +86,28 @@
         daemon.instances.hidden.add(names[0])
         await world.wait_for(lambda: not plans.current, 10)
         assert not executor.reserved
+
+
+async def test_executor_from_after_an_inherited_order_is_kept(clock):
+    """Guards against an instance that gets no work after a change of scheduler.
+
+    The order of the first scheduler is carried out, but not answered. The
+    instance is back with a new executor when the next scheduler repeats it.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 2)
+        names = list(world.instances.instances)
+        first = world.start_daemon("a")
+        await trio.sleep(1)
+        world.start_daemon("b")
+        first.instances.order_answer_seconds = 2.0
+        add_wave(world, names[:1], maximum=1)
+        await world.wait_for(lambda: world.instances.maintained.get(1), 10)
+        world.kill(first)
+        await world.wait_for(lambda: "completed" in read_status(world), 20)
+        assert [order.holder for order in world.instances.orders] == ["a", "b"]
+        work = SubtaskBehaviour(2.0, size=SMALL)
+        job = world.submit(Step(2, SMALL, 2000, max_per_executor=1), work=work)
+        await world.wait_for(lambda: world.state(job) == "completed", 3)
+        executors = world.daemons["b"].leader.state.executors
+        assert set(executors) == set(world.executors)
