Count an unanswered order although its repetition was refused as busy

The plan still counted with this scheduler; the wave's row, from which the next one counts, lacked it.

Fix: busy removes an instance from the ordered ones only if every attempt was answered. A refusal for good still does, as it would be refused later too.

test_refused_repetition_does_not_hide_a_delayed_order failed before with AssertionError: assert 'm-1' in ().

--- a/emulator/fleet_instances.py
+++ b/emulator/fleet_instances.py
@@ -70,6 +70,18 @@
         self._ready_at[name] = trio.current_time() + self.change_seconds
         return OrderOutcome.ACCEPTED
 
+    def fail(self, name: str, seconds: float) -> None:
+        """Take an instance that is up out of service for ``seconds``."""
+        self.advance()
+        instance = self.instances[name]
+        if instance.state is not InstanceState.UP or not instance.executor:
+            return
+        self.leave(instance.executor)
+        self.instances[name] = attrs.evolve(
+            instance, state=InstanceState.DOWN, executor=""
+        )
+        self._ready_at[name] = trio.current_time() + seconds
+
     def count_in_upkeep(self, wave: int) -> int:
         """Return how many instances of a wave are in upkeep now."""
         self.advance()
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -248,10 +248,13 @@
             self.plans.current.pop(plan.instance, None)
             self._mark_changing(plan, instance)
             return
-        if progress is not None:
+        refused = outcome is OrderOutcome.REFUSED
+        # An earlier attempt that got no answer may still be carried out once
+        # the instance is no longer busy.
+        if progress is not None and (refused or not plan.unanswered):
             progress.ordered.discard(plan.instance)
         plan.ordering = False
-        if outcome is OrderOutcome.REFUSED or plan.pool:
+        if refused or plan.pool:
             self.plans.drop(plan)
 
     def _drop_executor(self, plan: Plan) -> None:
--- a/test/test_fleet_waves.py
+++ b/test/test_fleet_waves.py
@@ -2,11 +2,14 @@
 
 import pytest
 import trio
-from attrs import evolve
+from attrs import define, evolve, field
 
 from emulator.fleet_executors import SubtaskBehaviour
+from emulator.fleet_instances import InstanceAccess
+from hemlockstand.errors import OutcomeUnknown
 from hemlockstand.fleet.model import InstanceState, Resources, Step
 from hemlockstand.fleet.storage import WaveRecord, decode_waves
+from hemlockstand.platform.machines import LeaseHolder, OrderOutcome
 from hemlockstand.platform.rows import StoredRow
 from test.fleet_world import LASTING, add_wave, open_world, read_status
 
@@ -142,3 +145,43 @@
         world.store.remove("servers", executor)
         await world.wait_for(lambda: "completed" in read_status(world), 40)
         assert sorted(world.instances.maintained[1]) == sorted({*names} - {name})
+
+
+@define(eq=False)
+class DelayedInstanceAccess(InstanceAccess):
+    """A client whose first order is carried out when the test says so."""
+
+    delayed: list = field(factory=list)
+
+    async def maintain(
+        self, instance: str, wave: int, holder: LeaseHolder
+    ) -> OrderOutcome:
+        """Start the upkeep of an instance, or keep the order for later."""
+        if not self.delayed:
+            self.delayed.append((instance, wave, holder))
+            raise OutcomeUnknown("the order is delayed")
+        return await super().maintain(instance, wave, holder)
+
+
+async def test_refused_repetition_does_not_hide_a_delayed_order(clock):
+    """Guards against a delayed order that the next scheduler does not know of.
+
+    The repetition is refused as the instance is down for a moment. Once it is
+    up, the delayed order can still be carried out.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 3)
+        daemon = world.start_daemon("a")
+        daemon.instances = DelayedInstanceAccess(world.instances)
+        await trio.sleep(1)
+        add_wave(world, list(world.instances.instances), maximum=1)
+        await world.wait_for(lambda: daemon.instances.delayed, 10)
+        (order,) = daemon.instances.delayed
+        world.instances.fail(order[0], 2.5)
+        await world.wait_for(lambda: world.instances.orders, 10)
+        assert world.instances.orders[0].outcome is OrderOutcome.BUSY
+        progress = daemon.leader._instances.waves.waves[1]
+        while world.instances.orders[-1].outcome is OrderOutcome.BUSY:
+            assert order[0] in progress.make_record().ordered
+            await trio.sleep(0.01)
+        await world.wait_for(lambda: "completed" in read_status(world), 30)
