--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -95,7 +95,8 @@
     handled, ``acked`` that of the last one that it has stored, which the
     executor may forget. ``recorded`` means that the executor's name is stored
     for the next scheduler; before that it gets no runs. ``reserved`` means
-    that its instance is about to be moved or maintained.
+    that its instance is about to be moved or maintained; it lasts as long as
+    the plan, also over restarts.
     """
 
     entry: ExecutorEntry
@@ -346,7 +347,6 @@
         """Expect new lists; runs that are not in them were lost."""
         log.info("executor {} starts a new lifetime", self.id, detail=reason)
         self._forget_ends()
-        self.reserved = False
         self.born_ms = born_ms
         self._clock_ms = None
         self.reconciled = False
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -122,13 +122,26 @@
         """Read the list if it is old; return whether there is one."""
         if self.state.clock() - self._listed_at < LIST_SECONDS:
             return bool(self.plans.instances)
+        began_at = self.state.clock()
         try:
             listed = await self.client.list_instances()
         except HemlockstandError as error:
             log.info("instance list could not be read", detail=str(error))
             return False
-        self._listed_at = self.state.clock()
-        self.plans.instances = {instance.name: instance for instance in listed}
+        ended_at = self.state.clock()
+        log.info(
+            "instances listed",
+            instances=len(listed),
+            read_began=round(began_at, 3),
+            read_ended=round(ended_at, 3),
+            ordered_meanwhile=sorted(
+                name
+                for name, answered_at in self._answered.items()
+                if answered_at >= began_at
+            ),
+        )
+        recent = self.plans.apply_list(listed, began_at)
+        self._listed_at = ended_at if recent else float("-inf")
         self.waves.update_instances()
         return True
 
@@ -136,15 +149,14 @@
         """Stop runs on the instance, or send the order if there are none."""
         if plan.ordering:
             return
-        executor = self.plans.find_executor(plan.instance)
         instance = self.plans.instances.get(plan.instance)
         if instance is None:
             return
+        executor = self.plans.reserve_executor(plan)
         if executor is None and instance.executor:
             # Either the list of instances or that of executors is out of date.
             return
         if executor is not None:
-            executor.reserved = True
             if not executor.reconciled or not executor.reachable:
                 return
             if executor.runs:
@@ -153,6 +165,7 @@
         if self._is_blocked(plan.instance):
             return
         plan.ordering = True
+        plan.born_ms = None if executor is None else executor.born_ms
         nursery.start_soon(self._order, plan, instance)
 
     def _stop_remaining_runs(self, executor: Executor, plan: Plan) -> None:
@@ -169,6 +182,8 @@
         """Repeat an order until its outcome is known."""
         progress = self.waves.waves.get(plan.wave)
         if progress is not None:
+            if plan.instance in progress.ordered:
+                plan.unanswered = True
             progress.ordered.add(plan.instance)
             progress.stored = False
         plan.stored = False
@@ -176,9 +191,12 @@
         while not plan.stored or not (progress is None or progress.stored):
             await trio.sleep(STORED_POLL_SECONDS)
         while self.state.may_order():
+            sent_at = self.state.clock()
             try:
                 outcome = await self._send(plan)
             except (PlatformUnavailable, OutcomeUnknown) as error:
+                if isinstance(error, OutcomeUnknown):
+                    plan.unanswered = True
                 log.info(
                     "order for an instance failed; it is repeated",
                     instance=plan.instance,
@@ -186,7 +204,7 @@
                 )
                 await trio.sleep(RETRY_SECONDS)
                 continue
-            self._handle_outcome(plan, instance, outcome, progress)
+            self._handle_outcome(plan, instance, outcome, progress, sent_at)
             return
         plan.ordering = False
 
@@ -204,6 +222,7 @@
         instance: InstanceEntry,
         outcome: OrderOutcome,
         progress: WaveProgress | None,
+        sent_at: float,
     ) -> None:
         self._answered[plan.instance] = self.state.clock()
         kind = "upkeep" if plan.wave else "move"
@@ -216,12 +235,12 @@
             wave=plan.wave,
             fence=self.fence,
             outcome=outcome.value,
+            sent=round(sent_at, 3),
+            answered=round(self._answered[plan.instance], 3),
         )
-        executor = self.plans.find_executor(plan.instance)
         if outcome is OrderOutcome.ACCEPTED:
             self._listed_at = float("-inf")
-            if executor is not None:
-                self._drop_executor(executor)
+            self._drop_executor(plan)
             if progress is not None:
                 progress.begun.add(plan.instance)
                 progress.stored = False
@@ -229,26 +248,38 @@
             self.plans.current.pop(plan.instance, None)
             self._mark_changing(plan, instance)
             return
-        if progress is not None:
+        refused = outcome is OrderOutcome.REFUSED
+        # An earlier attempt that got no answer may still be carried out once
+        # the instance is no longer busy.
+        if progress is not None and (refused or not plan.unanswered):
             progress.ordered.discard(plan.instance)
         plan.ordering = False
-        if outcome is OrderOutcome.REFUSED or plan.pool:
+        if refused or plan.pool:
             self.plans.drop(plan)
 
-    def _drop_executor(self, executor: Executor) -> None:
-        """Remove an executor whose instance is moved or maintained.
+    def _drop_executor(self, plan: Plan) -> None:
+        """Remove the executor that an accepted order has ended.
 
         Its name leaves the store, so that no scheduler waits for its answer
-        after a takeover.
+        after a takeover. After an attempt without an answer, or a restart, the
+        order may have been carried out before this executor, or its present
+        lifetime, began. It is then kept, and gets no runs before it answers.
         """
+        executor = plan.executor
+        if executor is None:
+            return
+        executor.reserved = False
+        if plan.unanswered or executor.runs or executor.born_ms != plan.born_ms:
+            executor.reconciled = False
+            executor.wake()
+            return
         executor.close()
-        self.state.executors.pop(executor.id, None)
+        if self.state.executors.get(executor.id) is executor:
+            del self.state.executors[executor.id]
         self.state.request_commit()
 
     def _mark_changing(self, plan: Plan, instance: InstanceEntry) -> None:
-        """Apply the order to the known list until it is read again."""
+        """Apply the order to the known list."""
         state = InstanceState.UPKEEP if plan.wave else InstanceState.MOVING
         pool = plan.pool or instance.pool
-        self.plans.instances[plan.instance] = attrs.evolve(
-            instance, state=state, pool=pool, executor=""
-        )
+        self.plans.change(attrs.evolve(instance, state=state, pool=pool, executor=""))
--- a/hemlockstand/fleet/waves.py
+++ b/hemlockstand/fleet/waves.py
@@ -27,8 +27,9 @@
     """Progress of a wave; an order is stored before it is sent.
 
     ``returned`` holds the instances whose maintenance is over or that
-    disappeared during it. ``missing_lists`` counts the lists in a row that
-    lack an instance.
+    disappeared during it; once the wave is completed, also those that
+    disappeared before. ``missing_lists`` counts the lists in a row that lack an
+    instance.
     """
 
     wave: Wave
@@ -40,10 +41,23 @@
     completed: bool = False
     stored: bool = False
 
+    def find_gone(self) -> set[str]:
+        """Return the instances that no longer exist."""
+        return {
+            name for name, lists in self.missing_lists.items() if lists >= GONE_LISTS
+        }
+
+    def count_down(self) -> int:
+        """Return how many instances are or may be down for the wave."""
+        return len((self.ordered | self.begun) - self.returned - self.find_gone())
+
     def make_record(self) -> WaveRecord:
         """Return the scheduler's row of the wave."""
         return WaveRecord(
-            self.seen_ms, tuple(sorted(self.ordered)), tuple(sorted(self.begun))
+            self.seen_ms,
+            tuple(sorted(self.ordered)),
+            tuple(sorted(self.begun)),
+            tuple(sorted(self.returned)),
         )
 
 
@@ -67,6 +81,8 @@
         progress = WaveProgress(wave, record.seen_ms)
         progress.begun.update(record.begun)
         progress.ordered.update(record.ordered)
+        progress.returned.update(record.returned)
+        progress.completed = progress.returned >= set(wave.instances)
         self.waves[wave.number] = progress
         self.plans.state.request_commit()
 
@@ -76,6 +92,7 @@
             self._update_progress(progress)
 
     def _update_progress(self, progress: WaveProgress) -> None:
+        known = len(progress.returned)
         for name in progress.wave.instances:
             instance = self.plans.instances.get(name)
             if instance is None:
@@ -84,15 +101,15 @@
             progress.missing_lists[name] = 0
             if name in progress.begun and instance.state is InstanceState.UP:
                 progress.returned.add(name)
-        gone = {
-            name
-            for name, lists in progress.missing_lists.items()
-            if lists >= GONE_LISTS
-        }
+        gone = progress.find_gone()
         progress.returned.update(gone & progress.begun)
         done = progress.returned | gone >= set(progress.wave.instances)
+        if len(progress.returned) > known:
+            # The next transaction, which extends the lease, is soon enough.
+            progress.stored = False
         if done and not progress.completed:
             progress.completed = True
+            progress.returned.update(gone)
             progress.stored = False
             log.info("wave {} completed", progress.wave.number)
             self.plans.state.request_commit()
@@ -105,13 +122,12 @@
 
     def _plan_wave(self, progress: WaveProgress) -> None:
         wave = progress.wave
-        down = len(progress.ordered | progress.begun) - len(progress.returned)
         planned = [
             plan
             for plan in self.plans.current.values()
             if plan.wave == wave.number and plan.instance not in progress.ordered
         ]
-        free = wave.maximum - down - len(planned)
+        free = wave.maximum - progress.count_down() - len(planned)
         for instance in self._rank_remaining(progress):
             # An order of a previous scheduler counts already. It is repeated
             # to learn its outcome.
