Poll executors that do not answer although they have no runs

Seen: with its link to the scheduler cut for longer than its lease, an executor whose entry stays in the store is never used again by this scheduler. In a fleet of one, a lasting subtask did not run any more, with room for it and everything else calm. Instances of such executors also stop to count as members of their pools.

Cause: the task of an executor polls while it has runs, is not reconciled, or has ends to store. Once the lease has expired the runs are reported lost, so none of the three holds; `failing_since` is only cleared by an answer, and nothing asks for one.

Ruled out: a new entry (it does not change while the executor lives), a new lifetime (there is none), a takeover (that makes a new object, which is why changes of the scheduler hid the fault).

Seen to fail before: test_executor_is_used_again_after_a_long_cut (TooSlowError, in virtual time).

The random faults pass before and after; why they did not show it was not traced.

--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -200,7 +200,14 @@
             self._clock_at = self.clock()
 
     def _needs_poll(self) -> bool:
-        return bool(self.runs) or not self.reconciled or self.last_handled > self.acked
+        # An executor that does not answer is polled without runs as well: only
+        # an answer makes it usable again.
+        return (
+            bool(self.runs)
+            or not self.reconciled
+            or not self.reachable
+            or self.last_handled > self.acked
+        )
 
     async def run(self) -> None:
         """Poll the executor and extend its lease until it is closed."""
