Start nothing beside runs that the scheduler does not know

Seen: an executor without an admission check lists two runs of a job that the scheduler does not know, which fill it.

Cause: the used room counts the runs that the scheduler has started or adopted. A run of an unknown job, or of a subtask whose run is elsewhere, is stopped without being counted; its size may be unknown.

Why this works: an executor gets no runs while its last list has runs that are neither known nor adopted, and it is polled until they have gone. Runs of known jobs are adopted, and count, as before.

Ruled out: counting them with their size, since the job that would tell the size is the one that is not known.

The stand-in's executors can now run without an admission check, change their capacity, and record by how much a start exceeds the capacity in force; a smaller one counts after StabilityMs and one heartbeat. The row store's stand-in fails `follow` of its failing tables as well.

--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -8,6 +8,7 @@
 import json
 from collections.abc import Callable
 
+import attrs
 import trio
 from attrs import define, field
 
@@ -29,17 +30,26 @@
 
 STOP_SECONDS = 0.2
 STARTUP_SECONDS = 0.3  # time until a lasting subtask reports 100 percent
+HEARTBEAT_SECONDS = 1.5
+# A smaller capacity counts from this time on after the change: StabilityMs and
+# an interval between the executor's writes of its entry.
+SHRINK_GRACE_SECONDS = 3.0 + HEARTBEAT_SECONDS
 
 
 @define(eq=False)
 class RecordedRun:
-    """A run that an executor has started."""
+    """A run that an executor has started.
+
+    ``excess`` is by how much the start brought the executor over the capacity
+    that it had had for at least ``SHRINK_GRACE_SECONDS``.
+    """
 
     subtask: str
     number: int
     executor: str
     payload: str
     began_at: float
+    excess: Resources = field(factory=Resources)
     ended_at: float | None = None
     kind: EndKind | None = None
     acknowledged: bool = False
@@ -78,7 +88,10 @@
 class ExecutorModel:
     """An executor with its lease, runs and ends.
 
-    ``describe`` returns the behaviour of a subtask. The lease ends at
+    ``describe`` returns the behaviour of a subtask. Without an
+    ``admission_check``, what does not fit is started as well;
+    ``earlier_capacities`` holds the capacities of this lifetime with the time
+    until which each applied. The lease ends at
     ``due_ms`` of the executor's clock. ``refused_up_to`` holds for each
     subtask the highest run number that is refused. Faults: ``unresponsive``
     leaves all calls without an answer; of the coming start orders,
@@ -95,6 +108,8 @@
     rack: str = "r1"
     kind: str = "a"
     data_centre: str = "dc1"
+    admission_check: bool = True
+    earlier_capacities: list[tuple[float, Resources]] = field(factory=list)
     born_ms: int = 1
     fence: int = 0
     due_ms: int = 0
@@ -185,8 +200,14 @@
         self.due_ms = 0
         self.last_end_number = 0
         self.refused_up_to.clear()
+        self.earlier_capacities.clear()
         self.clock_offset = trio.current_time()
 
+    def change_capacity(self, capacity: Resources) -> None:
+        """Shrink or grow; the entry in the store shows it once written."""
+        self.earlier_capacities.append((trio.current_time(), self.capacity))
+        self.capacity = capacity
+
     def begin(self, order: StartOrder) -> StartOutcome:
         """Start a run, or refuse the order."""
         self.advance()
@@ -202,10 +223,12 @@
         if order.due_ms <= self.clock_ms:
             return Refused(Refusal.LATE, self.clock_ms)
         behaviour = self.describe(order.subtask)
-        if not behaviour.size.fits(self.free_resources()):
+        fits = behaviour.size.fits(self.free_resources())
+        if self.admission_check and not fits:
             return Refused(Refusal.ROOM, self.clock_ms)
         now = trio.current_time()
         record = RecordedRun(order.subtask, order.run, self.id, order.payload, now)
+        record.excess = self.measure_excess(behaviour.size)
         self.records.append(record)
         self.running[order.subtask] = _Running(record, behaviour, now)
         return Started(self.clock_ms)
@@ -217,6 +240,25 @@
             free = free.add(run.behaviour.size, -1)
         return free
 
+    def measure_excess(self, size: Resources) -> Resources:
+        """Return by how much a start now exceeds the capacity in force.
+
+        That is the largest one of the grace period. Resources that the start
+        does not use never count as exceeded.
+        """
+        since = trio.current_time() - SHRINK_GRACE_SECONDS
+        recent = [known for until, known in self.earlier_capacities if until > since]
+        used = self.capacity.add(self.free_resources(), -1).add(size)
+        return Resources(
+            *(
+                max(0, need - max(room)) if part else 0
+                for part, need, *room in zip(
+                    *map(attrs.astuple, (size, used, self.capacity, *recent)),
+                    strict=True,
+                )
+            )
+        )
+
     def handle_hold(self, due_ms: int | None, fence: int, acked: int) -> None:
         """Extend the lease and remove the ends up to ``acked`` from the list.
 
--- a/emulator/row_store.py
+++ b/emulator/row_store.py
@@ -186,10 +186,12 @@
     async def follow(self, table: str, after: int, wait_seconds: float) -> RowPage:
         """Return changes as ``RowStore.follow`` does."""
         await self._call()
+        if table in self.failing_tables:
+            raise PlatformUnavailable(f"table {table} cannot be read")
         with trio.move_on_after(wait_seconds):
             while not self.model.changes(table, after):
                 await self.model.wait()
-        if self.closed:
+        if self.closed or table in self.failing_tables:
             raise PlatformUnavailable("the store is closed to this daemon")
         return RowPage(self.model.changes(table, after), self.model.version)
 
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -78,7 +78,9 @@
     handled, ``acked`` that of the last one that it has stored, which the
     executor may forget. ``recorded`` means that the executor's name is stored
     for the next scheduler; before that it gets no runs. ``reserved`` means
-    that its instance is about to be moved or maintained.
+    that its instance is about to be moved or maintained. ``unknown_runs``
+    names the runs in its last list that the scheduler has not started or
+    adopted; they use room of unknown size until they have been stopped.
     """
 
     entry: ExecutorEntry
@@ -93,6 +95,7 @@
     last_handled: int = 0
     acked: int = 0
     runs: dict[str, Subtask] = field(factory=dict)
+    unknown_runs: frozenset[str] = frozenset()
     used: Resources = field(factory=Resources)
     lease_expires_at: float = _NEVER
     failing_since: float | None = None
@@ -204,6 +207,7 @@
         # an answer makes it usable again.
         return (
             bool(self.runs)
+            or bool(self.unknown_runs)
             or not self.reconciled
             or not self.reachable
             or self.last_handled > self.acked
@@ -293,6 +297,7 @@
             elif run.state is RunState.UNSURE and run.fence < fence:
                 self._report_lost(subtask, "the start order was not carried out")
         self.events.handle_running(self, answer)
+        self.unknown_runs = frozenset(listed.keys() - self.runs.keys())
         self.reconciled = True
 
     def _handle_end(self, end: EndEntry) -> None:
@@ -319,6 +324,7 @@
     def _end_lifetime(self, reason: str) -> None:
         self.last_handled = 0
         self.acked = 0
+        self.unknown_runs = frozenset()
         for subtask in list(self.runs.values()):
             self._report_lost(subtask, reason)
 
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -182,6 +182,7 @@
         and executor.reconciled
         and executor.reachable
         and executor.is_entry_current
+        and not executor.unknown_runs
         and not executor.entry.draining
         and not executor.reserved
         and executor.quarantined_until <= now
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -119,12 +119,12 @@
         return model.id
 
     def add_executor(
-        self, pool: str = "pool", rack: str = "r1", kind: str = "a"
+        self, pool: str = "pool", rack: str = "r1", kind: str = "a", **values
     ) -> ExecutorModel:
         """Add an executor and write its entry to the store."""
         executor = f"i-{next(self._ids)}"
         model = ExecutorModel(
-            executor, pool, self.describe, self.records, rack=rack, kind=kind
+            executor, pool, self.describe, self.records, rack=rack, kind=kind, **values
         )
         model.clock_offset = trio.current_time() - 1000 * next(self._ids)
         self.executors[executor] = model
@@ -150,6 +150,11 @@
                 name, pool, InstanceState.UP, "dc1", labels, Resources(16_000), executor
             )
 
+    def resize_executor(self, model: ExecutorModel, capacity: Resources) -> None:
+        """Change an executor's capacity and write its entry at once."""
+        model.change_capacity(capacity)
+        self.register_executor(model)
+
     def describe(self, subtask: str) -> SubtaskBehaviour:
         """Return the work of a subtask, as set for it, its step or its job."""
         job, occurrence, step, _ = subtask.split(".")
@@ -272,6 +277,11 @@
             if run.ended_at is None and run.subtask.startswith(prefix)
         ]
 
+    def check_capacities(self) -> None:
+        """Check that no start brought an executor over its capacity."""
+        over = [run for run in self.records if run.excess != Resources()]
+        assert not over, f"{len(over)} starts over the capacity, such as {over[0]}"
+
     def check_runs(self) -> None:
         """Check that no subtask ran twice at the same time or after its end.
 
@@ -298,12 +308,14 @@
     return Step(count, SMALL, int(seconds * 1000), **values)
 
 
-def make_config(maximum: Resources | None = None, attempts: int = 2) -> FleetConfig:
+def make_config(
+    maximum: Resources | None = None, attempts: int = 2, admission_check: bool = True
+) -> FleetConfig:
     """Return a configuration with a queue, its pool and a standby pool."""
     queue = Queue(
         "queue", "host", "/queue/", "pool", False, 0, attempts, 1.6, 600, None
     )
-    pools = (Pool("pool", True, False), Pool("standby", True, True))
+    pools = (Pool("pool", admission_check, False), Pool("standby", True, True))
     tenant = Tenant("team", frozenset({"key"}), 1.0, maximum or Resources())
     return FleetConfig(
         1, (queue,), {pool.name: pool for pool in pools}, {"team": tenant}, 262_144
--- /dev/null
+++ b/test/test_fleet_capacities.py
@@ -0,0 +1,41 @@
+"""Executors whose capacity shrinks and grows while they run, on virtual time.
+
+The pools of these tests have no admission check: their executors start
+whatever they are ordered to start.
+"""
+
+import pytest
+
+from emulator.fleet_executors import SubtaskBehaviour
+from hemlockstand.fleet.model import Resources, StartOrder, Step
+from test.fleet_world import FleetWorld, make_config, open_world
+
+LARGE = Resources(8000, 4096)
+
+
+@pytest.fixture
+def clock(autojump_clock):
+    """Virtual time that jumps to the next event."""
+    return autojump_clock
+
+
+def use_unguarded_pool(world: FleetWorld) -> None:
+    """Set a configuration whose pool has no admission check."""
+    world.configuration.current = make_config(admission_check=False)
+
+
+async def test_unknown_runs_use_room_until_they_have_stopped(clock):
+    """Guards against starts beside a run that no known job has."""
+    async with open_world() as world:
+        use_unguarded_pool(world)
+        model = world.add_executor(admission_check=False)
+        unknown = "f" * 16
+        world.work[unknown] = SubtaskBehaviour(60.0, size=LARGE)
+        due_ms = model.clock_ms + 5000
+        for position in range(2):
+            name = f"{unknown}.0.0.{position}"
+            model.begin(StartOrder(name, 1, "payload", due_ms, 0))
+        world.start_daemon("a")
+        job = world.submit(Step(4, LARGE, 1000), work=SubtaskBehaviour(1.0, size=LARGE))
+        await world.wait_for(lambda: world.state(job) == "completed", 15)
+        world.check_capacities()
