Free the room of a cancelled start that got no answer

Seen: two start orders get no answer, and their job is cancelled while they are open. They never begin, but their room on the executor and in their tenant's maximum stays taken for as long as the scheduler leads; a later job of the same size waits for ever on the idle executor.

Cause: a stop changes the state of the run from STARTING to STOPPING. A start without an answer then leaves it so, and only UNSURE runs that the executor does not list are taken as not begun; the others need an answer that has been seen. So nothing ended the run but a new lifetime or a lapsed lease.

Why this works: a run without an answer that is being stopped is not begun either if a list with a higher fence lacks it: the executor refuses the order by its fence from then on. Until that list the room still counts.

Ruled out: freeing the room once the stop is accepted, since the start may be carried out before the stop and then takes StopMs to end.

Seen to fail before: test_cancelled_start_without_an_answer_uses_no_room_for_ever (TooSlowError).

--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -294,7 +294,7 @@
                 _update_run(run, entry.percent, entry.load, entry.checkpoint, now)
             elif run.answered_at is not None and run.answered_at < sent_at:
                 self._report_lost(subtask, "not in the executor's list")
-            elif run.state is RunState.UNSURE and run.fence < fence:
+            elif run.may_be_unstarted and run.fence < fence:
                 self._report_lost(subtask, "the start order was not carried out")
         self.events.handle_running(self, answer)
         self.unknown_runs = frozenset(listed.keys() - self.runs.keys())
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -34,6 +34,17 @@
     pace: int = 100
     checkpoint: str = ""
 
+    @property
+    def may_be_unstarted(self) -> bool:
+        """Whether the executor may never have carried out the start order.
+
+        A stop that overtakes the order makes the executor refuse it.
+        """
+        return self.answered_at is None and self.state in (
+            RunState.UNSURE,
+            RunState.STOPPING,
+        )
+
 
 @define(eq=False, slots=True)
 class Subtask:
--- a/test/test_fleet_capacities.py
+++ b/test/test_fleet_capacities.py
@@ -5,6 +5,7 @@
 """
 
 import pytest
+import trio
 
 from emulator.fleet_executors import SubtaskBehaviour
 from hemlockstand.fleet.model import Resources, StartOrder, Step
@@ -39,3 +40,24 @@
         job = world.submit(Step(4, LARGE, 1000), work=SubtaskBehaviour(1.0, size=LARGE))
         await world.wait_for(lambda: world.state(job) == "completed", 15)
         world.check_capacities()
+
+
+async def test_cancelled_start_without_an_answer_uses_no_room_for_ever(clock):
+    """Guards against room that stays reserved for a run that never began."""
+    async with open_world() as world:
+        use_unguarded_pool(world)
+        model = world.add_executor(admission_check=False)
+        world.start_daemon("a")
+        await trio.sleep(2)
+        model.late_orders = 2
+        job = world.submit(Step(2, LARGE, 1000), work=SubtaskBehaviour(1.0, size=LARGE))
+        await world.wait_for(lambda: len(model.late) == 2, 5)
+        world.cancel(job)
+        await trio.sleep(2)
+        model.execute_late_orders()
+        other = world.submit(
+            Step(2, LARGE, 1000), work=SubtaskBehaviour(1.0, size=LARGE)
+        )
+        await world.wait_for(lambda: world.state(other) == "completed", 10)
+        assert not world.count_runs(job)
+        world.check_capacities()
