Use no unguarded executor by an entry that could not be read for long

Seen: while only the store's table of the executors fails, the scheduler commits, keeps its lease and goes on placing.

Cause: the directory had no notion of how old its knowledge is; placing depended on the lease alone, which other parts of the store renew.

Why this works: the directory remembers when the last answered call for the entries was sent. A shrink that it cannot know of was written after that, so it happened at most one heartbeat before, and counts StabilityMs and one heartbeat after it happened: at the earliest StabilityMs after the last confirmed time. From 0.6 s before that, the longest time that an order is on its way, nothing is placed on executors of pools without an admission check. Others go on, as they refuse what does not fit. In calm times the entries are at most 1.0 s and a call old.

`stability_ms` is a new setting, from the platform's `Bounds`.

Not provable from here: an executor that reaches nobody but the scheduler cannot write its entry; the store removes that after three heartbeats, no later than the smaller capacity counts if StabilityMs is at least two heartbeats.

Seen to fail before: test_unconfirmed_capacity_is_not_used. That guarded executors go on is shown by test_guarded_executors_are_used_without_their_table.

--- a/hemlockstand/fleet/executor_directory.py
+++ b/hemlockstand/fleet/executor_directory.py
@@ -1,7 +1,6 @@
 """The executors, as found in the store."""
 
 from collections.abc import Callable, Iterable, Mapping
-from functools import partial
 
 import trio
 from attrs import define, field
@@ -21,26 +20,48 @@
 
 FOLLOW_SECONDS = 1.0
 RETRY_SECONDS = 0.2
+# Longest time that a start order is on its way after it was given.
+ORDER_SECONDS = 0.6
+_NEVER = float("-inf")
 
 
 @define(eq=False)
 class ExecutorDirectory:
-    """Keeps an ``Executor`` with its task for each entry in the store."""
+    """Keeps an ``Executor`` with its task for each entry in the store.
+
+    ``_confirmed_at`` is the latest time of which all entries are known.
+    """
 
     state: SchedulerState
     connect: Callable[[str, str], ExecutorClient]
     report_handler: ExecutorReportHandler
     fence: int
     _versions: dict[str, int] = field(factory=dict)
+    _read_at: float = _NEVER
+    _confirmed_at: float = _NEVER
+
+    def is_confirmed(self) -> bool:
+        """Return whether the known capacities still apply.
+
+        An executor writes a smaller capacity to the store before it counts
+        for ``stability_ms``. The commits may succeed while the entries cannot
+        be read.
+        """
+        age = self.state.clock() - self._confirmed_at
+        return age + ORDER_SECONDS < self.state.settings.bounds.stability_ms / 1000
 
     async def load(self) -> int:
         """Read all entries; return the version to follow from."""
-        read = partial(self.state.rows.read_all, EXECUTORS_TABLE)
-        page = await read_current(self.state, read)
+        page = await read_current(self.state, self._read_all)
+        self._confirmed_at = self._read_at
         self._apply_executor_rows(page.rows)
         self._remove_unlisted(page)
         return page.version
 
+    async def _read_all(self) -> RowPage:
+        self._read_at = self.state.clock()
+        return await self.state.rows.read_all(EXECUTORS_TABLE)
+
     def _remove_unlisted(self, page: RowPage) -> None:
         """Remove executors that are missing from a full read.
 
@@ -65,6 +86,7 @@
     async def follow(self, version: int) -> None:
         """Follow the entries until the scheduler ends."""
         while True:
+            sent_at = self.state.clock()
             try:
                 page = await self.state.rows.follow(
                     EXECUTORS_TABLE, version, FOLLOW_SECONDS
@@ -73,11 +95,16 @@
                 version = await self.load()
                 continue
             except PlatformUnavailable as error:
-                log.debug("changes of the executors could not be read: {}", error)
+                log.info(
+                    "changes of the executors could not be read",
+                    unconfirmed_seconds=round(sent_at - self._confirmed_at, 1),
+                    detail=str(error),
+                )
                 await trio.sleep(RETRY_SECONDS)
                 continue
             version = page.version
             self._apply_executor_rows(page.rows)
+            self._confirmed_at = sent_at
 
     def _apply_executor_rows(self, rows: Iterable[StoredRow]) -> None:
         for row in rows:
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -89,7 +89,11 @@
         )
         self._commits = Commits(self.state, self._instances)
         self._placer = Placer(
-            registry, self.state.executors, self._barrier.blocked_pools, self._may_run
+            registry,
+            self.state.executors,
+            self._barrier.blocked_pools,
+            self._may_run,
+            self._executor_directory.is_confirmed,
         )
         self._wave_records: dict[int, WaveRecord] = {}
         self._leaving = trio.Event()
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -36,7 +36,9 @@
 
     ``blocked_pools`` names the pools in which unknown runs of a previous
     scheduler may exist; steps that it may have started wait there.
-    ``may_run`` returns whether the queue's policy allows an executor.
+    ``may_run`` returns whether the queue's policy allows an executor, and
+    ``is_confirmed`` whether the known capacities still apply; executors without
+    an admission check would start what does not fit.
     """
 
     registry: JobRegistry
@@ -45,11 +47,12 @@
     may_run: Callable[[StepRun, Executor], bool] = field(
         default=lambda step_run, executor: True
     )
+    is_confirmed: Callable[[], bool] = field(default=lambda: True)
     _unconfirmed_use: dict[str, Resources] = field(factory=dict)
 
     def place(self, config: FleetConfig, now: float) -> Iterator[Placement]:
         """Yield placements; the caller starts each before it asks for more."""
-        pools = self._group_executors(now)
+        pools = self._group_executors(config, now)
         self._unconfirmed_use = self._measure_unconfirmed_use(config)
         order = sorted(
             (
@@ -102,9 +105,13 @@
             )
         return use_by_tenant
 
-    def _group_executors(self, now: float) -> dict[str, PoolRoom]:
+    def _group_executors(self, config: FleetConfig, now: float) -> dict[str, PoolRoom]:
         pools: dict[str, list[Executor]] = {}
+        confirmed = self.is_confirmed()
+        guarded = {pool.name for pool in config.pools.values() if pool.admission_check}
         for executor in self.executors.values():
+            if not confirmed and executor.entry.pool not in guarded:
+                continue
             if is_usable(executor, now):
                 pools.setdefault(executor.entry.pool, []).append(executor)
         return {pool: PoolRoom(executors) for pool, executors in pools.items()}
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -75,6 +75,12 @@
     status_s: float = option(
         "Time for which the status of a finished job stays available.", 1, 86_400
     )
+    stability_ms: float = option(
+        "Time after which an executor's smaller capacity counts, from the latest "
+        "moment at which its entry shows it.",
+        0,
+        600_000,
+    )
     order_turn_ms: float = option(
         "Required time between the orders of two lease holders for the same instance.",
         0,
--- a/test/test_fleet_capacities.py
+++ b/test/test_fleet_capacities.py
@@ -9,7 +9,7 @@
 
 from emulator.fleet_executors import SubtaskBehaviour
 from hemlockstand.fleet.model import Resources, StartOrder, Step
-from test.fleet_world import FleetWorld, make_config, open_world
+from test.fleet_world import SMALL, FleetWorld, make_config, make_step, open_world
 
 LARGE = Resources(8000, 4096)
 
@@ -61,3 +61,38 @@
         await world.wait_for(lambda: world.state(other) == "completed", 10)
         assert not world.count_runs(job)
         world.check_capacities()
+
+
+async def test_unconfirmed_capacity_is_not_used(clock):
+    """Guards against starts by entries that the scheduler cannot read any more.
+
+    Only the table of the executors fails, so the scheduler keeps its lease.
+    """
+    async with open_world() as world:
+        use_unguarded_pool(world)
+        model = world.add_executor(admission_check=False)
+        daemon = world.start_daemon("a")
+        await trio.sleep(2)
+        daemon.rows.failing_tables.add("servers")
+        world.resize_executor(model, Resources(2000, 32_768))
+        for _ in range(30):
+            world.submit(make_step(8, 0.4), work=SubtaskBehaviour(0.4, size=SMALL))
+            await trio.sleep(0.3)
+        began = len(world.records)
+        world.check_capacities()
+        daemon.rows.failing_tables.clear()
+        await trio.sleep(2)
+        assert len(world.records) > began
+        world.check_capacities()
+
+
+async def test_guarded_executors_are_used_without_their_table(clock):
+    """Guards against idle executors that would refuse what does not fit."""
+    async with open_world() as world:
+        world.add_executor()
+        daemon = world.start_daemon("a")
+        await trio.sleep(2)
+        daemon.rows.failing_tables.add("servers")
+        await trio.sleep(6)
+        job = world.submit(make_step(2))
+        await world.wait_for(lambda: world.state(job) == "completed", 3)
--- a/test/test_fleet_daemon.py
+++ b/test/test_fleet_daemon.py
@@ -58,6 +58,7 @@
 config_apply_ms = 5000
 grace_s = 6
 status_s = 120
+stability_ms = 3000
 order_turn_ms = 3000
 """
 
