Count no free room below zero

Seen: in a pool without an admission check two of three executors shrink below what their lasting subtasks use. The third is empty, but no new job starts in the pool for as long as this lasts.

Cause: the free cpu of an executor is its capacity less what its runs use, which is negative after it has shrunk. `count_announceable_cpu` sums it over the pool, so overfull executors cancel the room of others, and no step is announced. `PoolRoom.is_held_from` sums it as well.

Ruled out: `has_room`, `choose_gang`, `fill_group` and `has_room_elsewhere`, which compare what would be used with the capacity of the one executor and stay right.

Seen to fail before: test_overfull_executors_take_no_room_from_others (TooSlowError).

--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -143,8 +143,11 @@
         return fills or self.used.cpu_millis + size.cpu_millis <= capacity.cpu_millis
 
     def free_cpu(self) -> int:
-        """Return the unreserved cpu in thousandths of a core."""
-        return self.entry.capacity.cpu_millis - self.used.cpu_millis
+        """Return the unreserved cpu in thousandths of a core.
+
+        The runs of an executor that has shrunk may use more than it has.
+        """
+        return max(0, self.entry.capacity.cpu_millis - self.used.cpu_millis)
 
     def add_run(self, subtask: Subtask) -> None:
         """Count a run against the capacity."""
--- a/test/test_fleet_capacities.py
+++ b/test/test_fleet_capacities.py
@@ -9,7 +9,14 @@
 
 from emulator.fleet_executors import SubtaskBehaviour
 from hemlockstand.fleet.model import Resources, StartOrder, Step
-from test.fleet_world import SMALL, FleetWorld, make_config, make_step, open_world
+from test.fleet_world import (
+    LASTING,
+    SMALL,
+    FleetWorld,
+    make_config,
+    make_step,
+    open_world,
+)
 
 LARGE = Resources(8000, 4096)
 
@@ -96,3 +103,25 @@
         await trio.sleep(6)
         job = world.submit(make_step(2))
         await world.wait_for(lambda: world.state(job) == "completed", 3)
+
+
+async def test_overfull_executors_take_no_room_from_others(clock):
+    """Guards against a pool that starts nothing beside shrunken executors."""
+    async with open_world() as world:
+        use_unguarded_pool(world)
+        for _ in range(3):
+            world.add_executor(admission_check=False)
+        world.start_daemon("a")
+        await trio.sleep(2)
+        step = Step(4, LARGE, 60_000, lasting=True)
+        world.submit(step, work=SubtaskBehaviour(LASTING, size=LARGE))
+        await world.wait_for(lambda: len(world.find_running()) == 4, 5)
+        full = {run.executor for run in world.records}
+        assert len(full) == 2
+        for executor in full:
+            world.resize_executor(world.executors[executor], Resources(500, 32_768))
+        await trio.sleep(1)
+        job = world.submit(make_step(8))
+        await world.wait_for(lambda: world.state(job) == "completed", 5)
+        assert not full & {run.executor for run in world.records[4:]}
+        world.check_capacities()
