Size pools by the usual capacity of an instance, not the smallest

Seen: one executor of a pool of two shrinks to 1 core, and the pool grows from 2 instances to 21 within seconds; with one instance of 2 cores among 24 of 16 cores, to 10.

Cause: needs are divided by the least capacity that any executor of the fleet has, so all pools take all their instances for that small.

Why this works: the need is counted in usual instances: the capacity in the middle by cpu of those that the platform lists, of all pools and on standby. One instance, or a minority, does not move it, and neither does an executor that shrinks. If instances are listed without a capacity, those of the executors are used.

Ruled out: the largest, which makes pools too small in uneven fleets.

--- a/hemlockstand/fleet/capacity.py
+++ b/hemlockstand/fleet/capacity.py
@@ -2,12 +2,10 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
 
 from attrs import define, field, frozen
 
 from hemlockstand.fleet.durations import Durations
-from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import JobRegistry, find_pool
 from hemlockstand.fleet.model import FleetConfig, Resources, get_reservation
 from hemlockstand.fleet.policy.arrivals import ArrivedWork, estimate_rate
@@ -222,12 +220,3 @@
             demand.arriving.add(size, step.count * seconds / window_seconds)
             cpu_seconds += size.cpu_millis * step.count * seconds
     demand.arrived.append(ArrivedWork(age_seconds, cpu_seconds))
-
-
-def find_smallest_capacity(executors: Iterable[Executor]) -> Resources:
-    """Return the capacity of the executor with the least cpu."""
-    return min(
-        (executor.entry.capacity for executor in executors),
-        key=lambda capacity: capacity.cpu_millis,
-        default=Resources(),
-    )
--- a/hemlockstand/fleet/moves.py
+++ b/hemlockstand/fleet/moves.py
@@ -8,11 +8,11 @@
 from hemlockstand.fleet.capacity import (
     Demand,
     PoolNeed,
-    find_smallest_capacity,
     measure_demand,
 )
-from hemlockstand.fleet.model import InstanceEntry, InstanceState
+from hemlockstand.fleet.model import InstanceEntry, InstanceState, Resources
 from hemlockstand.fleet.plans import InstancePlans, Plan
+from hemlockstand.fleet.policy.sizing import find_usual_capacity
 
 log = logger.bind(module=__name__)
 
@@ -51,11 +51,7 @@
             return
         now = self.plans.state.clock()
         demands = measure_demand(self.plans.state.registry, config, now)
-        capacity = find_smallest_capacity(
-            executor
-            for executor in self.plans.state.executors.values()
-            if executor.is_in_store
-        )
+        capacity = self._find_usual_capacity()
         if not capacity.cpu_millis:
             return
         surplus: list[InstanceEntry] = []
@@ -90,6 +86,22 @@
         for instance in surplus:
             self._plan_move(instance, standby[0])
 
+    def _find_usual_capacity(self) -> Resources:
+        """Return the usual capacity of an instance.
+
+        It is that of the executors if the instances are listed without one.
+        """
+        usual = find_usual_capacity(
+            instance.capacity for instance in self.plans.instances.values()
+        )
+        if usual.cpu_millis:
+            return usual
+        return find_usual_capacity(
+            executor.entry.capacity
+            for executor in self.plans.state.executors.values()
+            if executor.is_in_store
+        )
+
     def _has_demand(self) -> bool:
         """Return whether there has been a job that is not lasting.
 
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from itertools import count
 
+import attrs
 import trio
 from attrs import define, field
 
@@ -56,6 +57,7 @@
 
 LASTING = float("inf")
 SMALL = Resources(1000, 512)
+USUAL = Resources(16_000, 32_768)  # capacity of an instance
 
 
 def make_settings(name: str) -> FleetSettings:
@@ -115,7 +117,12 @@
         self.store.remove("servers", executor)
 
     def _start_executor(self, instance: InstanceEntry) -> str:
-        model = self.add_executor(instance.pool, instance.rack, instance.labels[0])
+        model = self.add_executor(
+            instance.pool,
+            instance.rack,
+            instance.labels[0],
+            capacity=instance.capacity,
+        )
         return model.id
 
     def add_executor(
@@ -136,19 +143,22 @@
         self.store.put("servers", model.id, model.entry())
 
     def add_instances(
-        self, pool: str, number: int, racks: int = 2, kind: str = "a"
+        self,
+        pool: str,
+        number: int,
+        racks: int = 2,
+        kind: str = "a",
+        capacity: Resources = USUAL,
     ) -> None:
         """Add instances, with executors unless the pool is ``standby``."""
         for position in range(number):
             name = f"m-{next(self._ids)}"
             labels = (kind, f"r{position % racks + 1}")
             entry = InstanceEntry(
-                name, pool, InstanceState.UP, "dc1", labels, Resources(16_000), ""
+                name, pool, InstanceState.UP, "dc1", labels, capacity, ""
             )
             executor = "" if pool == "standby" else self._start_executor(entry)
-            self.instances.instances[name] = InstanceEntry(
-                name, pool, InstanceState.UP, "dc1", labels, Resources(16_000), executor
-            )
+            self.instances.instances[name] = attrs.evolve(entry, executor=executor)
 
     def resize_executor(self, model: ExecutorModel, capacity: Resources) -> None:
         """Change an executor's capacity and write its entry at once."""
