Count a member of a pool for what it offers at present

Seen: five of six members shrink to 1 core. Four lasting subtasks, or a gang of four, that need 9 cores each find room for one: the pool looks large enough with six members, and no instance joins in 12 s. In the other direction, six members of 64 cores among instances of 16 are kept for work that two of them hold.

Cause: a pool's need and its members were compared as numbers of instances, whatever each of them offers.

Why this works: needs and offers are sizes in usual instances (policy/sizing.py). A member offers the part of a usual instance that its present entry shows, for subtasks that need room at the same time the part of the subtasks that fit; instances without an executor offer what the platform lists. What joins is counted the same way, so ten instances of 4 cores replace what they can replace, and instances that meet no part of a lack are left where they are. Limits per executor still count instances. With alike instances all numbers are as before. Of idle members with nothing to tell them apart, those that offer least leave first.

Ruled out: stopping work on executors that have shrunk below it; no rule asks for that, and it would lose what has been done.

Seen to fail before, in test_fleet_sizing.py: test_shrunken_members_are_replaced (lasting work and gang), test_large_instances_count_for_what_they_offer (6 members, at most 3 allowed), test_small_instances_on_standby_are_enough_together.

--- a/hemlockstand/fleet/capacity.py
+++ b/hemlockstand/fleet/capacity.py
@@ -9,6 +9,7 @@
 from hemlockstand.fleet.job_registry import JobRegistry, find_pool
 from hemlockstand.fleet.model import FleetConfig, Resources, get_reservation
 from hemlockstand.fleet.policy.arrivals import ArrivedWork, estimate_rate
+from hemlockstand.fleet.policy.sizing import OfferScale, PoolSize, count_fitting
 from hemlockstand.fleet.work import Job
 
 # Part of an instance that subtasks fill; uneven sizes leave a tenth unused.
@@ -33,22 +34,39 @@
 
 
 @define
-class PoolNeed:
-    """Instances that a pool needs, as a sliding maximum over some seconds."""
+class SlidingMaximum:
+    """The largest sample of the last seconds."""
 
     keep_seconds: float = KEEP_SECONDS
-    _samples: deque[tuple[float, int]] = field(factory=deque)
+    _samples: deque[tuple[float, float]] = field(factory=deque)
 
-    def update(self, now: float, instances: int) -> int:
+    def update(self, now: float, sample: float) -> float:
         """Add a sample and return the largest of the last seconds."""
-        while self._samples and self._samples[-1][1] <= instances:
+        while self._samples and self._samples[-1][1] <= sample:
             self._samples.pop()
-        self._samples.append((now, instances))
+        self._samples.append((now, sample))
         while self._samples[0][0] < now - self.keep_seconds:
             self._samples.popleft()
         return self._samples[0][1]
 
 
+@define
+class PoolNeed:
+    """Size that a pool needs; it is kept for a while after it has fallen."""
+
+    _work: SlidingMaximum = field(factory=SlidingMaximum)
+    _unsplit: SlidingMaximum = field(factory=SlidingMaximum)
+    _instances: SlidingMaximum = field(factory=SlidingMaximum)
+
+    def update(self, now: float, size: PoolSize) -> PoolSize:
+        """Add a sample and return the largest values of the last seconds."""
+        return PoolSize(
+            self._work.update(now, size.work),
+            self._unsplit.update(now, size.unsplit),
+            int(self._instances.update(now, size.instances)),
+        )
+
+
 @define
 class ResourceDemand:
     """Average resources that work needs to be done in time."""
@@ -65,10 +83,9 @@
 
     def count_instances(self, capacity: Resources) -> float:
         """Return how many instances of a capacity the resources fill."""
-        parts = [
-            self.cpu_millis / max(1, capacity.cpu_millis),
-            self.memory_mb / max(1, capacity.memory_mb),
-        ]
+        parts = [self.cpu_millis / max(1, capacity.cpu_millis)]
+        if capacity.memory_mb:
+            parts.append(self.memory_mb / capacity.memory_mb)
         if capacity.accelerators:
             parts.append(self.accelerators / capacity.accelerators)
         return max(parts) / FILL_FRACTION
@@ -87,16 +104,9 @@
         A subtask cannot be split, so those of over half an instance need one
         each.
         """
-        fitting = [
-            room // needed
-            for room, needed in (
-                (capacity.cpu_millis, self.size.cpu_millis),
-                (capacity.memory_mb, self.size.memory_mb),
-                (capacity.accelerators, self.size.accelerators),
-            )
-            if needed
-        ]
-        return self.count / max(1, min(fitting, default=self.count))
+        if self.size == Resources():
+            return 1.0
+        return self.count / max(1, count_fitting(self.size, capacity))
 
 
 @define
@@ -121,11 +131,12 @@
     gangs: list[SubtaskGroup] = field(factory=list)
     minimum: int = MIN_INSTANCES
 
-    def count_labelled(self, label: str, capacity: Resources) -> int:
-        """Return how many instances with a label the work needs."""
-        return math.ceil(self.labelled[label].count_instances(capacity))
+    def count_labelled(self, label: str, capacity: Resources) -> PoolSize:
+        """Return what the work with a label needs of instances that have it."""
+        count = self.labelled[label].count_instances(capacity)
+        return PoolSize(count, count)
 
-    def count_instances(self, capacity: Resources) -> int:
+    def count_instances(self, capacity: Resources) -> PoolSize:
         """Return how many instances of a capacity the work needs."""
         spare = SPARE_CPU_MILLIS / max(1, capacity.cpu_millis)
         short_lived = max(
@@ -137,10 +148,18 @@
         lasting_instances = sum(
             group.count_instances(capacity) for group in self.lasting_groups
         )
-        lasting = max(self.lasting.count_instances(capacity), lasting_instances)
         gang = max((group.count_instances(capacity) for group in self.gangs), default=0)
-        needed = lasting + max(short_lived * HEADROOM, math.ceil(gang))
-        return max(math.ceil(needed), self.minimum)
+        rest = max(short_lived * HEADROOM, math.ceil(gang))
+        return PoolSize(
+            self.lasting.count_instances(capacity) + rest,
+            lasting_instances + rest,
+            self.minimum,
+        )
+
+    def make_scale(self, usual: Resources) -> OfferScale:
+        """Return the scale for what instances offer for the work."""
+        sizes = {group.size for group in (*self.lasting_groups, *self.gangs)}
+        return OfferScale(usual, frozenset(sizes))
 
 
 def measure_demand(
--- a/hemlockstand/fleet/moves.py
+++ b/hemlockstand/fleet/moves.py
@@ -5,26 +5,28 @@
 from attrs import define, field, frozen
 from loguru import logger
 
-from hemlockstand.fleet.capacity import (
-    Demand,
-    PoolNeed,
-    measure_demand,
-)
+from hemlockstand.fleet.capacity import Demand, PoolNeed, measure_demand
 from hemlockstand.fleet.model import InstanceEntry, InstanceState, Resources
 from hemlockstand.fleet.plans import InstancePlans, Plan
-from hemlockstand.fleet.policy.sizing import find_usual_capacity
+from hemlockstand.fleet.policy.sizing import OfferScale, PoolSize, find_usual_capacity
 
 log = logger.bind(module=__name__)
 
 
 @frozen
 class Shortage:
-    """Instances that a pool lacks, with a label unless it is empty."""
+    """What a pool lacks, of instances with a label unless it is empty."""
 
-    missing: int
+    lack: PoolSize
     pool: str
+    scale: OfferScale
     label: str = ""
 
+    @property
+    def missing(self) -> int:
+        """Usual instances that are missing."""
+        return self.lack.count()
+
     def fits(self, instance: InstanceEntry) -> bool:
         """Return whether an instance has the label, if one is needed."""
         return not self.label or self.label in instance.labels
@@ -42,6 +44,7 @@
     _needs: dict[str, PoolNeed] = field(factory=dict)
     _logged: dict[str, tuple[int, int]] = field(factory=dict)
     _demand_seen: bool = False
+    _usual: Resources = field(factory=Resources)
 
     def plan(self) -> None:
         """Reserve instances for moves to the pools that need them."""
@@ -51,33 +54,15 @@
             return
         now = self.plans.state.clock()
         demands = measure_demand(self.plans.state.registry, config, now)
-        capacity = self._find_usual_capacity()
-        if not capacity.cpu_millis:
+        self._usual = self._find_usual_capacity()
+        if not self._usual.cpu_millis:
             return
         surplus: list[InstanceEntry] = []
         shortages: list[Shortage] = []
         for pool in config.pools.values():
-            if pool.standby:
-                continue
-            demand = demands.get(pool.name, Demand())
-            need = self._needs.setdefault(pool.name, PoolNeed())
-            wanted = need.update(now, demand.count_instances(capacity))
-            members = self._find_members(pool.name)
-            if not self._has_demand():
-                wanted = max(wanted, len(members))
-            self._log_need(pool.name, len(members), wanted, demand)
-            kept: list[InstanceEntry] = []
-            for label in demand.labelled:
-                count = demand.count_labelled(label, capacity)
-                labelled = [item for item in members if label in item.labels]
-                kept.extend(labelled[:count])
-                if len(labelled) < count:
-                    shortages.append(Shortage(count - len(labelled), pool.name, label))
-            if len(members) > wanted:
-                free = [item for item in members if item not in kept]
-                surplus.extend(self._rank_surplus(free)[: len(members) - wanted])
-            elif len(members) < wanted:
-                shortages.append(Shortage(wanted - len(members), pool.name))
+            if not pool.standby:
+                demand = demands.get(pool.name, Demand())
+                self._compare(pool.name, demand, now, surplus, shortages)
         # Shortages with a label come first; the others can use any instance.
         for shortage in sorted(
             shortages, key=lambda item: (not item.label, -item.missing)
@@ -86,6 +71,42 @@
         for instance in surplus:
             self._plan_move(instance, standby[0])
 
+    def _compare(
+        self,
+        pool: str,
+        demand: Demand,
+        now: float,
+        surplus: list[InstanceEntry],
+        shortages: list[Shortage],
+    ) -> None:
+        """Add what a pool lacks, or the members that it can spare."""
+        need = self._needs.setdefault(pool, PoolNeed())
+        needed = need.update(now, demand.count_instances(self._usual))
+        scale = demand.make_scale(self._usual)
+        members = self._find_members(pool)
+        kept: list[InstanceEntry] = []
+        for label in demand.labelled:
+            lack = demand.count_labelled(label, self._usual)
+            for item in members:
+                if label in item.labels and not lack.is_met:
+                    kept.append(item)
+                    lack = lack.subtract(self._offer(item, scale))
+            if not lack.is_met:
+                shortages.append(Shortage(lack, pool, scale, label))
+        lack = needed
+        for item in members:
+            lack = lack.subtract(self._offer(item, scale))
+        self._log_need(pool, len(members), lack, needed, demand)
+        if not lack.is_met:
+            shortages.append(Shortage(lack, pool, scale))
+        elif self._has_demand():
+            free = [item for item in members if item not in kept]
+            for item in self._rank_surplus(free, scale):
+                rest = lack.add(self._offer(item, scale))
+                if rest.is_met:
+                    lack = rest
+                    surplus.append(item)
+
     def _find_usual_capacity(self) -> Resources:
         """Return the usual capacity of an instance.
 
@@ -113,13 +134,32 @@
             self._demand_seen = any(not job.spec.lasting for job in jobs)
         return self._demand_seen
 
-    def _log_need(self, pool: str, members: int, wanted: int, demand: Demand) -> None:
+    def _offer(self, instance: InstanceEntry, scale: OfferScale) -> PoolSize:
+        """Return what an instance offers to a pool at present."""
+        capacity = instance.capacity
+        executor = self.plans.find_executor(instance.name)
+        if executor is not None and executor.is_in_store:
+            capacity = executor.entry.capacity
+        elif not capacity.cpu_millis:
+            capacity = self._usual
+        return scale.offer(capacity)
+
+    def _log_need(
+        self,
+        pool: str,
+        members: int,
+        lack: PoolSize,
+        needed: PoolSize,
+        demand: Demand,
+    ) -> None:
+        wanted = needed.count()
         if self._logged.get(pool) == (members, wanted):
             return
         self._logged[pool] = members, wanted
         log.info(
             "pool needs {} instances",
             wanted,
+            missing=lack.count(),
             pool=pool,
             members=members,
             present_cpu=int(demand.present.cpu_millis),
@@ -152,8 +192,13 @@
         executor = self.plans.find_executor(instance.name)
         return executor is None or executor.reachable
 
-    def _rank_surplus(self, members: list[InstanceEntry]) -> list[InstanceEntry]:
-        """Return the members that can be moved, least work first."""
+    def _rank_surplus(
+        self, members: list[InstanceEntry], scale: OfferScale
+    ) -> list[InstanceEntry]:
+        """Return the members that can be moved, least work first.
+
+        Of those with as much work, the ones that offer least come first.
+        """
         movable = [
             instance
             for instance in members
@@ -161,7 +206,13 @@
             and instance.state is InstanceState.UP
             and self._is_movable(instance)
         ]
-        return sorted(movable, key=self.plans.get_work_key)
+        return sorted(
+            movable,
+            key=lambda instance: (
+                self.plans.get_work_key(instance),
+                self._offer(instance, scale).work,
+            ),
+        )
 
     def _is_movable(self, instance: InstanceEntry) -> bool:
         executor = self.plans.find_executor(instance.name)
@@ -175,9 +226,9 @@
         surplus: list[InstanceEntry],
         standby: list[str],
     ) -> None:
-        missing, pool = shortage.missing, shortage.pool
+        lack, pool = shortage.lack, shortage.pool
         for plan in list(self.plans.current.values()):
-            if missing <= 0:
+            if lack.is_met:
                 return
             instance = self.plans.instances.get(plan.instance)
             if instance is None or plan.wave or plan.ordering:
@@ -186,16 +237,17 @@
                 continue
             if instance.pool == pool and plan.pool != pool:
                 self.plans.drop(plan)
-                missing -= 1
+                lack = lack.subtract(self._offer(instance, shortage.scale))
         for instance in self._find_sources(surplus, standby):
-            if missing <= 0:
+            if lack.is_met:
                 return
-            if not shortage.fits(instance):
+            offer = self._offer(instance, shortage.scale)
+            if not shortage.fits(instance) or not lack.is_reduced_by(offer):
                 continue
             if instance in surplus:
                 surplus.remove(instance)
             self._plan_move(instance, pool)
-            missing -= 1
+            lack = lack.subtract(offer)
 
     def _find_sources(
         self, surplus: list[InstanceEntry], standby: list[str]
--- a/test/test_fleet_sizing.py
+++ b/test/test_fleet_sizing.py
@@ -4,8 +4,8 @@
 import trio
 
 from emulator.fleet_executors import SubtaskBehaviour
-from hemlockstand.fleet.model import Resources
-from test.fleet_world import SMALL, FleetWorld, make_step, open_world
+from hemlockstand.fleet.model import Resources, Step
+from test.fleet_world import LASTING, SMALL, FleetWorld, make_step, open_world
 
 WIDE = Resources(9000, 512)  # an instance has room for one of these
 TINY = Resources(1000, 32_768)
@@ -71,3 +71,55 @@
         with trio.move_on_after(10):
             await watch_members(world, uneven)
         assert max(uneven) <= max(usual) + 2
+
+
+@pytest.mark.parametrize("gang", [False, True])
+async def test_shrunken_members_are_replaced(clock, gang):
+    """Guards against work that waits in a pool that only looks large enough.
+
+    Most of the members have shrunk, so that no subtask fits on them.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 6)
+        world.add_instances("standby", 8)
+        world.start_daemon("a")
+        await trio.sleep(3)
+        for model in list(world.executors.values())[:5]:
+            world.resize_executor(model, TINY)
+        await trio.sleep(1)
+        work = SubtaskBehaviour(4.0 if gang else LASTING, size=WIDE)
+        job = world.submit(Step(4, WIDE, 4000, gang=gang, lasting=not gang), work=work)
+        await world.wait_for(lambda: len(world.find_running(job)) == 4, 12)
+
+
+async def test_large_instances_count_for_what_they_offer(clock):
+    """Guards against a pool with several times the room that its work needs."""
+    async with open_world() as world:
+        world.add_instances("standby", 20)
+        world.add_instances("pool", 6, capacity=Resources(64_000, 131_072))
+        world.start_daemon("a")
+        await trio.sleep(3)
+        # 60 cores of lasting work, and as much short work as one job has.
+        size = Resources(6000, 1024)
+        lasting = Step(10, size, lasting=True)
+        job = world.submit(lasting, work=SubtaskBehaviour(LASTING, size=size))
+        world.submit(make_step())
+        await trio.sleep(25)
+        assert len(world.find_running(job)) == 10
+        assert count_members(world) <= 3
+
+
+async def test_small_instances_on_standby_are_enough_together(clock):
+    """Guards against too few instances where those on standby are small."""
+    async with open_world() as world:
+        world.add_instances("pool", 11)
+        world.add_instances("standby", 10, capacity=Resources(4000, 8192))
+        world.start_daemon("a")
+        for model in list(world.executors.values())[1:]:
+            world.resize_executor(model, Resources(500, 1024))
+        await trio.sleep(3)
+        size = Resources(4000, 512)
+        job = world.submit(
+            Step(12, size, lasting=True), work=SubtaskBehaviour(LASTING, size=size)
+        )
+        await world.wait_for(lambda: len(world.find_running(job)) == 12, 15)
