--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -96,7 +96,9 @@
     executor may forget. ``recorded`` means that the executor's name is stored
     for the next scheduler; before that it gets no runs. ``reserved`` means
     that its instance is about to be moved or maintained; it lasts as long as
-    the plan, also over restarts.
+    the plan, also over restarts. ``unknown_runs`` names the runs in its last
+    list that the scheduler has not started or adopted; they use room of unknown
+    size until they have been stopped.
     """
 
     entry: ExecutorEntry
@@ -111,6 +113,7 @@
     last_handled: int = 0
     acked: int = 0
     runs: dict[str, Subtask] = field(factory=dict)
+    unknown_runs: frozenset[str] = frozenset()
     used: Resources = field(factory=Resources)
     lease_expires_at: float = _NEVER
     failing_since: float | None = None
@@ -163,8 +166,11 @@
         return fills or self.used.cpu_millis + size.cpu_millis <= capacity.cpu_millis
 
     def free_cpu(self) -> int:
-        """Return the unreserved cpu in thousandths of a core."""
-        return self.entry.capacity.cpu_millis - self.used.cpu_millis
+        """Return the unreserved cpu in thousandths of a core.
+
+        The runs of an executor that has shrunk may use more than it has.
+        """
+        return max(0, self.entry.capacity.cpu_millis - self.used.cpu_millis)
 
     def add_run(self, subtask: Subtask) -> None:
         """Count a run against the capacity."""
@@ -230,6 +236,7 @@
         """
         return (
             bool(self.runs)
+            or bool(self.unknown_runs)
             or not self.reconciled
             or not self.reachable
             or self.last_handled > self.acked
@@ -317,7 +324,7 @@
                 _update_run(run, entry.percent, entry.load, entry.checkpoint, now)
             elif run.answered_at is not None and run.answered_at < sent_at:
                 lost[subtask] = "not in the executor's list"
-            elif run.state is RunState.UNSURE and run.fence < fence:
+            elif run.may_be_unstarted and run.fence < fence:
                 lost[subtask] = "the start order was not carried out"
         if self._restarted:
             self._report_crash(lost)
@@ -329,6 +336,7 @@
         self._restarted = self._left_drained = False
         self._lapsed.clear()
         self.events.handle_running(self, answer)
+        self.unknown_runs = frozenset(listed.keys() - self.runs.keys())
         self.reconciled = True
 
     def _handle_end(self, end: EndEntry) -> None:
@@ -374,6 +382,7 @@
     def _end_lifetime(self, reason: str) -> None:
         self._forget_ends()
         self._report_crash(self.runs.values())
+        self.unknown_runs = frozenset()
         for subtask in list(self.runs.values()):
             self._report_lost(subtask, reason)
 
--- a/hemlockstand/fleet/idle_report.py
+++ b/hemlockstand/fleet/idle_report.py
@@ -133,6 +133,7 @@
             ("does not answer", not executor.reachable),
             ("lists not read", not executor.reconciled),
             ("entry of an earlier lifetime", not executor.is_entry_current),
+            ("unknown runs", bool(executor.unknown_runs)),
             ("draining", executor.entry.draining),
             ("reserved", executor.reserved),
             ("quarantined", executor.quarantined_until > now),
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from itertools import count
 
+import attrs
 import trio
 from attrs import define, field
 
@@ -58,6 +59,7 @@
 
 LASTING = float("inf")
 SMALL = Resources(1000, 512)
+USUAL = Resources(16_000, 32_768)  # capacity of an instance
 
 
 def make_settings(name: str) -> FleetSettings:
@@ -66,7 +68,7 @@
         FleetDaemonSettings(name, "dc1", 1.0, 1.0),
         FleetListenSettings("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"),
         FleetPlatformSettings("store:1", "machines:1", ""),
-        BoundSettings(10_000, 2000, 6, 120, 3000),
+        BoundSettings(10_000, 2000, 6, 120, 3000, 3000),
         SchedulerSettings(1.2, 0.3, 0.25, 0.8),
         LogSettings("INFO", "json"),
     )
@@ -128,16 +130,21 @@
         self.store.remove("servers", executor)
 
     def _start_executor(self, instance: InstanceEntry) -> str:
-        model = self.add_executor(instance.pool, instance.rack, instance.labels[0])
+        model = self.add_executor(
+            instance.pool,
+            instance.rack,
+            instance.labels[0],
+            capacity=instance.capacity,
+        )
         return model.id
 
     def add_executor(
-        self, pool: str = "pool", rack: str = "r1", kind: str = "a"
+        self, pool: str = "pool", rack: str = "r1", kind: str = "a", **values
     ) -> ExecutorModel:
         """Add an executor and write its entry to the store."""
         executor = f"i-{next(self._ids)}"
         model = ExecutorModel(
-            executor, pool, self.describe, self.records, rack=rack, kind=kind
+            executor, pool, self.describe, self.records, rack=rack, kind=kind, **values
         )
         model.clock_offset = trio.current_time() - 1000 * next(self._ids)
         model.on_restart = self.register_executor
@@ -150,19 +157,27 @@
         self.store.put("servers", model.id, model.entry())
 
     def add_instances(
-        self, pool: str, number: int, racks: int = 2, kind: str = "a"
+        self,
+        pool: str,
+        number: int,
+        racks: int = 2,
+        kind: str = "a",
+        capacity: Resources = USUAL,
     ) -> None:
         """Add instances, with executors unless the pool is ``standby``."""
         for position in range(number):
             name = f"m-{next(self._ids)}"
             labels = (kind, f"r{position % racks + 1}")
             entry = InstanceEntry(
-                name, pool, InstanceState.UP, "dc1", labels, Resources(16_000), ""
+                name, pool, InstanceState.UP, "dc1", labels, capacity, ""
             )
             executor = "" if pool == "standby" else self._start_executor(entry)
-            self.instances.instances[name] = InstanceEntry(
-                name, pool, InstanceState.UP, "dc1", labels, Resources(16_000), executor
-            )
+            self.instances.instances[name] = attrs.evolve(entry, executor=executor)
+
+    def resize_executor(self, model: ExecutorModel, capacity: Resources) -> None:
+        """Change an executor's capacity and write its entry at once."""
+        model.change_capacity(capacity)
+        self.register_executor(model)
 
     def describe(self, subtask: str) -> SubtaskBehaviour:
         """Return the work of a subtask, as set for it, its step or its job."""
@@ -290,6 +305,11 @@
             if run.ended_at is None and run.subtask.startswith(prefix)
         ]
 
+    def check_capacities(self) -> None:
+        """Check that no start brought an executor over its capacity."""
+        over = [run for run in self.records if run.excess != Resources()]
+        assert not over, f"{len(over)} starts over the capacity, such as {over[0]}"
+
     def check_runs(self) -> None:
         """Check that no subtask ran twice at the same time or after its end.
 
@@ -318,13 +338,16 @@
 
 
 def make_config(
-    maximum: Resources | None = None, attempts: int = 2, advice: Advice | None = None
+    maximum: Resources | None = None,
+    attempts: int = 2,
+    admission_check: bool = True,
+    advice: Advice | None = None,
 ) -> FleetConfig:
     """Return a configuration with a queue, its pool and a standby pool."""
     queue = Queue(
         "queue", "host", "/queue/", "pool", False, 0, attempts, 1.6, 600, advice
     )
-    pools = (Pool("pool", True, False), Pool("standby", True, True))
+    pools = (Pool("pool", admission_check, False), Pool("standby", True, True))
     tenant = Tenant("team", frozenset({"key"}), 1.0, maximum or Resources())
     return FleetConfig(
         1, (queue,), {pool.name: pool for pool in pools}, {"team": tenant}, 262_144
