End the term of a scheduler, not its process, on an unexpected error

Seen: any exception of a task of the leader other than LeaseLost, PlatformUnavailable, InvalidInput and DecodeError ended SchedulerService.run, so the kernel ended the daemon, with the connections of its callers. docs/proofs.md listed it as not proved. An error while the lease was watched (a row that cannot be decoded) did the same.

Cause: SchedulerService._lead caught four types; after one of those, the same daemon took its own lease again at once, so its terms could end in a row without a pause.

Change: every exception while a daemon watches the lease or leads ends the term and is logged with its traceback. The lease is left to expire: the outcome of the transaction in flight is unknown, so a release could not be trusted. A lost lease adds no delay, as before.

Ruled out: releasing the lease with a last transaction. A cancelled commit may be applied or not, so the release may conflict with the daemon's own write, and its successor could start without the orders that this commit had stored.

--- a/hemlockstand/fleet/scheduler.py
+++ b/hemlockstand/fleet/scheduler.py
@@ -9,15 +9,15 @@
 import time
 from uuid import uuid4
 
-import msgspec
 import trio
 from loguru import logger
 
 from hemlockstand.coordination.lease import LeaseLost, make_lease_clock
 from hemlockstand.coordination.looplag import LoopLag
-from hemlockstand.errors import InvalidInput, OutcomeUnknown, PlatformUnavailable
+from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.clients import FleetClients
 from hemlockstand.fleet.configuration import FleetConfigurationService
+from hemlockstand.fleet.failed_terms import FailedTerms
 from hemlockstand.fleet.leader import Leader
 from hemlockstand.fleet.lease import LeaseWatch, SchedulerLease
 from hemlockstand.fleet.metrics import LEADING
@@ -71,6 +71,7 @@
             AdviceClient(settings.platform.advice),
         )
         self._lag = LoopLag()
+        self._failed_terms = FailedTerms(settings.scheduler.lease_seconds, self._clock)
         self._cooldown_until = float("-inf")
         self._leader: Leader | None = None
         self._leaving = False
@@ -87,14 +88,29 @@
     async def _lead_forever(self) -> None:
         await self._register_daemon()
         while not self._leaving:
-            watch = self._make_watch()
-            lease = await self._wait_for_lease(watch)
-            if lease is None:
-                break
-            await self._lead(lease, watch)
+            await trio.sleep(self._failed_terms.delay_seconds)
+            await self._wait_and_lead()
         self._stopped.set()
         await trio.sleep_forever()
 
+    async def _wait_and_lead(self) -> None:
+        """Lead for one term; an error in it ends the term alone.
+
+        The daemon goes on serving callers, and another one may lead.
+        """
+        began_at = self._clock()
+        try:
+            watch = self._make_watch()
+            lease = await self._wait_for_lease(watch)
+            if lease is not None:
+                began_at = self._clock()
+                await self._lead(lease, watch)
+        except* Exception as group:
+            log.opt(exception=group).error(
+                "error in the scheduler; this daemon leaves the lease to others",
+                delay_seconds=self._failed_terms.add(began_at),
+            )
+
     async def stop(self) -> None:
         """Stop leading, so that another daemon can take the lease."""
         self._leaving = True
@@ -199,9 +215,6 @@
         except* LeaseLost as group:
             detail = str(group.exceptions[0])
             log.warning("scheduler ends", epoch=record.epoch, detail=detail)
-        except* (PlatformUnavailable, InvalidInput, msgspec.DecodeError) as group:
-            detail = repr(group.exceptions[0])
-            log.error("scheduler ends", epoch=record.epoch, detail=detail)
         finally:
             LEADING.set(0)
             self._leader = None
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -5,6 +5,7 @@
 """
 
 from contextlib import asynccontextmanager
+from functools import partial
 from itertools import count
 
 import trio
@@ -200,6 +201,12 @@
         self.nursery.start_soon(self._run_daemon, daemon)
         return daemon
 
+    def connect_executor(
+        self, executor: str, address: str, cut=lambda executor: False
+    ) -> ExecutorAccess:
+        """Return a client of an executor; ``cut`` tells if it is cut off."""
+        return ExecutorAccess(self.executors, executor, address, cut)
+
     async def _run_daemon(self, daemon: Daemon) -> None:
         with daemon.scope:
             while not daemon.leaving:
@@ -221,13 +228,8 @@
             except PlatformUnavailable:
                 lease = None
             await trio.sleep(settings.scheduler.watch_seconds)
-        clients = FleetClients(
-            lambda executor, address: ExecutorAccess(
-                self.executors, executor, address, daemon.cut_off.__contains__
-            ),
-            daemon.instances,
-            None,
-        )
+        connect = partial(self.connect_executor, cut=daemon.cut_off.__contains__)
+        clients = FleetClients(connect, daemon.instances, None)
         try:
             async with trio.open_nursery() as nursery:
                 daemon.leader = Leader(
