Refuse submissions with integers that are no time or size

Seen: a caller's job with StartAtMs 10 ** 400 and RepeatCount 1 is accepted and stored. The scheduler that reads it divides the number by 1000, which raises OverflowError (a Python integer of 2 ** 1024 or more has no float), and each of its successors reads the row again. EstimatedMs does the same.

Cause: msgspec decodes integers of any length when no type is given, and Fields.integer only checked the sign.

Change: integers of the platform's documents are at most 2 ** 53; a submission with a larger one is answered 400 with the name of the field.

--- a/hemlockstand/platform/decoding.py
+++ b/hemlockstand/platform/decoding.py
@@ -30,6 +30,9 @@
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 MAX_PAYLOAD_BYTES = 4000
 MAX_SUBTASKS = 20_000  # per job; more do not fit into a scheduler's memory
+# Larger numbers of milliseconds have no exact floating-point number of seconds,
+# and from 2 ** 1024 on none at all.
+MAX_INTEGER = 2**53
 _MISSING: Any = object()
 
 
@@ -66,9 +69,11 @@
         return self._get(name, bool, False)
 
     def integer(self, name: str, default: int = _MISSING) -> int:
-        """Return an integer that is not negative."""
+        """Return an integer from 0 to ``MAX_INTEGER``."""
         number = self._get(name, int, default)
-        if isinstance(number, bool) or (number is not None and number < 0):
+        if isinstance(number, bool) or (
+            number is not None and not 0 <= number <= MAX_INTEGER
+        ):
             raise InvalidInput(f"{self._what}: {name} is {number!r}")
         return number
 
--- a/test/test_fleet_decoding.py
+++ b/test/test_fleet_decoding.py
@@ -126,6 +126,26 @@
     assert group_rows([row])[spec.id].spec == spec
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"StartAtMs": 10**400, "RepeatCount": 1},
+        {"IntervalMs": 2**60},
+        {"Steps": [{"Count": 1, "EstimatedMs": 10**400}]},
+        {"Steps": [{"Count": 1, "Cpu": 10**30}]},
+    ],
+)
+def test_numbers_that_are_no_time_or_size_are_rejected(fields):
+    """Guards against a submission that ends the scheduler.
+
+    An integer of 2 ** 1024 or more has no floating-point number of seconds, and
+    each new scheduler read the job again.
+    """
+    body = {"Steps": [{"Count": 1}], **fields}
+    with pytest.raises(InvalidInput, match="StartAtMs|IntervalMs|EstimatedMs|Cpu"):
+        decode_submission(encode(body), "0123456789abcdef", QUEUE, "team", 7)
+
+
 def test_compact_rows_leave_defaults_out():
     """Guards against rows that store fields which the job does not use."""
     spec = JobSpec("0123456789abcdef", "q", "p", "t", "", ())
