Leave out rows that a scheduler cannot decode

Seen: a row of a job, a job's status, a pool's executors, a wave's progress or a daemon's capacity that cannot be decoded raised msgspec.DecodeError (or ValueError, for a wave's key) in the task that read it, and ended each scheduler in turn. So did job rows that can be decoded but hold what no frontend stores: a step that follows itself or a later one (KeyError), an estimate of 10 ** 400 ms (OverflowError); one with 10 ** 9 occurrences held the process for minutes.

Cause: the decoders of hemlockstand/fleet/storage.py let one bad row fail the whole read, and nothing compared a stored job with what a submission may hold.

Change: each such row is left out with a log line. - A job with an unreadable row or status is not started until all rows are read again: it may have ended. A status whose value the store returns broken counted as absent before, and the job would have run again. - A cancel counts by its key, whatever its value holds. - A pool whose executors are unreadable stays blocked for announced steps until the longest lease has expired, as if one of them did not answer. - A wave whose progress is unreadable is not planned, since the number of its instances that are down is unknown. Frontends still answer such a job with an error, not with a state.

--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -31,7 +31,7 @@
     WaveRecord,
     decode_known_executors,
     decode_waves,
-    group_rows,
+    group_job_rows,
     read_jobs,
 )
 from hemlockstand.fleet.takeover_barrier import TakeoverBarrier
@@ -91,7 +91,8 @@
         self._placer = Placer(
             registry, self.state.executors, self._barrier.blocked_pools, self._may_run
         )
-        self._wave_records: dict[int, WaveRecord] = {}
+        self._wave_records: dict[int, WaveRecord | None] = {}
+        self._unreadable_jobs: set[str] = set()
         self._leaving = trio.Event()
         self._slow = False
         self.follows_slow = lease.record.follows_slow
@@ -148,6 +149,7 @@
 
     async def _load_jobs(self) -> int:
         page = await read_current(self.state, partial(read_jobs, self.state.rows))
+        self._unreadable_jobs.clear()
         self._apply_job_rows(page.rows)
         log.info(
             "jobs loaded", jobs=len(self.state.registry.jobs), version=page.version
@@ -158,14 +160,24 @@
         """Read what a previous scheduler has stored for its successor."""
         read = partial(self.state.rows.read_all, SCHEDULER_TABLE)
         page = await read_current(self.state, read)
-        self._commits.known_executors = decode_known_executors(page.rows)
+        found = decode_known_executors(page.rows)
+        self._barrier.add_unknown_pools(
+            pool for pool, addresses in found.items() if addresses is None
+        )
+        self._commits.known_executors = {
+            pool: addresses or {} for pool, addresses in found.items()
+        }
         self._executor_directory.add_known(self._commits.known_executors)
         self._wave_records = decode_waves(page.rows)
         self._add_waves()
 
     def _add_waves(self) -> None:
         for number, wave in self.state.configuration.waves.items():
-            self._instances.waves.add(wave, self._wave_records.get(number))
+            record = self._wave_records.get(number)
+            # If a wave's row is unreadable, it is not known how many of its
+            # instances are out of service.
+            if record is not None or number not in self._wave_records:
+                self._instances.waves.add(wave, record)
 
     async def _follow_jobs(self, version: int) -> None:
         while True:
@@ -184,7 +196,15 @@
     def _apply_job_rows(self, rows: Iterable[StoredRow]) -> None:
         now = self.state.clock()
         now_ms = int(time.time() * 1000)
-        for job_id, found in group_rows(rows).items():
+        jobs, unreadable = group_job_rows(rows)
+        for job_id, reason in unreadable.items():
+            log.error("rows of job {} cannot be read: {}", job_id, reason)
+        # The changes that are followed lack the status of such a job, so it
+        # waits until all rows are read again.
+        self._unreadable_jobs.update(unreadable)
+        for job_id, found in jobs.items():
+            if self._is_unreadable(job_id):
+                continue
             if found.spec is not None:
                 job = self.state.registry.add(
                     found.spec, found.version, found.status, now, now_ms
@@ -199,6 +219,10 @@
         if self.state.registry.dirty:
             self.state.request_commit()
 
+    def _is_unreadable(self, job_id: str) -> bool:
+        known = self.state.registry.jobs
+        return job_id in self._unreadable_jobs and job_id not in known
+
     def _set_deadline(self, job: Job) -> None:
         queue = self.state.config.queues_by_name.get(job.spec.queue)
         factor = 1.0 if queue is None else queue.slack_factor
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -10,19 +10,22 @@
     states  5c0e7a21d94b36f8          the job's status, by the scheduler
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 import attrs
 import msgspec
 import trio
 from attrs import frozen
+from loguru import logger
 
-from hemlockstand.errors import PlatformUnavailable
+from hemlockstand.errors import InvalidInput, PlatformUnavailable
 from hemlockstand.fleet.model import JobSpec, JobState, JobStatus
-from hemlockstand.platform.decoding import encode_wave_status
+from hemlockstand.platform.decoding import check_job, encode_wave_status
 from hemlockstand.platform.rows import RowKey, RowPage, RowStore, RowWrite, StoredRow
 
+log = logger.bind(module=__name__)
+
 JOBS_TABLE = "jobs"
 STATES_TABLE = "states"
 SCHEDULER_TABLE = "scheduler"
@@ -110,6 +113,7 @@
 _daemon_decoder = msgspec.json.Decoder(DaemonRecord)
 _wave_decoder = msgspec.json.Decoder(WaveRecord)
 _lease_decoder = msgspec.json.Decoder(LeaseRecord)
+_addresses_decoder = msgspec.json.Decoder(dict[str, str])
 
 
 def encode_compact(value: Any) -> bytes:
@@ -167,23 +171,52 @@
     """
     jobs: dict[str, JobRows] = {}
     for row in rows:
-        if row.value is None:
-            continue
-        job, _, kind = row.key.partition("/")
-        known = jobs.get(job, JobRows())
-        match kind:
-            case _ if row.table == STATES_TABLE:
-                status = _status_decoder.decode(row.value)
-                known = attrs.evolve(known, status=status)
-            case "":
-                spec = _spec_decoder.decode(row.value)
-                known = attrs.evolve(known, spec=spec, version=row.version)
-            case "cancel":
-                known = attrs.evolve(known, cancelled=True)
-        jobs[job] = known
+        if not row.dropped:
+            job = row.key.partition("/")[0]
+            jobs[job] = _add_row(jobs.get(job, JobRows()), row)
     return jobs
 
 
+def group_job_rows(
+    rows: Iterable[StoredRow],
+) -> tuple[dict[str, JobRows], dict[str, str]]:
+    """Return the jobs in some rows, and why others cannot be read, by id.
+
+    A job with an unreadable status may have ended, so it is not among the jobs
+    even if its other rows can be read.
+    """
+    jobs: dict[str, JobRows] = {}
+    unreadable: dict[str, str] = {}
+    for row in rows:
+        if row.dropped:
+            continue
+        job = row.key.partition("/")[0]
+        try:
+            known = _add_row(jobs.get(job, JobRows()), row)
+            if known.spec is not None:
+                check_job(known.spec, job)
+            jobs[job] = known
+        except (msgspec.DecodeError, InvalidInput) as error:
+            unreadable[job] = f"{row.table}/{row.key}: {error}"
+    readable = {job: found for job, found in jobs.items() if job not in unreadable}
+    return readable, unreadable
+
+
+def _add_row(known: JobRows, row: StoredRow) -> JobRows:
+    kind = row.key.partition("/")[2]
+    if row.table != STATES_TABLE and kind == "cancel":
+        # The key tells everything; the value is only for people.
+        return attrs.evolve(known, cancelled=True)
+    if row.table != STATES_TABLE and "/" in row.key:
+        return known
+    if row.value is None:
+        raise msgspec.DecodeError("the store returned no readable value")
+    if row.table == STATES_TABLE:
+        return attrs.evolve(known, status=_status_decoder.decode(row.value))
+    spec = _spec_decoder.decode(row.value)
+    return attrs.evolve(known, spec=spec, version=row.version)
+
+
 def decode_lease(value: bytes | None) -> LeaseRecord | None:
     """Return the lease in a row, if there is one."""
     return None if value is None else _lease_decoder.decode(value)
@@ -203,15 +236,33 @@
     return RowWrite(SCHEDULER_TABLE, KNOWN_EXECUTORS_PREFIX + pool, value)
 
 
-def decode_known_executors(rows: Iterable[StoredRow]) -> dict[str, dict[str, str]]:
-    """Return the addresses of executors by pool and id."""
-    return {
-        row.key.removeprefix(KNOWN_EXECUTORS_PREFIX): msgspec.json.decode(
-            row.value, type=dict[str, str]
-        )
-        for row in rows
-        if row.key.startswith(KNOWN_EXECUTORS_PREFIX) and row.value is not None
-    }
+def decode_known_executors(
+    rows: Iterable[StoredRow],
+) -> dict[str, dict[str, str] | None]:
+    """Return the addresses of executors by pool and id.
+
+    A pool whose row cannot be decoded has None.
+    """
+    return dict(_decode_rows(rows, KNOWN_EXECUTORS_PREFIX, _addresses_decoder))
+
+
+def _decode_rows(
+    rows: Iterable[StoredRow], prefix: str, decoder: msgspec.json.Decoder
+) -> Iterator[tuple[str, Any]]:
+    """Yield the keys without the prefix, and the values or None.
+
+    A value that cannot be decoded is logged. It must not end a scheduler, since
+    each of its successors would read it as well.
+    """
+    for row in rows:
+        if row.dropped or not row.key.startswith(prefix):
+            continue
+        try:
+            value = decoder.decode(row.value or b"")
+        except msgspec.DecodeError as error:
+            log.error("row {}/{} cannot be decoded: {}", row.table, row.key, error)
+            value = None
+        yield row.key.removeprefix(prefix), value
 
 
 def pending_write(counts: Mapping[str, int]) -> RowWrite:
@@ -230,12 +281,12 @@
 
 
 def decode_daemons(rows: Iterable[StoredRow]) -> dict[str, float]:
-    """Return the cores of all daemons by their names."""
-    return {
-        row.key: _daemon_decoder.decode(row.value).cores
-        for row in rows
-        if row.value is not None
-    }
+    """Return the cores of all daemons by their names.
+
+    A row that cannot be decoded is left out.
+    """
+    found = _decode_rows(rows, "", _daemon_decoder)
+    return {name: record.cores for name, record in found if record is not None}
 
 
 def wave_writes(number: int, record: WaveRecord, completed: bool) -> list[RowWrite]:
@@ -247,13 +298,13 @@
     ]
 
 
-def decode_waves(rows: Iterable[StoredRow]) -> dict[int, WaveRecord]:
-    """Return the waves in the scheduler's rows by their numbers."""
-    return {
-        int(row.key.removeprefix(WAVE_PREFIX)): _wave_decoder.decode(row.value)
-        for row in rows
-        if row.key.startswith(WAVE_PREFIX) and row.value is not None
-    }
+def decode_waves(rows: Iterable[StoredRow]) -> dict[int, WaveRecord | None]:
+    """Return the waves in the scheduler's rows by their numbers.
+
+    A wave whose row cannot be decoded has None.
+    """
+    found = _decode_rows(rows, WAVE_PREFIX, _wave_decoder)
+    return {int(number): record for number, record in found if number.isdecimal()}
 
 
 async def read_job(rows: RowStore, job: str) -> JobRows:
--- a/hemlockstand/fleet/takeover_barrier.py
+++ b/hemlockstand/fleet/takeover_barrier.py
@@ -26,6 +26,14 @@
     state: SchedulerState
     blocked_pools: set[str] = field(factory=set)
     _inherited: set[str] = field(factory=set)
+    _unknown_pools: set[str] = field(factory=set)
+
+    def add_unknown_pools(self, pools: Iterable[str]) -> None:
+        """Add pools that may have executors of which nothing is known.
+
+        They stay blocked until the longest lease has expired.
+        """
+        self._unknown_pools.update(pools)
 
     def block_pools(self, inherited: Iterable[str]) -> None:
         """Block announced steps in the pools of the inherited executors."""
@@ -34,7 +42,7 @@
 
     def _find_unreconciled_pools(self) -> set[str]:
         """Return the pools of the executors that have not answered yet."""
-        return {
+        return self._unknown_pools | {
             executor.entry.pool
             for executor in self.state.executors.values()
             if executor.id in self._inherited and not executor.reconciled
--- a/hemlockstand/platform/decoding.py
+++ b/hemlockstand/platform/decoding.py
@@ -253,22 +253,53 @@
     steps = tuple(decode_step(item, position) for position, item in enumerate(items))
     if len(fields.string("TaskSpec", "").encode()) > MAX_PAYLOAD_BYTES:
         raise InvalidInput(f"job: TaskSpec has over {MAX_PAYLOAD_BYTES} bytes")
-    repeats = fields.integer("RepeatCount", 0)
-    interval_ms = fields.integer("IntervalMs", 0)
-    if sum(step.count for step in steps) * max(1, repeats) > MAX_SUBTASKS:
-        raise InvalidInput(f"job: has over {MAX_SUBTASKS} subtasks")
-    return JobSpec(
+    spec = JobSpec(
         id=job,
         queue=queue.name,
         pool=queue.pool,
         tenant=tenant,
         payload=fields.string("TaskSpec", ""),
         steps=steps,
-        repeats=repeats,
+        repeats=fields.integer("RepeatCount", 0),
         start_at_ms=fields.integer("StartAtMs", 0),
-        interval_ms=interval_ms,
+        interval_ms=fields.integer("IntervalMs", 0),
         accepted_ms=now_ms,
     )
+    _check_size(spec)
+    return spec
+
+
+def _check_size(spec: JobSpec) -> None:
+    if sum(step.count for step in spec.steps) * spec.occurrences > MAX_SUBTASKS:
+        raise InvalidInput(f"job: has over {MAX_SUBTASKS} subtasks")
+
+
+def check_job(spec: JobSpec, job: str) -> None:
+    """Raise ``InvalidInput`` for a stored job that no submission can give.
+
+    Such a job, of another program or another version, would end schedulers.
+    """
+    if spec.id != job or JOB_ID.fullmatch(job) is None:
+        raise InvalidInput(f"job: its id is {spec.id!r}")
+    times = (spec.repeats, spec.start_at_ms, spec.interval_ms, spec.accepted_ms)
+    if not spec.steps or not all(0 <= time <= MAX_INTEGER for time in times):
+        raise InvalidInput("job: has no steps, or a time out of range")
+    for position, step in enumerate(spec.steps):
+        what = f"job: step {position}"
+        numbers = (
+            step.size.cpu_millis,
+            step.size.memory_mb,
+            step.size.accelerators,
+            step.estimate_ms,
+            step.max_per_executor,
+            step.target_ms,
+            step.max_unavailable,
+        )
+        if step.count < 1 or not all(0 <= each <= MAX_INTEGER for each in numbers):
+            raise InvalidInput(f"{what}: has a number out of range")
+        if not all(0 <= earlier < position for earlier in step.after):
+            raise InvalidInput(f"{what}: follows a step that is not before it")
+    _check_size(spec)
 
 
 def decode_step(item: Any, position: int) -> Step:
--- a/test/test_fleet_unexpected.py
+++ b/test/test_fleet_unexpected.py
@@ -118,6 +118,20 @@
         assert terms[-1][1] - ended_at < 5
 
 
+@pytest.mark.parametrize("value", [b"\xff", b"[]", b'{"cores": "two"}'])
+async def test_malformed_row_of_a_daemon_is_left_out(clock, value):
+    """Guards against a row that keeps every daemon from the lease.
+
+    Daemons read it before each attempt to acquire the lease.
+    """
+    async with open_world() as world:
+        world.add_executor()
+        world.store.put("daemons", "faulty", value)
+        world.nursery.start_soon(make_service(world, "a").run)
+        job = world.submit(make_step(2))
+        await world.wait_for(lambda: world.state(job) == "completed", 6)
+
+
 async def fail_at_once() -> None:
     """Raise an unexpected error."""
     raise ZeroDivisionError("unexpected")
