Take over a lease of the scheduler that cannot be decoded

Seen: a lease row that cannot be decoded raised msgspec.DecodeError in every daemon that watched it, and in the holder's next commit. Nobody could lead until an operator had removed the row, and then the epochs began at 1 again: executors would have refused all orders, because their fencing tokens are higher.

Cause: LeaseWatch and SchedulerLease decoded the row without a case for this, and a value that the store returns broken counted as a lease that never existed.

Change: such a row counts as the lease of an unknown holder. It is taken over when it did not change for the lease and, since it does not tell to which instances orders are open, for the required time between two holders' orders. Its epoch is taken as the row's version. Each holder writes the row once or more, so no earlier epoch is higher than that version.

Evidence: the four cases of test_unreadable_lease_is_taken_over were seen to fail before (DecodeError, ValidationError).

--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -19,9 +19,10 @@
 from hemlockstand.fleet.storage import (
     LEASE_KEY,
     SCHEDULER_TABLE,
+    UNKNOWN_HOLDER,
     LeaseRecord,
-    decode_lease,
     lease_write,
+    read_lease,
 )
 from hemlockstand.platform.rows import (
     RowConflict,
@@ -142,7 +143,7 @@
     def _find_own_write(self, rows: Sequence[StoredRow], record: LeaseRecord) -> int:
         """Return the version of the row if an earlier attempt wrote it."""
         for row in rows:
-            found = decode_lease(row.value)
+            found = read_lease(row)
             if found is None:
                 continue
             if found.session == record.session and found.sequence == record.sequence:
@@ -157,6 +158,8 @@
 
     ``delay_seconds`` gives better suited daemons precedence, and
     ``first_wait_seconds`` lets all daemons start before the first acquisition.
+    ``unknown_orders_seconds`` is how long the orders of a holder may matter; a
+    lease that cannot be decoded does not tell to which instances they went.
     """
 
     rows: RowStore
@@ -166,6 +169,7 @@
     clock: Callable[[], float]
     delay_seconds: float = 0.0
     first_wait_seconds: float = 0.0
+    unknown_orders_seconds: float = 0.0
     previous: LeaseRecord | None = None
     _seen_version: int | None = None
     _seen_at: float = _NEVER
@@ -184,7 +188,7 @@
         except PlatformUnavailable:
             self._seen_version = None
             raise
-        record = decode_lease(row.value)
+        record = read_lease(row)
         if record is not None and record.session == self.session:
             # An earlier attempt without an answer was applied after all.
             return self._make_lease(record, row.version, self._attempted_at)
@@ -208,11 +212,13 @@
             return unchanged >= self.first_wait_seconds + self.delay_seconds
         if not record.holder:
             return unchanged >= self.delay_seconds
-        if record.holder == self.holder:
+        if record.session and record.holder == self.holder:
             # It was an earlier process of this daemon, which has ended.
             return True
         self._previous_renewed_at = self._seen_at
         wait = self.lease_seconds * TAKEOVER_FACTOR + self.delay_seconds
+        if not record.session and record.holder == UNKNOWN_HOLDER:
+            wait += self.unknown_orders_seconds
         return unchanged >= wait
 
     async def _acquire(
--- a/hemlockstand/fleet/scheduler.py
+++ b/hemlockstand/fleet/scheduler.py
@@ -18,6 +18,7 @@
 from hemlockstand.fleet.clients import FleetClients
 from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.failed_terms import FailedTerms
+from hemlockstand.fleet.instances import PREVIOUS_ORDER_SECONDS
 from hemlockstand.fleet.leader import Leader
 from hemlockstand.fleet.lease import LeaseWatch, SchedulerLease
 from hemlockstand.fleet.metrics import LEADING
@@ -149,6 +150,9 @@
             lease_seconds=self._settings.scheduler.lease_seconds,
             clock=self._clock,
             first_wait_seconds=FIRST_WAIT_SECONDS,
+            unknown_orders_seconds=(
+                self._settings.bounds.order_turn_ms / 1000 + PREVIOUS_ORDER_SECONDS
+            ),
         )
 
     async def _wait_for_lease(self, watch: LeaseWatch) -> SchedulerLease | None:
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -36,6 +36,7 @@
 CONFIG_KEY = "config"
 WAVE_PREFIX = "wave/"
 LEASE_KEY = "lease"
+UNKNOWN_HOLDER = "unknown"
 PENDING_KEY = "pending"
 KNOWN_EXECUTORS_PREFIX = "roster/"
 
@@ -217,9 +218,20 @@
     return attrs.evolve(known, spec=spec, version=row.version)
 
 
-def decode_lease(value: bytes | None) -> LeaseRecord | None:
-    """Return the lease in a row, if there is one."""
-    return None if value is None else _lease_decoder.decode(value)
+def read_lease(row: StoredRow) -> LeaseRecord | None:
+    """Return the lease in a row as read, if there is one.
+
+    A lease that cannot be decoded belongs to ``UNKNOWN_HOLDER``. Its epoch is
+    taken as the row's version: each holder writes the row, so that no holder
+    can have had a higher epoch.
+    """
+    if row.dropped:
+        return None
+    try:
+        return _lease_decoder.decode(row.value or b"")
+    except msgspec.DecodeError as error:
+        log.error("lease of the scheduler cannot be decoded: {}", error)
+        return LeaseRecord(UNKNOWN_HOLDER, "", row.version, 0)
 
 
 def lease_write(record: LeaseRecord) -> RowWrite:
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -47,11 +47,11 @@
 )
 from hemlockstand.fleet.storage import (
     cancel_write,
-    decode_lease,
     group_rows,
     job_part,
     job_range,
     job_write,
+    read_lease,
 )
 from hemlockstand.settings import LogSettings
 
@@ -189,7 +189,7 @@
     def lease_holder(self) -> str:
         """Return the daemon that holds the lease according to the store."""
         row = self.store.find("scheduler", "lease")
-        record = None if row is None else decode_lease(row.value)
+        record = None if row is None else read_lease(row)
         return "" if record is None else record.holder
 
     def start_daemon(self, name: str) -> Daemon:
--- a/test/test_fleet_lease.py
+++ b/test/test_fleet_lease.py
@@ -7,7 +7,7 @@
 from hemlockstand.coordination.lease import LeaseLost
 from hemlockstand.errors import PlatformUnavailable
 from hemlockstand.fleet.lease import InstanceOrders, LeaseWatch, Release
-from hemlockstand.fleet.storage import decode_lease
+from hemlockstand.fleet.storage import read_lease
 from hemlockstand.platform.rows import RowWrite
 
 LEASE_SECONDS = 2.0
@@ -32,7 +32,7 @@
 
 def read_record(model: RowStoreModel):
     """Return the record in the lease row."""
-    return decode_lease(model.find("scheduler", "lease").value)
+    return read_lease(model.find("scheduler", "lease"))
 
 
 async def test_lost_answer_is_recognised(autojump_clock):
@@ -159,3 +159,30 @@
     fourth = await acquire(make_watch(model, "c"))
     assert third.valid_until <= fourth.previous_valid_until <= trio.current_time()
     assert fourth.previous_renewed_at <= trio.current_time() - LEASE_SECONDS
+
+
+@pytest.mark.parametrize("value", [b"\xff", b"[]", b'{"holder": "a"}', b""])
+async def test_unreadable_lease_is_taken_over(autojump_clock, value):
+    """Guards against a lease row that no daemon can take over any more.
+
+    The next holder's fencing tokens must be higher than all earlier ones, and
+    it does not know for which instances orders are open.
+    """
+    model = RowStoreModel()
+    first = await acquire(make_watch(model, "a"))
+    for _ in range(3):
+        await first.commit(release=Release.STOPPED)
+        first = await acquire(make_watch(model, "a", f"session {model.version}"))
+    model.put("scheduler", "lease", value)
+    with pytest.raises(LeaseLost):
+        await first.commit()
+    began_at = trio.current_time()
+    watch = make_watch(model, "b")
+    watch.unknown_orders_seconds = 5.0
+    second = await acquire(watch)
+    assert second.record.epoch > first.record.epoch
+    assert trio.current_time() - began_at >= LEASE_SECONDS + 5.0
+    assert watch.previous is not None
+    await second.commit()
+    third = await acquire(make_watch(model, "c"))
+    assert third.record.epoch == second.record.epoch + 1
--- a/test/test_fleet_loading.py
+++ b/test/test_fleet_loading.py
@@ -8,7 +8,7 @@
 from hemlockstand.fleet.commits import KEEP_FACTOR
 from hemlockstand.fleet.lease import InstanceOrders
 from hemlockstand.fleet.model import JobState, JobStatus
-from hemlockstand.fleet.storage import decode_lease, expired_keys, status_write
+from hemlockstand.fleet.storage import expired_keys, read_lease, status_write
 from test.fleet_world import SMALL, make_settings, make_step, open_world
 
 
@@ -21,7 +21,7 @@
 def read_epoch(world) -> int:
     """Return how many schedulers there have been."""
     row = world.store.find("scheduler", "lease")
-    return decode_lease(row.value).epoch
+    return read_lease(row).epoch
 
 
 @pytest.mark.parametrize(("failing", "slow_seconds"), [(True, 0.0), (False, 3.0)])
@@ -58,7 +58,7 @@
         orders = InstanceOrders(("m-1",), ("m-2",))
         await lease.commit(orders=orders)
         await lease.renew()
-        record = decode_lease(world.store.find("scheduler", "lease").value)
+        record = read_lease(world.store.find("scheduler", "lease"))
         assert (record.ordered, record.turned) == (("m-1",), ("m-2",))
 
 
