--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -5,6 +5,7 @@
 """
 
 from contextlib import asynccontextmanager
+from functools import partial
 from itertools import count
 
 import attrs
@@ -48,11 +49,11 @@
 )
 from hemlockstand.fleet.storage import (
     cancel_write,
-    decode_lease,
     group_rows,
     job_part,
     job_range,
     job_write,
+    read_lease,
 )
 from hemlockstand.platform.advice import StepAdvice
 from hemlockstand.settings import LogSettings
@@ -217,7 +218,7 @@
     def lease_holder(self) -> str:
         """Return the daemon that holds the lease according to the store."""
         row = self.store.find("scheduler", "lease")
-        record = None if row is None else decode_lease(row.value)
+        record = None if row is None else read_lease(row)
         return "" if record is None else record.holder
 
     def start_daemon(self, name: str) -> Daemon:
@@ -229,6 +230,12 @@
         self.nursery.start_soon(self._run_daemon, daemon)
         return daemon
 
+    def connect_executor(
+        self, executor: str, address: str, cut=lambda executor: False
+    ) -> ExecutorAccess:
+        """Return a client of an executor; ``cut`` tells if it is cut off."""
+        return ExecutorAccess(self.executors, executor, address, cut, self.call_seconds)
+
     async def _run_daemon(self, daemon: Daemon) -> None:
         with daemon.scope:
             while not daemon.leaving:
@@ -250,17 +257,8 @@
             except PlatformUnavailable:
                 lease = None
             await trio.sleep(settings.scheduler.watch_seconds)
-        clients = FleetClients(
-            lambda executor, address: ExecutorAccess(
-                self.executors,
-                executor,
-                address,
-                daemon.cut_off.__contains__,
-                self.call_seconds,
-            ),
-            daemon.instances,
-            AdviceModel(),
-        )
+        connect = partial(self.connect_executor, cut=daemon.cut_off.__contains__)
+        clients = FleetClients(connect, daemon.instances, AdviceModel())
         try:
             async with trio.open_nursery() as nursery:
                 daemon.leader = Leader(
