Count the crash of an executor that stays away once

Cause: when the lease of a crashed executor expired and connections to it were refused, its runs were reported as crashed and kept as lapsed ones as well, so the next refused connection counted them again. A sound subtask could be given up after two crashes.

Evidence: test_crash_of_an_executor_that_stays_away_counts_once failed before (assert 2 == 1).

--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -295,9 +295,9 @@
             self.failing_since = now
             log.warning("executor {} does not answer", self.id, detail=str(error))
         if now > self.lease_expires_at + LEASE_EXPIRY_MARGIN_SECONDS:
-            if isinstance(error, ConnectionRefused):
-                self._report_crash(self.runs.values())
             self._lapsed.extend(self._list_orders(self.runs.values()))
+            if isinstance(error, ConnectionRefused):
+                self._report_crash()
             for subtask in list(self.runs.values()):
                 self._report_lost(subtask, "lease has expired")
         await trio.sleep(RETRY_SECONDS if self.runs else IDLE_RETRY_SECONDS)
@@ -327,7 +327,8 @@
             elif run.may_be_unstarted and run.fence < fence:
                 lost[subtask] = "the start order was not carried out"
         if self._restarted:
-            self._report_crash(lost)
+            self._lapsed.extend(self._list_orders(lost))
+            self._report_crash()
         for subtask, reason in lost.items():
             self._report_lost(subtask, "new lifetime" if self._restarted else reason)
         if self.failing_since is not None:
@@ -369,10 +370,9 @@
             if subtask.run is not None
         ]
 
-    def _report_crash(self, subtasks: Iterable[Subtask]) -> None:
+    def _report_crash(self) -> None:
         """Report the runs that the executor had when it stopped answering."""
-        orders = [*self._lapsed, *self._list_orders(subtasks)]
-        self._lapsed.clear()
+        orders, self._lapsed = self._lapsed, []
         if not orders or self.entry.draining or self._left_drained:
             return
         failed_at = self.clock() if self.failing_since is None else self.failing_since
@@ -381,7 +381,8 @@
 
     def _end_lifetime(self, reason: str) -> None:
         self._forget_ends()
-        self._report_crash(self.runs.values())
+        self._lapsed.extend(self._list_orders(self.runs.values()))
+        self._report_crash()
         self.unknown_runs = frozenset()
         for subtask in list(self.runs.values()):
             self._report_lost(subtask, reason)
--- a/test/test_fleet_crashes.py
+++ b/test/test_fleet_crashes.py
@@ -163,3 +163,23 @@
     runs = [CrashedRun("old", "a", 20.0, 3), CrashedRun("new", "b", 0.01, 3)]
     verdicts = {item.subtask: item.gives_up for item in judge_crash(runs)}
     assert verdicts == {"old": False, "new": True}
+
+
+async def test_crash_of_an_executor_that_stays_away_counts_once(clock):
+    """Guards against one crash that is counted with each refused connection."""
+    async with open_world() as world:
+        for _ in range(2):
+            world.add_executor()
+        daemon = world.start_daemon("a")
+        job = world.submit(
+            make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        await world.wait_for(lambda: world.find_running(job), 5)
+        await trio.sleep(2)
+        (run,) = world.find_running(job)
+        model = world.executors[run.executor]
+        model.crash_process()
+        model.back_at += 8
+        await trio.sleep(8)
+        (subtask,) = daemon.leader.state.registry.jobs[job].subtasks()
+        assert subtask.crashes == 1
