Keep the budget of lasting work with checkpoints

Only short ones are stopped so now; lasting ones wait for the budget and for room.

Evidence: test_wave_keeps_the_budget_of_lasting_work_with_checkpoints failed before (assert 2 >= 3).

--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -175,7 +175,8 @@
         if now - plan.planned_at < SHORT_RUN_WAIT_SECONDS:
             return
         for subtask in list(executor.runs.values()):
-            if subtask.step.checkpoints and not subtask.step.gang:
+            step = subtask.step
+            if step.checkpoints and not step.gang and not step.lasting:
                 self.stop_run(subtask)
 
     async def _order(self, plan: Plan, instance: InstanceEntry) -> None:
--- /dev/null
+++ b/test/test_fleet_budgets.py
@@ -0,0 +1,54 @@
+"""Budgets of lasting steps while their instances are emptied, on virtual time."""
+
+import pytest
+import trio
+
+from emulator.fleet_executors import SubtaskBehaviour
+from hemlockstand.fleet.model import Resources
+from test.fleet_world import (
+    LASTING,
+    add_wave,
+    make_step,
+    open_world,
+)
+
+
+@pytest.fixture
+def clock(autojump_clock):
+    """Virtual time that jumps to the next event."""
+    return autojump_clock
+
+
+async def watch_running(world, job, counts):
+    """Append the number of subtasks at work that are not being stopped."""
+    while True:
+        running = world.find_running(job)
+        stopping = sum(
+            1
+            for run in running
+            if world.executors[run.executor].running[run.subtask].stops_at is not None
+        )
+        counts.append(len(running) - stopping)
+        await trio.sleep(0.01)
+
+
+async def test_wave_keeps_the_budget_of_lasting_work_with_checkpoints(clock):
+    """Guards against stops that only look at checkpoints.
+
+    There is no room elsewhere, so the wave has to wait for the work.
+    """
+    large = Resources(7_500, 512)
+    async with open_world() as world:
+        world.add_instances("pool", 2)
+        world.start_daemon("a")
+        job = world.submit(
+            make_step(4, lasting=True, max_unavailable=1, checkpoints=True, size=large),
+            work=SubtaskBehaviour(LASTING, size=large),
+        )
+        await world.wait_for(lambda: len(world.find_running(job)) == 4, 8)
+        await trio.sleep(1)
+        add_wave(world, list(world.instances.instances), maximum=3, seconds=5.0)
+        counts = []
+        world.nursery.start_soon(watch_running, world, job, counts)
+        await trio.sleep(15)
+        assert min(counts) >= 3
