Wait for stops of the previous scheduler before using a budget

Cause: an executor lists a run as at work until its stop has ended. A new scheduler therefore does not see that a stop of the previous one uses the budget, and stops another.

Evidence: test_next_scheduler_waits_for_stops_in_progress failed before (assert 1 >= 2).

The new scheduler stops nothing that has a budget until such stops have certainly ended; the platform's bound on stops is a new setting, stop_ms.

--- a/hemlockstand/fleet/eviction.py
+++ b/hemlockstand/fleet/eviction.py
@@ -21,16 +21,23 @@
 
 
 def find_stoppable(
-    executor: Executor, executors: Mapping[str, Executor], now: float
+    executor: Executor,
+    executors: Mapping[str, Executor],
+    now: float,
+    budgets_known: bool,
 ) -> Iterator[Subtask]:
     """Yield the lasting subtasks of an executor that may be stopped now.
 
     The caller must stop each before it asks for the next, since the budget of
-    their step counts those that are stopped.
+    their step counts those that are stopped. While stops of a previous
+    scheduler may be in progress, ``budgets_known`` is false, and subtasks of
+    steps with a budget go on.
     """
     for subtask in list(executor.runs.values()):
         if not subtask.step.lasting or subtask.run is None:
             continue
+        if subtask.step.max_unavailable and not budgets_known:
+            continue
         if subtask.run.state is not RunState.RUNNING:
             continue
         if may_stop(subtask, executors) and has_room_elsewhere(subtask, executors, now):
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -170,7 +170,8 @@
 
     def _stop_remaining_runs(self, executor: Executor, plan: Plan) -> None:
         now = self.state.clock()
-        for subtask in find_stoppable(executor, self.state.executors, now):
+        known = now > self.state.previous_stops_end
+        for subtask in find_stoppable(executor, self.state.executors, now, known):
             self.stop_run(subtask)
         if now - plan.planned_at < SHORT_RUN_WAIT_SECONDS:
             return
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -81,6 +81,9 @@
         0,
         600_000,
     )
+    stop_ms: float = option(
+        "Longest time that an executor takes to stop a run.", 0, 60_000
+    )
     order_turn_ms: float = option(
         "Required time between the orders of two lease holders for the same instance.",
         0,
--- a/hemlockstand/fleet/state.py
+++ b/hemlockstand/fleet/state.py
@@ -13,6 +13,7 @@
 from hemlockstand.fleet.lease import SchedulerLease
 from hemlockstand.fleet.model import FleetConfig
 from hemlockstand.fleet.settings import FleetSettings
+from hemlockstand.platform.executors import ORDER_TIMEOUT_SECONDS
 from hemlockstand.platform.rows import RowPage, RowStore
 
 log = logger.bind(module=__name__)
@@ -63,6 +64,12 @@
         """Latest end of the leases that a previous scheduler granted."""
         return self.lease.previous_valid_until + self.grant_seconds
 
+    @property
+    def previous_stops_end(self) -> float:
+        """Latest end of the runs that a previous scheduler has stopped."""
+        stop_seconds = self.settings.bounds.stop_ms / 1000
+        return self.lease.previous_valid_until + ORDER_TIMEOUT_SECONDS + stop_seconds
+
     def may_order(self) -> bool:
         """Return whether the scheduler may give orders."""
         return self.lease.valid
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -69,7 +69,7 @@
         FleetDaemonSettings(name, "dc1", 1.0, 1.0),
         FleetListenSettings("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"),
         FleetPlatformSettings("store:1", "machines:1", ""),
-        BoundSettings(10_000, 2000, 6, 120, 3000, 3000),
+        BoundSettings(10_000, 2000, 6, 120, 3000, 900, 3000),
         SchedulerSettings(1.2, 0.3, 0.25, 0.8),
         LogSettings("INFO", "json"),
     )
--- a/test/test_fleet_budgets.py
+++ b/test/test_fleet_budgets.py
@@ -7,9 +7,11 @@
 from hemlockstand.fleet.model import Resources
 from test.fleet_world import (
     LASTING,
+    SMALL,
     add_wave,
     make_step,
     open_world,
+    read_status,
 )
 
 
@@ -32,6 +34,38 @@
         await trio.sleep(0.01)
 
 
+async def test_next_scheduler_waits_for_stops_in_progress(clock, monkeypatch):
+    """Guards against a second stop beside one of the previous scheduler.
+
+    The executor lists a run as at work until its stop has ended, so the next
+    scheduler does not see that the budget is used.
+    """
+    monkeypatch.setattr("emulator.fleet_executors.STOP_SECONDS", 0.9)
+    async with open_world() as world:
+        world.add_instances("pool", 5)
+        daemon = world.start_daemon("a")
+        job = world.submit(
+            make_step(3, lasting=True, max_unavailable=1, max_per_executor=1),
+            work=SubtaskBehaviour(LASTING, size=SMALL),
+        )
+        await world.wait_for(lambda: len(world.find_running(job)) == 3, 5)
+        await trio.sleep(2)
+        counts = []
+        world.nursery.start_soon(watch_running, world, job, counts)
+        first, second, _ = world.find_running(job)
+        world.executors[first.executor].stop(first.subtask, first.number)
+        world.stop(daemon)
+        world.start_daemon("b")
+        (name,) = (
+            name
+            for name, instance in world.instances.instances.items()
+            if instance.executor == second.executor
+        )
+        add_wave(world, [name], maximum=1)
+        await world.wait_for(lambda: "completed" in read_status(world), 20)
+        assert min(counts) >= 2
+
+
 async def test_wave_keeps_the_budget_of_lasting_work_with_checkpoints(clock):
     """Guards against stops that only look at checkpoints.
 
--- a/test/test_fleet_daemon.py
+++ b/test/test_fleet_daemon.py
@@ -59,6 +59,7 @@
 grace_s = 6
 status_s = 120
 stability_ms = 3000
+stop_ms = 900
 order_turn_ms = 3000
 """
 
