Count a crash only under runs that reached the executor

Cause: a start order that timed out counted as a run that the executor had when it crashed. Work that was ordered to idle executors beyond a cut, which started again before the cut ended, could be given up although it had never begun.

Evidence: test_start_that_never_arrived_is_no_crash failed before (assert 1 == 0). test_crash_before_the_answer_is_counted shows that a subtask which crashes its executor before the answer still counts: the connection ends then, and does not time out.

--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -402,6 +402,9 @@
             model.unhealthy_orders -= 1
             return Refused(Refusal.UNHEALTHY)
         outcome = model.begin(order)
+        model.advance()
+        if model.back_at is not None:
+            return Unanswered("the connection ended", connection_lost=True)
         if model.lost_answers:
             model.lost_answers -= 1
             return Unanswered("the answer was lost")
--- a/hemlockstand/errors.py
+++ b/hemlockstand/errors.py
@@ -57,6 +57,12 @@
     code = "outcome_unknown"
 
 
+class ConnectionLost(OutcomeUnknown):
+    """The peer ended the connection during the call."""
+
+    code = "connection_lost"
+
+
 class TableConflict(HemlockstandError):
     """A row had another version than expected; nothing was applied."""
 
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -364,10 +364,12 @@
         self.raise_fence()
 
     def _list_orders(self, subtasks: Iterable[Subtask]) -> list[tuple[Subtask, float]]:
+        """Return the subtasks whose orders have reached the executor."""
         return [
-            (subtask, subtask.run.ordered_at)
+            (subtask, run.ordered_at)
             for subtask in subtasks
-            if subtask.run is not None
+            if (run := subtask.run) is not None
+            and (run.answered_at is not None or run.connection_lost)
         ]
 
     def _report_crash(self) -> None:
--- a/hemlockstand/fleet/model.py
+++ b/hemlockstand/fleet/model.py
@@ -374,9 +374,14 @@
 
 @frozen
 class Unanswered:
-    """The order got no answer; it may be carried out, even seconds later."""
+    """The order got no answer; it may be carried out, even seconds later.
+
+    ``connection_lost`` means that the executor ended the connection, rather
+    than leave the order unanswered.
+    """
 
     detail: str
+    connection_lost: bool = False
 
 
 StartOutcome = Started | Refused | Unanswered
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -82,7 +82,8 @@
             case Refused(reason, clock_ms):
                 executor.update_clock(clock_ms)
                 self._handle_refused(subtask, run, executor, reason)
-            case Unanswered():
+            case Unanswered(_, connection_lost):
+                run.connection_lost = connection_lost
                 if subtask.run is run and run.state is RunState.STARTING:
                     run.state = RunState.UNSURE
                 if subtask.run is run:
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -27,6 +27,7 @@
     ordered_at: float
     state: RunState = RunState.STARTING
     answered_at: float | None = None
+    connection_lost: bool = False  # while the executor had the start order
     percent: int = 0
     percent_at: float = 0.0
     unchanged_polls: int = 0  # polls since the percent changed
--- a/hemlockstand/platform/connection.py
+++ b/hemlockstand/platform/connection.py
@@ -15,6 +15,7 @@
 from attrs import define, field, frozen
 
 from hemlockstand.errors import (
+    ConnectionLost,
     ConnectionRefused,
     OutcomeUnknown,
     PlatformUnavailable,
@@ -150,7 +151,8 @@
         the process may be paused for seconds while it waits for a connection.
         Raises ``PlatformUnavailable`` if nothing was sent,
         ``ConnectionRefused`` if that is because no process listens there, and
-        ``OutcomeUnknown`` if the request may have been carried out. After a
+        ``OutcomeUnknown`` if the request may have been carried out;
+        ``ConnectionLost`` is one of these. After a
         failure all connections are replaced, because a connection that has
         stopped responding reports no error itself.
         """
@@ -207,12 +209,10 @@
             with trio.fail_after(seconds):
                 reader = await _exchange(stream, request)
             reusable = reader.reusable and generation == self._generation
-        except (
-            trio.TooSlowError,
-            trio.BrokenResourceError,
-            httptools.HttpParserError,
-            _ConnectionEnded,
-        ) as error:
+        except (trio.BrokenResourceError, _ConnectionEnded) as error:
+            self._replace(generation)
+            raise ConnectionLost(f"{name}: {error!r}") from error
+        except (trio.TooSlowError, httptools.HttpParserError) as error:
             self._replace(generation)
             raise OutcomeUnknown(f"{name}: {error!r}") from error
         finally:
--- a/hemlockstand/platform/executors.py
+++ b/hemlockstand/platform/executors.py
@@ -6,7 +6,12 @@
 from attrs import define, field
 from loguru import logger
 
-from hemlockstand.errors import HemlockstandError, OutcomeUnknown, PlatformUnavailable
+from hemlockstand.errors import (
+    ConnectionLost,
+    HemlockstandError,
+    OutcomeUnknown,
+    PlatformUnavailable,
+)
 from hemlockstand.fleet.model import (
     EndEntry,
     EndKind,
@@ -74,7 +79,7 @@
         except PlatformUnavailable:
             return Refused(Refusal.UNHEALTHY)
         except OutcomeUnknown as error:
-            return Unanswered(str(error))
+            return Unanswered(str(error), isinstance(error, ConnectionLost))
         return _decode_start(reply)
 
     async def hold(
--- a/test/test_fleet_crashes.py
+++ b/test/test_fleet_crashes.py
@@ -183,3 +183,41 @@
         await trio.sleep(8)
         (subtask,) = daemon.leader.state.registry.jobs[job].subtasks()
         assert subtask.crashes == 1
+
+
+async def test_start_that_never_arrived_is_no_crash(clock):
+    """Guards against sound work that is given up for executors it never reached.
+
+    The executors are cut off while idle, and start again before the path is
+    back.
+    """
+    async with open_world() as world:
+        models = [world.add_executor() for _ in range(4)]
+        daemon = world.start_daemon("a")
+        await trio.sleep(1)
+        daemon.cut_off.update(model.id for model in models)
+        job = world.submit(
+            make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        for _ in models:
+            await trio.sleep(5)
+            for model in models:
+                model.restart()
+                world.register_executor(model)
+        daemon.cut_off.clear()
+        await world.wait_for(lambda: world.find_running(job), 10)
+        (subtask,) = daemon.leader.state.registry.jobs[job].subtasks()
+        assert subtask.crashes == 0
+
+
+async def test_crash_before_the_answer_is_counted(clock, monkeypatch):
+    """Guards against a subtask that crashes executors faster than they answer."""
+    monkeypatch.setattr("emulator.fleet_executors.CRASH_SECONDS", 0.0)
+    async with open_world() as world:
+        for _ in range(4):
+            world.add_executor()
+        world.start_daemon("a")
+        await trio.sleep(1)
+        job = submit_deadly(world, make_step(2))
+        await world.wait_for(lambda: world.state(job) == "failed", 25)
+        assert world.count_runs(f"{job}.0.0.0") <= MAX_DEADLY_STARTS
