--- a/bench/fleet_mutations.py
+++ b/bench/fleet_mutations.py
@@ -8,6 +8,9 @@
 )
 LEASE_TESTS = ("test/test_fleet_lease.py",)
 INSTANCE_TESTS = ("test/test_fleet_instances.py",)
+WAVE_TESTS = ("test/test_fleet_waves.py",)
+WAVE_FAULT_TESTS = ("test/test_wave_interleavings.py",)
+INSTANCE_ORDER_TESTS = ("test/test_instance_orders.py",)
 FRONTEND_TESTS = ("test/test_fleet_frontend.py",)
 CONNECTION_TESTS = ("test/test_platform_connection.py",)
 SLOWNESS_TESTS = ("test/test_fleet_slowness.py",)
@@ -221,6 +224,71 @@
         "if False:",
         INSTANCE_TESTS,
     ),
+    Mutation(
+        "Fleet: no instance has returned before its maintenance",
+        "a list is ignored for instances that changed after its read began",
+        "hemlockstand/fleet/plans.py",
+        "if changed_at >= began_at",
+        "if False",
+        WAVE_TESTS,
+    ),
+    Mutation(
+        "Fleet: a wave keeps its maximum under random faults",
+        "a list is ignored for instances that changed after its read began",
+        "hemlockstand/fleet/plans.py",
+        "if changed_at >= began_at",
+        "if False",
+        WAVE_FAULT_TESTS,
+    ),
+    Mutation(
+        "Fleet: a wave is completed by the next scheduler",
+        "the instances that have returned are stored",
+        "hemlockstand/fleet/waves.py",
+        "progress.returned.update(record.returned)",
+        "pass",
+        WAVE_TESTS,
+    ),
+    Mutation(
+        "Fleet: a removed instance does not hold up its wave",
+        "instances that are gone do not count against the maximum",
+        "hemlockstand/fleet/waves.py",
+        "- self.returned - self.find_gone()",
+        "- self.returned",
+        WAVE_TESTS,
+    ),
+    Mutation(
+        "Fleet: a delayed order counts against the maximum",
+        "an order that got no answer counts until it is known to be done",
+        "hemlockstand/fleet/instances.py",
+        "if progress is not None and (refused or not plan.unanswered):",
+        "if progress is not None:",
+        WAVE_TESTS,
+    ),
+    Mutation(
+        "Fleet: an executor that an order did not end stays in use",
+        "only the executor of a single answered attempt is removed",
+        "hemlockstand/fleet/instances.py",
+        "if plan.unanswered or executor.runs or executor.born_ms != plan.born_ms:",
+        "if False:",
+        INSTANCE_ORDER_TESTS,
+    ),
+    Mutation(
+        "Fleet: an open order ends no runs",
+        "a restart of the executor does not end its reservation",
+        "hemlockstand/fleet/executors.py",
+        "        self._end_lifetime(reason)\n        self.born_ms",
+        "        self._end_lifetime(reason)\n        self.reserved = False\n"
+        "        self.born_ms",
+        INSTANCE_ORDER_TESTS,
+    ),
+    Mutation(
+        "Fleet: no executor stays reserved without a plan",
+        "a dropped plan sets the executor free that it had reserved",
+        "hemlockstand/fleet/plans.py",
+        "plan.executor.reserved = False\n            self.state",
+        "self.state",
+        INSTANCE_ORDER_TESTS,
+    ),
     Mutation(
         "Fleet: a scheduler that was paused orders no instance",
         "the lease is checked directly before the first byte is sent",
