Keep the fencing token of an executor whose entry comes back

Seen on virtual time, while listing what may change between two reads of the executors: an executor's token rises after a start without an answer; its entry expires, as the store lets entries do during an outage; once its lease has expired it is no longer tracked. When the entry is back, the scheduler starts again with its first token, the executor refuses every call, and it is not used until the scheduler changes.

Fix: the directory keeps the tokens of executors that are no longer tracked, if they had risen. Ruled out: to raise the token at each refusal, as a scheduler that was replaced must not reach its successor's tokens.

test_executor_whose_entry_comes_back_is_used_again failed before with trio.TooSlowError (the second job had not completed).

--- a/hemlockstand/fleet/executor_directory.py
+++ b/hemlockstand/fleet/executor_directory.py
@@ -25,13 +25,19 @@
 
 @define(eq=False)
 class ExecutorDirectory:
-    """Keeps an ``Executor`` with its task for each entry in the store."""
+    """Keeps an ``Executor`` with its task for each entry in the store.
+
+    ``fence`` is the first fencing token of the scheduler. ``_fences`` holds
+    the higher ones that executors have seen which are no longer tracked, since
+    their entries may come back.
+    """
 
     state: SchedulerState
     connect: Callable[[str, str], ExecutorClient]
     report_handler: ExecutorReportHandler
     fence: int
     _versions: dict[str, int] = field(factory=dict)
+    _fences: dict[str, int] = field(factory=dict)
 
     async def load(self) -> int:
         """Read all entries; return the version to follow from."""
@@ -119,7 +125,7 @@
         executor = Executor(
             entry,
             client,
-            self.fence,
+            self._fences.pop(entry.id, self.fence),
             self.state.clock,
             self.report_handler,
             self.state.settings.scheduler.hold_seconds,
@@ -139,4 +145,6 @@
                 executor.close()
                 del self.state.executors[executor.id]
                 self._versions.pop(executor.id, None)
+                if executor.fence > self.fence:
+                    self._fences[executor.id] = executor.fence
                 log.info("executor {} is no longer tracked", executor.id)
