Read the status of jobs before the jobs

Seen on virtual time, while listing what may change during a read of several parts: the store has dropped its history, so all jobs are read again. A finished job expires meanwhile; its row had been read, its status row was read after its removal. The job was taken for one that had not started, and ran again.

Cause: the parts of the jobs and the status rows were read at once, in no order, while their rows are removed in an order: the job first, its status last.

Fix: the status rows are read first. A job that is read later had its status then, if it ever had one. It costs one more round trip to the store at a change of the scheduler. Ruled out: to remember expired jobs, which the next scheduler does not know.

test_job_that_expires_while_jobs_are_read_never_runs_again failed before with AssertionError: assert 2 == 1 (two runs of the job).

--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -273,14 +273,17 @@
 
 
 async def read_jobs(rows: RowStore) -> RowPage:
-    """Return the rows of all jobs, with the version to follow from."""
-    pages: list[RowPage] = []
+    """Return the rows of all jobs, with the version to follow from.
+
+    The status of a finished job is removed after the job itself. It is read
+    before, as the job would otherwise look as if it had not started.
+    """
+    pages = [await rows.read_all(STATES_TABLE)]
 
     async def read(table: str, part: str) -> None:
         pages.append(await rows.read_all(table, part))
 
-    parts = [(read, (JOBS_TABLE, part)) for part in JOB_PARTS]
-    await _read_concurrently([*parts, (read, (STATES_TABLE, ""))])
+    await _read_concurrently([(read, (JOBS_TABLE, part)) for part in JOB_PARTS])
     found = tuple(row for page in pages for row in page.rows)
     return RowPage(found, min(page.version for page in pages))
 
--- a/test/test_fleet_loading.py
+++ b/test/test_fleet_loading.py
@@ -95,3 +95,26 @@
         world.start_daemon("a")
         await trio.sleep(3)
         assert world.store.find("states", job) is None
+
+
+async def test_job_that_expires_while_jobs_are_read_never_runs_again(
+    clock, monkeypatch
+):
+    """Guards against a finished job that is read without its status.
+
+    The history was dropped, so the jobs are read again. The job's row is read
+    before it expires, and the status rows, which are slow, only after.
+    """
+    monkeypatch.setattr("time.time", trio.current_time)
+    keep_seconds = make_settings("a").bounds.status_s * KEEP_FACTOR
+    async with open_world() as world:
+        world.add_executor()
+        daemon = world.start_daemon("a")
+        job = world.submit(make_step(1), work=SubtaskBehaviour(0.5, size=SMALL))
+        await world.wait_for(lambda: world.state(job) == "completed", 5)
+        await trio.sleep(keep_seconds - 2)
+        daemon.rows.slow_tables["states"] = 4.0
+        world.store.forget_history()
+        await trio.sleep(10)
+        assert world.count_runs(job) == 1
+        assert world.store.find("states", job) is None
