Keep advice for the lifetimes that it was asked for

Advice on executors can take seconds. An executor that restarted meanwhile got the advice on its earlier lifetime as its own. A refusal stays valid for a lifetime, so an executor that had come back as another kind was never asked about again, and its step waited.

Cause: the lifetime was read after the answer, not at the time of the call.

Fix: it is read before the call. Advice on an earlier lifetime is then no advice, as for one that ended after the answer.

--- a/hemlockstand/fleet/tickets.py
+++ b/hemlockstand/fleet/tickets.py
@@ -100,10 +100,10 @@
         asked = unknown[:EXECUTORS_PER_CALL]
         if not asked:
             return
+        # The advice is on the lifetimes at the time of the call.
+        lifetimes = {executor.id: executor.born_ms for executor in asked}
         try:
-            advice = await self.client.ask(
-                step_run.name, [executor.id for executor in asked]
-            )
+            advice = await self.client.ask(step_run.name, list(lifetimes))
         except PlatformUnavailable as error:
             log.info(
                 "request for tickets failed",
@@ -113,10 +113,10 @@
             await trio.sleep(RETRY_SECONDS)
             return
         valid_until = self.state.clock() + advice.validity_ms / 1000 * USABLE_FRACTION
-        for executor in asked:
-            text = advice.tickets.get(executor.id, "")
-            ticket = Ticket(text, executor.born_ms, valid_until)
-            self._tickets[step_run.name, executor.id] = ticket
+        for executor_id, born_ms in lifetimes.items():
+            text = advice.tickets.get(executor_id, "")
+            ticket = Ticket(text, born_ms, valid_until)
+            self._tickets[step_run.name, executor_id] = ticket
         log.info("tickets received", step=step_run.name, allowed=len(advice.tickets))
         self.state.request_placement()
 
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -52,6 +52,7 @@
     job_range,
     job_write,
 )
+from hemlockstand.platform.advice import AdviceClient
 from hemlockstand.settings import LogSettings
 
 LASTING = float("inf")
@@ -104,6 +105,7 @@
     configuration: FakeFleetConfiguration = field(init=False)
     instances: InstanceModel = field(init=False)
     daemons: dict[str, Daemon] = field(factory=dict)
+    advice: AdviceClient | None = None
     _ids: count = field(factory=lambda: count(1))
 
     def __attrs_post_init__(self) -> None:
@@ -226,7 +228,7 @@
                 self.executors, executor, address, daemon.cut_off.__contains__
             ),
             daemon.instances,
-            None,
+            self.advice,
         )
         try:
             async with trio.open_nursery() as nursery:
