Test the next list and the first poll after an order, with their mutations

Two safeguards of the fixes before had no test that noticed their removal: a list that an order has overtaken is read again at once, and an executor that an unanswered order may have ended gets no runs before it answers.

--- a/bench/fleet_mutations.py
+++ b/bench/fleet_mutations.py
@@ -289,6 +289,40 @@
         "self.state",
         INSTANCE_ORDER_TESTS,
     ),
+    Mutation(
+        "Fleet: a list that an order has overtaken is read again",
+        "such a list does not put off the next one",
+        "hemlockstand/fleet/instances.py",
+        'ended_at if recent else float("-inf")',
+        "ended_at",
+        WAVE_TESTS,
+    ),
+    Mutation(
+        "Fleet: no runs on an executor that an order may have ended",
+        "after an unanswered attempt the executor has to answer first",
+        "hemlockstand/fleet/instances.py",
+        "executor.reconciled = False",
+        "pass",
+        INSTANCE_ORDER_TESTS,
+    ),
+    Mutation(
+        "Fleet: a refusal holds for one lifetime of an executor",
+        "advice counts for the lifetime that it was asked for",
+        "hemlockstand/fleet/tickets.py",
+        "ticket = Ticket(text, born_ms, valid_until)",
+        "ticket = Ticket(\n"
+        "                text, self.state.executors[executor_id].born_ms, valid_until\n"
+        "            )",
+        ("test/test_fleet_tickets.py",),
+    ),
+    Mutation(
+        "Fleet: an executor whose entry comes back is used again",
+        "its fencing token is kept",
+        "hemlockstand/fleet/executor_directory.py",
+        "self._fences.pop(entry.id, self.fence)",
+        "self.fence",
+        ("test/test_executor_directory.py",),
+    ),
     Mutation(
         "Fleet: a scheduler that was paused orders no instance",
         "the lease is checked directly before the first byte is sent",
--- a/test/test_fleet_waves.py
+++ b/test/test_fleet_waves.py
@@ -1,8 +1,11 @@
 """Waves while lists and orders are answered late, on virtual time."""
 
+from itertools import pairwise
+
 import pytest
 import trio
 from attrs import define, evolve, field
+from loguru import logger
 
 from emulator.fleet_executors import SubtaskBehaviour
 from emulator.fleet_instances import InstanceAccess
@@ -185,3 +188,30 @@
             assert order[0] in progress.make_record().ordered
             await trio.sleep(0.01)
         await world.wait_for(lambda: "completed" in read_status(world), 30)
+
+
+async def test_list_read_before_an_order_is_read_again(clock):
+    """Guards against an old list that puts off the one that an order needs."""
+    lists = []
+
+    def record(message) -> None:
+        if message.record["message"] == "instances listed":
+            lists.append(message.record["extra"])
+
+    handler = logger.add(record, level="INFO")
+    try:
+        async with open_world() as world:
+            world.add_instances("pool", 8)
+            add_wave(world, list(world.instances.instances), seconds=12.0)
+            daemon = world.start_daemon("a")
+            daemon.instances.list_answer_seconds = 0.3
+            daemon.instances.order_seconds = 1.2
+            await world.wait_for(lambda: "completed" in read_status(world), 40)
+    finally:
+        logger.remove(handler)
+    waits = [
+        later["read_began"] - earlier["read_ended"]
+        for earlier, later in pairwise(lists)
+        if earlier["ordered_meanwhile"]
+    ]
+    assert waits and max(waits) < 0.3
--- a/test/test_instance_orders.py
+++ b/test/test_instance_orders.py
@@ -111,3 +111,29 @@
         await world.wait_for(lambda: world.state(job) == "completed", 3)
         executors = world.daemons["b"].leader.state.executors
         assert set(executors) == set(world.executors)
+
+
+async def test_executor_of_a_repeated_order_has_to_answer_first(clock):
+    """Guards against runs on an executor that an unanswered order has ended.
+
+    Its entry stays in the store for some seconds.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 2)
+        names = list(world.instances.instances)
+        daemon = world.start_daemon("a")
+        daemon.instances.lost_answers = 1
+        await trio.sleep(1)
+        executor = daemon.leader.state.executors[
+            world.instances.instances[names[0]].executor
+        ]
+        entry = world.store.find("servers", executor.id)
+        add_wave(world, names[:1], maximum=1)
+        await world.wait_for(lambda: world.instances.maintained.get(1), 10)
+        world.store.put("servers", executor.id, entry.value)
+        await world.wait_for(lambda: len(world.instances.orders) == 2, 10)
+        work = SubtaskBehaviour(0.3, size=Resources(4000, 512))
+        job = world.submit(Step(20, Resources(4000, 512), 300), work=work)
+        while world.state(job) != "completed":
+            assert not executor.runs
+            await trio.sleep(0.01)
