--- a/hemlockstand/fleet/executor_directory.py
+++ b/hemlockstand/fleet/executor_directory.py
@@ -29,7 +29,10 @@
 class ExecutorDirectory:
     """Keeps an ``Executor`` with its task for each entry in the store.
 
-    ``_confirmed_at`` is the latest time of which all entries are known.
+    ``fence`` is the first fencing token of the scheduler. ``_fences`` holds
+    the higher ones that executors have seen which are no longer tracked, since
+    their entries may come back. ``_confirmed_at`` is the latest time of which
+    all entries are known.
     """
 
     state: SchedulerState
@@ -37,6 +40,7 @@
     report_handler: ExecutorReportHandler
     fence: int
     _versions: dict[str, int] = field(factory=dict)
+    _fences: dict[str, int] = field(factory=dict)
     _read_at: float = _NEVER
     _confirmed_at: float = _NEVER
 
@@ -146,7 +150,7 @@
         executor = Executor(
             entry,
             client,
-            self.fence,
+            self._fences.pop(entry.id, self.fence),
             self.state.clock,
             self.report_handler,
             self.state.settings.scheduler.hold_seconds,
@@ -166,4 +170,6 @@
                 executor.close()
                 del self.state.executors[executor.id]
                 self._versions.pop(executor.id, None)
+                if executor.fence > self.fence:
+                    self._fences[executor.id] = executor.fence
                 log.info("executor {} is no longer tracked", executor.id)
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -55,7 +55,7 @@
     job_write,
     read_lease,
 )
-from hemlockstand.platform.advice import StepAdvice
+from hemlockstand.platform.advice import AdviceClient, StepAdvice
 from hemlockstand.settings import LogSettings
 
 LASTING = float("inf")
@@ -120,6 +120,7 @@
     instances: InstanceModel = field(init=False)
     daemons: dict[str, Daemon] = field(factory=dict)
     call_seconds: float = 0.002
+    advice: AdviceClient | None = None
     _ids: count = field(factory=lambda: count(1))
 
     def __attrs_post_init__(self) -> None:
@@ -258,7 +259,7 @@
                 lease = None
             await trio.sleep(settings.scheduler.watch_seconds)
         connect = partial(self.connect_executor, cut=daemon.cut_off.__contains__)
-        clients = FleetClients(connect, daemon.instances, AdviceModel())
+        clients = FleetClients(connect, daemon.instances, self.advice)
         try:
             async with trio.open_nursery() as nursery:
                 daemon.leader = Leader(
--- a/test/test_fleet_lasting.py
+++ b/test/test_fleet_lasting.py
@@ -5,7 +5,14 @@
 
 from emulator.fleet_executors import SubtaskBehaviour
 from hemlockstand.fleet.model import Advice, EndKind, Resources
-from test.fleet_world import LASTING, SMALL, make_config, make_step, open_world
+from test.fleet_world import (
+    LASTING,
+    SMALL,
+    AdviceModel,
+    make_config,
+    make_step,
+    open_world,
+)
 
 
 @pytest.fixture
@@ -127,6 +134,7 @@
     """Guards against subtasks that wait until tickets for full executors expire."""
     large = Resources(12_000, 512)
     async with open_world() as world:
+        world.advice = AdviceModel()
         world.configuration.current = make_config(advice=Advice(20, 1, 30_000))
         for _ in range(10):
             world.add_executor()
