Add tests of what holds while capacities change

Each passes on the code as it is. Seen to fail with the named part taken out, one at a time: an older row that arrives late (without the comparison of versions in the directory), a new lifetime with less capacity (without `is_entry_current`), a draining executor that grows (without the check of `draining`), runs that are being stopped (with their room freed at the stop), a gang beside overfull executors (without `has_room` in `fill_group`).

The runs of a previous scheduler are protected twice: without the adopted runs' room the test still passes, since their executor then has unknown runs and gets nothing.

The test of a smaller capacity in a new entry was not mutated.

--- a/test/test_fleet_capacities.py
+++ b/test/test_fleet_capacities.py
@@ -125,3 +125,129 @@
         await world.wait_for(lambda: world.state(job) == "completed", 5)
         assert not full & {run.executor for run in world.records[4:]}
         world.check_capacities()
+
+
+async def test_small_capacity_holds_after_its_report(clock):
+    """Guards against starts by the capacity that an executor used to have."""
+    async with open_world() as world:
+        use_unguarded_pool(world)
+        model = world.add_executor(admission_check=False)
+        world.start_daemon("a")
+        await trio.sleep(2)
+        world.resize_executor(model, Resources(2000, 32_768))
+        await trio.sleep(0.1)
+        job = world.submit(make_step(6), work=SubtaskBehaviour(0.5, size=SMALL))
+        await world.wait_for(lambda: world.state(job) == "completed", 10)
+        runs = sorted(world.records, key=lambda run: run.began_at)
+        for earlier, later in zip(runs, runs[2:], strict=False):
+            assert earlier.ended_at <= later.began_at
+
+
+async def test_stopping_runs_use_room_until_they_end(clock):
+    """Guards against starts in the room of runs that are being stopped."""
+    async with open_world() as world:
+        use_unguarded_pool(world)
+        world.add_executor(admission_check=False)
+        world.start_daemon("a")
+        await trio.sleep(2)
+        first = world.submit(Step(2, LARGE, 9000), work=SubtaskBehaviour(9, size=LARGE))
+        await world.wait_for(lambda: len(world.find_running(first)) == 2, 5)
+        job = world.submit(Step(2, LARGE, 1000), work=SubtaskBehaviour(1, size=LARGE))
+        await trio.sleep(0.5)
+        world.cancel(first)
+        await world.wait_for(lambda: world.state(job) == "completed", 5)
+        world.check_capacities()
+
+
+async def test_runs_of_the_previous_scheduler_use_room(clock):
+    """Guards against a new scheduler that takes busy executors for idle."""
+    async with open_world() as world:
+        use_unguarded_pool(world)
+        model = world.add_executor(admission_check=False)
+        first = world.start_daemon("a")
+        await trio.sleep(2)
+        model.lost_answers = 2
+        job = world.submit(Step(2, LARGE, 6000), work=SubtaskBehaviour(6, size=LARGE))
+        await world.wait_for(lambda: len(world.find_running(job)) == 2, 5)
+        world.kill(first)
+        other = world.submit(Step(2, LARGE, 1000), work=SubtaskBehaviour(1, size=LARGE))
+        world.start_daemon("b")
+        await world.wait_for(lambda: world.state(other) == "completed", 15)
+        world.check_capacities()
+        world.check_runs()
+
+
+async def test_new_lifetime_starts_by_its_own_capacity(clock):
+    """Guards against starts by the capacity of an earlier lifetime.
+
+    The entry of the new lifetime is written late.
+    """
+    async with open_world() as world:
+        use_unguarded_pool(world)
+        model = world.add_executor(admission_check=False)
+        world.start_daemon("a")
+        await trio.sleep(2)
+        job = world.submit(make_step(16), work=SubtaskBehaviour(2.0, size=SMALL))
+        await world.wait_for(lambda: len(world.find_running(job)) == 16, 5)
+        model.restart()
+        model.capacity = Resources(3000, 32_768)
+        model.earlier_capacities.clear()
+        await trio.sleep(2)
+        world.register_executor(model)
+        await world.wait_for(lambda: world.state(job) == "completed", 20)
+        world.check_capacities()
+
+
+async def test_full_read_keeps_a_newer_capacity(clock):
+    """Guards against an older row that replaces a capacity read since."""
+    async with open_world() as world:
+        use_unguarded_pool(world)
+        model = world.add_executor(admission_check=False)
+        daemon = world.start_daemon("a")
+        await trio.sleep(2)
+        directory = daemon.leader._executor_directory
+        (old,) = world.store.select("servers", "", "", "")
+        world.resize_executor(model, Resources(2000, 32_768))
+        await trio.sleep(0.2)
+        directory._apply_executor_rows((old,))
+        await trio.sleep(7)
+        job = world.submit(make_step(8), work=SubtaskBehaviour(0.5, size=SMALL))
+        await world.wait_for(lambda: world.state(job) == "completed", 10)
+        world.check_capacities()
+
+
+async def test_draining_executor_that_shrinks_gets_nothing(clock):
+    """Guards against starts on an executor whose last entry has room."""
+    async with open_world() as world:
+        use_unguarded_pool(world)
+        model = world.add_executor(admission_check=False)
+        world.start_daemon("a")
+        await trio.sleep(2)
+        model.draining = True
+        world.resize_executor(model, Resources(64_000, 65_536))
+        await trio.sleep(0.2)
+        job = world.submit(make_step(2))
+        await trio.sleep(3)
+        assert not world.count_runs(job)
+
+
+async def test_gang_takes_no_room_that_has_shrunk(clock):
+    """Guards against a gang on executors that their runs already overfill."""
+    async with open_world() as world:
+        use_unguarded_pool(world)
+        models = [world.add_executor(admission_check=False) for _ in range(3)]
+        world.start_daemon("a")
+        await trio.sleep(2)
+        step = Step(2, LARGE, 0, lasting=True)
+        job = world.submit(step, work=SubtaskBehaviour(LASTING, size=LARGE))
+        await world.wait_for(lambda: len(world.find_running(job)) == 2, 5)
+        full = {run.executor for run in world.records}
+        for model in models:
+            if model.id in full:
+                world.resize_executor(model, Resources(1000, 2048))
+        await trio.sleep(5)
+        gang = Step(4, LARGE, 1000, gang=True)
+        job = world.submit(gang, work=SubtaskBehaviour(1.0, size=LARGE))
+        await world.wait_for(lambda: world.state(job) == "completed", 10)
+        assert not full & {run.executor for run in world.records[2:]}
+        world.check_capacities()
