Check capacities that shrink and grow under random faults

A seeded test on virtual time: four executors without an admission check shrink to a random part of their capacity and grow again, their entries show it up to a heartbeat later, jobs come and are cancelled, daemons and executors fail and change, start orders are lost or arrive late, and reads of single tables of the store fail. From the executors' records no start may exceed the capacity in force; an order that took long to arrive is judged by the capacity since it was sent.

The stand-in's record of capacities moves to emulator/capacities.py.

--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -8,10 +8,10 @@
 import json
 from collections.abc import Callable
 
-import attrs
 import trio
 from attrs import define, field
 
+from emulator.capacities import EarlierCapacities
 from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.model import (
     EndEntry,
@@ -30,18 +30,13 @@
 
 STOP_SECONDS = 0.2
 STARTUP_SECONDS = 0.3  # time until a lasting subtask reports 100 percent
-HEARTBEAT_SECONDS = 1.5
-# A smaller capacity counts from this time on after the change: StabilityMs and
-# an interval between the executor's writes of its entry.
-SHRINK_GRACE_SECONDS = 3.0 + HEARTBEAT_SECONDS
 
 
 @define(eq=False)
 class RecordedRun:
     """A run that an executor has started.
 
-    ``excess`` is by how much the start brought the executor over the capacity
-    that it had had for at least ``SHRINK_GRACE_SECONDS``.
+    ``excess`` is by how much the start brought the executor over its capacity.
     """
 
     subtask: str
@@ -89,9 +84,7 @@
     """An executor with its lease, runs and ends.
 
     ``describe`` returns the behaviour of a subtask. Without an
-    ``admission_check``, what does not fit is started as well;
-    ``earlier_capacities`` holds the capacities of this lifetime with the time
-    until which each applied. The lease ends at
+    ``admission_check``, what does not fit is started as well. The lease ends at
     ``due_ms`` of the executor's clock. ``refused_up_to`` holds for each
     subtask the highest run number that is refused. Faults: ``unresponsive``
     leaves all calls without an answer; of the coming start orders,
@@ -109,7 +102,7 @@
     kind: str = "a"
     data_centre: str = "dc1"
     admission_check: bool = True
-    earlier_capacities: list[tuple[float, Resources]] = field(factory=list)
+    earlier_capacities: EarlierCapacities = field(factory=EarlierCapacities)
     born_ms: int = 1
     fence: int = 0
     due_ms: int = 0
@@ -124,7 +117,7 @@
     lost_answers: int = 0
     late_orders: int = 0
     unhealthy_orders: int = 0
-    late: list[StartOrder] = field(factory=list)
+    late: list[tuple[float, StartOrder]] = field(factory=list)
 
     @property
     def clock_ms(self) -> int:
@@ -205,11 +198,11 @@
 
     def change_capacity(self, capacity: Resources) -> None:
         """Shrink or grow; the entry in the store shows it once written."""
-        self.earlier_capacities.append((trio.current_time(), self.capacity))
+        self.earlier_capacities.add(self.capacity)
         self.capacity = capacity
 
-    def begin(self, order: StartOrder) -> StartOutcome:
-        """Start a run, or refuse the order."""
+    def begin(self, order: StartOrder, delay: float = 0.0) -> StartOutcome:
+        """Start a run, or refuse an order that took ``delay`` to arrive."""
         self.advance()
         if order.fence < self.fence:
             return Refused(Refusal.FENCE, self.clock_ms)
@@ -228,7 +221,10 @@
             return Refused(Refusal.ROOM, self.clock_ms)
         now = trio.current_time()
         record = RecordedRun(order.subtask, order.run, self.id, order.payload, now)
-        record.excess = self.measure_excess(behaviour.size)
+        used = self.capacity.add(self.free_resources(), -1).add(behaviour.size)
+        record.excess = self.earlier_capacities.measure_excess(
+            behaviour.size, used, self.capacity, delay
+        )
         self.records.append(record)
         self.running[order.subtask] = _Running(record, behaviour, now)
         return Started(self.clock_ms)
@@ -240,25 +236,6 @@
             free = free.add(run.behaviour.size, -1)
         return free
 
-    def measure_excess(self, size: Resources) -> Resources:
-        """Return by how much a start now exceeds the capacity in force.
-
-        That is the largest one of the grace period. Resources that the start
-        does not use never count as exceeded.
-        """
-        since = trio.current_time() - SHRINK_GRACE_SECONDS
-        recent = [known for until, known in self.earlier_capacities if until > since]
-        used = self.capacity.add(self.free_resources(), -1).add(size)
-        return Resources(
-            *(
-                max(0, need - max(room)) if part else 0
-                for part, need, *room in zip(
-                    *map(attrs.astuple, (size, used, self.capacity, *recent)),
-                    strict=True,
-                )
-            )
-        )
-
     def handle_hold(self, due_ms: int | None, fence: int, acked: int) -> None:
         """Extend the lease and remove the ends up to ``acked`` from the list.
 
@@ -314,7 +291,8 @@
 
     def execute_late_orders(self) -> list[StartOutcome]:
         """Carry out the start orders held in ``late``; return the outcomes."""
-        outcomes = [self.begin(order) for order in self.late]
+        now = trio.current_time()
+        outcomes = [self.begin(order, now - sent_at) for sent_at, order in self.late]
         self.late.clear()
         return outcomes
 
@@ -354,7 +332,7 @@
             return Refused(Refusal.OTHER_LIFETIME)
         if model.late_orders:
             model.late_orders -= 1
-            model.late.append(order)
+            model.late.append((trio.current_time(), order))
             await trio.sleep(0.5)
             return Unanswered("the order is delayed")
         if model.unhealthy_orders:
--- a/test/fleet_faults.py
+++ b/test/fleet_faults.py
@@ -4,9 +4,10 @@
 
 import trio
 
+from emulator.capacities import HEARTBEAT_SECONDS
 from emulator.fleet_executors import ExecutorModel, SubtaskBehaviour
 from hemlockstand.fleet.model import Resources, Step
-from test.fleet_world import LASTING, Daemon, FleetWorld
+from test.fleet_world import LASTING, USUAL, Daemon, FleetWorld
 
 START_DELAY_SECONDS = (2.0, 12.0)
 
@@ -67,6 +68,45 @@
         await trio.sleep(random.expovariate(1.0))
 
 
+async def change_random_capacities(
+    world: FleetWorld, random: Random, seconds: float
+) -> None:
+    """Shrink and grow executors for ``seconds``, then restore all of them.
+
+    Their entries show it within an interval between their writes.
+    """
+    end_at = trio.current_time() + seconds
+    while trio.current_time() < end_at:
+        model = pick_executor(world, random)
+        capacity = USUAL.scale(random.choice((0.05, 0.2, 0.5, 0.8, 1.0)))
+        world.nursery.start_soon(change_capacity, world, random, model, capacity)
+        await trio.sleep(random.expovariate(1.0))
+    for model in world.executors.values():
+        await change_capacity(world, random, model, USUAL)
+
+
+async def change_capacity(
+    world: FleetWorld, random: Random, model: ExecutorModel, capacity: Resources
+) -> None:
+    """Change a capacity now and write the executor's entry later."""
+    model.change_capacity(capacity)
+    await trio.sleep(random.uniform(0, HEARTBEAT_SECONDS))
+    if not model.unresponsive:
+        world.register_executor(model)
+
+
+async def fail_random_tables(world: FleetWorld, random: Random, seconds: float) -> None:
+    """Let reads of single tables of the store fail for ``seconds``."""
+    end_at = trio.current_time() + seconds
+    while trio.current_time() < end_at:
+        rows = pick_daemon(world, random).rows
+        table = random.choice(("servers", "servers", "jobs", "states", "scheduler"))
+        rows.failing_tables.add(table)
+        await trio.sleep(random.uniform(0.5, 9))
+        rows.failing_tables.discard(table)
+        await trio.sleep(random.expovariate(0.5))
+
+
 def pick_daemon(world: FleetWorld, random: Random) -> Daemon:
     """Return the leader with a probability of one half, else any daemon."""
     holder = world.daemons.get(world.lease_holder())
--- a/test/test_fleet_interleavings.py
+++ b/test/test_fleet_interleavings.py
@@ -1,8 +1,9 @@
 """The scheduler under seeded random faults.
 
 Each test checks the runs of the executors: no subtask runs twice at the same
-time or again after an acknowledged end, the tenant stays within its maximum,
-and all jobs are done once the faults are over.
+time or again after an acknowledged end, the tenant stays within its maximum or
+no start exceeds its executor's capacity, and all jobs are done once the faults
+are over.
 """
 
 import os
@@ -12,7 +13,12 @@
 import trio
 
 from hemlockstand.fleet.model import Resources
-from test.fleet_faults import inject_random_faults, submit_random_jobs
+from test.fleet_faults import (
+    change_random_capacities,
+    fail_random_tables,
+    inject_random_faults,
+    submit_random_jobs,
+)
 from test.fleet_world import FleetWorld, make_config, open_world
 
 FAULT_SECONDS = 40.0
@@ -58,6 +64,30 @@
         check_jobs(world)
 
 
+@pytest.mark.parametrize("seed", range(FIRST_SEED, LAST_SEED))
+async def test_no_start_exceeds_a_changing_capacity(autojump_clock, seed):
+    """Guards against starts over the capacity of executors that shrink.
+
+    The executors have no admission check.
+    """
+    random = Random(seed)
+    async with open_world() as world:
+        world.configuration.current = make_config(admission_check=False)
+        for position in range(4):
+            world.add_executor(rack=f"r{position % 2}", admission_check=False)
+        for name in ("a", "b", "c"):
+            world.start_daemon(name)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(submit_random_jobs, world, random, FAULT_SECONDS)
+            nursery.start_soon(inject_random_faults, world, random, FAULT_SECONDS)
+            nursery.start_soon(change_random_capacities, world, random, FAULT_SECONDS)
+            nursery.start_soon(fail_random_tables, world, random, FAULT_SECONDS)
+        await trio.sleep(QUIET_SECONDS)
+        world.check_capacities()
+        world.check_runs()
+        check_jobs(world)
+
+
 def check_jobs(world: FleetWorld) -> None:
     """Check that each job has ended, or is running if its work is lasting."""
     jobs = {key for table, _, key in world.store.rows if table == "jobs"}
