Treat malformed messages of the platform as unanswered, not as errors

Seen: these ended the scheduler, and each of its successors while they lasted: - an executor's row whose address has no port, or a port that is no number (ValueError at the first poll), or a host that has no IDNA form (UnicodeError); - a page of rows, or the rows of a conflict, with an entry that is no object (AttributeError), and a key or part that is no text (AttributeError later, in the task that groups the rows); - a list of instances whose field is no list (TypeError); one whose page token is no text was read for ever.

Cause: Connection, RowStore and InstanceClient named the errors of a call, but not those of its address or of the inner parts of its answer.

Change: an address that is no host and port is unreachable for the connection, and makes the executor's row invalid, so that it is logged and ignored. The lists raise PlatformUnavailable or, for a write, OutcomeUnknown, which their readers repeat. An executor's lists of runs with one unreadable entry still count as no answer: a run that was left out would count as over and run a second time.

--- a/hemlockstand/platform/connection.py
+++ b/hemlockstand/platform/connection.py
@@ -190,7 +190,8 @@
         try:
             with trio.fail_after(CONNECT_TIMEOUT_SECONDS):
                 stream = await self._open_stream()
-        except (OSError, trio.TooSlowError) as error:
+        except (OSError, ValueError, OverflowError, trio.TooSlowError) as error:
+            # An address that is no host and port raises ValueError.
             self._replace(generation)
             raise PlatformUnavailable(f"{name}: {error!r}") from error
         reusable = False
--- a/hemlockstand/platform/decoding.py
+++ b/hemlockstand/platform/decoding.py
@@ -27,6 +27,7 @@
     Wave,
 )
 
+ADDRESS = re.compile(r".+:[0-9]{1,5}")
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 MAX_PAYLOAD_BYTES = 4000
 MAX_SUBTASKS = 20_000  # per job; more do not fit into a scheduler's memory
@@ -195,10 +196,13 @@
     state = fields.string("State")
     if state not in ("ready", "draining"):
         raise InvalidInput(f"{what}: State is {state!r}")
+    address = fields.string("Address")
+    if ADDRESS.fullmatch(address) is None:
+        raise InvalidInput(f"{what}: Address is {address!r}")
     return ExecutorEntry(
         id=executor,
         pool=fields.string("Backend"),
-        address=fields.string("Address"),
+        address=address,
         data_centre=fields.string("Zone", ""),
         draining=state == "draining",
         remaining_ms=fields.integer("RemainingMs", None),
--- a/hemlockstand/platform/machines.py
+++ b/hemlockstand/platform/machines.py
@@ -12,8 +12,8 @@
 
 from hemlockstand.errors import InvalidInput, OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.model import InstanceEntry
-from hemlockstand.platform.connection import Connection, Reply
-from hemlockstand.platform.decoding import decode_instance
+from hemlockstand.platform.connection import Connection
+from hemlockstand.platform.decoding import Fields, decode_instance
 
 log = logger.bind(module=__name__)
 
@@ -62,21 +62,24 @@
             target = (
                 f"/machines?{urlencode({'PageToken': page})}" if page else "/machines"
             )
-            reply = await self._list(target)
-            body = reply.decode()
-            instances.extend(_decode_instances(body.get("Machines") or []))
-            page = body.get("NextToken") or ""
+            fields = await self._list(target)
+            try:
+                instances.extend(_decode_instances(fields.items("Machines")))
+                page = fields.string("NextToken", "")
+            except InvalidInput as error:
+                raise PlatformUnavailable(f"unreadable list: {error}") from error
             if not page:
                 return instances
 
-    async def _list(self, target: str) -> Reply:
+    async def _list(self, target: str) -> Fields:
+        """Return one page of the list; raises ``PlatformUnavailable``."""
         try:
             reply = await self._connection.call("GET", target, LIST_TIMEOUT_SECONDS)
+            if reply.status != 200:
+                raise PlatformUnavailable(f"the machine list answered {reply.status}")
+            return Fields(reply.decode(), "machines")
         except OutcomeUnknown as error:
             raise PlatformUnavailable(str(error)) from error
-        if reply.status != 200:
-            raise PlatformUnavailable(f"the machine list answered {reply.status}")
-        return reply
 
     async def move(self, instance: str, pool: str, holder: LeaseHolder) -> OrderOutcome:
         """Move an instance to a pool; its runs end at once."""
--- a/hemlockstand/platform/rows.py
+++ b/hemlockstand/platform/rows.py
@@ -271,11 +271,14 @@
 
 def _decode_rows(table: str, rows: Sequence[Mapping[str, Any]]):
     for row in rows:
+        if not isinstance(row, dict):
+            raise TypeError(f"row {row!r} is not an object")
         dropped = bool(row.get("Deleted"))
+        name = row.get("Table", table), row.get("part", ""), row["Key"]
+        if not all(isinstance(each, str) for each in name):
+            raise TypeError(f"row {name!r} has no text as its name")
         yield StoredRow(
-            row.get("Table", table),
-            row.get("part", ""),
-            row["Key"],
+            *name,
             None if dropped else _decode_value(row),
             int(row["RowVersion"]),
             dropped,
--- a/test/test_fleet_decoding.py
+++ b/test/test_fleet_decoding.py
@@ -57,6 +57,9 @@
         encode({**ENTRY, "State": "resting"}),
         encode({**ENTRY, "Backend": 5}),
         encode({**ENTRY, "Capacity": {"Cpu": "16"}}),
+        encode({**ENTRY, "Address": "10.0.0.1"}),
+        encode({**ENTRY, "Address": "10.0.0.1:http"}),
+        encode({**ENTRY, "Address": ":70000"}),
         encode({key: value for key, value in ENTRY.items() if key != "Address"}),
     ],
 )
--- a/test/test_platform_connection.py
+++ b/test/test_platform_connection.py
@@ -7,6 +7,8 @@
 from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
 from hemlockstand.platform.advice import AdviceClient
 from hemlockstand.platform.connection import Connection
+from hemlockstand.platform.executors import ExecutorClient
+from hemlockstand.platform.machines import InstanceClient
 from hemlockstand.platform.rows import RowStore, RowWrite
 
 BODY = b'{"rows": [], "RowVersion": 7}'
@@ -238,3 +240,107 @@
     with pytest.raises(PlatformUnavailable):
         await client.ask("a.0.0", ["i-1"])
     await client.close()
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["", ":", "127.0.0.1", "127.0.0.1:http", "127.0.0.1:70000", f"{'a' * 70}.x:1"],
+)
+async def test_malformed_address_is_unreachable(address):
+    """Guards against an executor's address that ends the scheduler.
+
+    Addresses come from rows that executors write.
+    """
+    connection = Connection(address)
+    with pytest.raises(PlatformUnavailable):
+        await connection.call("GET", "/a", 1.0)
+    await connection.close()
+
+
+def set_body(listener, body: bytes) -> None:
+    """Make a listener answer with a body."""
+    head = f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n\r\n"
+    listener.answers = (head.encode() + body,)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"rows": [5], "RowVersion": 7}',
+        b'{"rows": [{"Key": 5, "RowVersion": 7}], "RowVersion": 7}',
+        b'{"rows": 5, "RowVersion": 7}',
+        b'{"rows": {"a": 1}, "RowVersion": 7}',
+        b'{"rows": [{"Key": "a", "part": 5, "RowVersion": 7}], "RowVersion": 7}',
+        b'{"rows": [], "RowVersion": null}',
+        b"[]",
+    ],
+)
+async def test_malformed_rows_are_not_read(scripted_listener, body):
+    """Guards against a page of rows that ends the scheduler."""
+    set_body(scripted_listener, body)
+    store = RowStore(scripted_listener.address)
+    with pytest.raises(PlatformUnavailable):
+        await store.read("jobs")
+    with pytest.raises(PlatformUnavailable):
+        await store.follow("jobs", 1, 0.1)
+    await store.close()
+
+
+async def test_malformed_rows_of_a_conflict(scripted_listener):
+    """Guards against the answer to a write that ends the scheduler."""
+    body = b'{"rows": [5]}'
+    head = f"HTTP/1.1 412 X\r\nContent-Length: {len(body)}\r\n\r\n"
+    scripted_listener.answers = (head.encode() + body,)
+    store = RowStore(scripted_listener.address)
+    with pytest.raises(OutcomeUnknown):
+        await store.write([RowWrite("jobs", "a", b"")])
+    await store.close()
+
+
+@pytest.mark.parametrize(
+    "body", [b'{"Machines": 5}', b"[]", b'{"Machines": [], "NextToken": {"a": 1}}']
+)
+async def test_malformed_list_of_instances_is_not_read(scripted_listener, body):
+    """Guards against a list that ends the scheduler or is read for ever."""
+    set_body(scripted_listener, body)
+    client = InstanceClient(scripted_listener.address)
+    with trio.fail_after(2), pytest.raises(PlatformUnavailable):
+        await client.list_instances()
+    await client.close()
+
+
+async def test_malformed_instance_is_left_out(scripted_listener):
+    """Guards against one entry that hides all other instances."""
+    good = b'{"Machine": "m-1", "Pool": "p", "State": "up"}'
+    bad = b'5, null, {}, {"Machine": "m-2", "Pool": "p", "State": 5}'
+    set_body(scripted_listener, b'{"Machines": [' + bad + b", " + good + b"]}")
+    client = InstanceClient(scripted_listener.address)
+    instances = await client.list_instances()
+    assert [instance.name for instance in instances] == ["m-1"]
+    await client.close()
+
+
+@pytest.mark.parametrize(
+    "lists",
+    [
+        b'"Running": 5',
+        b'"Running": [5]',
+        b'"Running": [[]]',
+        b'"Running": [["a.0.0.0", "one", "", 0]]',
+        b'"Running": [{"Task": "a"}]',
+        b'"Finished": [[1, "a.0.0.0", 1, "exploded", ""]]',
+        b'"Finished": [[null, "a.0.0.0", 1, "done", ""]]',
+        b'"Finished": {"a": 1}',
+    ],
+)
+async def test_malformed_lists_of_an_executor(scripted_listener, lists):
+    """Guards against an executor's list that ends the scheduler.
+
+    A list with an unreadable entry counts as none at all: a run that was left
+    out would count as over, and be started a second time.
+    """
+    set_body(scripted_listener, b'{"ClockMs": 5, ' + lists + b"}")
+    client = ExecutorClient("i-1", scripted_listener.address)
+    with pytest.raises(OutcomeUnknown):
+        await client.hold(None, 1, 0, 0.0)
+    await client.close()
