Test malformed lists of runs, executors' rows and operators' rows

Each kind of row or message that a scheduler reads now has a test that feeds a malformed one and checks that other jobs go on. The world of the tests describes work for such names as well.

--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -153,8 +153,9 @@
 
     def describe(self, subtask: str) -> SubtaskBehaviour:
         """Return the work of a subtask, as set for it, its step or its job."""
-        job, occurrence, step, _ = subtask.split(".")
-        for name in (subtask, f"{job}.{occurrence}.{step}", job):
+        step, _, _ = subtask.rpartition(".")
+        job, _, _ = subtask.partition(".")
+        for name in (subtask, step, job):
             if name in self.work:
                 return self.work[name]
         return SubtaskBehaviour(1.0, size=SMALL)
--- a/test/test_fleet_malformed_rows.py
+++ b/test/test_fleet_malformed_rows.py
@@ -6,10 +6,12 @@
 import trio
 
 from emulator.fleet_executors import SubtaskBehaviour
-from emulator.row_store import Transaction
-from hemlockstand.fleet.model import JobSpec, Wave
+from emulator.row_store import RowStoreAccess, RowStoreModel, Transaction
+from hemlockstand.fleet.configuration import FleetConfigurationService
+from hemlockstand.fleet.model import JobSpec, StartOrder, Wave
 from hemlockstand.fleet.storage import (
     JOBS_TABLE,
+    OPERATOR_TABLE,
     SCHEDULER_TABLE,
     STATES_TABLE,
     encode_compact,
@@ -18,6 +20,7 @@
 )
 from hemlockstand.platform.rows import RowWrite, StoredRow
 from test.fleet_world import LASTING, SMALL, make_step, open_world
+from test.test_fleet_frontend import StubKernel
 
 JOB = "00000000000000aa"
 SPEC = JobSpec(JOB, "queue", "pool", "team", "payload", (make_step(),))
@@ -201,3 +204,72 @@
         await check_other_jobs(world, lambda: put(world, SCHEDULER_TABLE, key, value))
         states = {entry.state for entry in world.instances.instances.values()}
         assert states == {"up"}
+
+
+@pytest.mark.parametrize("name", ["", "x", "x.0.0.0", "{}.0.0.99", "{}.9.9.9", "{}.a"])
+async def test_run_of_no_subtask_is_stopped(clock, name):
+    """Guards against an executor's list that ends each scheduler in turn.
+
+    It holds a run and an end with a name that is no known subtask.
+    """
+    async with open_world() as world:
+        executor = world.add_executor()
+        world.start_daemon("a")
+        await complete_job(world)
+        job = world.submit(make_step(lasting=True))
+        report_run(executor, name.format(job))
+        await trio.sleep(1)
+        await complete_job(world)
+
+
+async def test_run_with_a_negative_index_is_stopped(clock):
+    """Guards against an index that counts from the end, or beyond it."""
+    async with open_world() as world:
+        executor = world.add_executor()
+        world.start_daemon("a")
+        await complete_job(world)
+        job = world.submit(make_step(lasting=True))
+        report_run(executor, f"{job}.0.0.-99")
+        await trio.sleep(1)
+        await complete_job(world)
+
+
+def report_run(executor, name: str) -> None:
+    """Let an executor list a run and an end with a name."""
+    executor.begin(StartOrder(name, 1, "", executor.clock_ms + 60_000, executor.fence))
+    executor.begin(
+        StartOrder(name + "0", 1, "", executor.clock_ms + 60_000, executor.fence)
+    )
+    executor.stop(name + "0", 1)
+
+
+@pytest.mark.parametrize("value", [*GARBAGE, b'{"Address": "10.0.0.1"}'])
+async def test_malformed_row_of_an_executor_is_left_out(clock, value):
+    """Guards against an executor's row that ends each scheduler in turn."""
+    async with open_world() as world:
+        await check_other_jobs(world, lambda: put(world, "servers", "i-faulty", value))
+
+
+@pytest.mark.parametrize("key", ["config", "wave/1", "wave/", "other"])
+@pytest.mark.parametrize("value", [*GARBAGE, b'{"Wave": -1, "ConfigVersion": "x"}'])
+async def test_malformed_row_of_the_operator_is_left_out(clock, key, value):
+    """Guards against a row of the operator that ends every daemon."""
+    model = RowStoreModel()
+    model.put(OPERATOR_TABLE, key, value)
+    kernel = StubKernel(RowStoreAccess(model))
+    service = FleetConfigurationService(kernel)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(service.run)
+        await trio.sleep(0.5)
+        model.put(OPERATOR_TABLE, key, value)
+        await trio.sleep(0.5)
+        model.put(OPERATOR_TABLE, "config", b'{"ConfigVersion": 3}')
+        model.put(
+            OPERATOR_TABLE,
+            "wave/2",
+            b'{"Wave": 2, "Machines": ["m-1"], "DurationS": 9, "Maximum": 1}',
+        )
+        await trio.sleep(1)
+        assert service.current.version == 3
+        assert list(service.waves) == [2]
+        nursery.cancel_scope.cancel()
