Mend the start and the end of the daemon that the peers group measures

Seen: `python -m bench.runner peers` gave no figure. The measured daemon ended at its start with AttributeError: BenchPlatform lacks `table`. With that mended, the group hung at peers_mesh_100: the measured process did not exit ("cannot schedule new futures after interpreter shutdown").

Cause: hemlockstand/platform/service.py reads `table` since the polled rows are shared, and the stand-in had only the instance list. The daemon was cancelled half a second after it was told to stop; on a busy machine its peers service had not yet shut down its server, whose thread then kept the process alive.

Change: the stand-in has an empty table in memory, and the daemon is awaited until all its services have stopped.

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -43,6 +43,7 @@
     InstanceRecord,
     InstanceState,
 )
+from hemlockstand.platform.memory import MemoryTable
 from hemlockstand.settings import load_settings
 
 SECRET = "0123456789abcdef"
@@ -55,7 +56,6 @@
 CONTACTS_PER_SECOND = 3
 WARM_UP_SECONDS = 4.0
 WINDOW_SECONDS = 6.0
-STOP_SECONDS = 0.5
 CALL_TIMEOUT_SECONDS = 2.0
 # Offsets in the kernel's struct tcp_info.
 TCP_INFO_BYTES = 160
@@ -78,9 +78,13 @@
 
 @define
 class BenchPlatform:
-    """A platform that provides only the instance list."""
+    """A platform with an instance list and an empty table.
+
+    The services of the group poll no row.
+    """
 
     records: list[InstanceRecord] = field(factory=list)
+    table: MemoryTable = field(factory=MemoryTable)
 
     @property
     def instances(self) -> "BenchPlatform":
@@ -301,8 +305,9 @@
 async def run_measured(mode: str, path: Path) -> None:
     """Run the peers service, warm up, and print the cost of one window."""
     kernel = Kernel(load_settings(path), ("peers",))
+    stopped = trio.Event()
     async with trio.open_nursery() as nursery:
-        await nursery.start(kernel.serve)
+        await nursery.start(serve_kernel, kernel, stopped)
         peers = kernel.find("peers", PeersService)
         tracker = kernel.find("freshness", FreshnessService).tracker
         tracker.set_version(25_000)
@@ -317,10 +322,21 @@
         await trio.sleep(WARM_UP_SECONDS)
         print(json.dumps(await measure_window(peers.traffic)), flush=True)
         kernel.stopping.set()
-        await trio.sleep(STOP_SECONDS)
+        await stopped.wait()
         nursery.cancel_scope.cancel()
 
 
+async def serve_kernel(
+    kernel: Kernel, stopped: trio.Event, task_status: trio.TaskStatus[None]
+) -> None:
+    """Run a kernel and tell when all its services have stopped.
+
+    The thread of a server that was not shut down would keep the process alive.
+    """
+    await kernel.serve(task_status)
+    stopped.set()
+
+
 async def poll_forever(tracker: FreshnessTracker, outage: bool) -> None:
     """Record a read or a failure each second, as the configuration would."""
     while True:
