--- a/hemlockstand/platform/connection.py
+++ b/hemlockstand/platform/connection.py
@@ -197,7 +197,8 @@
         try:
             with trio.fail_after(CONNECT_TIMEOUT_SECONDS):
                 stream = await self._open_stream()
-        except (OSError, trio.TooSlowError) as error:
+        except (OSError, ValueError, OverflowError, trio.TooSlowError) as error:
+            # An address that is no host and port raises ValueError.
             self._replace(generation)
             kind = ConnectionRefused if _is_refused(error) else PlatformUnavailable
             raise kind(f"{name}: {error!r}") from error
