Let links of the emulator stall in one direction, or their open connections

The proxy could cut, stall and delay a link in both directions only. The fault soak needs what users' networks do besides: requests arrive and answers do not, and connections that stay silent for good while new ones work.

Ruled out: throwing away stalled bytes, as lost packets are sent again and an order may then arrive seconds late. Open: throttling.

--- a/emulator/link.py
+++ b/emulator/link.py
@@ -6,11 +6,14 @@
 ``POST /links`` with ``{"names": ["dc1>*"], "mode": "cut"}`` changes the links
 whose name matches one of the patterns. ``cut`` closes open connections and
 each new one. ``drop`` stalls connections as lost packets do: nothing passes,
-and what was sent arrives when the link is up again. ``delay`` delays each
-chunk by ``delay_seconds``.
+and what was sent arrives when the link is up again. ``drop_requests`` and
+``drop_answers`` do so in one direction only. ``delay`` delays each chunk by
+``delay_seconds``. ``silence`` stalls the open connections for good, while new
+ones work.
 """
 
 from fnmatch import fnmatchcase
+from functools import partial
 from typing import Any, Literal
 
 import msgspec
@@ -26,7 +29,9 @@
     """Body of ``POST /links``."""
 
     names: list[str]
-    mode: Literal["up", "cut", "drop", "delay"]
+    mode: Literal[
+        "up", "cut", "drop", "drop_requests", "drop_answers", "delay", "silence"
+    ]
     delay_seconds: float = 0.0
 
 
@@ -43,11 +48,15 @@
     accepted: int = 0
     passed_bytes: int = 0
     passed_chunks: int = 0
+    _silenced: int = 0  # connections up to this number are stalled for good
     _scopes: set[trio.CancelScope] = field(factory=set)
     _changed: trio.Event = field(factory=trio.Event)
 
     def change(self, mode: str, delay_seconds: float) -> None:
         """Set the mode for open and new connections."""
+        if mode == "silence":
+            self._silenced = self.accepted
+            mode = "up"
         self.mode = mode
         self.delay_seconds = delay_seconds
         self._changed.set()
@@ -82,15 +91,18 @@
             await trio.aclose_forcefully(caller)
 
     async def _forward(self, caller: trio.SocketStream) -> None:
-        await self._apply_mode(0)
+        number = self.accepted
+        to_target = partial(self._apply_mode, number, ("drop", "drop_requests"))
+        to_caller = partial(self._apply_mode, number, ("drop", "drop_answers"))
+        await to_target(0)
         try:
             target = await trio.open_tcp_stream(self.target_host, self.target_port)
         except OSError:
             return
-        await relay(caller, target, self._apply_mode)
+        await relay(caller, target, to_target, to_caller)
 
-    async def _apply_mode(self, size: int) -> None:
-        while self.mode == "drop":
+    async def _apply_mode(self, number: int, stalled: tuple[str, ...], size: int):
+        while self.mode in stalled or number <= self._silenced:
             await self._changed.wait()
         if self.mode == "delay":
             await trio.sleep(self.delay_seconds)
--- a/emulator/relay.py
+++ b/emulator/relay.py
@@ -16,16 +16,17 @@
 async def relay(
     left: trio.SocketStream,
     right: trio.SocketStream,
-    before_chunk: ChunkHook = forward_immediately,
+    to_right: ChunkHook = forward_immediately,
+    to_left: ChunkHook = forward_immediately,
 ) -> None:
     """Copy in both directions until both are closed or one breaks.
 
-    ``before_chunk`` is awaited with the size of each chunk before the chunk is
-    sent on, and with 0 before the end of a direction is passed on.
+    The hook of a direction is awaited with the size of each chunk before the
+    chunk is sent on, and with 0 before the end of the direction is passed on.
     """
     async with left, right, trio.open_nursery() as nursery:
-        nursery.start_soon(_copy, left, right, before_chunk, nursery.cancel_scope)
-        nursery.start_soon(_copy, right, left, before_chunk, nursery.cancel_scope)
+        nursery.start_soon(_copy, left, right, to_right, nursery.cancel_scope)
+        nursery.start_soon(_copy, right, left, to_left, nursery.cancel_scope)
 
 
 async def _copy(
