Let the emulated platform lose, delay and refuse start orders over HTTP

The executors' stand-in had these faults for calls in one process only. It may also start what it has no room for, as executors without an admission check do, and reports each start. Reads of changes find their first one by bisection, as each change wakes all daemons.

Shown: test_fleet_daemon.py, test_fleet_scheduler.py and test_fleet_takeovers.py as before. Ruled out: a second stand-in for the soak.

--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -84,7 +84,8 @@
     leaves all calls without an answer; of the coming start orders,
     ``lost_answers`` are carried out without an answer, ``late_orders`` are
     held in ``late`` until ``execute_late_orders``, and ``unhealthy_orders``
-    are refused.
+    are refused. One that does not guard its room starts whatever it is told
+    to. ``report_start`` is called with each run that begins.
     """
 
     id: str
@@ -110,6 +111,10 @@
     late_orders: int = 0
     unhealthy_orders: int = 0
     late: list[StartOrder] = field(factory=list)
+    guards_room: bool = True
+    report_start: Callable[["ExecutorModel", RecordedRun], None] = field(
+        default=lambda model, record: None
+    )
 
     @property
     def clock_ms(self) -> int:
@@ -202,12 +207,13 @@
         if order.due_ms <= self.clock_ms:
             return Refused(Refusal.LATE, self.clock_ms)
         behaviour = self.describe(order.subtask)
-        if not behaviour.size.fits(self.free_resources()):
+        if self.guards_room and not behaviour.size.fits(self.free_resources()):
             return Refused(Refusal.ROOM, self.clock_ms)
         now = trio.current_time()
         record = RecordedRun(order.subtask, order.run, self.id, order.payload, now)
         self.records.append(record)
         self.running[order.subtask] = _Running(record, behaviour, now)
+        self.report_start(self, record)
         return Started(self.clock_ms)
 
     def free_resources(self) -> Resources:
--- a/emulator/fleet_platform.py
+++ b/emulator/fleet_platform.py
@@ -6,6 +6,7 @@
 """
 
 from base64 import b64decode, b64encode
+from collections.abc import Mapping
 from itertools import count
 from typing import Any
 
@@ -154,17 +155,18 @@
         model = self._find()
         if model is None:
             return jsonify({}), 421
-        body = await request.get_json()
-        outcome = model.begin(
-            StartOrder(
-                body["Task"],
-                body["Run"],
-                body["TaskSpec"],
-                body["DueMs"],
-                body["FencingToken"],
-                body.get("Checkpoint", ""),
-            )
-        )
+        order = read_start(await request.get_json())
+        if model.late_orders:
+            model.late_orders -= 1
+            model.late.append(order)
+            await trio.sleep_forever()
+        if model.unhealthy_orders:
+            model.unhealthy_orders -= 1
+            return jsonify({}), 503
+        outcome = model.begin(order)
+        if model.lost_answers:
+            model.lost_answers -= 1
+            await trio.sleep_forever()
         answer: dict[str, Any] = {"ClockMs": model.clock_ms, "born": model.born_ms}
         match outcome:
             case Refused(reason):
@@ -225,6 +227,18 @@
         return jsonify({"Reason": outcome.value}), 200 if outcome == "taken" else 409
 
 
+def read_start(body: Mapping[str, Any]) -> StartOrder:
+    """Return the order to start a run from the body of a call."""
+    return StartOrder(
+        body["Task"],
+        body["Run"],
+        body["TaskSpec"],
+        body["DueMs"],
+        body["FencingToken"],
+        body.get("Checkpoint", ""),
+    )
+
+
 def show_row(row: StoredRow) -> dict[str, Any]:
     """Return a row as the protocol encodes it."""
     body = {
--- a/emulator/row_store.py
+++ b/emulator/row_store.py
@@ -5,6 +5,8 @@
 store, with the faults of its connection.
 """
 
+from bisect import bisect_right
+
 import trio
 from attrs import define, field, frozen
 
@@ -122,9 +124,8 @@
         """
         if after < self.oldest:
             raise HistoryGone(f"changes of {table} after version {after} are gone")
-        return tuple(
-            row for row in self.history if row.table == table and row.version > after
-        )
+        first = bisect_right(self.history, after, key=lambda row: row.version)
+        return tuple(row for row in self.history[first:] if row.table == table)
 
     async def wait(self) -> None:
         """Wait for the next change."""
