Show that an executor that was silent gets no work again

Shown: test_silent_executor_is_used_again fails (TooSlowError) with one executor that is silent for 12 s and then answers in the same lifetime.

--- a/test/test_fleet_scheduler.py
+++ b/test/test_fleet_scheduler.py
@@ -63,6 +63,27 @@
         world.check_runs()
 
 
+async def test_silent_executor_is_used_again(clock):
+    """Guards against a lasting subtask that stays away although there is room.
+
+    The executor is silent until its runs are given up, and then answers in the
+    same lifetime.
+    """
+    async with open_world() as world:
+        executor = world.add_executor()
+        world.start_daemon("a")
+        job = world.submit(
+            make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        await world.wait_for(lambda: world.find_running(job), 5)
+        world.daemons["a"].cut_off.add(executor.id)
+        await trio.sleep(12)
+        assert not world.find_running(job)
+        world.daemons["a"].cut_off.discard(executor.id)
+        await world.wait_for(lambda: world.find_running(job), 12)
+        world.check_runs()
+
+
 async def test_executor_that_is_slow_to_report_keeps_its_work(clock):
     """Guards against a second run of work whose executor still answers.
 
