Let callers of the soak cancel lasting jobs, and give up after a refusal

A tenth of the jobs now last until they are cancelled, which callers repeat until it is acknowledged, and some callers give up at the first 503, so that a refusal that is not true shows. The report lists how long each recovery took and what came last.

Ruled out: cancels of the lasting jobs that stay, as their recovery is what the soak checks most.

--- a/emulator/soak.py
+++ b/emulator/soak.py
@@ -230,6 +230,9 @@
             f"{checks.answers} answers, longest recovery {worst:.1f} s, "
             f"{len(checks.violations)} violations"
         )
+        for at, text, _ in checks.events:
+            if text.startswith("recovered"):
+                yield f"  {at:8.3f} {text}"
         if not checks.violations:
             return
         yield "schedule:"
--- a/emulator/soak_checks.py
+++ b/emulator/soak_checks.py
@@ -207,13 +207,17 @@
         They have to be within ``RECOVERY_SECONDS``.
         """
         since = trio.current_time()
+        last = "nothing was away"
         while unsettled := list(self.find_unsettled(since)):
+            last = unsettled[0][0]
             if trio.current_time() > since + RECOVERY_SECONDS:
                 for text, job in unsettled[:5]:
                     self.fail(f"{text}, {RECOVERY_SECONDS:.0f} s after faults", job)
                 break
             await trio.sleep(POLL_SECONDS)
-        return trio.current_time() - since
+        seconds = trio.current_time() - since
+        self.note(f"recovered in {seconds:.1f} s; last: {last}")
+        return seconds
 
     async def check_final_states(self, hosts: list[str]) -> None:
         """Ask all daemons for all accepted jobs, until all show their end."""
@@ -240,8 +244,10 @@
             _, shown[job] = await self.callers.query(job, host)
 
     def _is_shown_right(self, job: Job, shown: dict[Job, str]) -> bool:
+        if job.cancelled_at is not None:
+            return shown[job] in FINAL_STATES
+        if job.cancel_sent:
+            return shown[job] != ""
         if job.lasting:
             return shown[job] == "running"
-        if job.cancel_sent:
-            return shown[job] in FINAL_STATES
         return shown[job] == ("failed" if job.fails else "completed")
--- a/emulator/soak_jobs.py
+++ b/emulator/soak_jobs.py
@@ -12,9 +12,10 @@
 from emulator.soak_platform import HOST_NAME, QUEUES, TENANTS
 from hemlockstand.fleet.model import Resources
 
-CALL_SECONDS = 4.0
+CALL_SECONDS = 4.0  # callers ask for an answer in 3 s
 ATTEMPTS = 5
 JOBS_PER_SECOND = 1.5
+LASTING_SHARE = 0.1  # of the jobs that are submitted beside those that stay
 FINAL_STATES = ("completed", "failed", "cancelled")
 LASTING = float("inf")
 
@@ -130,14 +131,16 @@
             nursery.start_soon(self._accompany, Random(self.random.random()), False)
             await trio.sleep(self.random.expovariate(JOBS_PER_SECOND))
 
-    async def _accompany(self, random: Random, lasting: bool) -> None:
-        job = draw_job(random, lasting)
+    async def _accompany(self, random: Random, stays: bool) -> None:
+        """Act as the caller of one job, which is not cancelled if it stays."""
+        job = draw_job(random, stays or random.random() < LASTING_SHARE)
         self.jobs[job.id] = job
         await self._submit(job, random)
         await trio.sleep(random.uniform(0.1, 4))
         if random.random() < 0.1:
             await self._submit(job, random)
-        if random.random() < 0.15 and job.accepted and not lasting:
+        cancels = random.random() < 0.15 or job.lasting
+        if cancels and job.accepted and not stays:
             await self._cancel(job, random)
         for _ in range(3):
             if job.accepted:
@@ -158,14 +161,14 @@
                 job.open_attempts -= 1
                 job.refusals += 1
             self.report_answer(job, "POST", host, status, "")
-            # Lasting jobs are submitted until they are accepted.
-            if status == 200 or (status and not job.lasting and job.refusals > 1):
+            # Some callers give up when they are refused.
+            if status == 200 or (status == 503 and random.random() < 0.4):
                 return
             await trio.sleep(random.uniform(0.2, 1.0))
 
     async def _cancel(self, job: Job, random: Random) -> None:
         job.cancel_sent = True
-        for _ in range(ATTEMPTS):
+        while True:
             host = random.choice(self.hosts)
             status, state = await self._call(job, "DELETE", host)
             if status == 200 and state == "cancelled":
@@ -185,7 +188,11 @@
         self, job: Job, method: str, host: str, **values: Any
     ) -> tuple[int, str]:
         url = f"http://{host}:8100/{job.queue}/{job.id}"
-        headers = {"Host": HOST_NAME, "Authorization": f"Bearer key-of-{job.tenant}"}
+        headers = {
+            "Host": HOST_NAME,
+            "Authorization": f"Bearer key-of-{job.tenant}",
+            "Deadline-Ms": "3000",
+        }
         try:
             reply = await self.client.request(method, url, headers=headers, **values)
         except httpx.HTTPError:
