Let the store of the soak break down during a write

The write is applied without an answer, and all later calls get 503. Only then does a daemon know of a write that may have been applied and of a refusal at the same time.

Ruled out: losing answers alone, as the daemon's repeated write is then answered.

--- a/emulator/soak_faults.py
+++ b/emulator/soak_faults.py
@@ -178,6 +178,16 @@
         soak.platform.doors[number].closed = False
 
 
+async def break_store(soak: "Soak", fault: Fault) -> None:
+    """Let the store break down for each daemon during its next write."""
+    soak.checks.note(f"break the store at the next writes for {fault.seconds:.1f} s")
+    for door in soak.platform.doors:
+        door.breaks = True
+    await trio.sleep(fault.seconds)
+    for door in soak.platform.doors:
+        door.breaks = door.closed = False
+
+
 async def slow_store(soak: "Soak", fault: Fault) -> None:
     """Slow down the store for all daemons."""
     delay = 0.08 * fault.count
@@ -338,6 +348,7 @@
     "pause": pause_daemon,
     "close_store": close_store,
     "stop_store": stop_store,
+    "break_store": break_store,
     "slow_store": slow_store,
     "lose_store_answers": lose_store_answers,
     "forget_history": forget_history,
--- a/emulator/soak_platform.py
+++ b/emulator/soak_platform.py
@@ -91,10 +91,12 @@
 
     While ``closed`` it answers each call with 503. Calls take
     ``delay_seconds`` longer. Of the coming writes, ``lost_answers`` are applied
-    but not answered.
+    but not answered. With ``breaks``, the next write is applied, gets no
+    answer and closes the door.
     """
 
     closed: bool = False
+    breaks: bool = False
     delay_seconds: float = 0.0
     lost_answers: int = 0
 
@@ -218,6 +220,9 @@
         if door.closed:
             return jsonify({}), 503
         answer = await super()._transact()
+        if door.breaks:
+            door.closed = True
+            await trio.sleep_forever()
         if door.lost_answers:
             door.lost_answers -= 1
             await trio.sleep_forever()
