--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -102,7 +102,8 @@
     ``lost_answers`` are carried out without an answer, ``late_orders`` are
     held in ``late`` until ``execute_late_orders``, and ``unhealthy_orders``
     are refused. After a crash no process listens until ``back_at``;
-    ``on_restart`` is called when it is back.
+    ``on_restart`` is called when it is back, ``report_start`` with each run that
+    begins.
     """
 
     id: str
@@ -133,6 +134,9 @@
     crashed_at: list[float] = field(factory=list)
     back_at: float | None = None
     on_restart: Callable[["ExecutorModel"], None] = field(default=lambda model: None)
+    report_start: Callable[["ExecutorModel", RecordedRun], None] = field(
+        default=lambda model, record: None
+    )
 
     @property
     def clock_ms(self) -> int:
@@ -263,6 +267,7 @@
         )
         self.records.append(record)
         self.running[order.subtask] = _Running(record, behaviour, now)
+        self.report_start(self, record)
         return Started(self.clock_ms)
 
     def free_resources(self) -> Resources:
