Refuse runs of subtasks with a negative index

Cause: only the upper bound of an index in an executor's list was checked, so a run JOB.0.0.-99 raised IndexError and ended the scheduler's term, and one with -1 named the last subtask.

--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -187,7 +187,7 @@
             )
             return None
         self._create_subtasks(step_run)
-        if index >= len(step_run.subtasks):
+        if not 0 <= index < len(step_run.subtasks):
             log.warning(
                 "executor reports a run of {}, which is not a known subtask", name
             )
