Announce steps behind one that waits for another reason than cpu

Seen by callers, as far as the tests tell: a subtask that lasts does not run, with room for it, and neither do short jobs of the same pool.

Cause: the cpu of each waiting step counts against what may be announced in a pool, also that of an announced step which waits for a label that no executor has, for its limit per executor, for an executor of its size or for its tenant's maximum. Once such steps exceed the free cpu and a quarter of the pool, nothing that ranks behind them is announced, so nothing of it starts. Lasting steps rank first, so one large lasting step stops the pool for good.

In the log such a step has announced=false beside usable executors.

A step that still waits after its attempt, while no executor lacks the cpu for it, gives back what it was counted for.

--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -73,10 +73,11 @@
                     self.registry.announce(step_run)
                     room.hold(rank, step_run)
                 continue
-            if room.is_held_from(rank) or not room.may_fit(step_run.step):
-                continue
-            yield from self._place_step(step_run, room, config, now)
-            room.forget_free_cpu()
+            if not room.is_held_from(rank) and room.may_fit(step_run.step):
+                yield from self._place_step(step_run, room, config, now)
+                room.forget_free_cpu()
+            if step_run.waiting and not room.lacks_cpu(step_run.step):
+                room.discount_step(step_run)
 
     def _measure_unconfirmed_use(self, config: FleetConfig) -> dict[str, Resources]:
         """Return the resources that unknown runs may use, by tenant.
--- a/hemlockstand/fleet/policy/placing.py
+++ b/hemlockstand/fleet/policy/placing.py
@@ -33,14 +33,19 @@
 
     executors: list[Executor]
     quarantined: list[Executor] = field(factory=list)
+    _offered: list[Executor] = field(init=False)
     _announceable_cpu: float = field(init=False)
+    _largest_cpu: int = field(init=False)
     _held_cpu: int = 0
     _held_for: StepRank | None = None
     _largest_free_cpu: int | None = None
 
     def __attrs_post_init__(self) -> None:
-        self._announceable_cpu = count_announceable_cpu(
-            self.executors or self.quarantined
+        self._offered = self.executors or self.quarantined
+        self._announceable_cpu = count_announceable_cpu(self._offered)
+        self._largest_cpu = max(
+            (executor.entry.capacity.cpu_millis for executor in self._offered),
+            default=0,
         )
 
     def count_step(self, step_run: StepRun) -> bool:
@@ -53,6 +58,26 @@
         self._announceable_cpu -= count_needed_cpu(step_run)
         return may_announce
 
+    def discount_step(self, step_run: StepRun) -> None:
+        """Take back what was counted for a step that waits for other reasons.
+
+        A label, a tenant's maximum or a limit per executor may hold it up for
+        good, which must not keep later steps from being announced.
+        """
+        self._announceable_cpu += count_needed_cpu(step_run)
+
+    def lacks_cpu(self, step: Step) -> bool:
+        """Return whether a subtask waits for cpu that is in use."""
+        return self._measure_free_cpu() < step.size.cpu_millis <= self._largest_cpu
+
+    def _measure_free_cpu(self) -> int:
+        """Return the largest free cpu of an executor."""
+        if self._largest_free_cpu is None:
+            self._largest_free_cpu = max(
+                (executor.free_cpu() for executor in self._offered), default=-1
+            )
+        return self._largest_free_cpu
+
     def hold(self, rank: StepRank, step_run: StepRun) -> None:
         """Hold room for a step whose announcement is being stored.
 
@@ -82,11 +107,7 @@
         """Return whether an executor may have the cpu for a subtask."""
         if step.fills or step.lasting or not self.executors:
             return True
-        if self._largest_free_cpu is None:
-            self._largest_free_cpu = max(
-                (executor.free_cpu() for executor in self.executors), default=-1
-            )
-        return step.size.cpu_millis <= self._largest_free_cpu
+        return step.size.cpu_millis <= self._measure_free_cpu()
 
     def forget_free_cpu(self) -> None:
         """Measure the free cpu again, after subtasks were placed."""
