Isolate a suspect from other suspects' starts, not from their whole time at work

Cause: a subtask under which two executors have crashed was started only on executors without any suspect, and a suspect is one until it has been at work for 5 s. Eight lasting subtasks that lost two executors in a row were all at work again after 20 s.

Evidence: test_two_crashes_hold_up_no_lasting_work failed before (TooSlowError, 8 s).

Only suspects that were started within ISOLATION_SECONDS keep an isolated one away.

--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -13,7 +13,11 @@
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import JobRegistry, find_pool
 from hemlockstand.fleet.model import FleetConfig, Resources, Tenant
-from hemlockstand.fleet.policy.crashes import is_isolated, is_suspect
+from hemlockstand.fleet.policy.crashes import (
+    ISOLATION_SECONDS,
+    is_isolated,
+    is_suspect,
+)
 from hemlockstand.fleet.policy.placing import PoolRoom
 from hemlockstand.fleet.policy.waiting import rank_step
 from hemlockstand.fleet.work import StepRun, Subtask
@@ -231,7 +235,7 @@
         and is_below_cap(subtask.step_run, executor)
     ]
     if is_isolated(subtask):
-        usable = [executor for executor in usable if not count_suspects(executor)]
+        usable = [item for item in usable if not has_recent_suspect(item, now)]
     others = [executor for executor in usable if executor.id not in subtask.avoid]
     if len(others) >= MIN_ALTERNATIVES:
         usable = others
@@ -250,6 +254,16 @@
     return sum(1 for subtask in executor.runs.values() if is_suspect(subtask))
 
 
+def has_recent_suspect(executor: Executor, now: float) -> bool:
+    """Return whether a suspect was started so recently that it may crash yet."""
+    return any(
+        is_suspect(subtask)
+        and subtask.run is not None
+        and now - subtask.run.ordered_at < ISOLATION_SECONDS
+        for subtask in executor.runs.values()
+    )
+
+
 def is_below_cap(step_run: StepRun, executor: Executor) -> bool:
     """Return whether another subtask of the step may run on the executor."""
     cap = step_run.step.max_per_executor
--- a/test/test_fleet_crashes.py
+++ b/test/test_fleet_crashes.py
@@ -158,6 +158,25 @@
         world.check_runs()
 
 
+async def test_two_crashes_hold_up_no_lasting_work(clock):
+    """Guards against suspects that start one by one, five seconds apart."""
+    async with open_world() as world:
+        for _ in range(2):
+            world.add_executor()
+        world.start_daemon("a")
+        await trio.sleep(1)
+        job = world.submit(
+            make_step(8, lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        for _ in range(2):
+            await world.wait_for(lambda: len(world.find_running(job)) == 8, 12)
+            await trio.sleep(1)
+            for model in world.executors.values():
+                if model.running:
+                    model.crash_process()
+        await world.wait_for(lambda: len(world.find_running(job)) == 8, 8)
+
+
 def test_old_runs_are_not_blamed_for_a_recent_start():
     """Guards against long runs that are given up for what starts beside them."""
     runs = [CrashedRun("old", "a", 20.0, 3), CrashedRun("new", "b", 0.01, 3)]
