Keep a gang off executors that its members avoid

Cause: the choice of executors for a gang did not look at the executors that a member has failed on or was refused by, so a gang was started again on one that refuses it, for ever.

A gang is first placed without these executors, and with them if that fails.

--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -172,7 +172,9 @@
         total = step_run.step.size.scale(len(members))
         if not self._is_within_maximum(tenant, total):
             return
-        chosen = choose_gang(step_run, executors)
+        avoided = set().union(*(member.avoid for member in members))
+        preferred = [item for item in executors if item.id not in avoided]
+        chosen = choose_gang(step_run, preferred) or choose_gang(step_run, executors)
         number = max(member.runs for member in members)
         checkpoint = max(member.checkpoint for member in members)
         for member, executor in zip(members, chosen, strict=False):
--- a/test/test_fleet_waiting.py
+++ b/test/test_fleet_waiting.py
@@ -50,3 +50,19 @@
         await trio.sleep(1)
         job = world.submit(make_step(lasting=True), work=LAST, tenant="other")
         await world.wait_for(lambda: world.find_running(job), 3)
+
+
+async def test_gang_avoids_an_executor_that_refuses_its_start(clock):
+    """Guards against a gang that is started on the same executors for ever."""
+    large = Resources(12_000, 512)
+    async with open_world() as world:
+        for _ in range(3):
+            world.add_executor()
+        world.start_daemon("a")
+        await trio.sleep(1)
+        world.executors[min(world.executors)].unhealthy_orders = 1_000_000
+        job = world.submit(
+            make_step(2, gang=True, size=large),
+            work=SubtaskBehaviour(1.0, size=large),
+        )
+        await world.wait_for(lambda: world.state(job) == "completed", 6)
