Request tickets for executors that a step can use

Cause: tickets were requested for executors without quarantine only, so the last resort of lasting work did not exist for queues with advice; executors without the step's label counted as ones with room; and one ticket counted as enough for a gang that needs more executors than one call names.

Tickets are requested for sound executors with the step's label, until a subtask or all members of a gang fit on executors with tickets.

--- a/hemlockstand/fleet/tickets.py
+++ b/hemlockstand/fleet/tickets.py
@@ -10,7 +10,12 @@
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import find_pool
 from hemlockstand.fleet.model import FleetConfig
-from hemlockstand.fleet.placement import is_below_cap, is_usable
+from hemlockstand.fleet.placement import (
+    fill_group,
+    is_below_cap,
+    is_recorded,
+    is_sound,
+)
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.work import StepRun
 from hemlockstand.platform.advice import AdviceClient
@@ -80,16 +85,19 @@
                 for executor in self._find_executors(step_run)
                 if self.find_ticket(step_run, executor)
             ]
-            if not any(has_room(step_run, executor) for executor in with_ticket):
+            if not can_start(step_run, with_ticket):
                 yield step_run
 
     def _find_executors(self, step_run: StepRun) -> list[Executor]:
         pool = find_pool(step_run.job, self.state.config)
-        now = self.state.clock()
+        label = step_run.step.label
         return [
             executor
             for executor in self.state.executors.values()
-            if executor.entry.pool == pool and is_usable(executor, now)
+            if executor.entry.pool == pool
+            and is_sound(executor)
+            and is_recorded(executor)
+            and (not label or label in executor.entry.labels)
         ]
 
     async def _request_tickets(self, step_run: StepRun) -> None:
@@ -140,6 +148,13 @@
                 del self._tickets[name, executor]
 
 
+def can_start(step_run: StepRun, executors: list[Executor]) -> bool:
+    """Return whether a subtask, or all members of a gang, fit on executors."""
+    if step_run.step.gang:
+        return bool(fill_group(step_run, executors))
+    return any(has_room(step_run, executor) for executor in executors)
+
+
 def has_room(step_run: StepRun, executor: Executor) -> bool:
     """Return whether a subtask of the step fits on the executor now."""
     step = step_run.step
