Look at the budget again before a delayed stop

Cause: a stop that waits while the lease has lapsed was sent afterwards without another look at the budget of its step, which may have been used meanwhile (AVAIL).

Evidence: test_delayed_stop_keeps_the_budget failed before (the run is stopped while the other one of its step is lost).

A stop that was not sent yet is revoked if the budget no longer permits it; the planner asks again.

--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -5,6 +5,7 @@
 from loguru import logger
 
 from hemlockstand.errors import HemlockstandError
+from hemlockstand.fleet.eviction import may_stop
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.metrics import FIRST_START_SECONDS, STARTS
 from hemlockstand.fleet.model import Refusal, Refused, Started, StartOrder, Unanswered
@@ -182,14 +183,39 @@
         While no orders may be given it waits: the lease may be renewed yet, and
         nothing else would repeat the stop.
         """
+        delayed = sent = False
         while True:
-            if self.state.may_order() and await self._try_stop(executor, name, number):
-                return
+            if self.state.may_order():
+                # Once sent, the executor may have the order.
+                if delayed and not sent and self._revoke_stop(executor, name, number):
+                    return
+                sent = True
+                if await self._try_stop(executor, name, number):
+                    return
+            else:
+                delayed = True
             await trio.sleep(STOP_RETRY_SECONDS)
             subtask = executor.runs.get(name)
             if subtask is None or subtask.run is None or subtask.run.number != number:
                 return
 
+    def _revoke_stop(self, executor: Executor, name: str, number: int) -> bool:
+        """Let a run go on if the budget of its step no longer permits its stop.
+
+        Returns whether the stop was revoked. The budget may have been used
+        while the order waited.
+        """
+        subtask = executor.runs.get(name)
+        if subtask is None or subtask.run is None or subtask.run.number != number:
+            return False
+        if subtask.job.state.final or subtask.done or subtask.step.gang:
+            return False
+        if may_stop(subtask, self.state.executors):
+            return False
+        if subtask.run.state is RunState.STOPPING:
+            subtask.run.state = RunState.RUNNING
+        return True
+
     async def _try_stop(self, executor: Executor, name: str, number: int) -> bool:
         """Send a stop order; return whether the executor accepted it."""
         try:
--- a/test/test_fleet_budgets.py
+++ b/test/test_fleet_budgets.py
@@ -4,7 +4,7 @@
 import trio
 
 from emulator.fleet_executors import SubtaskBehaviour
-from hemlockstand.fleet.model import Resources
+from hemlockstand.fleet.model import EndKind, Resources
 from test.fleet_world import (
     LASTING,
     SMALL,
@@ -86,3 +86,29 @@
         world.nursery.start_soon(watch_running, world, job, counts)
         await trio.sleep(15)
         assert min(counts) >= 3
+
+
+async def test_delayed_stop_keeps_the_budget(clock):
+    """Guards against a stop that is sent after another subtask was lost."""
+    async with open_world() as world:
+        for _ in range(3):
+            world.add_executor()
+        daemon = world.start_daemon("a")
+        await trio.sleep(1)
+        step = make_step(2, lasting=True, max_unavailable=1, max_per_executor=1)
+        job = world.submit(step, work=SubtaskBehaviour(LASTING, size=SMALL))
+        await world.wait_for(lambda: len(world.find_running(job)) == 2, 5)
+        await trio.sleep(2)
+        leader = daemon.leader
+        stopped, lost = leader.state.registry.jobs[job].runs()
+        name, number = stopped.name, stopped.run.number
+        leader.state.lease.valid_until = trio.current_time() - 0.1
+        leader._orders.stop_run(stopped)
+        world.executors[lost.run.executor].crash_process()
+        await trio.sleep(2.5)
+        (run,) = (
+            item
+            for item in world.records
+            if item.subtask == name and item.number == number
+        )
+        assert run.kind is not EndKind.STOPPED
