Ask an executor whose entry is of another lifetime

Cause: an entry with an earlier start time than the known lifetime, as after a clock that was set back, was not taken for a new lifetime. An idle executor is not polled, so it counted as having no current entry for good and got no work.

An executor whose entry and lists disagree is polled; its lists decide.

--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -205,6 +205,7 @@
                 self._start_lifetime(entry.born_ms, "new entry")
         self.entry = entry
         self.is_in_store = True
+        self.wake()
 
     def extend_lease(self) -> int | None:
         """Extend the lease and return its end on the executor's clock.
@@ -239,6 +240,7 @@
             or bool(self.unknown_runs)
             or not self.reconciled
             or not self.reachable
+            or not self.is_entry_current
             or self.last_handled > self.acked
         )
 
--- a/test/test_fleet_lifetimes.py
+++ b/test/test_fleet_lifetimes.py
@@ -58,3 +58,20 @@
         executor.execute_late_orders()
         await world.wait_for(lambda: world.state(job) == "completed", 15)
         world.check_runs()
+
+
+async def test_lifetime_with_an_earlier_start_time_takes_work(clock):
+    """Guards against an executor that is never used after its clock was set back."""
+    async with open_world() as world:
+        executor = world.add_executor()
+        executor.born_ms = 10_000
+        world.register_executor(executor)
+        world.start_daemon("a")
+        await trio.sleep(2)
+        executor.restart()
+        executor.born_ms = 9_000
+        world.register_executor(executor)
+        job = world.submit(
+            make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        await world.wait_for(lambda: world.find_running(job), 5)
