Poll until the last acknowledgement was sent

Cause: an executor without runs was polled until its last end was stored, not until the executor had been told. If the store took longer than a poll, the executor kept its last ends in its list for good.

Evidence: test_last_ends_of_an_executor_are_acknowledged failed before (TooSlowError; store calls of 20 ms).

--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -123,6 +123,7 @@
     reserved: bool = False
     recorded: bool = False
     closed: bool = False
+    _forgotten: int = 0  # the last end that the executor has certainly dropped
     _restarted: bool = False  # the lists of the new lifetime were not read yet
     _left_drained: bool = False  # the earlier lifetime ended as it was meant to
     # Runs that were lost with an expired lease, with the times of their orders;
@@ -241,7 +242,7 @@
             or not self.reconciled
             or not self.reachable
             or not self.is_entry_current
-            or self.last_handled > self.acked
+            or self.last_handled > self._forgotten
         )
 
     async def run(self) -> None:
@@ -287,6 +288,7 @@
         acked = self.acked
         answer = await self.client.hold(self.extend_lease(), fence, acked, wait)
         self.update_clock(answer.clock_ms)
+        self._forgotten = max(acked, self._forgotten)
         self._reconcile(answer, sent_at, fence)
         if unstored and self.last_handled > self.acked:
             await trio.sleep(5 * UNSTORED_POLL_SECONDS)
@@ -395,6 +397,7 @@
         """Expect the numbers of ends to start anew."""
         self.last_handled = 0
         self.acked = 0
+        self._forgotten = 0
 
     def close(self) -> None:
         """Let the task end."""
