Expect a new lifetime of an executor that was idle

What callers could see: a subtask runs twice (TWICE), or again after its end.

Cause: an idle executor is not polled. One that started again unnoticed got its next order in the terms of the earlier lifetime: a lease by a clock that has started anew, which the executor shortens to the longest lease only, and an acknowledgement by numbers of ends that it counts anew. Expected-Instance names the id alone, so it does not tell lifetimes apart.

The stand-in now limits leases as the platform does.

Ruled out: a poll before each order, which costs a round trip a start.

The first poll after idling acknowledges nothing and does not wait; until it is answered in the same lifetime, runs count as ending with the longest lease. Open: the next scheduler waits for the usual lease after a takeover in that very moment.

--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -33,6 +33,7 @@
 from hemlockstand.platform.executors import ExecutorReplaced, OrderRefused
 
 STOP_SECONDS = 0.2
+LONGEST_HOLD_MS = 10_000
 CRASH_SECONDS = 0.01
 RESTART_SECONDS = 3.0  # time until an executor is back after a crash
 STARTUP_SECONDS = 0.3  # time until a lasting subtask reports 100 percent
@@ -247,7 +248,7 @@
         if order.fence < self.fence:
             return Refused(Refusal.FENCE, self.clock_ms)
         self.fence = order.fence
-        self.due_ms = max(self.due_ms, order.due_ms)
+        self._extend_lease(order.due_ms)
         known = self.running.get(order.subtask)
         if known is not None and known.record.number == order.run:
             return Started(self.clock_ms)
@@ -270,6 +271,11 @@
         self.report_start(self, record)
         return Started(self.clock_ms)
 
+    def _extend_lease(self, due_ms: int) -> None:
+        """Extend the lease, up to the longest that the platform permits."""
+        longest = self.clock_ms + LONGEST_HOLD_MS
+        self.due_ms = max(self.due_ms, min(due_ms, longest))
+
     def free_resources(self) -> Resources:
         """Return the capacity that the running subtasks leave free."""
         free = self.capacity
@@ -285,7 +291,7 @@
         self.advance()
         self.accept_fence(fence)
         if due_ms is not None:
-            self.due_ms = max(self.due_ms, due_ms)
+            self._extend_lease(due_ms)
         for end in self.ends:
             record = self.ended_records[end.number]
             if end.number <= acked and not record.lapsed:
--- a/hemlockstand/fleet/executor_directory.py
+++ b/hemlockstand/fleet/executor_directory.py
@@ -166,7 +166,7 @@
         for executor in list(self.state.executors.values()):
             if executor.is_in_store or executor.runs:
                 continue
-            if now > max(executor.lease_expires_at, self.state.previous_grants_end):
+            if now > max(executor.runs_end_at, self.state.previous_grants_end):
                 executor.close()
                 del self.state.executors[executor.id]
                 self._versions.pop(executor.id, None)
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -81,6 +81,9 @@
     def grant_end(self) -> float:
         """Return the end of a lease granted now, in the scheduler's clock."""
 
+    def longest_lease_seconds(self) -> float:
+        """Return the longest time for which an executor keeps any lease."""
+
     def last_grant_end(self) -> float:
         """Return the latest end that a lease may have."""
 
@@ -123,6 +126,9 @@
     reserved: bool = False
     recorded: bool = False
     closed: bool = False
+    # It was idle and not polled, so it may have started again unnoticed.
+    _unconfirmed: bool = False
+    _longest_expires_at: float = _NEVER
     _forgotten: int = 0  # the last end that the executor has certainly dropped
     _restarted: bool = False  # the lists of the new lifetime were not read yet
     _left_drained: bool = False  # the earlier lifetime ended as it was meant to
@@ -144,6 +150,11 @@
         """Whether the last call was answered."""
         return self.failing_since is None
 
+    @property
+    def runs_end_at(self) -> float:
+        """Time by which all runs have ended without further leases."""
+        return max(self.lease_expires_at, self._longest_expires_at)
+
     @property
     def is_entry_current(self) -> bool:
         """Whether the entry in the store belongs to the present lifetime.
@@ -221,6 +232,10 @@
             return None
         until = self.events.grant_end()
         self.lease_expires_at = max(self.lease_expires_at, until)
+        if self._unconfirmed:
+            # By the clock of a new lifetime this may be as long as any lease.
+            longest = self.events.longest_lease_seconds()
+            self._longest_expires_at = self.clock() + longest
         ahead = (until - self._clock_at) * 1000 * MIN_CLOCK_RATE
         return self._clock_ms + int(ahead)
 
@@ -250,6 +265,7 @@
         while not self.closed:
             self._wake = trio.Event()
             if not self._needs_poll():
+                self._unconfirmed = True
                 await self._wake.wait()
                 continue
             await self._poll()
@@ -280,12 +296,15 @@
             await trio.sleep(UNSTORED_POLL_SECONDS)
         wait = (
             0.0
-            if self.last_handled > self.acked or not self.reconciled
+            if self.last_handled > self.acked
+            or not self.reconciled
+            or self._unconfirmed
             else self.hold_seconds
         )
         sent_at = self.clock()
         fence = self.fence
-        acked = self.acked
+        # A new lifetime numbers its ends anew.
+        acked = 0 if self._unconfirmed else self.acked
         answer = await self.client.hold(self.extend_lease(), fence, acked, wait)
         self.update_clock(answer.clock_ms)
         self._forgotten = max(acked, self._forgotten)
@@ -298,7 +317,7 @@
         if self.failing_since is None:
             self.failing_since = now
             log.warning("executor {} does not answer", self.id, detail=str(error))
-        if now > self.lease_expires_at + LEASE_EXPIRY_MARGIN_SECONDS:
+        if now > self.runs_end_at + LEASE_EXPIRY_MARGIN_SECONDS:
             self._lapsed.extend(self._list_orders(self.runs.values()))
             if isinstance(error, ConnectionRefused):
                 self._report_crash()
@@ -312,6 +331,8 @@
             if self.born_ms is not None:
                 self._start_lifetime(answer.born_ms, "lists of runs")
             self.born_ms = answer.born_ms
+        elif self._unconfirmed:
+            self._longest_expires_at = _NEVER
         listed = {entry.subtask: entry for entry in answer.running}
         for end in answer.ended:
             if end.number > self.last_handled:
@@ -343,6 +364,7 @@
         self.events.handle_running(self, answer)
         self.unknown_runs = frozenset(listed.keys() - self.runs.keys())
         self.reconciled = True
+        self._unconfirmed = False
 
     def _handle_end(self, end: EndEntry) -> None:
         self.last_handled = end.number
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from hemlockstand.fleet.eviction import find_movable, find_stalled
-from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.executors import MIN_CLOCK_RATE, Executor
 from hemlockstand.fleet.job_registry import find_max_attempts
 from hemlockstand.fleet.metrics import CRASHES, ENDS
 from hemlockstand.fleet.model import EndEntry, EndKind, HoldAnswer, JobState, RunEntry
@@ -40,6 +40,11 @@
         """Return the end of a lease granted now."""
         return self.state.grant_end()
 
+    def longest_lease_seconds(self) -> float:
+        """Return the longest time for which an executor keeps any lease."""
+        longest = self.state.settings.bounds.longest_hold_ms / 1000
+        return longest / MIN_CLOCK_RATE
+
     def last_grant_end(self) -> float:
         """Return the latest end that a lease may have."""
         return self.state.last_grant_end()
--- a/test/test_fleet_lifetimes.py
+++ b/test/test_fleet_lifetimes.py
@@ -75,3 +75,53 @@
             make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
         )
         await world.wait_for(lambda: world.find_running(job), 5)
+
+
+async def test_lease_by_the_clock_of_an_earlier_lifetime_expires_first(clock):
+    """Guards against a second run beside one with the longest possible lease.
+
+    An idle executor starts again, its clock anew, and gets an order before that
+    is known. Then it is cut off.
+    """
+    async with open_world() as world:
+        for _ in range(2):
+            world.add_executor()
+        daemon = world.start_daemon("a")
+        await trio.sleep(20)
+        for model in world.executors.values():
+            model.restart()
+        job = world.submit(
+            make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        await world.wait_for(lambda: world.find_running(job), 5)
+        (run,) = world.find_running(job)
+        await trio.sleep(0.3)
+        daemon.cut_off.add(run.executor)
+        for model in world.executors.values():
+            world.register_executor(model)
+        await trio.sleep(16)
+        world.check_runs()
+
+
+async def test_ends_of_an_unannounced_lifetime_are_read(clock):
+    """Guards against ends that are acknowledged by an earlier lifetime's number."""
+    work = SubtaskBehaviour(0.5, size=SMALL)
+    async with open_world() as world:
+        for _ in range(2):
+            world.add_executor()
+        world.start_daemon("a")
+        await trio.sleep(1)
+        earlier = world.submit(make_step(20, seconds=0.5), work=work)
+        await world.wait_for(lambda: world.state(earlier) == "completed", 10)
+        await trio.sleep(2)
+        for model in world.executors.values():
+            model.restart()
+        job = world.submit(make_step(seconds=0.5), work=work)
+        await world.wait_for(lambda: world.find_running(job), 5)
+        (run,) = world.find_running(job)
+        model = world.executors[run.executor]
+        model.unresponsive = True
+        await trio.sleep(1.2)
+        model.unresponsive = False
+        await world.wait_for(lambda: world.state(job) == "completed", 15)
+        world.check_runs()
