Count a crash when connections are first refused

Cause: a crash was counted when the executor was back or its lease expired, over three seconds later. A scheduler that was killed in between lost it, and the next one started the subtask as if it had crashed nothing.

The first refused connection counts the crash, once for each subtask until the executor answers again. Runs still end with their leases.

--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -135,6 +135,7 @@
     # Runs that were lost with an expired lease, with the times of their orders;
     # the next lifetime shows whether the executor had crashed.
     _lapsed: list[tuple[Subtask, float]] = field(factory=list)
+    _crashed: set[Subtask] = field(factory=set)  # subtasks of the reported crash
     _clock_ms: int | None = None
     _clock_at: float = 0.0
     _wake: trio.Event = field(factory=trio.Event)
@@ -317,10 +318,11 @@
         if self.failing_since is None:
             self.failing_since = now
             log.warning("executor {} does not answer", self.id, detail=str(error))
+        if isinstance(error, ConnectionRefused):
+            # The next scheduler may not learn what ran here, so count it now.
+            self._report_crash(self.runs.values())
         if now > self.runs_end_at + LEASE_EXPIRY_MARGIN_SECONDS:
             self._lapsed.extend(self._list_orders(self.runs.values()))
-            if isinstance(error, ConnectionRefused):
-                self._report_crash()
             for subtask in list(self.runs.values()):
                 self._report_lost(subtask, "lease has expired")
         await trio.sleep(RETRY_SECONDS if self.runs else IDLE_RETRY_SECONDS)
@@ -352,8 +354,7 @@
             elif run.may_be_unstarted and run.fence < fence:
                 lost[subtask] = "the start order was not carried out"
         if self._restarted:
-            self._lapsed.extend(self._list_orders(lost))
-            self._report_crash()
+            self._report_crash(lost)
         for subtask, reason in lost.items():
             self._report_lost(subtask, "new lifetime" if self._restarted else reason)
         if self.failing_since is not None:
@@ -361,6 +362,7 @@
         self.failing_since = None
         self._restarted = self._left_drained = False
         self._lapsed.clear()
+        self._crashed.clear()
         self.events.handle_running(self, answer)
         self.unknown_runs = frozenset(listed.keys() - self.runs.keys())
         self.reconciled = True
@@ -398,9 +400,15 @@
             and (run.answered_at is not None or run.connection_lost)
         ]
 
-    def _report_crash(self) -> None:
-        """Report the runs that the executor had when it stopped answering."""
-        orders, self._lapsed = self._lapsed, []
+    def _report_crash(self, subtasks: Iterable[Subtask]) -> None:
+        """Report the runs that the executor had when it stopped answering, once."""
+        orders = [
+            (subtask, ordered_at)
+            for subtask, ordered_at in [*self._lapsed, *self._list_orders(subtasks)]
+            if subtask not in self._crashed
+        ]
+        self._lapsed.clear()
+        self._crashed.update(subtask for subtask, _ in orders)
         if not orders or self.entry.draining or self._left_drained:
             return
         failed_at = self.clock() if self.failing_since is None else self.failing_since
@@ -409,8 +417,7 @@
 
     def _end_lifetime(self, reason: str) -> None:
         self._forget_ends()
-        self._lapsed.extend(self._list_orders(self.runs.values()))
-        self._report_crash()
+        self._report_crash(self.runs.values())
         self.unknown_runs = frozenset()
         for subtask in list(self.runs.values()):
             self._report_lost(subtask, reason)
--- a/test/test_fleet_crashes.py
+++ b/test/test_fleet_crashes.py
@@ -108,6 +108,31 @@
         assert world.count_runs(f"{deadly}.0.0.0") <= MAX_DEADLY_STARTS
 
 
+@pytest.mark.parametrize("takeovers", [2, 4, 6])
+async def test_crashes_before_a_takeover_are_counted(clock, takeovers):
+    """Guards against a crash that only its scheduler knew of.
+
+    The scheduler is killed a second after each crash, before the executor is
+    back.
+    """
+    async with open_world() as world:
+        for _ in range(8):
+            world.add_executor()
+        daemon = world.start_daemon("a")
+        await trio.sleep(1)
+        deadly = submit_deadly(world, make_step(1))
+        for number in range(takeovers):
+            crashes = count_crashes(world)
+            with trio.move_on_after(20):
+                await world.wait_for(lambda n=crashes: count_crashes(world) > n, 30)
+            await trio.sleep(1)
+            world.kill(daemon)
+            daemon = world.start_daemon(f"b{number}")
+        await trio.sleep(40)
+        assert world.count_runs(f"{deadly}.0.0.0") <= MAX_DEADLY_STARTS
+        assert world.state(deadly) == "failed"
+
+
 async def test_crashed_executor_is_told_from_one_that_is_cut_off(clock):
     """Guards against work that is given up because its executors were cut off."""
     async with open_world() as world:
