Revert "Count running subtasks with the rest of their time"

The reverted trial counted a running subtask with the predicted rest of its time over the time that its job has left, instead of all of its time.

Suspected, not traced: a subtask that runs for longer than predicted counts as nothing, so the pool shrinks when instances are busiest. Next: a floor for running subtasks, or the share that they occupy now.

--- a/hemlockstand/fleet/capacity.py
+++ b/hemlockstand/fleet/capacity.py
@@ -9,7 +9,6 @@
 from hemlockstand.fleet.job_registry import JobRegistry, find_pool
 from hemlockstand.fleet.model import FleetConfig, Resources, get_reservation
 from hemlockstand.fleet.policy.arrivals import ArrivedWork, estimate_rate
-from hemlockstand.fleet.policy.remaining import count_parallel
 from hemlockstand.fleet.policy.sizing import OfferScale, PoolSize, count_fitting
 from hemlockstand.fleet.work import Job
 
@@ -23,6 +22,8 @@
 # Factor on the demand of short work: a late job costs as much as an instance
 # for several seconds.
 HEADROOM = 1.3
+# Time in which jobs without an objective should be done.
+MIN_WINDOW_SECONDS = 1.0
 # Spare cpu for the first jobs of a queue that was idle.
 SPARE_CPU_MILLIS = 16_000
 # Minimum size of a pool, so that the loss of one instance leaves another.
@@ -185,30 +186,43 @@
     Lasting subtasks and gangs need all their resources at once; other subtasks
     may run one after another, in the time until the job should be done.
     """
+    window = find_window(job, now)
     for step_run in job.steps.values():
         step = step_run.step
         left = step.count - step_run.done.bit_count()
         if not left or (not step_run.unlocked_at and job.spec.timed):
             continue
         if step.lasting:
-            needed = float(left)
+            share = 1.0
             demand.lasting.add(get_reservation(step), left)
             demand.lasting_groups.append(SubtaskGroup(get_reservation(step), left))
         else:
             seconds = durations.predict(job.spec.queue, step.estimate_ms)
-            needed = count_parallel(step_run, seconds, now)
+            share = min(1.0, seconds / window)
             if step.gang and step_run.unlocked:
-                needed = float(left)
+                share = 1.0
                 demand.gangs.append(SubtaskGroup(get_reservation(step), left))
-            demand.present.add(get_reservation(step), needed)
+            demand.present.add(get_reservation(step), left * share)
         if step.label:
             labelled = demand.labelled.setdefault(step.label, ResourceDemand())
-            labelled.add(get_reservation(step), needed)
+            labelled.add(get_reservation(step), left * share)
         if step.max_per_executor and (step.lasting or step.gang):
             minimum = math.ceil(left / step.max_per_executor)
             demand.minimum = max(demand.minimum, minimum)
 
 
+def find_window(job: Job, now: float) -> float:
+    """Return the seconds in which the rest of a job should be done.
+
+    The time that a job has waited is gone. A late job has all its time again:
+    it is worth too little for instances of its own.
+    """
+    left = job.accepted_at + job.objective_seconds - now
+    if left < 0:
+        left = job.objective_seconds
+    return max(MIN_WINDOW_SECONDS, left)
+
+
 def add_arrival(
     demand: Demand,
     job: Job,
