--- a/test/test_fleet_scheduler.py
+++ b/test/test_fleet_scheduler.py
@@ -63,26 +63,6 @@
         world.check_runs()
 
 
-async def test_executor_is_used_again_after_a_long_cut(clock):
-    """Guards against an executor that stays unused once its lease had expired.
-
-    It answers again, and the store has had its entry all the time.
-    """
-    async with open_world() as world:
-        model = world.add_executor()
-        world.start_daemon("a")
-        job = world.submit(
-            make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
-        )
-        await world.wait_for(lambda: world.find_running(job), 5)
-        world.daemons["a"].cut_off.add(model.id)
-        await trio.sleep(12)
-        assert not world.find_running(job)
-        world.daemons["a"].cut_off.discard(model.id)
-        await world.wait_for(lambda: world.find_running(job), 6)
-        world.check_runs()
-
-
 async def test_executor_that_is_slow_to_report_keeps_its_work(clock):
     """Guards against a second run of work whose executor still answers.
 
--- a/test/test_fleet_takeovers.py
+++ b/test/test_fleet_takeovers.py
@@ -209,3 +209,23 @@
         for job in jobs:
             await world.wait_for(lambda job=job: world.state(job) == "completed", 15)
         assert {run.executor for run in world.records[1:]} == {other.id}
+
+
+async def test_executor_is_used_again_after_a_long_cut(clock):
+    """Guards against an executor that stays unused once its lease had expired.
+
+    It answers again, and the store has had its entry all the time.
+    """
+    async with open_world() as world:
+        model = world.add_executor()
+        world.start_daemon("a")
+        job = world.submit(
+            make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        await world.wait_for(lambda: world.find_running(job), 5)
+        world.daemons["a"].cut_off.add(model.id)
+        await trio.sleep(12)
+        assert not world.find_running(job)
+        world.daemons["a"].cut_off.discard(model.id)
+        await world.wait_for(lambda: world.find_running(job), 6)
+        world.check_runs()
