Tell late answers from lost requests in the faults benchmark

All were tries that timed out at their caller.

All cores were busy; the run had 1.8 to 4.1 of them, a daemon 0.1 to 0.4.

Hypotheses: (1) the load tool is late and leaves answers unread, (2) the daemons are late, (3) the product loses requests whatever the speed. At the time-out the socket had unread bytes in 74 of 14,925 tries, so not (1). So (2): a caller gives up 2 s after the deadline, and the figure did not tell a late answer from none.

Change: a caller of this benchmark that has given up leaves its connection open for 30 s. A try whose verdict arrives then counts in late_requests, all others in lost_requests; both have the bound 0, and together they count what lost_requests counted. Nothing more is excused than before.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -59,6 +59,10 @@
 MAX_TRACED = 5
 NOT_RUN_VERDICTS = ("not-run", "not_connected")
 KNOWN_VERDICTS = ("answered", "not-run", "may-have-run")
+LATE_VERDICTS = (*KNOWN_VERDICTS, "not_sent")
+# For this long after it has given up, a caller watches for a late answer. It is
+# far longer than a daemon's queue of requests on a machine at its limit.
+LATE_SECONDS = 30.0
 
 
 @define
@@ -239,7 +243,13 @@
             for team in (queue.rpartition("-")[0],)
         ]
         return LoadPlan(
-            targets, wanted, SECONDS, seed, requests_per_connection=20, **values
+            targets,
+            wanted,
+            SECONDS,
+            seed,
+            requests_per_connection=20,
+            late_seconds=LATE_SECONDS,
+            **values,
         )
 
     orders = (("hinge-orders", 90.0, 1500), ("clamp-orders", 40.0, 3000))
@@ -261,12 +271,15 @@
     requests, runs = evidence.requests, evidence.runs
     double_runs = find_double_runs(runs, evidence.repeatable)
     false_refusals = list(find_false_refusals(requests, runs))
-    lost = list(find_lost(requests, evidence.disturbed))
+    unanswered = list(find_unanswered(requests, evidence.disturbed))
+    lost = [entry for entry in unanswered if entry[3] not in LATE_VERDICTS]
+    late = [entry for entry in unanswered if entry[3] in LATE_VERDICTS]
     false_answers = find_false_answers(requests, runs)
     for name, found in (
         ("ran twice", double_runs),
         ("'not run' but ran", false_refusals),
         ("lost", lost),
+        ("answered late", late),
         ("answered falsely", false_answers),
     ):
         if found:
@@ -282,6 +295,7 @@
     yield Figure("false_not_run", len(false_refusals), "requests", 0)
     yield Figure("false_answers", len(false_answers), "requests", 0)
     yield Figure("lost_requests", len(lost), "requests", 0)
+    yield Figure("late_requests", len(late), "requests", 0)
     yield Figure(
         "retry_amplification", measure_amplification(requests, runs), "ratio", 1.10
     )
@@ -303,14 +317,14 @@
             yield entry["id"]
 
 
-def find_lost(
+def find_unanswered(
     requests: Iterable[Mapping[str, Any]],
     disturbed: Mapping[str, tuple[float, float]],
-) -> Iterator[tuple[str, str, str]]:
-    """Yield the tries without a verdict that no disturbance explains.
+) -> Iterator[tuple[str, str, str, str]]:
+    """Yield the tries without a verdict in time that no disturbance explains.
 
-    Tries that overlap a disturbance of the daemon they were sent to are left
-    out.
+    The last value is the verdict that arrived late, if any. Tries that overlap
+    a disturbance of the daemon they were sent to are left out.
     """
     for entry in requests:
         for each in entry["tries"]:
@@ -319,7 +333,7 @@
             begin, end = disturbed.get(each["target"], (float("inf"), 0.0))
             if each["start"] <= end and begin <= each["end"]:
                 continue
-            yield entry["id"], each["target"], each["verdict"]
+            yield entry["id"], each["target"], each["verdict"], each["late"]
 
 
 def measure_overrun(
--- a/bench/fleet_runs.py
+++ b/bench/fleet_runs.py
@@ -13,7 +13,8 @@
 from emulator.load import LoadPlan
 from emulator.processes import Child
 
-LOAD_END_SECONDS = 30.0
+# The last requests with their failovers, and the wait for late answers.
+LOAD_END_SECONDS = 60.0
 LONGEST_DEADLINE = 30.0
 # Rows of these kinds are left out by default: jobs would use processor time.
 JOB_KINDS = ("job",)
--- a/emulator/figures.py
+++ b/emulator/figures.py
@@ -7,19 +7,24 @@
 
 import attrs
 import msgspec
-from attrs import define, field, frozen
+from attrs import define, field
 
 QUANTILES = {"p50": 0.5, "p90": 0.9, "p99": 0.99, "max": 1.0}
 
 
-@frozen
+@define
 class Try:
-    """The result of a request at one target; times are ``time.monotonic``."""
+    """The result of a request at one target; times are ``time.monotonic``.
+
+    ``late`` is the verdict of an answer that arrived after the caller had given
+    up, or ``not_sent`` if only a request id arrived then.
+    """
 
     target: str
     start: float
     end: float
     verdict: str
+    late: str = ""
 
 
 @define
@@ -61,6 +66,12 @@
         self.detail = detail
         self.end = time.monotonic()
 
+    def copy_result(self, other: "Outcome") -> None:
+        """Take over the result of the same request at one target."""
+        self.verdict, self.status = other.verdict, other.status
+        self.code, self.detail = other.code, other.detail
+        self.mismatched, self.end = other.mismatched, other.end
+
     @property
     def good(self) -> bool:
         """Whether the caller got a successful answer to this request."""
--- a/emulator/load.py
+++ b/emulator/load.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Literal
 
+import attrs
 import msgspec
 import trio
 from absl import app, flags
@@ -65,10 +66,21 @@
     retries: int = 0
     failovers: int = 0
     failover_seconds: float = 0.2
+    late_seconds: float = 0.0
     direct: bool = False
     requests_per_connection: int = REQUESTS_PER_CONNECTION
 
 
+@define
+class _Exchange:
+    """A request that is on its way, with a result of its own."""
+
+    outcome: Outcome
+    done: trio.Event = field(factory=trio.Event)
+    scope: trio.CancelScope = field(factory=trio.CancelScope)
+    given_up: Try | None = None
+
+
 @define
 class LoadRun:
     """One run of a plan."""
@@ -100,7 +112,7 @@
                 if self._in_flight >= plan.max_in_flight:
                     self.skipped += 1
                     continue
-                nursery.start_soon(self._send, count, arrival)
+                nursery.start_soon(self._send, count, arrival, nursery)
         for client in self._clients:
             await client.close()
         return make_report(self.outcomes, begin, plan.seconds, self.skipped)
@@ -113,7 +125,7 @@
         host, _, port = target.rpartition(":")
         return CallerClient(host, int(port), self.plan.requests_per_connection)
 
-    async def _send(self, count: int, arrival: Arrival) -> None:
+    async def _send(self, count: int, arrival: Arrival, nursery: trio.Nursery) -> None:
         self._in_flight += 1
         queue = self.plan.queues[arrival.queue]
         outcome = Outcome("", queue.team, queue.queue, time.monotonic())
@@ -122,31 +134,59 @@
             if number:
                 await trio.sleep(self.plan.failover_seconds)
             client = self._clients[(count + number) % len(self._clients)]
-            await self._send_to(client, arrival, outcome)
+            await self._send_to(client, arrival, outcome, nursery)
             if outcome.verdict == "answered":
                 break
         self._in_flight -= 1
 
     async def _send_to(
-        self, client: CallerClient, arrival: Arrival, outcome: Outcome
+        self,
+        client: CallerClient,
+        arrival: Arrival,
+        outcome: Outcome,
+        nursery: trio.Nursery,
     ) -> None:
         """Send a request through one target and record the result."""
         queue = self.plan.queues[arrival.queue]
         limit = queue.deadline_ms / 1000 + EXTRA_WAIT_SECONDS
         began = time.monotonic()
-        with trio.move_on_after(limit) as scope:
+        exchange = _Exchange(attrs.evolve(outcome, tries=[]))
+        nursery.start_soon(self._exchange, exchange, client, arrival)
+        with trio.move_on_after(limit):
+            await exchange.done.wait()
+        known = exchange.outcome
+        outcome.id, outcome.attempts = known.id, known.attempts
+        target = f"{client.host}:{client.port}"
+        if exchange.done.is_set():
+            outcome.copy_result(known)
+            outcome.tries.append(Try(target, began, outcome.end, outcome.verdict))
+            return
+        outcome.finish("timeout", detail=f"no answer in {limit:.1f} s")
+        result = Try(target, began, outcome.end, outcome.verdict)
+        outcome.tries.append(result)
+        exchange.given_up = result
+        exchange.scope.deadline = trio.current_time() + self.plan.late_seconds
+
+    async def _exchange(
+        self, exchange: _Exchange, client: CallerClient, arrival: Arrival
+    ) -> None:
+        queue = self.plan.queues[arrival.queue]
+        outcome = exchange.outcome
+        with exchange.scope:
             try:
                 if not outcome.id:
                     outcome.id = await self._choose_id(client, arrival)
-                await self._send_with_retries(client, queue, outcome)
+                if exchange.given_up is None:
+                    await self._send_with_retries(client, queue, outcome)
+                else:
+                    outcome.finish("not_sent")
             except NotConnected as error:
                 outcome.finish("not_connected", detail=str(error))
             except AnswerLost as error:
                 outcome.finish("lost", detail=str(error))
-        if scope.cancelled_caught:
-            outcome.finish("timeout", detail=f"no answer in {limit:.1f} s")
-        target = f"{client.host}:{client.port}"
-        outcome.tries.append(Try(target, began, outcome.end, outcome.verdict))
+            if exchange.given_up is not None:
+                exchange.given_up.late = outcome.verdict
+            exchange.done.set()
 
     async def _choose_id(self, client: CallerClient, arrival: Arrival) -> str:
         queue = self.plan.queues[arrival.queue]
