Handle signals of the soak before its daemons start

test_stopped_soak_leaves_no_process failed once (SIGTERM, exit code -15 in place of 143): the signal arrived after the daemons had started and before the soak had its receiver. The kernel ended the daemons with the soak, but it printed no report.

Ruled out: a wait in the test, which would hide it.

--- a/emulator/soak.py
+++ b/emulator/soak.py
@@ -136,15 +136,18 @@
     async def run(self, client: httpx.AsyncClient, daemons: int) -> None:
         """Play all rounds, or until a check has failed."""
         async with trio.open_nursery() as nursery:
+            await nursery.start(self._watch_signals, nursery)
             await self._open(nursery, client, daemons)
             nursery.start_soon(self._play, nursery)
-            nursery.start_soon(self._watch_signals, nursery)
             await self.checks.violated.wait()
             nursery.cancel_scope.cancel()
 
-    async def _watch_signals(self, nursery: trio.Nursery) -> None:
+    async def _watch_signals(
+        self, nursery: trio.Nursery, task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
         """Stop on SIGINT and SIGTERM, so that the daemons are ended."""
         with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+            task_status.started()
             async for number in signals:
                 self.stopped_by = number
                 nursery.cancel_scope.cancel()
