--- a/emulator/soak_checks.py
+++ b/emulator/soak_checks.py
@@ -213,7 +213,7 @@
             if trio.current_time() > since + RECOVERY_SECONDS:
                 for text, job in unsettled[:5]:
                     self.fail(f"{text}, {RECOVERY_SECONDS:.0f} s after faults", job)
-                break
+                return RECOVERY_SECONDS
             await trio.sleep(POLL_SECONDS)
         seconds = trio.current_time() - since
         self.note(f"recovered in {seconds:.1f} s; last: {last}")
