--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -12,11 +12,6 @@
 from attrs import define, field
 
 from emulator.capacities import EarlierCapacities
-from hemlockstand.errors import (
-    ConnectionRefused,
-    OutcomeUnknown,
-    PlatformUnavailable,
-)
 from hemlockstand.fleet.model import (
     EndEntry,
     EndKind,
@@ -28,9 +23,8 @@
     Started,
     StartOrder,
     StartOutcome,
-    Unanswered,
 )
-from hemlockstand.platform.executors import ExecutorReplaced, OrderRefused
+from hemlockstand.platform.executors import OrderRefused
 
 STOP_SECONDS = 0.2
 LONGEST_HOLD_MS = 10_000
@@ -342,91 +336,3 @@
         outcomes = [self.begin(order, now - sent_at) for sent_at, order in self.late]
         self.late.clear()
         return outcomes
-
-
-@define(eq=False)
-class ExecutorAccess:
-    """One daemon's client of an executor, as ``ExecutorClient``.
-
-    ``cut`` returns whether the daemon is cut off from an executor.
-    """
-
-    models: dict[str, ExecutorModel]
-    executor: str
-    address: str
-    cut: Callable[[str], bool] = field(default=lambda executor: False)
-    call_seconds: float = 0.002
-
-    async def _reach(self) -> ExecutorModel:
-        await trio.sleep(self.call_seconds)
-        model = self.models.get(self.executor)
-        if model is None:
-            raise ExecutorReplaced(
-                f"another executor answers at the address of {self.executor!r}"
-            )
-        if model.unresponsive or self.cut(self.executor):
-            await trio.sleep(0.5)
-            raise OutcomeUnknown("no answer")
-        model.advance()
-        if model.back_at is not None:
-            raise ConnectionRefused("no process listens")
-        return model
-
-    async def start(self, order: StartOrder) -> StartOutcome:
-        """Start a run."""
-        try:
-            model = await self._reach()
-        except OutcomeUnknown as error:
-            return Unanswered(str(error))
-        except ExecutorReplaced:
-            return Refused(Refusal.OTHER_LIFETIME)
-        except PlatformUnavailable:
-            return Refused(Refusal.UNHEALTHY)
-        if model.late_orders:
-            model.late_orders -= 1
-            model.late.append((trio.current_time(), order))
-            await trio.sleep(0.5)
-            return Unanswered("the order is delayed")
-        if model.unhealthy_orders:
-            model.unhealthy_orders -= 1
-            return Refused(Refusal.UNHEALTHY)
-        outcome = model.begin(order)
-        model.advance()
-        if model.back_at is not None:
-            return Unanswered("the connection ended", connection_lost=True)
-        if model.lost_answers:
-            model.lost_answers -= 1
-            return Unanswered("the answer was lost")
-        return outcome
-
-    async def hold(
-        self, due_ms: int | None, fence: int, acked: int, wait_seconds: float
-    ) -> HoldAnswer:
-        """Extend the lease, and wait for ends to list."""
-        model = await self._reach()
-        model.handle_hold(due_ms, fence, acked)
-        give_up_at = trio.current_time() + wait_seconds
-        while not model.ends and trio.current_time() < give_up_at:
-            await trio.sleep(0.02)
-            model.advance()
-            if model.unresponsive or model.back_at is not None:
-                raise OutcomeUnknown("no answer")
-        return model.make_hold_answer()
-
-    async def stop(self, subtask: str, run: int, fence: int) -> None:
-        """Stop a run."""
-        model = await self._reach()
-        model.accept_fence(fence)
-        model.stop(subtask, run)
-
-    async def pace(self, subtask: str, run: int, percent: int, fence: int) -> None:
-        """Ignore the pace; the stand-in always runs subtasks at full speed.
-
-        Raises ``PlatformUnavailable`` while the executor drains.
-        """
-        model = await self._reach()
-        if model.draining:
-            raise PlatformUnavailable(f"executor {self.executor!r} is leaving")
-
-    async def close(self) -> None:
-        """Do nothing, as there is no connection."""
--- /dev/null
+++ b/hemlockstand/fleet/executor_events.py
@@ -0,0 +1,46 @@
+"""What an executor's task tells the scheduler, and asks it."""
+
+from typing import TYPE_CHECKING, Protocol
+
+from hemlockstand.fleet.model import EndEntry, HoldAnswer
+from hemlockstand.fleet.work import Subtask
+
+if TYPE_CHECKING:
+    from hemlockstand.fleet.executors import Executor
+
+
+class ExecutorEvents(Protocol):
+    """Callbacks of an executor's task to the scheduler; none blocks."""
+
+    def handle_end(
+        self, executor: "Executor", subtask: Subtask | None, end: EndEntry
+    ) -> None:
+        """Handle the end of a run that the executor lists."""
+
+    def handle_lost_run(
+        self, executor: "Executor", subtask: Subtask, reason: str
+    ) -> None:
+        """Handle a run that is over without an end in the executor's list."""
+
+    def handle_crash(
+        self, executor: "Executor", aboard: list[tuple[Subtask, float]]
+    ) -> None:
+        """Handle a crash before its runs are reported as lost.
+
+        ``aboard`` holds the subtasks with the ages of their runs in seconds.
+        """
+
+    def handle_running(self, executor: "Executor", answer: HoldAnswer) -> None:
+        """Handle unknown runs and the progress in an executor's answer."""
+
+    def may_order(self) -> bool:
+        """Return whether the scheduler's lease is valid."""
+
+    def grant_end(self) -> float:
+        """Return the end of a lease granted now, in the scheduler's clock."""
+
+    def longest_lease_seconds(self) -> float:
+        """Return the longest time for which an executor keeps any lease."""
+
+    def last_grant_end(self) -> float:
+        """Return the latest end that a lease may have."""
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -14,7 +14,6 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import Protocol
 
 import trio
 from attrs import define, field
@@ -26,6 +25,8 @@
     OutcomeUnknown,
     PlatformUnavailable,
 )
+from hemlockstand.fleet.crash_record import CrashRecord
+from hemlockstand.fleet.executor_events import ExecutorEvents
 from hemlockstand.fleet.model import (
     EndEntry,
     ExecutorEntry,
@@ -51,43 +52,6 @@
 _NEVER = float("-inf")
 
 
-class ExecutorEvents(Protocol):
-    """Callbacks of an executor's task to the scheduler; none blocks."""
-
-    def handle_end(
-        self, executor: "Executor", subtask: Subtask | None, end: EndEntry
-    ) -> None:
-        """Handle the end of a run that the executor lists."""
-
-    def handle_lost_run(
-        self, executor: "Executor", subtask: Subtask, reason: str
-    ) -> None:
-        """Handle a run that is over without an end in the executor's list."""
-
-    def handle_crash(
-        self, executor: "Executor", aboard: list[tuple[Subtask, float]]
-    ) -> None:
-        """Handle a crash before its runs are reported as lost.
-
-        ``aboard`` holds the subtasks with the ages of their runs in seconds.
-        """
-
-    def handle_running(self, executor: "Executor", answer: HoldAnswer) -> None:
-        """Handle unknown runs and the progress in an executor's answer."""
-
-    def may_order(self) -> bool:
-        """Return whether the scheduler's lease is valid."""
-
-    def grant_end(self) -> float:
-        """Return the end of a lease granted now, in the scheduler's clock."""
-
-    def longest_lease_seconds(self) -> float:
-        """Return the longest time for which an executor keeps any lease."""
-
-    def last_grant_end(self) -> float:
-        """Return the latest end that a lease may have."""
-
-
 @define(eq=False)
 class Executor:
     """An executor, across its restarts.
@@ -132,10 +96,7 @@
     _forgotten: int = 0  # the last end that the executor has certainly dropped
     _restarted: bool = False  # the lists of the new lifetime were not read yet
     _left_drained: bool = False  # the earlier lifetime ended as it was meant to
-    # Runs that were lost with an expired lease, with the times of their orders;
-    # the next lifetime shows whether the executor had crashed.
-    _lapsed: list[tuple[Subtask, float]] = field(factory=list)
-    _crashed: set[Subtask] = field(factory=set)  # subtasks of the reported crash
+    _crash_record: CrashRecord = field(factory=CrashRecord)
     _clock_ms: int | None = None
     _clock_at: float = 0.0
     _wake: trio.Event = field(factory=trio.Event)
@@ -322,7 +283,7 @@
             # The next scheduler may not learn what ran here, so count it now.
             self._report_crash(self.runs.values())
         if now > self.runs_end_at + LEASE_EXPIRY_MARGIN_SECONDS:
-            self._lapsed.extend(self._list_orders(self.runs.values()))
+            self._crash_record.add_lapsed(self.runs.values())
             for subtask in list(self.runs.values()):
                 self._report_lost(subtask, "lease has expired")
         await trio.sleep(RETRY_SECONDS if self.runs else IDLE_RETRY_SECONDS)
@@ -361,8 +322,7 @@
             log.info("executor {} answers again", self.id)
         self.failing_since = None
         self._restarted = self._left_drained = False
-        self._lapsed.clear()
-        self._crashed.clear()
+        self._crash_record.clear()
         self.events.handle_running(self, answer)
         self.unknown_runs = frozenset(listed.keys() - self.runs.keys())
         self.reconciled = True
@@ -391,24 +351,9 @@
         self._left_drained = self.entry.draining
         self.raise_fence()
 
-    def _list_orders(self, subtasks: Iterable[Subtask]) -> list[tuple[Subtask, float]]:
-        """Return the subtasks whose orders have reached the executor."""
-        return [
-            (subtask, run.ordered_at)
-            for subtask in subtasks
-            if (run := subtask.run) is not None
-            and (run.answered_at is not None or run.connection_lost)
-        ]
-
     def _report_crash(self, subtasks: Iterable[Subtask]) -> None:
         """Report the runs that the executor had when it stopped answering, once."""
-        orders = [
-            (subtask, ordered_at)
-            for subtask, ordered_at in [*self._lapsed, *self._list_orders(subtasks)]
-            if subtask not in self._crashed
-        ]
-        self._lapsed.clear()
-        self._crashed.update(subtask for subtask, _ in orders)
+        orders = self._crash_record.collect(subtasks)
         if not orders or self.entry.draining or self._left_drained:
             return
         failed_at = self.clock() if self.failing_since is None else self.failing_since
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -12,8 +12,8 @@
 import trio
 from attrs import define, field
 
+from emulator.executor_access import ExecutorAccess
 from emulator.fleet_executors import (
-    ExecutorAccess,
     ExecutorModel,
     RecordedRun,
     SubtaskBehaviour,
