End a child of the emulator whose parent has already ended

The kernel kills a child when its parent dies, but only after the child has asked for it.

Shown: after SIGKILL (twice) and SIGTERM of a soak at the moment in which its fourth child appears, no child is left 2 s later. Ruled out: a parent id of 1 as the sign, as the parent may have it itself.

--- a/emulator/processes.py
+++ b/emulator/processes.py
@@ -9,6 +9,8 @@
 
 from attrs import define, field
 
+from emulator.child import PARENT_PID
+
 LOG_TAIL_LINES = 30
 
 
@@ -73,7 +75,8 @@
                 stdin=subprocess.DEVNULL,
                 stdout=stream,
                 stderr=subprocess.STDOUT,
-                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+                env=os.environ
+                | {"PYTHONUNBUFFERED": "1", PARENT_PID: str(os.getpid())},
             )
         child = Child(name, process, log)
         self.children[name] = child
