--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -57,7 +57,7 @@
     """The behaviour of a subtask.
 
     It takes ``seconds`` and then fails if ``fails``; one that ``stalls`` makes
-    no progress and does not end by itself. One that is ``deadly`` crashes its
+    no progress and does not end by itself. One that ``crashes_executor`` ends its
     executor ``CRASH_SECONDS`` after its start. ``size`` is the resources that
     it occupies.
     """
@@ -65,7 +65,7 @@
     seconds: float = 1.0
     fails: bool = False
     stalls: bool = False
-    deadly: bool = False
+    crashes_executor: bool = False
     size: Resources = field(factory=Resources)
 
     @property
@@ -82,7 +82,7 @@
     stops_at: float | None = None
 
     def kills_executor(self, now: float) -> bool:
-        return self.behaviour.deadly and now >= self.began_at + CRASH_SECONDS
+        return self.behaviour.crashes_executor and now >= self.began_at + CRASH_SECONDS
 
 
 @define(eq=False)
--- a/hemlockstand/fleet/executor_events.py
+++ b/hemlockstand/fleet/executor_events.py
@@ -23,11 +23,11 @@
         """Handle a run that is over without an end in the executor's list."""
 
     def handle_crash(
-        self, executor: "Executor", aboard: list[tuple[Subtask, float]]
+        self, executor: "Executor", lost_runs: list[tuple[Subtask, float]]
     ) -> None:
         """Handle a crash before its runs are reported as lost.
 
-        ``aboard`` holds the subtasks with the ages of their runs in seconds.
+        ``lost_runs`` holds the subtasks with the ages of their runs in seconds.
         """
 
     def handle_running(self, executor: "Executor", answer: HoldAnswer) -> None:
--- a/hemlockstand/fleet/policy/crashes.py
+++ b/hemlockstand/fleet/policy/crashes.py
@@ -63,10 +63,10 @@
 
 def judge_crash(runs: Iterable[CrashedRun]) -> Iterator[CrashVerdict]:
     """Yield a verdict on each subtask that an executor had when it crashed."""
-    aboard = list(runs)
-    any_recent = any(run.recent for run in aboard)
-    alone = len({run.job for run in aboard}) == 1
-    for run in aboard:
+    lost_runs = list(runs)
+    any_recent = any(run.recent for run in lost_runs)
+    alone = len({run.job for run in lost_runs}) == 1
+    for run in lost_runs:
         likely = run.recent or not any_recent
         gives_up = (
             run.crashes >= CERTAIN_CRASHES
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -149,13 +149,13 @@
         self.orders.requeue(subtask, RESTART_DELAY_SECONDS)
 
     def handle_crash(
-        self, executor: Executor, aboard: list[tuple[Subtask, float]]
+        self, executor: Executor, lost_runs: list[tuple[Subtask, float]]
     ) -> None:
         """Count a crash under each subtask; give up one that is its cause."""
-        log.warning("executor {} crashed", executor.id, runs=len(aboard))
+        log.warning("executor {} crashed", executor.id, runs=len(lost_runs))
         CRASHES.inc()
         runs = []
-        for subtask, age in aboard:
+        for subtask, age in lost_runs:
             self.state.registry.add_crash(subtask)
             subtask.avoid.add(executor.id)
             runs.append(CrashedRun(subtask, subtask.job.id, age, subtask.crashes))
--- a/test/test_fleet_crashes.py
+++ b/test/test_fleet_crashes.py
@@ -11,8 +11,8 @@
 
 # The users' bound on starts of a subtask after three executors have crashed
 # under it, and those that led to these crashes.
-MAX_DEADLY_STARTS = 5
-DEADLY = SubtaskBehaviour(1.0, deadly=True, size=SMALL)
+MAX_CRASHING_STARTS = 5
+CRASHING = SubtaskBehaviour(1.0, crashes_executor=True, size=SMALL)
 
 
 @pytest.fixture
@@ -21,7 +21,7 @@
     return autojump_clock
 
 
-def submit_deadly(world, *steps, work=DEADLY):
+def submit_crashing(world, *steps, work=CRASHING):
     """Submit a job of which the first subtask crashes its executor."""
     job = world.submit(*steps)
     world.work[f"{job}.0.0.0"] = work
@@ -33,7 +33,7 @@
     return sum(len(model.crashed_at) for model in world.executors.values())
 
 
-async def test_deadly_subtask_is_given_up(clock):
+async def test_crashing_subtask_is_given_up(clock):
     """Guards against a subtask that crashes executor after executor.
 
     Replays the load of a busy pool: the runs beside it are lost with it and
@@ -45,27 +45,27 @@
         world.start_daemon("a")
         await trio.sleep(1)
         jobs = [world.submit(make_step(6)) for _ in range(4)]
-        deadly = submit_deadly(world, make_step(4))
+        crashing = submit_crashing(world, make_step(4))
         jobs += [world.submit(make_step(6)) for _ in range(4)]
-        await world.wait_for(lambda: world.state(deadly) == "failed", 20)
+        await world.wait_for(lambda: world.state(crashing) == "failed", 20)
         await trio.sleep(15)
-        assert world.count_runs(f"{deadly}.0.0.0") <= 3
+        assert world.count_runs(f"{crashing}.0.0.0") <= 3
         assert count_crashes(world) <= 3
         assert [world.state(job) for job in jobs] == ["completed"] * 8
         world.check_runs()
 
 
-async def test_deadly_subtask_that_lasts_is_given_up(clock):
+async def test_crashing_subtask_that_lasts_is_given_up(clock):
     """Guards against lasting work that is restarted through all executors."""
     async with open_world() as world:
         for _ in range(4):
             world.add_executor()
         world.start_daemon("a")
         await trio.sleep(1)
-        job = submit_deadly(
+        job = submit_crashing(
             world,
             make_step(3, lasting=True),
-            work=SubtaskBehaviour(LASTING, deadly=True, size=SMALL),
+            work=SubtaskBehaviour(LASTING, crashes_executor=True, size=SMALL),
         )
         sound = world.submit(
             make_step(4, lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
@@ -73,20 +73,20 @@
         await world.wait_for(lambda: world.state(job) == "failed", 25)
         await world.wait_for(lambda: len(world.find_running(sound)) == 4, 8)
         await trio.sleep(20)
-        assert world.count_runs(f"{job}.0.0.0") <= MAX_DEADLY_STARTS
+        assert world.count_runs(f"{job}.0.0.0") <= MAX_CRASHING_STARTS
         assert len(world.find_running(sound)) == 4
 
 
-async def test_deadly_gang_is_given_up(clock):
+async def test_crashing_gang_is_given_up(clock):
     """Guards against a gang of which a member crashes its executor each time."""
     async with open_world() as world:
         for _ in range(4):
             world.add_executor()
         world.start_daemon("a")
         await trio.sleep(1)
-        job = submit_deadly(world, make_step(6, gang=True))
+        job = submit_crashing(world, make_step(6, gang=True))
         await world.wait_for(lambda: world.state(job) == "failed", 30)
-        assert world.count_runs(f"{job}.0.0.0") <= MAX_DEADLY_STARTS
+        assert world.count_runs(f"{job}.0.0.0") <= MAX_CRASHING_STARTS
 
 
 async def test_crashes_are_counted_over_takeovers(clock):
@@ -96,16 +96,16 @@
             world.add_executor()
         daemon = world.start_daemon("a")
         await trio.sleep(1)
-        deadly = submit_deadly(world, make_step(2))
+        crashing = submit_crashing(world, make_step(2))
         for name in ("b", "c"):
             crashes = count_crashes(world)
             await world.wait_for(lambda n=crashes: count_crashes(world) > n, 20)
             await trio.sleep(3.3)
             world.kill(daemon)
             daemon = world.start_daemon(name)
-        await world.wait_for(lambda: world.state(deadly) == "failed", 30)
+        await world.wait_for(lambda: world.state(crashing) == "failed", 30)
         await trio.sleep(10)
-        assert world.count_runs(f"{deadly}.0.0.0") <= MAX_DEADLY_STARTS
+        assert world.count_runs(f"{crashing}.0.0.0") <= MAX_CRASHING_STARTS
 
 
 @pytest.mark.parametrize("takeovers", [2, 4, 6])
@@ -120,7 +120,7 @@
             world.add_executor()
         daemon = world.start_daemon("a")
         await trio.sleep(1)
-        deadly = submit_deadly(world, make_step(1))
+        crashing = submit_crashing(world, make_step(1))
         for number in range(takeovers):
             crashes = count_crashes(world)
             with trio.move_on_after(20):
@@ -129,8 +129,8 @@
             world.kill(daemon)
             daemon = world.start_daemon(f"b{number}")
         await trio.sleep(40)
-        assert world.count_runs(f"{deadly}.0.0.0") <= MAX_DEADLY_STARTS
-        assert world.state(deadly) == "failed"
+        assert world.count_runs(f"{crashing}.0.0.0") <= MAX_CRASHING_STARTS
+        assert world.state(crashing) == "failed"
 
 
 async def test_crashed_executor_is_told_from_one_that_is_cut_off(clock):
@@ -262,6 +262,6 @@
             world.add_executor()
         world.start_daemon("a")
         await trio.sleep(1)
-        job = submit_deadly(world, make_step(2))
+        job = submit_crashing(world, make_step(2))
         await world.wait_for(lambda: world.state(job) == "failed", 25)
-        assert world.count_runs(f"{job}.0.0.0") <= MAX_DEADLY_STARTS
+        assert world.count_runs(f"{job}.0.0.0") <= MAX_CRASHING_STARTS
