--- a/bench/fleet_mutations.py
+++ b/bench/fleet_mutations.py
@@ -10,6 +10,8 @@
 INSTANCE_TESTS = ("test/test_fleet_instances.py",)
 WAVE_TESTS = ("test/test_fleet_waves.py",)
 WAVE_FAULT_TESTS = ("test/test_wave_interleavings.py",)
+LASTING_TESTS = ("test/test_fleet_lasting.py",)
+CRASH_TESTS = ("test/test_fleet_crashes.py",)
 INSTANCE_ORDER_TESTS = ("test/test_instance_orders.py",)
 FRONTEND_TESTS = ("test/test_fleet_frontend.py",)
 CONNECTION_TESTS = ("test/test_platform_connection.py",)
@@ -339,4 +341,76 @@
         "while True or (",
         SLOWNESS_TESTS,
     ),
+    Mutation(
+        "Fleet: an executor that answers again gets work",
+        "one that does not answer is polled without runs as well",
+        "hemlockstand/fleet/executors.py",
+        "            or not self.reachable\n",
+        "",
+        LASTING_TESTS,
+    ),
+    Mutation(
+        "Fleet: lasting work starts again however it ends",
+        "an end of the kind done is the last one of other work only",
+        "hemlockstand/fleet/reports.py",
+        "if end.kind is EndKind.DONE and not subtask.step.lasting:",
+        "if end.kind is EndKind.DONE:",
+        LASTING_TESTS,
+    ),
+    Mutation(
+        "Fleet: no quarantine holds up lasting work",
+        "quarantined executors are its last resort",
+        "hemlockstand/fleet/policy/placing.py",
+        "return self.quarantined if overdue else []",
+        "return []",
+        LASTING_TESTS,
+    ),
+    Mutation(
+        "Fleet: a step that cannot run holds up no other",
+        "a step that waits for another reason than cpu is not counted",
+        "hemlockstand/fleet/placement.py",
+        "room.discount_step(step_run)",
+        "pass",
+        ("test/test_fleet_waiting.py",),
+    ),
+    Mutation(
+        "Fleet: a subtask that crashes executors is given up",
+        "crashes are counted and judged",
+        "hemlockstand/fleet/reports.py",
+        "if verdict.gives_up and not runs_elsewhere:",
+        "if False:",
+        CRASH_TESTS,
+    ),
+    Mutation(
+        "Fleet: a cut is no crash",
+        "only runs that reached the executor count",
+        "hemlockstand/fleet/crash_record.py",
+        "and (run.answered_at is not None or run.connection_lost)",
+        "",
+        CRASH_TESTS,
+    ),
+    Mutation(
+        "Fleet: the lists of a new lifetime decide",
+        "an idle executor may have started again unnoticed",
+        "hemlockstand/fleet/executors.py",
+        "self._unconfirmed = True",
+        "pass",
+        ("test/test_fleet_lifetimes.py",),
+    ),
+    Mutation(
+        "Fleet: budgets hold over takeovers",
+        "nothing with a budget is stopped beside stops of the previous scheduler",
+        "hemlockstand/fleet/instances.py",
+        "known = now > self.state.previous_stops_end",
+        "known = True",
+        ("test/test_fleet_budgets.py",),
+    ),
+    Mutation(
+        "Fleet: budgets hold for delayed stops",
+        "a stop that was not sent yet is revoked",
+        "hemlockstand/fleet/orders.py",
+        "if delayed and not sent and self._revoke_stop(executor, name, number):",
+        "if False:",
+        ("test/test_fleet_budgets.py",),
+    ),
 )
