Use one time limit of start orders

executor_directory.py had a copy of the limit that platform/executors.py defines and state.py already uses. Same value, 0.6 s; behaviour stays.

--- a/hemlockstand/fleet/executor_directory.py
+++ b/hemlockstand/fleet/executor_directory.py
@@ -13,15 +13,13 @@
 from hemlockstand.fleet.state import SchedulerState, read_current
 from hemlockstand.fleet.storage import EXECUTORS_TABLE
 from hemlockstand.platform.decoding import decode_executor
-from hemlockstand.platform.executors import ExecutorClient
+from hemlockstand.platform.executors import ORDER_TIMEOUT_SECONDS, ExecutorClient
 from hemlockstand.platform.rows import HistoryGone, RowPage, StoredRow
 
 log = logger.bind(module=__name__)
 
 FOLLOW_SECONDS = 1.0
 RETRY_SECONDS = 0.2
-# Longest time that a start order is on its way after it was given.
-ORDER_SECONDS = 0.6
 _NEVER = float("-inf")
 
 
@@ -52,7 +50,9 @@
         be read.
         """
         age = self.state.clock() - self._confirmed_at
-        return age + ORDER_SECONDS < self.state.settings.bounds.stability_ms / 1000
+        return (
+            age + ORDER_TIMEOUT_SECONDS < self.state.settings.bounds.stability_ms / 1000
+        )
 
     async def load(self) -> int:
         """Read all entries; return the version to follow from."""
