--- a/emulator/soak.py
+++ b/emulator/soak.py
@@ -8,7 +8,8 @@
 schedule and the timeline of the job concerned; ``--replay SEED`` plays the
 same schedule again.
 
-Exit codes: 0 if all checks held, 1 if one failed.
+Exit codes: 0 if all checks held, 1 if one failed, 128 and the number of the
+signal that stopped it otherwise.
 """
 
 import logging
@@ -129,15 +130,24 @@
     callers: Callers = field(init=False)
     recoveries: list[float] = field(factory=list)
     faults: Counter[str] = field(factory=Counter)
+    stopped_by: int = 0  # number of the signal
 
     async def run(self, client: httpx.AsyncClient, daemons: int) -> None:
         """Play all rounds, or until a check has failed."""
         async with trio.open_nursery() as nursery:
             await self._open(nursery, client, daemons)
             nursery.start_soon(self._play, nursery)
+            nursery.start_soon(self._watch_signals, nursery)
             await self.checks.violated.wait()
             nursery.cancel_scope.cancel()
 
+    async def _watch_signals(self, nursery: trio.Nursery) -> None:
+        """Stop on SIGINT and SIGTERM, so that the daemons are ended."""
+        with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+            async for number in signals:
+                self.stopped_by = number
+                nursery.cancel_scope.cancel()
+
     async def _open(
         self, nursery: trio.Nursery, client: httpx.AsyncClient, daemons: int
     ) -> None:
@@ -277,7 +287,9 @@
     print(f"seed {seed}, logs in {directory}", flush=True)
     soak = trio.run(run_soak, seed, values.minutes, values.daemons, directory)
     print("\n".join(soak.report()))
-    sys.exit(1 if soak.checks.violations else 0)
+    if soak.checks.violations:
+        sys.exit(1)
+    sys.exit(128 + soak.stopped_by if soak.stopped_by else 0)
 
 
 if __name__ == "__main__":
