Stand-ins of the review: a fault of the script itself exits with 2

Cause: an unexpected error left a script with status 1, which means that the rule was broken; a SIGTERM left its daemons running; a daemon's port lay in the range from which the system takes ports by itself.

Change: any error and a SIGTERM end all processes and exit with 2; the daemons' ports are below that range.

--- a/review/standin.py
+++ b/review/standin.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import random
 import shlex
 import signal
 import socket
@@ -17,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -24,6 +26,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
+FIRST_PORT, LAST_PORT = 12_000, 28_000  # of the daemons
 MAX_ENTRIES = 100
 MAX_CALL_BYTES = 1_000_000
 ROW_BYTES = 65_536
@@ -668,11 +671,20 @@
             self.process.wait()
 
 
-def find_free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+def find_free_port(taken: set[int]) -> int:
+    """Return a port that is free now, and add it to those that are taken.
+
+    It is below the ports that the system gives to connections by itself, which
+    could take it before the daemon listens.
+    """
+    while True:
+        port = random.randint(FIRST_PORT, LAST_PORT)
+        if port in taken:
+            continue
+        taken.add(port)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 def fill_template(values: dict[str, object]) -> str:
@@ -695,6 +707,7 @@
     executors: dict[str, Executor] = field(default_factory=dict)
     daemons: list[Daemon] = field(default_factory=list)
     accepted_at: dict[str, float] = field(default_factory=dict)
+    _ports: set[int] = field(default_factory=set)
     seconds: Callable[[str, str], float | None] = lambda name, spec: read_seconds(spec)
     store: Store = field(init=False)
     _machines: Server = field(init=False)
@@ -765,7 +778,7 @@
 
     async def _add_daemon(self, name: str, zone: str, command: list[str]) -> None:
         door, store = await self.store.open()
-        ports = [find_free_port() for _ in range(3)]
+        ports = [find_free_port(self._ports) for _ in range(3)]
         values = {
             **BOUNDS,
             "NodeName": name,
@@ -974,7 +987,11 @@
 
 
 def main(play: Callable[[Deployment, Record], Awaitable[list[str]]], folder: Path):
-    """Play a case and exit; ``play`` returns the breaches of its rule."""
+    """Play a case and exit; ``play`` returns the breaches of its rule.
+
+    Whatever goes wrong in the case itself means that it could not run. The
+    processes are ended then as well, also after a SIGTERM.
+    """
     record = Record(folder / "record.txt")
     status = EXIT_NOT_RUN
 
@@ -986,6 +1003,7 @@
         finally:
             await deployment.stop()
 
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         record.add("with the disruption" if has_trouble() else "without the disruption")
         breaches = asyncio.run(run())
@@ -993,7 +1011,9 @@
             record.add("RULE BROKEN: " + breach, show=True)
         record.add(f"{len(breaches)} breaches of the rule", show=True)
         status = EXIT_BROKEN if breaches else EXIT_HELD
-    except (NotRun, TimeoutError, OSError) as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.add(f"the case could not be run: {error!r}", show=True)
+        if not isinstance(error, NotRun | TimeoutError):
+            record.add(traceback.format_exc(), show=True)
     record.write()
     sys.exit(status)
