Leave out documents that are nested too deeply or hold too large numbers

Cause: each reader of other programs' documents listed the errors it expected. msgspec raises RecursionError for about 1,000 levels of nesting, which is no DecodeError, and float() raises OverflowError for large integers. Such an error ended each scheduler in turn; in the operator's rows it ended every daemon.

Change: one function decodes documents and raises one error; all decoders of the package call it. Numbers are checked against MAX_INTEGER before they are calculated with. An address has a port from 1 to 65,535 and no control characters. Messages quote values in short.

--- a/hemlockstand/configuration/changes.py
+++ b/hemlockstand/configuration/changes.py
@@ -22,6 +22,7 @@
 import msgspec
 from attrs import evolve, field, frozen
 
+from hemlockstand.documents import decode_document
 from hemlockstand.errors import InvalidInput
 from hemlockstand.model import Configuration, Job, Key, Pool, Queue, Team
 
@@ -210,7 +211,7 @@
 
 def _unpack(data: bytes, code: str) -> Mapping[str, Any]:
     try:
-        content = msgspec.msgpack.decode(data)
+        content = decode_document(_DECODER, data)
     except (msgspec.DecodeError, ValueError) as error:
         raise InvalidInput(
             f"MessagePack data of {len(data)} bytes: {error}", code=code
@@ -272,3 +273,4 @@
 
 
 _CONVERTER = _make_converter()
+_DECODER = msgspec.msgpack.Decoder()
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -19,6 +19,7 @@
 from attrs import frozen
 from loguru import logger
 
+from hemlockstand.documents import decode_document
 from hemlockstand.errors import InvalidInput, PlatformUnavailable
 from hemlockstand.fleet.model import JobSpec, JobState, JobStatus
 from hemlockstand.platform.decoding import check_job, encode_wave_status
@@ -215,8 +216,8 @@
     if row.value is None:
         raise msgspec.DecodeError("the store returned no readable value")
     if row.table == STATES_TABLE:
-        return attrs.evolve(known, status=_status_decoder.decode(row.value))
-    spec = _spec_decoder.decode(row.value)
+        return attrs.evolve(known, status=decode_document(_status_decoder, row.value))
+    spec = decode_document(_spec_decoder, row.value)
     return attrs.evolve(known, spec=spec, version=row.version)
 
 
@@ -230,7 +231,7 @@
     if row.dropped:
         return None
     try:
-        return _lease_decoder.decode(row.value or b"")
+        return decode_document(_lease_decoder, row.value or b"")
     except msgspec.DecodeError as error:
         log.error("lease of the scheduler cannot be decoded: {}", error)
         return LeaseRecord(UNKNOWN_HOLDER, "", row.version, 0)
@@ -272,7 +273,7 @@
         if row.dropped or not row.key.startswith(prefix):
             continue
         try:
-            value = decoder.decode(row.value or b"")
+            value = decode_document(decoder, row.value or b"")
         except msgspec.DecodeError as error:
             log.error("row {}/{} cannot be decoded: {}", row.table, row.key, error)
             value = None
--- a/hemlockstand/operators/interface.py
+++ b/hemlockstand/operators/interface.py
@@ -14,6 +14,7 @@
 from urllib.parse import unquote
 from uuid import uuid4
 
+import msgspec
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
@@ -24,6 +25,7 @@
 from werkzeug.exceptions import HTTPException
 
 from hemlockstand.asgi import shield_sends
+from hemlockstand.documents import decode_document
 from hemlockstand.errors import HemlockstandError, InvalidInput
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.operators.messages import (
@@ -48,6 +50,8 @@
 # Time that calls in progress have to finish when the daemon stops.
 GRACE_SECONDS = 5
 
+_decoder = msgspec.json.Decoder()
+
 STATUS_BY_CODE = {
     "unauthorized": 401,
     "not_found": 404,
@@ -193,8 +197,8 @@
     body = await request.get_data()
     if request.is_json and body:
         try:
-            fields = json.loads(body)
-        except ValueError:
+            fields = decode_document(_decoder, body)
+        except msgspec.DecodeError:
             raise InvalidInput("the body is not JSON") from None
         if not isinstance(fields, Mapping):
             raise InvalidInput("the body is not a JSON object")
--- a/hemlockstand/platform/connection.py
+++ b/hemlockstand/platform/connection.py
@@ -14,6 +14,7 @@
 import trio
 from attrs import define, field, frozen
 
+from hemlockstand.documents import decode_document
 from hemlockstand.errors import (
     ConnectionLost,
     ConnectionRefused,
@@ -49,7 +50,7 @@
     def decode(self) -> Mapping[str, Any]:
         """Return the body as a mapping; raises ``OutcomeUnknown``."""
         try:
-            body = _decoder.decode(self.content)
+            body = decode_document(_decoder, self.content)
         except msgspec.DecodeError as error:
             raise OutcomeUnknown(f"unreadable response: {error}") from error
         if not isinstance(body, dict):
--- a/hemlockstand/platform/decoding.py
+++ b/hemlockstand/platform/decoding.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from hemlockstand.documents import decode_document
 from hemlockstand.errors import InvalidInput
 from hemlockstand.fleet.model import (
     Advice,
@@ -27,21 +28,24 @@
     Wave,
 )
 
-ADDRESS = re.compile(r".+:[0-9]{1,5}")
+ADDRESS = re.compile(r"[!-~]+:([0-9]{1,5})")
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 MAX_PAYLOAD_BYTES = 4000
 MAX_SUBTASKS = 20_000  # per job; more do not fit into a scheduler's memory
 # Larger numbers of milliseconds have no exact floating-point number of seconds,
 # and from 2 ** 1024 on none at all.
 MAX_INTEGER = 2**53
+MAX_PORT = 65_535
+MAX_QUOTED_CHARACTERS = 80  # of a value in an error message
 _MISSING: Any = object()
+_decoder = msgspec.json.Decoder()
 
 
 def decode_object(content: bytes, what: str) -> Mapping[str, Any]:
     """Return a JSON object; raises ``InvalidInput``."""
     try:
-        body = msgspec.json.decode(content)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        body = decode_document(_decoder, content)
+    except msgspec.DecodeError as error:
         raise InvalidInput(f"{what}: is not JSON: {error}") from error
     if not isinstance(body, dict):
         raise InvalidInput(f"{what}: is not an object")
@@ -75,14 +79,14 @@
         if isinstance(number, bool) or (
             number is not None and not 0 <= number <= MAX_INTEGER
         ):
-            raise InvalidInput(f"{self._what}: {name} is {number!r}")
+            raise InvalidInput(f"{self._what}: {name} is {quote_value(number)}")
         return number
 
     def number(self, name: str, default: float = _MISSING) -> float:
-        """Return a number that is not negative."""
+        """Return a number from 0 to ``MAX_INTEGER``."""
         number = self._get(name, (int, float), default)
-        if isinstance(number, bool) or number < 0:
-            raise InvalidInput(f"{self._what}: {name} is {number!r}")
+        if isinstance(number, bool) or not 0 <= number <= MAX_INTEGER:
+            raise InvalidInput(f"{self._what}: {name} is {quote_value(number)}")
         return float(number)
 
     def items(self, name: str) -> Sequence[Any]:
@@ -114,10 +118,25 @@
                 raise InvalidInput(f"{self._what}: {name} is missing")
             return default
         if not isinstance(value, kind):
-            raise InvalidInput(f"{self._what}: {name} is {value!r}")
+            raise InvalidInput(f"{self._what}: {name} is {quote_value(value)}")
         return value
 
 
+def quote_value(value: Any) -> str:
+    """Return a decoded value for an error message, shortened.
+
+    Of a list or an object only the type is given, since ``repr`` fails for one
+    that is nested deeply.
+    """
+    match value:
+        case list() | dict():
+            return f"a {type(value).__name__}"
+        case str():
+            return repr(value[:MAX_QUOTED_CHARACTERS])
+        case _:
+            return repr(value)[:MAX_QUOTED_CHARACTERS]
+
+
 def decode_resources(fields: Fields) -> Resources:
     """Return the resources of an object; absent ones count as 0."""
     return Resources(
@@ -195,10 +214,10 @@
     fields = Fields(decode_object(content, what), what)
     state = fields.string("State")
     if state not in ("ready", "draining"):
-        raise InvalidInput(f"{what}: State is {state!r}")
+        raise InvalidInput(f"{what}: State is {quote_value(state)}")
     address = fields.string("Address")
-    if ADDRESS.fullmatch(address) is None:
-        raise InvalidInput(f"{what}: Address is {address!r}")
+    if not is_address(address):
+        raise InvalidInput(f"{what}: Address is {quote_value(address)}")
     return ExecutorEntry(
         id=executor,
         pool=fields.string("Backend"),
@@ -212,12 +231,18 @@
     )
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is a host and a port."""
+    match = ADDRESS.fullmatch(text)
+    return match is not None and 0 < int(match[1]) <= MAX_PORT
+
+
 def decode_instance(item: Any) -> InstanceEntry:
     """Return an instance of the machine list."""
     fields = Fields(item, "machines")
     state = fields.string("State")
     if state not in set(InstanceState):
-        raise InvalidInput(f"machines: State is {state!r}")
+        raise InvalidInput(f"machines: State is {quote_value(state)}")
     return InstanceEntry(
         name=fields.string("Machine"),
         pool=fields.string("Pool"),
@@ -284,7 +309,7 @@
     Such a job, of another program or another version, would end schedulers.
     """
     if spec.id != job or JOB_ID.fullmatch(job) is None:
-        raise InvalidInput(f"job: its id is {spec.id!r}")
+        raise InvalidInput(f"job: its id is {quote_value(spec.id)}")
     times = (spec.repeats, spec.start_at_ms, spec.interval_ms, spec.accepted_ms)
     if not spec.steps or not all(0 <= time <= MAX_INTEGER for time in times):
         raise InvalidInput("job: has no steps, or a time out of range")
@@ -312,7 +337,7 @@
     fields = Fields(item, what)
     after = fields.items("After")
     if not all(type(earlier) is int and 0 <= earlier < position for earlier in after):
-        raise InvalidInput(f"{what}: After is {after!r}")
+        raise InvalidInput(f"{what}: After names a step that is not before it")
     count = fields.integer("Count")
     if count == 0:
         raise InvalidInput(f"{what}: Count is 0")
--- a/hemlockstand/platform/executors.py
+++ b/hemlockstand/platform/executors.py
@@ -25,6 +25,7 @@
     Unanswered,
 )
 from hemlockstand.platform.connection import Connection, Reply
+from hemlockstand.platform.decoding import MAX_INTEGER
 
 log = logger.bind(module=__name__)
 
@@ -179,14 +180,14 @@
         # Some refusals have no body; the next answer to a hold has the clock.
         log.debug("an executor answered a start without its clock: {}", error)
         return None
-    return clock if isinstance(clock, int) else None
+    return clock if _is_number(clock) else None
 
 
 def _decode_hold(reply: Reply) -> HoldAnswer:
     body = reply.decode()
     try:
         return HoldAnswer(
-            int(body["ClockMs"]),
+            _read_number(body["ClockMs"]),
             _read_born(body),
             tuple(_decode_run(row) for row in body.get("Running") or ()),
             tuple(_decode_end(row) for row in body.get("Finished") or ()),
@@ -197,15 +198,40 @@
 
 def _read_born(body: Mapping[str, Any]) -> int | None:
     born = body.get("born")
-    return born if isinstance(born, int) else None
+    return born if _is_number(born) else None
+
+
+def _is_number(value: Any) -> bool:
+    return isinstance(value, int) and 0 <= value <= MAX_INTEGER
+
+
+def _read_number(value: Any) -> int:
+    """Return an integer from 0 to ``MAX_INTEGER``; raises ``ValueError``.
+
+    Calculations with larger ones fail.
+    """
+    number = int(value)
+    if not _is_number(number):
+        raise ValueError(f"{value!r} is out of range")
+    return number
 
 
 def _decode_run(row: list[Any]) -> RunEntry:
     load = row[4] if len(row) > 4 and row[4] is not None else 0
-    return RunEntry(str(row[0]), int(row[1]), str(row[2] or ""), int(row[3]), int(load))
+    return RunEntry(
+        str(row[0]),
+        _read_number(row[1]),
+        str(row[2] or ""),
+        _read_number(row[3]),
+        _read_number(load),
+    )
 
 
 def _decode_end(row: list[Any]) -> EndEntry:
     return EndEntry(
-        int(row[0]), str(row[1]), int(row[2]), EndKind(row[3]), str(row[4] or "")
+        _read_number(row[0]),
+        str(row[1]),
+        _read_number(row[2]),
+        EndKind(row[3]),
+        str(row[4] or ""),
     )
--- a/hemlockstand/requests/admission.py
+++ b/hemlockstand/requests/admission.py
@@ -16,6 +16,7 @@
 
 from hemlockstand.asgi import shield_sends
 from hemlockstand.coordination.freshness import Scope
+from hemlockstand.documents import decode_document
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.metrics import REFUSALS, REQUEST_SECONDS, VERDICTS
 from hemlockstand.model import Access, Configuration, Queue
@@ -69,6 +70,9 @@
     count: int
 
 
+_issue_decoder = msgspec.json.Decoder(IssueIds)
+
+
 @register
 class AdmissionService(Service):
     """Serves the caller port."""
@@ -265,7 +269,7 @@
                 f"the body has {len(data)} bytes, at most {MAX_DOCUMENT_BYTES}",
             )
         try:
-            wanted = msgspec.json.decode(data, type=IssueIds).count
+            wanted = decode_document(_issue_decoder, data).count
         except msgspec.DecodeError as error:
             raise refuse(Reason.INVALID_REQUEST, f"body: {error}") from error
         if not 1 <= wanted <= MAX_ISSUED_IDS:
--- a/hemlockstand/requests/messages.py
+++ b/hemlockstand/requests/messages.py
@@ -6,6 +6,7 @@
 import trio
 from attrs import field, frozen
 
+from hemlockstand.documents import decode_document
 from hemlockstand.errors import InvalidInput
 
 
@@ -45,6 +46,9 @@
     key: str | None
 
 
+_decoder = msgspec.msgpack.Decoder(_Forwarded)
+
+
 def encode_request(request: Request, trace_headers: Mapping[str, str]) -> bytes:
     """Return the message that forwards the request to another daemon."""
     return msgspec.msgpack.encode(
@@ -64,7 +68,7 @@
 def decode_request(message: bytes) -> Request:
     """Return the request in a forwarded message; raises ``InvalidInput``."""
     try:
-        forwarded = msgspec.msgpack.decode(message, type=_Forwarded)
+        forwarded = decode_document(_decoder, message)
     except msgspec.DecodeError as error:
         raise InvalidInput(f"forwarded request: {error}") from error
     return Request(
--- a/hemlockstand/requests/suspects.py
+++ b/hemlockstand/requests/suspects.py
@@ -13,6 +13,7 @@
 from attrs import define
 from loguru import logger
 
+from hemlockstand.documents import decode_document
 from hemlockstand.peers.suspects import SuspectNotice
 from hemlockstand.requests.connections import ConnectionStack
 from hemlockstand.requests.executors import Executor, ExecutorRegistry
@@ -36,6 +37,9 @@
     leaving: bool = False
 
 
+_health_decoder = msgspec.json.Decoder(_Health)
+
+
 @define(eq=False)
 class SuspectMonitor:
     """Marks executors as suspect, notifies peers and checks their health."""
@@ -113,12 +117,12 @@
     finally:
         with trio.CancelScope(shield=True):
             await transport.aclose()
-    return response.status_code == 200 and not _reports_leaving(bytes(body))
+    return response.status_code == 200 and not reports_leaving(bytes(body))
 
 
-def _reports_leaving(body: bytes) -> bool:
+def reports_leaving(body: bytes) -> bool:
     """Return whether the body is a document with ``"leaving": true``."""
     try:
-        return msgspec.json.decode(body, type=_Health).leaving
+        return decode_document(_health_decoder, body).leaving
     except msgspec.DecodeError:
         return False
--- a/test/test_fleet_decoding.py
+++ b/test/test_fleet_decoding.py
@@ -2,9 +2,11 @@
 
 import json
 import re
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
+from hypothesis import given, settings, strategies as st
 
 from hemlockstand.errors import InvalidInput
 from hemlockstand.fleet.durations import Durations
@@ -34,6 +36,30 @@
 }
 
 
+def nest(value, depth: int):
+    """Return the value in lists nested that deeply."""
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
+# Values of any type, with numbers, texts and nesting beyond usual sizes.
+ANY_VALUE = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text()
+    | st.sampled_from([10**400, -(10**400), 2**70, "a:70000", "x" * 70 + ":1"]),
+    lambda values: (
+        st.lists(values)
+        | st.dictionaries(st.text(), values)
+        | st.builds(nest, values, st.sampled_from([10, 500, 900]))
+    ),
+    max_leaves=8,
+)
+
+
 def encode(body) -> bytes:
     """Return a document as the platform sends it."""
     return json.dumps(body).encode()
@@ -60,6 +86,12 @@
         encode({**ENTRY, "Address": "10.0.0.1"}),
         encode({**ENTRY, "Address": "10.0.0.1:http"}),
         encode({**ENTRY, "Address": ":70000"}),
+        encode({**ENTRY, "Address": "10.0.0.1:70000"}),
+        encode({**ENTRY, "Address": "10.0.0.1:0"}),
+        encode({**ENTRY, "Address": "10.0.0.1\r\nX: 1:80"}),
+        encode({**ENTRY, "born": 10**400}),
+        encode({**ENTRY, "Capacity": {"Cpu": 10**400}}),
+        b"[" * 4_000,
         encode({key: value for key, value in ENTRY.items() if key != "Address"}),
     ],
 )
@@ -72,6 +104,35 @@
         decode_executor("i-1", content)
 
 
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(changes=st.dictionaries(st.sampled_from(sorted(ENTRY)), ANY_VALUE))
+def test_any_executor_entry_is_decoded_or_rejected(changes):
+    """Guards against an entry for which the decoder raises an unexpected error.
+
+    Such an error would end the scheduler that reads the entry.
+    """
+    with suppress(InvalidInput):
+        decode_executor("i-1", encode(ENTRY | changes))
+
+
+@pytest.mark.parametrize("field", ["Weight", "SlackFactor", "DurationS"])
+def test_number_too_large_for_a_float_is_rejected(field):
+    """Guards against a number for which the decoder raises ``OverflowError``."""
+    body = {
+        "ConfigVersion": 1,
+        "Wave": 1,
+        "Maximum": 1,
+        "DurationS": 10**400,
+        "Tenants": [{"Name": "a", "Weight": 10**400}] if field == "Weight" else [],
+        "Routes": [{"Name": "q", "Prefix": "/", "Backend": "p", "SlackFactor": 10**400}]
+        if field == "SlackFactor"
+        else [],
+    }
+    decode = decode_wave if field == "DurationS" else decode_config
+    with pytest.raises(InvalidInput, match=field):
+        decode(encode(body))
+
+
 def test_longest_prefix_selects_the_queue():
     """Guards against a job that goes to a queue with a shorter prefix."""
     routes = [
--- a/test/test_fleet_frontend.py
+++ b/test/test_fleet_frontend.py
@@ -41,6 +41,9 @@
         return self if name == "row_store" else self.configuration
 
 
+HEADERS = {"Host": "host", "Authorization": "Bearer key", "Deadline-Ms": "1000"}
+
+
 @define(eq=False)
 class FrontendHarness:
     """A frontend with a model of the store, and requests to it."""
@@ -55,12 +58,7 @@
 
     async def call(self, method: str, job: str = JOB, body=None, **headers):
         """Return the status, the body and the ``Retry-After`` header."""
-        headers = {
-            "Host": "host",
-            "Authorization": "Bearer key",
-            "Deadline-Ms": "1000",
-            **headers,
-        }
+        headers = HEADERS | headers
         data = None if body is None else json.dumps(body)
         reply = await self.client.open(
             f"/queue/{job}", method=method, headers=headers, data=data
@@ -83,6 +81,16 @@
     assert not frontend.model.rows
 
 
+@pytest.mark.parametrize("part", [b"[", b'{"Steps":'])
+async def test_nested_body_is_a_bad_request(frontend, part):
+    """Guards against an internal error for a body that cannot be decoded."""
+    reply = await frontend.client.open(
+        f"/queue/{JOB}", method="POST", headers=HEADERS, data=part * 4_000
+    )
+    assert reply.status_code == 400
+    assert not frontend.model.rows
+
+
 async def test_open_write_is_not_called_refused(frontend):
     """Guards against "not accepted" for a write that is applied later."""
     frontend.kernel.rows.late_writes = 1000
--- a/test/test_fleet_lease.py
+++ b/test/test_fleet_lease.py
@@ -161,7 +161,12 @@
     assert fourth.previous_renewed_at <= trio.current_time() - LEASE_SECONDS
 
 
-@pytest.mark.parametrize("value", [b"\xff", b"[]", b'{"holder": "a"}', b""])
+NESTED = b'{"a": ' * 4_000 + b"5" + b"}" * 4_000  # deeper than a decoder follows
+
+
+@pytest.mark.parametrize(
+    "value", [b"\xff", b"[]", b'{"holder": "a"}', b"", b"[" * 4_000, NESTED]
+)
 async def test_unreadable_lease_is_taken_over(autojump_clock, value):
     """Guards against a lease row that no daemon can take over any more.
 
--- a/test/test_fleet_malformed_rows.py
+++ b/test/test_fleet_malformed_rows.py
@@ -24,7 +24,18 @@
 
 JOB = "00000000000000aa"
 SPEC = JobSpec(JOB, "queue", "pool", "team", "payload", (make_step(),))
-GARBAGE = (b"\xff\x00", b"[]", b"{}", b'{"state": 5, "id": 5}', b"")
+# Deeper than any decoder follows, once cut short and once well formed.
+CUT_NESTING = b"[" * 4_000
+NESTING = b'{"a": ' * 4_000 + b"5" + b"}" * 4_000
+GARBAGE = (
+    b"\xff\x00",
+    b"[]",
+    b"{}",
+    b'{"state": 5, "id": 5}',
+    b"",
+    CUT_NESTING,
+    NESTING,
+)
 
 
 @pytest.fixture
@@ -243,15 +254,42 @@
     executor.stop(name + "0", 1)
 
 
-@pytest.mark.parametrize("value", [*GARBAGE, b'{"Address": "10.0.0.1"}'])
+def encode_entry(**values) -> bytes:
+    """Return an executor's row with other values of its fields."""
+    entry = {"Backend": "pool", "Address": "i-faulty:1", "State": "ready"}
+    return json.dumps(entry | values).encode()
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        *GARBAGE,
+        b'{"Address": "10.0.0.1"}',
+        encode_entry(Address="i-faulty:70000"),
+        encode_entry(born=10**400),
+        encode_entry(Capacity={"Cpu": 10**400}),
+        encode_entry(State=json.loads("[" * 900 + "]" * 900)),
+    ],
+)
 async def test_malformed_row_of_an_executor_is_left_out(clock, value):
-    """Guards against an executor's row that ends each scheduler in turn."""
+    """Guards against an executor's row that ends each scheduler in turn.
+
+    It may be nested so deeply that it cannot be decoded, or be decoded but not
+    be written to the log.
+    """
     async with open_world() as world:
         await check_other_jobs(world, lambda: put(world, "servers", "i-faulty", value))
 
 
 @pytest.mark.parametrize("key", ["config", "wave/1", "wave/", "other"])
-@pytest.mark.parametrize("value", [*GARBAGE, b'{"Wave": -1, "ConfigVersion": "x"}'])
+@pytest.mark.parametrize(
+    "value",
+    [
+        *GARBAGE,
+        b'{"Wave": -1, "ConfigVersion": "x"}',
+        b'{"Wave": 1, "DurationS": 1' + b"0" * 400 + b"}",
+    ],
+)
 async def test_malformed_row_of_the_operator_is_left_out(clock, key, value):
     """Guards against a row of the operator that ends every daemon."""
     model = RowStoreModel()
--- a/test/test_platform_connection.py
+++ b/test/test_platform_connection.py
@@ -228,9 +228,19 @@
     await store.close()
 
 
+# Deeper than the decoder follows.
+NESTED = b'{"rows": ' + b"[" * 4_000
+
+
 @pytest.mark.parametrize(
     "body",
-    [b'{"Allowed": 5}', b'{"Allowed": [["a"]]}', b'{"ValidityMs": "long"}', b"[]"],
+    [
+        NESTED,
+        b'{"Allowed": 5}',
+        b'{"Allowed": [["a"]]}',
+        b'{"ValidityMs": "long"}',
+        b"[]",
+    ],
 )
 async def test_malformed_advice_is_none(scripted_listener, body):
     """Guards against malformed advice that ends the scheduler."""
@@ -273,6 +283,7 @@
         b'{"rows": [{"Key": "a", "part": 5, "RowVersion": 7}], "RowVersion": 7}',
         b'{"rows": [], "RowVersion": null}',
         b"[]",
+        NESTED,
     ],
 )
 async def test_malformed_rows_are_not_read(scripted_listener, body):
@@ -286,9 +297,9 @@
     await store.close()
 
 
-async def test_malformed_rows_of_a_conflict(scripted_listener):
+@pytest.mark.parametrize("body", [b'{"rows": [5]}', NESTED])
+async def test_malformed_rows_of_a_conflict(scripted_listener, body):
     """Guards against the answer to a write that ends the scheduler."""
-    body = b'{"rows": [5]}'
     head = f"HTTP/1.1 412 X\r\nContent-Length: {len(body)}\r\n\r\n"
     scripted_listener.answers = (head.encode() + body,)
     store = RowStore(scripted_listener.address)
@@ -298,7 +309,8 @@
 
 
 @pytest.mark.parametrize(
-    "body", [b'{"Machines": 5}', b"[]", b'{"Machines": [], "NextToken": {"a": 1}}']
+    "body",
+    [NESTED, b'{"Machines": 5}', b"[]", b'{"Machines": [], "NextToken": {"a": 1}}'],
 )
 async def test_malformed_list_of_instances_is_not_read(scripted_listener, body):
     """Guards against a list that ends the scheduler or is read for ever."""
@@ -331,6 +343,10 @@
         b'"Finished": [[1, "a.0.0.0", 1, "exploded", ""]]',
         b'"Finished": [[null, "a.0.0.0", 1, "done", ""]]',
         b'"Finished": {"a": 1}',
+        b'"Running": ' + b"[" * 4_000,
+        b'"Running": [["a.0.0.0", 1, "", 0, 1' + b"0" * 400 + b"]]",
+        b'"Running": [["a.0.0.0", 1, "", 0, 1e300]]',
+        b'"Finished": [[1, "a.0.0.0", -1, "done", ""]]',
     ],
 )
 async def test_malformed_lists_of_an_executor(scripted_listener, lists):
