Leave out executors of services that the configuration does not name

Cause: the scheduler tracked the executor of any readable entry and stored it with its lease, in a row for each service. A service name of over 193 bytes makes a key that the store refuses; about 95 unknown services make a transaction of over 100 entries. The lease is in the transaction, so it lapses. The tests' store had no limits, so no test could show it.

Change: the tests' store refuses what the platform's pages say. An entry waits until the configuration names its service. Executors that a previous scheduler has stored are tracked in any case, since they may have runs. A host is bounded to 253 characters, and an executor's id may not break a header.

--- a/emulator/row_store.py
+++ b/emulator/row_store.py
@@ -2,7 +2,8 @@
 
 It keeps rows, whose versions come from one counter, and a history for
 clients that follow changes. ``RowStoreAccess`` is one daemon's client of the
-store, with the faults of its connection.
+store, with the faults of its connection. It refuses transactions beyond the
+platform's limits.
 """
 
 from bisect import bisect_right
@@ -23,6 +24,11 @@
 
 RowName = tuple[str, str, str]
 
+MAX_ENTRIES = 100
+MAX_TRANSACTION_BYTES = 1_000_000
+MAX_VALUE_BYTES = 65_536
+MAX_NAME_BYTES = 200
+
 
 @frozen
 class Transaction:
@@ -32,6 +38,21 @@
     expected: tuple[RowExpectation, ...]
     removed: tuple[RowKey, ...]
 
+    def find_excess(self) -> str:
+        """Return which limit of the platform is exceeded, or an empty text."""
+        entries = [*self.writes, *self.expected, *self.removed]
+        if len(entries) > MAX_ENTRIES:
+            return f"{len(entries)} entries"
+        for entry in entries:
+            for name in (entry.table, entry.part, entry.key):
+                if len(name.encode()) > MAX_NAME_BYTES:
+                    return f"a name of {len(name)} characters: {name[:40]}"
+        for write in self.writes:
+            if len(write.value) > MAX_VALUE_BYTES:
+                return f"{len(write.value)} bytes in {write.table}/{write.key}"
+        size = sum(len(write.value) * 4 // 3 for write in self.writes)
+        return f"{size} bytes" if size > MAX_TRANSACTION_BYTES else ""
+
 
 @define(eq=False)
 class RowStoreModel:
@@ -202,6 +223,8 @@
         if self.failing_removals and removed and not expected:
             raise PlatformUnavailable("rows cannot be removed")
         transaction = Transaction(tuple(writes), tuple(expected), tuple(removed))
+        if excess := transaction.find_excess():
+            raise PlatformUnavailable(f"the store answered 400: {excess}")
         if self.late_writes:
             self.late_writes -= 1
             self.late.append(transaction)
--- a/hemlockstand/fleet/executor_directory.py
+++ b/hemlockstand/fleet/executor_directory.py
@@ -12,7 +12,7 @@
 from hemlockstand.fleet.reports import ExecutorReportHandler
 from hemlockstand.fleet.state import SchedulerState, read_current
 from hemlockstand.fleet.storage import EXECUTORS_TABLE
-from hemlockstand.platform.decoding import decode_executor
+from hemlockstand.platform.decoding import decode_executor, quote_value
 from hemlockstand.platform.executors import ORDER_TIMEOUT_SECONDS, ExecutorClient
 from hemlockstand.platform.rows import HistoryGone, RowPage, StoredRow
 
@@ -27,10 +27,11 @@
 class ExecutorDirectory:
     """Keeps an ``Executor`` with its task for each entry in the store.
 
-    ``fence`` is the first fencing token of the scheduler. ``_fences`` holds
-    the higher ones that executors have seen which are no longer tracked, since
-    their entries may come back. ``_confirmed_at`` is the latest time of which
-    all entries are known.
+    An entry of a pool that the configuration does not name waits in ``_unused``
+    until it does; another program may have written it. ``fence`` is the first
+    fencing token of the scheduler. ``_fences`` holds the higher ones that
+    executors have seen which are no longer tracked, since their entries may come
+    back. ``_confirmed_at`` is the latest time of which all entries are known.
     """
 
     state: SchedulerState
@@ -39,6 +40,7 @@
     fence: int
     _versions: dict[str, int] = field(factory=dict)
     _fences: dict[str, int] = field(factory=dict)
+    _unused: dict[str, ExecutorEntry] = field(factory=dict)
     _read_at: float = _NEVER
     _confirmed_at: float = _NEVER
 
@@ -72,16 +74,23 @@
         Their removal was not among the changes that were followed.
         """
         listed = {row.key for row in page.rows}
-        for executor_id in self.state.executors.keys() - listed:
+        known = self.state.executors.keys() | self._unused.keys()
+        for executor_id in known - listed:
             if self._versions.get(executor_id, 0) <= page.version:
                 self._remove_entry(executor_id)
 
     def add_known(self, known_executors: Mapping[str, Mapping[str, str]]) -> None:
-        """Add executors of a previous scheduler that have left the store."""
+        """Add executors of a previous scheduler, which may have runs.
+
+        They have left the store, or the configuration no longer names their pool.
+        """
         for pool, addresses in known_executors.items():
             for executor, address in addresses.items():
                 if executor in self.state.executors:
                     continue
+                if executor in self._unused:
+                    self._add_executor(self._unused.pop(executor))
+                    continue
                 entry = ExecutorEntry(
                     executor, pool, address, "", False, None, None, Resources(), ()
                 )
@@ -129,6 +138,7 @@
         self.state.request_placement()
 
     def _remove_entry(self, executor_id: str) -> None:
+        self._unused.pop(executor_id, None)
         executor = self.state.executors.get(executor_id)
         if executor is not None and executor.is_in_store:
             log.info("entry of executor {} was removed from the store", executor_id)
@@ -137,7 +147,16 @@
     def _apply_entry(self, entry: ExecutorEntry) -> None:
         executor = self.state.executors.get(entry.id)
         if executor is None:
-            self._add_executor(entry)
+            if entry.pool in self.state.config.pools:
+                self._add_executor(entry)
+                return
+            if entry.id not in self._unused:
+                log.info(
+                    "executor {} is not used: its pool is not in the configuration",
+                    entry.id,
+                    pool=quote_value(entry.pool),
+                )
+            self._unused[entry.id] = entry
             return
         if executor.entry.address != entry.address:
             executor.client = self.connect(entry.id, entry.address)
@@ -160,6 +179,13 @@
         self.state.request_commit()
         return executor
 
+    def add_configured(self) -> None:
+        """Add the executors whose pool the configuration has come to name."""
+        for entry in list(self._unused.values()):
+            if entry.pool in self.state.config.pools:
+                del self._unused[entry.id]
+                self._add_executor(entry)
+
     def remove_gone(self) -> None:
         """Remove executors that have left the store and can have no runs."""
         now = self.state.clock()
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -279,6 +279,7 @@
         while True:
             await trio.sleep(TICK_SECONDS)
             self._barrier.unblock_pools()
+            self._executor_directory.add_configured()
             self._executor_directory.remove_gone()
             self._add_waves()
             self._idle_reporter.check()
--- a/hemlockstand/platform/decoding.py
+++ b/hemlockstand/platform/decoding.py
@@ -28,7 +28,8 @@
     Wave,
 )
 
-ADDRESS = re.compile(r"[!-~]+:([0-9]{1,5})")
+ADDRESS = re.compile(r"[!-~]{1,253}:([0-9]{1,5})")
+EXECUTOR_ID = re.compile(r"[!-~]+")  # sent in a header
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 MAX_PAYLOAD_BYTES = 4000
 MAX_SUBTASKS = 20_000  # per job; more do not fit into a scheduler's memory
@@ -210,7 +211,9 @@
 
 def decode_executor(executor: str, content: bytes) -> ExecutorEntry:
     """Return an executor's entry in the store."""
-    what = f"servers/{executor}"
+    what = f"servers/{quote_value(executor)}"
+    if EXECUTOR_ID.fullmatch(executor) is None:
+        raise InvalidInput(f"{what}: the key is no id")
     fields = Fields(decode_object(content, what), what)
     state = fields.string("State")
     if state not in ("ready", "draining"):
--- a/test/test_fleet_decoding.py
+++ b/test/test_fleet_decoding.py
@@ -36,27 +36,25 @@
 }
 
 
-def nest(value, depth: int):
-    """Return the value in lists nested that deeply."""
-    for _ in range(depth):
-        value = [value]
-    return value
-
-
-# Values of any type, with numbers, texts and nesting beyond usual sizes.
-ANY_VALUE = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.integers()
-    | st.floats(allow_nan=False, allow_infinity=False)
-    | st.text()
-    | st.sampled_from([10**400, -(10**400), 2**70, "a:70000", "x" * 70 + ":1"]),
-    lambda values: (
-        st.lists(values)
-        | st.dictionaries(st.text(), values)
-        | st.builds(nest, values, st.sampled_from([10, 500, 900]))
+def nest(text: str, depth: int) -> str:
+    """Return a JSON text in lists nested that deeply."""
+    return "[" * depth + text + "]" * depth
+
+
+# JSON texts of any type, with numbers, strings and nesting beyond usual sizes.
+ANY_VALUE = st.builds(
+    nest,
+    st.builds(
+        json.dumps,
+        st.none()
+        | st.booleans()
+        | st.integers()
+        | st.floats(allow_nan=False, allow_infinity=False)
+        | st.text()
+        | st.sampled_from([10**400, -(10**400), 2**70, "a:70000", "x" * 70 + ":1"])
+        | st.dictionaries(st.text(), st.integers()),
     ),
-    max_leaves=8,
+    st.sampled_from([0, 0, 0, 1, 500, 900, 4_000, 20_000]),
 )
 
 
@@ -111,8 +109,10 @@
 
     Such an error would end the scheduler that reads the entry.
     """
+    texts = {name: json.dumps(value) for name, value in ENTRY.items()} | changes
+    body = ", ".join(f'"{name}": {text}' for name, text in texts.items())
     with suppress(InvalidInput):
-        decode_executor("i-1", encode(ENTRY | changes))
+        decode_executor("i-1", f"{{{body}}}".encode())
 
 
 @pytest.mark.parametrize("field", ["Weight", "SlackFactor", "DurationS"])
@@ -133,6 +133,12 @@
         decode(encode(body))
 
 
+def test_executor_id_that_fits_into_no_header_is_rejected():
+    """Guards against a key that adds lines to the calls of the executor."""
+    with pytest.raises(InvalidInput):
+        decode_executor("i-1\r\nX: 1", encode(ENTRY))
+
+
 def test_longest_prefix_selects_the_queue():
     """Guards against a job that goes to a queue with a shorter prefix."""
     routes = [
--- a/test/test_fleet_malformed_rows.py
+++ b/test/test_fleet_malformed_rows.py
@@ -2,13 +2,14 @@
 
 import json
 
+import attrs
 import pytest
 import trio
 
 from emulator.fleet_executors import SubtaskBehaviour
 from emulator.row_store import RowStoreAccess, RowStoreModel, Transaction
 from hemlockstand.fleet.configuration import FleetConfigurationService
-from hemlockstand.fleet.model import JobSpec, StartOrder, Wave
+from hemlockstand.fleet.model import JobSpec, Pool, StartOrder, Wave
 from hemlockstand.fleet.storage import (
     JOBS_TABLE,
     OPERATOR_TABLE,
@@ -266,9 +267,11 @@
         *GARBAGE,
         b'{"Address": "10.0.0.1"}',
         encode_entry(Address="i-faulty:70000"),
+        encode_entry(Address="a" * 60_000 + ":1"),
+        encode_entry(Backend="service " * 30),
         encode_entry(born=10**400),
         encode_entry(Capacity={"Cpu": 10**400}),
-        encode_entry(State=json.loads("[" * 900 + "]" * 900)),
+        encode_entry(State="?").replace(b'"?"', b"[" * 900 + b"]" * 900),
     ],
 )
 async def test_malformed_row_of_an_executor_is_left_out(clock, value):
@@ -281,6 +284,67 @@
         await check_other_jobs(world, lambda: put(world, "servers", "i-faulty", value))
 
 
+async def test_executors_of_unknown_services_are_left_out(clock):
+    """Guards against entries whose services do not fit into a transaction.
+
+    The scheduler stores the executors that may have runs with its lease, in a
+    row for each service, and the store refuses transactions of many rows.
+    """
+    async with open_world() as world:
+
+        def write() -> None:
+            for number in range(120):
+                entry = encode_entry(Backend=f"other {number}")
+                put(world, "servers", f"i-other-{number}", entry)
+
+        await check_other_jobs(world, write)
+        rows = world.store.select("scheduler", "roster/", "roster0", "")
+        assert [row.key for row in rows] == ["roster/pool"]
+
+
+async def test_executor_of_a_later_service_takes_work(clock):
+    """Guards against an executor that stays unused once its service is known."""
+    async with open_world() as world:
+        config = world.configuration.current
+        world.configuration.current = attrs.evolve(
+            config, version=1, pools={"standby": config.pools["standby"]}
+        )
+        world.add_executor()
+        world.start_daemon("a")
+        job = world.submit(make_step(), work=SubtaskBehaviour(0.2, size=SMALL))
+        await trio.sleep(3)
+        assert world.state(job) == "queued"
+        world.configuration.current = attrs.evolve(config, version=2)
+        await world.wait_for(lambda: world.state(job) == "completed", 3)
+
+
+async def test_runs_of_a_dropped_service_are_kept_over_a_takeover(clock):
+    """Guards against a second run beside one of a service that was dropped.
+
+    Its executor is not used for new work, but its runs go on.
+    """
+    async with open_world() as world:
+        world.add_executor("old")
+        world.add_executor()
+        config = world.configuration.current
+        pools = config.pools | {"old": Pool("old", True, False)}
+        queues = (attrs.evolve(config.queues[0], pool="old"),)
+        world.configuration.current = attrs.evolve(config, pools=pools, queues=queues)
+        first = world.start_daemon("a")
+        job = world.submit(
+            make_step(3, lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        await world.wait_for(lambda: len(world.find_running(job)) == 3, 5)
+        world.configuration.current = attrs.evolve(config, version=2)
+        await trio.sleep(1)
+        world.kill(first)
+        world.start_daemon("b")
+        await trio.sleep(15)
+        assert {run.executor for run in world.find_running(job)} == {"i-1"}
+        assert world.count_runs(job) == 3
+        world.check_runs()
+
+
 @pytest.mark.parametrize("key", ["config", "wave/1", "wave/", "other"])
 @pytest.mark.parametrize(
     "value",
