Take no run for lost while an executor may have more ends than it lists

Cause: an executor lists 500 ends in an answer, until they are acknowledged. The scheduler took a run that is neither running nor among these for lost, and after a takeover it took the lists of the first answer for complete, which opened the pool for steps that may have run.

Change: an answer says whether there may be more ends. Until there are none, no run counts as lost, the executor does not count as read, and its pool stays blocked for as long as it holds a lease of the new scheduler.

--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -28,6 +28,7 @@
 
 STOP_SECONDS = 0.2
 LONGEST_HOLD_MS = 10_000
+LISTED_ENDS = 500
 CRASH_SECONDS = 0.01
 RESTART_SECONDS = 3.0  # time until an executor is back after a crash
 STARTUP_SECONDS = 0.3  # time until a lasting subtask reports 100 percent
@@ -91,7 +92,8 @@
 
     ``describe`` returns the behaviour of a subtask. Without an
     ``admission_check``, what does not fit is started as well. The lease ends at
-    ``due_ms`` of the executor's clock. ``refused_up_to`` holds for each
+    ``due_ms`` of the executor's clock. An answer lists ``listed_ends`` ends at
+    most. ``refused_up_to`` holds for each
     subtask the highest run number that is refused. Faults: ``unresponsive``
     leaves all calls without an answer; of the coming start orders,
     ``lost_answers`` are carried out without an answer, ``late_orders`` are
@@ -119,6 +121,7 @@
     refused_up_to: dict[str, int] = field(factory=dict)
     running: dict[str, _Running] = field(factory=dict)
     ends: list[EndEntry] = field(factory=list)
+    listed_ends: int = LISTED_ENDS
     ended_records: dict[int, RecordedRun] = field(factory=dict)
     unresponsive: bool = False
     draining: bool = False
@@ -305,7 +308,8 @@
             self.clock_ms,
             self.born_ms,
             tuple(self._list_runs()),
-            tuple(self.ends),
+            tuple(self.ends[: self.listed_ends]),
+            len(self.ends) >= self.listed_ends,
         )
 
     def _list_runs(self):
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -1,6 +1,6 @@
 """The scheduler's view of one executor, and the task that polls it.
 
-The executor's own lists of running and ended runs are authoritative. Three
+The executor's own lists of running and ended runs are authoritative. Four
 cases in which the scheduler cannot know what runs are resolved as follows:
 
 * A start order without an answer may be carried out seconds later. The next
@@ -11,9 +11,11 @@
 * After a restart (a new lifetime) the executor has none of its earlier runs. It
   may have runs that were ordered before the restart was known, so its lists in
   the new lifetime decide.
+* An answer lists a limited number of ends. Until the rest is read, a run that is
+  in neither list may have ended, and does not count as lost.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import trio
 from attrs import define, field
@@ -32,6 +34,7 @@
     ExecutorEntry,
     HoldAnswer,
     Resources,
+    RunEntry,
     get_reservation,
 )
 from hemlockstand.fleet.work import Run, RunState, Subtask
@@ -57,7 +60,7 @@
     """An executor, across its restarts.
 
     ``is_in_store`` is set while the store has an entry of the executor, and
-    ``reconciled`` once its lists have been read in the present lifetime.
+    ``reconciled`` once its lists have been read in full in the present lifetime.
     ``last_handled`` is the number of the last end that the scheduler has
     handled, ``acked`` that of the last one that it has stored, which the
     executor may forget. ``recorded`` means that the executor's name is stored
@@ -96,6 +99,7 @@
     _forgotten: int = 0  # the last end that the executor has certainly dropped
     _restarted: bool = False  # the lists of the new lifetime were not read yet
     _left_drained: bool = False  # the earlier lifetime ended as it was meant to
+    _logged_unread_ends_at: int = 0  # ``last_handled`` at that time
     _crash_record: CrashRecord = field(factory=CrashRecord)
     _clock_ms: int | None = None
     _clock_at: float = 0.0
@@ -300,6 +304,29 @@
         for end in answer.ended:
             if end.number > self.last_handled:
                 self._handle_end(end)
+        lost = self._update_runs(listed, sent_at, fence)
+        if answer.may_have_more_ends:
+            self._log_unread_ends(len(lost))
+        else:
+            self._report_missing(lost)
+        if self.failing_since is not None:
+            log.info("executor {} answers again", self.id)
+        self.failing_since = None
+        if not answer.may_have_more_ends:
+            self._restarted = self._left_drained = False
+            self._crash_record.clear()
+            self.reconciled = True
+        self.events.handle_running(self, answer)
+        self.unknown_runs = frozenset(listed.keys() - self.runs.keys())
+        self._unconfirmed = False
+
+    def _update_runs(
+        self, listed: Mapping[str, RunEntry], sent_at: float, fence: int
+    ) -> dict[Subtask, str]:
+        """Update the runs that are listed; return the others that must be over.
+
+        The value is the reason for which one is lost if no end of it is listed.
+        """
         now = self.clock()
         lost: dict[Subtask, str] = {}
         for subtask in list(self.runs.values()):
@@ -314,19 +341,24 @@
                 lost[subtask] = "not in the executor's list"
             elif run.may_be_unstarted and run.fence < fence:
                 lost[subtask] = "the start order was not carried out"
+        return lost
+
+    def _log_unread_ends(self, missing: int) -> None:
+        if self._logged_unread_ends_at != self.last_handled:
+            self._logged_unread_ends_at = self.last_handled
+            log.info(
+                "executor {} may have more ends than it lists",
+                self.id,
+                missing=missing,
+                last_handled=self.last_handled,
+                acked=self.acked,
+            )
+
+    def _report_missing(self, lost: Mapping[Subtask, str]) -> None:
         if self._restarted:
             self._report_crash(lost)
         for subtask, reason in lost.items():
             self._report_lost(subtask, "new lifetime" if self._restarted else reason)
-        if self.failing_since is not None:
-            log.info("executor {} answers again", self.id)
-        self.failing_since = None
-        self._restarted = self._left_drained = False
-        self._crash_record.clear()
-        self.events.handle_running(self, answer)
-        self.unknown_runs = frozenset(listed.keys() - self.runs.keys())
-        self.reconciled = True
-        self._unconfirmed = False
 
     def _handle_end(self, end: EndEntry) -> None:
         self.last_handled = end.number
--- a/hemlockstand/fleet/model.py
+++ b/hemlockstand/fleet/model.py
@@ -336,12 +336,17 @@
 
 @frozen
 class HoldAnswer:
-    """All runs in progress of an executor, and its unacknowledged ends."""
+    """All runs in progress of an executor, and its unacknowledged ends.
+
+    ``may_have_more_ends`` means that there may be further ends, which the
+    executor lists once these have been acknowledged.
+    """
 
     clock_ms: int
     born_ms: int | None
     running: tuple[RunEntry, ...]
     ended: tuple[EndEntry, ...]
+    may_have_more_ends: bool = False
 
 
 class Refusal(StrEnum):
--- a/hemlockstand/fleet/takeover_barrier.py
+++ b/hemlockstand/fleet/takeover_barrier.py
@@ -1,10 +1,11 @@
 """Protection against duplicate runs after a change of the scheduler."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from attrs import define, field
 from loguru import logger
 
+from hemlockstand.fleet.executors import LEASE_EXPIRY_MARGIN_SECONDS, Executor
 from hemlockstand.fleet.state import SchedulerState
 
 log = logger.bind(module=__name__)
@@ -18,9 +19,10 @@
 
     A previous scheduler may have started them on an executor that does not
     answer yet. Such runs end with the executor's lease, so a pool is blocked
-    until the longest lease has expired at the latest. An executor gets no runs
-    before its name is stored, so only those that the previous scheduler has
-    stored need to answer.
+    until the longest lease has expired at the latest. One that answers keeps its
+    lease, and its pool is blocked until all ends of its runs have been read. An
+    executor gets no runs before its name is stored, so only those that the
+    previous scheduler has stored need to answer.
     """
 
     state: SchedulerState
@@ -41,11 +43,24 @@
         self.blocked_pools.update(self._find_unreconciled_pools())
 
     def _find_unreconciled_pools(self) -> set[str]:
-        """Return the pools of the executors that have not answered yet."""
+        """Return the pools of the executors whose lists have not been read yet."""
         return self._unknown_pools | {
-            executor.entry.pool
+            executor.entry.pool for executor in self._find_unreconciled()
+        }
+
+    def _find_unreconciled(self) -> Iterator[Executor]:
+        return (
+            executor
             for executor in self.state.executors.values()
             if executor.id in self._inherited and not executor.reconciled
+        )
+
+    def _find_pools_with_unread_ends(self, now: float) -> set[str]:
+        """Return the pools of executors that hold a lease of this scheduler."""
+        return {
+            executor.entry.pool
+            for executor in self._find_unreconciled()
+            if now <= executor.runs_end_at + LEASE_EXPIRY_MARGIN_SECONDS
         }
 
     def unblock_pools(self) -> None:
@@ -55,7 +70,9 @@
         now = self.state.clock()
         over = now > self.state.previous_grants_end + PREVIOUS_GRANTS_MARGIN_SECONDS
         unblocked = self.blocked_pools - (
-            set() if over else self._find_unreconciled_pools()
+            self._find_pools_with_unread_ends(now)
+            if over
+            else self._find_unreconciled_pools()
         )
         if unblocked:
             self.blocked_pools -= unblocked
--- a/hemlockstand/platform/executors.py
+++ b/hemlockstand/platform/executors.py
@@ -30,6 +30,7 @@
 log = logger.bind(module=__name__)
 
 ORDER_TIMEOUT_SECONDS = 0.6  # executors answer within a few milliseconds
+MAX_LISTED_ENDS = 500  # in one answer
 _REFUSALS = {
     "fence": Refusal.FENCE,
     "old": Refusal.OLD,
@@ -186,11 +187,13 @@
 def _decode_hold(reply: Reply) -> HoldAnswer:
     body = reply.decode()
     try:
+        ends = tuple(_decode_end(row) for row in body.get("Finished") or ())
         return HoldAnswer(
             _read_number(body["ClockMs"]),
             _read_born(body),
             tuple(_decode_run(row) for row in body.get("Running") or ()),
-            tuple(_decode_end(row) for row in body.get("Finished") or ()),
+            ends,
+            may_have_more_ends=len(ends) >= MAX_LISTED_ENDS,
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
         raise OutcomeUnknown(f"unreadable lists of runs: {error!r}") from error
