Wait for every pool in which a queue's runs may be

Cause: after a takeover a step that may have runs waits for the executors that do not answer, in the pool that the configuration names now. Its runs are in the pool that it named when they were started.

Evidence: in the log the former pool was blocked while the runs began in the new one.

Change: the status row names the pools in which a job's runs may have been started, beside that of its submission, and is stored before the first start in one. A step waits for all of these, and its unknown runs count against the tenant's maximum there too.

--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -75,6 +75,8 @@
         return job
 
     def _create_steps(self, job: Job, status: JobStatus) -> None:
+        job.pools.update(status.other_pools)
+        job.stored_pools.update(status.other_pools)
         for occurrence in range(job.spec.occurrences):
             for position, step in enumerate(job.spec.steps):
                 step_run = StepRun(job, occurrence, position, step)
@@ -137,18 +139,21 @@
         ]
         return measure_chain(spec, step_run.position, seconds)
 
-    def announce(self, step_run: StepRun) -> None:
-        """Request that a step is stored as one that may have started."""
-        if not step_run.announce_requested:
+    def announce(self, step_run: StepRun, pool: str) -> None:
+        """Request that a step is stored as one that may have started in a pool."""
+        job = step_run.job
+        if not step_run.announce_requested or pool not in job.pools:
             step_run.announce_requested = True
-            self.dirty.add(step_run.job.id)
+            job.pools.add(pool)
+            self.dirty.add(job.id)
 
     def mark_stored(self, jobs: list[str], statuses: list[JobStatus]) -> None:
-        """Mark the steps announced in stored statuses; they may start now."""
+        """Mark the steps and pools in stored statuses; starts may follow now."""
         for job_id, status in zip(jobs, statuses, strict=True):
             job = self.jobs.get(job_id)
             if job is None:
                 continue
+            job.stored_pools.update(status.other_pools)
             for step_run in job.steps.values():
                 if step_run.key in status.announced:
                     step_run.announced = True
--- a/hemlockstand/fleet/model.py
+++ b/hemlockstand/fleet/model.py
@@ -286,7 +286,9 @@
     scheduler may see one that is counted already. ``announced`` holds the
     steps by ``K.STEP`` that may have been started; it is stored before the
     first start. ``crashes`` holds, by ``K.STEP.INDEX``, how many executors have
-    crashed under a subtask.
+    crashed under a subtask. ``other_pools`` holds the pools in which runs may have
+    been started since the queue was sent there, beside the pool of the
+    submission; it is stored before the first start in one.
     """
 
     state: JobState
@@ -295,6 +297,7 @@
     announced: tuple[str, ...] = ()
     ended_ms: int = 0
     crashes: Mapping[str, int] = field(factory=dict)
+    other_pools: tuple[str, ...] = ()
 
 
 @frozen
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -41,7 +41,7 @@
     """Chooses executors for the waiting subtasks of a job registry.
 
     ``blocked_pools`` names the pools in which unknown runs of a previous
-    scheduler may exist; steps that it may have started wait there.
+    scheduler may exist; steps that it may have started in one of them wait.
     ``may_run`` returns whether the queue's policy allows an executor, and
     ``is_confirmed`` whether the known capacities still apply; executors without
     an admission check would start what does not fit.
@@ -59,7 +59,7 @@
     def place(self, config: FleetConfig, now: float) -> Iterator[Placement]:
         """Yield placements; the caller starts each before it asks for more."""
         pools = self._group_executors(config, now)
-        self._unconfirmed_use = self._measure_unconfirmed_use(config)
+        self._unconfirmed_use = self._measure_unconfirmed_use()
         order = sorted(
             (
                 (rank_step(step_run, config, now), step_run)
@@ -69,13 +69,13 @@
         )
         for rank, step_run in order:
             pool = find_pool(step_run.job, config)
-            if step_run.inherited and pool in self.blocked_pools:
+            if step_run.may_run_unknown(self.blocked_pools):
                 continue
             room = pools.setdefault(pool, PoolRoom([]))
             may_announce = room.count_step(step_run)
-            if not step_run.announced:
+            if not step_run.announced or pool not in step_run.job.stored_pools:
                 if may_announce:
-                    self.registry.announce(step_run)
+                    self.registry.announce(step_run, pool)
                     room.hold(rank, step_run)
                 continue
             if not room.is_held_from(rank) and room.may_fit(step_run.step):
@@ -84,7 +84,7 @@
             if step_run.waiting and not room.lacks_cpu(step_run.step):
                 room.discount_step(step_run)
 
-    def _measure_unconfirmed_use(self, config: FleetConfig) -> dict[str, Resources]:
+    def _measure_unconfirmed_use(self) -> dict[str, Resources]:
         """Return the resources that unknown runs may use, by tenant.
 
         Each waiting subtask that a previous scheduler may have started counts.
@@ -93,13 +93,9 @@
         if not self.blocked_pools:
             return use_by_tenant
         for step_run in self.registry.ready.values():
-            job = step_run.job
-            if (
-                not step_run.inherited
-                or find_pool(job, config) not in self.blocked_pools
-            ):
+            if not step_run.may_run_unknown(self.blocked_pools):
                 continue
-            tenant = job.spec.tenant
+            tenant = step_run.job.spec.tenant
             size = step_run.step.size
             count = len(step_run.waiting)
             use_by_tenant[tenant] = use_by_tenant.get(tenant, Resources()).add(
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -1,6 +1,6 @@
 """The scheduler's jobs, steps, subtasks and runs in memory."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Set as AbstractSet
 from enum import Enum, auto
 
 from attrs import define, field
@@ -117,10 +117,21 @@
         """Whether the subtasks may run."""
         return bool(self.subtasks)
 
+    def may_run_unknown(self, blocked_pools: AbstractSet[str]) -> bool:
+        """Return whether a previous scheduler's runs may exist in blocked pools.
+
+        The queue may have been sent to another pool since they were started.
+        """
+        return self.inherited and not self.job.pools.isdisjoint(blocked_pools)
+
 
 @define(eq=False, slots=True)
 class Job:
-    """A job that has not ended, or ended a short time ago."""
+    """A job that has not ended, or ended a short time ago.
+
+    ``pools`` holds the pools in which runs may be started, ``stored_pools`` those
+    of them that the next scheduler would know.
+    """
 
     spec: JobSpec
     version: int
@@ -132,6 +143,12 @@
     accepted_at: float = 0.0
     deadline: float = 0.0
     objective_seconds: float = 0.0
+    pools: set[str] = field(factory=set)
+    stored_pools: set[str] = field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        self.pools.add(self.spec.pool)
+        self.stored_pools.add(self.spec.pool)
 
     @property
     def id(self) -> str:
@@ -168,4 +185,12 @@
             for run in self.steps.values()
             if (run.announce_requested or run.inherited) and not run.complete
         )
-        return JobStatus(self.state, done, failures, announced, crashes=crashes)
+        other_pools = tuple(sorted(self.pools - {self.spec.pool}))
+        return JobStatus(
+            self.state,
+            done,
+            failures,
+            announced,
+            crashes=crashes,
+            other_pools=other_pools,
+        )
