Look for a stopped subtask's room in the pool of its queue

What operators would see: maintenance of an instance waits for room in a pool that the queue of its work has left, or lasting work is stopped for room there and then idle, since it starts again in the queue's present pool.

Change: has_room_elsewhere asks for the queue's pool.

--- a/hemlockstand/fleet/eviction.py
+++ b/hemlockstand/fleet/eviction.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterator, Mapping
 
 from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.job_registry import find_pool
+from hemlockstand.fleet.model import FleetConfig
 from hemlockstand.fleet.placement import accepts_runs, is_below_cap
 from hemlockstand.fleet.work import RunState, Subtask
 
@@ -25,6 +27,7 @@
     executors: Mapping[str, Executor],
     now: float,
     budgets_known: bool,
+    config: FleetConfig,
 ) -> Iterator[Subtask]:
     """Yield the lasting subtasks of an executor that may be stopped now.
 
@@ -40,7 +43,9 @@
             continue
         if subtask.run.state is not RunState.RUNNING:
             continue
-        if may_stop(subtask, executors) and has_room_elsewhere(subtask, executors, now):
+        if may_stop(subtask, executors) and has_room_elsewhere(
+            subtask, executors, now, config
+        ):
             yield subtask
 
 
@@ -81,11 +86,17 @@
 
 
 def has_room_elsewhere(
-    subtask: Subtask, executors: Mapping[str, Executor], now: float
+    subtask: Subtask,
+    executors: Mapping[str, Executor],
+    now: float,
+    config: FleetConfig,
 ) -> bool:
-    """Return whether another executor has room for the subtask now."""
+    """Return whether another executor has room for the subtask now.
+
+    It starts again in the pool of its queue, which may not be that of its run.
+    """
     step = subtask.step
-    pool = executors[subtask.run.executor].entry.pool if subtask.run else ""
+    pool = find_pool(subtask.job, config)
     for executor in executors.values():
         if executor.entry.pool != pool or not accepts_runs(executor, now):
             continue
@@ -112,7 +123,10 @@
 
 
 def find_movable(
-    executor: Executor, executors: Mapping[str, Executor], now: float
+    executor: Executor,
+    executors: Mapping[str, Executor],
+    now: float,
+    config: FleetConfig,
 ) -> Iterator[Subtask]:
     """Yield the runs of a draining executor that can move to another one.
 
@@ -124,5 +138,5 @@
         if run is None or run.state is not RunState.RUNNING or subtask.step.gang:
             continue
         movable = subtask.step.lasting or subtask.step.checkpoints
-        if movable and has_room_elsewhere(subtask, executors, now):
+        if movable and has_room_elsewhere(subtask, executors, now, config):
             yield subtask
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -171,7 +171,9 @@
     def _stop_remaining_runs(self, executor: Executor, plan: Plan) -> None:
         now = self.state.clock()
         known = now > self.state.previous_stops_end
-        for subtask in find_stoppable(executor, self.state.executors, now, known):
+        for subtask in find_stoppable(
+            executor, self.state.executors, now, known, self.state.config
+        ):
             self.stop_run(subtask)
         if now - plan.planned_at < SHORT_RUN_WAIT_SECONDS:
             return
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -237,7 +237,9 @@
             self._count_failure(executor)
             self.orders.stop_run(subtask)
         if executor.entry.draining:
-            for subtask in find_movable(executor, self.state.executors, now):
+            for subtask in find_movable(
+                executor, self.state.executors, now, self.state.config
+            ):
                 self.orders.stop_run(subtask)
         for change in list(find_pace_changes(executor)):
             self.state.nursery.start_soon(self.orders.order_pace, executor, change)
