Keep the scheduler's transactions within the limits of the store

Cause: the status row of a job names each step that is done and grows with the job. Beyond 65,536 bytes the store refuses it, with the lease that is in the same transaction; each next scheduler makes the same transaction again. The rest of a transaction grew with the number of pools and waves. The set of done subtasks was written as a decimal number, which Python refuses beyond 4,300 digits.

Change: a job of over 512 subtasks stores sets of bits, and failures and crashes beyond its first 128 subtasks in rows of their own. A transaction takes no more changes than fit. A refused one is divided until the change is found, while the lease is renewed alone; that change is given up, and a job whose rows it has fails. Smaller jobs are stored as before, and rows of earlier versions are read.

--- a/emulator/row_store.py
+++ b/emulator/row_store.py
@@ -7,6 +7,7 @@
 """
 
 from bisect import bisect_right
+from collections.abc import Callable
 
 import trio
 from attrs import define, field, frozen
@@ -18,6 +19,7 @@
     RowExpectation,
     RowKey,
     RowPage,
+    RowsRefused,
     RowWrite,
     StoredRow,
 )
@@ -163,7 +165,8 @@
     Reads of the ``stale_tables`` return an empty table at version 0, as before
     the first write; those of the ``failing_tables`` fail, and those of the
     ``slow_tables`` take so many seconds longer. With ``failing_removals``,
-    transactions without a condition that remove rows fail.
+    transactions without a condition that remove rows fail. ``refuses`` returns
+    whether the store refuses every transaction that writes a row.
     """
 
     model: RowStoreModel
@@ -177,6 +180,7 @@
     failing_tables: set[str] = field(factory=set)
     slow_tables: dict[str, float] = field(factory=dict)
     failing_removals: bool = False
+    refuses: Callable[[RowWrite], bool] = field(default=lambda write: False)
 
     async def _call(self) -> None:
         await trio.sleep(self.call_seconds)
@@ -224,7 +228,9 @@
             raise PlatformUnavailable("rows cannot be removed")
         transaction = Transaction(tuple(writes), tuple(expected), tuple(removed))
         if excess := transaction.find_excess():
-            raise PlatformUnavailable(f"the store answered 400: {excess}")
+            raise RowsRefused(f"the store answered 400: {excess}")
+        if any(self.refuses(write) for write in writes):
+            raise RowsRefused("the store answered 400")
         if self.late_writes:
             self.late_writes -= 1
             self.late.append(transaction)
--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -1,6 +1,7 @@
 """The scheduler's transactions, which extend its lease."""
 
 import time
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from itertools import islice
 
 import trio
@@ -8,27 +9,32 @@
 from loguru import logger
 
 from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
+from hemlockstand.fleet.changes import (
+    AttemptsChange,
+    Batch,
+    Change,
+    ExpiryChange,
+    KnownExecutorsChange,
+    PendingChange,
+    StatusChange,
+    WaveChange,
+    fits_alone,
+)
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.lease import Release
 from hemlockstand.fleet.metrics import COMMITS
+from hemlockstand.fleet.model import JobState
 from hemlockstand.fleet.state import SchedulerState
-from hemlockstand.fleet.storage import (
-    STATES_TABLE,
-    expired_keys,
-    known_executors_write,
-    pending_write,
-    status_write,
-    wave_writes,
-)
-from hemlockstand.platform.rows import RowKey, RowWrite
+from hemlockstand.fleet.storage import expired_keys
+from hemlockstand.fleet.work import Job
+from hemlockstand.platform.rows import MAX_TRANSACTION_ENTRIES, RowsRefused
 
 log = logger.bind(module=__name__)
 
 COMMIT_PAUSE_SECONDS = 0.008  # ends within this time share a transaction
 RETRY_SECONDS = 0.2
 EXPIRY_RETRY_SECONDS = 1.0
-MAX_STATUS_WRITES = 80  # a transaction may have 100 entries
 MAX_EXPIRED = 3  # jobs to expire with one transaction
 # Finished jobs are kept longer than they have to be shown, by this factor, for
 # late callers.
@@ -43,13 +49,21 @@
     have runs, by pool and id. ``removable`` holds the expired jobs of which
     only the status row is left. It goes last: without it, the row of a
     finished job would be loaded as a job that has not started.
+
+    The lease is in each transaction, so a change that the store does not accept
+    must not stay in them. A refused transaction is divided until the change is
+    found, which is then given up; ``_given_up`` holds those that are no rows of
+    jobs. A job whose rows are not accepted fails.
     """
 
     state: SchedulerState
     instances: InstanceManager
+    stop_runs: Callable[[Job], None]
     _pending: dict[str, int] = field(factory=dict)
     known_executors: dict[str, dict[str, str]] = field(factory=dict)
     removable: set[str] = field(factory=set)
+    _max_changes: int = MAX_TRANSACTION_ENTRIES
+    _given_up: list[Change] = field(factory=list)
 
     async def run(self, leaving: trio.Event) -> None:
         """Store changes and extend the lease until the scheduler leaves."""
@@ -61,10 +75,15 @@
             await self._try_commit()
 
     async def _try_commit(self) -> None:
+        batch, complete = self._collect()
         try:
-            await self.commit()
+            try:
+                await self._store(batch, complete)
+                COMMITS.labels("applied").inc()
+            except RowsRefused as error:
+                COMMITS.labels("refused").inc()
+                await self._divide(batch, error)
             self.state.store_failing = False
-            COMMITS.labels("applied").inc()
         except PlatformUnavailable as error:
             self.state.store_failing = True
             COMMITS.labels("unavailable").inc()
@@ -73,62 +92,166 @@
             )
             await trio.sleep(RETRY_SECONDS)
 
-    async def commit(self, release: Release | None = None) -> None:
+    async def release(self, reason: Release) -> None:
+        """Store changes and give up the lease; raises ``PlatformUnavailable``."""
+        batch, complete = self._collect()
+        try:
+            await self._store(batch, complete, reason)
+        except RowsRefused as error:
+            log.error(
+                "the store refuses the last changes of the scheduler",
+                changes=len(batch.changes),
+                detail=str(error),
+            )
+            await self._store(Batch(), False, reason)
+
+    def _collect(self) -> tuple[Batch, bool]:
+        """Return the next changes, and whether none is left out."""
+        batch = Batch(self._max_changes)
+        for change in self._list_changes():
+            if change in self._given_up:
+                continue
+            if batch.add(change):
+                continue
+            if fits_alone(change):
+                return batch, False
+            self._give_up(change, "it is over the limits of the store")
+        return batch, True
+
+    def _list_changes(self) -> Iterator[Change]:
+        """Yield what is not stored yet; what others rely on comes first.
+
+        Failures come before the status: an earlier version has stored them there.
+        """
+        registry = self.state.registry
+        for pool, addresses in self._list_executors().items():
+            if addresses != self.known_executors.get(pool):
+                yield KnownExecutorsChange(pool, addresses)
+        for progress in self.instances.waves.waves.values():
+            if not progress.stored:
+                yield WaveChange(progress, progress.make_record(), progress.completed)
+        pending = registry.count_pending()
+        if pending != self._pending:
+            yield PendingChange(pending)
+        for job_id, block in list(registry.dirty_blocks):
+            job = registry.jobs.get(job_id)
+            ended = job is None or job.state.final
+            yield AttemptsChange(
+                job_id, block, None if ended else job.make_attempts(block)
+            )
+        for job_id in list(registry.dirty):
+            job = registry.jobs[job_id]
+            yield StatusChange(job_id, job.make_status(), job.announced)
+        for job_id in self._expire_jobs():
+            self.state.nursery.start_soon(self._remove_job, job_id)
+        for job_id in self._choose_removable():
+            yield ExpiryChange(job_id)
+
+    async def _store(
+        self, batch: Batch, complete: bool, release: Release | None = None
+    ) -> None:
         """Store changes; executors may then forget the ends in them.
 
         ``release`` is the reason for which the lease is given up with them.
         """
-        dirty = list(self.state.registry.dirty)[:MAX_STATUS_WRITES]
-        statuses = [self.state.registry.jobs[job_id].make_status() for job_id in dirty]
-        writes: list[RowWrite] = [
-            status_write(job_id, status)
-            for job_id, status in zip(dirty, statuses, strict=True)
-        ]
-        all_dirty = len(dirty) == len(self.state.registry.dirty)
-        self.state.registry.dirty.difference_update(dirty)
-        pending = self.state.registry.count_pending()
-        if pending != self._pending:
-            writes.append(pending_write(pending))
-        waves = [
-            (progress, progress.make_record(), progress.completed)
-            for progress in self.instances.waves.waves.values()
-            if not progress.stored
-        ]
-        for progress, record, completed in waves:
-            writes.extend(wave_writes(progress.wave.number, record, completed))
+        self._set_clean(batch)
         last_handled = {
             executor: executor.last_handled
             for executor in self.state.executors.values()
         }
         lifetimes = {executor: executor.born_ms for executor in last_handled}
-        for job_id in self._expire_jobs():
-            self.state.nursery.start_soon(self._remove_job, job_id)
-        expired = self._choose_removable()
-        removed = [RowKey(STATES_TABLE, job_id) for job_id in expired]
-        known_executors = self._list_executors()
-        for pool, addresses in known_executors.items():
-            if addresses != self.known_executors.get(pool):
-                writes.append(known_executors_write(pool, addresses))
         try:
             orders = self.instances.find_orders()
-            await self.state.lease.commit(writes, removed, orders, release)
+            await self.state.lease.commit(batch.writes, batch.removed, orders, release)
         except BaseException:
-            self.state.registry.dirty.update(dirty)
+            self._set_dirty(batch)
             raise
-        self.removable.difference_update(expired)
-        self._pending = pending
-        self.known_executors = known_executors
+        self._max_changes = min(2 * self._max_changes, MAX_TRANSACTION_ENTRIES)
         self.instances.mark_stored(orders)
-        if dirty:
-            self.state.registry.mark_stored(dirty, statuses)
+        for change in batch.changes:
+            self._mark_stored(change)
+        if batch.changes:
             self.state.request_placement()
-        for progress, record, completed in waves:
-            current = progress.make_record(), progress.completed
-            progress.stored = current == (record, completed)
-        self._acknowledge_ends(last_handled, lifetimes, all_dirty)
-        if not all_dirty:
+        self._mark_recorded(last_handled)
+        if complete:
+            self._acknowledge_ends(last_handled, lifetimes)
+        else:
             self.state.request_commit()
 
+    def _set_clean(self, batch: Batch) -> None:
+        """Let changes during the transaction count as new ones."""
+        registry = self.state.registry
+        for change in batch.changes:
+            match change:
+                case StatusChange(job):
+                    registry.dirty.discard(job)
+                case AttemptsChange(job, block):
+                    registry.dirty_blocks.discard((job, block))
+
+    def _set_dirty(self, batch: Batch) -> None:
+        registry = self.state.registry
+        for change in batch.changes:
+            match change:
+                case StatusChange(job):
+                    registry.dirty.add(job)
+                case AttemptsChange(job, block):
+                    registry.dirty_blocks.add((job, block))
+
+    def _mark_stored(self, change: Change) -> None:
+        registry = self.state.registry
+        match change:
+            case KnownExecutorsChange(pool, addresses):
+                self.known_executors[pool] = dict(addresses)
+            case WaveChange(progress, record, completed):
+                current = progress.make_record(), progress.completed
+                progress.stored = current == (record, completed)
+            case PendingChange(counts):
+                self._pending = dict(counts)
+            case AttemptsChange(job, block, attempts):
+                registry.mark_block_stored(job, block, attempts is not None)
+            case StatusChange(job, status, announced):
+                registry.mark_stored(job, status.other_pools, announced)
+            case ExpiryChange(job):
+                self.removable.discard(job)
+
+    async def _divide(self, batch: Batch, error: RowsRefused) -> None:
+        """Renew the lease alone; take fewer changes, or give up the only one."""
+        log.error(
+            "the store refuses a transaction of the scheduler",
+            changes=len(batch.changes),
+            entries=len(batch.writes) + len(batch.removed),
+            detail=str(error),
+        )
+        await self.state.lease.renew()
+        if len(batch.changes) == 1:
+            self._give_up(batch.changes[0], str(error))
+        self._max_changes = max(1, len(batch.changes) // 2)
+        self.state.request_commit()
+
+    def _give_up(self, change: Change, reason: str) -> None:
+        """Leave a change out from now on; a job whose rows it has fails."""
+        log.error(
+            "a change cannot be stored and is given up",
+            kind=type(change).__name__,
+            change=str(change)[:200],
+            detail=reason,
+        )
+        registry = self.state.registry
+        match change:
+            case StatusChange(job_id) | AttemptsChange(job_id):
+                job = registry.jobs.get(job_id)
+                registry.dirty.discard(job_id)
+                registry.dirty_blocks = {
+                    entry for entry in registry.dirty_blocks if entry[0] != job_id
+                }
+                if job is not None and not job.state.final:
+                    detail = "its status cannot be stored"
+                    now_ms = int(time.time() * 1000)
+                    registry.finish(job, JobState.FAILED, now_ms, detail)
+                    self.stop_runs(job)
+            case _:
+                self._given_up.append(change)
+
     async def _remove_job(self, job_id: str) -> None:
         """Remove the rows of a job that ended long ago, but its status row."""
         while True:
@@ -172,17 +295,20 @@
         )
         return self.state.registry.expire(before_ms, MAX_EXPIRED)
 
+    def _mark_recorded(self, executors: Iterable[Executor]) -> None:
+        """Let executors get runs whose names the next scheduler can read."""
+        for executor in executors:
+            stored = self.known_executors.get(executor.entry.pool, {})
+            if not executor.recorded and executor.id in stored:
+                executor.recorded = True
+                self.state.request_placement()
+
     def _acknowledge_ends(
         self,
-        last_handled: dict[Executor, int],
-        lifetimes: dict[Executor, int | None],
-        all_dirty: bool,
+        last_handled: Mapping[Executor, int],
+        lifetimes: Mapping[Executor, int | None],
     ) -> None:
         for executor, number in last_handled.items():
-            if not executor.recorded:
-                executor.recorded = True
-                self.state.request_placement()
-            if all_dirty and executor.born_ms == lifetimes[executor]:
-                if number > executor.acked:
-                    executor.acked = number
-                    executor.wake()
+            if executor.born_ms == lifetimes[executor] and number > executor.acked:
+                executor.acked = number
+                executor.wake()
--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -5,14 +5,17 @@
 the jobs. Starts are not written, since the executors' lists show them.
 """
 
+from collections.abc import Iterable, Mapping
 from heapq import heappop, heappush
 
 from attrs import define, field
 from loguru import logger
 
+from hemlockstand.fleet.bit_sets import find_bits
 from hemlockstand.fleet.durations import Durations
 from hemlockstand.fleet.model import (
     FleetConfig,
+    JobAttempts,
     JobSpec,
     JobState,
     JobStatus,
@@ -32,13 +35,15 @@
 
     ``ready`` holds the steps with waiting subtasks, ``in_use`` the resources
     of all runs by tenant, and ``ended`` the ended jobs by time. ``dirty``
-    names the jobs whose status row is out of date.
+    names the jobs whose status row is out of date, ``dirty_blocks`` the blocks of
+    subtasks whose row of failures and crashes is.
     """
 
     run_base: int = 0
     jobs: dict[str, Job] = field(factory=dict)
     ready: dict[str, StepRun] = field(factory=dict)
     dirty: set[str] = field(factory=set)
+    dirty_blocks: set[tuple[str, int]] = field(factory=set)
     in_use: dict[str, Resources] = field(factory=dict)
     ended: list[tuple[int, str]] = field(factory=list)
     durations: Durations = field(factory=Durations)
@@ -51,13 +56,20 @@
         status: JobStatus | None,
         now: float,
         now_ms: int,
+        attempts: Mapping[int, JobAttempts] | None = None,
     ) -> Job | None:
-        """Add a job from its rows; return None if it is already known."""
+        """Add a job from its rows; return None if it is already known.
+
+        ``attempts`` holds its failures and crashes by block, apart from those in
+        the status.
+        """
         if spec.id in self.jobs:
             return None
         age = max(0.0, (now_ms - spec.accepted_ms) / 1000)
         job = Job(spec, version, accepted_at=now - age)
         self.jobs[spec.id] = job
+        blocks = attempts or {}
+        job.stored_blocks.update(blocks)
         if status is not None:
             job.state = status.state
             job.started = status.state is not JobState.QUEUED
@@ -65,6 +77,8 @@
                 self._retire(job, status.ended_ms)
                 return job
         self._create_steps(job, status or JobStatus(JobState.QUEUED))
+        for block, record in blocks.items():
+            self._add_attempts(job, block, record.failures, record.crashes)
         for occurrence in range(spec.occurrences):
             due_at = now
             if spec.timed:
@@ -80,19 +94,44 @@
         for occurrence in range(job.spec.occurrences):
             for position, step in enumerate(job.spec.steps):
                 step_run = StepRun(job, occurrence, position, step)
-                if not step.lasting:
-                    step_run.done = status.done.get(step_run.key, 0)
-                step_run.inherited = step_run.key in status.announced
-                step_run.announced = step_run.inherited
                 job.steps[occurrence, position] = step_run
-        marked = {*status.failures, *status.crashes}
+        done = job.read_done(status)
+        announced = job.read_announced(status)
         for step_run in job.steps.values():
-            if any(name.startswith(step_run.key + ".") for name in marked):
-                self._create_subtasks(step_run)
-                for subtask in step_run.subtasks:
-                    key = f"{step_run.key}.{subtask.index}"
-                    subtask.failures = set(status.failures.get(key, ()))
-                    subtask.crashes = status.crashes.get(key, 0)
+            if not step_run.step.lasting:
+                step_run.done = done >> step_run.first_position & step_run.mask
+                job.done |= step_run.done << step_run.first_position
+            step_run.inherited = bool(announced >> step_run.number & 1)
+            step_run.announced = step_run.inherited
+            if step_run.complete:
+                continue
+            job.open_steps += 1
+            if step_run.inherited:
+                job.announced |= 1 << step_run.number
+        job.stored_announced = job.announced
+        self._add_attempts(job, 0, status.failures, status.crashes)
+
+    def _add_attempts(
+        self,
+        job: Job,
+        block: int,
+        failures: Mapping[str, tuple[int, ...]],
+        crashes: Mapping[str, int],
+    ) -> None:
+        """Set the stored failures and crashes of the subtasks of a block."""
+        for key in {*failures, *crashes}:
+            subtask = self._find_subtask(job, key)
+            if subtask is None:
+                log.warning("status of job {} names no subtask: {}", job.id, key)
+                continue
+            subtask.failures = set(failures.get(key, ()))
+            subtask.crashes = crashes.get(key, 0)
+            if not subtask.has_attempts:
+                continue
+            job.attempted.setdefault(subtask.block, {})[subtask.position] = subtask
+            if subtask.block != block:
+                # An earlier version stored it with the status.
+                self.dirty_blocks.add((job.id, subtask.block))
 
     def _create_subtasks(self, step_run: StepRun) -> None:
         if step_run.subtasks:
@@ -144,19 +183,32 @@
         job = step_run.job
         if not step_run.announce_requested or pool not in job.pools:
             step_run.announce_requested = True
+            job.announced |= 1 << step_run.number
             job.pools.add(pool)
             self.dirty.add(job.id)
 
-    def mark_stored(self, jobs: list[str], statuses: list[JobStatus]) -> None:
-        """Mark the steps and pools in stored statuses; starts may follow now."""
-        for job_id, status in zip(jobs, statuses, strict=True):
-            job = self.jobs.get(job_id)
-            if job is None:
-                continue
-            job.stored_pools.update(status.other_pools)
-            for step_run in job.steps.values():
-                if step_run.key in status.announced:
-                    step_run.announced = True
+    def mark_stored(self, job_id: str, pools: Iterable[str], announced: int) -> None:
+        """Mark stored pools and the set of announced steps; starts may follow."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return
+        job.stored_pools.update(pools)
+        for number in find_bits(announced & ~job.stored_announced):
+            job.find_step(number).announced = True
+        job.stored_announced |= announced
+
+    def mark_block_stored(self, job_id: str, block: int, exists: bool) -> None:
+        """Mark whether a block of subtasks has a row of failures and crashes."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return
+        if not exists:
+            job.stored_blocks.discard(block)
+            return
+        job.stored_blocks.add(block)
+        if job.state.final:
+            # It has ended during the transaction.
+            self.dirty_blocks.add((job_id, block))
 
     def set_waiting(self, subtask: Subtask) -> None:
         """Queue a subtask for placement."""
@@ -183,19 +235,22 @@
             return None
         if not job.steps:
             self._create_steps(job, JobStatus(job.state))
-        try:
-            occurrence, position, index = (int(part) for part in rest.split("."))
-            step_run = job.steps[occurrence, position]
-        except (ValueError, KeyError):
+        subtask = self._find_subtask(job, rest)
+        if subtask is None:
             log.warning(
                 "executor reports a run of {}, which is not a known subtask", name
             )
+        return subtask
+
+    def _find_subtask(self, job: Job, key: str) -> Subtask | None:
+        """Return the subtask with a key within the job, if there is one."""
+        try:
+            occurrence, position, index = (int(part) for part in key.split("."))
+            step_run = job.steps[occurrence, position]
+        except (ValueError, KeyError):
             return None
         self._create_subtasks(step_run)
         if not 0 <= index < len(step_run.subtasks):
-            log.warning(
-                "executor reports a run of {}, which is not a known subtask", name
-            )
             return None
         return step_run.subtasks[index]
 
@@ -236,12 +291,17 @@
         for member in members:
             member.done = True
             step_run.done |= 1 << member.index
+            job.done |= 1 << member.position
             self.unset_waiting(member)
+            if member.failures or member.crashes:
+                self._update_attempts(member)
         self.dirty.add(job.id)
         if not step_run.complete:
             return
+        job.announced &= ~(1 << step_run.number)
+        job.open_steps -= 1
         self._unlock(job, step_run.occurrence, now)
-        if all(other.complete for other in job.steps.values()):
+        if not job.open_steps:
             self.finish(job, JobState.COMPLETED, now_ms)
 
     def add_failure(
@@ -251,7 +311,7 @@
         subtask.failures.add(run)
         if subtask.step.lasting or subtask.job.state.final:
             return
-        self.dirty.add(subtask.job.id)
+        self._update_attempts(subtask)
         if len(subtask.failures) >= attempts and not subtask.done:
             detail = f"{subtask.name} has failed {attempts} times"
             self.finish(subtask.job, JobState.FAILED, now_ms, detail)
@@ -260,13 +320,27 @@
         """Count a crash of an executor under a subtask."""
         if not subtask.job.state.final:
             subtask.crashes += 1
-            self.dirty.add(subtask.job.id)
+            self._update_attempts(subtask)
 
     def clear_crashes(self, subtask: Subtask) -> None:
         """Forget the crashes under a subtask that has turned out harmless."""
         if subtask.crashes and not subtask.job.state.final:
             subtask.crashes = 0
-            self.dirty.add(subtask.job.id)
+            self._update_attempts(subtask)
+
+    def _update_attempts(self, subtask: Subtask) -> None:
+        """Request that the failures and crashes of a subtask are stored."""
+        job = subtask.job
+        block = subtask.block
+        attempted = job.attempted.setdefault(block, {})
+        if subtask.has_attempts:
+            attempted[subtask.position] = subtask
+        else:
+            attempted.pop(subtask.position, None)
+        if block:
+            self.dirty_blocks.add((job.id, block))
+        else:
+            self.dirty.add(job.id)
 
     def finish(self, job: Job, state: JobState, now_ms: int, detail: str = "") -> None:
         """End a job; its runs are stopped by the scheduler."""
@@ -281,6 +355,8 @@
 
     def _retire(self, job: Job, now_ms: int) -> None:
         job.ended_ms = now_ms
+        # Their rows are removed.
+        self.dirty_blocks.update((job.id, block) for block in job.stored_blocks)
         heappush(self.ended, (now_ms, job.id))
 
     def expire(self, before_ms: int, limit: int) -> list[str]:
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -88,7 +88,7 @@
         self._instances = InstanceManager(
             self.state, clients.instances, epoch, self._orders.stop_run
         )
-        self._commits = Commits(self.state, self._instances)
+        self._commits = Commits(self.state, self._instances, self._orders.stop_runs)
         self._placer = Placer(
             registry,
             self.state.executors,
@@ -151,7 +151,7 @@
                 await trio.sleep(ORDERS_POLL_SECONDS)
         try:
             reason = Release.SLOW if self._slow else Release.STOPPED
-            await self._commits.commit(reason)
+            await self._commits.release(reason)
         except PlatformUnavailable as error:
             log.warning("scheduler lease not released", detail=str(error))
 
@@ -215,16 +215,20 @@
                 continue
             if found.spec is not None:
                 job = self.state.registry.add(
-                    found.spec, found.version, found.status, now, now_ms
+                    found.spec, found.version, found.status, now, now_ms, found.attempts
                 )
                 if job is not None:
                     self._set_deadline(job)
             elif found.status is not None and job_id not in self.state.registry.jobs:
                 # Its job has expired under a previous scheduler.
                 self._commits.removable.add(job_id)
+            elif job_id not in self.state.registry.jobs:
+                self.state.registry.dirty_blocks.update(
+                    (job_id, block) for block in found.attempts
+                )
             if found.cancelled:
                 self._cancel(job_id, now_ms)
-        if self.state.registry.dirty:
+        if self.state.registry.dirty or self.state.registry.dirty_blocks:
             self.state.request_commit()
 
     def _is_unreadable(self, job_id: str) -> bool:
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -28,6 +28,7 @@
     RowConflict,
     RowExpectation,
     RowKey,
+    RowsRefused,
     RowStore,
     RowWrite,
     StoredRow,
@@ -117,6 +118,9 @@
             except RowConflict as conflict:
                 version = self._find_own_write(conflict.rows, record)
                 break
+            except RowsRefused:
+                # An earlier attempt was the same transaction.
+                raise
             except PlatformUnavailable:
                 if not unsure:
                     raise
--- a/hemlockstand/fleet/model.py
+++ b/hemlockstand/fleet/model.py
@@ -281,14 +281,17 @@
     """Status row of a job, as the scheduler stores it.
 
     ``done`` holds, by ``K.STEP``, the subtasks that have ended as done, as a
-    bit set. ``failures`` holds the numbers of the failed runs by
+    bit set. A job of many subtasks has ``done_bits`` and ``announced_bits`` in place
+    of ``done`` and ``announced``: sets of positions in the job, as text.
+    ``failures`` holds the numbers of the failed runs by
     ``K.STEP.INDEX``: an end is listed until it is acknowledged, so a new
     scheduler may see one that is counted already. ``announced`` holds the
     steps by ``K.STEP`` that may have been started; it is stored before the
     first start. ``crashes`` holds, by ``K.STEP.INDEX``, how many executors have
     crashed under a subtask. ``other_pools`` holds the pools in which runs may have
     been started since the queue was sent there, beside the pool of the
-    submission; it is stored before the first start in one.
+    submission; it is stored before the first start in one. Failures and crashes
+    beyond the first subtasks are in rows of their own, ``JobAttempts``.
     """
 
     state: JobState
@@ -298,6 +301,16 @@
     ended_ms: int = 0
     crashes: Mapping[str, int] = field(factory=dict)
     other_pools: tuple[str, ...] = ()
+    done_bits: str = ""
+    announced_bits: str = ""
+
+
+@frozen
+class JobAttempts:
+    """Failed runs and crashes of a block of a job's subtasks, as in ``JobStatus``."""
+
+    failures: Mapping[str, tuple[int, ...]] = field(factory=dict)
+    crashes: Mapping[str, int] = field(factory=dict)
 
 
 @frozen
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -8,6 +8,7 @@
     jobs    5c0e7a21d94b36f8          the job, written once by a frontend
     jobs    5c0e7a21d94b36f8/cancel   a caller's cancel
     states  5c0e7a21d94b36f8          the job's status, by the scheduler
+    attempts  5c0e7a21d94b36f8/2      failures of the third block of its subtasks
 """
 
 from collections.abc import Iterable, Iterator, Mapping
@@ -16,12 +17,13 @@
 import attrs
 import msgspec
 import trio
-from attrs import frozen
+from attrs import field, frozen
 from loguru import logger
 
 from hemlockstand.documents import decode_document
 from hemlockstand.errors import InvalidInput, PlatformUnavailable
-from hemlockstand.fleet.model import JobSpec, JobState, JobStatus
+from hemlockstand.fleet.bit_sets import decode_bits
+from hemlockstand.fleet.model import JobAttempts, JobSpec, JobState, JobStatus
 from hemlockstand.platform.decoding import check_job, encode_wave_status
 from hemlockstand.platform.rows import RowKey, RowPage, RowStore, RowWrite, StoredRow
 
@@ -29,6 +31,7 @@
 
 JOBS_TABLE = "jobs"
 STATES_TABLE = "states"
+ATTEMPTS_TABLE = "attempts"
 SCHEDULER_TABLE = "scheduler"
 DAEMONS_TABLE = "daemons"
 STATUS_TABLE = "status"
@@ -49,16 +52,21 @@
 
 _spec_decoder = msgspec.json.Decoder(JobSpec)
 _status_decoder = msgspec.json.Decoder(JobStatus)
+_attempts_decoder = msgspec.json.Decoder(JobAttempts)
 
 
 @frozen
 class JobRows:
-    """The rows of one job as read; ``version`` is that of the job's row."""
+    """The rows of one job as read; ``version`` is that of the job's row.
+
+    ``attempts`` holds the rows of failures and crashes by block of subtasks.
+    """
 
     spec: JobSpec | None = None
     status: JobStatus | None = None
     cancelled: bool = False
     version: int = 0
+    attempts: Mapping[int, JobAttempts] = field(factory=dict)
 
     @property
     def state(self) -> JobState:
@@ -159,6 +167,17 @@
     return RowWrite(STATES_TABLE, job, encode_compact(status))
 
 
+def attempts_key(job: str, block: int) -> RowKey:
+    """Return the key of the failures and crashes of a block of subtasks."""
+    return RowKey(ATTEMPTS_TABLE, f"{job}/{block}")
+
+
+def attempts_write(job: str, block: int, attempts: JobAttempts) -> RowWrite:
+    """Return the row of the failures and crashes of a block of subtasks."""
+    key = attempts_key(job, block)
+    return RowWrite(key.table, key.key, encode_compact(attempts))
+
+
 def expired_keys(job: str) -> tuple[RowKey, RowKey]:
     """Return the keys of the rows that a job has in its own part."""
     part = job_part(job)
@@ -208,6 +227,8 @@
 
 def _add_row(known: JobRows, row: StoredRow) -> JobRows:
     kind = row.key.partition("/")[2]
+    if row.table == ATTEMPTS_TABLE:
+        return _add_attempts(known, kind, row)
     if row.table != STATES_TABLE and kind == "cancel":
         # The key tells everything; the value is only for people.
         return attrs.evolve(known, cancelled=True)
@@ -216,11 +237,22 @@
     if row.value is None:
         raise msgspec.DecodeError("the store returned no readable value")
     if row.table == STATES_TABLE:
-        return attrs.evolve(known, status=decode_document(_status_decoder, row.value))
+        status = decode_document(_status_decoder, row.value)
+        # Raises for sets that cannot be read later.
+        decode_bits(status.done_bits)
+        decode_bits(status.announced_bits)
+        return attrs.evolve(known, status=status)
     spec = decode_document(_spec_decoder, row.value)
     return attrs.evolve(known, spec=spec, version=row.version)
 
 
+def _add_attempts(known: JobRows, block: str, row: StoredRow) -> JobRows:
+    if not block.isdecimal():
+        raise InvalidInput(f"{block!r} is no number of a block of subtasks")
+    record = decode_document(_attempts_decoder, row.value or b"")
+    return attrs.evolve(known, attempts={**known.attempts, int(block): record})
+
+
 def read_lease(row: StoredRow) -> LeaseRecord | None:
     """Return the lease in a row as read, if there is one.
 
@@ -342,7 +374,7 @@
     The status of a finished job is removed after the job itself. It is read
     before, as the job would otherwise look as if it had not started.
     """
-    pages = [await rows.read_all(STATES_TABLE)]
+    pages = [await rows.read_all(STATES_TABLE), await rows.read_all(ATTEMPTS_TABLE)]
 
     async def read(table: str, part: str) -> None:
         pages.append(await rows.read_all(table, part))
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -2,10 +2,18 @@
 
 from collections.abc import Iterator, Set as AbstractSet
 from enum import Enum, auto
+from itertools import accumulate
 
-from attrs import define, field
+from attrs import define, evolve, field
 
-from hemlockstand.fleet.model import JobSpec, JobState, JobStatus, Step
+from hemlockstand.fleet.bit_sets import decode_bits, encode_bits, find_bits
+from hemlockstand.fleet.model import JobAttempts, JobSpec, JobState, JobStatus, Step
+
+# Jobs of more subtasks store what is done and announced as sets of positions:
+# a key for each step would not fit into a row.
+MAX_NAMED_SUBTASKS = 512
+# Subtasks whose failures and crashes share a row.
+BLOCK_SUBTASKS = 128
 
 
 class RunState(Enum):
@@ -63,6 +71,27 @@
     not_before: float = 0.0
     avoid: set[str] = field(factory=set)
 
+    @property
+    def key(self) -> str:
+        """Identifier within the job, as in the status row."""
+        return f"{self.step_run.key}.{self.index}"
+
+    @property
+    def position(self) -> int:
+        """Number within the job, from 0."""
+        return self.step_run.first_position + self.index
+
+    @property
+    def block(self) -> int:
+        """Number of the row that has its failures and crashes; 0 is the status."""
+        return self.position // BLOCK_SUBTASKS
+
+    @property
+    def has_attempts(self) -> bool:
+        """Whether failures or crashes count for its next run."""
+        failures = self.failures and not self.step.lasting
+        return not self.done and bool(failures or self.crashes)
+
     @property
     def step(self) -> Step:
         """The step that the subtask belongs to."""
@@ -84,7 +113,7 @@
     step: Step
     subtasks: list[Subtask] = field(factory=list)
     waiting: dict[int, Subtask] = field(factory=dict)
-    done: int = 0  # bit set of the indexes that are done
+    done: int = field(default=0, repr=False)  # bit set of the indexes that are done
     unlocked_at: float = 0.0
     # Predicted time of the longest chain from this step on.
     remaining_seconds: float = 0.0
@@ -102,10 +131,26 @@
         """Identifier across jobs."""
         return f"{self.job.id}.{self.key}"
 
+    @property
+    def number(self) -> int:
+        """Number within the job, from 0."""
+        return self.occurrence * len(self.job.spec.steps) + self.position
+
+    @property
+    def first_position(self) -> int:
+        """Position of its first subtask within the job."""
+        offsets = self.job.offsets
+        return self.occurrence * offsets[-1] + offsets[self.position]
+
+    @property
+    def mask(self) -> int:
+        """The bit set of all of its subtasks."""
+        return (1 << self.step.count) - 1
+
     @property
     def complete(self) -> bool:
         """Whether all subtasks have ended as done."""
-        return self.done == (1 << self.step.count) - 1
+        return self.done == self.mask
 
     @property
     def has_begun(self) -> bool:
@@ -130,7 +175,13 @@
     """A job that has not ended, or ended a short time ago.
 
     ``pools`` holds the pools in which runs may be started, ``stored_pools`` those
-    of them that the next scheduler would know.
+    of them that the next scheduler would know. ``done`` is the set of subtasks
+    that have ended as done, ``announced`` that of the steps that may have started
+    and are not complete, ``stored_announced`` what the next scheduler would know
+    of it. ``attempted`` holds the subtasks with failures or crashes by block and
+    position, and ``stored_blocks`` the blocks that have a row. ``open_steps`` is
+    the number of steps that are not complete. ``offsets`` are the positions of the
+    steps' first subtasks within an occurrence, and its size.
     """
 
     spec: JobSpec
@@ -143,10 +194,19 @@
     accepted_at: float = 0.0
     deadline: float = 0.0
     objective_seconds: float = 0.0
+    done: int = field(default=0, repr=False)
+    announced: int = field(default=0, repr=False)
+    stored_announced: int = field(default=0, repr=False)
+    open_steps: int = 0
+    attempted: dict[int, dict[int, Subtask]] = field(factory=dict)
+    stored_blocks: set[int] = field(factory=set)
     pools: set[str] = field(factory=set)
     stored_pools: set[str] = field(factory=set)
+    offsets: tuple[int, ...] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        counts = (step.count for step in self.spec.steps)
+        self.offsets = tuple(accumulate(counts, initial=0))
         self.pools.add(self.spec.pool)
         self.stored_pools.add(self.spec.pool)
 
@@ -165,32 +225,67 @@
         """Yield the subtasks that have a run."""
         return (subtask for subtask in self.subtasks() if subtask.run is not None)
 
+    def find_step(self, number: int) -> StepRun:
+        """Return the step with a number within the job."""
+        return self.steps[divmod(number, len(self.spec.steps))]
+
+    @property
+    def names_steps(self) -> bool:
+        """Whether the status row has a key for each step."""
+        return self.offsets[-1] * self.spec.occurrences <= MAX_NAMED_SUBTASKS
+
     def make_status(self) -> JobStatus:
         """Return the status row of the job."""
         if self.state.final:
             return JobStatus(self.state, ended_ms=self.ended_ms)
+        attempts = self.make_attempts(0)
+        status = JobStatus(
+            self.state,
+            failures=attempts.failures,
+            crashes=attempts.crashes,
+            other_pools=tuple(sorted(self.pools - {self.spec.pool})),
+        )
+        if not self.names_steps:
+            return evolve(
+                status,
+                done_bits=encode_bits(self.done),
+                announced_bits=encode_bits(self.announced),
+            )
         done = {run.key: run.done for run in self.steps.values() if run.done}
-        failures = {
-            f"{subtask.step_run.key}.{subtask.index}": tuple(subtask.failures)
-            for subtask in self.subtasks()
-            if subtask.failures and not subtask.step.lasting
-        }
-        crashes = {
-            f"{subtask.step_run.key}.{subtask.index}": subtask.crashes
-            for subtask in self.subtasks()
-            if subtask.crashes and not subtask.done
-        }
         announced = tuple(
-            run.key
-            for run in self.steps.values()
-            if (run.announce_requested or run.inherited) and not run.complete
+            self.find_step(number).key for number in find_bits(self.announced)
         )
-        other_pools = tuple(sorted(self.pools - {self.spec.pool}))
-        return JobStatus(
-            self.state,
-            done,
-            failures,
-            announced,
-            crashes=crashes,
-            other_pools=other_pools,
+        return evolve(status, done=done, announced=announced)
+
+    def make_attempts(self, block: int) -> JobAttempts:
+        """Return the failures and crashes of a block of subtasks."""
+        subtasks = self.attempted.get(block, {}).values()
+        return JobAttempts(
+            {
+                subtask.key: tuple(subtask.failures)
+                for subtask in subtasks
+                if subtask.failures and not subtask.step.lasting
+            },
+            {subtask.key: subtask.crashes for subtask in subtasks if subtask.crashes},
+        )
+
+    def read_done(self, status: JobStatus) -> int:
+        """Return the set of subtasks that are done according to a status row."""
+        if status.done_bits:
+            return decode_bits(status.done_bits)
+        done = 0
+        for step_run in self.steps.values():
+            bits = status.done.get(step_run.key, 0)
+            done |= (bits & step_run.mask) << step_run.first_position
+        return done
+
+    def read_announced(self, status: JobStatus) -> int:
+        """Return the set of steps that may have started by a status row."""
+        if status.announced_bits:
+            return decode_bits(status.announced_bits)
+        keys = frozenset(status.announced)
+        return sum(
+            1 << step_run.number
+            for step_run in self.steps.values()
+            if step_run.key in keys
         )
--- a/hemlockstand/platform/rows.py
+++ b/hemlockstand/platform/rows.py
@@ -23,6 +23,11 @@
 MAX_READ_TIMEOUT_SECONDS = 1.0
 MAX_WRITE_TIMEOUT_SECONDS = 1.5
 READ_ATTEMPTS = 2  # the second one is made on a new connection
+REFUSALS = (400, 403, 413, 422)  # of a transaction as such
+MAX_TRANSACTION_ENTRIES = 100
+MAX_TRANSACTION_BYTES = 1_000_000
+MAX_ROW_BYTES = 49_152  # of a value; its base64 has 65,536 bytes
+MAX_NAME_BYTES = 200
 
 
 @frozen
@@ -80,6 +85,12 @@
     more: bool = False
 
 
+class RowsRefused(PlatformUnavailable):
+    """The store does not accept the transaction, also if it is repeated."""
+
+    code = "rows_refused"
+
+
 class RowConflict(PlatformUnavailable):
     """A row did not have its expected version; nothing was applied.
 
@@ -103,7 +114,8 @@
     """Reads, follows and writes rows.
 
     Reads raise ``PlatformUnavailable``. Writes raise it when nothing was
-    applied, ``RowConflict`` when a condition did not hold, and
+    applied, ``RowConflict`` when a condition did not hold, ``RowsRefused`` when
+    the transaction is over a limit of the store or malformed, and
     ``OutcomeUnknown`` when the write may be applied, also seconds later.
     """
 
@@ -215,7 +227,9 @@
             raise OutcomeUnknown(
                 f"unreadable response {reply.status} to a write: {error!r}"
             ) from error
-        if reply.status in (403, 429, 503, 400, 413):
+        if reply.status in REFUSALS:
+            raise RowsRefused(f"the store answered {reply.status}")
+        if reply.status in (429, 503):
             raise PlatformUnavailable(f"the store answered {reply.status}")
         raise OutcomeUnknown(f"the store answered {reply.status}")
 
