Store the executors of a large pool in several rows

Cause: the row of a pool's known executors has no limit. Since transactions keep the limits of the store, such a row is given up, and new executors of the pool get no runs.

Change: a large pool has more rows. All of them are written together, so that a takeover never misses an executor that passes from one row to another. A pool counts as unknown if one of its rows cannot be read.

Evidence: with 400 executors at long addresses the new test failed before (the other job was not started). 152 tests of large jobs, malformed rows and takeovers pass.

--- a/hemlockstand/fleet/changes.py
+++ b/hemlockstand/fleet/changes.py
@@ -15,7 +15,7 @@
     WaveRecord,
     attempts_key,
     attempts_write,
-    known_executors_write,
+    known_executors_writes,
     pending_write,
     status_write,
     wave_writes,
@@ -38,10 +38,11 @@
 
 @frozen
 class KnownExecutorsChange:
-    """The executors of a pool that may have runs."""
+    """The executors of a pool that may have runs; it had so many rows before."""
 
     pool: str
     addresses: Mapping[str, str]
+    rows: int
 
 
 @frozen
@@ -98,8 +99,8 @@
 def list_writes(change: Change) -> list[RowWrite]:
     """Return the rows that a change writes."""
     match change:
-        case KnownExecutorsChange(pool, addresses):
-            return [known_executors_write(pool, addresses)]
+        case KnownExecutorsChange(pool, addresses, rows):
+            return known_executors_writes(pool, addresses, rows)
         case WaveChange(progress, record, completed):
             return wave_writes(progress.wave.number, record, completed)
         case PendingChange(counts):
--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -26,7 +26,7 @@
 from hemlockstand.fleet.metrics import COMMITS
 from hemlockstand.fleet.model import JobState
 from hemlockstand.fleet.state import SchedulerState
-from hemlockstand.fleet.storage import expired_keys
+from hemlockstand.fleet.storage import count_known_executors_rows, expired_keys
 from hemlockstand.fleet.work import Job
 from hemlockstand.platform.rows import MAX_TRANSACTION_ENTRIES, RowsRefused
 
@@ -125,8 +125,10 @@
         """
         registry = self.state.registry
         for pool, addresses in self._list_executors().items():
-            if addresses != self.known_executors.get(pool):
-                yield KnownExecutorsChange(pool, addresses)
+            stored = self.known_executors.get(pool)
+            if addresses != stored:
+                rows = count_known_executors_rows(stored or {})
+                yield KnownExecutorsChange(pool, addresses, rows)
         for progress in self.instances.waves.waves.values():
             if not progress.stored:
                 yield WaveChange(progress, progress.make_record(), progress.completed)
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -25,7 +25,14 @@
 from hemlockstand.fleet.bit_sets import decode_bits
 from hemlockstand.fleet.model import JobAttempts, JobSpec, JobState, JobStatus
 from hemlockstand.platform.decoding import check_job, encode_wave_status
-from hemlockstand.platform.rows import RowKey, RowPage, RowStore, RowWrite, StoredRow
+from hemlockstand.platform.rows import (
+    MAX_ROW_BYTES,
+    RowKey,
+    RowPage,
+    RowStore,
+    RowWrite,
+    StoredRow,
+)
 
 log = logger.bind(module=__name__)
 
@@ -43,6 +50,7 @@
 UNKNOWN_HOLDER = "unknown"
 PENDING_KEY = "pending"
 KNOWN_EXECUTORS_PREFIX = "roster/"
+MORE_KNOWN_EXECUTORS_PREFIX = "more-roster/"
 
 # Parts of the jobs table, one for each last digit of a job's id.
 JOB_PARTS = tuple("0123456789abcdef")
@@ -128,6 +136,11 @@
 _addresses_decoder = msgspec.json.Decoder(dict[str, str])
 
 
+def encode_json(value: Any) -> bytes:
+    """Return a value as JSON."""
+    return msgspec.json.encode(value)
+
+
 def encode_compact(value: Any) -> bytes:
     """Return an attrs object as JSON without the fields that have defaults."""
     body = attrs.asdict(value, filter=_differs_from_default)
@@ -274,13 +287,46 @@
     return RowWrite(SCHEDULER_TABLE, LEASE_KEY, encode_compact(record))
 
 
-def known_executors_write(pool: str, addresses: Mapping[str, str]) -> RowWrite:
-    """Return the row of a pool's executors that may have runs.
+def known_executors_writes(
+    pool: str, addresses: Mapping[str, str], rows: int = 1
+) -> list[RowWrite]:
+    """Return the rows of a pool's executors that may have runs.
 
-    Each pool has a row, because a large fleet does not fit into one.
+    Each pool has a row, because a large fleet does not fit into one. A large
+    pool has more rows, and writes at least ``rows``, as it may have had them.
     """
-    value = msgspec.json.encode(addresses)
-    return RowWrite(SCHEDULER_TABLE, KNOWN_EXECUTORS_PREFIX + pool, value)
+    parts = list(_split_addresses(addresses))
+    parts += [{} for _ in range(rows - len(parts))]
+    return [
+        RowWrite(SCHEDULER_TABLE, _known_executors_key(pool, number), encode_json(part))
+        for number, part in enumerate(parts)
+    ]
+
+
+def _known_executors_key(pool: str, number: int) -> str:
+    if not number:
+        return KNOWN_EXECUTORS_PREFIX + pool
+    return f"{MORE_KNOWN_EXECUTORS_PREFIX}{number}/{pool}"
+
+
+def count_known_executors_rows(addresses: Mapping[str, str]) -> int:
+    """Return how many rows the executors of a pool may take, in any order."""
+    count = sum(1 for _ in _split_addresses(addresses))
+    return count if count == 1 else count + 1
+
+
+def _split_addresses(addresses: Mapping[str, str]) -> Iterator[dict[str, str]]:
+    """Yield the addresses in parts, each of which fits into a row."""
+    part: dict[str, str] = {}
+    size = 0
+    for executor, address in addresses.items():
+        added = len(encode_json({executor: address}))
+        if part and size + added > MAX_ROW_BYTES:
+            yield part
+            part, size = {}, 0
+        part[executor] = address
+        size += added
+    yield part
 
 
 def decode_known_executors(
@@ -288,9 +334,17 @@
 ) -> dict[str, dict[str, str] | None]:
     """Return the addresses of executors by pool and id.
 
-    A pool whose row cannot be decoded has None.
+    A pool of which a row cannot be decoded has None.
     """
-    return dict(_decode_rows(rows, KNOWN_EXECUTORS_PREFIX, _addresses_decoder))
+    rows = list(rows)
+    found = dict(_decode_rows(rows, KNOWN_EXECUTORS_PREFIX, _addresses_decoder))
+    more = _decode_rows(rows, MORE_KNOWN_EXECUTORS_PREFIX, _addresses_decoder)
+    for key, addresses in more:
+        pool = key.partition("/")[2]
+        known = found.get(pool, {})
+        unreadable = known is None or addresses is None
+        found[pool] = None if unreadable else known | addresses
+    return found
 
 
 def _decode_rows(
--- a/test/test_fleet_large_jobs.py
+++ b/test/test_fleet_large_jobs.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+from attrs import evolve
 
 from emulator import row_store
 from emulator.fleet_executors import SubtaskBehaviour
@@ -13,8 +14,10 @@
 from hemlockstand.fleet.model import JobSpec, JobState, JobStatus, Pool, Resources
 from hemlockstand.fleet.storage import (
     attempts_write,
+    decode_known_executors,
     group_job_rows,
     job_write,
+    known_executors_writes,
     status_write,
 )
 from hemlockstand.platform.rows import RowWrite, make_stored_row
@@ -310,6 +313,52 @@
         assert len(stored) == count + 1
 
 
+def add_lost_executors(world, count: int) -> None:
+    """Add entries of executors at long addresses, none of which answers."""
+    for number in range(count):
+        entry = {"Backend": "pool", "Address": f"{'a' * 200}:1", "State": "ready"}
+        value = json.dumps(entry).encode()
+        world.store.put("servers", f"i-lost-{number:04}", value)
+
+
+async def test_executors_of_a_large_pool_are_stored(clock):
+    """Guards against executors that do not fit into a row, or stay in one."""
+    count = 400
+    async with open_world() as world:
+        add_lost_executors(world, count)
+        first = world.start_daemon("a")
+        await trio.sleep(3)
+        world.add_executor()
+        await complete_other_job(world)
+        found = decode_known_executors(list_scheduler_rows(world))
+        assert len(found["pool"]) == count + 1
+        world.kill(first)
+        for number in range(count):
+            world.store.remove("servers", f"i-lost-{number:04}")
+        world.start_daemon("b")
+        await trio.sleep(15)
+        await complete_other_job(world)
+        found = decode_known_executors(list_scheduler_rows(world))
+        assert len(found["pool"]) == 1
+
+
+def test_pool_with_an_unreadable_row_is_unknown():
+    """Guards against executors that are forgotten with one of several rows."""
+    addresses = {f"i-{number}": "a" * 200 for number in range(400)}
+    rows = [make_stored_row(row) for row in known_executors_writes("p/1", addresses)]
+    assert len(rows) > 1
+    assert decode_known_executors(rows) == {"p/1": addresses}
+    for broken in range(len(rows)):
+        changed = list(rows)
+        changed[broken] = evolve(rows[broken], value=b"[]")
+        assert decode_known_executors(changed) == {"p/1": None}
+
+
+def list_scheduler_rows(world) -> list:
+    """Return the rows of the scheduler's table."""
+    return world.store.select("scheduler", "", "", "")
+
+
 def read_status(world, job: str) -> dict:
     """Return the status row of a job."""
     row = world.store.find("states", job)
