Store the progress of a large wave in several rows

What operators would see: a wave of some 1,500 instances or more with usual names is never completed.

Cause: its row names each instance up to three times and outgrows a row.

Change: a large wave has more rows, each with the progress of some of its instances in their order. A wave of which a row cannot be read counts as unknown.

--- a/hemlockstand/fleet/changes.py
+++ b/hemlockstand/fleet/changes.py
@@ -102,7 +102,7 @@
         case KnownExecutorsChange(pool, addresses, rows):
             return known_executors_writes(pool, addresses, rows)
         case WaveChange(progress, record, completed):
-            return wave_writes(progress.wave.number, record, completed)
+            return wave_writes(progress.wave, record, completed)
         case PendingChange(counts):
             return [pending_write(counts)]
         case AttemptsChange(job, block, attempts) if attempts is not None:
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -23,7 +23,7 @@
 from hemlockstand.documents import decode_document
 from hemlockstand.errors import InvalidInput, PlatformUnavailable
 from hemlockstand.fleet.bit_sets import decode_bits
-from hemlockstand.fleet.model import JobAttempts, JobSpec, JobState, JobStatus
+from hemlockstand.fleet.model import JobAttempts, JobSpec, JobState, JobStatus, Wave
 from hemlockstand.platform.decoding import check_job, encode_wave_status
 from hemlockstand.platform.rows import (
     MAX_ROW_BYTES,
@@ -49,6 +49,8 @@
 LEASE_KEY = "lease"
 UNKNOWN_HOLDER = "unknown"
 PENDING_KEY = "pending"
+# Of the names of instances in a row, each of which may be there three times.
+MAX_WAVE_NAMES_BYTES = MAX_ROW_BYTES // 3 - 1000
 KNOWN_EXECUTORS_PREFIX = "roster/"
 MORE_KNOWN_EXECUTORS_PREFIX = "more-roster/"
 
@@ -390,22 +392,61 @@
     return {name: record.cores for name, record in found if record is not None}
 
 
-def wave_writes(number: int, record: WaveRecord, completed: bool) -> list[RowWrite]:
-    """Return the rows of a wave: the scheduler's, and the operator's."""
-    key = f"{WAVE_PREFIX}{number}"
-    return [
-        RowWrite(SCHEDULER_TABLE, key, encode_compact(record)),
-        RowWrite(STATUS_TABLE, key, encode_wave_status(completed)),
-    ]
+def wave_writes(wave: Wave, record: WaveRecord, completed: bool) -> list[RowWrite]:
+    """Return the rows of a wave: the scheduler's, and the operator's.
+
+    A large wave has more rows, each with the progress of some of its instances.
+    """
+    key = f"{WAVE_PREFIX}{wave.number}"
+    writes = [RowWrite(STATUS_TABLE, key, encode_wave_status(completed))]
+    for number, names in enumerate(_split_names(wave.instances)):
+        part = WaveRecord(
+            record.seen_ms,
+            tuple(name for name in record.ordered if name in names),
+            tuple(name for name in record.begun if name in names),
+            tuple(name for name in record.returned if name in names),
+        )
+        row = f"{key}/{number}" if number else key
+        writes.append(RowWrite(SCHEDULER_TABLE, row, encode_compact(part)))
+    return writes
+
+
+def _split_names(names: Iterable[str]) -> Iterator[set[str]]:
+    """Yield the names in parts, each of which fits into a row three times."""
+    part: set[str] = set()
+    size = 0
+    for name in names:
+        added = len(encode_json(name)) + 1
+        if part and size + added > MAX_WAVE_NAMES_BYTES:
+            yield part
+            part, size = set(), 0
+        part.add(name)
+        size += added
+    yield part
 
 
 def decode_waves(rows: Iterable[StoredRow]) -> dict[int, WaveRecord | None]:
     """Return the waves in the scheduler's rows by their numbers.
 
-    A wave whose row cannot be decoded has None.
+    A wave of which a row cannot be decoded has None.
     """
-    found = _decode_rows(rows, WAVE_PREFIX, _wave_decoder)
-    return {int(number): record for number, record in found if number.isdecimal()}
+    waves: dict[int, WaveRecord | None] = {}
+    for key, record in _decode_rows(rows, WAVE_PREFIX, _wave_decoder):
+        text, _, part = key.partition("/")
+        if not text.isdecimal() or (part and not part.isdecimal()):
+            continue
+        number = int(text)
+        known = waves.get(number, WaveRecord(0))
+        if known is None or record is None:
+            waves[number] = None
+        else:
+            waves[number] = WaveRecord(
+                record.seen_ms,
+                known.ordered + record.ordered,
+                known.begun + record.begun,
+                known.returned + record.returned,
+            )
+    return waves
 
 
 async def read_job(rows: RowStore, job: str) -> JobRows:
--- a/test/test_fleet_large_jobs.py
+++ b/test/test_fleet_large_jobs.py
@@ -10,15 +10,25 @@
 from emulator.fleet_executors import SubtaskBehaviour
 from emulator.row_store import MAX_VALUE_BYTES, Transaction
 from hemlockstand.fleet.bit_sets import decode_bits, encode_bits, find_bits
+from hemlockstand.fleet.changes import (
+    Batch,
+    ExpiryChange,
+    KnownExecutorsChange,
+    StatusChange,
+    fits_alone,
+)
 from hemlockstand.fleet.job_registry import JobRegistry
-from hemlockstand.fleet.model import JobSpec, JobState, JobStatus, Pool, Resources
+from hemlockstand.fleet.model import JobSpec, JobState, JobStatus, Pool, Resources, Wave
 from hemlockstand.fleet.storage import (
+    WaveRecord,
     attempts_write,
     decode_known_executors,
+    decode_waves,
     group_job_rows,
     job_write,
     known_executors_writes,
     status_write,
+    wave_writes,
 )
 from hemlockstand.platform.rows import RowWrite, make_stored_row
 from test.fleet_world import (
@@ -27,6 +37,7 @@
     make_config,
     make_step,
     open_world,
+    read_status,
 )
 
 JOB = "00000000000000d2"
@@ -205,7 +216,7 @@
         )
         done = "done_bits"
         await world.wait_for(
-            lambda: len(read_status(world, job).get(done, "")) > 20, 10
+            lambda: len(read_job_status(world, job).get(done, "")) > 20, 10
         )
         world.kill(first)
         world.start_daemon("b")
@@ -354,12 +365,40 @@
         assert decode_known_executors(changed) == {"p/1": None}
 
 
+NAMES = tuple(f"m-{number:04}-{'n' * 32}" for number in range(1_500))
+
+
+async def test_large_wave_completes(clock):
+    """Guards against a wave whose progress does not fit into a row."""
+    async with open_world() as world:
+        world.add_executor()
+        world.configuration.waves[1] = Wave(1, NAMES, 60.0, 4)
+        world.start_daemon("a")
+        await world.wait_for(lambda: "completed" in read_status(world), 10)
+        await complete_other_job(world)
+        assert decode_waves(list_scheduler_rows(world))[1].returned == NAMES
+
+
+def test_progress_of_a_large_wave_round_trip():
+    """Guards against instances that are maintained again after a takeover."""
+    wave = Wave(7, NAMES, 60.0, 4)
+    record = WaveRecord(5, NAMES[:1_400], NAMES[:1_000], NAMES[:700])
+    writes = wave_writes(wave, record, False)
+    rows = [make_stored_row(row) for row in writes if row.table == "scheduler"]
+    assert max(len(row.value) for row in rows) <= MAX_VALUE_BYTES
+    assert decode_waves(rows) == {7: record}
+    for broken in range(len(rows)):
+        changed = list(rows)
+        changed[broken] = evolve(rows[broken], value=b"[]")
+        assert decode_waves(changed) == {7: None}
+
+
 def list_scheduler_rows(world) -> list:
     """Return the rows of the scheduler's table."""
     return world.store.select("scheduler", "", "", "")
 
 
-def read_status(world, job: str) -> dict:
+def read_job_status(world, job: str) -> dict:
     """Return the status row of a job."""
     row = world.store.find("states", job)
     return {} if row is None else json.loads(row.value)
@@ -368,3 +407,23 @@
 def list_attempts(world) -> list[str]:
     """Return the keys of the rows with failures and crashes."""
     return [row.key for row in world.store.select("attempts", "", "", "")]
+
+
+def test_batch_keeps_the_limits_of_the_store():
+    """Guards against a transaction that is refused for its size."""
+    status = JobStatus(JobState.RUNNING, {str(key): 1 for key in range(3_000)})
+    batch = Batch()
+    number = 0
+    while batch.add(StatusChange(f"{number:016x}", status, 0)):
+        number += 1
+    assert 10 < number < 40
+    assert not Transaction(tuple(batch.writes), (), ()).find_excess()
+    batch = Batch()
+    number = 0
+    while batch.add(ExpiryChange(f"{number:016x}")):
+        number += 1
+    assert number == 98
+    large = JobStatus(JobState.RUNNING, {str(key): 1 for key in range(9_000)})
+    assert not fits_alone(StatusChange(JOB, large, 0))
+    assert not fits_alone(KnownExecutorsChange("p" * 200, {}, 1))
+    assert fits_alone(KnownExecutorsChange("p" * 190, {}, 1))
