Answer 413 for a job that does not fit into a row of the store

What callers saw: 503 with Retry-After for a job that no daemon can ever store, such as one of 3,000 steps, so that they came back with it.

Cause: the store's refusal of a row for its size was taken for an outage.

Change: a job over the largest row is refused before it is written, and one that the store refuses as such is answered 413 as well. Nothing was stored in either case.

Evidence: both cases of the new test failed before; the tests of the frontend and the pages pass.

--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -43,8 +43,10 @@
 )
 from hemlockstand.platform.decoding import JOB_ID, decode_submission
 from hemlockstand.platform.rows import (
+    LARGEST_ROW_BYTES,
     RowConflict,
     RowExpectation,
+    RowsRefused,
     RowWrite,
     StoredRow,
     make_stored_row,
@@ -60,6 +62,7 @@
 # After this time a store outage may be over, or another daemon may answer.
 RETRY_AFTER_SECONDS = 1
 KEEP_ALIVE_SECONDS = 60.0
+TOO_LARGE_JOB = "the job does not fit into a row of the store"
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -289,6 +292,8 @@
         except InvalidInput as error:
             return refuse(400, error.message)
         write = job_write(spec)
+        if len(write.value) > LARGEST_ROW_BYTES:
+            return refuse(413, TOO_LARGE_JOB)
         expected = (RowExpectation(write.table, write.key, 0, write.part),)
         answer = await self._store(call, write, expected, _find_difference)
         log.info(
@@ -369,6 +374,9 @@
             except RowConflict as conflict:
                 difference = find_difference and find_difference(write, conflict.rows)
                 return refuse(409, difference) if difference else Answer(200)
+            except RowsRefused:
+                # Earlier attempts made the same write, so none was applied.
+                return refuse(413, TOO_LARGE_JOB)
             except PlatformUnavailable as error:
                 if not unsure:
                     return refuse(503, error.message)
--- a/hemlockstand/platform/rows.py
+++ b/hemlockstand/platform/rows.py
@@ -28,6 +28,7 @@
 MAX_TRANSACTION_BYTES = 1_000_000
 MAX_ROW_BYTES = 49_152  # of a value; its base64 has 65,536 bytes
 MAX_NAME_BYTES = 200
+LARGEST_ROW_BYTES = 65_536  # of a value, if the limit does not count its base64
 
 
 @frozen
--- a/test/test_fleet_frontend.py
+++ b/test/test_fleet_frontend.py
@@ -91,6 +91,20 @@
     assert not frontend.model.rows
 
 
+@pytest.mark.parametrize("steps", [1_300, 3_000])
+async def test_job_that_fits_into_no_row_is_refused_for_good(frontend, steps):
+    """Guards against a caller who is told to come back with such a job.
+
+    The store's limit may be lower than the largest that is known.
+    """
+    if steps < 2_000:
+        frontend.kernel.rows.refuses = lambda write: True
+    body = {"Steps": [{"Count": 1, "Cpu": 500, "MemMb": 256}] * steps}
+    status, _, retry_after = await frontend.call("POST", body=body)
+    assert (status, retry_after) == (413, None)
+    assert not frontend.model.rows
+
+
 async def test_open_write_is_not_called_refused(frontend):
     """Guards against "not accepted" for a write that is applied later."""
     frontend.kernel.rows.late_writes = 1000
