Acknowledge no ends in a transaction that gave a change up

What callers would see: a job whose status cannot be stored may have subtasks run again after a takeover, since the ends of its runs were forgotten before the job was stored as failed.

Cause: a change that is given up while a transaction is put together adds another one, which was not counted as left out.

Change: such a transaction is not complete. Changes that were given up are kept one for each row, so that their number is bounded. The rows of failures are read beside those of the jobs, which saves a call in a takeover.

--- a/hemlockstand/fleet/changes.py
+++ b/hemlockstand/fleet/changes.py
@@ -96,6 +96,20 @@
 )
 
 
+def identify(change: Change) -> tuple:
+    """Return what tells a change from those of other rows."""
+    match change:
+        case KnownExecutorsChange(pool):
+            return KnownExecutorsChange, pool
+        case WaveChange(progress):
+            return WaveChange, progress.wave.number
+        case AttemptsChange(job, block):
+            return AttemptsChange, job, block
+        case StatusChange(job) | ExpiryChange(job):
+            return type(change), job
+    return (PendingChange,)
+
+
 def list_writes(change: Change) -> list[RowWrite]:
     """Return the rows that a change writes."""
     match change:
--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -19,6 +19,7 @@
     StatusChange,
     WaveChange,
     fits_alone,
+    identify,
 )
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.instances import InstanceManager
@@ -52,8 +53,8 @@
 
     The lease is in each transaction, so a change that the store does not accept
     must not stay in them. A refused transaction is divided until the change is
-    found, which is then given up; ``_given_up`` holds those that are no rows of
-    jobs. A job whose rows are not accepted fails.
+    found, which is then given up; ``_given_up`` holds the last such change of
+    each row that is not a job's. A job whose rows are not accepted fails.
     """
 
     state: SchedulerState
@@ -63,7 +64,7 @@
     known_executors: dict[str, dict[str, str]] = field(factory=dict)
     removable: set[str] = field(factory=set)
     _max_changes: int = MAX_TRANSACTION_ENTRIES
-    _given_up: list[Change] = field(factory=list)
+    _given_up: dict[tuple, Change] = field(factory=dict)
 
     async def run(self, leaving: trio.Event) -> None:
         """Store changes and extend the lease until the scheduler leaves."""
@@ -108,15 +109,15 @@
     def _collect(self) -> tuple[Batch, bool]:
         """Return the next changes, and whether none is left out."""
         batch = Batch(self._max_changes)
+        complete = True
         for change in self._list_changes():
-            if change in self._given_up:
-                continue
-            if batch.add(change):
+            if self._given_up.get(identify(change)) == change or batch.add(change):
                 continue
+            complete = False
             if fits_alone(change):
-                return batch, False
+                break
             self._give_up(change, "it is over the limits of the store")
-        return batch, True
+        return batch, complete
 
     def _list_changes(self) -> Iterator[Change]:
         """Yield what is not stored yet; what others rely on comes first.
@@ -252,7 +253,7 @@
                     registry.finish(job, JobState.FAILED, now_ms, detail)
                     self.stop_runs(job)
             case _:
-                self._given_up.append(change)
+                self._given_up[identify(change)] = change
 
     async def _remove_job(self, job_id: str) -> None:
         """Remove the rows of a job that ended long ago, but its status row."""
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -469,12 +469,13 @@
     The status of a finished job is removed after the job itself. It is read
     before, as the job would otherwise look as if it had not started.
     """
-    pages = [await rows.read_all(STATES_TABLE), await rows.read_all(ATTEMPTS_TABLE)]
+    pages = [await rows.read_all(STATES_TABLE)]
 
     async def read(table: str, part: str) -> None:
         pages.append(await rows.read_all(table, part))
 
-    await _read_concurrently([(read, (JOBS_TABLE, part)) for part in JOB_PARTS])
+    jobs = [(read, (JOBS_TABLE, part)) for part in JOB_PARTS]
+    await _read_concurrently([(read, (ATTEMPTS_TABLE, "")), *jobs])
     found = tuple(row for page in pages for row in page.rows)
     return RowPage(found, min(page.version for page in pages))
 
