--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -15,6 +15,7 @@
 
 from attrs import frozen
 
+from bench.fleet_limit_mutations import FLEET_LIMIT_MUTATIONS
 from bench.fleet_mutations import FLEET_MUTATIONS
 from bench.mutations import MUTATIONS, Mutation
 from bench.runner import load_last_record
@@ -134,7 +135,8 @@
 def main() -> None:
     """Run all proofs and write the page."""
     with ThreadPoolExecutor(PARALLEL_PROOFS) as executor:
-        proofs = list(executor.map(run_proof, MUTATIONS + FLEET_MUTATIONS))
+        mutations = MUTATIONS + FLEET_MUTATIONS + FLEET_LIMIT_MUTATIONS
+        proofs = list(executor.map(run_proof, mutations))
     for proof in proofs:
         verdict = "ok" if proof.failed else "FAIL"
         print(f"proof {verdict} {proof.mutation.point}: {proof.failed or 'no test'}")
--- a/test/test_fleet_moved_queues.py
+++ b/test/test_fleet_moved_queues.py
@@ -157,3 +157,32 @@
             lambda: len(world.find_running(job)) == 3, TAKEOVER_SECONDS + 1
         )
         world.check_runs()
+
+
+async def test_pool_is_stored_before_the_first_start_in_it(clock):
+    """Guards against runs in a pool that no row names, of a step that had started."""
+    async with open_world() as world:
+        former = world.add_executor()
+        world.start_daemon("a")
+        job = await start_lasting(world, "pool")
+        lost = world.add_executor("other")
+        move_queue(world, "other")
+        await trio.sleep(1)
+        named = []
+
+        def note_row(model, record) -> None:
+            row = world.store.find("states", job)
+            named.append(b'"other_pools":["other"]' in row.value)
+
+        lost.report_start = note_row
+        former.crash_process()
+        await world.wait_for(lambda: len(named) == 3, 10)
+        assert all(named)
+        world.add_executor()
+        move_queue(world, "pool")
+        await trio.sleep(1)
+        before = world.count_runs(job)
+        await change_scheduler(world, lost, graceful=False)
+        seconds = TAKEOVER_SECONDS + GRANT_SECONDS + 4
+        await world.wait_for(lambda: world.count_runs(job) == before + 3, seconds)
+        world.check_runs()
