Refuse transactions over the platform's limits over HTTP as well

Cause: the store that daemons as processes and the soak meet took transactions of any size, so that no test of whole daemons could show one that is refused.

Change: it answers 400, as the in-process one does. A test tells refusals for good from those that pass.

--- a/emulator/fleet_platform.py
+++ b/emulator/fleet_platform.py
@@ -111,6 +111,8 @@
                 RowKey(row["Table"], row["Key"], row["part"]) for row in body["Remove"]
             ),
         )
+        if excess := transaction.find_excess():
+            return jsonify({"Error": excess}), 400
         try:
             version = self.store.apply(transaction)
         except RowConflict as conflict:
--- a/test/test_platform_connection.py
+++ b/test/test_platform_connection.py
@@ -9,7 +9,7 @@
 from hemlockstand.platform.connection import Connection
 from hemlockstand.platform.executors import ExecutorClient
 from hemlockstand.platform.machines import InstanceClient
-from hemlockstand.platform.rows import RowStore, RowWrite
+from hemlockstand.platform.rows import RowsRefused, RowStore, RowWrite
 
 BODY = b'{"rows": [], "RowVersion": 7}'
 
@@ -297,6 +297,21 @@
     await store.close()
 
 
+@pytest.mark.parametrize(
+    ("status", "for_good"),
+    [(400, True), (403, True), (413, True), (422, True), (429, False), (503, False)],
+)
+async def test_refusal_of_a_transaction(scripted_listener, status, for_good):
+    """Guards against a transaction that is repeated although it cannot succeed."""
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n"
+    scripted_listener.answers = (head.encode(),)
+    store = RowStore(scripted_listener.address)
+    with pytest.raises(PlatformUnavailable) as caught:
+        await store.write([RowWrite("jobs", "a", b"")])
+    assert isinstance(caught.value, RowsRefused) is for_good
+    await store.close()
+
+
 @pytest.mark.parametrize("body", [b'{"rows": [5]}', NESTED])
 async def test_malformed_rows_of_a_conflict(scripted_listener, body):
     """Guards against the answer to a write that ends the scheduler."""
