Give the rows that are split a module of their own

Change: functions for the rows of known executors and of waves move to fleet/split_rows.py, without changes; StepRun.may_run_unknown is called may_have_unknown_runs. No behaviour changes.

--- a/hemlockstand/fleet/changes.py
+++ b/hemlockstand/fleet/changes.py
@@ -10,15 +10,14 @@
 from attrs import define, field, frozen
 
 from hemlockstand.fleet.model import JobAttempts, JobStatus
+from hemlockstand.fleet.split_rows import known_executors_writes, wave_writes
 from hemlockstand.fleet.storage import (
     STATES_TABLE,
     WaveRecord,
     attempts_key,
     attempts_write,
-    known_executors_writes,
     pending_write,
     status_write,
-    wave_writes,
 )
 from hemlockstand.fleet.waves import WaveProgress
 from hemlockstand.platform.rows import (
--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -26,8 +26,9 @@
 from hemlockstand.fleet.lease import Release
 from hemlockstand.fleet.metrics import COMMITS
 from hemlockstand.fleet.model import JobState
+from hemlockstand.fleet.split_rows import count_known_executors_rows
 from hemlockstand.fleet.state import SchedulerState
-from hemlockstand.fleet.storage import count_known_executors_rows, expired_keys
+from hemlockstand.fleet.storage import expired_keys
 from hemlockstand.fleet.work import Job
 from hemlockstand.platform.rows import MAX_TRANSACTION_ENTRIES, RowsRefused
 
--- a/hemlockstand/fleet/idle_report.py
+++ b/hemlockstand/fleet/idle_report.py
@@ -101,7 +101,7 @@
             seconds=round(seconds, 1),
             announced=step_run.announced,
             given_up=sum(is_given_up(subtask) for subtask in step_run.subtasks),
-            blocked=step_run.may_run_unknown(self.blocked_pools),
+            blocked=step_run.may_have_unknown_runs(self.blocked_pools),
             executors=found.executors,
         )
 
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -25,13 +25,12 @@
 from hemlockstand.fleet.policy.waiting import LATE_FACTOR
 from hemlockstand.fleet.reports import ExecutorReportHandler
 from hemlockstand.fleet.settings import FleetSettings
+from hemlockstand.fleet.split_rows import decode_known_executors, decode_waves
 from hemlockstand.fleet.state import SchedulerState, read_current
 from hemlockstand.fleet.storage import (
     JOBS_TABLE,
     SCHEDULER_TABLE,
     WaveRecord,
-    decode_known_executors,
-    decode_waves,
     group_job_rows,
     read_jobs,
 )
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -69,7 +69,7 @@
         )
         for rank, step_run in order:
             pool = find_pool(step_run.job, config)
-            if step_run.may_run_unknown(self.blocked_pools):
+            if step_run.may_have_unknown_runs(self.blocked_pools):
                 continue
             room = pools.setdefault(pool, PoolRoom([]))
             may_announce = room.count_step(step_run)
@@ -93,7 +93,7 @@
         if not self.blocked_pools:
             return use_by_tenant
         for step_run in self.registry.ready.values():
-            if not step_run.may_run_unknown(self.blocked_pools):
+            if not step_run.may_have_unknown_runs(self.blocked_pools):
                 continue
             tenant = step_run.job.spec.tenant
             size = step_run.step.size
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -162,7 +162,7 @@
         """Whether the subtasks may run."""
         return bool(self.subtasks)
 
-    def may_run_unknown(self, blocked_pools: AbstractSet[str]) -> bool:
+    def may_have_unknown_runs(self, blocked_pools: AbstractSet[str]) -> bool:
         """Return whether a previous scheduler's runs may exist in blocked pools.
 
         The queue may have been sent to another pool since they were started.
--- a/test/test_fleet_large_jobs.py
+++ b/test/test_fleet_large_jobs.py
@@ -19,16 +19,18 @@
 )
 from hemlockstand.fleet.job_registry import JobRegistry
 from hemlockstand.fleet.model import JobSpec, JobState, JobStatus, Pool, Resources, Wave
+from hemlockstand.fleet.split_rows import (
+    decode_known_executors,
+    decode_waves,
+    known_executors_writes,
+    wave_writes,
+)
 from hemlockstand.fleet.storage import (
     WaveRecord,
     attempts_write,
-    decode_known_executors,
-    decode_waves,
     group_job_rows,
     job_write,
-    known_executors_writes,
     status_write,
-    wave_writes,
 )
 from hemlockstand.platform.rows import RowWrite, make_stored_row
 from test.fleet_world import (
--- a/test/test_fleet_waves.py
+++ b/test/test_fleet_waves.py
@@ -11,7 +11,8 @@
 from emulator.fleet_instances import InstanceAccess
 from hemlockstand.errors import OutcomeUnknown
 from hemlockstand.fleet.model import InstanceState, Resources, Step
-from hemlockstand.fleet.storage import WaveRecord, decode_waves
+from hemlockstand.fleet.split_rows import decode_waves
+from hemlockstand.fleet.storage import WaveRecord
 from hemlockstand.platform.machines import LeaseHolder, OrderOutcome
 from hemlockstand.platform.rows import StoredRow
 from test.fleet_world import LASTING, add_wave, open_world, read_status
