--- a/test/test_fleet_large_jobs.py
+++ b/test/test_fleet_large_jobs.py
@@ -9,6 +9,7 @@
 from emulator import row_store
 from emulator.fleet_executors import SubtaskBehaviour
 from emulator.row_store import MAX_VALUE_BYTES, Transaction
+from hemlockstand.fleet import changes
 from hemlockstand.fleet.bit_sets import decode_bits, encode_bits, find_bits
 from hemlockstand.fleet.changes import (
     Batch,
@@ -291,6 +292,27 @@
         assert not world.find_running()
 
 
+async def test_ends_wait_for_what_replaces_a_given_up_change(clock, monkeypatch):
+    """Guards against ends that are forgotten before their job is stored as failed."""
+    async with open_world() as world:
+        world.add_executor()
+        daemon = world.start_daemon("a")
+        job = world.submit(
+            make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        await world.wait_for(lambda: world.find_running(job), 5)
+        registry = daemon.leader.state.registry
+        registry.dirty.add(job)
+        monkeypatch.setattr(changes, "MAX_ROW_BYTES", 30)
+        batch, complete = daemon.leader._commits._collect()
+        assert not batch.list_jobs()
+        assert not complete
+        assert job in registry.dirty
+        monkeypatch.undo()
+        await world.wait_for(lambda: world.state(job) == "failed", 5)
+        await world.wait_for(lambda: not world.find_running(job), 5)
+
+
 async def test_lease_is_released_beside_a_refused_row(clock):
     """Guards against a stop after which other daemons wait for the lease."""
     async with open_world() as world:
