Let a batch name the jobs and blocks that it stores

Cause: two methods of Commits repeated the same match over the changes of a batch, one to mark them as clean and one to take that back.

Change: the batch lists what it stores, once. No behaviour changes.

--- a/hemlockstand/fleet/changes.py
+++ b/hemlockstand/fleet/changes.py
@@ -164,6 +164,18 @@
         self._bytes += size
         return True
 
+    def list_jobs(self) -> list[str]:
+        """Return the jobs whose status is in the batch."""
+        return [item.job for item in self.changes if isinstance(item, StatusChange)]
+
+    def list_blocks(self) -> list[tuple[str, int]]:
+        """Return the blocks of subtasks whose failures are in the batch."""
+        return [
+            (item.job, item.block)
+            for item in self.changes
+            if isinstance(item, AttemptsChange)
+        ]
+
 
 def fits_alone(change: Change) -> bool:
     """Return whether a transaction can hold the change at all."""
--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -158,7 +158,11 @@
 
         ``release`` is the reason for which the lease is given up with them.
         """
-        self._set_clean(batch)
+        registry = self.state.registry
+        jobs, blocks = batch.list_jobs(), batch.list_blocks()
+        # What changes during the transaction is stored by the next one.
+        registry.dirty.difference_update(jobs)
+        registry.dirty_blocks.difference_update(blocks)
         last_handled = {
             executor: executor.last_handled
             for executor in self.state.executors.values()
@@ -168,7 +172,8 @@
             orders = self.instances.find_orders()
             await self.state.lease.commit(batch.writes, batch.removed, orders, release)
         except BaseException:
-            self._set_dirty(batch)
+            registry.dirty.update(jobs)
+            registry.dirty_blocks.update(blocks)
             raise
         self._max_changes = min(2 * self._max_changes, MAX_TRANSACTION_ENTRIES)
         self.instances.mark_stored(orders)
@@ -182,25 +187,6 @@
         else:
             self.state.request_commit()
 
-    def _set_clean(self, batch: Batch) -> None:
-        """Let changes during the transaction count as new ones."""
-        registry = self.state.registry
-        for change in batch.changes:
-            match change:
-                case StatusChange(job):
-                    registry.dirty.discard(job)
-                case AttemptsChange(job, block):
-                    registry.dirty_blocks.discard((job, block))
-
-    def _set_dirty(self, batch: Batch) -> None:
-        registry = self.state.registry
-        for change in batch.changes:
-            match change:
-                case StatusChange(job):
-                    registry.dirty.add(job)
-                case AttemptsChange(job, block):
-                    registry.dirty_blocks.add((job, block))
-
     def _mark_stored(self, change: Change) -> None:
         registry = self.state.registry
         match change:
