--- a/hemlockstand/fleet/durations.py
+++ b/hemlockstand/fleet/durations.py
@@ -2,7 +2,7 @@
 
 from math import log10
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from hemlockstand.fleet.model import JobSpec
 
@@ -41,6 +41,19 @@
         return mean_y + slope * (x - mean_x)
 
 
+@frozen
+class ExpectedDuration:
+    """What a subtask is expected to take, and on how many runs that rests.
+
+    Without any run, all three are what its submitter estimates.
+    """
+
+    median_seconds: float
+    p90_seconds: float
+    p99_seconds: float
+    runs: int
+
+
 @define(eq=False)
 class Durations:
     """Predicts how long subtasks take from their submitters' estimates.
@@ -62,6 +75,11 @@
         fit = self._fits.get(queue)
         return seconds if fit is None else 10 ** fit.predict(log10(seconds))
 
+    def expect(self, spec: JobSpec, position: int) -> ExpectedDuration:
+        """Return what a subtask of a job's step is expected to take."""
+        seconds = self.predict(spec.queue, spec.steps[position].estimate_ms)
+        return ExpectedDuration(seconds, seconds, seconds, 0)
+
 
 def estimate_chain_seconds(spec: JobSpec, durations: Durations) -> float:
     """Return the expected seconds of the longest chain of a job's steps."""
