Keep the size of a pool when its first peak begins and after a takeover

With the first short job anywhere all pools shrank to the need measured so far, also the one whose peak had just begun (32 instances to 9, needed 67 a second later). A new scheduler has not learned durations yet: its first estimate moved 70 instances away from a pool of 142 of which 111 were in use.

--- a/hemlockstand/fleet/moves.py
+++ b/hemlockstand/fleet/moves.py
@@ -44,6 +44,7 @@
     _needs: dict[str, PoolNeed] = field(factory=dict)
     _logged: dict[str, tuple[int, int]] = field(factory=dict)
     _demand_seen: bool = False
+    _pools_with_demand: set[str] = field(factory=set)
     _usual: Resources = field(factory=Resources)
 
     def plan(self) -> None:
@@ -80,10 +81,10 @@
         shortages: list[Shortage],
     ) -> None:
         """Add what a pool lacks, or the members that it can spare."""
-        need = self._needs.setdefault(pool, PoolNeed())
-        needed = need.update(now, demand.count_instances(self._usual))
         scale = demand.make_scale(self._usual)
         members = self._find_members(pool)
+        need = self._find_need(pool, demand, members, scale, now)
+        needed = need.update(now, demand.count_instances(self._usual))
         kept: list[InstanceEntry] = []
         for label in demand.labelled:
             lack = demand.count_labelled(label, self._usual)
@@ -107,6 +108,34 @@
                     lack = rest
                     surplus.append(item)
 
+    def _find_need(
+        self,
+        pool: str,
+        demand: Demand,
+        members: list[InstanceEntry],
+        scale: OfferScale,
+        now: float,
+    ) -> PoolNeed:
+        """Return the latest needs of a pool.
+
+        The present size counts as needed when this scheduler first sees the
+        pool, and when its first short job arrives. A scheduler that has just
+        taken over knows no durations yet, and the first job says nothing of the
+        rate of those that follow. Both made pools shrink at the start of a
+        peak, and instances take seconds to come back.
+        """
+        known = self._needs.get(pool)
+        need = known or self._needs.setdefault(pool, PoolNeed())
+        is_first_demand = bool(demand.arrived) and pool not in self._pools_with_demand
+        if is_first_demand:
+            self._pools_with_demand.add(pool)
+        if known is None or is_first_demand:
+            present = PoolSize()
+            for item in members:
+                present = present.add(self._offer(item, scale))
+            need.update(now, present)
+        return need
+
     def _find_usual_capacity(self) -> Resources:
         """Return the usual capacity of an instance.
 
