Read evacuations of data centres and cold executors from the store

Cause: the operator's rows evacuate/ZONE, ColdRemainingMs of executors and ColdStartS and ColdPerS of services were ignored.

Change: the configuration service keeps the set of evacuated data centres as part of the configuration in force. A row adds one, its removal drops it, a full read replaces the set unless it is older than the set. Metric: hemlockstand_evacuated_data_centres.

--- a/hemlockstand/ctl/settings_page.py
+++ b/hemlockstand/ctl/settings_page.py
@@ -14,7 +14,13 @@
 from hemlockstand.fleet import settings as fleet
 from hemlockstand.settings import DEFAULTS_FILE, Settings
 
-TYPE_NAMES = {bool: "yes or no", int: "whole number", float: "number", str: "text"}
+TYPE_NAMES = {
+    bool: "yes or no",
+    int: "whole number",
+    float: "number",
+    float | None: "empty or number",
+    str: "text",
+}
 
 INTRODUCTION = """# Settings
 
--- a/hemlockstand/fleet/configuration.py
+++ b/hemlockstand/fleet/configuration.py
@@ -2,18 +2,26 @@
 
 import time
 
+import attrs
 import msgspec
 import trio
 from loguru import logger
 
 from hemlockstand.coordination.lease import make_lease_clock
 from hemlockstand.errors import InvalidInput, PlatformUnavailable
+from hemlockstand.fleet.metrics import EVACUATED
 from hemlockstand.fleet.model import FleetConfig, Wave
 from hemlockstand.fleet.services import RowStoreService
 from hemlockstand.fleet.settings import FleetSettings
 from hemlockstand.fleet.storage import CONFIG_KEY, OPERATOR_TABLE, WAVE_PREFIX
 from hemlockstand.kernel import Kernel, Service, register
-from hemlockstand.platform.decoding import decode_config, decode_wave
+from hemlockstand.platform.decoding import (
+    EVACUATION_PREFIX,
+    decode_config,
+    decode_evacuation,
+    decode_wave,
+    quote_value,
+)
 from hemlockstand.platform.rows import HistoryGone, RowPage, StoredRow
 
 log = logger.bind(module=__name__)
@@ -29,7 +37,11 @@
 
 @register
 class FleetConfigurationService(Service):
-    """Keeps the newest configuration; its version never decreases."""
+    """Keeps the newest configuration; its version never decreases.
+
+    A data centre is evacuated while the store has a row for it. The set stays
+    in force while the store cannot be read.
+    """
 
     name = "fleet_configuration"
     needs = ("row_store",)
@@ -38,13 +50,15 @@
         super().__init__(kernel)
         settings: FleetSettings = kernel.settings
         self._rows = kernel.find("row_store", RowStoreService).rows
-        self._fresh_seconds = settings.bounds.config_apply_ms / 1000 * FRESH_FRACTION
+        self._fresh_seconds = settings.bounds.operator_ms / 1000 * FRESH_FRACTION
         self._clock = make_lease_clock(time.monotonic)
         self._confirmed_at = float("-inf")
         self._version: int | None = None
         self._connected = True
         self.current: FleetConfig | None = None
         self.waves: dict[int, Wave] = {}
+        # Evacuated data centres with the versions of their rows.
+        self._evacuated: dict[str, int] = {}
         self.changed = trio.Event()
 
     @property
@@ -75,6 +89,7 @@
     async def _follow(self) -> None:
         if self._version is None:
             page = await self._rows.read_all(OPERATOR_TABLE)
+            self._drop_unlisted_evacuations(page)
         else:
             page = await self._rows.follow(
                 OPERATOR_TABLE, self._version, self._fresh_seconds * FOLLOW_FRACTION
@@ -90,11 +105,57 @@
                 log.error(
                     "invalid row {} of the operator is ignored: {}", row.key, error
                 )
+        self._put_evacuations_in_force()
         if page.rows:
             self.changed.set()
             self.changed = trio.Event()
 
+    def _drop_unlisted_evacuations(self, page: RowPage) -> None:
+        """Drop the evacuations that are missing from a full read.
+
+        Raises ``PlatformUnavailable`` if the read is too old to tell.
+        """
+        if page.version < max(self._evacuated.values(), default=0):
+            raise PlatformUnavailable(
+                f"rows of the operator at version {page.version} are older than "
+                "those known"
+            )
+        listed = {row.key for row in page.rows if not row.dropped}
+        for name in list(self._evacuated):
+            if EVACUATION_PREFIX + name not in listed:
+                del self._evacuated[name]
+
+    def _apply_evacuation(self, row: StoredRow) -> None:
+        """Add or drop an evacuation; its row has no content that matters."""
+        if row.part:
+            raise InvalidInput(f"op: part {quote_value(row.part)} is not read")
+        name = decode_evacuation(row.key)
+        # A full read may be newer than the changes that are followed after it.
+        if row.version < self._evacuated.get(name, 0):
+            return
+        if row.dropped:
+            self._evacuated.pop(name, None)
+        else:
+            self._evacuated[name] = row.version
+
+    def _put_evacuations_in_force(self) -> None:
+        """Apply the set of evacuated data centres to the configuration."""
+        evacuated = frozenset(self._evacuated)
+        if self.current is None or self.current.evacuated == evacuated:
+            return
+        log.info(
+            "evacuated data centres changed",
+            evacuated=sorted(map(quote_value, evacuated)),
+            added=sorted(map(quote_value, evacuated - self.current.evacuated)),
+            revoked=sorted(map(quote_value, self.current.evacuated - evacuated)),
+        )
+        self.current = attrs.evolve(self.current, evacuated=evacuated)
+        EVACUATED.set(len(evacuated))
+
     def _apply_row(self, row: StoredRow) -> None:
+        if row.key.startswith(EVACUATION_PREFIX):
+            self._apply_evacuation(row)
+            return
         if row.value is None:
             return
         if row.key == CONFIG_KEY:
@@ -113,7 +174,8 @@
     def _apply_config(self, config: FleetConfig) -> None:
         if self.current is not None and config.version <= self.current.version:
             return
-        self.current = config
+        evacuated = frozenset() if self.current is None else self.current.evacuated
+        self.current = attrs.evolve(config, evacuated=evacuated)
         log.info(
             "configuration {} is in force",
             config.version,
--- a/hemlockstand/fleet/metrics.py
+++ b/hemlockstand/fleet/metrics.py
@@ -27,6 +27,9 @@
     ["kind", "outcome"],
 )
 LEADING = Gauge("hemlockstand_scheduler", "1 while this daemon is the scheduler.")
+EVACUATED = Gauge(
+    "hemlockstand_evacuated_data_centres", "Data centres that are evacuated."
+)
 WAITING = Gauge("hemlockstand_waiting_subtasks", "Subtasks that wait for a place.")
 
 
--- a/hemlockstand/fleet/model.py
+++ b/hemlockstand/fleet/model.py
@@ -76,11 +76,17 @@
 
 @frozen
 class Pool:
-    """A pool of executors, which run the subtasks of its queues."""
+    """A pool of executors, which run the subtasks of its queues.
+
+    An executor is cold, that is slow, for ``cold_start_seconds`` after its own
+    start. Until then it takes ``cold_starts_per_second``, unless that is 0.
+    """
 
     name: str
     admission_check: bool
     standby: bool
+    cold_start_seconds: float = 0.0
+    cold_starts_per_second: float = 0.0
 
 
 @frozen
@@ -95,13 +101,18 @@
 
 @frozen(slots=False)
 class FleetConfig:
-    """One version of the operator's configuration."""
+    """One version of the operator's configuration.
+
+    ``evacuated`` holds the data centres to which nothing may be sent at
+    present; it changes without a new version.
+    """
 
     version: int
     queues: tuple[Queue, ...]
     pools: Mapping[str, Pool]
     tenants: Mapping[str, Tenant]
     max_body_bytes: int
+    evacuated: frozenset[str] = frozenset()
 
     @cached_property
     def queues_by_name(self) -> Mapping[str, Queue]:
@@ -128,7 +139,8 @@
     """An executor's own entry in the store.
 
     ``born_ms`` identifies its lifetime: it differs after a restart under the
-    same id, which ends all runs of the earlier lifetime.
+    same id, which ends all runs of the earlier lifetime. For
+    ``cold_remaining_ms`` after the entry was written the executor is slow.
     """
 
     id: str
@@ -140,6 +152,7 @@
     born_ms: int | None
     capacity: Resources
     labels: tuple[str, ...]
+    cold_remaining_ms: int = 0
 
     @property
     def rack(self) -> str:
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -89,6 +89,19 @@
         0,
         60_000,
     )
+    evacuate_ms: float | None = option(
+        "Time within which nothing more may start in a data centre that is "
+        "evacuated; empty or 0 where the platform sets no such bound.",
+        0,
+        60_000,
+        may_be_empty=True,
+        default=None,
+    )
+
+    @property
+    def operator_ms(self) -> float:
+        """Shortest time within which what the operator writes must be in force."""
+        return min(self.config_apply_ms, self.evacuate_ms or self.config_apply_ms)
 
 
 @frozen
--- a/hemlockstand/platform/decoding.py
+++ b/hemlockstand/platform/decoding.py
@@ -29,6 +29,7 @@
 )
 
 ADDRESS = re.compile(r"[!-~]{1,253}:([0-9]{1,5})")
+EVACUATION_PREFIX = "evacuate/"
 EXECUTOR_ID = re.compile(r"[!-~]+")  # sent in a header
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 MAX_PAYLOAD_BYTES = 4000
@@ -195,6 +196,8 @@
         fields.string("Name"),
         fields.boolean("AdmissionCheck"),
         fields.boolean("Standby"),
+        fields.number("ColdStartS", 0.0),
+        fields.number("ColdPerS", 0.0),
     )
 
 
@@ -231,6 +234,7 @@
         born_ms=fields.integer("born", None),
         capacity=fields.resources("Capacity"),
         labels=fields.strings("Labels"),
+        cold_remaining_ms=int(fields.number("ColdRemainingMs", 0.0)),
     )
 
 
@@ -268,6 +272,17 @@
     )
 
 
+def decode_evacuation(key: str) -> str:
+    """Return the data centre that the key of an operator's row evacuates.
+
+    Any name is accepted, as only the platform knows which ones there may be.
+    """
+    name = key.removeprefix(EVACUATION_PREFIX)
+    if not name:
+        raise InvalidInput(f"op: {quote_value(key)} names no data centre")
+    return name
+
+
 def encode_wave_status(completed: bool) -> bytes:
     """Return the status of a wave for the operator."""
     state = "completed" if completed else "running"
--- a/hemlockstand/settings.py
+++ b/hemlockstand/settings.py
@@ -35,9 +35,15 @@
     choices: tuple[str, ...] = (),
     secret: bool = False,
     may_be_empty: bool = False,
+    default: Any = attrs.NOTHING,
 ) -> Any:
-    """Declare a setting with its description and its allowed values."""
+    """Declare a setting with its description and its allowed values.
+
+    An empty number is read as ``None``. ``default`` is that of the class alone;
+    a settings file takes its own from the shipped ``defaults.ini``.
+    """
     return field(
+        default=default,
         metadata={
             "doc": doc,
             "minimum": minimum,
@@ -45,7 +51,7 @@
             "choices": choices,
             "secret": secret,
             "may_be_empty": may_be_empty,
-        }
+        },
     )
 
 
@@ -373,6 +379,8 @@
 
 
 def _convert(text: str, kind: Any, attribute: Attribute) -> Any:
+    if kind == float | None:
+        return _convert_number(text, float, attribute) if text else None
     if kind is bool:
         return _convert_boolean(text)
     if kind is int or kind is float:
--- a/test/test_fleet_decoding.py
+++ b/test/test_fleet_decoding.py
@@ -222,11 +222,25 @@
     assert len(encode_compact(spec)) < 100
 
 
+def test_cold_executors_and_pools():
+    """Guards against a slow start that the scheduler does not learn of."""
+    assert decode_executor("i-1", encode(ENTRY)).cold_remaining_ms == 0
+    cold = decode_executor("i-1", encode({**ENTRY, "ColdRemainingMs": 1500.5}))
+    assert cold.cold_remaining_ms == 1500
+    services = [{"Name": "a"}, {"Name": "b", "ColdStartS": 20, "ColdPerS": 0.5}]
+    config = decode_config(encode({"ConfigVersion": 1, "Services": services}))
+    pools = config.pools
+    assert (pools["a"].cold_start_seconds, pools["a"].cold_starts_per_second) == (0, 0)
+    assert pools["b"].cold_start_seconds == 20
+    assert pools["b"].cold_starts_per_second == 0.5
+
+
 def test_wire_names_stay_in_the_adapter():
     """Guards against the platform's field names outside its adapter."""
     wire = re.compile(
         r"FencingToken|rows-(tx|get|feed)|run-st(art|op)|machine-(move|upkeep)|"
         r"MaxUnavailable|TaskSpec|ColdRemainingMs|Lease-Holder|EstimatedMs|"
+        r"ColdStartS|ColdPerS|evacuate/|"
         r"ConfigVersion|ExpectedRev|RowVersion|LongRunning|MaxPerServer"
     )
     found = [
