Evacuate data centres

Cause: nothing acted on the operator's evacuations.

Change: an evacuated data centre is no candidate for a start, a restart, a ticket, a move of an instance into a pool, or room elsewhere; its instances do not count when a pool is sized, and planned moves of them into pools are dropped. A start is checked again right before it is sent. After a revocation the executors rank last among equals for 5 s. Log lines with data centre, counts and durations, and with the cores that are missing; metrics hemlockstand_evacuated_runs and hemlockstand_evacuation_moves_total.

--- a/hemlockstand/fleet/configuration.py
+++ b/hemlockstand/fleet/configuration.py
@@ -145,9 +145,9 @@
             return
         log.info(
             "evacuated data centres changed",
-            evacuated=sorted(map(quote_value, evacuated)),
-            added=sorted(map(quote_value, evacuated - self.current.evacuated)),
-            revoked=sorted(map(quote_value, self.current.evacuated - evacuated)),
+            evacuated=sorted(evacuated),
+            added=sorted(evacuated - self.current.evacuated),
+            revoked=sorted(self.current.evacuated - evacuated),
         )
         self.current = attrs.evolve(self.current, evacuated=evacuated)
         EVACUATED.set(len(evacuated))
--- /dev/null
+++ b/hemlockstand/fleet/evacuations.py
@@ -0,0 +1,247 @@
+"""Evacuations of data centres while the daemon is the scheduler.
+
+The operator's set is part of the configuration, which every daemon follows, so
+a new scheduler goes on without any state of its own. ``EvacuationManager``
+stops the runs that leave and reports what stays and why.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from attrs import define, field
+from loguru import logger
+
+from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.job_registry import find_pool
+from hemlockstand.fleet.metrics import EVACUATION_MOVES, EVACUATION_RUNS
+from hemlockstand.fleet.placement import is_usable
+from hemlockstand.fleet.plans import InstancePlans
+from hemlockstand.fleet.policy.departures import Departures, Obstacle
+from hemlockstand.fleet.policy.evacuation import is_evacuated, mark_returning
+from hemlockstand.fleet.state import SchedulerState
+from hemlockstand.fleet.work import Subtask
+
+log = logger.bind(module=__name__)
+
+# Interval between choices of runs to move. A stopped subtask is at work again
+# after about as long, before which its step's next one cannot move.
+ROUND_SECONDS = 0.5
+# Interval between reports of runs that find no room.
+REPORT_SECONDS = 5.0
+MILLIS_PER_CORE = 1000
+
+
+@define(eq=False)
+class Evacuation:
+    """An evacuation as this scheduler has seen it.
+
+    ``empty`` is set once nothing runs in the data centre.
+    """
+
+    data_centre: str
+    since: float
+    empty: bool = False
+
+
+@define(eq=False)
+class EvacuationManager:
+    """Moves runs out of evacuated data centres, and reports on them."""
+
+    state: SchedulerState
+    plans: InstancePlans
+    blocked_pools: set[str]
+    stop_run: Callable[[Subtask], None]
+    current: dict[str, Evacuation] = field(factory=dict)
+    _checked_at: float = float("-inf")
+    _reported_at: float = float("-inf")
+
+    def check(self) -> None:
+        """Apply changes of the set; move runs, at most twice a second."""
+        config, now = self.state.config, self.state.clock()
+        if config.evacuated != self.current.keys():
+            self._update(now)
+        if not self.current or now - self._checked_at < ROUND_SECONDS:
+            return
+        self._checked_at = now
+        if self.state.may_order() and self.state.configuration.fresh:
+            obstacles = self._move_runs(now)
+            self._report(obstacles, now)
+        self._count_runs(now)
+
+    def _update(self, now: float) -> None:
+        evacuated = self.state.config.evacuated
+        for name in evacuated - self.current.keys():
+            self.current[name] = Evacuation(name, now)
+            self._log_begin(name)
+        for name in self.current.keys() - evacuated:
+            evacuation = self.current.pop(name)
+            executors = self.state.executors.values()
+            found = mark_returning(executors, name, now)
+            log.info(
+                "evacuation of a data centre is revoked",
+                data_centre=name,
+                seconds=round(now - evacuation.since, 1),
+                executors=len(found),
+                runs=sum(len(executor.runs) for executor in found),
+            )
+        if not self.current:
+            EVACUATION_RUNS.set(0)
+
+    def _log_begin(self, name: str) -> None:
+        """Log what is in a data centre at the beginning.
+
+        One of which nothing is known may be misspelt; it is evacuated all the
+        same, in case executors of it appear later.
+        """
+        found = self._find_executors(name)
+        instances = sum(
+            1
+            for instance in self.plans.instances.values()
+            if instance.data_centre == name
+        )
+        runs = [subtask for executor in found for subtask in executor.runs.values()]
+        values = {
+            "data_centre": name,
+            "executors": len(found),
+            "instances": instances,
+            "runs": len(runs),
+            "lasting": sum(1 for subtask in runs if subtask.step.lasting),
+            "cores": sum(item.used.cpu_millis for item in found) / MILLIS_PER_CORE,
+        }
+        if found or instances:
+            log.info("data centre is evacuated", **values)
+        else:
+            log.warning("evacuated data centre is not known", **values)
+
+    def _find_executors(self, data_centre: str) -> list[Executor]:
+        return [
+            executor
+            for executor in self.state.executors.values()
+            if executor.entry.data_centre == data_centre
+        ]
+
+    def view_departures(self) -> Departures:
+        """Return the choice of runs to move, from the present state."""
+        now = self.state.clock()
+        return Departures(
+            self.state.registry,
+            self.state.executors,
+            self.state.config,
+            now,
+            now > self.state.previous_stops_end,
+            self.blocked_pools,
+            self.predict_remaining,
+        )
+
+    def predict_remaining(self, subtask: Subtask) -> float:
+        """Return the seconds that a run is expected to take yet.
+
+        The median, because a run that stays too long costs about as much as
+        one that is moved although it would have ended.
+        """
+        durations = self.state.registry.durations
+        expected = durations.expect(subtask.job.spec, subtask.step_run.position)
+        percent = 0 if subtask.run is None else min(100, subtask.run.percent)
+        return expected.median_seconds * (100 - percent) / 100
+
+    def _move_runs(self, now: float) -> dict[Subtask, Obstacle]:
+        """Stop the runs that leave; return what the others wait for."""
+        departures = self.view_departures()
+        obstacles: dict[Subtask, Obstacle] = {}
+        for subtask in departures.find_runs():
+            obstacle = departures.judge(subtask)
+            if obstacle is not Obstacle.NONE or subtask.run is None:
+                obstacles[subtask] = obstacle
+                continue
+            kind = "lasting" if subtask.step.lasting else "checkpoints"
+            EVACUATION_MOVES.labels(kind).inc()
+            log.info(
+                "run is moved out of an evacuated data centre",
+                subtask=subtask.name,
+                run=subtask.run.number,
+                executor=subtask.run.executor,
+                kind=kind,
+                percent=subtask.run.percent,
+            )
+            self.stop_run(subtask)
+        return obstacles
+
+    def _count_runs(self, now: float) -> None:
+        """Update the metric; log each data centre once it is empty."""
+        total = 0
+        for evacuation in self.current.values():
+            executors = self._find_executors(evacuation.data_centre)
+            runs = sum(len(executor.runs) for executor in executors)
+            total += runs
+            if not runs and not evacuation.empty:
+                log.info(
+                    "nothing runs in an evacuated data centre any more",
+                    data_centre=evacuation.data_centre,
+                    seconds=round(now - evacuation.since, 1),
+                    executors=len(executors),
+                )
+            evacuation.empty = not runs
+        EVACUATION_RUNS.set(total)
+
+    def _report(self, obstacles: dict[Subtask, Obstacle], now: float) -> None:
+        """Log the pools that lack room, with the cores that are missing."""
+        if now - self._reported_at < REPORT_SECONDS:
+            return
+        self._reported_at = now
+        names = sorted(self.current)
+        for pool, missing in self.measure_shortages(obstacles):
+            log.warning(
+                "too little room outside of evacuated data centres",
+                evacuated=names,
+                pool=pool,
+                missing_cores=missing.missing,
+                waiting_cores=missing.waiting,
+                staying_cores=missing.staying,
+                free_cores=missing.free,
+            )
+
+    def measure_shortages(
+        self, obstacles: dict[Subtask, Obstacle]
+    ) -> Iterator[tuple[str, "Shortage"]]:
+        """Yield the pools that lack room because of the evacuations."""
+        config, now = self.state.config, self.state.clock()
+        waiting: Counter[str] = Counter()
+        for step_run in self.state.registry.ready.values():
+            cpu = step_run.step.size.cpu_millis * len(step_run.waiting)
+            waiting[find_pool(step_run.job, config)] += cpu
+        staying: Counter[str] = Counter()
+        for subtask, obstacle in obstacles.items():
+            if obstacle is Obstacle.ROOM:
+                staying[find_pool(subtask.job, config)] += subtask.step.size.cpu_millis
+        free: Counter[str] = Counter()
+        affected: set[str] = set()
+        for executor in self.state.executors.values():
+            if is_evacuated(executor, config):
+                affected.add(executor.entry.pool)
+            elif is_usable(executor, now):
+                free[executor.entry.pool] += executor.free_cpu()
+        for pool in sorted(affected):
+            shortage = Shortage(
+                waiting[pool] / MILLIS_PER_CORE,
+                staying[pool] / MILLIS_PER_CORE,
+                free[pool] / MILLIS_PER_CORE,
+            )
+            if shortage.missing > 0:
+                yield pool, shortage
+
+
+@define
+class Shortage:
+    """Cores of work that waits, or stays for lack of room, and free ones."""
+
+    waiting: float
+    staying: float
+    free: float
+
+    @property
+    def missing(self) -> float:
+        """Cores that are missing, at least, as free ones may not fit.
+
+        What stays has been found to fit nowhere.
+        """
+        return self.staying + max(0.0, self.waiting - self.free)
--- a/hemlockstand/fleet/eviction.py
+++ b/hemlockstand/fleet/eviction.py
@@ -11,6 +11,7 @@
 from hemlockstand.fleet.job_registry import find_pool
 from hemlockstand.fleet.model import FleetConfig
 from hemlockstand.fleet.placement import accepts_runs, is_below_cap
+from hemlockstand.fleet.policy.evacuation import is_evacuated
 from hemlockstand.fleet.work import RunState, Subtask
 
 AVAILABLE_PERCENT = 100  # a lasting subtask has less while it starts up
@@ -91,7 +92,17 @@
     now: float,
     config: FleetConfig,
 ) -> bool:
-    """Return whether another executor has room for the subtask now.
+    """Return whether another executor has room for the subtask now."""
+    return any(find_room_elsewhere(subtask, executors, now, config))
+
+
+def find_room_elsewhere(
+    subtask: Subtask,
+    executors: Mapping[str, Executor],
+    now: float,
+    config: FleetConfig,
+) -> Iterator[Executor]:
+    """Yield the executors that have room for the subtask now.
 
     It starts again in the pool of its queue, which may not be that of its run.
     """
@@ -100,13 +111,14 @@
     for executor in executors.values():
         if executor.entry.pool != pool or not accepts_runs(executor, now):
             continue
+        if is_evacuated(executor, config):
+            continue
         if step.label and step.label not in executor.entry.labels:
             continue
         if not executor.has_room(step.size, step.fills):
             continue
         if is_below_cap(subtask.step_run, executor):
-            return True
-    return False
+            yield executor
 
 
 def find_stalled(executor: Executor, now: float) -> Iterator[Subtask]:
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -66,7 +66,8 @@
     executor may forget. ``recorded`` means that the executor's name is stored
     for the next scheduler; before that it gets no runs. ``reserved`` means
     that its instance is about to be moved or maintained; it lasts as long as
-    the plan, also over restarts. ``unknown_runs`` names the runs in its last
+    the plan, also over restarts. Until ``returning_until`` the evacuation of its
+    data centre has only just ended. ``unknown_runs`` names the runs in its last
     list that the scheduler has not started or adopted; they use room of unknown
     size until they have been stopped.
     """
@@ -90,6 +91,7 @@
     failed_in_row: int = 0
     quarantined_until: float = _NEVER
     backoff_until: float = _NEVER
+    returning_until: float = _NEVER
     reserved: bool = False
     recorded: bool = False
     closed: bool = False
--- a/hemlockstand/fleet/idle_report.py
+++ b/hemlockstand/fleet/idle_report.py
@@ -21,6 +21,7 @@
 from hemlockstand.fleet.job_registry import find_pool
 from hemlockstand.fleet.placement import is_below_cap
 from hemlockstand.fleet.policy.crashes import is_given_up
+from hemlockstand.fleet.policy.evacuation import is_evacuated
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.work import RunState, StepRun
 
@@ -137,6 +138,7 @@
             ("entry of an earlier lifetime", not executor.is_entry_current),
             ("unknown runs", bool(executor.unknown_runs)),
             ("draining", executor.entry.draining),
+            ("evacuated", is_evacuated(executor, self.state.config)),
             ("reserved", executor.reserved),
             ("quarantined", executor.quarantined_until > now),
             ("not recorded", not executor.recorded),
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -12,6 +12,7 @@
 from hemlockstand.fleet.commits import Commits
 from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.durations import estimate_chain_seconds
+from hemlockstand.fleet.evacuations import EvacuationManager
 from hemlockstand.fleet.executor_directory import ExecutorDirectory
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.idle_report import IdleReporter
@@ -98,6 +99,12 @@
         self._idle_reporter = IdleReporter(
             self.state, self._barrier.blocked_pools, self._may_run
         )
+        self._evacuations = EvacuationManager(
+            self.state,
+            self._instances.plans,
+            self._barrier.blocked_pools,
+            self._orders.stop_run,
+        )
         self._wave_records: dict[int, WaveRecord | None] = {}
         self._unreadable_jobs: set[str] = set()
         self._leaving = trio.Event()
@@ -286,6 +293,7 @@
             self._executor_directory.remove_gone()
             self._add_waves()
             self._idle_reporter.check()
+            self._evacuations.check()
             registry = self.state.registry
             if registry.ready or registry.next_due() is not None:
                 self.state.request_placement()
--- a/hemlockstand/fleet/metrics.py
+++ b/hemlockstand/fleet/metrics.py
@@ -30,6 +30,14 @@
 EVACUATED = Gauge(
     "hemlockstand_evacuated_data_centres", "Data centres that are evacuated."
 )
+EVACUATION_RUNS = Gauge(
+    "hemlockstand_evacuated_runs", "Runs that are still in evacuated data centres."
+)
+EVACUATION_MOVES = Counter(
+    "hemlockstand_evacuation_moves_total",
+    "Runs stopped to move them out of evacuated data centres.",
+    ["kind"],
+)
 WAITING = Gauge("hemlockstand_waiting_subtasks", "Subtasks that wait for a place.")
 
 
--- a/hemlockstand/fleet/moves.py
+++ b/hemlockstand/fleet/moves.py
@@ -49,6 +49,7 @@
     def plan(self) -> None:
         """Reserve instances for moves to the pools that need them."""
         config = self.plans.state.config
+        self._drop_evacuated()
         standby = [pool.name for pool in config.pools.values() if pool.standby]
         if not standby:
             return
@@ -175,6 +176,8 @@
         """Return the instances that a pool has, or will have by a plan."""
         members = []
         for instance in self.plans.instances.values():
+            if self._is_evacuated(instance):
+                continue
             plan = self.plans.current.get(instance.name)
             if plan is not None:
                 # Maintenance makes an instance unavailable for as long as a
@@ -185,6 +188,27 @@
                 members.append(instance)
         return members
 
+    def _is_evacuated(self, instance: InstanceEntry) -> bool:
+        """Return whether nothing may be sent to an instance's data centre."""
+        return instance.data_centre in self.plans.state.config.evacuated
+
+    def _drop_evacuated(self) -> None:
+        """Drop the moves of evacuated instances into pools.
+
+        An order that is being given may have been carried out; the instance
+        does not count as a member then.
+        """
+        if not self.plans.state.config.evacuated:
+            return
+        for plan in list(self.plans.current.values()):
+            pool = self.plans.state.config.pools.get(plan.pool)
+            instance = self.plans.instances.get(plan.instance)
+            if instance is None or plan.ordering or pool is None or pool.standby:
+                continue
+            if self._is_evacuated(instance):
+                log.info("move into a pool is dropped", instance=plan.instance)
+                self.plans.drop(plan)
+
     def _is_in_service(self, instance: InstanceEntry) -> bool:
         """Return whether an instance can run subtasks, now or soon."""
         if instance.state is InstanceState.DOWN:
@@ -233,7 +257,7 @@
             instance = self.plans.instances.get(plan.instance)
             if instance is None or plan.wave or plan.ordering:
                 continue
-            if not shortage.fits(instance):
+            if not shortage.fits(instance) or self._is_evacuated(instance):
                 continue
             if instance.pool == pool and plan.pool != pool:
                 self.plans.drop(plan)
@@ -269,6 +293,7 @@
             if instance.pool in standby
             and instance.state is InstanceState.UP
             and instance.name not in self.plans.current
+            and not self._is_evacuated(instance)
         ]
         yield from sorted(
             waiting,
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -11,6 +11,7 @@
 from hemlockstand.fleet.model import Refusal, Refused, Started, StartOrder, Unanswered
 from hemlockstand.fleet.pacing import PaceChange
 from hemlockstand.fleet.policy.crashes import ISOLATION_SECONDS, is_isolated
+from hemlockstand.fleet.policy.evacuation import is_evacuated
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.tickets import TicketCache
 from hemlockstand.fleet.work import Job, Run, RunState, Subtask
@@ -47,7 +48,9 @@
     async def _order_start(
         self, subtask: Subtask, run: Run, executor: Executor
     ) -> None:
-        due_ms = executor.extend_lease()
+        # The evacuation may have begun since the executor was chosen.
+        evacuated = is_evacuated(executor, self.state.config)
+        due_ms = None if evacuated else executor.extend_lease()
         if due_ms is None or not self.state.may_order():
             self._requeue_unstarted(subtask, run, executor, 0.0)
             return
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -19,6 +19,7 @@
     is_isolated,
     is_suspect,
 )
+from hemlockstand.fleet.policy.evacuation import is_evacuated, is_returning
 from hemlockstand.fleet.policy.placing import PoolRoom
 from hemlockstand.fleet.policy.waiting import rank_step
 from hemlockstand.fleet.work import StepRun, Subtask
@@ -112,6 +113,8 @@
                 continue
             if not (is_sound(executor) and is_recorded(executor)):
                 continue
+            if is_evacuated(executor, config):
+                continue
             usable, quarantined = groups.setdefault(executor.entry.pool, ([], []))
             group = usable if executor.quarantined_until <= now else quarantined
             group.append(executor)
@@ -126,6 +129,7 @@
             resort = room.find_last_resort(step_run.subtasks[0], now)
             executors += self._select_allowed(step_run, resort)
             free = [item for item in executors if item.backoff_until <= now]
+            free.sort(key=lambda executor: is_returning(executor, now))
             yield from self._place_gang(step_run, free, tenant, now)
             return
         waiting = [
@@ -243,7 +247,7 @@
         racks = find_racks(subtask.step_run, executors)
     return min(
         usable,
-        key=lambda executor: rank_executor(subtask, executor, racks),
+        key=lambda executor: rank_executor(subtask, executor, racks, now),
         default=None,
     )
 
@@ -283,25 +287,30 @@
 
 
 def rank_executor(
-    subtask: Subtask, executor: Executor, racks: frozenset[str]
-) -> tuple[int, int, int, str]:
+    subtask: Subtask, executor: Executor, racks: frozenset[str], now: float
+) -> tuple[int, bool, int, int, str]:
     """Return the sort key of an executor for a subtask, smallest first.
 
     ``racks`` are those in which a step that should stay in one rack has runs.
     Subtasks that use spare cpu go where the fewest subtasks serve users;
     others go where they leave the least cpu, which keeps whole executors free
     for large subtasks. Those under which an executor crashed are spread, so
-    that the next crash tells them apart and takes few others with it.
+    that the next crash tells them apart and takes few others with it. An
+    executor whose data centre was evacuated until a short time ago comes last
+    among those that are as near to the data.
     """
     step = subtask.step
     remote = 1 if step.data_rack and step.data_rack != executor.entry.rack else 0
     apart = 0 if not racks or executor.entry.rack in racks else 1
+    distance, returning = remote + apart, is_returning(executor, now)
     if is_suspect(subtask):
-        return remote + apart, count_suspects(executor), len(executor.runs), executor.id
+        suspects, runs = count_suspects(executor), len(executor.runs)
+        return distance, returning, suspects, runs, executor.id
     if step.fills:
         serving = sum(1 for other in executor.runs.values() if other.step.target_ms)
-        return remote + apart, serving, -executor.free_cpu(), executor.id
-    return remote + apart, executor.failed_in_row, executor.free_cpu(), executor.id
+        return distance, returning, serving, -executor.free_cpu(), executor.id
+    failed = executor.failed_in_row
+    return distance, returning, failed, executor.free_cpu(), executor.id
 
 
 def choose_gang(step_run: StepRun, executors: list[Executor]) -> list[Executor]:
--- a/hemlockstand/fleet/scheduler.py
+++ b/hemlockstand/fleet/scheduler.py
@@ -21,7 +21,7 @@
 from hemlockstand.fleet.instances import PREVIOUS_ORDER_SECONDS
 from hemlockstand.fleet.leader import Leader
 from hemlockstand.fleet.lease import LeaseWatch, SchedulerLease
-from hemlockstand.fleet.metrics import LEADING
+from hemlockstand.fleet.metrics import EVACUATION_RUNS, LEADING
 from hemlockstand.fleet.policy.candidacy import Candidacy, find_candidacy
 from hemlockstand.fleet.services import RowStoreService
 from hemlockstand.fleet.settings import FleetSettings
@@ -221,4 +221,5 @@
             log.warning("scheduler ends", epoch=record.epoch, detail=detail)
         finally:
             LEADING.set(0)
+            EVACUATION_RUNS.set(0)
             self._leader = None
--- a/hemlockstand/fleet/tickets.py
+++ b/hemlockstand/fleet/tickets.py
@@ -16,6 +16,7 @@
     is_recorded,
     is_sound,
 )
+from hemlockstand.fleet.policy.evacuation import is_evacuated
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.work import StepRun
 from hemlockstand.platform.advice import AdviceClient
@@ -97,6 +98,7 @@
             if executor.entry.pool == pool
             and is_sound(executor)
             and is_recorded(executor)
+            and not is_evacuated(executor, self.state.config)
             and (not label or label in executor.entry.labels)
         ]
 
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -23,6 +23,7 @@
 from hemlockstand.coordination.lease import LeaseLost
 from hemlockstand.errors import PlatformUnavailable
 from hemlockstand.fleet.clients import FleetClients
+from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.leader import Leader
 from hemlockstand.fleet.lease import LeaseWatch
 from hemlockstand.fleet.model import (
@@ -86,11 +87,15 @@
 
 @define(eq=False)
 class Daemon:
-    """A daemon's clients of the platform, and its leader while it leads."""
+    """A daemon's clients of the platform, and its leader while it leads.
+
+    A ``configuration`` of its own takes the place of the world's.
+    """
 
     name: str
     rows: RowStoreAccess
     instances: InstanceAccess
+    configuration: FleetConfigurationService | None = None
     cut_off: set[str] = field(factory=set)
     leader: Leader | None = None
     leaving: bool = False
@@ -137,6 +142,7 @@
             instance.rack,
             instance.labels[0],
             capacity=instance.capacity,
+            data_centre=instance.data_centre,
         )
         return model.id
 
@@ -165,13 +171,14 @@
         racks: int = 2,
         kind: str = "a",
         capacity: Resources = USUAL,
+        data_centre: str = "dc1",
     ) -> None:
         """Add instances, with executors unless the pool is ``standby``."""
         for position in range(number):
             name = f"m-{next(self._ids)}"
             labels = (kind, f"r{position % racks + 1}")
             entry = InstanceEntry(
-                name, pool, InstanceState.UP, "dc1", labels, capacity, ""
+                name, pool, InstanceState.UP, data_centre, labels, capacity, ""
             )
             executor = "" if pool == "standby" else self._start_executor(entry)
             self.instances.instances[name] = attrs.evolve(entry, executor=executor)
@@ -206,6 +213,12 @@
         self.store.apply(Transaction((write,), (), ()))
         return job
 
+    def evacuate(self, *data_centres: str) -> None:
+        """Evacuate these data centres and no others."""
+        self.configuration.current = attrs.evolve(
+            self.configuration.current, evacuated=frozenset(data_centres)
+        )
+
     def cancel(self, job: str) -> None:
         """Store a cancel as a frontend does."""
         write = cancel_write(job, 0)
@@ -266,7 +279,7 @@
                 daemon.leader = Leader(
                     settings,
                     daemon.rows,
-                    self.configuration,
+                    daemon.configuration or self.configuration,
                     lease,
                     trio.current_time,
                     clients,
