Prefer warm executors, and spread starts on cold ones

Cause: ColdRemainingMs was decoded but not used.

Change: cold executors come after all others. Where a service sets ColdPerS, a cold executor takes that many starts a second, and one member of a gang at a time. The cold time counts from when an entry is first read, so an entry that is read again does not extend it.

--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -100,7 +100,8 @@
     held in ``late`` until ``execute_late_orders``, and ``unhealthy_orders``
     are refused. After a crash no process listens until ``back_at``;
     ``on_restart`` is called when it is back, ``report_start`` with each run that
-    begins.
+    begins. The entry says for how long the executor is cold, until
+    ``cold_until``; its work is not slower.
     """
 
     id: str
@@ -125,6 +126,7 @@
     ended_records: dict[int, RecordedRun] = field(factory=dict)
     unresponsive: bool = False
     draining: bool = False
+    cold_until: float = 0.0
     lost_answers: int = 0
     late_orders: int = 0
     unhealthy_orders: int = 0
@@ -141,6 +143,11 @@
         """The time on the executor's clock."""
         return int((trio.current_time() - self.clock_offset) * 1000)
 
+    @property
+    def cold_remaining_ms(self) -> int:
+        """How much longer the executor is slow."""
+        return max(0, int((self.cold_until - trio.current_time()) * 1000))
+
     def entry(self) -> bytes:
         """Return the value of the executor's row in the store."""
         body = {
@@ -153,6 +160,7 @@
                 "MemMb": self.capacity.memory_mb,
             },
             "Labels": [self.kind, self.rack],
+            "ColdRemainingMs": self.cold_remaining_ms,
             "born": self.born_ms,
         }
         return json.dumps(body).encode()
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -66,8 +66,9 @@
     executor may forget. ``recorded`` means that the executor's name is stored
     for the next scheduler; before that it gets no runs. ``reserved`` means
     that its instance is about to be moved or maintained; it lasts as long as
-    the plan, also over restarts. Until ``returning_until`` the evacuation of its
-    data centre has only just ended. ``unknown_runs`` names the runs in its last
+    the plan, also over restarts. Until ``cold_until`` it is slow after its own
+    start, and until ``returning_until`` the evacuation of its data centre has
+    only just ended. ``unknown_runs`` names the runs in its last
     list that the scheduler has not started or adopted; they use room of unknown
     size until they have been stopped.
     """
@@ -91,6 +92,7 @@
     failed_in_row: int = 0
     quarantined_until: float = _NEVER
     backoff_until: float = _NEVER
+    cold_until: float = _NEVER
     returning_until: float = _NEVER
     reserved: bool = False
     recorded: bool = False
@@ -108,6 +110,9 @@
     _wake: trio.Event = field(factory=trio.Event)
     _poll_scope: trio.CancelScope | None = None
 
+    def __attrs_post_init__(self) -> None:
+        self._set_cold_time()
+
     @property
     def id(self) -> str:
         """Identifier of the executor."""
@@ -183,10 +188,22 @@
         if entry.born_ms is not None and self.born_ms is not None:
             if entry.born_ms > self.born_ms:
                 self._start_lifetime(entry.born_ms, "new entry")
-        self.entry = entry
+        known, self.entry = self.entry, entry
+        # An entry that is read again tells how long it was cold when written.
+        if (known.born_ms, known.cold_remaining_ms) != (
+            entry.born_ms,
+            entry.cold_remaining_ms,
+        ):
+            self._set_cold_time()
         self.is_in_store = True
         self.wake()
 
+    def _set_cold_time(self) -> None:
+        """Set until when the executor is cold, from an entry just read."""
+        self.cold_until = _NEVER
+        if self.entry.cold_remaining_ms:
+            self.cold_until = self.clock() + self.entry.cold_remaining_ms / 1000
+
     def extend_lease(self) -> int | None:
         """Extend the lease and return its end on the executor's clock.
 
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -11,7 +11,11 @@
 from hemlockstand.fleet.model import Refusal, Refused, Started, StartOrder, Unanswered
 from hemlockstand.fleet.pacing import PaceChange
 from hemlockstand.fleet.policy.crashes import ISOLATION_SECONDS, is_isolated
-from hemlockstand.fleet.policy.evacuation import is_evacuated
+from hemlockstand.fleet.policy.evacuation import (
+    find_cold_limit,
+    is_evacuated,
+    space_cold_starts,
+)
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.tickets import TicketCache
 from hemlockstand.fleet.work import Job, Run, RunState, Subtask
@@ -41,8 +45,14 @@
         run.checkpoint = subtask.checkpoint
         self.state.registry.attach(subtask, run)
         executor.add_run(subtask)
+        now = self.state.clock()
         if is_isolated(subtask):
-            executor.backoff_until = self.state.clock() + ISOLATION_SECONDS
+            executor.backoff_until = now + ISOLATION_SECONDS
+        executor.backoff_until = space_cold_starts(
+            now,
+            executor.backoff_until,
+            find_cold_limit(executor, self.state.config, now),
+        )
         self.state.nursery.start_soon(self._order_start, subtask, run, executor)
 
     async def _order_start(
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -5,7 +5,7 @@
 can use the free capacity.
 """
 
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping, Set as AbstractSet
 from operator import itemgetter
 
 from attrs import define, field, frozen
@@ -19,7 +19,12 @@
     is_isolated,
     is_suspect,
 )
-from hemlockstand.fleet.policy.evacuation import is_evacuated, is_returning
+from hemlockstand.fleet.policy.evacuation import (
+    find_cold_limit,
+    is_cold,
+    is_evacuated,
+    is_returning,
+)
 from hemlockstand.fleet.policy.placing import PoolRoom
 from hemlockstand.fleet.policy.waiting import rank_step
 from hemlockstand.fleet.work import StepRun, Subtask
@@ -129,8 +134,9 @@
             resort = room.find_last_resort(step_run.subtasks[0], now)
             executors += self._select_allowed(step_run, resort)
             free = [item for item in executors if item.backoff_until <= now]
-            free.sort(key=lambda executor: is_returning(executor, now))
-            yield from self._place_gang(step_run, free, tenant, now)
+            free.sort(key=lambda item: (is_cold(item, now), is_returning(item, now)))
+            single = {item.id for item in free if find_cold_limit(item, config, now)}
+            yield from self._place_gang(step_run, free, tenant, now, single)
             return
         waiting = [
             subtask
@@ -163,8 +169,12 @@
         executors: list[Executor],
         tenant: Tenant | None,
         now: float,
+        single: AbstractSet[str],
     ) -> Iterator[Placement]:
-        """Place all members of a gang or none; they need each other to run."""
+        """Place all members of a gang or none; they need each other to run.
+
+        Executors in ``single`` take one member, since their starts are spread.
+        """
         members = step_run.subtasks
         if len(step_run.waiting) < len(members):
             return
@@ -175,7 +185,8 @@
             return
         avoided = set().union(*(member.avoid for member in members))
         preferred = [item for item in executors if item.id not in avoided]
-        chosen = choose_gang(step_run, preferred) or choose_gang(step_run, executors)
+        chosen = choose_gang(step_run, preferred, single)
+        chosen = chosen or choose_gang(step_run, executors, single)
         number = max(member.runs for member in members)
         checkpoint = max(member.checkpoint for member in members)
         for member, executor in zip(members, chosen, strict=False):
@@ -288,32 +299,33 @@
 
 def rank_executor(
     subtask: Subtask, executor: Executor, racks: frozenset[str], now: float
-) -> tuple[int, bool, int, int, str]:
+) -> tuple[bool, int, bool, int, int, str]:
     """Return the sort key of an executor for a subtask, smallest first.
 
     ``racks`` are those in which a step that should stay in one rack has runs.
     Subtasks that use spare cpu go where the fewest subtasks serve users;
     others go where they leave the least cpu, which keeps whole executors free
     for large subtasks. Those under which an executor crashed are spread, so
-    that the next crash tells them apart and takes few others with it. An
-    executor whose data centre was evacuated until a short time ago comes last
-    among those that are as near to the data.
+    that the next crash tells them apart and takes few others with it. A cold
+    executor comes after all others. One whose data centre was evacuated until a
+    short time ago comes last among those that are as near to the data.
     """
     step = subtask.step
     remote = 1 if step.data_rack and step.data_rack != executor.entry.rack else 0
     apart = 0 if not racks or executor.entry.rack in racks else 1
-    distance, returning = remote + apart, is_returning(executor, now)
+    group = (is_cold(executor, now), remote + apart, is_returning(executor, now))
     if is_suspect(subtask):
         suspects, runs = count_suspects(executor), len(executor.runs)
-        return distance, returning, suspects, runs, executor.id
+        return *group, suspects, runs, executor.id
     if step.fills:
         serving = sum(1 for other in executor.runs.values() if other.step.target_ms)
-        return distance, returning, serving, -executor.free_cpu(), executor.id
-    failed = executor.failed_in_row
-    return distance, returning, failed, executor.free_cpu(), executor.id
+        return *group, serving, -executor.free_cpu(), executor.id
+    return *group, executor.failed_in_row, executor.free_cpu(), executor.id
 
 
-def choose_gang(step_run: StepRun, executors: list[Executor]) -> list[Executor]:
+def choose_gang(
+    step_run: StepRun, executors: list[Executor], single: AbstractSet[str] = frozenset()
+) -> list[Executor]:
     """Return an executor for each member of a gang, or an empty list."""
     step = step_run.step
     by_rack: dict[str, list[Executor]] = {}
@@ -325,18 +337,20 @@
     if not step.same_rack:
         groups = [[executor for group in groups for executor in group]]
     for group in [*groups, [member for part in groups for member in part]]:
-        chosen = fill_group(step_run, group)
+        chosen = fill_group(step_run, group, single)
         if chosen:
             return chosen
     return []
 
 
-def fill_group(step_run: StepRun, executors: list[Executor]) -> list[Executor]:
+def fill_group(
+    step_run: StepRun, executors: list[Executor], single: AbstractSet[str] = frozenset()
+) -> list[Executor]:
     """Return executors with room for all members, or an empty list."""
     step = step_run.step
     chosen: list[Executor] = []
     for executor in executors:
-        cap = step.max_per_executor or step.count
+        cap = 1 if executor.id in single else step.max_per_executor or step.count
         taken = 0
         while len(chosen) < step.count and taken < cap:
             size = step.size.scale(taken + 1)
--- a/hemlockstand/fleet/policy/evacuation.py
+++ b/hemlockstand/fleet/policy/evacuation.py
@@ -4,6 +4,11 @@
 work, and comes back later, when all that waits would go there at once. While it
 is evacuated nothing starts there. After that its executors are used, but for a
 short time only after others, since whatever it was evacuated for may go on.
+Cold executors are slow for some time after their own start; others have
+precedence, and what a cold one gets is spread over time::
+
+    >>> space_cold_starts(now=7.0, busy_until=0.0, starts_per_second=4.0)
+    7.25
 """
 
 from collections.abc import Iterable
@@ -21,11 +26,31 @@
     return executor.entry.data_centre in config.evacuated
 
 
+def is_cold(executor: Executor, now: float) -> bool:
+    """Return whether an executor is slow because it started a short time ago."""
+    return now < executor.cold_until
+
+
 def is_returning(executor: Executor, now: float) -> bool:
     """Return whether the evacuation of its data centre ended a short time ago."""
     return now < executor.returning_until
 
 
+def find_cold_limit(executor: Executor, config: FleetConfig, now: float) -> float:
+    """Return how many starts a second an executor takes; 0 means any number."""
+    pool = config.pools.get(executor.entry.pool)
+    if pool is None or not is_cold(executor, now):
+        return 0.0
+    return pool.cold_starts_per_second
+
+
+def space_cold_starts(now: float, busy_until: float, starts_per_second: float) -> float:
+    """Return when the next start on a cold executor may follow one at ``now``."""
+    if not starts_per_second:
+        return busy_until
+    return max(now, busy_until) + 1 / starts_per_second
+
+
 def mark_returning(
     executors: Iterable[Executor], data_centre: str, now: float
 ) -> list[Executor]:
