--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -11,6 +11,11 @@
 from hemlockstand.fleet.model import Refusal, Refused, Started, StartOrder, Unanswered
 from hemlockstand.fleet.pacing import PaceChange
 from hemlockstand.fleet.policy.crashes import ISOLATION_SECONDS, is_isolated
+from hemlockstand.fleet.policy.evacuation import (
+    find_cold_limit,
+    is_evacuated,
+    space_cold_starts,
+)
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.tickets import TicketCache
 from hemlockstand.fleet.work import Job, Run, RunState, Subtask
@@ -40,14 +45,22 @@
         run.checkpoint = subtask.checkpoint
         self.state.registry.attach(subtask, run)
         executor.add_run(subtask)
+        now = self.state.clock()
         if is_isolated(subtask):
-            executor.backoff_until = self.state.clock() + ISOLATION_SECONDS
+            executor.backoff_until = now + ISOLATION_SECONDS
+        executor.backoff_until = space_cold_starts(
+            now,
+            executor.backoff_until,
+            find_cold_limit(executor, self.state.config, now),
+        )
         self.state.nursery.start_soon(self._order_start, subtask, run, executor)
 
     async def _order_start(
         self, subtask: Subtask, run: Run, executor: Executor
     ) -> None:
-        due_ms = executor.extend_lease()
+        # The evacuation may have begun since the executor was chosen.
+        evacuated = is_evacuated(executor, self.state.config)
+        due_ms = None if evacuated else executor.extend_lease()
         if due_ms is None or not self.state.may_order():
             self._requeue_unstarted(subtask, run, executor, 0.0)
             return
