Report not ready while the store does not answer a daemon

Change: readiness needs a configuration and an answer to the last call to the store; until then answers ask callers to close their connections. If no daemon is ready, the balancer uses all of them as before.

Measured: test_daemon_without_the_store_is_not_ready fails without the change; tests of the frontend, the configuration and daemons pass.

--- a/hemlockstand/fleet/configuration.py
+++ b/hemlockstand/fleet/configuration.py
@@ -66,6 +66,11 @@
         """Time since the store last confirmed the copy."""
         return self._clock() - self._confirmed_at
 
+    @property
+    def reachable(self) -> bool:
+        """Whether there is a configuration and the store answered the last call."""
+        return self.current is not None and self._connected
+
     @property
     def fresh(self) -> bool:
         """Whether every configuration that must be in force is known."""
--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -153,8 +153,12 @@
 
     @property
     def ready(self) -> bool:
-        """Whether the balancer should send new connections."""
-        return self._configuration.current is not None and not self._leaving
+        """Whether the balancer should send new connections.
+
+        A daemon that the store does not answer refuses what it gets, while
+        others may serve it. If none is ready, the balancer uses all of them.
+        """
+        return self._configuration.reachable and not self._leaving
 
     async def run(self) -> None:
         """Serve callers and the balancer."""
@@ -212,7 +216,8 @@
             )
             if answer.retry_after:
                 response.headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
-            if self._leaving:
+            if self._leaving or not self.ready:
+                # The caller's next connection reaches another daemon.
                 response.headers["Connection"] = "close"
             return response
 
--- a/test/test_fleet_frontend.py
+++ b/test/test_fleet_frontend.py
@@ -23,6 +23,7 @@
 
     current: object = None
     fresh: bool = True
+    reachable: bool = True
     age_seconds: float = 0.1
 
 
@@ -204,3 +205,20 @@
     frontend.model.apply(Transaction((write,), (), ()))
     assert (await frontend.call("GET"))[1] == {"State": "completed"}
     assert (await frontend.call("DELETE"))[1] == {"State": "completed"}
+
+
+async def test_daemon_without_the_store_is_not_ready():
+    """Guards against a daemon that keeps its callers while others could serve them.
+
+    The balancer goes on sending to a daemon that reports ready, and callers stay
+    on their connections.
+    """
+    kernel = StubKernel(RowStoreAccess(RowStoreModel()))
+    frontend = FrontendService(kernel)
+    ready, callers = frontend._make_ready_app(), frontend._make_app()
+    for reachable, status in ((True, 200), (False, 503), (True, 200)):
+        kernel.configuration.reachable = reachable
+        reply = await ready.test_client().get("/ready")
+        assert reply.status_code == status
+        reply = await callers.test_client().get(f"/queue/{JOB}", headers=HEADERS)
+        assert (reply.headers.get("Connection") == "close") is not reachable
