Count only short work as the first demand of a pool

Change: only arrivals of short work count.

Measured: test_first_job_does_not_shrink_its_pool, now with a job that lasts before it, fails without this change and passes with it.

--- a/hemlockstand/fleet/moves.py
+++ b/hemlockstand/fleet/moves.py
@@ -127,7 +127,8 @@
         """
         known = self._needs.get(pool)
         need = known or self._needs.setdefault(pool, PoolNeed())
-        is_first_demand = bool(demand.arrived) and pool not in self._pools_with_demand
+        has_short_work = any(item.amount for item in demand.arrived)
+        is_first_demand = has_short_work and pool not in self._pools_with_demand
         if is_first_demand:
             self._pools_with_demand.add(pool)
         if known is None or is_first_demand:
--- a/test/test_fleet_pool_sizes.py
+++ b/test/test_fleet_pool_sizes.py
@@ -4,7 +4,7 @@
 import trio
 
 from emulator.fleet_executors import SubtaskBehaviour
-from test.fleet_world import SMALL, make_step, open_world
+from test.fleet_world import LASTING, SMALL, make_step, open_world
 
 INSTANCES = 10
 # An order that is planned at once is accepted within this time.
@@ -44,6 +44,9 @@
         world.add_instances("pool", INSTANCES)
         world.add_instances("standby", 2)
         world.start_daemon("a")
+        # Work that lasts says nothing of the peak.
+        lasting = SubtaskBehaviour(LASTING, size=SMALL)
+        world.submit(make_step(lasting=True), work=lasting)
         await trio.sleep(3)
         world.submit(make_step(), accepted_ms=int(trio.current_time() * 1000))
         assert await find_smallest_size(world, WATCHED_SECONDS) == INSTANCES
