Measure the times of runs from their start, and only where they show it

Cause: the time of a run counted from its order, so a slow link made work look longer. A run that was adopted after a takeover counted from its adoption, a paced run at its reduced speed, and no run of a step with checkpoints counted.

Change: run_times.py says what each kind of end tells: a time, a lower bound (RunTime.exact is false) or nothing. Runs remember whether they were resumed, slowed, or have an unknown start, and when they were stopped. The present line takes only exact times.

--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -413,6 +413,8 @@
 
 def _update_run(run: Run, percent: int, load: int, checkpoint: str, now: float) -> None:
     if run.state in (RunState.STARTING, RunState.UNSURE):
+        # Without an answer it may have begun long before it is listed.
+        run.start_unknown = run.state is RunState.UNSURE
         run.state = RunState.RUNNING
     if run.answered_at is None:
         run.answered_at = now
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -9,7 +9,7 @@
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.metrics import FIRST_START_SECONDS, STARTS
 from hemlockstand.fleet.model import Refusal, Refused, Started, StartOrder, Unanswered
-from hemlockstand.fleet.pacing import PaceChange
+from hemlockstand.fleet.pacing import FULL_PERCENT, PaceChange
 from hemlockstand.fleet.policy.crashes import ISOLATION_SECONDS, is_isolated
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.tickets import TicketCache
@@ -38,6 +38,7 @@
         """Start a subtask on an executor."""
         run = Run(subtask.runs + 1, executor.id, executor.fence, self.state.clock())
         run.checkpoint = subtask.checkpoint
+        run.resumed = bool(subtask.checkpoint)
         self.state.registry.attach(subtask, run)
         executor.add_run(subtask)
         if is_isolated(subtask):
@@ -173,6 +174,7 @@
             return
         if run.state is not RunState.UNSURE:
             run.state = RunState.STOPPING
+        run.stopped_at = self.state.clock()
         self.state.nursery.start_soon(
             self.order_stop, executor, subtask.name, run.number
         )
@@ -214,6 +216,7 @@
             return False
         if subtask.run.state is RunState.STOPPING:
             subtask.run.state = RunState.RUNNING
+        subtask.run.stopped_at = None
         return True
 
     async def _try_stop(self, executor: Executor, name: str, number: int) -> bool:
@@ -239,6 +242,7 @@
             return
         before = run.pace
         run.pace = change.percent
+        run.slowed = run.slowed or change.percent < FULL_PERCENT
         name = change.subtask.name
         try:
             await executor.client.pace(name, run.number, change.percent, executor.fence)
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -13,6 +13,7 @@
 from hemlockstand.fleet.orders import RESTART_DELAY_SECONDS, Orders
 from hemlockstand.fleet.pacing import find_pace_changes
 from hemlockstand.fleet.policy.crashes import CrashedRun, is_cleared, judge_crash
+from hemlockstand.fleet.run_times import measure_run
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.takeover_barrier import TakeoverBarrier
 from hemlockstand.fleet.work import Run, RunState, Subtask
@@ -78,7 +79,7 @@
         if end.kind is EndKind.DONE and not subtask.step.lasting:
             executor.failed_in_row = 0
             if current:
-                self._record_duration(subtask, now)
+                self._record_time(subtask, end.kind, now)
                 self.state.registry.detach(subtask)
             self.state.registry.set_started(subtask.job)
             self.state.registry.set_done(subtask, now, now_ms)
@@ -93,14 +94,14 @@
         if current:
             self.orders.requeue(subtask, RESTART_DELAY_SECONDS)
 
-    def _record_duration(self, subtask: Subtask, now: float) -> None:
-        run = subtask.run
-        if run is None or run.checkpoint or not subtask.step.estimate_ms:
+    def _record_time(self, subtask: Subtask, kind: EndKind, now: float) -> None:
+        """Learn from the end of the present run of a subtask."""
+        run, step = subtask.run, subtask.step
+        time_of_run = None if run is None else measure_run(run, step, kind, now)
+        if time_of_run is None or not time_of_run.exact or not step.estimate_ms:
             return
-        estimate = subtask.step.estimate_ms / 1000
-        seconds = now - run.ordered_at
         self.state.registry.durations.add_sample(
-            subtask.job.spec.queue, seconds, estimate
+            subtask.job.spec.queue, time_of_run.seconds, step.estimate_ms / 1000
         )
 
     def _handle_failed_run(
@@ -209,6 +210,7 @@
         run = Run(entry.run, executor.id, executor.fence, now)
         run.state = RunState.RUNNING
         run.answered_at = now
+        run.start_unknown = True
         run.percent = entry.percent
         run.percent_at = now
         run.checkpoint = entry.checkpoint
@@ -235,6 +237,8 @@
             )
             subtask.avoid.add(executor.id)
             self._count_failure(executor)
+            if subtask.run is not None:
+                subtask.run.slowed = True
             self.orders.stop_run(subtask)
         if executor.entry.draining:
             for subtask in find_movable(
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -42,6 +42,11 @@
     load: int = 0
     pace: int = 100
     checkpoint: str = ""
+    resumed: bool = False  # from a checkpoint of an earlier run
+    # Adopted after a takeover, or ordered without an answer.
+    start_unknown: bool = False
+    slowed: bool = False  # ran below its full speed at some time
+    stopped_at: float | None = None  # time of the first stop order
 
     @property
     def may_be_unstarted(self) -> bool:
