Store what was learned of durations for the next scheduler

Cause: each takeover forgot all durations, so estimates counted as right again.

Change: the row `durations` in the table `scheduler` holds the most used groups in at most 32 KB. A DurationsChange joins transactions that have room for it, at most once in 5 s and only after further runs, and never causes one; a document that the store refuses is given up for the term. A new leader starts from the row and predicts the loaded jobs again. A document that is damaged or of another version is left as a whole with a log line; one of over ten minutes counts as at most 16 runs a group. Quantiles and means take less processor time.

--- a/hemlockstand/fleet/changes.py
+++ b/hemlockstand/fleet/changes.py
@@ -9,6 +9,7 @@
 
 from attrs import define, field, frozen
 
+from hemlockstand.fleet.durations_row import durations_write
 from hemlockstand.fleet.model import JobAttempts, JobStatus
 from hemlockstand.fleet.split_rows import known_executors_writes, wave_writes
 from hemlockstand.fleet.storage import (
@@ -60,6 +61,14 @@
     counts: Mapping[str, int]
 
 
+@frozen
+class DurationsChange:
+    """What was learned of durations from so many runs, as a document."""
+
+    runs: int
+    document: bytes = field(repr=False)
+
+
 @frozen
 class AttemptsChange:
     """Failures and crashes of a block of subtasks; None removes their row."""
@@ -89,6 +98,7 @@
     KnownExecutorsChange
     | WaveChange
     | PendingChange
+    | DurationsChange
     | AttemptsChange
     | StatusChange
     | ExpiryChange
@@ -106,7 +116,7 @@
             return AttemptsChange, job, block
         case StatusChange(job) | ExpiryChange(job):
             return type(change), job
-    return (PendingChange,)
+    return (type(change),)
 
 
 def list_writes(change: Change) -> list[RowWrite]:
@@ -118,6 +128,8 @@
             return wave_writes(progress.wave, record, completed)
         case PendingChange(counts):
             return [pending_write(counts)]
+        case DurationsChange(_, document):
+            return [durations_write(document)]
         case AttemptsChange(job, block, attempts) if attempts is not None:
             return [attempts_write(job, block, attempts)]
         case StatusChange(job, status):
--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -13,6 +13,7 @@
     AttemptsChange,
     Batch,
     Change,
+    DurationsChange,
     ExpiryChange,
     KnownExecutorsChange,
     PendingChange,
@@ -21,6 +22,7 @@
     fits_alone,
     identify,
 )
+from hemlockstand.fleet.durations_row import encode_durations
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.lease import Release
@@ -118,8 +120,22 @@
             if fits_alone(change):
                 break
             self._give_up(change, "it is over the limits of the store")
+        if complete:
+            self._add_durations(batch)
         return batch, complete
 
+    def _add_durations(self, batch: Batch) -> None:
+        """Add what was learned of durations, if the transaction has room.
+
+        Nothing waits for it, and it causes no transaction of its own.
+        """
+        durations, now = self.state.registry.durations, self.state.clock()
+        if not durations.is_unstored(now) or (DurationsChange,) in self._given_up:
+            return
+        durations.stored_at = now
+        document = encode_durations(durations.model, int(time.time() * 1000))
+        batch.add(DurationsChange(durations.model.runs, document))
+
     def _list_changes(self) -> Iterator[Change]:
         """Yield what is not stored yet; what others rely on comes first.
 
@@ -197,6 +213,8 @@
                 progress.stored = current == (record, completed)
             case PendingChange(counts):
                 self._pending = dict(counts)
+            case DurationsChange(runs):
+                registry.durations.runs_stored = runs
             case AttemptsChange(job, block, attempts):
                 registry.mark_block_stored(job, block, attempts is not None)
             case StatusChange(job, status, announced):
--- a/hemlockstand/fleet/durations.py
+++ b/hemlockstand/fleet/durations.py
@@ -28,6 +28,9 @@
 STALE_PART = 1 / 16
 MAX_STALE_RUNS = 16
 MAX_STALE_QUEUE_RUNS = 64
+# Least time between two attempts to store the model. A takeover loses what was
+# learned since, and each document takes up to 44 KB of the scheduler's link.
+STORE_SECONDS = 5.0
 # Expected durations that are kept; a few megabytes.
 MAX_CACHED = 16_384
 
@@ -56,9 +59,23 @@
     """
 
     model: DurationModel = field(factory=DurationModel)
+    runs_stored: int = 0  # runs of the model when it was last stored
+    stored_at: float = float("-inf")  # time of the last attempt
     _cache: dict[tuple, _CachedOutlook] = field(factory=dict)
     _cached: int = 0
 
+    def replace_model(self, model: DurationModel) -> None:
+        """Start from what a previous scheduler has learned."""
+        self.model = model
+        self._cache.clear()
+        self._cached = 0
+
+    def is_unstored(self, now: float) -> bool:
+        """Return whether there is something to store, and it is time to."""
+        return (
+            self.model.runs > self.runs_stored and now - self.stored_at >= STORE_SECONDS
+        )
+
     def record(
         self, spec: JobSpec, position: int, run_time: RunTime, far: bool = False
     ) -> None:
--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -165,16 +165,18 @@
                 continue
             if all(job.steps[occurrence, earlier].complete for earlier in step.after):
                 step_run.unlocked_at = now
-                step_run.remaining_seconds = self._predict_remaining(step_run)
+                self.predict_remaining(step_run)
                 self._create_subtasks(step_run)
                 for subtask in step_run.subtasks:
                     if not subtask.done and subtask.run is None:
                         self.set_waiting(subtask)
 
-    def _predict_remaining(self, step_run: StepRun) -> float:
+    def predict_remaining(self, step_run: StepRun) -> None:
+        """Predict the time of the longest chain from a step on."""
         spec = step_run.job.spec
         seconds = expect_medians(spec, self.durations)
-        return measure_chain(spec, step_run.position, seconds)
+        position = step_run.position
+        step_run.remaining_seconds = measure_chain(spec, position, seconds)
 
     def announce(self, step_run: StepRun, pool: str) -> None:
         """Request that a step is stored as one that may have started in a pool."""
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -12,6 +12,7 @@
 from hemlockstand.fleet.commits import Commits
 from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.durations import estimate_chain_seconds
+from hemlockstand.fleet.durations_row import load_durations
 from hemlockstand.fleet.executor_directory import ExecutorDirectory
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.idle_report import IdleReporter
@@ -176,8 +177,22 @@
         }
         self._executor_directory.add_known(self._commits.known_executors)
         self._wave_records = decode_waves(page.rows)
+        load_durations(
+            page.rows, self.state.registry.durations, int(time.time() * 1000)
+        )
+        self._predict_again()
         self._add_waves()
 
+    def _predict_again(self) -> None:
+        """Predict times of the loaded jobs by durations that were read since."""
+        for job in self.state.registry.jobs.values():
+            if job.state.final:
+                continue
+            self._set_deadline(job)
+            for step_run in job.steps.values():
+                if step_run.unlocked:
+                    self.state.registry.predict_remaining(step_run)
+
     def _add_waves(self) -> None:
         for number, wave in self.state.configuration.waves.items():
             record = self._wave_records.get(number)
--- a/hemlockstand/fleet/policy/expectation.py
+++ b/hemlockstand/fleet/policy/expectation.py
@@ -160,7 +160,7 @@
     max_groups: int = MAX_GROUPS
     groups: dict[GroupKey, Group] = field(factory=dict)
     queues: dict[str, QueueRecord] = field(factory=dict)
-    _added: int = 0
+    runs: int = 0  # that this scheduler has added
 
     def find_queue(self, name: str) -> QueueRecord:
         """Return the record of a queue."""
@@ -249,8 +249,8 @@
         A group is used at least as often as those within it, so it stays as
         long as they do.
         """
-        self._added += 1
-        if self._added % FORGET_USES_RUNS == 0:
+        self.runs += 1
+        if self.runs % FORGET_USES_RUNS == 0:
             for group in self.groups.values():
                 group.uses /= 2
         if len(self.groups) > self.max_groups:
--- a/hemlockstand/fleet/policy/histogram.py
+++ b/hemlockstand/fleet/policy/histogram.py
@@ -12,7 +12,6 @@
 """
 
 from collections.abc import Iterable, Mapping
-from itertools import accumulate
 from math import log2
 
 from attrs import define, field
@@ -26,6 +25,13 @@
 MAX_WEIGHT = 256.0
 # Smaller weights of bins are dropped, in runs.
 MIN_BIN_WEIGHT = 0.01
+# Sums of weights that differ by less than this factor are equal.
+ROUNDING = 1 - 1e-9
+
+_VALUES = {
+    number: 2.0 ** (number / BINS_PER_OCTAVE)
+    for number in range(MIN_BIN, MAX_BIN + BINS_PER_OCTAVE)
+}
 
 
 def find_bin(value: float) -> int:
@@ -72,35 +78,38 @@
         if not self.total or not whole:
             return wider
         mixed = {number: weight / whole for number, weight in self.counts.items()}
+        factor = wider_weight / whole
+        get = mixed.get
         for number, part in wider.items():
-            mixed[number] = mixed.get(number, 0.0) + part * wider_weight / whole
+            mixed[number] = get(number, 0.0) + part * factor
         return mixed
 
 
 def read_quantiles(
     distribution: Mapping[int, float], parts: Iterable[float]
 ) -> list[float]:
-    """Return the binary logarithms below which parts of the runs lie.
+    """Return the binary logarithms below which increasing parts of the runs lie.
 
     Within a bin they are taken as evenly spread.
     """
-    numbers = sorted(distribution)
-    sums = list(accumulate(distribution[number] for number in numbers))
+    whole = sum(distribution.values())
+    numbers = iter(sorted(distribution))
+    number = next(numbers)
+    weight = reached = distribution[number]
     found = []
     for part in parts:
-        target = part * sums[-1]
-        index = next(i for i, reached in enumerate(sums) if reached >= target)
-        weight = distribution[numbers[index]]
-        inside = 1.0 - (sums[index] - target) / weight
-        found.append((numbers[index] - 0.5 + inside) / BINS_PER_OCTAVE)
+        while reached < part * whole * ROUNDING:
+            number = next(numbers)
+            weight = distribution[number]
+            reached += weight
+        inside = 1.0 - (reached - part * whole) / weight
+        found.append((number - 0.5 + inside) / BINS_PER_OCTAVE)
     return found
 
 
 def read_mean(distribution: Mapping[int, float]) -> float:
     """Return the binary logarithm of the mean value."""
-    whole = sum(distribution.values())
-    total = sum(
-        part * 2.0 ** (number / BINS_PER_OCTAVE)
-        for number, part in distribution.items()
-    )
-    return log2(total / whole)
+    total = 0.0
+    for number, part in distribution.items():
+        total += part * _VALUES[number]
+    return log2(total / sum(distribution.values()))
