Show expected durations to operators, and their error by queue

Cause: nobody could see what the scheduler expects of a queue, or how far it is off.

Change: the histogram hemlockstand_duration_ratio has the expected median of each run that ended as done, as a part of its time, for 50 queues and one label for all further ones. Durations.view returns median, 90th and 99th percentile, mean, runs, trust in estimates and their usual factor for each queue, as JSON values.

--- a/hemlockstand/fleet/durations.py
+++ b/hemlockstand/fleet/durations.py
@@ -7,10 +7,15 @@
   sum of the work of its subtasks, slow ones included.
 """
 
+from typing import Any
+
+import attrs
 from attrs import define, field
 
+from hemlockstand.fleet.metrics import DURATION_RATIO
 from hemlockstand.fleet.model import JobSpec
 from hemlockstand.fleet.policy.expectation import (
+    MIN_SECONDS,
     DurationModel,
     Group,
     Outlook,
@@ -31,6 +36,9 @@
 # Least time between two attempts to store the model. A takeover loses what was
 # learned since, and each document takes up to 44 KB of the scheduler's link.
 STORE_SECONDS = 5.0
+# Queues with metrics of their own; further ones share a label.
+MAX_LABELS = 50
+OTHER_LABEL = "other"
 # Expected durations that are kept; a few megabytes.
 MAX_CACHED = 16_384
 
@@ -63,6 +71,7 @@
     stored_at: float = float("-inf")  # time of the last attempt
     _cache: dict[tuple, _CachedOutlook] = field(factory=dict)
     _cached: int = 0
+    _labels: set[str] = field(factory=set)
 
     def replace_model(self, model: DurationModel) -> None:
         """Start from what a previous scheduler has learned."""
@@ -83,8 +92,46 @@
         expected = self.expect(spec, position, far)
         estimate = spec.steps[position].estimate_ms / 1000
         run = EndedRun(run_time, estimate, spec.id)
+        if run_time.exact:
+            ratio = expected.median_seconds / max(run_time.seconds, MIN_SECONDS)
+            DURATION_RATIO.labels(self._choose_label(spec.queue)).observe(ratio)
         self.model.add(find_traits(spec, position, far), run, expected.median_seconds)
 
+    def _choose_label(self, queue: str) -> str:
+        """Return the queue as a label of metrics, or that of all further ones."""
+        if queue not in self._labels:
+            if len(self._labels) >= MAX_LABELS:
+                return OTHER_LABEL
+            self._labels.add(queue)
+        return queue
+
+    def view(self) -> list[dict[str, Any]]:
+        """Return what is expected in each queue, for operators, as JSON values.
+
+        Times are in seconds over all runs of the queue near their data, whatever
+        their estimates. ``trust`` is 1 where times follow the estimates and 0
+        where they say nothing; ``factor`` is the usual time by its estimate::
+
+            {"queue": "quotes", "runs": 140, "median": 1.9, "p90": 4.2,
+             "p99": 13.5, "mean": 2.4, "trust": 1.0, "factor": 3.1}
+        """
+        views = []
+        for queue in sorted(self.model.queues):
+            outlook = self.model.measure_outlook(Traits(queue))
+            if outlook.times is None:
+                continue
+            times = attrs.asdict(outlook.times)
+            views.append(
+                {
+                    "queue": queue,
+                    "runs": outlook.runs,
+                    **{name: round(2.0**level, 3) for name, level in times.items()},
+                    "trust": round(outlook.trust, 2),
+                    "factor": round(2.0**outlook.ratios.median, 3),
+                }
+            )
+        return views
+
     def expect(
         self, spec: JobSpec, position: int, far: bool = False
     ) -> ExpectedDuration:
--- a/hemlockstand/fleet/metrics.py
+++ b/hemlockstand/fleet/metrics.py
@@ -26,6 +26,13 @@
     "Orders to move or maintain instances.",
     ["kind", "outcome"],
 )
+# Label values are limited by the caller; see ``Durations``.
+DURATION_RATIO = Histogram(
+    "hemlockstand_duration_ratio",
+    "Expected median of a run that ended as done, as a part of its time.",
+    ["queue"],
+    buckets=(0.1, 0.25, 0.5, 0.67, 0.8, 1.0, 1.25, 1.5, 2.0, 4.0, 10.0),
+)
 LEADING = Gauge("hemlockstand_scheduler", "1 while this daemon is the scheduler.")
 WAITING = Gauge("hemlockstand_waiting_subtasks", "Subtasks that wait for a place.")
 
--- a/test/test_fleet_expectation.py
+++ b/test/test_fleet_expectation.py
@@ -1,12 +1,15 @@
 """Expected durations of subtasks, learned from randomly drawn runs."""
 
+import json
+import re
 import sys
 from random import Random
 
 import pytest
 
 from hemlockstand.fleet.capacity import Demand, add_arrival
-from hemlockstand.fleet.durations import Durations, estimate_chain_seconds
+from hemlockstand.fleet.durations import MAX_LABELS, Durations, estimate_chain_seconds
+from hemlockstand.fleet.metrics import render_metrics
 from hemlockstand.fleet.model import JobSpec
 from hemlockstand.fleet.policy.expectation import DurationModel
 from hemlockstand.fleet.policy.observations import EndedRun, RunTime, Traits
@@ -217,3 +220,29 @@
     )
     spec = JobSpec("b" * 16, "queue", "pool", "hinge", "", steps)
     assert 13.0 < estimate_chain_seconds(spec, model.durations) < 17.0
+
+
+def test_operators_see_each_queue():
+    """Guards against a view that no interface can send, or that lacks a queue."""
+    model = Model()
+    for run in draw_runs(1000, tell_fifth):
+        model.learn(run)
+    model.durations.expect(make_spec(), 0)
+    assert model.durations.expect(JobSpec("a", "new", "", "", "", (make_step(),)), 0)
+    (view,) = json.loads(json.dumps(model.durations.view()))
+    assert (view["queue"], view["trust"]) == ("queue", 1.0)
+    assert 1.5 < view["median"] < 3.0 < view["p90"] < view["p99"]
+    assert view["factor"] == pytest.approx(5.0, rel=0.1)
+    assert view["runs"] > 100
+
+
+def test_labels_of_metrics_are_limited():
+    """Guards against as many time series as there are names of queues."""
+    durations = Durations()
+    for number in range(80):
+        spec = JobSpec("a", f"many-{number}", "pool", "team", "", (make_step(),))
+        durations.record(spec, 0, RunTime(1.0, DONE))
+    text = render_metrics().decode()
+    found = set(re.findall(r'duration_ratio_count{queue="(many-\d+|other)"}', text))
+    assert len(found) == MAX_LABELS + 1
+    assert "other" in found
