--- a/hemlockstand/fleet/durations.py
+++ b/hemlockstand/fleet/durations.py
@@ -1,90 +1,215 @@
-"""Expected durations of subtasks, learned from estimates and actual times."""
+"""Expected durations of subtasks, learned from estimates and actual times.
 
-from math import log10
+Who takes which part of the distribution:
 
-from attrs import define, field, frozen
+* The order of waiting takes medians (``expect_medians``).
+* Sizes of pools take means (``mean_seconds``): the cores that a pool needs are the
+  sum of the work of its subtasks, slow ones included.
+"""
 
-from hemlockstand.fleet.model import JobSpec
+from typing import Any
+
+import attrs
+from attrs import define, field
 
-# Until enough subtasks have ended, estimates are taken as correct: the fit
-# starts with this many samples on the diagonal, with the variance of the
-# decimal logarithms of half and double.
-PRIOR_SAMPLES = 4.0
-PRIOR_VARIANCE = 0.09
+from hemlockstand.fleet.metrics import DURATION_RATIO
+from hemlockstand.fleet.model import JobSpec
+from hemlockstand.fleet.policy.expectation import (
+    MIN_SECONDS,
+    DurationModel,
+    Group,
+    Outlook,
+    QueueRecord,
+)
+from hemlockstand.fleet.policy.observations import (
+    EndedRun,
+    ExpectedDuration,
+    RunTime,
+    Traits,
+)
+
+# What was expected is kept until its group has had this part more runs, and at
+# most so many: fewer hardly move a quantile. The rest of the queue counts less.
+STALE_PART = 1 / 16
+MAX_STALE_RUNS = 16
+MAX_STALE_QUEUE_RUNS = 64
+# Least time between two attempts to store the model. A takeover loses what was
+# learned since, and each document takes up to 44 KB of the scheduler's link.
+STORE_SECONDS = 5.0
+# Queues with metrics of their own; further ones share a label.
+MAX_LABELS = 50
+OTHER_LABEL = "other"
+# Expected durations that are kept; a few megabytes.
+MAX_CACHED = 16_384
 
 
 @define(eq=False)
-class _LinearFit:
-    """Sums for a least-squares line through logarithms."""
-
-    weight: float = PRIOR_SAMPLES
-    sum_x: float = 0.0
-    sum_y: float = 0.0
-    sum_xx: float = PRIOR_SAMPLES * PRIOR_VARIANCE
-    sum_xy: float = PRIOR_SAMPLES * PRIOR_VARIANCE
-
-    def add_point(self, x: float, y: float) -> None:
-        """Add a point."""
-        self.weight += 1
-        self.sum_x += x
-        self.sum_y += y
-        self.sum_xx += x * x
-        self.sum_xy += x * y
-
-    def predict(self, x: float) -> float:
-        """Return the y that the line has at x."""
-        mean_x = self.sum_x / self.weight
-        mean_y = self.sum_y / self.weight
-        variance = self.sum_xx / self.weight - mean_x * mean_x
-        covariance = self.sum_xy / self.weight - mean_x * mean_y
-        slope = min(1.0, max(0.0, covariance / variance)) if variance > 0 else 1.0
-        return mean_y + slope * (x - mean_x)
-
-
-@frozen
-class ExpectedDuration:
-    """What a subtask is expected to take, and on how many runs that rests.
-
-    Without any run, all three are what its submitter estimates.
+class _CachedOutlook:
+    """An outlook, and what it gives at the estimates that were asked for.
+
+    It holds until its group or the queue has had so many runs.
     """
 
-    median_seconds: float
-    p90_seconds: float
-    p99_seconds: float
-    runs: int
+    outlook: Outlook
+    group: Group | None
+    last_group_change: int
+    queue: QueueRecord
+    last_change: int
+    expected: dict[int, ExpectedDuration] = field(factory=dict)
 
 
 @define(eq=False)
 class Durations:
-    """Predicts how long subtasks take from their submitters' estimates.
+    """Expected durations of subtasks, from the runs that have ended.
 
-    Estimates of some queues are far off. A least-squares line through the
-    logarithms of a queue's estimated and actual times corrects them.
+    ``expect`` is called for each step of each job several times a second, so
+    its results are kept, and computed again only after further runs.
     """
 
-    _fits: dict[str, _LinearFit] = field(factory=dict)
-
-    def add_sample(self, queue: str, seconds: float, estimate_seconds: float) -> None:
-        """Add the actual and the estimated time of a subtask."""
-        fit = self._fits.setdefault(queue, _LinearFit())
-        fit.add_point(log10(max(estimate_seconds, 0.01)), log10(max(seconds, 0.01)))
-
-    def predict(self, queue: str, estimate_ms: int) -> float:
-        """Return the seconds that a subtask is expected to take."""
-        seconds = max(estimate_ms / 1000, 0.01)
-        fit = self._fits.get(queue)
-        return seconds if fit is None else 10 ** fit.predict(log10(seconds))
-
-    def expect(self, spec: JobSpec, position: int) -> ExpectedDuration:
-        """Return what a subtask of a job's step is expected to take."""
-        seconds = self.predict(spec.queue, spec.steps[position].estimate_ms)
-        return ExpectedDuration(seconds, seconds, seconds, 0)
+    model: DurationModel = field(factory=DurationModel)
+    runs_stored: int = 0  # runs of the model when it was last stored
+    stored_at: float = float("-inf")  # time of the last attempt
+    _cache: dict[tuple, _CachedOutlook] = field(factory=dict)
+    _cached: int = 0
+    _labels: set[str] = field(factory=set)
+
+    def replace_model(self, model: DurationModel) -> None:
+        """Start from what a previous scheduler has learned."""
+        self.model = model
+        self._cache.clear()
+        self._cached = 0
+
+    def is_unstored(self, now: float) -> bool:
+        """Return whether there is something to store, and it is time to."""
+        return (
+            self.model.runs > self.runs_stored and now - self.stored_at >= STORE_SECONDS
+        )
+
+    def record(
+        self, spec: JobSpec, position: int, run_time: RunTime, far: bool = False
+    ) -> None:
+        """Learn from a run; ``far`` means on another rack than that of its data."""
+        expected = self.expect(spec, position, far)
+        estimate = spec.steps[position].estimate_ms / 1000
+        run = EndedRun(run_time, estimate, spec.id)
+        if run_time.exact:
+            ratio = expected.median_seconds / max(run_time.seconds, MIN_SECONDS)
+            DURATION_RATIO.labels(self._choose_label(spec.queue)).observe(ratio)
+        self.model.add(find_traits(spec, position, far), run, expected.median_seconds)
+
+    def _choose_label(self, queue: str) -> str:
+        """Return the queue as a label of metrics, or that of all further ones."""
+        if queue not in self._labels:
+            if len(self._labels) >= MAX_LABELS:
+                return OTHER_LABEL
+            self._labels.add(queue)
+        return queue
+
+    def view(self) -> list[dict[str, Any]]:
+        """Return what is expected in each queue, for operators, as JSON values.
+
+        Times are in seconds over all runs of the queue near their data, whatever
+        their estimates. ``trust`` is 1 where times follow the estimates and 0
+        where they say nothing; ``factor`` is the usual time by its estimate::
+
+            {"queue": "quotes", "runs": 140, "median": 1.9, "p90": 4.2,
+             "p99": 13.5, "mean": 2.4, "trust": 1.0, "factor": 3.1}
+        """
+        views = []
+        for queue in sorted(self.model.queues):
+            outlook = self.model.measure_outlook(Traits(queue))
+            if outlook.times is None:
+                continue
+            times = attrs.asdict(outlook.times)
+            views.append(
+                {
+                    "queue": queue,
+                    "runs": outlook.runs,
+                    **{name: round(2.0**level, 3) for name, level in times.items()},
+                    "trust": round(outlook.trust, 2),
+                    "factor": round(2.0**outlook.ratios.median, 3),
+                }
+            )
+        return views
+
+    def expect(
+        self, spec: JobSpec, position: int, far: bool = False
+    ) -> ExpectedDuration:
+        """Return what a subtask of a job's step is expected to take.
+
+        It runs at full speed, and on the rack of its data unless ``far``.
+        """
+        step = spec.steps[position]
+        size = step.size
+        key = (
+            spec.queue,
+            spec.tenant,
+            step.image,
+            size.cpu_millis,
+            size.memory_mb,
+            size.accelerators,
+            step.label,
+            far,
+        )
+        cached = self._cache.get(key)
+        if (
+            cached is None
+            or cached.queue.changes > cached.last_change
+            or (cached.group and cached.group.changes > cached.last_group_change)
+        ):
+            cached = self._measure(key, find_traits(spec, position, far))
+        expected = cached.expected.get(step.estimate_ms)
+        if expected is None:
+            expected = cached.outlook.expect(step.estimate_ms / 1000)
+            cached.expected[step.estimate_ms] = expected
+            self._cached += 1
+        return expected
+
+    def _measure(self, key: tuple, traits: Traits) -> _CachedOutlook:
+        if self._cached >= MAX_CACHED:
+            self._cache.clear()
+            self._cached = 0
+        queue = self.model.find_queue(traits.queue)
+        outlook = self.model.measure_outlook(traits)
+        group = self.model.find_narrowest(traits)
+        group_changes = 0 if group is None else group.changes
+        cached = _CachedOutlook(
+            outlook,
+            group,
+            group_changes + min(MAX_STALE_RUNS, int(group_changes * STALE_PART)),
+            queue,
+            queue.changes + min(MAX_STALE_QUEUE_RUNS, queue.changes // 4),
+        )
+        self._cache[key] = cached
+        self._cached += 1
+        return cached
+
+
+def find_traits(spec: JobSpec, position: int, far: bool) -> Traits:
+    """Return what distinguishes the subtasks of a job's step."""
+    step = spec.steps[position]
+    size = step.size
+    parts = (size.cpu_millis, size.memory_mb, size.accelerators, step.label)
+    shape = "/".join(str(part) for part in parts)
+    return Traits(spec.queue, spec.tenant, step.image, shape, far)
+
+
+def expect_medians(spec: JobSpec, durations: Durations) -> list[float]:
+    """Return the median seconds that each step of a job is expected to take.
+
+    The order of waiting takes the median, not the mean: a job's objective is
+    its usual work times a factor, and a mean that some slow runs raise would
+    give all jobs of the queue more time than they have.
+    """
+    positions = range(len(spec.steps))
+    return [durations.expect(spec, position).median_seconds for position in positions]
 
 
 def estimate_chain_seconds(spec: JobSpec, durations: Durations) -> float:
     """Return the expected seconds of the longest chain of a job's steps."""
     finished: list[float] = []
-    for step in spec.steps:
+    medians = expect_medians(spec, durations)
+    for step, seconds in zip(spec.steps, medians, strict=True):
         start = max((finished[earlier] for earlier in step.after), default=0.0)
-        finished.append(start + durations.predict(spec.queue, step.estimate_ms))
+        finished.append(start + seconds)
     return max(finished, default=0.0)
--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from hemlockstand.fleet.bit_sets import find_bits
-from hemlockstand.fleet.durations import Durations
+from hemlockstand.fleet.durations import Durations, expect_medians
 from hemlockstand.fleet.model import (
     FleetConfig,
     JobAttempts,
@@ -165,18 +165,18 @@
                 continue
             if all(job.steps[occurrence, earlier].complete for earlier in step.after):
                 step_run.unlocked_at = now
-                step_run.remaining_seconds = self._predict_remaining(step_run)
+                self.predict_remaining(step_run)
                 self._create_subtasks(step_run)
                 for subtask in step_run.subtasks:
                     if not subtask.done and subtask.run is None:
                         self.set_waiting(subtask)
 
-    def _predict_remaining(self, step_run: StepRun) -> float:
+    def predict_remaining(self, step_run: StepRun) -> None:
+        """Predict the time of the longest chain from a step on."""
         spec = step_run.job.spec
-        seconds = [
-            self.durations.predict(spec.queue, step.estimate_ms) for step in spec.steps
-        ]
-        return measure_chain(spec, step_run.position, seconds)
+        seconds = expect_medians(spec, self.durations)
+        position = step_run.position
+        step_run.remaining_seconds = measure_chain(spec, position, seconds)
 
     def announce(self, step_run: StepRun, pool: str) -> None:
         """Request that a step is stored as one that may have started in a pool."""
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -9,7 +9,7 @@
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.metrics import FIRST_START_SECONDS, STARTS
 from hemlockstand.fleet.model import Refusal, Refused, Started, StartOrder, Unanswered
-from hemlockstand.fleet.pacing import PaceChange
+from hemlockstand.fleet.pacing import FULL_PERCENT, PaceChange
 from hemlockstand.fleet.policy.crashes import ISOLATION_SECONDS, is_isolated
 from hemlockstand.fleet.policy.evacuation import (
     find_cold_limit,
@@ -43,6 +43,7 @@
         """Start a subtask on an executor."""
         run = Run(subtask.runs + 1, executor.id, executor.fence, self.state.clock())
         run.checkpoint = subtask.checkpoint
+        run.resumed = bool(subtask.checkpoint)
         self.state.registry.attach(subtask, run)
         executor.add_run(subtask)
         now = self.state.clock()
@@ -186,6 +187,7 @@
             return
         if run.state is not RunState.UNSURE:
             run.state = RunState.STOPPING
+        run.stopped_at = self.state.clock()
         self.state.nursery.start_soon(
             self.order_stop, executor, subtask.name, run.number
         )
@@ -227,6 +229,7 @@
             return False
         if subtask.run.state is RunState.STOPPING:
             subtask.run.state = RunState.RUNNING
+        subtask.run.stopped_at = None
         return True
 
     async def _try_stop(self, executor: Executor, name: str, number: int) -> bool:
@@ -252,6 +255,7 @@
             return
         before = run.pace
         run.pace = change.percent
+        run.slowed = run.slowed or change.percent < FULL_PERCENT
         name = change.subtask.name
         try:
             await executor.client.pace(name, run.number, change.percent, executor.fence)
