Order waiting steps by the shares of their workspaces

Cause: Tenant.weight was decoded but not used.

Change: while a pool lacks room and several workspaces wait there, steps of workspaces above their share come after those of the others. The share is in proportion to the weight, on the dominant resource; the registry keeps usage and need in a ledger with each start and end. What a round places counts at once. Steps that have begun, and late jobs, have rules of their own, which keep more jobs in time. StepRank is a named tuple, because comparing ranks took most of a round, and a round no longer builds an empty PoolRoom for each step.

--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -21,6 +21,7 @@
     JobStatus,
     Resources,
 )
+from hemlockstand.fleet.policy.shares import UsageLedger
 from hemlockstand.fleet.policy.waiting import measure_chain
 from hemlockstand.fleet.work import Job, Run, StepRun, Subtask
 
@@ -33,10 +34,10 @@
 class JobRegistry:
     """All jobs of the fleet.
 
-    ``ready`` holds the steps with waiting subtasks, ``in_use`` the resources
-    of all runs by tenant, and ``ended`` the ended jobs by time. ``dirty``
-    names the jobs whose status row is out of date, ``dirty_blocks`` the blocks of
-    subtasks whose row of failures and crashes is.
+    ``ready`` holds the steps with waiting subtasks, ``in_use`` the resources of all
+    runs by tenant, ``ledger`` those by pool, and ``ended`` the ended jobs by time.
+    ``dirty`` names the jobs whose status row is out of date, ``dirty_blocks`` the
+    blocks of subtasks whose row of failures and crashes is.
     """
 
     run_base: int = 0
@@ -47,6 +48,7 @@
     in_use: dict[str, Resources] = field(factory=dict)
     ended: list[tuple[int, str]] = field(factory=list)
     durations: Durations = field(factory=Durations)
+    ledger: UsageLedger = field(factory=UsageLedger)
     _due: list[tuple[float, str, int]] = field(factory=list)
 
     def add(
@@ -60,8 +62,7 @@
     ) -> Job | None:
         """Add a job from its rows; return None if it is already known.
 
-        ``attempts`` holds its failures and crashes by block, apart from those in
-        the status.
+        ``attempts`` holds the failures and crashes that are not in the status.
         """
         if spec.id in self.jobs:
             return None
@@ -212,13 +213,16 @@
 
     def set_waiting(self, subtask: Subtask) -> None:
         """Queue a subtask for placement."""
-        subtask.step_run.waiting[subtask.index] = subtask
+        if subtask.index not in subtask.step_run.waiting:
+            subtask.step_run.waiting[subtask.index] = subtask
+            self.ledger.add_waiting(subtask, 1)
         self.ready[subtask.step_run.name] = subtask.step_run
 
     def unset_waiting(self, subtask: Subtask) -> None:
         """Remove a subtask from the placement queue."""
         step_run = subtask.step_run
-        step_run.waiting.pop(subtask.index, None)
+        if step_run.waiting.pop(subtask.index, None) is not None:
+            self.ledger.add_waiting(subtask, -1)
         if not step_run.waiting:
             self.ready.pop(step_run.name, None)
 
@@ -263,13 +267,14 @@
 
     def detach(self, subtask: Subtask) -> None:
         """Remove the run of a subtask."""
-        subtask.run = None
         self._add_usage(subtask, -1)
+        subtask.run = None
 
     def _add_usage(self, subtask: Subtask, times: int) -> None:
         tenant = subtask.job.spec.tenant
         used = self.in_use.get(tenant, Resources())
         self.in_use[tenant] = used.add(subtask.step.size, times)
+        self.ledger.add_run(subtask, times)
 
     def set_started(self, job: Job) -> None:
         """Mark a job as started."""
@@ -382,11 +387,7 @@
 
 
 def find_pool(job: Job, config: FleetConfig) -> str:
-    """Return the pool that runs a job's subtasks.
-
-    It is that of the job's queue in the configuration, or the pool stored with
-    the job if the queue is gone.
-    """
+    """Return the pool of a job's queue, or the stored one if that is gone."""
     queue = config.queues_by_name.get(job.spec.queue)
     return job.spec.pool if queue is None else queue.pool
 
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -38,6 +38,7 @@
         """Start a subtask on an executor."""
         run = Run(subtask.runs + 1, executor.id, executor.fence, self.state.clock())
         run.checkpoint = subtask.checkpoint
+        run.pool = executor.entry.pool
         self.state.registry.attach(subtask, run)
         executor.add_run(subtask)
         if is_isolated(subtask):
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -19,8 +19,9 @@
     is_isolated,
     is_suspect,
 )
-from hemlockstand.fleet.policy.placing import PoolRoom
-from hemlockstand.fleet.policy.waiting import rank_step
+from hemlockstand.fleet.policy.placing import PoolRoom, order_by_shares
+from hemlockstand.fleet.policy.shares import PoolShares, measure_shares
+from hemlockstand.fleet.policy.waiting import StepRank, rank_step
 from hemlockstand.fleet.work import StepRun, Subtask
 
 # A subtask that failed or made no progress on an executor avoids it if at
@@ -44,7 +45,8 @@
     scheduler may exist; steps that it may have started in one of them wait.
     ``may_run`` returns whether the queue's policy allows an executor, and
     ``is_confirmed`` whether the known capacities still apply; executors without
-    an admission check would start what does not fit.
+    an admission check would start what does not fit. ``shares`` holds those of
+    the pools that lacked room in the last round.
     """
 
     registry: JobRegistry
@@ -54,24 +56,32 @@
         default=lambda step_run, executor: True
     )
     is_confirmed: Callable[[], bool] = field(default=lambda: True)
+    shares: dict[str, PoolShares] = field(factory=dict)
     _unconfirmed_use: dict[str, Resources] = field(factory=dict)
 
     def place(self, config: FleetConfig, now: float) -> Iterator[Placement]:
         """Yield placements; the caller starts each before it asks for more."""
         pools = self._group_executors(config, now)
         self._unconfirmed_use = self._measure_unconfirmed_use()
-        order = sorted(
+        self._measure_shares(pools, config, now)
+        no_room = PoolRoom([])
+        order: Iterable[tuple[StepRank, StepRun, PoolRoom]] = sorted(
             (
-                (rank_step(step_run, config, now), step_run)
+                (
+                    rank_step(step_run, config, now),
+                    step_run,
+                    pools.get(find_pool(step_run.job, config), no_room),
+                )
                 for step_run in self.registry.ready.values()
             ),
             key=itemgetter(0),
         )
-        for rank, step_run in order:
+        if self.shares:
+            order = order_by_shares(order)
+        for rank, step_run, room in order:
             pool = find_pool(step_run.job, config)
             if step_run.may_have_unknown_runs(self.blocked_pools):
                 continue
-            room = pools.setdefault(pool, PoolRoom([]))
             may_announce = room.count_step(step_run)
             if not step_run.announced or pool not in step_run.job.stored_pools:
                 if may_announce:
@@ -79,11 +89,31 @@
                     room.hold(rank, step_run)
                 continue
             if not room.is_held_from(rank) and room.may_fit(step_run.step):
-                yield from self._place_step(step_run, room, config, now)
+                yield from self._place_step(step_run, rank, room, config, now)
                 room.forget_free_cpu()
-            if step_run.waiting and not room.lacks_cpu(step_run.step):
+            if step_run.waiting and (
+                not room.lacks_cpu(step_run.step) or room.is_deferred(step_run, rank)
+            ):
                 room.discount_step(step_run)
 
+    def _measure_shares(
+        self, pools: Mapping[str, PoolRoom], config: FleetConfig, now: float
+    ) -> None:
+        """Measure the shares of workspaces in the pools that lack room."""
+        ledger = self.registry.ledger
+        ledger.advance(now)
+        self.shares.clear()
+        contenders = ledger.find_contenders(config, self.registry.in_use)
+        for pool, wants in contenders.items():
+            if pool not in pools:
+                continue
+            room = pools[pool]
+            usages = ledger.by_pool.get(pool, {})
+            free = room.measure_free()
+            room.shares = measure_shares(wants, usages, config.tenants, free)
+            if room.shares is not None:
+                self.shares[pool] = room.shares
+
     def _measure_unconfirmed_use(self) -> dict[str, Resources]:
         """Return the resources that unknown runs may use, by tenant.
 
@@ -118,7 +148,12 @@
         return {pool: PoolRoom(*group) for pool, group in groups.items()}
 
     def _place_step(
-        self, step_run: StepRun, room: PoolRoom, config: FleetConfig, now: float
+        self,
+        step_run: StepRun,
+        rank: StepRank,
+        room: PoolRoom,
+        config: FleetConfig,
+        now: float,
     ) -> Iterator[Placement]:
         tenant = config.tenants.get(step_run.job.spec.tenant)
         executors = self._select_allowed(step_run, room.executors)
@@ -126,7 +161,9 @@
             resort = room.find_last_resort(step_run.subtasks[0], now)
             executors += self._select_allowed(step_run, resort)
             free = [item for item in executors if item.backoff_until <= now]
-            yield from self._place_gang(step_run, free, tenant, now)
+            for placement in self._place_gang(step_run, free, tenant, now):
+                yield placement
+                room.add_placed(step_run)
             return
         waiting = [
             subtask
@@ -146,6 +183,9 @@
             if executor is None:
                 return
             yield Placement(subtask, executor)
+            room.add_placed(step_run)
+            if room.is_deferred(step_run, rank):
+                return
 
     def _select_allowed(
         self, step_run: StepRun, executors: Iterable[Executor]
--- a/hemlockstand/fleet/policy/placing.py
+++ b/hemlockstand/fleet/policy/placing.py
@@ -5,13 +5,16 @@
 not look at every executor for every step that cannot start.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from itertools import groupby
+from operator import itemgetter
 
 from attrs import define, field
 
 from hemlockstand.fleet.executors import Executor
-from hemlockstand.fleet.model import Step
-from hemlockstand.fleet.policy.waiting import StepRank
+from hemlockstand.fleet.model import Step, get_reservation
+from hemlockstand.fleet.policy.shares import PoolShares
+from hemlockstand.fleet.policy.waiting import Standing, StepRank, Timeliness
 from hemlockstand.fleet.work import StepRun, Subtask
 
 # Part of a pool's capacity for which steps are announced ahead of their start,
@@ -28,16 +31,19 @@
 
     ``quarantined`` holds the executors on which runs have failed in a row.
     They are the last resort of lasting work, which fails by itself as well,
-    and of a pool that has no others.
+    and of a pool that has no others. ``shares`` are those of the workspaces if
+    the pool lacks room.
     """
 
     executors: list[Executor]
     quarantined: list[Executor] = field(factory=list)
+    shares: PoolShares | None = None
     _offered: list[Executor] = field(init=False)
     _announceable_cpu: float = field(init=False)
     _largest_cpu: int = field(init=False)
     _held_cpu: int = 0
     _held_for: StepRank | None = None
+    _held_for_modest: bool = False  # a workspace that wants no more than its share
     _largest_free_cpu: int | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -86,15 +92,50 @@
         """
         self._held_cpu += count_needed_cpu(step_run)
         self._held_for = self._held_for or rank
+        if self.shares is not None and not self._held_for_modest:
+            self._held_for_modest = self.shares.is_modest(step_run.job.spec.tenant)
 
     def is_held_from(self, rank: StepRank) -> bool:
         """Return whether all room is held for steps in more urgent need."""
         first = self._held_for
-        if first is None or first.timeliness >= rank.timeliness:
+        if first is None:
+            return False
+        # Between workspaces that all want more than their shares, an idle moment
+        # costs more jobs in time than a start out of turn.
+        gives_way = self._held_for_modest or rank.timeliness >= Timeliness.LATE
+        comes_later = gives_way and rank.standing > first.standing
+        if not comes_later and first.timeliness >= rank.timeliness:
             return False
         free = sum(executor.free_cpu() for executor in self.executors)
         return self._held_cpu >= free
 
+    def measure_free(self) -> tuple[int, int, int]:
+        """Return the free cpu, memory and accelerators."""
+        cpu_millis = memory_mb = accelerators = 0
+        for executor in self._offered:
+            capacity = executor.entry.capacity
+            used = executor.used
+            cpu_millis += max(0, capacity.cpu_millis - used.cpu_millis)
+            memory_mb += max(0, capacity.memory_mb - used.memory_mb)
+            accelerators += max(0, capacity.accelerators - used.accelerators)
+        return cpu_millis, memory_mb, accelerators
+
+    def find_standing(self, step_run: StepRun, rank: StepRank) -> Standing:
+        """Return how a step stands to its workspace's share at this moment."""
+        if self.shares is None:
+            return Standing.BELOW
+        return self.shares.find_standing(step_run.job.spec.tenant, rank)
+
+    def is_deferred(self, step_run: StepRun, rank: StepRank) -> bool:
+        """Return whether its workspace has come to exceed its share."""
+        return self.find_standing(step_run, rank) > rank.standing
+
+    def add_placed(self, step_run: StepRun) -> None:
+        """Count a placed subtask against its workspace's share."""
+        if self.shares is not None:
+            size = get_reservation(step_run.step)
+            self.shares.add_placed(step_run.job.spec.tenant, size)
+
     def find_last_resort(self, subtask: Subtask, now: float) -> list[Executor]:
         """Return the quarantined executors if the subtask may use them now."""
         if self.executors and not subtask.step.lasting:
@@ -126,3 +167,45 @@
         + executor.entry.capacity.cpu_millis * ANNOUNCE_AHEAD_FRACTION
         for executor in executors
     )
+
+
+def order_by_shares(
+    order: Iterable[tuple[StepRank, StepRun, PoolRoom]],
+) -> Iterator[tuple[StepRank, StepRun, PoolRoom]]:
+    """Yield the steps with their present standing, in the order of their ranks.
+
+    ``order`` is sorted by ranks without standing. While the caller places
+    subtasks, their workspace may come to exceed its share; the rest of the step
+    then comes again later.
+    """
+    for _, group in groupby(order, key=_find_class):
+        queues: dict[Standing, list[tuple[StepRank, StepRun, PoolRoom]]]
+        queues = {standing: [] for standing in Standing}
+        queues[Standing.BELOW].extend(group)
+        for standing, steps in queues.items():
+            if standing is Standing.LATE_ABOVE:
+                # Steps that were LATE_BELOW have joined those that came first.
+                steps.sort(key=itemgetter(0))
+            for rank, step_run, room in steps:
+                present = room.find_standing(step_run, rank)
+                if present <= standing:
+                    waiting = len(step_run.waiting)
+                    yield add_standing(rank, standing), step_run, room
+                    if len(step_run.waiting) in (0, waiting):
+                        continue
+                    present = room.find_standing(step_run, rank)
+                if present > standing:
+                    queues[present].append((rank, step_run, room))
+
+
+def add_standing(rank: StepRank, standing: Standing) -> StepRank:
+    """Return a rank with a standing."""
+    if standing is Standing.BELOW:
+        return rank
+    # A third of the time of _replace, in a loop over all waiting steps.
+    return StepRank(*rank[:3], standing, *rank[4:])
+
+
+def _find_class(item: tuple[StepRank, StepRun, PoolRoom]) -> tuple[bool, bool, int]:
+    rank, _, _ = item
+    return rank.short_lived, rank.worthless, rank.priority
--- a/hemlockstand/fleet/policy/waiting.py
+++ b/hemlockstand/fleet/policy/waiting.py
@@ -8,8 +8,7 @@
 """
 
 from enum import IntEnum
-
-from attrs import frozen
+from typing import NamedTuple
 
 from hemlockstand.fleet.model import FleetConfig, JobSpec, Queue
 from hemlockstand.fleet.work import StepRun
@@ -31,20 +30,37 @@
     WORTHLESS = 3
 
 
-@frozen(order=True)
-class StepRank:
+class Standing(IntEnum):
+    """How a waiting step stands to the share of its workspace.
+
+    Late jobs of a workspace count as ``BELOW`` while it uses little of its
+    share. With the rest of them it does not go before jobs that can still be
+    in time.
+    """
+
+    BELOW = 0
+    ABOVE = 1
+    LATE_BELOW = 2
+    LATE_ABOVE = 3
+
+
+class StepRank(NamedTuple):
     """Sort key of a waiting step, smallest first.
 
+    It is a tuple because each round of placement compares thousands of ranks.
+
     Lasting subtasks come first: they are small and must run again within
     seconds. Jobs that are worth nothing any more come last. Of the rest, by
-    queue priority, those with ample time come before those that may be late,
-    and those that have begun before others, because less is left to do for
-    the same worth.
+    queue priority, those of workspaces below their share come first, where the
+    pool lacks room. Then those with ample time come before those that may be
+    late, and those that have begun before others, because less is left to do
+    for the same worth.
     """
 
     short_lived: bool
     worthless: bool
     priority: int
+    standing: Standing
     timeliness: Timeliness
     not_begun: bool
     deadline: float
@@ -61,6 +77,7 @@
         short_lived=not lasting,
         worthless=timeliness is Timeliness.WORTHLESS,
         priority=0 if queue is None else queue.priority,
+        standing=Standing.BELOW,
         timeliness=timeliness,
         not_begun=not (step_run.position or step_run.has_begun),
         deadline=job.deadline,
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -212,6 +212,7 @@
         run.percent = entry.percent
         run.percent_at = now
         run.checkpoint = entry.checkpoint
+        run.pool = executor.entry.pool
         self.state.registry.attach(subtask, run)
         executor.add_run(subtask)
         log.info("run adopted", subtask=subtask.name, executor=executor.id)
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -42,6 +42,7 @@
     load: int = 0
     pace: int = 100
     checkpoint: str = ""
+    pool: str = ""  # pool of the executor at the time of the order
 
     @property
     def may_be_unstarted(self) -> bool:
