--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -25,6 +25,7 @@
 from hemlockstand.fleet.policy.waiting import LATE_FACTOR
 from hemlockstand.fleet.reports import ExecutorReportHandler
 from hemlockstand.fleet.settings import FleetSettings
+from hemlockstand.fleet.share_report import ShareReporter
 from hemlockstand.fleet.split_rows import decode_known_executors, decode_waves
 from hemlockstand.fleet.state import SchedulerState, read_current
 from hemlockstand.fleet.storage import (
@@ -98,6 +99,7 @@
         self._idle_reporter = IdleReporter(
             self.state, self._barrier.blocked_pools, self._may_run
         )
+        self._share_reporter = ShareReporter(self._placer.shares)
         self._wave_records: dict[int, WaveRecord | None] = {}
         self._unreadable_jobs: set[str] = set()
         self._leaving = trio.Event()
@@ -286,6 +288,7 @@
             self._executor_directory.remove_gone()
             self._add_waves()
             self._idle_reporter.check()
+            self._share_reporter.report(self.state.clock())
             registry = self.state.registry
             if registry.ready or registry.next_due() is not None:
                 self.state.request_placement()
--- a/hemlockstand/fleet/metrics.py
+++ b/hemlockstand/fleet/metrics.py
@@ -28,6 +28,16 @@
 )
 LEADING = Gauge("hemlockstand_scheduler", "1 while this daemon is the scheduler.")
 WAITING = Gauge("hemlockstand_waiting_subtasks", "Subtasks that wait for a place.")
+SHARE_OF_POOL = Gauge(
+    "hemlockstand_share_of_pool",
+    "Share of a workspace that waits in a pool without room, as part of the pool.",
+    ["pool", "workspace"],
+)
+USE_OF_POOL = Gauge(
+    "hemlockstand_use_of_pool",
+    "What counts as used of that share, as part of the pool.",
+    ["pool", "workspace"],
+)
 
 
 def render_metrics() -> bytes:
--- a/test/test_fleet_workspaces.py
+++ b/test/test_fleet_workspaces.py
@@ -7,10 +7,13 @@
 import attrs
 import pytest
 import trio
+from loguru import logger
+from prometheus_client import REGISTRY
 
 from emulator.fleet_executors import SubtaskBehaviour
 from hemlockstand.fleet.model import Resources, Tenant
 from hemlockstand.fleet.policy.shares import Usage, find_level, measure_shares
+from hemlockstand.fleet.share_report import ShareReporter
 from test.fleet_world import SMALL, make_config, make_step, open_world
 
 SECONDS = 0.5
@@ -277,3 +280,25 @@
     demands = [(1.0, (0.1, 0.0, 0.0)), (1.0, (2.0, 0.0, 0.0)), (2.0, (2.0, 0.0, 0.0))]
     assert find_level(demands) == pytest.approx(0.3)
     assert find_level(demands[:1]) == float("inf")
+
+
+def test_report_names_a_flood_once_and_forgets_it():
+    """Guards against a log line for each round, and metrics that stay."""
+    wants = {"a": (64_000, 0, 0), "b": (1000, 0, 0)}
+    usages = {"a": Usage([60_000, 0, 0])}
+    shares = {"pool": measure_shares(wants, usages, {}, (500, 0, 0))}
+    lines: list[str] = []
+    sink = logger.add(lambda line: lines.append(line), level="INFO")
+    try:
+        reporter = ShareReporter(shares)
+        for now in (0.0, 0.1, 0.6, 1.2):
+            reporter.report(now)
+        labels = {"pool": "pool", "workspace": "a"}
+        shown = REGISTRY.get_sample_value("hemlockstand_use_of_pool", labels)
+        assert shown == pytest.approx(60 / 60.5, abs=0.15)
+        shares.clear()
+        reporter.report(1.8)
+        assert REGISTRY.get_sample_value("hemlockstand_use_of_pool", labels) is None
+    finally:
+        logger.remove(sink)
+    assert sum("above its share" in line for line in lines) == 1
