--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -44,6 +44,7 @@
         run = Run(subtask.runs + 1, executor.id, executor.fence, self.state.clock())
         run.checkpoint = subtask.checkpoint
         run.resumed = bool(subtask.checkpoint)
+        run.pool = executor.entry.pool
         self.state.registry.attach(subtask, run)
         executor.add_run(subtask)
         now = self.state.clock()
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -47,6 +47,7 @@
     start_unknown: bool = False
     slowed: bool = False  # ran below its full speed at some time
     stopped_at: float | None = None  # time of the first stop order
+    pool: str = ""  # pool of the executor at the time of the order
 
     @property
     def may_be_unstarted(self) -> bool:
