--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -12,8 +12,8 @@
 from hemlockstand.fleet.commits import Commits
 from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.durations import estimate_chain_seconds
-from hemlockstand.fleet.evacuations import EvacuationManager
 from hemlockstand.fleet.durations_row import load_durations
+from hemlockstand.fleet.evacuations import EvacuationManager
 from hemlockstand.fleet.executor_directory import ExecutorDirectory
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.idle_report import IdleReporter
