Keep faded groups and the longest cuts in the document, and record at less cost

Cause: weights were stored as whole runs, so a group that had faded after a change of behaviour lost its bins. A run cut short after the longest time could count in a bin that the reader refuses, and with it the whole document. Each recorded run computed its outlook anew.

Change: weights are stored in tenths of a run; the bin beyond a cut is limited; record compares with what was expected up to three runs before.

Without the limit test_longest_cut_fits_into_the_document fails.

--- a/hemlockstand/fleet/durations.py
+++ b/hemlockstand/fleet/durations.py
@@ -36,6 +36,9 @@
 # Least time between two attempts to store the model. A takeover loses what was
 # learned since, and each document takes up to 44 KB of the scheduler's link.
 STORE_SECONDS = 5.0
+# A run is compared with what was expected up to so many runs before: fewer than
+# those that tell a change of behaviour, and each reader computes it anew anyway.
+RECORD_SLACK_RUNS = 3
 # Queues with metrics of their own; further ones share a label.
 MAX_LABELS = 50
 OTHER_LABEL = "other"
@@ -89,7 +92,7 @@
         self, spec: JobSpec, position: int, run_time: RunTime, far: bool = False
     ) -> None:
         """Learn from a run; ``far`` means on another rack than that of its data."""
-        expected = self.expect(spec, position, far)
+        expected = self.expect(spec, position, far, RECORD_SLACK_RUNS)
         estimate = spec.steps[position].estimate_ms / 1000
         run = EndedRun(run_time, estimate, spec.id)
         if run_time.exact:
@@ -133,11 +136,12 @@
         return views
 
     def expect(
-        self, spec: JobSpec, position: int, far: bool = False
+        self, spec: JobSpec, position: int, far: bool = False, slack: int = 0
     ) -> ExpectedDuration:
         """Return what a subtask of a job's step is expected to take.
 
-        It runs at full speed, and on the rack of its data unless ``far``.
+        It runs at full speed, and on the rack of its data unless ``far``. The
+        latest ``slack`` runs need not count.
         """
         step = spec.steps[position]
         size = step.size
@@ -154,8 +158,10 @@
         cached = self._cache.get(key)
         if (
             cached is None
-            or cached.queue.changes > cached.last_change
-            or (cached.group and cached.group.changes > cached.last_group_change)
+            or cached.queue.changes > cached.last_change + slack
+            or (
+                cached.group and cached.group.changes > cached.last_group_change + slack
+            )
         ):
             cached = self._measure(key, find_traits(spec, position, far))
         expected = cached.expected.get(step.estimate_ms)
--- a/hemlockstand/fleet/durations_row.py
+++ b/hemlockstand/fleet/durations_row.py
@@ -1,11 +1,11 @@
 """The row in which a scheduler leaves what it has learned to the next one.
 
 It holds the queues' trust in estimates and the most used groups, as many as
-fit, with the weights of their bins as whole runs::
+fit, with the weights of their bins in tenths of a run::
 
     {"version": 1, "made_ms": 1796461200000,
      "queues": {"quotes": [64, 71.2, 68.9]},
-     "groups": [[["near", "quotes"], [0, 40, 1, 24], [13, 60, 36, 4]]]}
+     "groups": [[["near", "quotes"], [0, 400, 1, 240], [13, 600, 36, 40]]]}
 
 A group has its key, its bins of ratios and of times, each with its weight. A
 reader drops nothing silently: a document that it cannot trust is left as a
@@ -36,6 +36,8 @@
 MAX_QUEUES_BYTES = 8_192  # of the part with the queues
 WRAPPER_BYTES = 128  # of the names and brackets around the parts
 MAX_KEY_PARTS = 5
+# Steps of the weights by run: whole ones would lose the bins of faded groups.
+TENTHS = 10
 DISTANCES = ("near", "far")
 # Largest sum of squares of logarithms: runs that all differ by 48 octaves.
 MAX_SUM = MAX_WEIGHT * 48**2
@@ -102,9 +104,9 @@
 def _list_bins(histogram: FadingHistogram) -> list[int]:
     bins = []
     for number, weight in sorted(histogram.counts.items()):
-        whole = round(weight)
-        if whole:
-            bins += [number, whole]
+        tenths = round(weight * TENTHS)
+        if tenths:
+            bins += [number, tenths]
     return bins
 
 
@@ -167,7 +169,7 @@
     if len(items) % 2:
         raise InvalidInput("a bin has no weight")
     for number, weight in zip(items[::2], items[1::2], strict=True):
-        if not MIN_BIN <= number <= MAX_BIN or not 0 < weight <= MAX_WEIGHT:
+        if not MIN_BIN <= number <= MAX_BIN or not 0 < weight <= MAX_WEIGHT * TENTHS:
             raise InvalidInput(f"bin {number} with weight {weight} is out of range")
-        histogram.add(number, float(weight))
+        histogram.add(number, weight / TENTHS)
     return histogram
--- a/hemlockstand/fleet/policy/expectation.py
+++ b/hemlockstand/fleet/policy/expectation.py
@@ -30,6 +30,7 @@
 from hemlockstand.fleet.policy.estimates import EstimateTrust
 from hemlockstand.fleet.policy.histogram import (
     BINS_PER_OCTAVE,
+    MAX_BIN,
     FadingHistogram,
     find_bin,
     read_mean,
@@ -310,7 +311,7 @@
         rest = sum(longer.values())
         if expected and 1.0 - rest < MIN_CUT_PART:
             continue
-        beyond = bin_number + BEYOND_BINS
+        beyond = min(MAX_BIN, bin_number + BEYOND_BINS)
         longer[beyond] = longer.get(beyond, 0.0) + BEYOND_PART
         for number, part in longer.items():
             histogram.add(number, part / (rest + BEYOND_PART))
--- a/hemlockstand/fleet/policy/histogram.py
+++ b/hemlockstand/fleet/policy/histogram.py
@@ -29,8 +29,7 @@
 ROUNDING = 1 - 1e-9
 
 _VALUES = {
-    number: 2.0 ** (number / BINS_PER_OCTAVE)
-    for number in range(MIN_BIN, MAX_BIN + BINS_PER_OCTAVE)
+    number: 2.0 ** (number / BINS_PER_OCTAVE) for number in range(MIN_BIN, MAX_BIN + 1)
 }
 
 
--- a/test/drawn_runs.py
+++ b/test/drawn_runs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from math import log2, log10
+from operator import add
 from random import Random
 from statistics import median
 
@@ -97,7 +98,7 @@
         y = log10(max(run.seconds, 0.01))
         self.weight += 1
         added = (x, y, x * x, x * y)
-        self.sums = [a + b for a, b in zip(self.sums, added, strict=True)]
+        self.sums = list(map(add, self.sums, added))
 
 
 @define
--- a/test/test_fleet_durations_row.py
+++ b/test/test_fleet_durations_row.py
@@ -146,11 +146,21 @@
     times = [time for time, _ in written]
     assert all(has_lease for _, has_lease in written)
     assert len(times) >= 2
-    assert all(b - a >= 2 for a, b in pairwise(times))
+    assert all(later - earlier >= 2 for earlier, later in pairwise(times))
     # Nothing is written while nothing is learned.
     assert times[-1] < trio.current_time() - 20
 
 
+def test_longest_cut_fits_into_the_document():
+    """Guards against a document that its own writer cannot read."""
+    durations = Durations()
+    spec = JobSpec("a", "queue", "pool", "team", "", (make_step(seconds=0.001),))
+    for _ in range(20):
+        durations.record(spec, 0, RunTime(1e12, False))
+    value = encode_durations(durations.model, MADE_MS)
+    assert decode_durations(value, MADE_MS)[0].groups
+
+
 def test_sums_out_of_range_are_named():
     """Guards against a log line from which the damage cannot be found."""
     with pytest.raises(HemlockstandError, match="queue 'q'"):
