Fit more groups into the document of durations

Change: a histogram is stored as its weight and its distribution in parts of 200, from its first bin on, and ratios to estimates that mean nothing are left out.

--- a/hemlockstand/fleet/durations_row.py
+++ b/hemlockstand/fleet/durations_row.py
@@ -1,14 +1,16 @@
 """The row in which a scheduler leaves what it has learned to the next one.
 
 It holds the queues' trust in estimates and the most used groups, as many as
-fit, with the weights of their bins in tenths of a run::
+fit, with the distribution of each histogram in parts of 200::
 
     {"version": 1, "made_ms": 1796461200000,
      "queues": {"quotes": [64, 71.2, 68.9]},
-     "groups": [[["near", "quotes"], [0, 400, 1, 240], [13, 600, 36, 40]]]}
+     "groups": [[["near", "quotes"], [640, 0, 125, 75], [640, 13, 188, -22, 12]]]}
 
-A group has its key, its bins of ratios and of times, each with its weight. A
-reader drops nothing silently: a document that it cannot trust is left as a
+A group has its key and its histograms of ratios and of times: the weight in
+tenths of a run, the first bin, and the parts of the bins from there on; a negative
+number skips so many bins. Ratios to estimates that mean nothing are left out.
+A reader drops nothing silently: a document that it cannot trust is left as a
 whole, and the scheduler learns anew.
 """
 
@@ -36,8 +38,9 @@
 MAX_QUEUES_BYTES = 8_192  # of the part with the queues
 WRAPPER_BYTES = 128  # of the names and brackets around the parts
 MAX_KEY_PARTS = 5
-# Steps of the weights by run: whole ones would lose the bins of faded groups.
-TENTHS = 10
+TENTHS = 10  # steps of a histogram's weight, by run
+# Steps of its distribution: a run in the fullest histogram, of 256, is one.
+PARTS = 200
 DISTANCES = ("near", "far")
 # Largest sum of squares of logarithms: runs that all differ by 48 octaves.
 MAX_SUM = MAX_WEIGHT * 48**2
@@ -84,9 +87,11 @@
     groups = []
     room += MAX_DOCUMENT_BYTES - MAX_QUEUES_BYTES - WRAPPER_BYTES
     for key, group in used:
-        ratios, times = _list_bins(group.ratios), _list_bins(group.times)
+        times = _list_bins(group.times)
         if not times:
             continue
+        trusted = model.find_queue(key[1]).trust.measure_slope("") > 0
+        ratios = _list_bins(group.ratios) if trusted else []
         body = msgspec.json.encode((key, ratios, times))
         room -= len(body) + 1
         if room < 0:
@@ -102,11 +107,18 @@
 
 
 def _list_bins(histogram: FadingHistogram) -> list[int]:
-    bins = []
+    bins: list[int] = []
+    next_number = 0
     for number, weight in sorted(histogram.counts.items()):
-        tenths = round(weight * TENTHS)
-        if tenths:
-            bins += [number, tenths]
+        part = round(weight / histogram.total * PARTS)
+        if not part:
+            continue
+        if not bins:
+            bins += [round(histogram.total * TENTHS), number]
+        elif number > next_number:
+            bins.append(next_number - number)
+        bins.append(part)
+        next_number = number + 1
     return bins
 
 
@@ -163,13 +175,22 @@
     return model, document.made_ms
 
 
-def _read_bins(values: Iterable[int]) -> FadingHistogram:
+def _read_bins(values: tuple[int, ...]) -> FadingHistogram:
     histogram = FadingHistogram()
-    items = list(values)
-    if len(items) % 2:
-        raise InvalidInput("a bin has no weight")
-    for number, weight in zip(items[::2], items[1::2], strict=True):
-        if not MIN_BIN <= number <= MAX_BIN or not 0 < weight <= MAX_WEIGHT * TENTHS:
-            raise InvalidInput(f"bin {number} with weight {weight} is out of range")
-        histogram.add(number, weight / TENTHS)
+    if not values:
+        return histogram
+    if len(values) < 3:
+        raise InvalidInput("a histogram has no parts")
+    weight, number, *parts = values
+    whole = sum(part for part in parts if part > 0)
+    if not 0 < weight <= MAX_WEIGHT * TENTHS or not 0 < whole <= 2 * PARTS:
+        raise InvalidInput(f"weight {weight} or its {whole} parts are out of range")
+    for part in parts:
+        if part <= 0:
+            number -= part
+            continue
+        if not MIN_BIN <= number <= MAX_BIN:
+            raise InvalidInput(f"bin {number} is out of range")
+        histogram.add(number, part / whole * weight / TENTHS)
+        number += 1
     return histogram
