--- a/test/test_fleet_durations_row.py
+++ b/test/test_fleet_durations_row.py
@@ -68,12 +68,14 @@
     "nested": b"[" * 4000,
     "newer": b'{"version": 2, "shapes": {}}',
     "other types": b'{"version": 1, "groups": {"near": 1}}',
-    "key": b'{"version": 1, "groups": [[["near"], [0, 4], [0, 4]]]}',
-    "distance": b'{"version": 1, "groups": [[["here", "q"], [0, 4], [0, 4]]]}',
-    "odd bins": b'{"version": 1, "groups": [[["near", "q"], [0], []]]}',
-    "bin": b'{"version": 1, "groups": [[["near", "q"], [9999, 1], []]]}',
-    "weight": b'{"version": 1, "groups": [[["near", "q"], [0, -4], [0, 4]]]}',
-    "huge": b'{"version": 1, "groups": [[["near", "q"], [0, 1%s], []]]}' % (b"0" * 400),
+    "key": b'{"version": 1, "groups": [[["near"], [40, 0, 4], [40, 0, 4]]]}',
+    "distance": b'{"version": 1, "groups": [[["here", "q"], [], [40, 0, 4]]]}',
+    "no parts": b'{"version": 1, "groups": [[["near", "q"], [40], []]]}',
+    "bin": b'{"version": 1, "groups": [[["near", "q"], [40, 9999, 1], []]]}',
+    "skipped": b'{"version": 1, "groups": [[["near", "q"], [40, 0, 1, -999, 1], []]]}',
+    "weight": b'{"version": 1, "groups": [[["near", "q"], [-40, 0, 4], []]]}',
+    "huge": b'{"version": 1, "groups": [[["near", "q"], [40, 0, 1%s], []]]}'
+    % (b"0" * 400),
     "sums": b'{"version": 1, "queues": {"q": [4, 1e999, 0]}}',
     "slope": b'{"version": 1, "queues": {"q": [4, -4, 9]}}',
 }
@@ -146,11 +148,21 @@
     times = [time for time, _ in written]
     assert all(has_lease for _, has_lease in written)
     assert len(times) >= 2
-    assert all(b - a >= 2 for a, b in pairwise(times))
+    assert all(later - earlier >= 2 for earlier, later in pairwise(times))
     # Nothing is written while nothing is learned.
     assert times[-1] < trio.current_time() - 20
 
 
+def test_longest_cut_fits_into_the_document():
+    """Guards against a document that its own writer cannot read."""
+    durations = Durations()
+    spec = JobSpec("a", "queue", "pool", "team", "", (make_step(seconds=0.001),))
+    for _ in range(20):
+        durations.record(spec, 0, RunTime(1e12, False))
+    value = encode_durations(durations.model, MADE_MS)
+    assert decode_durations(value, MADE_MS)[0].groups
+
+
 def test_sums_out_of_range_are_named():
     """Guards against a log line from which the damage cannot be found."""
     with pytest.raises(HemlockstandError, match="queue 'q'"):
