Show views of the scheduler to operators

Change: with [operators] token a daemon serves JSON views at its metrics address under /fleet/; only the scheduler has them, others answer 409 with its name. Views: evacuations, waiting, shares, durations; one more is a function that register_view registers. hemlockctl fleet VIEW shows them. Bad input is answered with the name of the field.

Measured: test_fleet_views passes (23). Each of its conditions was taken out in turn (token, empty token, no leader, store failing, error in a view, view registered twice, field given twice, bounds and length of limit, number of entries, maximum of a workspace, empty token in the settings), and a test failed each time. test_pages, test_hemlockctl, test_settings and test_operators_fleet pass.

--- a/hemlockstand/ctl/exits.py
+++ b/hemlockstand/ctl/exits.py
@@ -33,6 +33,7 @@
     "daemon_unreachable": ExitCode.UNREACHABLE,
     "platform_unavailable": ExitCode.UNREACHABLE,
     "outcome_unknown": ExitCode.OUTCOME_UNKNOWN,
+    "not_leader": ExitCode.NOT_AVAILABLE,
     "not_available": ExitCode.NOT_AVAILABLE,
     "unknown_path": ExitCode.NOT_AVAILABLE,
 }
--- a/hemlockstand/ctl/fleet.py
+++ b/hemlockstand/ctl/fleet.py
@@ -18,7 +18,7 @@
     async def show(context: Context) -> ExitCode:
         result = await context.client.get(f"{noun}/list")
         rows = [
-            [_format_value(entry[name]) for name in columns]
+            [format_value(entry[name]) for name in columns]
             for entry in result[f"{noun}s"]
         ]
         context.show(result, format_table(columns, rows))
@@ -31,7 +31,7 @@
     """Show the retired jobs that are still triggered."""
     result = await context.client.get("job/unwanted")
     rows = [
-        [_format_value(entry[name]) for name in UNWANTED_COLUMNS]
+        [format_value(entry[name]) for name in UNWANTED_COLUMNS]
         for entry in result["unwanted"]
     ]
     context.show(result, format_table(UNWANTED_COLUMNS, rows))
@@ -47,9 +47,7 @@
         found = [entry for entry in result[f"{noun}s"] if entry["name"] == name]
         if not found:
             raise NotFound(f"{noun} {name!r} does not exist")
-        lines = [
-            f"{field}: {_format_value(value)}" for field, value in found[0].items()
-        ]
+        lines = [f"{field}: {format_value(value)}" for field, value in found[0].items()]
         context.show(found[0], lines)
         return ExitCode.OK
 
@@ -112,7 +110,7 @@
         context.show(result, _describe(result["instances"][0]))
         return ExitCode.OK
     rows = [
-        [_format_value(entry[name]) for name in INSTANCE_COLUMNS]
+        [format_value(entry[name]) for name in INSTANCE_COLUMNS]
         for entry in result["instances"]
     ]
     lines = format_table(INSTANCE_COLUMNS, rows)
@@ -126,7 +124,7 @@
     """Show the minimum number of rounds of a wave over pools."""
     result = await context.client.get("wave/plan", pools=context.flags.pool)
     rows = [
-        [_format_value(value) for value in entry.values()] for entry in result["pools"]
+        [format_value(value) for value in entry.values()] for entry in result["pools"]
     ]
     header = ("pool", "members", "budget", "rounds")
     context.show(result, format_table(header, rows))
@@ -162,7 +160,7 @@
         context.show(result, _describe(result["waves"][0]))
         return ExitCode.OK
     rows = [
-        [_format_value(entry[name]) for name in WAVE_COLUMNS]
+        [format_value(entry[name]) for name in WAVE_COLUMNS]
         for entry in result["waves"]
     ]
     context.show(result, format_table(WAVE_COLUMNS, rows))
@@ -170,20 +168,21 @@
 
 
 def _describe(result: dict[str, Any]) -> list[str]:
-    return [f"{field}: {_format_value(value)}" for field, value in result.items()]
+    return [f"{field}: {format_value(value)}" for field, value in result.items()]
 
 
-def _format_value(value: Any) -> str:
+def format_value(value: Any) -> str:
+    """Return a value of an answer as text."""
     match value:
         case bool():
             return "yes" if value else "no"
         case None:
             return "-"
         case list():
-            return " ".join(_format_value(item) for item in value)
+            return " ".join(format_value(item) for item in value)
         case dict():
             return ", ".join(
-                f"{name} {_format_value(item)}" for name, item in value.items()
+                f"{name} {format_value(item)}" for name, item in value.items()
             )
         case _:
             return str(value)
--- a/hemlockstand/ctl/main.py
+++ b/hemlockstand/ctl/main.py
@@ -17,6 +17,7 @@
 from hemlockstand.ctl.fleet import FLEET_COMMANDS
 from hemlockstand.ctl.keys import KEY_COMMANDS
 from hemlockstand.ctl.sheet import SHEET_COMMANDS
+from hemlockstand.ctl.views import VIEW_COMMANDS
 from hemlockstand.errors import HemlockstandError
 from hemlockstand.operators.client import (
     DEFAULT_TIMEOUT_SECONDS,
@@ -33,6 +34,7 @@
     *KEY_COMMANDS,
     *FLEET_COMMANDS,
     *CONFIGURATION_COMMANDS,
+    *VIEW_COMMANDS,
 )
 
 
@@ -92,7 +94,7 @@
     define_number("version", None, "Version a sheet was planned on, or to wait for.")
     define_number("confirm_drops", None, "Number of drops to confirm.")
     define_number("wait", None, "Seconds to wait until all daemons are current.")
-    define_number("limit", 20, "Number of changes to show.", 1)
+    define_number("limit", 20, "Number of changes or entries to show.", 1)
     define_number("timeout", DEFAULT_TIMEOUT_SECONDS, "Seconds for one call.", 1)
     flags.DEFINE_boolean("json", False, "Write JSON.", flag_values=values)
     flags.DEFINE_boolean("help", False, "Show this text.", flag_values=values)
--- a/hemlockstand/ctl/settings_page.py
+++ b/hemlockstand/ctl/settings_page.py
@@ -89,6 +89,7 @@
         name += f", {minimum} to {attribute.metadata['maximum']}"
     if attribute.metadata["secret"]:
         name += ", 16 characters or more, never shown"
+        name += "; may be empty" if attribute.metadata["may_be_empty"] else ""
     return name
 
 
--- a/hemlockstand/fleet/evacuations.py
+++ b/hemlockstand/fleet/evacuations.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterator
+from typing import Any
 
 from attrs import define, field
 from loguru import logger
@@ -94,11 +95,7 @@
         same, in case executors of it appear later.
         """
         found = self._find_executors(name)
-        instances = sum(
-            1
-            for instance in self.plans.instances.values()
-            if instance.data_centre == name
-        )
+        instances = self._count_instances(name)
         runs = [subtask for executor in found for subtask in executor.runs.values()]
         values = {
             "data_centre": name,
@@ -113,6 +110,13 @@
         else:
             log.warning("evacuated data centre is not known", **values)
 
+    def _count_instances(self, data_centre: str) -> int:
+        return sum(
+            1
+            for instance in self.plans.instances.values()
+            if instance.data_centre == data_centre
+        )
+
     def _find_executors(self, data_centre: str) -> list[Executor]:
         return [
             executor
@@ -120,7 +124,28 @@
             if executor.entry.data_centre == data_centre
         ]
 
-    def view_departures(self) -> Departures:
+    def describe(self) -> list[dict[str, Any]]:
+        """Return the evacuated data centres with what is in them."""
+        now = self.state.clock()
+        found = []
+        for name, evacuation in sorted(self.current.items()):
+            executors = self._find_executors(name)
+            values = {
+                "data_centre": name,
+                "seconds": round(now - evacuation.since, 1),
+                "executors": len(executors),
+                "instances": self._count_instances(name),
+                "runs": sum(len(executor.runs) for executor in executors),
+            }
+            found.append(values)
+        return found
+
+    def find_obstacles(self) -> dict[Subtask, Obstacle]:
+        """Return what each run in an evacuated data centre waits for."""
+        departures = self._view_departures()
+        return {item: departures.judge(item) for item in departures.find_runs()}
+
+    def _view_departures(self) -> Departures:
         """Return the choice of runs to move, from the present state."""
         now = self.state.clock()
         return Departures(
@@ -146,7 +171,7 @@
 
     def _move_runs(self, now: float) -> dict[Subtask, Obstacle]:
         """Stop the runs that leave; return what the others wait for."""
-        departures = self.view_departures()
+        departures = self._view_departures()
         obstacles: dict[Subtask, Obstacle] = {}
         for subtask in departures.find_runs():
             obstacle = departures.judge(subtask)
--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -33,6 +33,7 @@
     job_write,
     read_job,
 )
+from hemlockstand.fleet.view_server import add_views
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.platform.callers import (
     Call,
@@ -160,7 +161,9 @@
         """Serve callers and the balancer."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._serve, self._make_ready_app(), "readiness")
-            nursery.start_soon(self._serve, make_metrics_app(), "metrics")
+            metrics = make_metrics_app()
+            add_views(metrics, self.kernel)
+            nursery.start_soon(self._serve, metrics, "metrics")
             await self._serve(self._make_app(), "callers")
             self._closed.set()
 
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -96,10 +96,10 @@
             self._may_run,
             self._executor_directory.is_confirmed,
         )
-        self._idle_reporter = IdleReporter(
+        self.idle_reporter = IdleReporter(
             self.state, self._barrier.blocked_pools, self._may_run
         )
-        self._evacuations = EvacuationManager(
+        self.evacuations = EvacuationManager(
             self.state,
             self._instances.plans,
             self._barrier.blocked_pools,
@@ -292,8 +292,8 @@
             self._executor_directory.add_configured()
             self._executor_directory.remove_gone()
             self._add_waves()
-            self._idle_reporter.check()
-            self._evacuations.check()
+            self.idle_reporter.check()
+            self.evacuations.check()
             registry = self.state.registry
             if registry.ready or registry.next_due() is not None:
                 self.state.request_placement()
--- a/hemlockstand/fleet/policy/departures.py
+++ b/hemlockstand/fleet/policy/departures.py
@@ -34,7 +34,7 @@
 class Obstacle(StrEnum):
     """What a run in an evacuated data centre waits for."""
 
-    NONE = ""
+    NONE = "nothing, it moves next"
     OWN_END = "its own end"
     CHANGE = "the outcome of its start or stop"
     TAKEOVER = "the end of the takeover"
--- a/hemlockstand/fleet/scheduler.py
+++ b/hemlockstand/fleet/scheduler.py
@@ -80,6 +80,11 @@
         self._daemons_read_at = float("-inf")
         self._stopped = trio.Event()
 
+    @property
+    def leader(self) -> Leader | None:
+        """The leader, while this daemon is the scheduler."""
+        return self._leader
+
     async def run(self) -> None:
         """Run the scheduler whenever the lease can be acquired."""
         async with trio.open_nursery() as nursery:
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -121,6 +121,18 @@
     )
 
 
+@frozen
+class FleetOperatorSettings:
+    """Views of the scheduler for operators, at the address of the metrics."""
+
+    token: str = option(
+        "Bearer token of the operators; without it the views are switched off.",
+        secret=True,
+        may_be_empty=True,
+        default="",
+    )
+
+
 @frozen
 class FleetSettings:
     """All sections."""
@@ -131,6 +143,7 @@
     bounds: BoundSettings
     scheduler: SchedulerSettings
     log: LogSettings
+    operators: FleetOperatorSettings = FleetOperatorSettings()
 
 
 def load_fleet_settings(path: str | Path) -> FleetSettings:
--- a/hemlockstand/operators/client.py
+++ b/hemlockstand/operators/client.py
@@ -92,11 +92,21 @@
         daemon. Raises ``DaemonUnreachable`` if there is no answer and
         ``Refused`` for an error status.
         """
+        return await self._get(f"/o/{path}", arguments)
+
+    async def get_view(self, name: str, **arguments: Any) -> dict[str, Any]:
+        """Read a view of a daemon on the fleet platform, at its metrics address.
+
+        Arguments and errors are those of ``get``.
+        """
+        return await self._get(f"/fleet/{quote(name, safe='')}", arguments)
+
+    async def _get(self, path: str, arguments: dict[str, Any]) -> dict[str, Any]:
         extra = arguments.pop("extra_seconds", 0)
         timeout = self._http.timeout.read + extra
         try:
             response = await self._http.get(
-                f"/o/{path}", params=_drop_none(arguments), timeout=timeout
+                path, params=_drop_none(arguments), timeout=timeout
             )
         except httpx.HTTPError as error:
             raise DaemonUnreachable(self._describe(error)) from None
--- a/hemlockstand/settings.py
+++ b/hemlockstand/settings.py
@@ -416,6 +416,8 @@
     choices = attribute.metadata["choices"]
     if choices and text not in choices:
         raise ValueError(f"must be one of {', '.join(choices)}")
+    if not text and attribute.metadata["may_be_empty"]:
+        return text
     if attribute.metadata["secret"] and len(text) < 16:
         raise ValueError("must have 16 characters or more")
     return text
