Refuse a bound of evacuations that can never be kept

Cause: with evacuate_ms of a few milliseconds the copy of the operator's rows is never fresh; the daemon would run and start nothing. With over 60,000 it would not start at all.

Change: evacuate_ms is empty, 0, or from 100 to 600,000.

--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -12,6 +12,9 @@
 
 from hemlockstand.settings import LogSettings, option, read_settings
 
+# A copy of the operator's rows is confirmed at best once in a call to the store,
+# so with a shorter bound it would hardly ever be fresh, and nothing would start.
+MIN_EVACUATE_MS = 100
 DEFAULTS_FILE = Path(__file__).with_name("defaults.ini")
 
 
@@ -93,7 +96,7 @@
         "Time within which nothing more may start in a data centre that is "
         "evacuated; empty or 0 where the platform sets no such bound.",
         0,
-        60_000,
+        600_000,
         may_be_empty=True,
         default=None,
     )
@@ -159,6 +162,11 @@
             "must be at most a third of lease_seconds"
         )
     bounds = sections["bounds"]
+    if 0 < (bounds.evacuate_ms or 0) < MIN_EVACUATE_MS:
+        yield (
+            f"{path}: [bounds] evacuate_ms = {bounds.evacuate_ms}: "
+            f"must be 0 or at least {MIN_EVACUATE_MS}"
+        )
     if bounds.longest_hold_ms < 2000 * scheduler.lease_seconds:
         yield (
             f"{path}: [scheduler] lease_seconds = {scheduler.lease_seconds}: "
--- a/test/test_fleet_evacuation_rows.py
+++ b/test/test_fleet_evacuation_rows.py
@@ -1,13 +1,14 @@
 """The operator's evacuations as each daemon reads them, on virtual time."""
 
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import attrs
 import pytest
 import trio
 
 from emulator.row_store import RowStoreAccess, RowStoreModel, Transaction
-from hemlockstand.errors import InvalidInput
+from hemlockstand.errors import InvalidInput, SettingsError
 from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.settings import load_fleet_settings
 from hemlockstand.platform.decoding import decode_evacuation
@@ -148,13 +149,26 @@
         decode_evacuation("evacuate/")
 
 
+def write_settings(directory: Path, line: str) -> Path:
+    """Write a settings file that ends with a line of the bounds."""
+    path = directory / "a.ini"
+    text = SETTINGS.format(name="a", host="127.0.0.1", platform="127.0.0.1:1")
+    path.write_text(text + line)
+    return path
+
+
+@pytest.mark.parametrize("value", ["1", "-1", "nan", "long", "1e9"])
+def test_bound_that_cannot_be_kept(tmp_path, value):
+    """Guards against a daemon that starts, but never a subtask."""
+    with pytest.raises(SettingsError, match="evacuate_ms"):
+        load_fleet_settings(write_settings(tmp_path, f"evacuate_ms = {value}"))
+
+
 @pytest.mark.parametrize(
     ("line", "expected"),
     [("", None), ("evacuate_ms =", None), ("evacuate_ms = 5000", 5000)],
 )
 def test_bound_may_be_empty(tmp_path, line, expected):
     """Guards against a daemon that does not start on a deployment without it."""
-    path = tmp_path / "a.ini"
-    text = SETTINGS.format(name="a", host="127.0.0.1", platform="127.0.0.1:1")
-    path.write_text(text + line)
+    path = write_settings(tmp_path, line)
     assert load_fleet_settings(path).bounds.evacuate_ms == expected
