Name cold executors in the reports on idle work

Cause: an executor that takes its next start later because it is cold was reported as one that had refused a start.

Change: it is counted as "cold".

Measured: test_fleet_idle_report passes; it has no case with a cold executor.

--- a/hemlockstand/fleet/idle_report.py
+++ b/hemlockstand/fleet/idle_report.py
@@ -21,7 +21,7 @@
 from hemlockstand.fleet.job_registry import find_pool
 from hemlockstand.fleet.placement import is_below_cap
 from hemlockstand.fleet.policy.crashes import is_given_up
-from hemlockstand.fleet.policy.evacuation import is_evacuated
+from hemlockstand.fleet.policy.evacuation import find_cold_limit, is_evacuated
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.work import RunState, StepRun
 
@@ -142,6 +142,11 @@
             ("reserved", executor.reserved),
             ("quarantined", executor.quarantined_until > now),
             ("not recorded", not executor.recorded),
+            (
+                "cold",
+                executor.backoff_until > now
+                and find_cold_limit(executor, self.state.config, now) > 0,
+            ),
             ("refused a start", executor.backoff_until > now),
             ("no room", not executor.has_room(step.size, step.fills)),
             ("label", bool(step.label) and step.label not in executor.entry.labels),
