--- a/test/test_fleet_cold.py
+++ b/test/test_fleet_cold.py
@@ -5,7 +5,7 @@
 import trio
 
 from emulator.fleet_executors import SubtaskBehaviour
-from test.fleet_world import SMALL, FleetWorld, make_step, open_world
+from test.fleet_world import LASTING, SMALL, FleetWorld, make_step, open_world
 
 
 @pytest.fixture
@@ -88,6 +88,20 @@
         assert world.count_runs(job) == 12
 
 
+async def test_report_names_cold_executors(clock):
+    """Guards against a report that takes a cold executor for one that refuses."""
+    async with open_world() as world:
+        limit_starts(world, 0.25)
+        add_cold_executor(world, 10)
+        daemon = world.start_daemon("a")
+        work = SubtaskBehaviour(LASTING, size=SMALL)
+        job = world.submit(make_step(2, lasting=True), work=work)
+        await world.wait_for(lambda: world.find_running(job), 5)
+        (step_run,) = daemon.leader.state.registry.ready.values()
+        found = daemon.leader.idle_reporter.describe(step_run)
+        assert found.executors == {"cold": 1}
+
+
 async def test_entry_that_is_read_again_does_not_extend_the_cold_time(clock):
     """Guards against an executor that stays cold as long as it is read again.
 
