Stop no run for a move that an outage of the store would leave idle

Cause: lasting work was stopped while the copy of the operator's rows still counted as current, shortly before it no longer did. Nothing starts then, so the subtask was idle until the store answered again.

Change: runs are moved out of evacuated data centres only while the copy is as young as it is while the store answers.

Measured: 3 of the 4 cases of the new test failed before, with 13 of 14 subtasks running. test_fleet_evacuations, test_fleet_evacuation_rows and test_fleet_views pass.

--- a/hemlockstand/fleet/configuration.py
+++ b/hemlockstand/fleet/configuration.py
@@ -32,6 +32,10 @@
 # A copy is confirmed when a call ends and counts from when it was sent, so it
 # becomes as old as two calls; a third of the time remains.
 FOLLOW_FRACTION = 1 / 3
+# While the store answers, a copy is younger than this part of the time for which
+# it counts as current. A run that is stopped then can start again before the
+# copy no longer counts.
+RECENT_FRACTION = 0.75
 RETRY_SECONDS = 0.1
 
 
@@ -71,6 +75,11 @@
         """Whether every configuration that must be in force is known."""
         return self.current is not None and self.age_seconds < self._fresh_seconds
 
+    @property
+    def recently_confirmed(self) -> bool:
+        """Whether the copy is as young as it is while the store answers."""
+        return self.fresh and self.age_seconds < self._fresh_seconds * RECENT_FRACTION
+
     async def run(self) -> None:
         """Follow changes of the operator's rows."""
         while True:
--- a/hemlockstand/fleet/evacuations.py
+++ b/hemlockstand/fleet/evacuations.py
@@ -64,7 +64,7 @@
         if not self.current or now - self._checked_at < ROUND_SECONDS:
             return
         self._checked_at = now
-        if self.state.may_order() and self.state.configuration.fresh:
+        if self.state.may_order() and self.state.configuration.recently_confirmed:
             obstacles = self._move_runs(now)
             self._report(obstacles, now)
         self._count_runs(now)
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -82,6 +82,7 @@
 
     current: FleetConfig
     fresh: bool = True
+    recently_confirmed: bool = True
     waves: dict[int, Wave] = field(factory=dict)
 
 
--- a/test/test_fleet_evacuations.py
+++ b/test/test_fleet_evacuations.py
@@ -371,6 +371,35 @@
     return [] if leader is None else list(leader.state.registry.jobs.values())
 
 
+@pytest.mark.parametrize("delay", [1.4, 1.5, 1.6, 1.7])
+async def test_runs_stay_while_they_could_not_start_again(clock, delay):
+    """Guards against lasting work that is stopped in an outage of the store.
+
+    The copy of the operator's rows still counts when the outage begins, and no
+    longer does when the stopped run should start elsewhere.
+    """
+    async with open_followed_world("a") as world:
+        add_executors(world, dc1=1)
+        step = make_step(14, lasting=True, max_unavailable=1)
+        job = world.submit(step, work=lasting())
+        await world.wait_for(lambda: len(world.find_running(job)) == 14, 10)
+        add_executors(world, dc2=1)
+        await trio.sleep(2)
+        world.store.put("op", "evacuate/dc1", b"{}")
+        await world.wait_for(lambda: "dc2" in find_data_centres(world, job), 5)
+        await trio.sleep(delay)
+        # The copy counts for four seconds from the first change.
+        for _ in range(2):
+            world.store.put("op", "other", b"{}")
+            await trio.sleep(0.02)
+        world.daemons["a"].rows.failing_tables.add("op")
+        await trio.sleep(10)
+        assert len(world.find_running(job)) == 14
+        assert "dc1" in find_data_centres(world, job)
+        world.daemons["a"].rows.failing_tables.clear()
+        await world.wait_for(lambda: find_data_centres(world, job) == ["dc2"] * 14, 30)
+
+
 async def test_early_revocation(clock):
     """Guards against moves that go on, and a return that waits.
 
