Stop no run of an executor that does not answer to move it

Cause: a run on an executor that did not answer was chosen to leave an evacuated data centre. Its stop was repeated without a look at the budget, and could end the last available subtask of its step once the executor answered again. The obstacle of one subtask was also taken for that of all subtasks of its step.

Change: such a run waits for an answer of its executor. A repeated stop that was certainly not carried out before is checked against the budget again. Only room and a takeover hold up a whole step; its subtasks are counted once in a round.

--- a/hemlockstand/fleet/eviction.py
+++ b/hemlockstand/fleet/eviction.py
@@ -5,7 +5,7 @@
 budget.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Set as AbstractSet
 
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import find_pool
@@ -59,18 +59,29 @@
     subtask of a draining executor or of a step without a budget may be
     stopped.
     """
+    if not subtask.step.max_unavailable:
+        return True
+    unavailable = {
+        other
+        for other in subtask.step_run.subtasks
+        if not is_available(other, executors)
+    }
+    return is_within_budget(subtask, executors, unavailable)
+
+
+def is_within_budget(
+    subtask: Subtask,
+    executors: Mapping[str, Executor],
+    unavailable: AbstractSet[Subtask],
+) -> bool:
+    """Return whether a subtask may be stopped beside those unavailable."""
     budget = subtask.step.max_unavailable
     if not budget or subtask.run is None:
         return True
     executor = executors.get(subtask.run.executor)
     if executor is not None and executor.entry.draining:
         return True
-    unavailable = sum(
-        1
-        for other in subtask.step_run.subtasks
-        if other is not subtask and not is_available(other, executors)
-    )
-    return unavailable < budget
+    return len(unavailable - {subtask}) < budget
 
 
 def is_available(subtask: Subtask, executors: Mapping[str, Executor]) -> bool:
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -1,10 +1,12 @@
 """Orders to executors to start, stop or slow down runs, and their outcomes."""
 
+from enum import Enum, auto
+
 import trio
 from attrs import define
 from loguru import logger
 
-from hemlockstand.errors import HemlockstandError
+from hemlockstand.errors import HemlockstandError, PlatformUnavailable
 from hemlockstand.fleet.eviction import may_stop
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.metrics import FIRST_START_SECONDS, STARTS
@@ -31,6 +33,14 @@
 INVALID_RETRY_SECONDS = 1.0
 
 
+class StopAttempt(Enum):
+    """What became of a stop order."""
+
+    ACCEPTED = auto()
+    NOT_APPLIED = auto()  # it was not sent, or certainly not carried out
+    UNKNOWN = auto()
+
+
 @define(eq=False)
 class Orders:
     """Sends orders; ``open_starts`` counts starts without an outcome yet."""
@@ -202,11 +212,12 @@
                 # Once sent, the executor may have the order.
                 if delayed and not sent and self._revoke_stop(executor, name, number):
                     return
-                sent = True
-                if await self._try_stop(executor, name, number):
-                    return
-            else:
-                delayed = True
+                match await self._try_stop(executor, name, number):
+                    case StopAttempt.ACCEPTED:
+                        return
+                    case StopAttempt.UNKNOWN:
+                        sent = True
+            delayed = True
             await trio.sleep(STOP_RETRY_SECONDS)
             subtask = executor.runs.get(name)
             if subtask is None or subtask.run is None or subtask.run.number != number:
@@ -229,13 +240,16 @@
             subtask.run.state = RunState.RUNNING
         return True
 
-    async def _try_stop(self, executor: Executor, name: str, number: int) -> bool:
-        """Send a stop order; return whether the executor accepted it."""
+    async def _try_stop(
+        self, executor: Executor, name: str, number: int
+    ) -> StopAttempt:
+        """Send a stop order once; return what became of it."""
         try:
             await executor.client.stop(name, number, executor.fence)
         except HemlockstandError as error:
             log.info("run not stopped", subtask=name, run=number, detail=str(error))
-            return False
+            unsent = isinstance(error, PlatformUnavailable)
+            return StopAttempt.NOT_APPLIED if unsent else StopAttempt.UNKNOWN
         log.info(
             "executor accepted the stop of a run",
             subtask=name,
@@ -243,7 +257,7 @@
             executor=executor.id,
         )
         executor.wake()
-        return True
+        return StopAttempt.ACCEPTED
 
     async def order_pace(self, executor: Executor, change: PaceChange) -> None:
         """Set the pace of a run; after a failure the next poll tries again."""
--- a/hemlockstand/fleet/policy/departures.py
+++ b/hemlockstand/fleet/policy/departures.py
@@ -16,7 +16,8 @@
 from hemlockstand.fleet.eviction import (
     AVAILABLE_PERCENT,
     NOTHING,
-    may_stop,
+    is_available,
+    is_within_budget,
     may_take,
 )
 from hemlockstand.fleet.executors import Executor
@@ -38,6 +39,7 @@
 
     NONE = "nothing, it moves next"
     OWN_END = "its own end"
+    ANSWER = "an answer of its executor"
     CHANGE = "the outcome of its start or stop"
     TAKEOVER = "the end of the takeover"
     STEP = "another subtask of its step"
@@ -66,6 +68,14 @@
         return True
 
 
+@define(eq=False)
+class StepCount:
+    """The subtasks of a step that hold up its others."""
+
+    moving: set[Subtask]
+    unavailable: set[Subtask]
+
+
 @define(eq=False)
 class Departures:
     """Chooses runs to stop, from one view of the executors.
@@ -73,9 +83,9 @@
     ``budgets_known`` is false while stops of a previous scheduler may be in
     progress, ``blocked_pools`` names the pools in which its runs may be unseen.
     ``predict_seconds`` returns how long a subtask of a step is expected to take.
-    Room that is found for one run does not count for the next one. What holds
-    up one subtask of a step holds up the others too, so for each step there is
-    one search for room and one count of its subtasks.
+    Room that is found for one run does not count for the next one. The
+    subtasks of a step need the same room, so for each step there is one search
+    for it, and its subtasks are counted once.
     """
 
     registry: JobRegistry
@@ -89,6 +99,7 @@
     _contended: set[str] = field(factory=set)
     _without_room: set[tuple[str, Resources, str, str]] = field(factory=set)
     _held: dict[StepRun, Obstacle] = field(factory=dict)
+    _counts: dict[StepRun, StepCount] = field(factory=dict)
     _seconds: dict[StepRun, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -131,14 +142,22 @@
             LONG_REMAINING_SECONDS
         ):
             return Obstacle.OWN_END
+        # A stop would be sent at an unknown time, when other subtasks of the
+        # step may have become unavailable.
+        executor = self.executors.get(run.executor)
+        if executor is None or not (executor.reachable and executor.reconciled):
+            return Obstacle.ANSWER
         held = self._held.get(subtask.step_run)
         if held is not None:
             return held
         obstacle = self._find_obstacle(subtask)
-        if obstacle is not Obstacle.NONE:
-            self._held[subtask.step_run] = obstacle
-        elif step.lasting:
-            self._held[subtask.step_run] = Obstacle.STEP
+        match obstacle:
+            case Obstacle.TAKEOVER | Obstacle.ROOM:
+                self._held[subtask.step_run] = obstacle
+            case Obstacle.NONE if step.lasting:
+                self._held[subtask.step_run] = Obstacle.STEP
+            case Obstacle.NONE:
+                self._count(subtask.step_run).unavailable.add(subtask)
         return obstacle
 
     def _predict_remaining(self, subtask: Subtask) -> float:
@@ -154,15 +173,28 @@
         unseen = step_run.may_have_unknown_runs(self.blocked_pools)
         if unseen or not self.budgets_known:
             return Obstacle.TAKEOVER
-        if step.lasting and is_another_moving(subtask):
+        count = self._count(step_run)
+        if step.lasting and count.moving - {subtask}:
             return Obstacle.STEP
-        if not may_stop(subtask, self.executors):
+        if not is_within_budget(subtask, self.executors, count.unavailable):
             return Obstacle.BUDGET
         contended = find_pool(subtask.job, self.config) in self._contended
         if (contended and not step.lasting) or not self._take_room(subtask):
             return Obstacle.ROOM
         return Obstacle.NONE
 
+    def _count(self, step_run: StepRun) -> StepCount:
+        if step_run not in self._counts:
+            self._counts[step_run] = StepCount(
+                {item for item in step_run.subtasks if is_moving(item)},
+                {
+                    item
+                    for item in step_run.subtasks
+                    if not is_available(item, self.executors)
+                },
+            )
+        return self._counts[step_run]
+
     def _take_room(self, subtask: Subtask) -> bool:
         """Take room for a subtask; return whether an executor has it."""
         step, pool = subtask.step, find_pool(subtask.job, self.config)
@@ -178,15 +210,15 @@
         return False
 
 
-def is_another_moving(subtask: Subtask) -> bool:
-    """Return whether another subtask of the step is not at work yet.
+def is_moving(subtask: Subtask) -> bool:
+    """Return whether a subtask is not at work yet and holds up its step.
 
     One that is not started any more does not hold up the others.
     """
-    return any(
-        other.run is None
-        or other.run.state is not RunState.RUNNING
-        or other.run.percent < AVAILABLE_PERCENT
-        for other in subtask.step_run.subtasks
-        if other is not subtask and not is_given_up(other)
+    run = subtask.run
+    at_work = (
+        run is not None
+        and run.state is RunState.RUNNING
+        and run.percent >= AVAILABLE_PERCENT
     )
+    return not at_work and not is_given_up(subtask)
--- a/test/test_fleet_departures.py
+++ b/test/test_fleet_departures.py
@@ -157,3 +157,26 @@
     scene = Scene()
     (subtask, *_) = scene.add_step(step, "i-0", "i-1")
     assert scene.judge(subtask) is Obstacle.OWN_END
+
+
+def test_run_of_an_executor_that_does_not_answer():
+    """Guards against stops that reach an executor at an unknown later time."""
+    scene = Scene()
+    (subtask, _) = scene.add_step(LASTING, "i-0", "i-1")
+    scene.executors["i-0"].failing_since = 0.0
+    assert scene.judge(subtask) is Obstacle.ANSWER
+    scene.executors["i-0"].failing_since = None
+    scene.executors["i-0"].reconciled = False
+    assert scene.judge(subtask) is Obstacle.ANSWER
+
+
+def test_subtasks_of_a_step_have_obstacles_of_their_own():
+    """Guards against a step that stays because of the one that may leave.
+
+    The budget permits no stop but that of the subtask still starting up.
+    """
+    scene = Scene()
+    first, second = scene.add_step(LASTING, "i-0", "i-1")
+    second.run.percent = 50
+    assert scene.judge(first) is Obstacle.STEP
+    assert scene.judge(first, second) is Obstacle.NONE
