Move runs only to executors that may start them

Cause: the search for room outside of evacuated data centres took executors that the policy of the queue forbids, cold ones that take no start yet, ones whose capacities were too old for a start, and ones not recorded yet. A run that was stopped for such room was idle.

Change: the search uses the conditions of placement, and a cold executor with a limit is promised one run in a round. For a step that finds no room for lack of tickets these are requested, although no subtask of it waits.

Measured: three of the four new tests failed before; that a ticket is requested passed then, as tickets were not regarded. test_fleet_evacuation_moves, test_fleet_departures, test_fleet_evacuations and test_fleet_views pass.

--- a/hemlockstand/fleet/evacuations.py
+++ b/hemlockstand/fleet/evacuations.py
@@ -52,6 +52,9 @@
     plans: InstancePlans
     blocked_pools: set[str]
     stop_run: Callable[[Subtask], None]
+    may_run: Callable[[StepRun, Executor], bool]
+    request_tickets: Callable[[StepRun], None]
+    is_confirmed: Callable[[], bool]
     current: dict[str, Evacuation] = field(factory=dict)
     _checked_at: float = float("-inf")
     _reported_at: float = float("-inf")
@@ -157,6 +160,8 @@
             now > self.state.previous_stops_end,
             self.blocked_pools,
             self._predict_seconds,
+            self.may_run,
+            self.is_confirmed(),
         )
 
     def _predict_seconds(self, step_run: StepRun) -> float:
@@ -188,6 +193,8 @@
                 percent=subtask.run.percent,
             )
             self.stop_run(subtask)
+        for step_run in departures.undecided:
+            self.request_tickets(step_run)
         return obstacles
 
     def _count_runs(self, now: float) -> None:
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -104,6 +104,9 @@
             self._instances.plans,
             self._barrier.blocked_pools,
             self._orders.stop_run,
+            self._may_run,
+            self._ticket_cache.request_ahead,
+            self._executor_directory.is_confirmed,
         )
         self._wave_records: dict[int, WaveRecord | None] = {}
         self._unreadable_jobs: set[str] = set()
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -207,6 +207,12 @@
         )
 
 
+def is_restricted(step_run: StepRun, config: FleetConfig) -> bool:
+    """Return whether the policy of a step's queue has to allow each executor."""
+    queue = config.queues_by_name.get(step_run.job.spec.queue)
+    return queue is not None and queue.advice is not None
+
+
 def is_usable(executor: Executor, now: float) -> bool:
     """Return whether an executor may get new runs now."""
     return accepts_runs(executor, now) and is_recorded(executor)
--- a/hemlockstand/fleet/policy/departures.py
+++ b/hemlockstand/fleet/policy/departures.py
@@ -23,9 +23,9 @@
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import JobRegistry, find_pool
 from hemlockstand.fleet.model import FleetConfig, Resources, get_reservation
-from hemlockstand.fleet.placement import accepts_runs
+from hemlockstand.fleet.placement import is_restricted, is_usable
 from hemlockstand.fleet.policy.crashes import is_given_up
-from hemlockstand.fleet.policy.evacuation import is_evacuated
+from hemlockstand.fleet.policy.evacuation import find_cold_limit, is_evacuated
 from hemlockstand.fleet.work import RunState, StepRun, Subtask
 
 # Work with checkpoints that is expected to end sooner stays. A move takes up to
@@ -49,10 +49,14 @@
 
 @define(eq=False)
 class Room:
-    """An executor that may take runs, with what it is promised to."""
+    """An executor that may take runs, with what it is promised to.
+
+    ``takes_one`` is set for a cold one whose starts are spread over time.
+    """
 
     executor: Executor
     free_cpu: int
+    takes_one: bool = False
     promised: Resources = NOTHING
 
     def take(self, subtask: Subtask) -> bool:
@@ -61,6 +65,8 @@
         # Most executors are full, so this is checked first.
         if self.free_cpu < step.size.cpu_millis and not step.fills:
             return False
+        if self.takes_one and self.promised != NOTHING:
+            return False
         if not may_take(self.executor, subtask, self.promised):
             return False
         self.promised = self.promised.add(get_reservation(step))
@@ -82,7 +88,10 @@
 
     ``budgets_known`` is false while stops of a previous scheduler may be in
     progress, ``blocked_pools`` names the pools in which its runs may be unseen.
-    ``predict_seconds`` returns how long a subtask of a step is expected to take.
+    ``predict_seconds`` returns how long a subtask of a step is expected to take,
+    and ``may_run`` whether the policy of its queue is known to allow an
+    executor. ``confirmed`` tells whether the known capacities still apply. Steps
+    are in ``undecided`` if they lack room, and the policy may allow more.
     Room that is found for one run does not count for the next one. The
     subtasks of a step need the same room, so for each step there is one search
     for it, and its subtasks are counted once.
@@ -95,6 +104,9 @@
     budgets_known: bool
     blocked_pools: AbstractSet[str]
     predict_seconds: Callable[[StepRun], float]
+    may_run: Callable[[StepRun, Executor], bool]
+    confirmed: bool
+    undecided: set[StepRun] = field(factory=set)
     _rooms: dict[str, list[Room]] = field(factory=dict)
     _contended: set[str] = field(factory=set)
     _without_room: set[tuple[str, Resources, str, str]] = field(factory=set)
@@ -105,11 +117,10 @@
     def __attrs_post_init__(self) -> None:
         """Take the room that subtasks will need which wait or are being moved."""
         for executor in self.executors.values():
-            if accepts_runs(executor, self.now) and not is_evacuated(
-                executor, self.config
-            ):
+            if self._may_start(executor):
+                limited = find_cold_limit(executor, self.config, self.now) > 0
                 rooms = self._rooms.setdefault(executor.entry.pool, [])
-                rooms.append(Room(executor, executor.free_cpu()))
+                rooms.append(Room(executor, executor.free_cpu(), limited))
         for step_run in self.registry.ready.values():
             if step_run.step.lasting:
                 for subtask in step_run.waiting.values():
@@ -125,6 +136,17 @@
                 if restarts and not subtask.job.state.final:
                     self._take_room(subtask)
 
+    def _may_start(self, executor: Executor) -> bool:
+        """Return whether placement could start a run on an executor now."""
+        pool = self.config.pools.get(executor.entry.pool)
+        guarded = pool is not None and pool.admission_check
+        return (
+            (guarded or self.confirmed)
+            and is_usable(executor, self.now)
+            and executor.backoff_until <= self.now
+            and not is_evacuated(executor, self.config)
+        )
+
     def find_runs(self) -> Iterator[Subtask]:
         """Yield the subtasks that run in an evacuated data centre."""
         for executor in self.executors.values():
@@ -198,14 +220,19 @@
     def _take_room(self, subtask: Subtask) -> bool:
         """Take room for a subtask; return whether an executor has it."""
         step, pool = subtask.step, find_pool(subtask.job, self.config)
-        # A limit per executor, or use of spare cpu, concerns one step alone.
-        alone = step.max_per_executor or step.fills
+        # A limit per executor, use of spare cpu and tickets concern one step.
+        restricted = is_restricted(subtask.step_run, self.config)
+        alone = restricted or step.max_per_executor or step.fills
         name = subtask.step_run.name if alone else ""
         key = (pool, step.size, step.label, name)
         if key in self._without_room:
             return False
-        if any(room.take(subtask) for room in self._rooms.get(pool, ())):
-            return True
+        for room in self._rooms.get(pool, ()):
+            allowed = not restricted or self.may_run(subtask.step_run, room.executor)
+            if allowed and room.take(subtask):
+                return True
+        if restricted:
+            self.undecided.add(subtask.step_run)
         self._without_room.add(key)
         return False
 
--- a/hemlockstand/fleet/tickets.py
+++ b/hemlockstand/fleet/tickets.py
@@ -14,6 +14,7 @@
     fill_group,
     is_below_cap,
     is_recorded,
+    is_restricted,
     is_sound,
 )
 from hemlockstand.fleet.policy.evacuation import is_evacuated
@@ -28,6 +29,9 @@
 EXECUTORS_PER_CALL = 8
 ROUND_SECONDS = 0.02
 RETRY_SECONDS = 0.5
+# Time for which tickets are requested for a step whose runs are to move. The
+# choice of runs to move is made twice a second and extends it.
+WANTED_SECONDS = 1.0
 # Part of a ticket's validity in which it is used: the order that carries it
 # takes time to arrive.
 USABLE_FRACTION = 0.8
@@ -47,11 +51,16 @@
 
 @define(eq=False)
 class TicketCache:
-    """Requests tickets ahead of placement, one call at a time."""
+    """Requests tickets ahead of placement, one call at a time.
+
+    ``_wanted`` holds the steps whose runs are to move, with the time until
+    which their tickets are requested although no subtask of them waits.
+    """
 
     state: SchedulerState
     client: AdviceClient
     _tickets: dict[tuple[str, str], Ticket | None] = field(factory=dict)
+    _wanted: dict[StepRun, float] = field(factory=dict)
 
     def find_ticket(self, step_run: StepRun, executor: Executor) -> str | None:
         """Return the valid ticket, empty if refused; None if there is none."""
@@ -64,10 +73,13 @@
         """Drop a ticket that the executor has refused."""
         self._tickets.pop((step_run.name, executor.id), None)
 
+    def request_ahead(self, step_run: StepRun) -> None:
+        """Request tickets for a short time for a step none of which waits."""
+        self._wanted[step_run] = self.state.clock() + WANTED_SECONDS
+
     def needs_ticket(self, step_run: StepRun, config: FleetConfig) -> bool:
         """Return whether starts of the step must carry a ticket."""
-        queue = config.queues_by_name.get(step_run.job.spec.queue)
-        return queue is not None and queue.advice is not None
+        return is_restricted(step_run, config)
 
     async def run(self) -> None:
         """Request tickets until the scheduler ends."""
@@ -78,7 +90,11 @@
             self._drop_tickets_of_ended_jobs()
 
     def _find_steps_without_ticket(self) -> Iterator[StepRun]:
-        for step_run in list(self.state.registry.ready.values()):
+        now = self.state.clock()
+        self._wanted = {
+            step_run: until for step_run, until in self._wanted.items() if until > now
+        }
+        for step_run in [*self.state.registry.ready.values(), *self._wanted]:
             if not self.needs_ticket(step_run, self.state.config):
                 continue
             with_ticket = [
--- a/test/test_fleet_departures.py
+++ b/test/test_fleet_departures.py
@@ -20,7 +20,9 @@
     """Return an executor that answers and has room for one large subtask."""
     size = Resources(16_000, 32_768)
     entry = ExecutorEntry(name, "pool", "a:1", data_centre, False, None, 1, size, ())
-    return Executor(entry, None, 1, lambda: 0.0, None, 0.8, reconciled=True)
+    return Executor(
+        entry, None, 1, lambda: 0.0, None, 0.8, reconciled=True, recorded=True
+    )
 
 
 class Scene:
@@ -55,7 +57,12 @@
 
     def judge(self, *subtasks: Subtask, **values) -> Obstacle:
         """Return what the last of some runs waits for, in one view."""
-        view = {"budgets_known": True, "blocked_pools": set()} | values
+        view = {
+            "budgets_known": True,
+            "blocked_pools": set(),
+            "may_run": lambda step_run, executor: True,
+            "confirmed": True,
+        } | values
         departures = Departures(
             self.registry,
             self.executors,
@@ -64,6 +71,8 @@
             view["budgets_known"],
             view["blocked_pools"],
             lambda step_run: 50.0,
+            view["may_run"],
+            view["confirmed"],
         )
         return [departures.judge(subtask) for subtask in subtasks][-1]
 
--- a/test/test_fleet_evacuation_moves.py
+++ b/test/test_fleet_evacuation_moves.py
@@ -6,8 +6,11 @@
 import trio
 
 from hemlockstand.errors import PlatformUnavailable
+from hemlockstand.fleet.model import Advice
 from hemlockstand.fleet.work import RunState
-from test.fleet_world import make_step, open_world
+from hemlockstand.platform.advice import StepAdvice
+from test.fleet_world import make_config, make_step, open_world
+from test.test_fleet_cold import add_cold_executor, limit_starts
 from test.test_fleet_evacuations import (
     add_executors,
     find_data_centres,
@@ -85,3 +88,93 @@
         await trio.sleep(1)
         assert world.count_runs(subtask.name) == 1
         assert subtask.run.state is RunState.RUNNING
+
+
+async def test_room_that_the_policy_of_the_queue_forbids(clock):
+    """Guards against a stop after which no executor may start the subtask."""
+
+    class LocalAdvice:
+        async def ask(self, step, executors):
+            await trio.sleep(0.05)
+            allowed = [
+                name for name in executors if world.executors[name].data_centre == "dc1"
+            ]
+            return StepAdvice({name: f"{step} {name}" for name in allowed}, 30_000)
+
+    async with open_world() as world:
+        world.advice = LocalAdvice()
+        world.configuration.current = make_config(advice=Advice(100, 1000, 30_000))
+        add_executors(world, dc1=1, dc2=1)
+        world.start_daemon("a")
+        step = make_step(1, lasting=True, max_unavailable=1)
+        job = world.submit(step, work=lasting())
+        await world.wait_for(lambda: len(world.find_running(job)) == 1, 10)
+        await trio.sleep(2)
+        assert find_data_centres(world, job) == ["dc1"]
+        world.evacuate("dc1")
+        await trio.sleep(20)
+        assert find_data_centres(world, job) == ["dc1"]
+        assert world.count_runs(job) == 1
+
+
+async def test_room_for_which_a_ticket_is_requested(clock):
+    """Guards against a subtask that stays because no ticket was asked for.
+
+    Its step waits for nothing, so no ticket is requested ahead of its move.
+    """
+
+    class OpenAdvice:
+        async def ask(self, step, executors):
+            await trio.sleep(0.05)
+            return StepAdvice({name: f"{step} {name}" for name in executors}, 30_000)
+
+    async with open_world() as world:
+        world.advice = OpenAdvice()
+        world.configuration.current = make_config(advice=Advice(100, 1000, 30_000))
+        add_executors(world, dc1=1)
+        world.start_daemon("a")
+        step = make_step(1, lasting=True, max_unavailable=1)
+        job = world.submit(step, work=lasting())
+        await world.wait_for(lambda: len(world.find_running(job)) == 1, 10)
+        add_executors(world, dc2=1)
+        await trio.sleep(2)
+        world.evacuate("dc1")
+        await trio.sleep(6)
+        assert find_data_centres(world, job) == ["dc2"]
+
+
+async def test_cold_executor_that_takes_no_start_yet(clock):
+    """Guards against stops for room that is given to one run in ten seconds."""
+    async with open_world() as world:
+        limit_starts(world, 0.1)
+        add_executors(world, dc1=2)
+        world.start_daemon("a")
+        step = make_step(1, lasting=True, max_unavailable=1)
+        jobs = [world.submit(step, work=lasting()) for _ in range(3)]
+        await world.wait_for(lambda: len(world.find_running()) == 3, 10)
+        await trio.sleep(2)
+        add_cold_executor(world, 60, data_centre="dc2")
+        await trio.sleep(1)
+        world.evacuate("dc1")
+        await trio.sleep(8)
+        assert len(world.find_running()) == len(jobs)
+        assert "dc2" in find_data_centres(world)
+
+
+async def test_pool_in_which_nothing_may_start(clock):
+    """Guards against stops while capacities are too old to start anything."""
+    async with open_world() as world:
+        world.configuration.current = make_config(admission_check=False)
+        add_executors(world, dc1=1)
+        daemon = world.start_daemon("a")
+        step = make_step(1, lasting=True, max_unavailable=1)
+        job = world.submit(step, work=lasting())
+        await world.wait_for(lambda: len(world.find_running(job)) == 1, 10)
+        await trio.sleep(2)
+        add_executors(world, dc2=1)
+        await trio.sleep(2)
+        daemon.rows.failing_tables.add("servers")
+        await trio.sleep(4)
+        world.evacuate("dc1")
+        await trio.sleep(10)
+        assert find_data_centres(world, job) == ["dc1"]
