End the pause after a start on a cold executor with its cold time

Cause: the pause after the last start of the cold time was one over ColdPerS long. With 0.1 starts a second a warm executor took nothing for up to 10 s.

Change: the pause ends when the executor is warm.

Measured: test_executor_that_is_warm_again failed before and passes, as do test_fleet_cold and test_fleet_views.

--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -61,6 +61,7 @@
         executor.backoff_until = space_cold_starts(
             now,
             executor.backoff_until,
+            executor.cold_until,
             find_cold_limit(executor, self.state.config, now),
         )
         self.state.nursery.start_soon(self._order_start, subtask, run, executor)
--- a/hemlockstand/fleet/policy/evacuation.py
+++ b/hemlockstand/fleet/policy/evacuation.py
@@ -7,8 +7,10 @@
 Cold executors are slow for some time after their own start; others have
 precedence, and what a cold one gets is spread over time::
 
-    >>> space_cold_starts(now=7.0, busy_until=0.0, starts_per_second=4.0)
+    >>> space_cold_starts(7.0, busy_until=0.0, cold_until=9.0, starts_per_second=4)
     7.25
+    >>> space_cold_starts(8.9, busy_until=0.0, cold_until=9.0, starts_per_second=4)
+    9.0
 """
 
 from collections.abc import Iterable
@@ -44,11 +46,17 @@
     return pool.cold_starts_per_second
 
 
-def space_cold_starts(now: float, busy_until: float, starts_per_second: float) -> float:
-    """Return when the next start on a cold executor may follow one at ``now``."""
+def space_cold_starts(
+    now: float, busy_until: float, cold_until: float, starts_per_second: float
+) -> float:
+    """Return when the next start on a cold executor may follow one at ``now``.
+
+    The pause ends with the cold time, unless the executor is busy for longer.
+    """
     if not starts_per_second:
         return busy_until
-    return max(now, busy_until) + 1 / starts_per_second
+    spaced = max(now, busy_until) + 1 / starts_per_second
+    return max(busy_until, min(spaced, cold_until))
 
 
 def mark_returning(
--- a/test/test_fleet_evacuation_moves.py
+++ b/test/test_fleet_evacuation_moves.py
@@ -5,11 +5,12 @@
 import pytest
 import trio
 
+from emulator.fleet_executors import SubtaskBehaviour
 from hemlockstand.errors import PlatformUnavailable
 from hemlockstand.fleet.model import Advice
 from hemlockstand.fleet.work import RunState
 from hemlockstand.platform.advice import StepAdvice
-from test.fleet_world import make_config, make_step, open_world
+from test.fleet_world import SMALL, make_config, make_step, open_world
 from test.test_fleet_cold import add_cold_executor, limit_starts
 from test.test_fleet_evacuations import (
     add_executors,
@@ -178,3 +179,16 @@
         world.evacuate("dc1")
         await trio.sleep(10)
         assert find_data_centres(world, job) == ["dc1"]
+
+
+async def test_executor_that_is_warm_again(clock):
+    """Guards against a warm executor that waits out a pause of its cold time."""
+    async with open_world() as world:
+        limit_starts(world, 0.1)
+        add_cold_executor(world, 3)
+        world.start_daemon("a")
+        work = SubtaskBehaviour(0.2, size=SMALL)
+        first = world.submit(make_step(1, 0.2), work=work)
+        await world.wait_for(lambda: world.state(first) == "completed", 3)
+        second = world.submit(make_step(1, 0.2), work=work)
+        await world.wait_for(lambda: world.state(second) == "completed", 5)
