Report no data centre as empty before all of its lists are read

Cause: a new scheduler that had read no list yet knew of no run, and logged that nothing runs in an evacuated data centre any more.

Change: it is empty only if all its executors answer, their lists are read and have no unknown runs, and no pool is blocked by a takeover. The view shows how many executors are unread.

--- a/hemlockstand/fleet/evacuations.py
+++ b/hemlockstand/fleet/evacuations.py
@@ -36,7 +36,8 @@
 class Evacuation:
     """An evacuation as this scheduler has seen it.
 
-    ``empty`` is set once nothing runs in the data centre.
+    ``empty`` is set once nothing is known to run in the data centre and all
+    lists of its executors have been read.
     """
 
     data_centre: str
@@ -128,6 +129,13 @@
             if executor.entry.data_centre == data_centre
         ]
 
+    def _is_all_read(self, executors: list[Executor]) -> bool:
+        """Return whether no run on executors can be unknown.
+
+        A previous scheduler may have started runs in pools that are blocked.
+        """
+        return not self.blocked_pools and all(map(is_read, executors))
+
     def describe(self) -> list[dict[str, Any]]:
         """Return the evacuated data centres with what is in them."""
         now = self.state.clock()
@@ -138,6 +146,7 @@
                 "data_centre": name,
                 "seconds": round(now - evacuation.since, 1),
                 "executors": len(executors),
+                "unread_executors": sum(not is_read(item) for item in executors),
                 "instances": self._count_instances(name),
                 "runs": sum(len(executor.runs) for executor in executors),
             }
@@ -204,14 +213,16 @@
             executors = self._find_executors(evacuation.data_centre)
             runs = sum(len(executor.runs) for executor in executors)
             total += runs
-            if not runs and not evacuation.empty:
+            if runs:
+                evacuation.empty = False
+            elif not evacuation.empty and self._is_all_read(executors):
+                evacuation.empty = True
                 log.info(
                     "nothing runs in an evacuated data centre any more",
                     data_centre=evacuation.data_centre,
                     seconds=round(now - evacuation.since, 1),
                     executors=len(executors),
                 )
-            evacuation.empty = not runs
         EVACUATION_RUNS.set(total)
 
     def _report(self, obstacles: dict[Subtask, Obstacle], now: float) -> None:
@@ -261,6 +272,11 @@
                 yield pool, shortage
 
 
+def is_read(executor: Executor) -> bool:
+    """Return whether all runs of an executor are known."""
+    return executor.reconciled and executor.reachable and not executor.unknown_runs
+
+
 @define
 class Shortage:
     """Cores of work that waits, or stays for lack of room, and free ones."""
--- a/test/test_fleet_evacuation_moves.py
+++ b/test/test_fleet_evacuation_moves.py
@@ -16,6 +16,7 @@
     add_executors,
     find_data_centres,
     lasting,
+    record_lines,
 )
 
 
@@ -192,3 +193,24 @@
         await world.wait_for(lambda: world.state(first) == "completed", 3)
         second = world.submit(make_step(1, 0.2), work=work)
         await world.wait_for(lambda: world.state(second) == "completed", 5)
+
+
+async def test_successor_that_has_read_no_lists(clock):
+    """Guards against a data centre that is reported as empty and is not."""
+    async with open_world() as world:
+        add_executors(world, dc1=2)
+        daemon = world.start_daemon("a")
+        work = SubtaskBehaviour(30.0, size=SMALL)
+        job = world.submit(make_step(3), work=work)
+        await world.wait_for(lambda: len(world.find_running(job)) == 3, 10)
+        world.evacuate("dc1")
+        await trio.sleep(2)
+        successor = world.start_daemon("b")
+        successor.cut_off.update(world.executors)
+        with record_lines("data_centre") as lines:
+            world.kill(daemon)
+            await trio.sleep(4)
+            assert successor.leader is not None
+            found = successor.leader.evacuations.describe()
+        assert [line for line in lines if "runs" not in line] == []
+        assert found[0]["unread_executors"] == 2
--- a/test/test_fleet_views.py
+++ b/test/test_fleet_views.py
@@ -85,6 +85,7 @@
             "data_centre": "dc9",
             "seconds": found["seconds"],
             "executors": 0,
+            "unread_executors": 0,
             "instances": 0,
             "runs": 0,
         }
