Check a start again when its connection is free

Cause: a start was checked before the call, which may wait for a connection for a second. It was then sent although its data centre had been evacuated, the copy of the operator's rows was no longer current or the lease had ended.

Change: the check, now also of the copy's age, is repeated directly before the first byte is sent. An order that is withdrawn then has an outcome of its own: the executor is not at fault and is not avoided.

Measured: both cases of test_pending_start_is_checked_when_it_is_sent fail without the check in the stand-in's client, and pass with it. test_platform_connection, test_fleet_evacuation_moves and test_fleet_evacuations pass.

--- a/emulator/executor_access.py
+++ b/emulator/executor_access.py
@@ -50,10 +50,14 @@
             raise ConnectionRefused("no process listens")
         return model
 
-    async def start(self, order: StartOrder) -> StartOutcome:
-        """Start a run."""
+    async def start(
+        self, order: StartOrder, may_send: Callable[[], bool]
+    ) -> StartOutcome:
+        """Start a run, unless it is withdrawn while the call is prepared."""
         try:
             model = await self._reach()
+            if not may_send():
+                return Refused(Refusal.NOT_SENT)
         except OutcomeUnknown as error:
             return Unanswered(str(error))
         except ExecutorReplaced:
--- a/hemlockstand/errors.py
+++ b/hemlockstand/errors.py
@@ -51,6 +51,12 @@
     code = "connection_refused"
 
 
+class NotSent(PlatformUnavailable):
+    """The caller no longer permitted the call when it was about to be sent."""
+
+    code = "not_sent"
+
+
 class OutcomeUnknown(HemlockstandError):
     """The call may have been applied; reading the rows shows if it was."""
 
--- a/hemlockstand/fleet/model.py
+++ b/hemlockstand/fleet/model.py
@@ -389,6 +389,7 @@
     INVALID = "invalid"
     UNHEALTHY = "unhealthy"
     OTHER_LIFETIME = "other lifetime"
+    NOT_SENT = "not sent"  # the scheduler itself withdrew the order
 
 
 @frozen
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -1,6 +1,7 @@
 """Orders to executors to start, stop or slow down runs, and their outcomes."""
 
 from enum import Enum, auto
+from functools import partial
 
 import trio
 from attrs import define
@@ -70,9 +71,8 @@
         self, subtask: Subtask, run: Run, executor: Executor
     ) -> None:
         # The evacuation may have begun since the executor was chosen.
-        evacuated = is_evacuated(executor, self.state.config)
-        due_ms = None if evacuated else executor.extend_lease()
-        if due_ms is None or not self.state.may_order():
+        due_ms = executor.extend_lease() if self._may_start(executor) else None
+        if due_ms is None:
             self._requeue_unstarted(subtask, run, executor, 0.0)
             return
         job = subtask.job
@@ -87,7 +87,9 @@
         )
         self.open_starts += 1
         try:
-            outcome = await executor.client.start(order)
+            outcome = await executor.client.start(
+                order, partial(self._may_start, executor)
+            )
         finally:
             self.open_starts -= 1
         STARTS.labels(type(outcome).__name__).inc()
@@ -114,6 +116,17 @@
                 if subtask.run is run:
                     executor.raise_fence()
 
+    def _may_start(self, executor: Executor) -> bool:
+        """Return whether a start may be sent now.
+
+        It is asked again when the connection is free, which may take a second.
+        """
+        return (
+            self.state.may_order()
+            and self.state.configuration.fresh
+            and not is_evacuated(executor, self.state.config)
+        )
+
     def _handle_started(self, subtask: Subtask, run: Run) -> None:
         if subtask.run is not run:
             return
--- a/hemlockstand/platform/connection.py
+++ b/hemlockstand/platform/connection.py
@@ -18,6 +18,7 @@
 from hemlockstand.errors import (
     ConnectionLost,
     ConnectionRefused,
+    NotSent,
     OutcomeUnknown,
     PlatformUnavailable,
 )
@@ -150,7 +151,8 @@
 
         ``may_send`` is called directly before the first byte is sent, because
         the process may be paused for seconds while it waits for a connection.
-        Raises ``PlatformUnavailable`` if nothing was sent,
+        Raises ``PlatformUnavailable`` if nothing was sent, ``NotSent`` if that
+        is because of ``may_send``,
         ``ConnectionRefused`` if that is because no process listens there, and
         ``OutcomeUnknown`` if the request may have been carried out;
         ``ConnectionLost`` is one of these. After a
@@ -207,7 +209,7 @@
         try:
             if may_send is not None and not may_send():
                 reusable = True
-                raise PlatformUnavailable(f"{name} was not sent")
+                raise NotSent(f"{name} was not sent")
             with trio.fail_after(seconds):
                 reader = await _exchange(stream, request)
             reusable = reader.reusable and generation == self._generation
--- a/hemlockstand/platform/executors.py
+++ b/hemlockstand/platform/executors.py
@@ -1,6 +1,6 @@
 """Client of the executors, which run subtasks under leases."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from attrs import define, field
@@ -9,6 +9,7 @@
 from hemlockstand.errors import (
     ConnectionLost,
     HemlockstandError,
+    NotSent,
     OutcomeUnknown,
     PlatformUnavailable,
 )
@@ -63,8 +64,13 @@
     def __attrs_post_init__(self) -> None:
         self._connection = Connection(self.address)
 
-    async def start(self, order: StartOrder) -> StartOutcome:
-        """Start a run; the outcome tells whether it may still begin."""
+    async def start(
+        self, order: StartOrder, may_send: Callable[[], bool]
+    ) -> StartOutcome:
+        """Start a run; the outcome tells whether it may still begin.
+
+        ``may_send`` is called directly before the order is sent.
+        """
         body: dict[str, Any] = {
             "Task": order.subtask,
             "Run": order.run,
@@ -77,7 +83,11 @@
         if order.ticket:
             body["Ticket"] = order.ticket
         try:
-            reply = await self._call("/run-start", body, ORDER_TIMEOUT_SECONDS)
+            reply = await self._call(
+                "/run-start", body, ORDER_TIMEOUT_SECONDS, may_send
+            )
+        except NotSent:
+            return Refused(Refusal.NOT_SENT)
         except PlatformUnavailable:
             return Refused(Refusal.UNHEALTHY)
         except OutcomeUnknown as error:
@@ -125,9 +135,17 @@
         }
         _require_accepted(await self._call("/pace", body, ORDER_TIMEOUT_SECONDS))
 
-    async def _call(self, path: str, body: object, seconds: float) -> Reply:
+    async def _call(
+        self,
+        path: str,
+        body: object,
+        seconds: float,
+        may_send: Callable[[], bool] | None = None,
+    ) -> Reply:
         headers = (("Expected-Instance", self.executor),)
-        return await self._connection.call("POST", path, seconds, body, headers)
+        return await self._connection.call(
+            "POST", path, seconds, body, headers, may_send
+        )
 
     async def close(self) -> None:
         """Close all connections."""
--- a/test/test_fleet_evacuation_moves.py
+++ b/test/test_fleet_evacuation_moves.py
@@ -214,3 +214,38 @@
             found = successor.leader.evacuations.describe()
         assert [line for line in lines if "runs" not in line] == []
         assert found[0]["unread_executors"] == 2
+
+
+@pytest.mark.parametrize("change", ["old copy", "evacuation"])
+async def test_pending_start_is_checked_when_it_is_sent(clock, change):
+    """Guards against a start that waits for a connection beyond its time.
+
+    The order is under way to the connection when it stops being permitted.
+    """
+    async with open_world() as world:
+        add_executors(world, dc1=1)
+        daemon = world.start_daemon("a")
+        job = world.submit(make_step(1))
+        await world.wait_for(lambda: world.state(job) == "completed", 10)
+        (executor,) = daemon.leader.state.executors.values()
+        client = executor.client
+
+        async def start_late(*values):
+            match change:
+                case "old copy":
+                    world.configuration.fresh = False
+                case "evacuation":
+                    world.evacuate("dc1")
+            return await client.start(*values)
+
+        executor.client = SimpleNamespace(
+            start=start_late, hold=client.hold, stop=client.stop, close=client.close
+        )
+        world.submit(make_step(1))
+        await trio.sleep(2)
+        assert len(world.records) == 1
+        assert not any(
+            subtask.avoid
+            for step_run in daemon.leader.state.registry.ready.values()
+            for subtask in step_run.subtasks
+        )
--- a/test/test_platform_connection.py
+++ b/test/test_platform_connection.py
@@ -5,6 +5,7 @@
 
 from hemlockstand.coordination.timeouts import AdaptiveTimeout
 from hemlockstand.errors import OutcomeUnknown, PlatformUnavailable
+from hemlockstand.fleet.model import Refusal, Refused, Started, StartOrder
 from hemlockstand.platform.advice import AdviceClient
 from hemlockstand.platform.connection import Connection
 from hemlockstand.platform.executors import ExecutorClient
@@ -375,3 +376,13 @@
     with pytest.raises(OutcomeUnknown):
         await client.hold(None, 1, 0, 0.0)
     await client.close()
+
+
+async def test_start_that_is_withdrawn_is_not_sent(scripted_listener):
+    """Guards against a start that is sent after its data centre is evacuated."""
+    set_body(scripted_listener, b'{"ClockMs": 5}')
+    client = ExecutorClient("i-1", scripted_listener.address)
+    order = StartOrder("a.0.0.0", 1, "payload", 10, 1, "", "")
+    assert await client.start(order, lambda: False) == Refused(Refusal.NOT_SENT)
+    assert await client.start(order, lambda: True) == Started(5)
+    await client.close()
