Rank executors as before where none is cold or returning

Cause: each placement asked every executor with room twice whether it is cold or returning, also in deployments without evacuations and cold executors.

Change: this is found once in a round for each pool; otherwise the earlier sort key is used.

The new test fails if the sort key for cold executors is always used. test_fleet_same_decisions, test_fleet_cold and test_fleet_evacuation_moves pass.

--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Iterable, Iterator, Mapping, Set as AbstractSet
+from functools import partial
 from operator import itemgetter
 
 from attrs import define, field, frozen
@@ -21,9 +22,8 @@
 )
 from hemlockstand.fleet.policy.evacuation import (
     find_cold_limit,
-    is_cold,
+    grade_executor,
     is_evacuated,
-    is_returning,
 )
 from hemlockstand.fleet.policy.placing import PoolRoom
 from hemlockstand.fleet.policy.waiting import rank_step
@@ -61,6 +61,8 @@
     )
     is_confirmed: Callable[[], bool] = field(default=lambda: True)
     _unconfirmed_use: dict[str, Resources] = field(factory=dict)
+    # Pools in which executors are cold or returning, in this round.
+    _graded_pools: set[str] = field(factory=set)
 
     def place(self, config: FleetConfig, now: float) -> Iterator[Placement]:
         """Yield placements; the caller starts each before it asks for more."""
@@ -111,6 +113,7 @@
 
     def _group_executors(self, config: FleetConfig, now: float) -> dict[str, PoolRoom]:
         groups: dict[str, tuple[list[Executor], list[Executor]]] = {}
+        self._graded_pools = set()
         confirmed = self.is_confirmed()
         guarded = {pool.name for pool in config.pools.values() if pool.admission_check}
         for executor in self.executors.values():
@@ -118,8 +121,10 @@
                 continue
             if not (is_sound(executor) and is_recorded(executor)):
                 continue
-            if is_evacuated(executor, config):
+            if config.evacuated and is_evacuated(executor, config):
                 continue
+            if now < executor.cold_until or now < executor.returning_until:
+                self._graded_pools.add(executor.entry.pool)
             usable, quarantined = groups.setdefault(executor.entry.pool, ([], []))
             group = usable if executor.quarantined_until <= now else quarantined
             group.append(executor)
@@ -130,13 +135,18 @@
     ) -> Iterator[Placement]:
         tenant = config.tenants.get(step_run.job.spec.tenant)
         executors = self._select_allowed(step_run, room.executors)
+        graded = find_pool(step_run.job, config) in self._graded_pools
         if step_run.step.gang:
             resort = room.find_last_resort(step_run.subtasks[0], now)
             executors += self._select_allowed(step_run, resort)
             free = [item for item in executors if item.backoff_until <= now]
-            free.sort(key=lambda item: (is_cold(item, now), is_returning(item, now)))
-            single = {item.id for item in free if find_cold_limit(item, config, now)}
-            yield from self._place_gang(step_run, free, tenant, now, single)
+            one_member_only: set[str] = set()
+            if graded:
+                free.sort(key=partial(grade_executor, now=now))
+                one_member_only = {
+                    item.id for item in free if find_cold_limit(item, config, now)
+                }
+            yield from self._place_gang(step_run, free, tenant, now, one_member_only)
             return
         waiting = [
             subtask
@@ -146,11 +156,11 @@
         for subtask in waiting:
             if not self._is_within_maximum(tenant, step_run.step.size):
                 return
-            executor = choose_executor(subtask, executors, now)
+            executor = choose_executor(subtask, executors, now, graded)
             if executor is None:
                 resort = room.find_last_resort(subtask, now)
                 allowed = self._select_allowed(step_run, resort)
-                executor = choose_executor(subtask, allowed, now)
+                executor = choose_executor(subtask, allowed, now, graded)
             if executor is None and is_isolated(subtask):
                 continue
             if executor is None:
@@ -169,11 +179,11 @@
         executors: list[Executor],
         tenant: Tenant | None,
         now: float,
-        single: AbstractSet[str],
+        one_member_only: AbstractSet[str],
     ) -> Iterator[Placement]:
         """Place all members of a gang or none; they need each other to run.
 
-        Executors in ``single`` take one member, since their starts are spread.
+        Executors in ``one_member_only`` take one member, since their starts are spread.
         """
         members = step_run.subtasks
         if len(step_run.waiting) < len(members):
@@ -185,8 +195,8 @@
             return
         avoided = set().union(*(member.avoid for member in members))
         preferred = [item for item in executors if item.id not in avoided]
-        chosen = choose_gang(step_run, preferred, single)
-        chosen = chosen or choose_gang(step_run, executors, single)
+        chosen = choose_gang(step_run, preferred, one_member_only)
+        chosen = chosen or choose_gang(step_run, executors, one_member_only)
         number = max(member.runs for member in members)
         checkpoint = max(member.checkpoint for member in members)
         for member, executor in zip(members, chosen, strict=False):
@@ -242,9 +252,13 @@
 
 
 def choose_executor(
-    subtask: Subtask, executors: Iterable[Executor], now: float
+    subtask: Subtask, executors: Iterable[Executor], now: float, graded: bool
 ) -> Executor | None:
-    """Return the best executor that can run the subtask now, if any."""
+    """Return the best executor that can run the subtask now, if any.
+
+    ``graded`` tells whether some of the executors may be cold or returning. It
+    is found once in a round, since all ranks of a placement need it.
+    """
     step = subtask.step
     usable = [
         executor
@@ -262,11 +276,10 @@
     racks: frozenset[str] = frozenset()
     if step.same_rack:
         racks = find_racks(subtask.step_run, executors)
-    return min(
-        usable,
-        key=lambda executor: rank_executor(subtask, executor, racks, now),
-        default=None,
-    )
+    rank = partial(rank_executor, subtask, racks)
+    if graded:
+        rank = partial(rank_graded_executor, subtask, racks, now)
+    return min(usable, key=rank, default=None)
 
 
 def count_suspects(executor: Executor) -> int:
@@ -303,34 +316,45 @@
     )
 
 
-def rank_executor(
-    subtask: Subtask, executor: Executor, racks: frozenset[str], now: float
+def rank_graded_executor(
+    subtask: Subtask, racks: frozenset[str], now: float, executor: Executor
 ) -> tuple[bool, int, bool, int, int, str]:
+    """Return the sort key of an executor where some are cold or returning.
+
+    A cold executor comes after all others. One whose data centre was evacuated
+    until a short time ago comes last among those that are as near to the data.
+    """
+    distance, *rest = rank_executor(subtask, racks, executor)
+    cold, returning = grade_executor(executor, now)
+    return cold, distance, returning, *rest
+
+
+def rank_executor(
+    subtask: Subtask, racks: frozenset[str], executor: Executor
+) -> tuple[int, int, int, str]:
     """Return the sort key of an executor for a subtask, smallest first.
 
     ``racks`` are those in which a step that should stay in one rack has runs.
     Subtasks that use spare cpu go where the fewest subtasks serve users;
     others go where they leave the least cpu, which keeps whole executors free
     for large subtasks. Those under which an executor crashed are spread, so
-    that the next crash tells them apart and takes few others with it. A cold
-    executor comes after all others. One whose data centre was evacuated until a
-    short time ago comes last among those that are as near to the data.
+    that the next crash tells them apart and takes few others with it.
     """
     step = subtask.step
     remote = 1 if step.data_rack and step.data_rack != executor.entry.rack else 0
     apart = 0 if not racks or executor.entry.rack in racks else 1
-    group = (is_cold(executor, now), remote + apart, is_returning(executor, now))
     if is_suspect(subtask):
-        suspects, runs = count_suspects(executor), len(executor.runs)
-        return *group, suspects, runs, executor.id
+        return remote + apart, count_suspects(executor), len(executor.runs), executor.id
     if step.fills:
         serving = sum(1 for other in executor.runs.values() if other.step.target_ms)
-        return *group, serving, -executor.free_cpu(), executor.id
-    return *group, executor.failed_in_row, executor.free_cpu(), executor.id
+        return remote + apart, serving, -executor.free_cpu(), executor.id
+    return remote + apart, executor.failed_in_row, executor.free_cpu(), executor.id
 
 
 def choose_gang(
-    step_run: StepRun, executors: list[Executor], single: AbstractSet[str] = frozenset()
+    step_run: StepRun,
+    executors: list[Executor],
+    one_member_only: AbstractSet[str] = frozenset(),
 ) -> list[Executor]:
     """Return an executor for each member of a gang, or an empty list."""
     step = step_run.step
@@ -343,20 +367,24 @@
     if not step.same_rack:
         groups = [[executor for group in groups for executor in group]]
     for group in [*groups, [member for part in groups for member in part]]:
-        chosen = fill_group(step_run, group, single)
+        chosen = fill_group(step_run, group, one_member_only)
         if chosen:
             return chosen
     return []
 
 
 def fill_group(
-    step_run: StepRun, executors: list[Executor], single: AbstractSet[str] = frozenset()
+    step_run: StepRun,
+    executors: list[Executor],
+    one_member_only: AbstractSet[str] = frozenset(),
 ) -> list[Executor]:
     """Return executors with room for all members, or an empty list."""
     step = step_run.step
     chosen: list[Executor] = []
     for executor in executors:
-        cap = 1 if executor.id in single else step.max_per_executor or step.count
+        cap = (
+            1 if executor.id in one_member_only else step.max_per_executor or step.count
+        )
         taken = 0
         while len(chosen) < step.count and taken < cap:
             size = step.size.scale(taken + 1)
--- a/hemlockstand/fleet/policy/evacuation.py
+++ b/hemlockstand/fleet/policy/evacuation.py
@@ -38,6 +38,11 @@
     return now < executor.returning_until
 
 
+def grade_executor(executor: Executor, now: float) -> tuple[bool, bool]:
+    """Return the part of a sort key by which cold executors come last."""
+    return is_cold(executor, now), is_returning(executor, now)
+
+
 def find_cold_limit(executor: Executor, config: FleetConfig, now: float) -> float:
     """Return how many starts a second an executor takes; 0 means any number."""
     pool = config.pools.get(executor.entry.pool)
--- a/test/test_fleet_same_decisions.py
+++ b/test/test_fleet_same_decisions.py
@@ -145,3 +145,26 @@
     )
     expected = replay(make_config(), make_executors())
     assert replay(config, make_executors()) == expected
+
+
+def test_cold_times_are_not_read_for_each_placement(monkeypatch):
+    """Guards against processor time in deployments without cold executors."""
+    calls: list[str] = []
+
+    def grade(executor: Executor, now: float) -> tuple[bool, bool]:
+        calls.append(executor.id)
+        return False, False
+
+    monkeypatch.setattr("hemlockstand.fleet.placement.grade_executor", grade)
+    executors = make_executors()
+    registry = JobRegistry(run_base=0)
+    spec = JobSpec("0" * 16, "queue", "pool", "team", "", (Step(4, Resources(500)),))
+    job = registry.add(spec, 1, None, 0.0, 0)
+    placer = Placer(registry, executors)
+    list(placer.place(make_config(), 0.0))
+    registry.mark_stored(job.id, job.pools, job.announced)
+    assert len(list(placer.place(make_config(), 0.0))) == 4
+    assert not calls
+    executors["i-0"].cold_until = 1.0
+    assert len(list(placer.place(make_config(), 0.0))) == 4
+    assert calls
