Drop a move into a pool that waits to be stored when evacuated

Cause: a move whose order waited for the commit that records it counted as being given, and was sent although its instance had been evacuated meanwhile.

Change: the evacuation is checked before each attempt, as long as no earlier one may be carried out yet.

--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -195,6 +195,11 @@
         while not plan.stored or not (progress is None or progress.stored):
             await trio.sleep(STORED_POLL_SECONDS)
         while self.state.may_order():
+            if self._is_revoked(plan, instance):
+                log.info("move into a pool is dropped", instance=plan.instance)
+                plan.ordering = False
+                self.plans.drop(plan)
+                return
             sent_at = self.state.clock()
             try:
                 outcome = await self._send(plan)
@@ -212,6 +217,19 @@
             return
         plan.ordering = False
 
+    def _is_revoked(self, plan: Plan, instance: InstanceEntry) -> bool:
+        """Return whether an evacuation forbids a move that is not begun.
+
+        An order without an answer may be carried out yet, and is repeated.
+        """
+        pool = self.state.config.pools.get(plan.pool)
+        return (
+            pool is not None
+            and not pool.standby
+            and not plan.unanswered
+            and instance.data_centre in self.state.config.evacuated
+        )
+
     async def _send(self, plan: Plan) -> OrderOutcome:
         holder = LeaseHolder(
             self.state.settings.daemon.name, self.fence, self.state.may_order
--- a/test/test_fleet_evacuation_moves.py
+++ b/test/test_fleet_evacuation_moves.py
@@ -7,6 +7,7 @@
 
 from emulator.fleet_executors import SubtaskBehaviour
 from hemlockstand.errors import PlatformUnavailable
+from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.model import Advice
 from hemlockstand.fleet.work import RunState
 from hemlockstand.platform.advice import StepAdvice
@@ -249,3 +250,26 @@
             for step_run in daemon.leader.state.registry.ready.values()
             for subtask in step_run.subtasks
         )
+
+
+async def test_move_that_waits_to_be_stored_is_dropped(clock, monkeypatch):
+    """Guards against an evacuated instance that is ordered into a pool.
+
+    Its order is in progress but cannot be sent before the commit that records it.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 2, data_centre="dc2")
+        world.add_instances("standby", 4, data_centre="dc1")
+        daemon = world.start_daemon("a")
+        await trio.sleep(1)
+        manager = daemon.leader._instances
+        with monkeypatch.context() as patch:
+            patch.setattr(InstanceManager, "mark_stored", lambda *values: None)
+            for _ in range(4):
+                world.submit(make_step(40), work=SubtaskBehaviour(1.0, size=SMALL))
+            await trio.sleep(1)
+            assert any(plan.ordering for plan in manager.plans.current.values())
+            world.evacuate("dc1")
+            await trio.sleep(0.5)
+        await trio.sleep(3)
+        assert world.instances.orders == []
