Confine errors of an evacuation to a run, and apply revocations at once

Cause: an error about one run in an evacuated data centre ended the scheduler's term. A revocation was noted in the tick of 0.1 s, up to 20 placement rounds after it had taken effect, so that executors were not ranked last in these.

Change: a run about which there is an error stays, is logged and counted. The set is compared at the start of each placement round.

--- a/hemlockstand/fleet/evacuations.py
+++ b/hemlockstand/fleet/evacuations.py
@@ -14,7 +14,11 @@
 
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import find_pool
-from hemlockstand.fleet.metrics import EVACUATION_MOVES, EVACUATION_RUNS
+from hemlockstand.fleet.metrics import (
+    EVACUATION_ERRORS,
+    EVACUATION_MOVES,
+    EVACUATION_RUNS,
+)
 from hemlockstand.fleet.placement import is_usable
 from hemlockstand.fleet.plans import InstancePlans
 from hemlockstand.fleet.policy.departures import Departures, Obstacle
@@ -61,10 +65,9 @@
     _reported_at: float = float("-inf")
 
     def check(self) -> None:
-        """Apply changes of the set; move runs, at most twice a second."""
-        config, now = self.state.config, self.state.clock()
-        if config.evacuated != self.current.keys():
-            self._update(now)
+        """Move runs, at most twice a second."""
+        now = self.state.clock()
+        self.update()
         if not self.current or now - self._checked_at < ROUND_SECONDS:
             return
         self._checked_at = now
@@ -73,8 +76,11 @@
             self._report(obstacles, now)
         self._count_runs(now)
 
-    def _update(self, now: float) -> None:
-        evacuated = self.state.config.evacuated
+    def update(self) -> None:
+        """Apply changes of the set, before anything is placed by it."""
+        evacuated, now = self.state.config.evacuated, self.state.clock()
+        if evacuated == self.current.keys():
+            return
         for name in evacuated - self.current.keys():
             self.current[name] = Evacuation(name, now)
             self._log_begin(name)
@@ -156,7 +162,16 @@
     def find_obstacles(self) -> dict[Subtask, Obstacle]:
         """Return what each run in an evacuated data centre waits for."""
         departures = self._view_departures()
-        return {item: departures.judge(item) for item in departures.find_runs()}
+        return {item: self._judge(departures, item) for item in departures.find_runs()}
+
+    def _judge(self, departures: Departures, subtask: Subtask) -> Obstacle:
+        """Return what a run waits for; an error concerns this run alone."""
+        try:
+            return departures.judge(subtask)
+        except Exception:
+            EVACUATION_ERRORS.inc()
+            log.exception("run in an evacuated data centre stays", run=subtask.name)
+            return Obstacle.ERROR
 
     def _view_departures(self) -> Departures:
         """Return the choice of runs to move, from the present state."""
@@ -187,7 +202,7 @@
         departures = self._view_departures()
         obstacles: dict[Subtask, Obstacle] = {}
         for subtask in departures.find_runs():
-            obstacle = departures.judge(subtask)
+            obstacle = self._judge(departures, subtask)
             if obstacle is not Obstacle.NONE or subtask.run is None:
                 obstacles[subtask] = obstacle
                 continue
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -272,6 +272,8 @@
 
     def _place(self) -> None:
         now = self.state.clock()
+        # A revocation has to rank the executors before they get runs again.
+        self.evacuations.update()
         if self.state.registry.release_due(now):
             self.state.request_commit()
         if not self.state.may_order() or not self.state.configuration.fresh:
--- a/hemlockstand/fleet/metrics.py
+++ b/hemlockstand/fleet/metrics.py
@@ -38,6 +38,10 @@
     "Runs stopped to move them out of evacuated data centres.",
     ["kind"],
 )
+EVACUATION_ERRORS = Counter(
+    "hemlockstand_evacuation_errors_total",
+    "Runs in evacuated data centres that stay because of an error.",
+)
 WAITING = Gauge("hemlockstand_waiting_subtasks", "Subtasks that wait for a place.")
 
 
--- a/hemlockstand/fleet/policy/departures.py
+++ b/hemlockstand/fleet/policy/departures.py
@@ -45,6 +45,7 @@
     STEP = "another subtask of its step"
     BUDGET = "the availability budget of its step"
     ROOM = "room elsewhere"
+    ERROR = "the mending of an error that the log names"
 
 
 @define(eq=False)
--- a/test/test_fleet_evacuation_moves.py
+++ b/test/test_fleet_evacuation_moves.py
@@ -9,6 +9,7 @@
 from hemlockstand.errors import PlatformUnavailable
 from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.model import Advice
+from hemlockstand.fleet.policy.departures import Departures
 from hemlockstand.fleet.work import RunState
 from hemlockstand.platform.advice import StepAdvice
 from test.fleet_world import SMALL, make_config, make_step, open_world
@@ -252,6 +253,52 @@
         )
 
 
+async def test_error_about_a_run_concerns_it_alone(clock, monkeypatch):
+    """Guards against a scheduler whose term ends with one faulty subtask."""
+    async with open_world() as world:
+        add_executors(world, dc1=1, dc2=1)
+        daemon = world.start_daemon("a")
+        step = make_step(1, lasting=True, max_unavailable=1)
+        jobs = [world.submit(step, work=lasting()) for _ in range(2)]
+        await world.wait_for(lambda: len(world.find_running()) == 2, 10)
+        await trio.sleep(2)
+        leader = daemon.leader
+        judge = Departures.judge
+
+        def judge_or_fail(departures, subtask):
+            if subtask.name.startswith(jobs[0]):
+                raise ValueError("unreadable")
+            return judge(departures, subtask)
+
+        monkeypatch.setattr(Departures, "judge", judge_or_fail)
+        centre = find_data_centres(world, jobs[0])[0]
+        assert find_data_centres(world, jobs[1]) == [centre]
+        world.evacuate(centre)
+        await trio.sleep(6)
+        assert daemon.leader is leader
+        assert find_data_centres(world, jobs[0]) == [centre]
+        assert find_data_centres(world, jobs[1]) != [centre]
+
+
+async def test_revocation_ranks_executors_before_the_next_placement(clock):
+    """Guards against work that returns at once between two ticks."""
+    async with open_world() as world:
+        add_executors(world, dc1=1, dc2=1)
+        daemon = world.start_daemon("a")
+        await trio.sleep(1)
+        world.evacuate("dc1")
+        await trio.sleep(1)
+        world.evacuate()
+        daemon.leader._place()
+        executors = daemon.leader.state.executors.values()
+        returning = [
+            item.entry.data_centre
+            for item in executors
+            if item.returning_until > trio.current_time()
+        ]
+        assert returning == ["dc1"]
+
+
 async def test_move_that_waits_to_be_stored_is_dropped(clock, monkeypatch):
     """Guards against an evacuated instance that is ordered into a pool.
 
