--- a/hemlockstand/fleet/evacuations.py
+++ b/hemlockstand/fleet/evacuations.py
@@ -7,19 +7,24 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterator
+from typing import Any
 
 from attrs import define, field
 from loguru import logger
 
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import find_pool
-from hemlockstand.fleet.metrics import EVACUATION_MOVES, EVACUATION_RUNS
+from hemlockstand.fleet.metrics import (
+    EVACUATION_ERRORS,
+    EVACUATION_MOVES,
+    EVACUATION_RUNS,
+)
 from hemlockstand.fleet.placement import is_usable
 from hemlockstand.fleet.plans import InstancePlans
 from hemlockstand.fleet.policy.departures import Departures, Obstacle
 from hemlockstand.fleet.policy.evacuation import is_evacuated, mark_returning
 from hemlockstand.fleet.state import SchedulerState
-from hemlockstand.fleet.work import Subtask
+from hemlockstand.fleet.work import StepRun, Subtask
 
 log = logger.bind(module=__name__)
 
@@ -35,7 +40,8 @@
 class Evacuation:
     """An evacuation as this scheduler has seen it.
 
-    ``empty`` is set once nothing runs in the data centre.
+    ``empty`` is set once nothing is known to run in the data centre and all
+    lists of its executors have been read.
     """
 
     data_centre: str
@@ -51,25 +57,30 @@
     plans: InstancePlans
     blocked_pools: set[str]
     stop_run: Callable[[Subtask], None]
+    may_run: Callable[[StepRun, Executor], bool]
+    request_tickets: Callable[[StepRun], None]
+    is_confirmed: Callable[[], bool]
     current: dict[str, Evacuation] = field(factory=dict)
     _checked_at: float = float("-inf")
     _reported_at: float = float("-inf")
 
     def check(self) -> None:
-        """Apply changes of the set; move runs, at most twice a second."""
-        config, now = self.state.config, self.state.clock()
-        if config.evacuated != self.current.keys():
-            self._update(now)
+        """Move runs, at most twice a second."""
+        now = self.state.clock()
+        self.update()
         if not self.current or now - self._checked_at < ROUND_SECONDS:
             return
         self._checked_at = now
-        if self.state.may_order() and self.state.configuration.fresh:
+        if self.state.may_order() and self.state.configuration.recently_confirmed:
             obstacles = self._move_runs(now)
             self._report(obstacles, now)
         self._count_runs(now)
 
-    def _update(self, now: float) -> None:
-        evacuated = self.state.config.evacuated
+    def update(self) -> None:
+        """Apply changes of the set, before anything is placed by it."""
+        evacuated, now = self.state.config.evacuated, self.state.clock()
+        if evacuated == self.current.keys():
+            return
         for name in evacuated - self.current.keys():
             self.current[name] = Evacuation(name, now)
             self._log_begin(name)
@@ -90,15 +101,12 @@
     def _log_begin(self, name: str) -> None:
         """Log what is in a data centre at the beginning.
 
-        One of which nothing is known may be misspelt; it is evacuated all the
-        same, in case executors of it appear later.
+        One of which nothing is known may be misspelt, or the instances may not
+        have been listed yet. It is evacuated all the same, in case executors of
+        it appear later.
         """
         found = self._find_executors(name)
-        instances = sum(
-            1
-            for instance in self.plans.instances.values()
-            if instance.data_centre == name
-        )
+        instances = self._count_instances(name)
         runs = [subtask for executor in found for subtask in executor.runs.values()]
         values = {
             "data_centre": name,
@@ -111,7 +119,14 @@
         if found or instances:
             log.info("data centre is evacuated", **values)
         else:
-            log.warning("evacuated data centre is not known", **values)
+            log.warning("no machine of an evacuated data centre is known", **values)
+
+    def _count_instances(self, data_centre: str) -> int:
+        return sum(
+            1
+            for instance in self.plans.instances.values()
+            if instance.data_centre == data_centre
+        )
 
     def _find_executors(self, data_centre: str) -> list[Executor]:
         return [
@@ -120,7 +135,45 @@
             if executor.entry.data_centre == data_centre
         ]
 
-    def view_departures(self) -> Departures:
+    def _is_all_read(self, executors: list[Executor]) -> bool:
+        """Return whether no run on executors can be unknown.
+
+        A previous scheduler may have started runs in pools that are blocked.
+        """
+        return not self.blocked_pools and all(map(is_read, executors))
+
+    def describe(self) -> list[dict[str, Any]]:
+        """Return the evacuated data centres with what is in them."""
+        now = self.state.clock()
+        found = []
+        for name, evacuation in sorted(self.current.items()):
+            executors = self._find_executors(name)
+            values = {
+                "data_centre": name,
+                "seconds": round(now - evacuation.since, 1),
+                "executors": len(executors),
+                "unread_executors": sum(not is_read(item) for item in executors),
+                "instances": self._count_instances(name),
+                "runs": sum(len(executor.runs) for executor in executors),
+            }
+            found.append(values)
+        return found
+
+    def find_obstacles(self) -> dict[Subtask, Obstacle]:
+        """Return what each run in an evacuated data centre waits for."""
+        departures = self._view_departures()
+        return {item: self._judge(departures, item) for item in departures.find_runs()}
+
+    def _judge(self, departures: Departures, subtask: Subtask) -> Obstacle:
+        """Return what a run waits for; an error concerns this run alone."""
+        try:
+            return departures.judge(subtask)
+        except Exception:
+            EVACUATION_ERRORS.inc()
+            log.exception("run in an evacuated data centre stays", run=subtask.name)
+            return Obstacle.ERROR
+
+    def _view_departures(self) -> Departures:
         """Return the choice of runs to move, from the present state."""
         now = self.state.clock()
         return Departures(
@@ -130,26 +183,26 @@
             now,
             now > self.state.previous_stops_end,
             self.blocked_pools,
-            self.predict_remaining,
+            self._predict_seconds,
+            self.may_run,
+            self.is_confirmed(),
         )
 
-    def predict_remaining(self, subtask: Subtask) -> float:
-        """Return the seconds that a run is expected to take yet.
+    def _predict_seconds(self, step_run: StepRun) -> float:
+        """Return how long a subtask of a step is expected to take.
 
         The median, because a run that stays too long costs about as much as
         one that is moved although it would have ended.
         """
         durations = self.state.registry.durations
-        expected = durations.expect(subtask.job.spec, subtask.step_run.position)
-        percent = 0 if subtask.run is None else min(100, subtask.run.percent)
-        return expected.median_seconds * (100 - percent) / 100
+        return durations.expect(step_run.job.spec, step_run.position).median_seconds
 
     def _move_runs(self, now: float) -> dict[Subtask, Obstacle]:
         """Stop the runs that leave; return what the others wait for."""
-        departures = self.view_departures()
+        departures = self._view_departures()
         obstacles: dict[Subtask, Obstacle] = {}
         for subtask in departures.find_runs():
-            obstacle = departures.judge(subtask)
+            obstacle = self._judge(departures, subtask)
             if obstacle is not Obstacle.NONE or subtask.run is None:
                 obstacles[subtask] = obstacle
                 continue
@@ -164,6 +217,8 @@
                 percent=subtask.run.percent,
             )
             self.stop_run(subtask)
+        for step_run in departures.undecided:
+            self.request_tickets(step_run)
         return obstacles
 
     def _count_runs(self, now: float) -> None:
@@ -173,14 +228,16 @@
             executors = self._find_executors(evacuation.data_centre)
             runs = sum(len(executor.runs) for executor in executors)
             total += runs
-            if not runs and not evacuation.empty:
+            if runs:
+                evacuation.empty = False
+            elif not evacuation.empty and self._is_all_read(executors):
+                evacuation.empty = True
                 log.info(
                     "nothing runs in an evacuated data centre any more",
                     data_centre=evacuation.data_centre,
                     seconds=round(now - evacuation.since, 1),
                     executors=len(executors),
                 )
-            evacuation.empty = not runs
         EVACUATION_RUNS.set(total)
 
     def _report(self, obstacles: dict[Subtask, Obstacle], now: float) -> None:
@@ -230,6 +287,11 @@
                 yield pool, shortage
 
 
+def is_read(executor: Executor) -> bool:
+    """Return whether all runs of an executor are known."""
+    return executor.reconciled and executor.reachable and not executor.unknown_runs
+
+
 @define
 class Shortage:
     """Cores of work that waits, or stays for lack of room, and free ones."""
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -98,14 +98,17 @@
             self._may_run,
             self._executor_directory.is_confirmed,
         )
-        self._idle_reporter = IdleReporter(
+        self.idle_reporter = IdleReporter(
             self.state, self._barrier.blocked_pools, self._may_run
         )
-        self._evacuations = EvacuationManager(
+        self.evacuations = EvacuationManager(
             self.state,
             self._instances.plans,
             self._barrier.blocked_pools,
             self._orders.stop_run,
+            self._may_run,
+            self._ticket_cache.request_ahead,
+            self._executor_directory.is_confirmed,
         )
         self._share_reporter = ShareReporter(self._placer.shares)
         self._wave_records: dict[int, WaveRecord | None] = {}
@@ -286,6 +289,8 @@
 
     def _place(self) -> None:
         now = self.state.clock()
+        # A revocation has to rank the executors before they get runs again.
+        self.evacuations.update()
         if self.state.registry.release_due(now):
             self.state.request_commit()
         if not self.state.may_order() or not self.state.configuration.fresh:
@@ -309,8 +314,8 @@
             self._executor_directory.add_configured()
             self._executor_directory.remove_gone()
             self._add_waves()
-            self._idle_reporter.check()
-            self._evacuations.check()
+            self.idle_reporter.check()
+            self.evacuations.check()
             self._share_reporter.report(self.state.clock())
             registry = self.state.registry
             if registry.ready or registry.next_due() is not None:
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -1,10 +1,13 @@
 """Orders to executors to start, stop or slow down runs, and their outcomes."""
 
+from enum import Enum, auto
+from functools import partial
+
 import trio
 from attrs import define
 from loguru import logger
 
-from hemlockstand.errors import HemlockstandError
+from hemlockstand.errors import HemlockstandError, PlatformUnavailable
 from hemlockstand.fleet.eviction import may_stop
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.metrics import FIRST_START_SECONDS, STARTS
@@ -31,6 +34,14 @@
 INVALID_RETRY_SECONDS = 1.0
 
 
+class StopAttempt(Enum):
+    """What became of a stop order."""
+
+    ACCEPTED = auto()
+    NOT_APPLIED = auto()  # it was not sent, or certainly not carried out
+    UNKNOWN = auto()
+
+
 @define(eq=False)
 class Orders:
     """Sends orders; ``open_starts`` counts starts without an outcome yet."""
@@ -53,6 +64,7 @@
         executor.backoff_until = space_cold_starts(
             now,
             executor.backoff_until,
+            executor.cold_until,
             find_cold_limit(executor, self.state.config, now),
         )
         self.state.nursery.start_soon(self._order_start, subtask, run, executor)
@@ -61,9 +73,8 @@
         self, subtask: Subtask, run: Run, executor: Executor
     ) -> None:
         # The evacuation may have begun since the executor was chosen.
-        evacuated = is_evacuated(executor, self.state.config)
-        due_ms = None if evacuated else executor.extend_lease()
-        if due_ms is None or not self.state.may_order():
+        due_ms = executor.extend_lease() if self._may_start(executor) else None
+        if due_ms is None:
             self._requeue_unstarted(subtask, run, executor, 0.0)
             return
         job = subtask.job
@@ -78,7 +89,9 @@
         )
         self.open_starts += 1
         try:
-            outcome = await executor.client.start(order)
+            outcome = await executor.client.start(
+                order, partial(self._may_start, executor)
+            )
         finally:
             self.open_starts -= 1
         STARTS.labels(type(outcome).__name__).inc()
@@ -105,6 +118,17 @@
                 if subtask.run is run:
                     executor.raise_fence()
 
+    def _may_start(self, executor: Executor) -> bool:
+        """Return whether a start may be sent now.
+
+        It is asked again when the connection is free, which may take a second.
+        """
+        return (
+            self.state.may_order()
+            and self.state.configuration.fresh
+            and not is_evacuated(executor, self.state.config)
+        )
+
     def _handle_started(self, subtask: Subtask, run: Run) -> None:
         if subtask.run is not run:
             return
@@ -205,11 +229,12 @@
                 # Once sent, the executor may have the order.
                 if delayed and not sent and self._revoke_stop(executor, name, number):
                     return
-                sent = True
-                if await self._try_stop(executor, name, number):
-                    return
-            else:
-                delayed = True
+                match await self._try_stop(executor, name, number):
+                    case StopAttempt.ACCEPTED:
+                        return
+                    case StopAttempt.UNKNOWN:
+                        sent = True
+            delayed = True
             await trio.sleep(STOP_RETRY_SECONDS)
             subtask = executor.runs.get(name)
             if subtask is None or subtask.run is None or subtask.run.number != number:
@@ -233,13 +258,16 @@
         subtask.run.stopped_at = None
         return True
 
-    async def _try_stop(self, executor: Executor, name: str, number: int) -> bool:
-        """Send a stop order; return whether the executor accepted it."""
+    async def _try_stop(
+        self, executor: Executor, name: str, number: int
+    ) -> StopAttempt:
+        """Send a stop order once; return what became of it."""
         try:
             await executor.client.stop(name, number, executor.fence)
         except HemlockstandError as error:
             log.info("run not stopped", subtask=name, run=number, detail=str(error))
-            return False
+            unsent = isinstance(error, PlatformUnavailable)
+            return StopAttempt.NOT_APPLIED if unsent else StopAttempt.UNKNOWN
         log.info(
             "executor accepted the stop of a run",
             subtask=name,
@@ -247,7 +275,7 @@
             executor=executor.id,
         )
         executor.wake()
-        return True
+        return StopAttempt.ACCEPTED
 
     async def order_pace(self, executor: Executor, change: PaceChange) -> None:
         """Set the pace of a run; after a failure the next poll tries again."""
--- a/hemlockstand/fleet/policy/departures.py
+++ b/hemlockstand/fleet/policy/departures.py
@@ -15,15 +15,18 @@
 
 from hemlockstand.fleet.eviction import (
     AVAILABLE_PERCENT,
-    find_room_elsewhere,
-    may_stop,
+    NOTHING,
+    is_available,
+    is_within_budget,
+    may_take,
 )
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import JobRegistry, find_pool
 from hemlockstand.fleet.model import FleetConfig, Resources, get_reservation
+from hemlockstand.fleet.placement import is_restricted, is_usable
 from hemlockstand.fleet.policy.crashes import is_given_up
-from hemlockstand.fleet.policy.evacuation import is_evacuated
-from hemlockstand.fleet.work import RunState, Subtask
+from hemlockstand.fleet.policy.evacuation import find_cold_limit, is_evacuated
+from hemlockstand.fleet.work import RunState, StepRun, Subtask
 
 # Work with checkpoints that is expected to end sooner stays. A move takes up to
 # two seconds (stop, start, what was done since the last checkpoint), which is a
@@ -34,13 +37,50 @@
 class Obstacle(StrEnum):
     """What a run in an evacuated data centre waits for."""
 
-    NONE = ""
+    NONE = "nothing, it moves next"
     OWN_END = "its own end"
+    ANSWER = "an answer of its executor"
     CHANGE = "the outcome of its start or stop"
     TAKEOVER = "the end of the takeover"
     STEP = "another subtask of its step"
     BUDGET = "the availability budget of its step"
     ROOM = "room elsewhere"
+    ERROR = "the mending of an error that the log names"
+
+
+@define(eq=False)
+class Room:
+    """An executor that may take runs, with what it is promised to.
+
+    ``takes_one`` is set for a cold one whose starts are spread over time.
+    """
+
+    executor: Executor
+    free_cpu: int
+    takes_one: bool = False
+    promised: Resources = NOTHING
+
+    def take(self, subtask: Subtask) -> bool:
+        """Take room for a subtask; return whether there is enough."""
+        step = subtask.step
+        # Most executors are full, so this is checked first.
+        if self.free_cpu < step.size.cpu_millis and not step.fills:
+            return False
+        if self.takes_one and self.promised != NOTHING:
+            return False
+        if not may_take(self.executor, subtask, self.promised):
+            return False
+        self.promised = self.promised.add(get_reservation(step))
+        self.free_cpu -= get_reservation(step).cpu_millis
+        return True
+
+
+@define(eq=False)
+class StepCount:
+    """The subtasks of a step that hold up its others."""
+
+    moving: set[Subtask]
+    unavailable: set[Subtask]
 
 
 @define(eq=False)
@@ -49,8 +89,13 @@
 
     ``budgets_known`` is false while stops of a previous scheduler may be in
     progress, ``blocked_pools`` names the pools in which its runs may be unseen.
-    ``predict_remaining`` returns how many seconds a run is expected to take yet.
-    Room that is found for one run does not count for the next one.
+    ``predict_seconds`` returns how long a subtask of a step is expected to take,
+    and ``may_run`` whether the policy of its queue is known to allow an
+    executor. ``confirmed`` tells whether the known capacities still apply. Steps
+    are in ``undecided`` if they lack room, and the policy may allow more.
+    Room that is found for one run does not count for the next one. The
+    subtasks of a step need the same room, so for each step there is one search
+    for it, and its subtasks are counted once.
     """
 
     registry: JobRegistry
@@ -59,13 +104,24 @@
     now: float
     budgets_known: bool
     blocked_pools: AbstractSet[str]
-    predict_remaining: Callable[[Subtask], float]
-    _taken: dict[str, Resources] = field(factory=dict)
+    predict_seconds: Callable[[StepRun], float]
+    may_run: Callable[[StepRun, Executor], bool]
+    confirmed: bool
+    undecided: set[StepRun] = field(factory=set)
+    _rooms: dict[str, list[Room]] = field(factory=dict)
     _contended: set[str] = field(factory=set)
-    _without_room: set[tuple[str, Resources, str, bool]] = field(factory=set)
+    _without_room: set[tuple[str, Resources, str, str]] = field(factory=set)
+    _held: dict[StepRun, Obstacle] = field(factory=dict)
+    _counts: dict[StepRun, StepCount] = field(factory=dict)
+    _seconds: dict[StepRun, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Take the room that subtasks will need which wait or are being moved."""
+        for executor in self.executors.values():
+            if self._may_start(executor):
+                limited = find_cold_limit(executor, self.config, self.now) > 0
+                rooms = self._rooms.setdefault(executor.entry.pool, [])
+                rooms.append(Room(executor, executor.free_cpu(), limited))
         for step_run in self.registry.ready.values():
             if step_run.step.lasting:
                 for subtask in step_run.waiting.values():
@@ -81,6 +137,17 @@
                 if restarts and not subtask.job.state.final:
                     self._take_room(subtask)
 
+    def _may_start(self, executor: Executor) -> bool:
+        """Return whether placement could start a run on an executor now."""
+        pool = self.config.pools.get(executor.entry.pool)
+        guarded = pool is not None and pool.admission_check
+        return (
+            (guarded or self.confirmed)
+            and is_usable(executor, self.now)
+            and executor.backoff_until <= self.now
+            and not is_evacuated(executor, self.config)
+        )
+
     def find_runs(self) -> Iterator[Subtask]:
         """Yield the subtasks that run in an evacuated data centre."""
         for executor in self.executors.values():
@@ -88,60 +155,98 @@
                 yield from list(executor.runs.values())
 
     def judge(self, subtask: Subtask) -> Obstacle:
-        """Return what a run waits for; if nothing, take room for it.
-
-        The caller must stop the run before it asks about the next one, since
-        the steps' budgets count what has been stopped.
-        """
+        """Return what a run waits for; if nothing, take room for it."""
         run, step = subtask.run, subtask.step
         if run is None or run.state is not RunState.RUNNING:
             return Obstacle.CHANGE
         if step.gang or not (step.lasting or step.checkpoints):
             return Obstacle.OWN_END
-        remaining = float("inf") if step.lasting else self.predict_remaining(subtask)
-        if remaining < LONG_REMAINING_SECONDS:
-            return Obstacle.OWN_END
-        if not self.budgets_known or subtask.step_run.may_have_unknown_runs(
-            self.blocked_pools
+        if not step.lasting and self._predict_remaining(subtask) < (
+            LONG_REMAINING_SECONDS
         ):
+            return Obstacle.OWN_END
+        # A stop would be sent at an unknown time, when other subtasks of the
+        # step may have become unavailable.
+        executor = self.executors.get(run.executor)
+        if executor is None or not (executor.reachable and executor.reconciled):
+            return Obstacle.ANSWER
+        held = self._held.get(subtask.step_run)
+        if held is not None:
+            return held
+        obstacle = self._find_obstacle(subtask)
+        match obstacle:
+            case Obstacle.TAKEOVER | Obstacle.ROOM:
+                self._held[subtask.step_run] = obstacle
+            case Obstacle.NONE if step.lasting:
+                self._held[subtask.step_run] = Obstacle.STEP
+            case Obstacle.NONE:
+                self._count(subtask.step_run).unavailable.add(subtask)
+        return obstacle
+
+    def _predict_remaining(self, subtask: Subtask) -> float:
+        """Return the seconds that a run is expected to take yet."""
+        step_run = subtask.step_run
+        if step_run not in self._seconds:
+            self._seconds[step_run] = self.predict_seconds(step_run)
+        percent = 0 if subtask.run is None else min(100, subtask.run.percent)
+        return self._seconds[step_run] * (100 - percent) / 100
+
+    def _find_obstacle(self, subtask: Subtask) -> Obstacle:
+        step, step_run = subtask.step, subtask.step_run
+        unseen = step_run.may_have_unknown_runs(self.blocked_pools)
+        if unseen or not self.budgets_known:
             return Obstacle.TAKEOVER
-        if step.lasting and is_another_moving(subtask):
+        count = self._count(step_run)
+        if step.lasting and count.moving - {subtask}:
             return Obstacle.STEP
-        if not may_stop(subtask, self.executors):
+        if not is_within_budget(subtask, self.executors, count.unavailable):
             return Obstacle.BUDGET
         contended = find_pool(subtask.job, self.config) in self._contended
         if (contended and not step.lasting) or not self._take_room(subtask):
             return Obstacle.ROOM
         return Obstacle.NONE
 
+    def _count(self, step_run: StepRun) -> StepCount:
+        if step_run not in self._counts:
+            self._counts[step_run] = StepCount(
+                {item for item in step_run.subtasks if is_moving(item)},
+                {
+                    item
+                    for item in step_run.subtasks
+                    if not is_available(item, self.executors)
+                },
+            )
+        return self._counts[step_run]
+
     def _take_room(self, subtask: Subtask) -> bool:
         """Take room for a subtask; return whether an executor has it."""
-        step = subtask.step
-        key = (find_pool(subtask.job, self.config), step.size, step.label, step.fills)
+        step, pool = subtask.step, find_pool(subtask.job, self.config)
+        # A limit per executor, use of spare cpu and tickets concern one step.
+        restricted = is_restricted(subtask.step_run, self.config)
+        alone = restricted or step.max_per_executor or step.fills
+        name = subtask.step_run.name if alone else ""
+        key = (pool, step.size, step.label, name)
         if key in self._without_room:
             return False
-        for executor in find_room_elsewhere(
-            subtask, self.executors, self.now, self.config
-        ):
-            taken = self._taken.get(executor.id, Resources())
-            if executor.has_room(step.size.add(taken), step.fills):
-                self._taken[executor.id] = taken.add(get_reservation(step))
+        for room in self._rooms.get(pool, ()):
+            allowed = not restricted or self.may_run(subtask.step_run, room.executor)
+            if allowed and room.take(subtask):
                 return True
-        # A limit per executor concerns one step alone.
-        if not step.max_per_executor:
-            self._without_room.add(key)
+        if restricted:
+            self.undecided.add(subtask.step_run)
+        self._without_room.add(key)
         return False
 
 
-def is_another_moving(subtask: Subtask) -> bool:
-    """Return whether another subtask of the step is not at work yet.
+def is_moving(subtask: Subtask) -> bool:
+    """Return whether a subtask is not at work yet and holds up its step.
 
     One that is not started any more does not hold up the others.
     """
-    return any(
-        other.run is None
-        or other.run.state is not RunState.RUNNING
-        or other.run.percent < AVAILABLE_PERCENT
-        for other in subtask.step_run.subtasks
-        if other is not subtask and not is_given_up(other)
+    run = subtask.run
+    at_work = (
+        run is not None
+        and run.state is RunState.RUNNING
+        and run.percent >= AVAILABLE_PERCENT
     )
+    return not at_work and not is_given_up(subtask)
--- a/hemlockstand/fleet/policy/evacuation.py
+++ b/hemlockstand/fleet/policy/evacuation.py
@@ -7,8 +7,10 @@
 Cold executors are slow for some time after their own start; others have
 precedence, and what a cold one gets is spread over time::
 
-    >>> space_cold_starts(now=7.0, busy_until=0.0, starts_per_second=4.0)
+    >>> space_cold_starts(7.0, busy_until=0.0, cold_until=9.0, starts_per_second=4)
     7.25
+    >>> space_cold_starts(8.9, busy_until=0.0, cold_until=9.0, starts_per_second=4)
+    9.0
 """
 
 from collections.abc import Iterable
@@ -36,6 +38,11 @@
     return now < executor.returning_until
 
 
+def grade_executor(executor: Executor, now: float) -> tuple[bool, bool]:
+    """Return the part of a sort key by which cold executors come last."""
+    return is_cold(executor, now), is_returning(executor, now)
+
+
 def find_cold_limit(executor: Executor, config: FleetConfig, now: float) -> float:
     """Return how many starts a second an executor takes; 0 means any number."""
     pool = config.pools.get(executor.entry.pool)
@@ -44,11 +51,17 @@
     return pool.cold_starts_per_second
 
 
-def space_cold_starts(now: float, busy_until: float, starts_per_second: float) -> float:
-    """Return when the next start on a cold executor may follow one at ``now``."""
+def space_cold_starts(
+    now: float, busy_until: float, cold_until: float, starts_per_second: float
+) -> float:
+    """Return when the next start on a cold executor may follow one at ``now``.
+
+    The pause ends with the cold time, unless the executor is busy for longer.
+    """
     if not starts_per_second:
         return busy_until
-    return max(now, busy_until) + 1 / starts_per_second
+    spaced = max(now, busy_until) + 1 / starts_per_second
+    return max(busy_until, min(spaced, cold_until))
 
 
 def mark_returning(
--- a/test/test_fleet_departures.py
+++ b/test/test_fleet_departures.py
@@ -20,7 +20,9 @@
     """Return an executor that answers and has room for one large subtask."""
     size = Resources(16_000, 32_768)
     entry = ExecutorEntry(name, "pool", "a:1", data_centre, False, None, 1, size, ())
-    return Executor(entry, None, 1, lambda: 0.0, None, 0.8, reconciled=True)
+    return Executor(
+        entry, None, 1, lambda: 0.0, None, 0.8, reconciled=True, recorded=True
+    )
 
 
 class Scene:
@@ -53,9 +55,14 @@
             self.registry.ready[step_run.name] = step_run
         return step_run.subtasks
 
-    def judge(self, subtask: Subtask, **values) -> Obstacle:
-        """Return what a run waits for."""
-        view = {"budgets_known": True, "blocked_pools": set()} | values
+    def judge(self, *subtasks: Subtask, **values) -> Obstacle:
+        """Return what the last of some runs waits for, in one view."""
+        view = {
+            "budgets_known": True,
+            "blocked_pools": set(),
+            "may_run": lambda step_run, executor: True,
+            "confirmed": True,
+        } | values
         departures = Departures(
             self.registry,
             self.executors,
@@ -63,9 +70,11 @@
             0.0,
             view["budgets_known"],
             view["blocked_pools"],
-            lambda subtask: 50.0,
+            lambda step_run: 50.0,
+            view["may_run"],
+            view["confirmed"],
         )
-        return departures.judge(subtask)
+        return [departures.judge(subtask) for subtask in subtasks][-1]
 
 
 @pytest.mark.parametrize("step", [LASTING, SAVED])
@@ -95,6 +104,16 @@
     assert scene.judge(subtask) is Obstacle.BUDGET
 
 
+def test_second_subtask_of_a_step_waits_in_the_same_view():
+    """Guards against a view that shows moves which the round will not make."""
+    scene = Scene()
+    scene.executors["i-3"] = make_executor("i-3", "dc2")
+    first, second = scene.add_step(LASTING, "i-0", "i-1")
+    assert scene.judge(first, second) is Obstacle.STEP
+    first, second = scene.add_step(SAVED, "i-0", "i-1")
+    assert scene.judge(first, second) is Obstacle.NONE
+
+
 def test_subtask_that_is_given_up_holds_up_no_other():
     """Guards against a step that never leaves the data centre."""
     scene = Scene()
@@ -147,3 +166,26 @@
     scene = Scene()
     (subtask, *_) = scene.add_step(step, "i-0", "i-1")
     assert scene.judge(subtask) is Obstacle.OWN_END
+
+
+def test_run_of_an_executor_that_does_not_answer():
+    """Guards against stops that reach an executor at an unknown later time."""
+    scene = Scene()
+    (subtask, _) = scene.add_step(LASTING, "i-0", "i-1")
+    scene.executors["i-0"].failing_since = 0.0
+    assert scene.judge(subtask) is Obstacle.ANSWER
+    scene.executors["i-0"].failing_since = None
+    scene.executors["i-0"].reconciled = False
+    assert scene.judge(subtask) is Obstacle.ANSWER
+
+
+def test_subtasks_of_a_step_have_obstacles_of_their_own():
+    """Guards against a step that stays because of the one that may leave.
+
+    The budget permits no stop but that of the subtask still starting up.
+    """
+    scene = Scene()
+    first, second = scene.add_step(LASTING, "i-0", "i-1")
+    second.run.percent = 50
+    assert scene.judge(first) is Obstacle.STEP
+    assert scene.judge(first, second) is Obstacle.NONE
--- a/test/test_fleet_evacuations.py
+++ b/test/test_fleet_evacuations.py
@@ -131,7 +131,8 @@
         assert count_starts(world, "dc1", began) == 0
 
 
-async def test_pending_start_is_checked_before_it_is_sent(clock):
+@pytest.mark.parametrize("gang", [False, True])
+async def test_pending_start_is_checked_before_it_is_sent(clock, gang):
     """Guards against a start that was decided just before the evacuation."""
     async with open_world() as world:
         add_executors(world, dc1=1, dc2=1)
@@ -147,9 +148,13 @@
 
         daemon.leader._orders = SimpleNamespace(start=start_and_evacuate)
         began = trio.current_time()
-        job = world.submit(make_step(8))
+        job = world.submit(make_step(20 if gang else 8, gang=gang))
+        await trio.sleep(3)
+        assert count_starts(world, "dc1", began) == 0
+        add_executors(world, dc2=1)
         await world.wait_for(lambda: world.state(job) == "completed", 10)
         assert count_starts(world, "dc1", began) == 0
+        world.check_runs()
 
 
 async def test_short_work_runs_to_completion(clock):
@@ -366,6 +371,35 @@
     return [] if leader is None else list(leader.state.registry.jobs.values())
 
 
+@pytest.mark.parametrize("delay", [1.4, 1.5, 1.6, 1.7])
+async def test_runs_stay_while_they_could_not_start_again(clock, delay):
+    """Guards against lasting work that is stopped in an outage of the store.
+
+    The copy of the operator's rows still counts when the outage begins, and no
+    longer does when the stopped run should start elsewhere.
+    """
+    async with open_followed_world("a") as world:
+        add_executors(world, dc1=1)
+        step = make_step(14, lasting=True, max_unavailable=1)
+        job = world.submit(step, work=lasting())
+        await world.wait_for(lambda: len(world.find_running(job)) == 14, 10)
+        add_executors(world, dc2=1)
+        await trio.sleep(2)
+        world.store.put("op", "evacuate/dc1", b"{}")
+        await world.wait_for(lambda: "dc2" in find_data_centres(world, job), 5)
+        await trio.sleep(delay)
+        # The copy counts for four seconds from the first change.
+        for _ in range(2):
+            world.store.put("op", "other", b"{}")
+            await trio.sleep(0.02)
+        world.daemons["a"].rows.failing_tables.add("op")
+        await trio.sleep(10)
+        assert len(world.find_running(job)) == 14
+        assert "dc1" in find_data_centres(world, job)
+        world.daemons["a"].rows.failing_tables.clear()
+        await world.wait_for(lambda: find_data_centres(world, job) == ["dc2"] * 14, 30)
+
+
 async def test_early_revocation(clock):
     """Guards against moves that go on, and a return that waits.
 
