Bound what a begun step takes, and leave modest workspaces their last subtask

Cause: a step that had begun was exempt from its workspace's share, and every step after the first of a job counted as begun. A begun step of 1,500 subtasks left another workspace 0 of 768 starts in 6 s. Beside a modest workspace the excess was measured before a start, so the last subtask of the modest one waited for as long as the other had work.

Change: the exemption ends at 1.1 times the share, and is for steps of which subtasks run or are done. Beside a modest workspace a start that would exceed the share comes after the others. A workspace that runs nothing may start a subtask of any size. Both findings are in find_standing and therefore in one commit. The test of a flood required that at least half of its jobs be late, although the pool has room for half of them; that came from the second fault. It is replaced by bounds on both sides: at least 0.4 late, at most 0.5.

Measured: test_large_step_that_has_begun (20 and 200), test_second_steps and the new bounds of the flood were seen to fail before; all 20 in test_fleet_workspaces.py pass.

--- a/hemlockstand/fleet/policy/placing.py
+++ b/hemlockstand/fleet/policy/placing.py
@@ -124,7 +124,7 @@
         """Return how a step stands to its workspace's share at this moment."""
         if self.shares is None:
             return Standing.BELOW
-        return self.shares.find_standing(step_run.job.spec.tenant, rank)
+        return self.shares.find_standing(step_run, rank)
 
     def is_deferred(self, step_run: StepRun, rank: StepRank) -> bool:
         """Return whether its workspace has come to exceed its share."""
--- a/hemlockstand/fleet/policy/shares.py
+++ b/hemlockstand/fleet/policy/shares.py
@@ -27,7 +27,7 @@
 
 from hemlockstand.fleet.model import FleetConfig, Resources, Tenant, get_reservation
 from hemlockstand.fleet.policy.waiting import Standing, StepRank, Timeliness
-from hemlockstand.fleet.work import Subtask
+from hemlockstand.fleet.work import StepRun, Subtask
 
 # Time constant of the decay of recent usage, in seconds. It spans a few runs of
 # usual subtasks; a longer one would count a turn against the next one.
@@ -39,9 +39,14 @@
 # Part of its share by which a workspace may exceed it while all that wait want
 # more than theirs. Without it, each start would change the order of the steps.
 TOLERANCE = 0.05
+# Part of its share by which a workspace may exceed it with steps that have begun.
+# Without a bound, one large step would take the whole pool until its end.
+BEGUN_TOLERANCE = 0.1
 # Late jobs come before those in time of workspaces above their share only up to
 # this part of the share: they are worth a fourteenth of a job in time.
 LATE_FRACTION = 0.5
+# Part of a share within which a difference is an error of rounding.
+ROUNDING = 1e-9
 MIN_WEIGHT = 0.001  # for a weight of 0, which would divide by zero
 # Recent usage below this many thousandths of a core, megabytes and accelerators
 # is dropped, so that idle workspaces take no memory.
@@ -195,6 +200,7 @@
     used: float = 0.0
     above: bool = False
     low: bool = True
+    _left: Sequence[float] = ()
 
     def __attrs_post_init__(self) -> None:
         self._measure()
@@ -206,6 +212,25 @@
         self.running[2] += size.accelerators
         self._measure()
 
+    @property
+    def may_complete(self) -> bool:
+        """Whether steps that have begun may go beyond the share."""
+        return not self.strict and self.used <= self.share * (1 + BEGUN_TOLERANCE)
+
+    def exceeds_with(self, size: Resources) -> bool:
+        """Return whether one more subtask exceeds the share.
+
+        A workspace that runs nothing may start one of any size.
+        """
+        if self.above or not (self.strict and any(self.running)):
+            return self.above
+        cpu_millis, memory_mb, accelerators = self._left
+        return (
+            size.cpu_millis > cpu_millis
+            or size.memory_mb > memory_mb
+            or size.accelerators > accelerators
+        )
+
     def set_strict(self) -> None:
         """Tolerate no excess, since a modest workspace waits as well."""
         self.strict = True
@@ -217,7 +242,12 @@
         correction = (self.recent - running) / 2
         self.used = running + max(-largest, min(largest, correction))
         if self.strict:
-            self.above = running > self.share
+            usable = self.share * (1 + ROUNDING)
+            self._left = [
+                whole * usable - used if whole else inf
+                for whole, used in zip(self.capacity, self.running, strict=True)
+            ]
+            self.above = running > usable
         else:
             self.above = self.used > self.share * (1 + TOLERANCE)
         self.low = self.used <= self.share * LATE_FRACTION
@@ -257,21 +287,24 @@
             if share.above:
                 self._above.add(workspace)
 
-    def find_standing(self, workspace: str, rank: StepRank) -> Standing:
+    def find_standing(self, step_run: StepRun, rank: StepRank) -> Standing:
         """Return how a step stands to the share of its workspace."""
-        if not self._above or not rank.short_lived:
+        if not rank.short_lived:
             return Standing.BELOW
-        share = self.workspaces.get(workspace)
+        share = self.workspaces.get(step_run.job.spec.tenant)
         if share is None:
             return Standing.BELOW
+        above = share.exceeds_with(get_reservation(step_run.step))
+        if not (above or self._above):
+            return Standing.BELOW
         if rank.timeliness < Timeliness.LATE:
-            if not (rank.not_begun or share.strict):
+            if above and share.may_complete and step_run.has_begun:
                 # Subtasks that run already are of no use without the others.
-                return Standing.BELOW
-            return Standing.ABOVE if share.above else Standing.BELOW
+                above = rank.not_begun
+            return Standing.ABOVE if above else Standing.BELOW
         if share.low:
             return Standing.BELOW
-        return Standing.LATE_ABOVE if share.above else Standing.LATE_BELOW
+        return Standing.LATE_ABOVE if above else Standing.LATE_BELOW
 
 
 def measure_shares(
--- a/test/test_fleet_workspaces.py
+++ b/test/test_fleet_workspaces.py
@@ -121,7 +121,10 @@
     assert find_median(after, "abc") <= 1.2 * find_median(before, "abc")
     for name in "abc":
         assert max(after[name]) <= OBJECTIVE_SECONDS
-    assert median(after["d"]) > OBJECTIVE_SECONDS
+    # The others leave room for half of the flood. It must be late with much of the
+    # rest, and in time with so much that no room was lost to the shares.
+    late = sum(time > OBJECTIVE_SECONDS for time in after["d"])
+    assert 0.4 * len(after["d"]) <= late <= 0.5 * len(after["d"])
 
 
 @pytest.mark.parametrize("weight", [1.0, 3.0])
@@ -188,6 +191,60 @@
         assert max(used) <= 0.6 * CORES
 
 
+async def count_starts(
+    world, tenant: str, after: float, seconds: float
+) -> tuple[int, int]:
+    """Return the starts of a workspace and those of all within some time."""
+    await trio.sleep(seconds)
+    jobs = world.daemons["a"].leader.state.registry.jobs
+    tenants = [
+        jobs[run.subtask.split(".")[0]].spec.tenant
+        for run in world.records
+        if run.began_at >= after
+    ]
+    return tenants.count(tenant), len(tenants)
+
+
+def allow_time(world) -> None:
+    """Configure an objective in which all jobs of a test are in time."""
+    config = world.configuration.current
+    queue = attrs.evolve(config.queues[0], objective_ms=30_000)
+    world.configuration.current = attrs.evolve(config, queues=(queue,))
+
+
+@pytest.mark.parametrize(("wanted", "expected"), [(20, 20), (200, 190)])
+async def test_large_step_that_has_begun_leaves_others_their_share(
+    clock, wanted, expected
+):
+    """Guards against a begun step that takes the pool, and a last subtask left."""
+    async with open_world() as world:
+        await start(world, {"large": 1.0, "other": 1.0})
+        allow_time(world)
+        submit(world, "large", count=1500)
+        await trio.sleep(1)
+        started_at = trio.current_time()
+        submit(world, "other", count=wanted)
+        starts, _ = await count_starts(world, "other", started_at, 6)
+        assert starts >= expected
+
+
+async def test_second_steps_do_not_exceed_the_share(clock):
+    """Guards against steps that count as begun because others came before."""
+    async with open_world() as world:
+        await start(world, {"chain": 1.0, "single": 1.0})
+        allow_time(world)
+        started_at = trio.current_time()
+        work = SubtaskBehaviour(SECONDS, size=SMALL)
+        chain = make_step(1, SECONDS), make_step(15, SECONDS, after=(0,))
+        for _ in range(100):
+            accepted_ms = int(trio.current_time() * 1000)
+            world.submit(*chain, work=work, tenant="chain", accepted_ms=accepted_ms)
+            submit(world, "single", count=16)
+            await trio.sleep(0.1)
+        starts, total = await count_starts(world, "single", started_at, 0)
+        assert starts / total == pytest.approx(0.5, abs=0.1)
+
+
 async def test_usage_is_counted_again_after_a_takeover(clock):
     """Guards against a next scheduler that starts from empty shares."""
     async with open_world() as world:
