Let room held for a share expire while the store is slow

Cause: a step of a modest workspace that is not announced held its whole need against workspaces above their shares until its row was stored. With a slow store the room stayed unused.

Change: this hold ends 0.2 s after it began. The older one, for steps in time against late ones, is as before and the only one where no shares are measured.

--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -92,7 +92,7 @@
             if not step_run.announced or pool not in step_run.job.stored_pools:
                 if may_announce:
                     self.registry.announce(step_run, pool)
-                    room.hold(rank, step_run)
+                    room.hold(rank, step_run, now)
                 continue
             if not room.is_held_from(rank) and room.may_fit(step_run.step):
                 yield from self._place_step(step_run, rank, room, config, now)
--- a/hemlockstand/fleet/policy/placing.py
+++ b/hemlockstand/fleet/policy/placing.py
@@ -23,6 +23,10 @@
 # Wait for an executor that is not in quarantine. Lasting work must be at work
 # again within seconds of its end, a quarantine may last longer.
 QUARANTINE_WAIT_SECONDS = 1.0
+# How long a step whose announcement is being stored holds room against workspaces
+# above their shares. The store usually takes milliseconds; while it is slow, held
+# room would stay unused.
+HOLD_SECONDS = 0.2
 
 
 @define(eq=False)
@@ -43,7 +47,11 @@
     _largest_cpu: int = field(init=False)
     _held_cpu: int = 0
     _held_for: StepRank | None = None
-    _held_for_modest: bool = False  # a workspace that wants no more than its share
+    # The part that is held against workspaces above their shares, for the first of
+    # these steps and for a workspace that wants no more than its share.
+    _shared_cpu: int = 0
+    _shared_for: StepRank | None = None
+    _shared_for_modest: bool = False
     _largest_free_cpu: int | None = None
     _total_free_cpu: int | None = None
 
@@ -85,33 +93,47 @@
             )
         return self._largest_free_cpu
 
-    def hold(self, rank: StepRank, step_run: StepRun) -> None:
+    def hold(self, rank: StepRank, step_run: StepRun, now: float) -> None:
         """Hold room for a step whose announcement is being stored.
 
         The store takes milliseconds, and a late step would take the room for
         the time of a subtask.
         """
-        self._held_cpu += count_needed_cpu(step_run)
+        needed_cpu = count_needed_cpu(step_run)
+        self._held_cpu += needed_cpu
         self._held_for = self._held_for or rank
-        if self.shares is not None and not self._held_for_modest:
-            self._held_for_modest = self.shares.is_modest(step_run.job.spec.tenant)
+        if self.shares is None:
+            return
+        if step_run.held_since is None:
+            step_run.held_since = now
+        if now - step_run.held_since < HOLD_SECONDS:
+            self._shared_cpu += needed_cpu
+            self._shared_for = self._shared_for or rank
+            if self.shares.is_modest(step_run.job.spec.tenant):
+                self._shared_for_modest = True
 
     def is_held_from(self, rank: StepRank) -> bool:
         """Return whether all room is held for steps in more urgent need."""
         first = self._held_for
         if first is None:
             return False
+        if first.timeliness < rank.timeliness:
+            return self._held_cpu >= self._sum_free_cpu()
+        first = self._shared_for
+        if first is None or rank.standing <= first.standing:
+            return False
         # Between workspaces that all want more than their shares, an idle moment
         # costs more jobs in time than a start out of turn.
-        gives_way = self._held_for_modest or rank.timeliness >= Timeliness.LATE
-        comes_later = gives_way and rank.standing > first.standing
-        if not comes_later and first.timeliness >= rank.timeliness:
-            return False
+        gives_way = self._shared_for_modest or rank.timeliness >= Timeliness.LATE
+        return gives_way and self._shared_cpu >= self._sum_free_cpu()
+
+    def _sum_free_cpu(self) -> int:
+        """Return the free cpu of all executors that are not in quarantine."""
         if self._total_free_cpu is None:
             self._total_free_cpu = sum(
                 executor.free_cpu() for executor in self.executors
             )
-        return self._held_cpu >= self._total_free_cpu
+        return self._total_free_cpu
 
     def measure_free(self) -> tuple[int, int, int]:
         """Return the free cpu, memory and accelerators."""
--- a/hemlockstand/fleet/policy/shares.py
+++ b/hemlockstand/fleet/policy/shares.py
@@ -16,8 +16,8 @@
     29
 
 Steps of a workspace above its share start after those of the others
-(``Standing``). Nothing is held back: room that no other step can use goes to
-them.
+(``Standing``). Room that no other step can use goes to them, except for what is
+held for a short time while an announcement is being stored (``PoolRoom.hold``).
 """
 
 from collections.abc import Iterable, Mapping, Sequence
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -125,6 +125,8 @@
     remaining_seconds: float = 0.0
     announce_requested: bool = False  # is to be stored as possibly started
     announced: bool = False  # is stored as possibly started
+    # Since when room is held for it against workspaces above their shares.
+    held_since: float | None = None
     inherited: bool = False  # a previous scheduler may have started it
 
     @property
--- a/test/test_fleet_share_rounds.py
+++ b/test/test_fleet_share_rounds.py
@@ -1,7 +1,7 @@
 """Shares of workspaces within a round of placement: what is held, and its cost."""
 
 from hemlockstand.fleet.model import JobSpec, Resources
-from hemlockstand.fleet.policy.placing import PoolRoom
+from hemlockstand.fleet.policy.placing import HOLD_SECONDS, PoolRoom
 from hemlockstand.fleet.policy.shares import Usage, measure_shares
 from hemlockstand.fleet.policy.waiting import Standing, StepRank, Timeliness
 from hemlockstand.fleet.work import Job, StepRun, Subtask
@@ -46,10 +46,23 @@
 def test_free_cpu_is_summed_once_for_many_steps():
     """Guards against a round that looks at every executor for every step."""
     room = make_room(200)
-    room.hold(FIRST, make_waiting("modest"))
+    room.hold(FIRST, make_waiting("modest"), 5.0)
     for _ in range(500):
         assert room.is_held_from(LATER)
     assert all(executor.asked <= 3 for executor in room.executors)
     room.executors[0].used = Resources()
     room.forget_free_cpu()
     assert not room.is_held_from(LATER)
+
+
+def test_room_is_held_against_others_for_a_short_time():
+    """Guards against room that stays unused while the store is slow."""
+    step_run = make_waiting("modest")
+    held = []
+    for now in (5.0, 5.0 + HOLD_SECONDS / 2, 5.0 + 2 * HOLD_SECONDS):
+        room = make_room(4)
+        room.hold(FIRST, step_run, now)
+        held.append(room.is_held_from(LATER))
+        # A late step of a pool without shares gives way for as long as before.
+        assert room.is_held_from(FIRST._replace(timeliness=Timeliness.LATE))
+    assert held == [True, True, False]
