Count no need of work that a maximum blocks

Cause: a workspace whose maximum of cpu is used up still counted with its memory. The pool then had shares, and the others were held to theirs, for work that may not start.

Change: once a limited resource is used up, nothing of the work that needs it counts. Work with and without accelerators is counted apart, so that a maximum of accelerators does not hide work that needs none.

--- a/hemlockstand/fleet/policy/shares.py
+++ b/hemlockstand/fleet/policy/shares.py
@@ -93,12 +93,12 @@
     It holds nothing that must outlast a takeover: the next scheduler counts
     the runs in the executors' lists, and recent usage starts from zero.
     ``by_pool`` holds the usage by pool and workspace, and ``needs`` what the
-    waiting subtasks need, by queue, stored pool and workspace: their number,
-    cpu, memory and accelerators.
+    waiting subtasks need, by queue, stored pool, workspace and whether they need
+    accelerators: their number, cpu, memory and accelerators.
     """
 
     by_pool: dict[str, dict[str, Usage]] = field(factory=dict)
-    needs: dict[tuple[str, str, str], list[int]] = field(factory=dict)
+    needs: dict[tuple[str, str, str, bool], list[int]] = field(factory=dict)
     _advanced_at: float | None = None
 
     def add_run(self, subtask: Subtask, times: int) -> None:
@@ -116,13 +116,14 @@
         """Count a waiting subtask; -1 takes it off."""
         spec = subtask.job.spec
         size = get_reservation(subtask.step)
-        need = self.needs.setdefault((spec.queue, spec.pool, spec.tenant), [0, 0, 0, 0])
+        key = (spec.queue, spec.pool, spec.tenant, size.accelerators > 0)
+        need = self.needs.setdefault(key, [0, 0, 0, 0])
         need[0] += times
         need[1] += times * size.cpu_millis
         need[2] += times * size.memory_mb
         need[3] += times * size.accelerators
         if not need[0]:
-            del self.needs[spec.queue, spec.pool, spec.tenant]
+            del self.needs[key]
 
     def advance(self, now: float) -> None:
         """Let recent usage decay up to a time."""
@@ -146,20 +147,24 @@
 
         What a workspace may not start by its maximum does not count.
         """
-        pools: dict[str, dict[str, list[int]]] = {}
-        for (queue_name, stored_pool, workspace), need in self.needs.items():
+        pools: dict[str, dict[str, list[list[int]]]] = {}
+        for (queue_name, stored_pool, workspace, _), need in self.needs.items():
             queue = config.queues_by_name.get(queue_name)
             pool = stored_pool if queue is None else queue.pool
-            known = pools.setdefault(pool, {}).setdefault(workspace, [0, 0, 0])
-            for index in range(3):
-                known[index] += need[index + 1]
+            pools.setdefault(pool, {}).setdefault(workspace, []).append(need[1:])
         contended = {}
-        for pool, wants in pools.items():
-            if len(wants) < 2:
+        for pool, groups in pools.items():
+            if len(groups) < 2:
                 continue
-            for workspace, want in wants.items():
-                limit_need(want, config.tenants.get(workspace), in_use)
-            wants = {name: want for name, want in wants.items() if any(want)}
+            wants = {}
+            for workspace, needs in groups.items():
+                tenant = config.tenants.get(workspace)
+                for need in needs:
+                    limit_need(need, tenant, in_use)
+                want = [sum(column) for column in zip(*needs, strict=True)]
+                limit_need(want, tenant, in_use)
+                if any(want):
+                    wants[workspace] = want
             if len(wants) > 1:
                 contended[pool] = wants
         return contended
@@ -168,14 +173,22 @@
 def limit_need(
     need: list[int], tenant: Tenant | None, in_use: Mapping[str, Resources]
 ) -> None:
-    """Limit a workspace's need to what its maximum leaves."""
+    """Limit a workspace's need to what its maximum leaves.
+
+    Nothing of it may start once one of the resources it needs is used up.
+    """
     if tenant is None:
         return
     used = in_use.get(tenant.name, Resources())
     for index, name in enumerate(("cpu_millis", "memory_mb", "accelerators")):
         maximum = getattr(tenant.maximum, name)
-        if maximum:
-            need[index] = min(need[index], max(0, maximum - getattr(used, name)))
+        if not (maximum and need[index]):
+            continue
+        left = maximum - getattr(used, name)
+        if left <= 0:
+            need[:] = [0, 0, 0]
+            return
+        need[index] = min(need[index], left)
 
 
 @define(eq=False)
--- a/test/test_fleet_share_rounds.py
+++ b/test/test_fleet_share_rounds.py
@@ -1,11 +1,18 @@
 """Shares of workspaces within a round of placement: what is held, and its cost."""
 
-from hemlockstand.fleet.model import JobSpec, Resources
+import attrs
+
+from hemlockstand.fleet.model import JobSpec, Resources, Tenant
 from hemlockstand.fleet.policy.placing import HOLD_SECONDS, PoolRoom
-from hemlockstand.fleet.policy.shares import Usage, measure_shares
+from hemlockstand.fleet.policy.shares import (
+    Usage,
+    UsageLedger,
+    limit_need,
+    measure_shares,
+)
 from hemlockstand.fleet.policy.waiting import Standing, StepRank, Timeliness
 from hemlockstand.fleet.work import Job, StepRun, Subtask
-from test.fleet_world import SMALL, USUAL, make_step
+from test.fleet_world import SMALL, USUAL, make_config, make_step
 
 FIRST = StepRank(True, False, 0, Standing.BELOW, Timeliness.IN_TIME, True, 1.0, 0)
 LATER = FIRST._replace(standing=Standing.ABOVE)
@@ -66,3 +73,38 @@
         # A late step of a pool without shares gives way for as long as before.
         assert room.is_held_from(FIRST._replace(timeliness=Timeliness.LATE))
     assert held == [True, True, False]
+
+
+def find_wants(maximum: Resources, used: Resources) -> set[str]:
+    """Return who contends for a pool if one of two workspaces has a maximum."""
+    ledger = UsageLedger()
+    for tenant in ("limited", "free"):
+        for subtask in make_waiting(tenant).waiting.values():
+            ledger.add_waiting(subtask, 1)
+    tenants = {"limited": Tenant("limited", frozenset(), 1.0, maximum)}
+    config = attrs.evolve(make_config(), tenants=tenants)
+    found = ledger.find_contenders(config, {"limited": used})
+    return set(found.get("pool", ()))
+
+
+def test_need_that_a_maximum_blocks_does_not_count():
+    """Guards against shares for a workspace that may not start anything."""
+    used = Resources(1000, 512)
+    assert find_wants(Resources(2000), used) == {"limited", "free"}
+    assert not find_wants(Resources(1000), used)
+    assert not find_wants(Resources(4000, 512), used)
+    # Its maximum of accelerators does not concern work that needs none.
+    used = Resources(1000, 512, 1)
+    assert find_wants(Resources(0, 0, 1), used) == {"limited", "free"}
+
+
+def test_work_for_accelerators_is_blocked_apart_from_other_work():
+    """Guards against cpu work that does not count when accelerators are used up."""
+    tenant = Tenant("limited", frozenset(), 1.0, Resources(0, 0, 1))
+    in_use = {"limited": Resources(1000, 512, 1)}
+    need = [1000, 512, 1]
+    limit_need(need, tenant, in_use)
+    assert need == [0, 0, 0]
+    need = [1000, 512, 0]
+    limit_need(need, tenant, in_use)
+    assert need == [1000, 512, 0]
