Limit the weight of a workspace to a million

Cause: beside a workspace of weight 2^53 the shares of the others were lost in the rounding of floats: all became 1, and a flood was never above its share.

Change: MAX_WEIGHT is 1e6.

--- a/hemlockstand/fleet/policy/shares.py
+++ b/hemlockstand/fleet/policy/shares.py
@@ -47,6 +47,9 @@
 LATE_FRACTION = 0.5
 # Part of a share within which a difference is an error of rounding.
 ROUNDING = 1e-9
+# Weights beyond this lose the shares of the others in the rounding of floats, so
+# that none would be above its share.
+MAX_WEIGHT = 1e6
 MIN_WEIGHT = 0.001  # for a weight of 0, which would divide by zero
 # Recent usage below this many thousandths of a core, megabytes and accelerators
 # is dropped, so that idle workspaces take no memory.
@@ -371,7 +374,9 @@
 
 def find_weight(tenant: Tenant | None) -> float:
     """Return the weight of a workspace; 1 if it is no longer configured."""
-    return 1.0 if tenant is None else max(MIN_WEIGHT, tenant.weight)
+    if tenant is None:
+        return 1.0
+    return min(MAX_WEIGHT, max(MIN_WEIGHT, tenant.weight))
 
 
 def divide_by_capacity(
--- a/test/test_fleet_share_rounds.py
+++ b/test/test_fleet_share_rounds.py
@@ -1,6 +1,7 @@
 """Shares of workspaces within a round of placement: what is held, and its cost."""
 
 import attrs
+import pytest
 
 from hemlockstand.fleet.model import JobSpec, Resources, Tenant
 from hemlockstand.fleet.policy.placing import HOLD_SECONDS, PoolRoom
@@ -41,6 +42,11 @@
     return step_run
 
 
+def weigh(name: str, weight: float) -> dict[str, Tenant]:
+    """Return the configuration of one workspace."""
+    return {name: Tenant(name, frozenset(), weight, Resources())}
+
+
 def make_room(count: int) -> PoolRoom:
     """Return a full pool in which a modest workspace waits beside a flood."""
     wants = {"flood": (64_000, 0, 0), "modest": (1000, 0, 0)}
@@ -108,3 +114,13 @@
     need = [1000, 512, 0]
     limit_need(need, tenant, in_use)
     assert need == [1000, 512, 0]
+
+
+@pytest.mark.parametrize("weight", [1e3, 1e9, 2.0**53])
+def test_huge_weight_leaves_the_shares_of_the_others(weight):
+    """Guards against weights beside which no flood is above its share."""
+    wants = {"flood": (640_000, 0, 0), "other": (640_000, 0, 0), "huge": (1000, 0, 0)}
+    usages = {"flood": Usage([60_000, 0, 0])}
+    shares = measure_shares(wants, usages, weigh("huge", weight), (4000, 0, 0))
+    assert shares.workspaces["flood"].above
+    assert shares.workspaces["flood"].share == pytest.approx(0.5, abs=0.01)
