Remove the metrics of shares at the end of a term as leader

Cause: the gauges of shares and use kept their last values in a daemon that no longer leads.

Change: ShareReporter runs as a task of the leader's nursery and removes its labels when that ends, in whatever way.

Measured: the new test was seen to fail; it passes with the other tests of shares that name a report or a takeover.

--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -147,6 +147,7 @@
         start_soon(self._executor_directory.follow, entries)
         start_soon(self._place_forever)
         start_soon(self._tick_forever)
+        start_soon(self._share_reporter.run, self.state.clock)
         start_soon(self._instances.run)
         start_soon(self._ticket_cache.run)
         await self._commits.run(self._leaving)
@@ -311,7 +312,6 @@
             self._add_waves()
             self._idle_reporter.check()
             self._evacuations.check()
-            self._share_reporter.report(self.state.clock())
             registry = self.state.registry
             if registry.ready or registry.next_due() is not None:
                 self.state.request_placement()
--- a/hemlockstand/fleet/share_report.py
+++ b/hemlockstand/fleet/share_report.py
@@ -10,8 +10,9 @@
 All parts are of the pool's capacity on the dominant resource.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
+import trio
 from attrs import define, field
 from loguru import logger
 
@@ -29,15 +30,20 @@
     """Reports the shares that the last round of placement has measured."""
 
     shares: Mapping[str, PoolShares]
-    _reported_at: float = float("-inf")
     _logged_at: dict[tuple[str, str], float] = field(factory=dict)
     _shown: set[tuple[str, str]] = field(factory=set)
 
+    async def run(self, clock: Callable[[], float]) -> None:
+        """Report until the term as leader ends, then remove the metrics."""
+        try:
+            while True:
+                await trio.sleep(REPORT_SECONDS)
+                self.report(clock())
+        finally:
+            self._show_only(set())
+
     def report(self, now: float) -> None:
         """Update the metrics and log who exceeds a share."""
-        if now - self._reported_at < REPORT_SECONDS:
-            return
-        self._reported_at = now
         self._logged_at = {
             key: at for key, at in self._logged_at.items() if now - at < REPEAT_SECONDS
         }
@@ -50,6 +56,10 @@
                 if share.above and (pool, workspace) not in self._logged_at:
                     self._logged_at[pool, workspace] = now
                     _log_excess(pool, workspace, share, len(shares.workspaces) - 1)
+        self._show_only(shown)
+
+    def _show_only(self, shown: set[tuple[str, str]]) -> None:
+        """Remove the metrics of all other workspaces."""
         for key in self._shown - shown:
             SHARE_OF_POOL.remove(*key)
             USE_OF_POOL.remove(*key)
--- a/test/test_fleet_share_rounds.py
+++ b/test/test_fleet_share_rounds.py
@@ -2,6 +2,8 @@
 
 import attrs
 import pytest
+import trio
+from prometheus_client import REGISTRY
 
 from hemlockstand.fleet.model import JobSpec, Resources, Tenant
 from hemlockstand.fleet.policy.placing import HOLD_SECONDS, PoolRoom
@@ -13,7 +15,7 @@
 )
 from hemlockstand.fleet.policy.waiting import Standing, StepRank, Timeliness
 from hemlockstand.fleet.work import Job, StepRun, Subtask
-from test.fleet_world import SMALL, USUAL, make_config, make_step
+from test.fleet_world import SMALL, USUAL, make_config, make_step, open_world
 
 FIRST = StepRank(True, False, 0, Standing.BELOW, Timeliness.IN_TIME, True, 1.0, 0)
 LATER = FIRST._replace(standing=Standing.ABOVE)
@@ -124,3 +126,23 @@
     shares = measure_shares(wants, usages, weigh("huge", weight), (4000, 0, 0))
     assert shares.workspaces["flood"].above
     assert shares.workspaces["flood"].share == pytest.approx(0.5, abs=0.01)
+
+
+async def test_metrics_end_with_the_term_of_the_leader(autojump_clock, monkeypatch):
+    """Guards against a former leader that shows its last shares for good."""
+    monkeypatch.setattr("time.time", trio.current_time)
+    labels = {"pool": "pool", "workspace": "one"}
+
+    def find_share() -> float | None:
+        return REGISTRY.get_sample_value("hemlockstand_share_of_pool", labels)
+
+    async with open_world() as world:
+        world.add_executor()
+        world.start_daemon("a")
+        await trio.sleep(3)
+        for tenant in ("one", "two"):
+            world.submit(make_step(200, 0.5), tenant=tenant)
+        await world.wait_for(lambda: find_share() is not None, 3.0)
+        world.kill(world.daemons["a"])
+        await trio.sleep(0.1)
+        assert find_share() is None
