Look up the pool of a waiting step once in a round

Cause: find_pool was called twice for each step, once to find the room of its pool and once more for the pool's name.

Change: PoolRoom has the name. A step without a usable pool was never announced nor placed, and still is not.

Measured: no test of its own, as no decision changes; 38 tests in test_fleet_scheduler, test_fleet_moved_queues and test_fleet_share_rounds pass.

--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -85,13 +85,12 @@
         if self.shares:
             order = order_by_shares(order)
         for rank, step_run, room in order:
-            pool = find_pool(step_run.job, config)
             if step_run.may_have_unknown_runs(self.blocked_pools):
                 continue
             may_announce = room.count_step(step_run)
-            if not step_run.announced or pool not in step_run.job.stored_pools:
+            if not step_run.announced or room.name not in step_run.job.stored_pools:
                 if may_announce:
-                    self.registry.announce(step_run, pool)
+                    self.registry.announce(step_run, room.name)
                     room.hold(rank, step_run, now)
                 continue
             if not room.is_held_from(rank) and room.may_fit(step_run.step):
@@ -109,8 +108,8 @@
         ledger = self.registry.ledger
         ledger.advance(now)
         self.shares.clear()
-        contenders = ledger.find_contenders(config, self.registry.in_use)
-        for pool, wants in contenders.items():
+        in_use = self.registry.in_use
+        for pool, wants in ledger.find_contenders(config, in_use).items():
             if pool not in pools:
                 continue
             room = pools[pool]
@@ -132,11 +131,9 @@
             if not step_run.may_have_unknown_runs(self.blocked_pools):
                 continue
             tenant = step_run.job.spec.tenant
-            size = step_run.step.size
+            used = use_by_tenant.get(tenant, Resources())
             count = len(step_run.waiting)
-            use_by_tenant[tenant] = use_by_tenant.get(tenant, Resources()).add(
-                size, count
-            )
+            use_by_tenant[tenant] = used.add(step_run.step.size, count)
         return use_by_tenant
 
     def _group_executors(self, config: FleetConfig, now: float) -> dict[str, PoolRoom]:
@@ -153,7 +150,7 @@
             usable, quarantined = groups.setdefault(executor.entry.pool, ([], []))
             group = usable if executor.quarantined_until <= now else quarantined
             group.append(executor)
-        return {pool: PoolRoom(*group) for pool, group in groups.items()}
+        return {pool: PoolRoom(*group, name=pool) for pool, group in groups.items()}
 
     def _place_step(
         self,
--- a/hemlockstand/fleet/policy/placing.py
+++ b/hemlockstand/fleet/policy/placing.py
@@ -42,6 +42,7 @@
     executors: list[Executor]
     quarantined: list[Executor] = field(factory=list)
     shares: PoolShares | None = None
+    name: str = ""
     _offered: list[Executor] = field(init=False)
     _announceable_cpu: float = field(init=False)
     _largest_cpu: int = field(init=False)
