--- a/hemlockstand/fleet/policy/shares.py
+++ b/hemlockstand/fleet/policy/shares.py
@@ -16,8 +16,8 @@
     29
 
 Steps of a workspace above its share start after those of the others
-(``Standing``). Nothing is held back: room that no other step can use goes to
-them.
+(``Standing``). Room that no other step can use goes to them, except for what is
+held for a short time while an announcement is being stored (``PoolRoom.hold``).
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -27,7 +27,7 @@
 
 from hemlockstand.fleet.model import FleetConfig, Resources, Tenant, get_reservation
 from hemlockstand.fleet.policy.waiting import Standing, StepRank, Timeliness
-from hemlockstand.fleet.work import Subtask
+from hemlockstand.fleet.work import StepRun, Subtask
 
 # Time constant of the decay of recent usage, in seconds. It spans a few runs of
 # usual subtasks; a longer one would count a turn against the next one.
@@ -39,9 +39,17 @@
 # Part of its share by which a workspace may exceed it while all that wait want
 # more than theirs. Without it, each start would change the order of the steps.
 TOLERANCE = 0.05
+# Part of its share by which a workspace may exceed it with steps that have begun.
+# Without a bound, one large step would take the whole pool until its end.
+BEGUN_TOLERANCE = 0.1
 # Late jobs come before those in time of workspaces above their share only up to
 # this part of the share: they are worth a fourteenth of a job in time.
 LATE_FRACTION = 0.5
+# Part of a share within which a difference is an error of rounding.
+ROUNDING = 1e-9
+# Weights beyond this lose the shares of the others in the rounding of floats, so
+# that none would be above its share.
+MAX_WEIGHT = 1e6
 MIN_WEIGHT = 0.001  # for a weight of 0, which would divide by zero
 # Recent usage below this many thousandths of a core, megabytes and accelerators
 # is dropped, so that idle workspaces take no memory.
@@ -88,12 +96,12 @@
     It holds nothing that must outlast a takeover: the next scheduler counts
     the runs in the executors' lists, and recent usage starts from zero.
     ``by_pool`` holds the usage by pool and workspace, and ``needs`` what the
-    waiting subtasks need, by queue, stored pool and workspace: their number,
-    cpu, memory and accelerators.
+    waiting subtasks need, by queue, stored pool, workspace and whether they need
+    accelerators: their number, cpu, memory and accelerators.
     """
 
     by_pool: dict[str, dict[str, Usage]] = field(factory=dict)
-    needs: dict[tuple[str, str, str], list[int]] = field(factory=dict)
+    needs: dict[tuple[str, str, str, bool], list[int]] = field(factory=dict)
     _advanced_at: float | None = None
 
     def add_run(self, subtask: Subtask, times: int) -> None:
@@ -111,13 +119,14 @@
         """Count a waiting subtask; -1 takes it off."""
         spec = subtask.job.spec
         size = get_reservation(subtask.step)
-        need = self.needs.setdefault((spec.queue, spec.pool, spec.tenant), [0, 0, 0, 0])
+        key = (spec.queue, spec.pool, spec.tenant, size.accelerators > 0)
+        need = self.needs.setdefault(key, [0, 0, 0, 0])
         need[0] += times
         need[1] += times * size.cpu_millis
         need[2] += times * size.memory_mb
         need[3] += times * size.accelerators
         if not need[0]:
-            del self.needs[spec.queue, spec.pool, spec.tenant]
+            del self.needs[key]
 
     def advance(self, now: float) -> None:
         """Let recent usage decay up to a time."""
@@ -141,20 +150,24 @@
 
         What a workspace may not start by its maximum does not count.
         """
-        pools: dict[str, dict[str, list[int]]] = {}
-        for (queue_name, stored_pool, workspace), need in self.needs.items():
+        pools: dict[str, dict[str, list[list[int]]]] = {}
+        for (queue_name, stored_pool, workspace, _), need in self.needs.items():
             queue = config.queues_by_name.get(queue_name)
             pool = stored_pool if queue is None else queue.pool
-            known = pools.setdefault(pool, {}).setdefault(workspace, [0, 0, 0])
-            for index in range(3):
-                known[index] += need[index + 1]
+            pools.setdefault(pool, {}).setdefault(workspace, []).append(need[1:])
         contended = {}
-        for pool, wants in pools.items():
-            if len(wants) < 2:
+        for pool, groups in pools.items():
+            if len(groups) < 2:
                 continue
-            for workspace, want in wants.items():
-                limit_need(want, config.tenants.get(workspace), in_use)
-            wants = {name: want for name, want in wants.items() if any(want)}
+            wants = {}
+            for workspace, needs in groups.items():
+                tenant = config.tenants.get(workspace)
+                for need in needs:
+                    limit_need(need, tenant, in_use)
+                want = [sum(column) for column in zip(*needs, strict=True)]
+                limit_need(want, tenant, in_use)
+                if any(want):
+                    wants[workspace] = want
             if len(wants) > 1:
                 contended[pool] = wants
         return contended
@@ -163,14 +176,22 @@
 def limit_need(
     need: list[int], tenant: Tenant | None, in_use: Mapping[str, Resources]
 ) -> None:
-    """Limit a workspace's need to what its maximum leaves."""
+    """Limit a workspace's need to what its maximum leaves.
+
+    Nothing of it may start once one of the resources it needs is used up.
+    """
     if tenant is None:
         return
     used = in_use.get(tenant.name, Resources())
     for index, name in enumerate(("cpu_millis", "memory_mb", "accelerators")):
         maximum = getattr(tenant.maximum, name)
-        if maximum:
-            need[index] = min(need[index], max(0, maximum - getattr(used, name)))
+        if not (maximum and need[index]):
+            continue
+        left = maximum - getattr(used, name)
+        if left <= 0:
+            need[:] = [0, 0, 0]
+            return
+        need[index] = min(need[index], left)
 
 
 @define(eq=False)
@@ -195,6 +216,7 @@
     used: float = 0.0
     above: bool = False
     low: bool = True
+    _left: Sequence[float] = ()
 
     def __attrs_post_init__(self) -> None:
         self._measure()
@@ -206,6 +228,25 @@
         self.running[2] += size.accelerators
         self._measure()
 
+    @property
+    def may_complete(self) -> bool:
+        """Whether steps that have begun may go beyond the share."""
+        return not self.strict and self.used <= self.share * (1 + BEGUN_TOLERANCE)
+
+    def exceeds_with(self, size: Resources) -> bool:
+        """Return whether one more subtask exceeds the share.
+
+        A workspace that runs nothing may start one of any size.
+        """
+        if self.above or not (self.strict and any(self.running)):
+            return self.above
+        cpu_millis, memory_mb, accelerators = self._left
+        return (
+            size.cpu_millis > cpu_millis
+            or size.memory_mb > memory_mb
+            or size.accelerators > accelerators
+        )
+
     def set_strict(self) -> None:
         """Tolerate no excess, since a modest workspace waits as well."""
         self.strict = True
@@ -217,7 +258,12 @@
         correction = (self.recent - running) / 2
         self.used = running + max(-largest, min(largest, correction))
         if self.strict:
-            self.above = running > self.share
+            usable = self.share * (1 + ROUNDING)
+            self._left = [
+                whole * usable - used if whole else inf
+                for whole, used in zip(self.capacity, self.running, strict=True)
+            ]
+            self.above = running > usable
         else:
             self.above = self.used > self.share * (1 + TOLERANCE)
         self.low = self.used <= self.share * LATE_FRACTION
@@ -257,21 +303,24 @@
             if share.above:
                 self._above.add(workspace)
 
-    def find_standing(self, workspace: str, rank: StepRank) -> Standing:
+    def find_standing(self, step_run: StepRun, rank: StepRank) -> Standing:
         """Return how a step stands to the share of its workspace."""
-        if not self._above or not rank.short_lived:
+        if not rank.short_lived:
             return Standing.BELOW
-        share = self.workspaces.get(workspace)
+        share = self.workspaces.get(step_run.job.spec.tenant)
         if share is None:
             return Standing.BELOW
+        above = share.exceeds_with(get_reservation(step_run.step))
+        if not (above or self._above):
+            return Standing.BELOW
         if rank.timeliness < Timeliness.LATE:
-            if not (rank.not_begun or share.strict):
+            if above and share.may_complete and step_run.has_begun:
                 # Subtasks that run already are of no use without the others.
-                return Standing.BELOW
-            return Standing.ABOVE if share.above else Standing.BELOW
+                above = rank.not_begun
+            return Standing.ABOVE if above else Standing.BELOW
         if share.low:
             return Standing.BELOW
-        return Standing.LATE_ABOVE if share.above else Standing.LATE_BELOW
+        return Standing.LATE_ABOVE if above else Standing.LATE_BELOW
 
 
 def measure_shares(
@@ -325,7 +374,9 @@
 
 def find_weight(tenant: Tenant | None) -> float:
     """Return the weight of a workspace; 1 if it is no longer configured."""
-    return 1.0 if tenant is None else max(MIN_WEIGHT, tenant.weight)
+    if tenant is None:
+        return 1.0
+    return min(MAX_WEIGHT, max(MIN_WEIGHT, tenant.weight))
 
 
 def divide_by_capacity(
