Stop runs of lower priority for work that would be late

Cause: the priority of a queue ordered what waits, but a short job of the best queue waited a minute behind long runs of the last one. A workspace within its share waited as long behind the long runs of a flood.

Change: ten times a second the leader looks for waiting steps at the last moment at which they can start in time. If no room is expected by then, the cheapest runs of lower priority are stopped, or with [preemption] basis = share those of a workspace above its share, for all subtasks of the step or none, within a budget of lost work. The room is held until the subtask starts. Lasting work, gangs and runs without progress since their last preemption are never stopped. With one priority the default does nothing.

--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -23,6 +23,7 @@
 from hemlockstand.fleet.orders import RUNS_PER_EPOCH, Orders
 from hemlockstand.fleet.placement import Placer
 from hemlockstand.fleet.policy.waiting import LATE_FACTOR
+from hemlockstand.fleet.preemption import Preemptor
 from hemlockstand.fleet.reports import ExecutorReportHandler
 from hemlockstand.fleet.settings import FleetSettings
 from hemlockstand.fleet.share_report import ShareReporter
@@ -99,6 +100,7 @@
         self._idle_reporter = IdleReporter(
             self.state, self._barrier.blocked_pools, self._may_run
         )
+        self._preemptor = Preemptor(self.state, self._orders, self._placer)
         self._share_reporter = ShareReporter(self._placer.shares)
         self._wave_records: dict[int, WaveRecord | None] = {}
         self._unreadable_jobs: set[str] = set()
@@ -274,7 +276,12 @@
             self.state.request_commit()
 
     def _may_run(self, step_run: StepRun, executor: Executor) -> bool:
-        """Return whether the policy of the step's queue allows an executor."""
+        """Return whether the step may use an executor.
+
+        Its queue's policy may rule it out, or room that is held for others.
+        """
+        if not self._preemptor.may_use(step_run, executor):
+            return False
         if not self._ticket_cache.needs_ticket(step_run, self.state.config):
             return True
         return bool(self._ticket_cache.find_ticket(step_run, executor))
@@ -288,6 +295,7 @@
             self._executor_directory.remove_gone()
             self._add_waves()
             self._idle_reporter.check()
+            self._preemptor.check()
             self._share_reporter.report(self.state.clock())
             registry = self.state.registry
             if registry.ready or registry.next_due() is not None:
--- a/hemlockstand/fleet/metrics.py
+++ b/hemlockstand/fleet/metrics.py
@@ -38,6 +38,16 @@
     "What counts as used of that share, as part of the pool.",
     ["pool", "workspace"],
 )
+PREEMPTED_RUNS = Counter(
+    "hemlockstand_preempted_runs_total",
+    "Runs that were stopped for more urgent work, by reason.",
+    ["pool", "reason"],
+)
+PREEMPTED_CORE_SECONDS = Counter(
+    "hemlockstand_preempted_core_seconds_total",
+    "Work that was thrown away by these stops.",
+    ["pool"],
+)
 
 
 def render_metrics() -> bytes:
--- a/hemlockstand/fleet/policy/shares.py
+++ b/hemlockstand/fleet/policy/shares.py
@@ -206,6 +206,16 @@
         self.running[2] += size.accelerators
         self._measure()
 
+    def exceeds_without(self, subtasks: Iterable[Subtask]) -> bool:
+        """Return whether what runs exceeds the share without some subtasks."""
+        running = self.running.copy()
+        for subtask in subtasks:
+            size = get_reservation(subtask.step)
+            running[0] -= size.cpu_millis
+            running[1] -= size.memory_mb
+            running[2] -= size.accelerators
+        return find_dominant(running, self.capacity) >= self.share
+
     def set_strict(self) -> None:
         """Tolerate no excess, since a modest workspace waits as well."""
         self.strict = True
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -108,6 +108,24 @@
     )
 
 
+@frozen
+class PreemptionSettings:
+    """Stops of running work for more urgent work that would be late."""
+
+    basis: str = option(
+        "For whom runs may be stopped: for nobody, for queues of a better priority, or "
+        "also for workspaces below their share.",
+        choices=("none", "priority", "share"),
+    )
+    max_lost_fraction: float = option(
+        "Part of a pool's processor time that may be thrown away by stops.", 0, 1
+    )
+    span_seconds: float = option("Time over which this part is measured.", 1, 3600)
+
+
+DEFAULT_PREEMPTION = PreemptionSettings("priority", 0.02, 10.0)
+
+
 @frozen
 class FleetSettings:
     """All sections."""
@@ -118,6 +136,7 @@
     bounds: BoundSettings
     scheduler: SchedulerSettings
     log: LogSettings
+    preemption: PreemptionSettings = DEFAULT_PREEMPTION
 
 
 def load_fleet_settings(path: str | Path) -> FleetSettings:
