Test that shares keep the order, and serve as many jobs in time

Cause: nothing covered a pool that lacks room while no workspace exceeds its share, nor the jobs in time of a turn in which all workspaces want more than theirs.

--- a/test/test_fleet_workspaces.py
+++ b/test/test_fleet_workspaces.py
@@ -11,9 +11,13 @@
 from prometheus_client import REGISTRY
 
 from emulator.fleet_executors import SubtaskBehaviour
-from hemlockstand.fleet.model import Resources, Tenant
+from hemlockstand.fleet import placement
+from hemlockstand.fleet.model import JobSpec, Resources, Tenant
+from hemlockstand.fleet.policy.placing import PoolRoom, order_by_shares
 from hemlockstand.fleet.policy.shares import Usage, find_level, measure_shares
+from hemlockstand.fleet.policy.waiting import Standing, StepRank, Timeliness
 from hemlockstand.fleet.share_report import ShareReporter
+from hemlockstand.fleet.work import Job, StepRun
 from test.fleet_world import SMALL, make_config, make_step, open_world
 
 SECONDS = 0.5
@@ -123,6 +127,22 @@
     assert median(after["d"]) > OBJECTIVE_SECONDS
 
 
+@pytest.mark.parametrize("weight", [1.0, 10.0])
+async def test_turn_of_several_workspaces_serves_almost_as_many(
+    clock, monkeypatch, weight
+):
+    """Guards against shares that make a pool complete fewer jobs in time.
+
+    Both workspaces send more than the pool can run.
+    """
+    weights, rates = {"a": 1.0, "b": weight}, {"a": 20.0, "b": 20.0}
+    by_share = await replay(weights, rates, 5.0)
+    with monkeypatch.context() as patches:
+        patches.setattr(placement, "measure_shares", lambda *args: None)
+        by_deadline = await replay(weights, rates, 5.0)
+    assert count_in_time(by_share) >= 0.95 * count_in_time(by_deadline)
+
+
 @pytest.mark.parametrize("weight", [1.0, 3.0])
 @pytest.mark.parametrize("backlog", ["at once", "steady"])
 async def test_workspaces_with_work_get_their_weights(clock, weight, backlog):
@@ -265,6 +285,30 @@
     assert measure_shares(wants, {}, {}, (7999, 1000, 0)) is not None
 
 
+def test_order_holds_while_no_workspace_exceeds_its_share():
+    """Guards against steps that change places in a pool that lacks room."""
+    wants = {"a": (6000, 0, 0), "b": (6000, 0, 0)}
+    usages = {"a": Usage([3000, 0, 0]), "b": Usage([3500, 0, 0], recent=[3500.0, 0, 0])}
+    room = PoolRoom([], shares=measure_shares(wants, usages, {}, (6000, 0, 0)))
+    order = []
+    for timeliness in Timeliness:
+        for tenant in "abab":
+            spec = JobSpec(str(len(order)), "q", "p", tenant, "", (make_step(),))
+            step_run = StepRun(Job(spec, 1), 0, 0, spec.steps[0])
+            late = timeliness is Timeliness.WORTHLESS
+            rank = StepRank(
+                True, late, 0, Standing.BELOW, timeliness, bool(order), len(order), 0
+            )
+            order.append((rank, step_run, room))
+    assert list(order_by_shares(order)) == order
+    for _ in range(5):
+        room.shares.add_placed("a", Resources(1000))
+    changed = list(order_by_shares(order))
+    # The step that has begun, those in time and the late ones, each of b before a.
+    tenants = [item[1].job.spec.tenant for item in changed[:12]]
+    assert tenants == list("abbbbaaabbaa")
+
+
 def test_share_is_that_of_the_dominant_resource():
     """Guards against a workspace that takes all memory with little cpu."""
     wants = {"cpu": (64_000, 1000, 0), "memory": (1000, 64_000, 0)}
