Move the ledger of usage out of the module of shares

Change: Usage, UsageLedger and limit_need are in policy/usage.py; nothing else changes. A comment says that order_by_shares appends to lists that it reads later.

Measured: test_fleet_workspaces.py and test_fleet_share_rounds.py pass.

--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -21,7 +21,7 @@
     JobStatus,
     Resources,
 )
-from hemlockstand.fleet.policy.shares import UsageLedger
+from hemlockstand.fleet.policy.usage import UsageLedger
 from hemlockstand.fleet.policy.waiting import measure_chain
 from hemlockstand.fleet.work import Job, Run, StepRun, Subtask
 
--- a/hemlockstand/fleet/policy/placing.py
+++ b/hemlockstand/fleet/policy/placing.py
@@ -223,6 +223,7 @@
                         continue
                     present = room.find_standing(step_run, rank)
                 if present > standing:
+                    # Its list is read after this one, in a later turn of the loop.
                     queues[present].append((rank, step_run, room))
 
 
--- a/test/test_fleet_share_rounds.py
+++ b/test/test_fleet_share_rounds.py
@@ -7,12 +7,8 @@
 
 from hemlockstand.fleet.model import JobSpec, Resources, Tenant
 from hemlockstand.fleet.policy.placing import HOLD_SECONDS, PoolRoom
-from hemlockstand.fleet.policy.shares import (
-    Usage,
-    UsageLedger,
-    limit_need,
-    measure_shares,
-)
+from hemlockstand.fleet.policy.shares import measure_shares
+from hemlockstand.fleet.policy.usage import Usage, UsageLedger, limit_need
 from hemlockstand.fleet.policy.waiting import Standing, StepRank, Timeliness
 from hemlockstand.fleet.work import Job, StepRun, Subtask
 from test.fleet_world import SMALL, USUAL, make_config, make_step, open_world
--- a/test/test_fleet_workspaces.py
+++ b/test/test_fleet_workspaces.py
@@ -13,7 +13,8 @@
 from emulator.fleet_executors import SubtaskBehaviour
 from hemlockstand.fleet import placement
 from hemlockstand.fleet.model import Resources, Tenant
-from hemlockstand.fleet.policy.shares import Usage, find_level, measure_shares
+from hemlockstand.fleet.policy.shares import find_level, measure_shares
+from hemlockstand.fleet.policy.usage import Usage
 from hemlockstand.fleet.share_report import ShareReporter
 from test.fleet_world import SMALL, make_config, make_step, open_world
 
