--- a/hemlockstand/fleet/preemption.py
+++ b/hemlockstand/fleet/preemption.py
@@ -30,7 +30,7 @@
     is_last_moment,
     plan_preemptions,
 )
-from hemlockstand.fleet.policy.shares import limit_need
+from hemlockstand.fleet.policy.usage import limit_need
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.work import Run, RunState, StepRun, Subtask
 
--- a/test/test_fleet_workspaces.py
+++ b/test/test_fleet_workspaces.py
@@ -14,10 +14,11 @@
 from hemlockstand.fleet import placement
 from hemlockstand.fleet.model import JobSpec, Resources, Tenant
 from hemlockstand.fleet.policy.placing import PoolRoom, order_by_shares
-from hemlockstand.fleet.policy.shares import Usage, find_level, measure_shares
+from hemlockstand.fleet.policy.shares import find_level, measure_shares
+from hemlockstand.fleet.policy.usage import Usage
 from hemlockstand.fleet.policy.waiting import Standing, StepRank, Timeliness
 from hemlockstand.fleet.share_report import ShareReporter
-from hemlockstand.fleet.work import Job, StepRun
+from hemlockstand.fleet.work import Job, StepRun, Subtask
 from test.fleet_world import SMALL, make_config, make_step, open_world
 
 SECONDS = 0.5
@@ -367,6 +368,9 @@
         for tenant in "abab":
             spec = JobSpec(str(len(order)), "q", "p", tenant, "", (make_step(),))
             step_run = StepRun(Job(spec, 1), 0, 0, spec.steps[0])
+            if order:
+                # Only the first step has begun.
+                step_run.waiting[0] = Subtask(step_run, 0, f"{spec.id}.0.0.0")
             late = timeliness is Timeliness.WORTHLESS
             rank = StepRank(
                 True, late, 0, Standing.BELOW, timeliness, bool(order), len(order), 0
