--- a/hemlockstand/fleet/policy/shares.py
+++ b/hemlockstand/fleet/policy/shares.py
@@ -60,7 +60,9 @@
     wants no more than its share. Beside one, the share of the others is
     ``strict``: each start beyond it would take room that the modest one waits
     for. ``above`` and ``low`` say whether the workspace exceeds the share, and
-    whether it is below the part up to which late jobs have precedence.
+    whether it is below the part up to which late jobs have precedence. A strict
+    share is ``limited`` once something runs: a workspace that runs nothing may
+    start a subtask of any size.
     """
 
     weight: float
@@ -73,6 +75,7 @@
     used: float = 0.0
     above: bool = False
     low: bool = True
+    limited: bool = False
     _left: Sequence[float] = ()
 
     def __attrs_post_init__(self) -> None:
@@ -96,12 +99,7 @@
         return not self.strict and self.used <= self.share * (1 + BEGUN_TOLERANCE)
 
     def exceeds_with(self, size: Resources) -> bool:
-        """Return whether one more subtask exceeds the share.
-
-        A workspace that runs nothing may start one of any size.
-        """
-        if self.above or not (self.strict and any(self.running)):
-            return self.above
+        """Return whether one more subtask exceeds a share without tolerance."""
         cpu_millis, memory_mb, accelerators = self._left
         return (
             size.cpu_millis > cpu_millis
@@ -121,6 +119,7 @@
                 for whole, used in zip(self.capacity, self.running, strict=True)
             ]
             self.above = running > usable
+            self.limited = running > 0.0
         else:
             self.above = self.used > self.share * (1 + TOLERANCE)
         self.low = self.used <= self.share * LATE_FRACTION
@@ -167,13 +166,15 @@
         share = self.workspaces.get(step_run.job.spec.tenant)
         if share is None:
             return Standing.BELOW
-        above = share.exceeds_with(get_reservation(step_run.step))
+        above = share.above
+        if share.limited and not above:
+            above = share.exceeds_with(get_reservation(step_run.step))
         if not (above or self._above):
             return Standing.BELOW
         if rank.timeliness < Timeliness.LATE:
-            if above and share.may_complete and step_run.has_begun:
-                # Subtasks that run already are of no use without the others.
-                above = rank.not_begun
+            # Subtasks that run already are of no use without the others.
+            if above and not rank.not_begun and step_run.has_begun:
+                above = not share.may_complete
             return Standing.ABOVE if above else Standing.BELOW
         if share.low:
             return Standing.BELOW
