--- a/test/test_fleet_workspaces.py
+++ b/test/test_fleet_workspaces.py
@@ -12,9 +12,15 @@
 
 from emulator.fleet_executors import SubtaskBehaviour
 from hemlockstand.fleet import placement
+from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.model import JobSpec, Resources, Tenant
 from hemlockstand.fleet.policy.placing import PoolRoom, order_by_shares
-from hemlockstand.fleet.policy.shares import Usage, find_level, measure_shares
+from hemlockstand.fleet.policy.shares import (
+    PoolShares,
+    Usage,
+    find_level,
+    measure_shares,
+)
 from hemlockstand.fleet.policy.waiting import Standing, StepRank, Timeliness
 from hemlockstand.fleet.share_report import ShareReporter
 from hemlockstand.fleet.work import Job, StepRun
@@ -207,6 +213,34 @@
         assert max(used) <= 0.6 * CORES
 
 
+async def test_round_on_a_full_pool_costs_little_for_shares(clock, monkeypatch):
+    """Guards against shares that are measured, or judged, many times in a round."""
+    async with open_world() as world:
+        await start(world, {"a": 1.0, "b": 2.0, "c": 4.0})
+        for _ in range(34):
+            for tenant in "abc":
+                submit(world, tenant, 5.0)
+        await world.wait_for(lambda: len(world.find_running()) == CORES, 4)
+        await trio.sleep(1)
+        leader = world.daemons["a"].leader
+        waiting = len(leader.state.registry.ready)
+        assert waiting > 80
+        calls = []
+        find_standing = PoolShares.find_standing
+        monkeypatch.setattr(
+            PoolShares,
+            "find_standing",
+            lambda *args: calls.append(args) or find_standing(*args),
+        )
+        has_room = []
+        monkeypatch.setattr(Executor, "has_room", lambda *args: has_room.append(args))
+        assert not list(leader._placer.place(leader.state.config, leader.state.clock()))
+        assert leader._placer.shares
+        # Once when a step is first met, and again in the queue of its standing.
+        assert len(calls) <= 2 * waiting
+        assert len(has_room) <= EXECUTORS
+
+
 async def test_usage_is_counted_again_after_a_takeover(clock):
     """Guards against a next scheduler that starts from empty shares."""
     async with open_world() as world:
