Name the time for emptying an instance apart from evacuations

Cause: EVACUATION_SECONDS in waves.py was about a wave, not about a data centre.

Change: it is called EMPTYING_SECONDS.

--- a/hemlockstand/fleet/waves.py
+++ b/hemlockstand/fleet/waves.py
@@ -16,7 +16,7 @@
 RESERVED_FRACTION = 0.25
 # Time from the reservation of an instance to the end of its maintenance,
 # without the maintenance itself.
-EVACUATION_SECONDS = 4.0
+EMPTYING_SECONDS = 4.0
 # An instance is gone if this many lists in a row lack it. A single list may
 # lack it, because it is read in several pages.
 GONE_LISTS = 3
@@ -172,6 +172,6 @@
         left = len(wave.instances) - len(progress.begun)
         rounds = -(-left // max(1, wave.maximum))
         elapsed = time.time() - progress.seen_ms / 1000
-        short_of_time = elapsed + rounds * EVACUATION_SECONDS * 2 > wave.duration_s
+        short_of_time = elapsed + rounds * EMPTYING_SECONDS * 2 > wave.duration_s
         fraction = 2 * RESERVED_FRACTION if short_of_time else RESERVED_FRACTION
         return reserved < max(1, int(len(members) * fraction))
