--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from hemlockstand.fleet.bit_sets import find_bits
+from hemlockstand.fleet.copy_index import CopyIndex
 from hemlockstand.fleet.durations import Durations, expect_medians
 from hemlockstand.fleet.model import (
     FleetConfig,
@@ -49,6 +50,7 @@
     ended: list[tuple[int, str]] = field(factory=list)
     durations: Durations = field(factory=Durations)
     ledger: UsageLedger = field(factory=UsageLedger)
+    copies: CopyIndex = field(factory=CopyIndex)
     _due: list[tuple[float, str, int]] = field(factory=list)
 
     def add(
@@ -109,6 +111,7 @@
             job.open_steps += 1
             if step_run.inherited:
                 job.announced |= 1 << step_run.number
+                self.copies.add_inherited(step_run)
         job.stored_announced = job.announced
         self._add_attempts(job, 0, status.failures, status.crashes)
 
@@ -259,22 +262,23 @@
         return step_run.subtasks[index]
 
     def attach(self, subtask: Subtask, run: Run) -> None:
-        """Set the run of a subtask; count it against the tenant's maximum."""
+        """Add a run of a subtask; count it against the tenant's maximum."""
         self.unset_waiting(subtask)
-        subtask.run = run
-        subtask.runs = max(subtask.runs, run.number)
-        self._add_usage(subtask, 1)
+        subtask.add_run(run)
+        self._add_usage(subtask, run, 1)
+        self.copies.add_run(subtask)
 
-    def detach(self, subtask: Subtask) -> None:
-        """Remove the run of a subtask."""
-        self._add_usage(subtask, -1)
-        subtask.run = None
+    def detach(self, subtask: Subtask, run: Run) -> None:
+        """Remove a run of a subtask."""
+        subtask.remove_run(run)
+        self._add_usage(subtask, run, -1)
+        self.copies.remove_run(subtask)
 
-    def _add_usage(self, subtask: Subtask, times: int) -> None:
+    def _add_usage(self, subtask: Subtask, run: Run, times: int) -> None:
         tenant = subtask.job.spec.tenant
         used = self.in_use.get(tenant, Resources())
         self.in_use[tenant] = used.add(subtask.step.size, times)
-        self.ledger.add_run(subtask, times)
+        self.ledger.add_run(subtask, run, times)
 
     def set_started(self, job: Job) -> None:
         """Mark a job as started."""
@@ -368,10 +372,9 @@
         """Drop jobs that ended before a time; return their ids."""
         expired = []
         while self.ended and self.ended[0][0] < before_ms and len(expired) < limit:
-            _, job_id = self.ended[0]
-            if job_id in self.dirty:
+            if self.ended[0][1] in self.dirty:
                 break
-            heappop(self.ended)
+            _, job_id = heappop(self.ended)
             self.jobs.pop(job_id, None)
             expired.append(job_id)
         return expired
--- a/hemlockstand/fleet/metrics.py
+++ b/hemlockstand/fleet/metrics.py
@@ -33,6 +33,18 @@
     ["queue"],
     buckets=(0.1, 0.25, 0.5, 0.67, 0.8, 1.0, 1.25, 1.5, 2.0, 4.0, 10.0),
 )
+COPIES_STARTED = Counter(
+    "hemlockstand_copies_started_total", "Copies of slow runs, by pool.", ["pool"]
+)
+COPIES_WON = Counter(
+    "hemlockstand_copies_won_total", "Copies that were done before the first run."
+)
+LOST_CORE_SECONDS = Counter(
+    "hemlockstand_copies_lost_core_seconds_total",
+    "Core-seconds of the runs that another run of their subtask has made useless: "
+    "of copies, or of the first runs.",
+    ["run"],
+)
 LEADING = Gauge("hemlockstand_scheduler", "1 while this daemon is the scheduler.")
 EVACUATED = Gauge(
     "hemlockstand_evacuated_data_centres", "Data centres that are evacuated."
--- a/hemlockstand/fleet/policy/shares.py
+++ b/hemlockstand/fleet/policy/shares.py
@@ -27,7 +27,7 @@
 
 from hemlockstand.fleet.model import FleetConfig, Resources, Tenant, get_reservation
 from hemlockstand.fleet.policy.waiting import Standing, StepRank, Timeliness
-from hemlockstand.fleet.work import Subtask
+from hemlockstand.fleet.work import Run, Subtask
 
 # Time constant of the decay of recent usage, in seconds. It spans a few runs of
 # usual subtasks; a longer one would count a turn against the next one.
@@ -96,11 +96,9 @@
     needs: dict[tuple[str, str, str], list[int]] = field(factory=dict)
     _advanced_at: float | None = None
 
-    def add_run(self, subtask: Subtask, times: int) -> None:
-        """Count the run of a subtask; -1 takes it off."""
-        if subtask.run is None:
-            return
-        usages = self.by_pool.setdefault(subtask.run.pool, {})
+    def add_run(self, subtask: Subtask, run: Run, times: int) -> None:
+        """Count a run of a subtask; -1 takes it off."""
+        usages = self.by_pool.setdefault(run.pool, {})
         workspace = subtask.job.spec.tenant
         usage = usages.get(workspace)
         if usage is None:
