Keep one entry for each run that may get a copy

Cause: After a takeover the first run of two is watched when it is adopted, and again when the second one ends. Both entries fall due, and the check read all due entries before it started copies, so that two copies started at once. The second one replaced the first in its subtask; the run that was replaced was never detached, and the workspace's usage stayed too high until the term ended.

Change: Run.check_number names the valid entry of a run, and older ones are skipped. The check reads the entries one by one, so that a copy that has started is seen. Subtask.add_run asserts that there is no third run.

Measured: test_run_has_one_entry_in_the_index and test_third_run_is_an_error fail without the change. test_copy_that_starts_meanwhile_is_seen_by_the_index passes with and without it.

--- a/hemlockstand/fleet/copies.py
+++ b/hemlockstand/fleet/copies.py
@@ -62,7 +62,7 @@
             return
         self._checked_at = now
         self._rooms.clear()
-        for subtask in list(index.pop_due(now, MAX_CHECKED)):
+        for subtask in index.pop_due(now, MAX_CHECKED):
             bound = self._find_bound(subtask)
             match judge_run(self._view_run(subtask, now), bound):
                 case CheckLater(seconds):
--- a/hemlockstand/fleet/copy_index.py
+++ b/hemlockstand/fleet/copy_index.py
@@ -42,7 +42,7 @@
     copied: dict[str, Subtask] = field(factory=dict)
     inherited: set[StepRun] = field(factory=set)
     _watched: list[tuple[float, int, Subtask, Run]] = field(factory=list)
-    _numbers: Iterator[int] = field(factory=count)
+    _numbers: Iterator[int] = field(factory=lambda: count(1))
     _ratios: dict[str, deque[float]] = field(factory=dict)
     _races: dict[str, deque[bool]] = field(factory=dict)
     _probed_at: dict[str, float] = field(factory=dict)
@@ -60,10 +60,11 @@
             self.watch(subtask, float("-inf"))
 
     def watch(self, subtask: Subtask, at: float) -> None:
-        """Look at the only run of a subtask at a time."""
-        if subtask.run is not None:
-            entry = (at, next(self._numbers), subtask, subtask.run)
-            heappush(self._watched, entry)
+        """Look at the only run of a subtask at a time, and at no other time."""
+        run = subtask.run
+        if run is not None:
+            run.check_number = next(self._numbers)
+            heappush(self._watched, (at, run.check_number, subtask, run))
 
     def has_due(self, now: float) -> bool:
         """Return whether there is a run to look at."""
@@ -74,7 +75,9 @@
         for _ in range(limit):
             if not self.has_due(now):
                 return
-            _, _, subtask, run = heappop(self._watched)
+            _, number, subtask, run = heappop(self._watched)
+            if run.check_number != number:
+                continue
             if subtask.run is not run or subtask.copy is not None or subtask.done:
                 continue
             if not subtask.job.state.final:
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -52,6 +52,7 @@
     stopped_at: float | None = None  # time of the first stop order
     pool: str = ""  # pool of the executor at the time of the order
     is_copy: bool = False
+    check_number: int = 0  # of its valid entry in the index of copies
 
     @property
     def partial(self) -> bool:
@@ -125,6 +126,7 @@
         if self.run is None:
             self.run = run
         else:
+            assert self.copy is None, f"{self.name} has two runs"
             self.copy = run
         self.runs = max(self.runs, run.number)
 
--- a/test/test_fleet_copy_policy.py
+++ b/test/test_fleet_copy_policy.py
@@ -88,6 +88,41 @@
     assert judge_run(make_view(**values), bound) == verdict
 
 
+def test_run_has_one_entry_in_the_index():
+    """Guards against two copies at once of a run that was watched twice."""
+    index, subtask = CopyIndex(), make_subtask()
+    subtask.add_run(Run(1, "x-1", 1, 0.0))
+    index.watch(subtask, 5.0)
+    copy = Run(2, "x-2", 1, 0.0)
+    subtask.add_run(copy)
+    index.add_run(subtask)
+    subtask.remove_run(copy)
+    index.remove_run(subtask)
+    index.watch(subtask, 5.0)
+    assert list(index.pop_due(6.0, 10)) == [subtask]
+
+
+def test_copy_that_starts_meanwhile_is_seen_by_the_index():
+    """Guards against entries that are all read before the first copy starts."""
+    index, first, second = CopyIndex(), make_subtask(), make_subtask()
+    for subtask in (first, second):
+        subtask.add_run(Run(1, "x-1", 1, 0.0))
+        index.watch(subtask, 5.0)
+    due = index.pop_due(6.0, 10)
+    assert next(due) is first
+    second.add_run(Run(2, "x-2", 1, 0.0))
+    assert not list(due)
+
+
+def test_third_run_is_an_error():
+    """Guards against a copy that replaces another one, which stays counted."""
+    subtask = make_subtask()
+    for number in (1, 2):
+        subtask.add_run(Run(number, f"x-{number}", 1, 0.0))
+    with pytest.raises(AssertionError):
+        subtask.add_run(Run(3, "x-3", 1, 0.0))
+
+
 def test_budget_permits_the_first_copy_of_a_small_workspace():
     """Guards against small workspaces without copies, and others with many."""
     assert CopyUse(0, 1000).is_below(0.1)
