Keep copies within the tolerance of their workspace's maximum

Cause: After a takeover each subtask of an inherited speculative step counted as if it had an unseen copy. That counted too much: with one executor that does not answer, work of a workspace that had 7 of 16 cores running waited for longer than 3 s. It also counted too little: an unseen copy of a subtask that is done was left out, and 24 cores ran with a maximum of 16.

Change: Where a workspace has a maximum, its copies with the new one use at most a tenth of it, by which the maximum may be exceeded. Runs left over by a subtask that is done count with them, and no copy starts while runs of a previous scheduler may be unseen. Unseen copies are no longer counted, and workspace_fraction is at most 0.1. Workspaces whose maximum is under ten subtasks get no copies. If a maximum is lowered while copies run and a takeover follows, their part of the new maximum may be larger than a tenth.

--- a/hemlockstand/fleet/copies.py
+++ b/hemlockstand/fleet/copies.py
@@ -8,6 +8,7 @@
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import JobRegistry, find_max_attempts, find_pool
 from hemlockstand.fleet.metrics import COPIES_STARTED, COPIES_WON, LOST_CORE_SECONDS
+from hemlockstand.fleet.model import Resources
 from hemlockstand.fleet.placement import Placer, choose_executor
 from hemlockstand.fleet.policy.copies import (
     MIN_QUEUE_RUNS,
@@ -21,6 +22,7 @@
     find_slow_bound,
     is_wanted,
     judge_run,
+    keeps_tolerance,
     may_have_copies,
 )
 from hemlockstand.fleet.policy.crashes import is_given_up
@@ -110,6 +112,8 @@
         index = self.state.registry.copies
         if not index.is_worthwhile(job.spec.queue, now):
             return False
+        if not self._keeps_tolerance(subtask):
+            return False
         use = self._measure_workspace(job.spec.tenant)
         pool_use = self._measure_pool(pool)
         settings = self.state.settings.copies
@@ -133,6 +137,20 @@
         self.start(subtask, executor)
         return True
 
+    def _keeps_tolerance(self, subtask: Subtask) -> bool:
+        """Return whether a maximum tolerates that the next scheduler sees no copy.
+
+        While it may not see those of a previous scheduler, there are no more.
+        """
+        name = subtask.job.spec.tenant
+        tenant = self.state.config.tenants.get(name)
+        if tenant is None or tenant.maximum == Resources():
+            return True
+        if self.placer.blocked_pools:
+            return False
+        use = self.state.registry.copies.measure_workspace(name)
+        return keeps_tolerance(use.add(subtask.step.size), tenant.maximum)
+
     def _measure_workspace(self, tenant: str) -> CopyUse:
         registry = self.state.registry
         copies = (
@@ -257,6 +275,7 @@
     if subtask.done:
         count_loss(subtask, run, now)
         return
+    registry.copies.add_unneeded(subtask)
     other = subtask.run
     if run.is_copy or (other is not None and other.is_copy):
         registry.copies.add_race(subtask.job.spec.queue, run.is_copy)
--- a/hemlockstand/fleet/copy_index.py
+++ b/hemlockstand/fleet/copy_index.py
@@ -14,13 +14,14 @@
 from attrs import define, field
 
 from hemlockstand.fleet.durations import ExpectedDuration
+from hemlockstand.fleet.model import Resources
 from hemlockstand.fleet.policy.copies import (
     PROBE_SECONDS,
     are_useful,
     may_have_copies,
     pick_percentile,
 )
-from hemlockstand.fleet.work import Run, StepRun, Subtask
+from hemlockstand.fleet.work import Run, Subtask
 
 # Finished subtasks that are kept of a queue, and of a step. Their 90th
 # percentile is stable to a tenth, and a queue's changes show within seconds.
@@ -35,12 +36,12 @@
 class CopyIndex:
     """Runs to look at, subtasks with two runs, and times of finished ones.
 
-    ``copied`` holds the subtasks with two runs by name. ``inherited`` holds the
-    steps in which a previous scheduler may have started copies.
+    ``copied`` holds the subtasks with two runs by name, ``unneeded`` those that
+    are done and have a run that has not ended yet.
     """
 
     copied: dict[str, Subtask] = field(factory=dict)
-    inherited: set[StepRun] = field(factory=set)
+    unneeded: dict[str, Subtask] = field(factory=dict)
     _watched: list[tuple[float, int, Subtask, Run]] = field(factory=list)
     _numbers: Iterator[int] = field(factory=lambda: count(1))
     _ratios: dict[str, deque[float]] = field(factory=dict)
@@ -56,6 +57,8 @@
 
     def remove_run(self, subtask: Subtask) -> None:
         """Remove a run; one that is left may get a copy again."""
+        if subtask.run is None:
+            self.unneeded.pop(subtask.name, None)
         if self.copied.pop(subtask.name, None) is not None:
             self.watch(subtask, float("-inf"))
 
@@ -83,25 +86,21 @@
             if not subtask.job.state.final:
                 yield subtask
 
-    def add_inherited(self, step_run: StepRun) -> None:
-        """Add a step that a previous scheduler may have started."""
-        if may_have_copies(step_run.step):
-            self.inherited.add(step_run)
-
-    def forget_inherited(self) -> None:
-        """Forget these steps, since none has runs that nobody sees any more."""
-        self.inherited.clear()
-
-    def count_unseen(self) -> Iterator[tuple[StepRun, int]]:
-        """Yield the copies that nobody may see, by step, beside unseen first runs."""
-        seen: dict[StepRun, int] = {}
-        for subtask in self.copied.values():
-            seen[subtask.step_run] = seen.get(subtask.step_run, 0) + 1
-        for step_run in self.inherited:
-            if step_run.complete or step_run.job.state.final:
-                continue
-            left = step_run.step.count - step_run.done.bit_count()
-            yield step_run, max(0, left - seen.get(step_run, 0))
+    def add_unneeded(self, subtask: Subtask) -> None:
+        """Add a subtask that is done while its other run goes on."""
+        if subtask.run is not None and may_have_copies(subtask.step):
+            self.unneeded[subtask.name] = subtask
+
+    def measure_workspace(self, tenant: str) -> Resources:
+        """Return what a workspace's runs use that a new scheduler may not see.
+
+        It looks for one run of each subtask that is not done.
+        """
+        use = Resources()
+        for subtask in (*self.copied.values(), *self.unneeded.values()):
+            if subtask.job.spec.tenant == tenant:
+                use = use.add(subtask.step.size)
+        return use
 
     def add_finished(self, subtask: Subtask, seconds: float) -> None:
         """Add the time of a run from its start until it was done."""
--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -111,7 +111,6 @@
             job.open_steps += 1
             if step_run.inherited:
                 job.announced |= 1 << step_run.number
-                self.copies.add_inherited(step_run)
         job.stored_announced = job.announced
         self._add_attempts(job, 0, status.failures, status.crashes)
 
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -141,26 +141,20 @@
     def _measure_unconfirmed_use(self) -> dict[str, Resources]:
         """Return the resources that unknown runs may use, by tenant.
 
-        Each waiting subtask that a previous scheduler may have started counts,
-        and so does each copy of a subtask that it may have started.
+        Each waiting subtask that a previous scheduler may have started counts.
+        Copies do not: they are so few that the tolerance of the maximum has room
+        for them.
         """
         use_by_tenant: dict[str, Resources] = {}
-        copies = self.registry.copies
         if not self.blocked_pools:
-            copies.forget_inherited()
             return use_by_tenant
-        counts = {
-            step_run: len(step_run.waiting) for step_run in self.registry.ready.values()
-        }
-        for step_run, unseen in copies.count_unseen():
-            counts[step_run] = counts.get(step_run, 0) + unseen
-        for step_run, count in counts.items():
+        for step_run in self.registry.ready.values():
             if not step_run.may_have_unknown_runs(self.blocked_pools):
                 continue
             tenant = step_run.job.spec.tenant
             size = step_run.step.size
             use_by_tenant[tenant] = use_by_tenant.get(tenant, Resources()).add(
-                size, count
+                size, len(step_run.waiting)
             )
         return use_by_tenant
 
--- a/hemlockstand/fleet/policy/copies.py
+++ b/hemlockstand/fleet/policy/copies.py
@@ -36,6 +36,10 @@
 MIN_RACES = 10
 MIN_WON_FRACTION = 0.2
 PROBE_SECONDS = 10.0
+# Part by which what a workspace has running may exceed its maximum. A new
+# scheduler does not know which subtasks had copies, and those on executors that
+# do not answer go on beside what it starts.
+MAXIMUM_TOLERANCE = 0.1
 # A run whose start tells nothing yet is looked at again after this part of its
 # age, and at least this many seconds.
 RECHECK_FRACTION = 0.25
@@ -185,6 +189,19 @@
         return self.copies < fraction * self.total
 
 
+def keeps_tolerance(copies: Resources, maximum: Resources) -> bool:
+    """Return whether copies fit into the tolerance of a workspace's maximum."""
+    part = MAXIMUM_TOLERANCE
+    return (
+        (not maximum.cpu_millis or copies.cpu_millis <= part * maximum.cpu_millis)
+        and (not maximum.memory_mb or copies.memory_mb <= part * maximum.memory_mb)
+        and (
+            not maximum.accelerators
+            or copies.accelerators <= part * maximum.accelerators
+        )
+    )
+
+
 @frozen
 class WaitingWork:
     """Subtasks of one size that wait for an executor with a label, if any."""
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -134,10 +134,10 @@
     )
     workspace_fraction: float = option(
         "Part of the cpu of a workspace's runs that its copies may use; one more copy "
-        "may exceed it. Up to a tenth, copies that a new scheduler cannot see keep "
-        "within what a maximum may be exceeded by.",
+        "may exceed it, unless the workspace has a maximum: with the new one, copies "
+        "use at most a tenth of that.",
         0,
-        1,
+        0.1,
     )
     pool_fraction: float = option(
         "Part of the cpu of a pool that copies may use; one more copy may exceed it.",
