Start no further copy after an executor crashed under one

Cause: An executor that crashes under a copy counts as a crash of the subtask, but the older first run, which has been at work for long, clears it at once. The next copy could take the next executor, and the crash limits were never reached.

Change: After a crash beside another run, the subtask gets no further copy in the scheduler's term.

--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -13,6 +13,7 @@
 from hemlockstand.fleet.model import EndEntry, EndKind, HoldAnswer, JobState, RunEntry
 from hemlockstand.fleet.orders import RESTART_DELAY_SECONDS, Orders
 from hemlockstand.fleet.pacing import find_pace_changes
+from hemlockstand.fleet.policy.copies import MAX_COPIES
 from hemlockstand.fleet.policy.crashes import CrashedRun, is_cleared, judge_crash
 from hemlockstand.fleet.run_times import measure_run
 from hemlockstand.fleet.state import SchedulerState
@@ -175,7 +176,11 @@
                 run is not None and run.executor != executor.id
                 for run in (verdict.subtask.run, verdict.subtask.copy)
             )
-            if verdict.gives_up and not runs_elsewhere:
+            if runs_elsewhere:
+                # The other run soon clears the subtask, and the next copy could
+                # take the next executor.
+                verdict.subtask.copies = MAX_COPIES
+            elif verdict.gives_up:
                 self._give_up(verdict.subtask)
         self.state.request_commit()
 
