Measure budgets and free executors once in a check for slow runs

Cause: Each slow run summed up the capacity of its pool and searched all executors. Ended runs and runs that had only begun used up the entries that a check looks at.

Change: LoadView holds budgets, room and executors that nobody waits for during a check. After a search of a pool without result the other slow runs of the pool wait for the next check. Only runs that are looked at count against the limit, and a new run is first looked at when it may be slow.

--- a/hemlockstand/fleet/copies.py
+++ b/hemlockstand/fleet/copies.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable, Iterable
 
-from attrs import define, field
+from attrs import define
 from loguru import logger
 
+from hemlockstand.fleet.copy_load import LoadView
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import JobRegistry, find_max_attempts, find_pool
 from hemlockstand.fleet.metrics import COPIES_STARTED, COPIES_WON, LOST_CORE_SECONDS
@@ -20,13 +21,12 @@
     SlowBound,
     WaitingWork,
     find_slow_bound,
-    is_wanted,
+    is_waiting,
     judge_run,
     keeps_tolerance,
     may_have_copies,
 )
 from hemlockstand.fleet.policy.crashes import is_given_up
-from hemlockstand.fleet.policy.placing import PoolRoom
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.work import Run, RunState, Subtask
 
@@ -49,8 +49,7 @@
     placer: Placer
     start: Callable[[Subtask, Executor], None]
     _checked_at: float = float("-inf")
-    _rooms: dict[str, PoolRoom] = field(factory=dict)
-    _waiting: dict[str, set[WaitingWork]] = field(factory=dict)
+    _view: LoadView | None = None  # of the present check
 
     def check(self) -> None:
         """Start copies of the runs that turn out to be slow."""
@@ -63,15 +62,16 @@
         if not self.state.may_order() or not self.state.configuration.fresh:
             return
         self._checked_at = now
-        self._rooms.clear()
+        self._view = None
         for subtask in index.pop_due(now, MAX_CHECKED):
             bound = self._find_bound(subtask)
             match judge_run(self._view_run(subtask, now), bound):
                 case CheckLater(seconds):
                     index.watch(subtask, now + seconds)
                 case Slow(bound):
-                    if not self._try_start(subtask, bound, now):
-                        index.watch(subtask, now + NO_ROOM_SECONDS)
+                    pause = self._try_start(subtask, bound, now)
+                    if pause is not None:
+                        index.watch(subtask, now + pause)
 
     def _find_bound(self, subtask: Subtask) -> SlowBound | None:
         registry = self.state.registry
@@ -98,46 +98,54 @@
             seconds_left=left,
         )
 
-    def _try_start(self, subtask: Subtask, bound: SlowBound, now: float) -> bool:
-        """Start a copy if the budgets permit it and there is room for it."""
+    def _try_start(
+        self, subtask: Subtask, bound: SlowBound, now: float
+    ) -> float | None:
+        """Start a copy if the budgets permit it and there is room for it.
+
+        Returns the pause before the run is looked at again if there is no copy.
+        """
         config = self.state.config
         step_run, job = subtask.step_run, subtask.job
         pool = find_pool(job, config)
         if not step_run.unlocked_at or pool not in job.stored_pools:
-            return False
+            return NO_ROOM_SECONDS
         if not step_run.announced or step_run.may_have_unknown_runs(
             self.placer.blocked_pools
         ):
-            return False
+            return NO_ROOM_SECONDS
         index = self.state.registry.copies
         if not index.is_worthwhile(job.spec.queue, now):
-            return False
-        if not self._keeps_tolerance(subtask):
-            return False
-        use = self._measure_workspace(job.spec.tenant)
-        pool_use = self._measure_pool(pool)
+            return NO_ROOM_SECONDS
+        view = self._view = self._view or self._measure_load(now)
+        use = view.find_workspace(job.spec.tenant)
+        pool_use = view.find_pool(pool)
         settings = self.state.settings.copies
+        if not self._keeps_tolerance(subtask, view):
+            return NO_ROOM_SECONDS
         if not use.is_below(settings.workspace_fraction):
-            return False
+            return NO_ROOM_SECONDS
         if not pool_use.is_below(settings.pool_fraction):
-            return False
-        if not self._rooms:
-            self._rooms = self.placer.find_rooms(config, now)
-            self._waiting = self._find_waiting()
-        room = self._rooms.get(pool)
-        if room is None or not self.placer.may_add_run(step_run, config):
-            return False
-        executor = self._choose_executor(subtask, room, pool, now)
+            return NO_ROOM_SECONDS
+        if not self.placer.may_add_run(step_run, config):
+            return NO_ROOM_SECONDS
+        if is_waiting(job.spec.tenant, view.waiting.get(pool, ())):
+            return NO_ROOM_SECONDS
+        if pool in view.full_pools:
+            return CHECK_SECONDS
+        executor = self._choose_executor(subtask, view, pool, now)
         if executor is None:
-            return False
+            view.full_pools.add(pool)
+            return NO_ROOM_SECONDS
         self._log_start(subtask, executor, bound, use, pool_use, now)
         COPIES_STARTED.labels(pool).inc()
         subtask.copies += 1
         index.mark_started(job.spec.queue, now)
         self.start(subtask, executor)
-        return True
+        view.add_copy(job.spec.tenant, pool, step_run.step.size)
+        return None
 
-    def _keeps_tolerance(self, subtask: Subtask) -> bool:
+    def _keeps_tolerance(self, subtask: Subtask, view: LoadView) -> bool:
         """Return whether a maximum tolerates that the next scheduler sees no copy.
 
         While it may not see those of a previous scheduler, there are no more.
@@ -148,31 +156,30 @@
             return True
         if self.placer.blocked_pools:
             return False
-        use = self.state.registry.copies.measure_workspace(name)
+        use = view.unseen.get(name, Resources())
         return keeps_tolerance(use.add(subtask.step.size), tenant.maximum)
 
-    def _measure_workspace(self, tenant: str) -> CopyUse:
-        registry = self.state.registry
-        copies = (
-            subtask.step.size.cpu_millis
-            for subtask in registry.copies.copied.values()
-            if subtask.job.spec.tenant == tenant
+    def _measure_load(self, now: float) -> LoadView:
+        """Return what copies use, what bounds them, and where there is room."""
+        config, registry = self.state.config, self.state.registry
+        view = LoadView(
+            rooms=self.placer.find_rooms(config, now),
+            waiting=self._find_waiting(),
+            unseen=registry.copies.measure_unseen(),
         )
-        used = registry.in_use.get(tenant)
-        return CopyUse(sum(copies), 0 if used is None else used.cpu_millis)
-
-    def _measure_pool(self, pool: str) -> CopyUse:
-        copies = (
-            subtask.step.size.cpu_millis
-            for subtask in self.state.registry.copies.copied.values()
-            if find_pool(subtask.job, self.state.config) == pool
-        )
-        capacity = (
-            executor.entry.capacity.cpu_millis
-            for executor in self.state.executors.values()
-            if executor.entry.pool == pool
-        )
-        return CopyUse(sum(copies), sum(capacity))
+        for tenant, used in registry.in_use.items():
+            view.workspaces[tenant] = CopyUse(0, used.cpu_millis)
+        for executor in self.state.executors.values():
+            pool = executor.entry.pool
+            capacity = executor.entry.capacity.cpu_millis
+            view.pools[pool] = view.find_pool(pool).add(0, capacity)
+        for subtask in registry.copies.copied.values():
+            view.count_copy(
+                subtask.job.spec.tenant,
+                find_pool(subtask.job, config),
+                subtask.step.size.cpu_millis,
+            )
+        return view
 
     def _find_waiting(self) -> dict[str, set[WaitingWork]]:
         """Return what waits in each pool; work that is given up does not."""
@@ -187,22 +194,14 @@
         return waiting
 
     def _choose_executor(
-        self, subtask: Subtask, room: PoolRoom, pool: str, now: float
+        self, subtask: Subtask, view: LoadView, pool: str, now: float
     ) -> Executor | None:
         """Return an executor with room that nobody waits for, if there is one.
 
         It is in another rack if possible: what makes a run slow may be shared
         by a rack.
         """
-        waiting = self._waiting.get(pool, ())
-        tenant = subtask.job.spec.tenant
-        free = [
-            executor
-            for executor in self.placer.list_copy_executors(subtask, room)
-            if not is_wanted(
-                executor.entry.capacity, executor.entry.labels, tenant, waiting
-            )
-        ]
+        free = list(self.placer.list_copy_executors(subtask, view.list_unwanted(pool)))
         rack = self._find_rack(subtask)
         others = [executor for executor in free if executor.entry.rack != rack]
         return choose_executor(subtask, others, now) or choose_executor(
--- a/hemlockstand/fleet/copy_index.py
+++ b/hemlockstand/fleet/copy_index.py
@@ -16,6 +16,7 @@
 from hemlockstand.fleet.durations import ExpectedDuration
 from hemlockstand.fleet.model import Resources
 from hemlockstand.fleet.policy.copies import (
+    MIN_SLOW_SECONDS,
     PROBE_SECONDS,
     are_useful,
     may_have_copies,
@@ -53,14 +54,19 @@
         if subtask.copy is not None:
             self.copied[subtask.name] = subtask
         elif may_have_copies(subtask.step):
-            self.watch(subtask, float("-inf"))
+            self._watch_new(subtask)
 
     def remove_run(self, subtask: Subtask) -> None:
         """Remove a run; one that is left may get a copy again."""
         if subtask.run is None:
             self.unneeded.pop(subtask.name, None)
         if self.copied.pop(subtask.name, None) is not None:
-            self.watch(subtask, float("-inf"))
+            self._watch_new(subtask)
+
+    def _watch_new(self, subtask: Subtask) -> None:
+        """Look at a run for the first time once it can be slow."""
+        if subtask.run is not None:
+            self.watch(subtask, subtask.run.ordered_at + MIN_SLOW_SECONDS)
 
     def watch(self, subtask: Subtask, at: float) -> None:
         """Look at the only run of a subtask at a time, and at no other time."""
@@ -75,15 +81,14 @@
 
     def pop_due(self, now: float, limit: int) -> Iterator[Subtask]:
         """Yield subtasks to look at, which still have the run and no other."""
-        for _ in range(limit):
-            if not self.has_due(now):
-                return
+        while limit and self.has_due(now):
             _, number, subtask, run = heappop(self._watched)
             if run.check_number != number:
                 continue
             if subtask.run is not run or subtask.copy is not None or subtask.done:
                 continue
             if not subtask.job.state.final:
+                limit -= 1
                 yield subtask
 
     def add_unneeded(self, subtask: Subtask) -> None:
@@ -91,15 +96,15 @@
         if subtask.run is not None and may_have_copies(subtask.step):
             self.unneeded[subtask.name] = subtask
 
-    def measure_workspace(self, tenant: str) -> Resources:
-        """Return what a workspace's runs use that a new scheduler may not see.
+    def measure_unseen(self) -> dict[str, Resources]:
+        """Return by workspace what runs use that a new scheduler may not see.
 
         It looks for one run of each subtask that is not done.
         """
-        use = Resources()
+        use: dict[str, Resources] = {}
         for subtask in (*self.copied.values(), *self.unneeded.values()):
-            if subtask.job.spec.tenant == tenant:
-                use = use.add(subtask.step.size)
+            tenant = subtask.job.spec.tenant
+            use[tenant] = use.get(tenant, Resources()).add(subtask.step.size)
         return use
 
     def add_finished(self, subtask: Subtask, seconds: float) -> None:
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -126,10 +126,10 @@
         return self._group_executors(config, now)
 
     def list_copy_executors(
-        self, subtask: Subtask, room: PoolRoom
+        self, subtask: Subtask, executors: Iterable[Executor]
     ) -> Iterator[Executor]:
         """Yield the executors that may run a copy of a subtask beside its run."""
-        for executor in self._select_allowed(subtask.step_run, room.executors):
+        for executor in self._select_allowed(subtask.step_run, executors):
             if executor.id not in subtask.avoid and not subtask.find_run(executor.id):
                 yield executor
 
--- a/hemlockstand/fleet/policy/copies.py
+++ b/hemlockstand/fleet/policy/copies.py
@@ -181,6 +181,10 @@
     copies: int
     total: int
 
+    def add(self, copies: int, total: int) -> "CopyUse":
+        """Return the use with more copies, and more of what bounds them."""
+        return CopyUse(self.copies + copies, self.total + total)
+
     def is_below(self, fraction: float) -> bool:
         """Return whether one more copy may start.
 
@@ -214,16 +218,18 @@
 def is_wanted(
     capacity: Resources,
     labels: Sequence[str],
-    tenant: str,
     waiting: Iterable[WaitingWork],
 ) -> bool:
-    """Return whether waiting work could use an executor's room.
-
-    Work of the same tenant counts wherever it waits: it may wait for the
-    tenant's maximum, of which a copy would take a part.
-    """
+    """Return whether waiting work could use an executor's room."""
     return any(
-        work.tenant == tenant
-        or ((not work.label or work.label in labels) and work.size.fits(capacity))
+        (not work.label or work.label in labels) and work.size.fits(capacity)
         for work in waiting
     )
+
+
+def is_waiting(tenant: str, waiting: Iterable[WaitingWork]) -> bool:
+    """Return whether work of a tenant waits, of any size and label.
+
+    It may wait for the tenant's maximum, of which a copy would take a part.
+    """
+    return any(work.tenant == tenant for work in waiting)
--- /dev/null
+++ b/test/test_fleet_copy_cost.py
@@ -0,0 +1,42 @@
+"""What the checks for slow runs cost the scheduler."""
+
+import time
+
+import trio
+
+from test.fleet_world import make_step, open_world
+from test.test_fleet_copies import make_behaviour
+
+
+async def test_full_pool_is_searched_once_a_check(autojump_clock, monkeypatch):
+    """Guards against a search of all executors for each slow run of a full pool."""
+    async with open_world() as world:
+        for position in range(10):
+            world.add_executor(rack=f"r{position % 2}")
+        daemon = world.start_daemon("a")
+        await trio.sleep(1)
+        job = world.submit(
+            make_step(60, 60, speculative=True),
+            work=make_behaviour(60),
+            accepted_ms=int(time.time() * 1000),
+        )
+        await world.wait_for(lambda: len(world.find_running(job)) == 60, 10)
+        starter = daemon.leader._copy_starter
+        step_run = daemon.leader.state.registry.find(f"{job}.0.0.0").step_run
+        for subtask in step_run.subtasks:
+            subtask.avoid.update(world.executors)
+        searches = []
+        choose = type(starter)._choose_executor
+
+        def record(self, subtask, *args):
+            searches.append((trio.current_time(), subtask.name))
+            return choose(self, subtask, *args)
+
+        monkeypatch.setattr(type(starter), "_choose_executor", record)
+        step_run.finished_seconds.extend([0.5] * 3)
+        await trio.sleep(10)
+        checks = [at for at, _ in searches]
+        assert len(checks) > 20
+        assert len(set(checks)) == len(checks)
+        # The one that finds no room does not keep the others from a search.
+        assert len({name for _, name in searches}) > 20
