Start copies of slow subtasks of speculative steps

Cause: a job is as late as its slowest subtask. Where 3 runs in 100 take 7 times as long as comparable ones, the tail of a queue's jobs is theirs. `Speculative` was decoded and not used.

Change: a subtask may have a second run (Subtask.copy), which takes the place of the first if that goes. What is counted by run (room, the tenant's maximum, failures, crashes, stops) finds the run by its executor. A takeover adopts both runs; copies that nobody may see count against the maximum until the pools are no longer blocked. policy/copies.py judges a run by its age, its progress and the finished runs of its step and queue; copies.py starts a copy where nobody waits for the room, within budgets of workspace and pool; copy_index.py keeps the runs to look at in a heap. Settings [copies], three metrics, a log line with the inputs. Steps that are not speculative take the paths of before.

--- a/emulator/fleet_executors.py
+++ b/emulator/fleet_executors.py
@@ -39,6 +39,8 @@
     """A run that an executor has started.
 
     ``excess`` is by how much the start brought the executor over its capacity.
+    ``connected`` tells whether the executor was in touch with the scheduler at
+    the start, as far as the test's world knows.
     """
 
     subtask: str
@@ -50,7 +52,9 @@
     ended_at: float | None = None
     kind: EndKind | None = None
     acknowledged: bool = False
+    acknowledged_at: float | None = None
     lapsed: bool = False  # the lease had expired at the run's end, or has since
+    connected: bool = True
 
 
 @define(eq=False)
@@ -291,8 +295,9 @@
             self._extend_lease(due_ms)
         for end in self.ends:
             record = self.ended_records[end.number]
-            if end.number <= acked and not record.lapsed:
+            if end.number <= acked and not record.lapsed and not record.acknowledged:
                 record.acknowledged = True
+                record.acknowledged_at = trio.current_time()
         self.ends = [end for end in self.ends if end.number > acked]
 
     def accept_fence(self, fence: int) -> None:
--- /dev/null
+++ b/hemlockstand/fleet/copy_index.py
@@ -0,0 +1,137 @@
+"""Subtasks with two runs, and runs that may get a second one.
+
+The registry tells the index of each run that begins and ends. It keeps a run
+of a speculative step in a heap by the time at which to look at it, so
+that nothing looks at every run in every round. It is kept in memory alone: the
+next scheduler adopts both runs from the executors' lists.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from heapq import heappop, heappush
+from itertools import count
+
+from attrs import define, field
+
+from hemlockstand.fleet.durations import ExpectedDuration
+from hemlockstand.fleet.policy.copies import (
+    PROBE_SECONDS,
+    are_useful,
+    may_have_copies,
+    pick_percentile,
+)
+from hemlockstand.fleet.work import Run, StepRun, Subtask
+
+# Finished subtasks that are kept of a queue, and of a step. Their 90th
+# percentile is stable to a tenth, and a queue's changes show within seconds.
+KEPT_RUNS = 64
+# Races of copies that are kept of a queue.
+KEPT_RACES = 20
+# Percentiles of an expected duration.
+PERCENTILES = (50, 90, 99)
+
+
+@define(eq=False)
+class CopyIndex:
+    """Runs to look at, subtasks with two runs, and times of finished ones.
+
+    ``copied`` holds the subtasks with two runs by name. ``inherited`` holds the
+    steps in which a previous scheduler may have started copies.
+    """
+
+    copied: dict[str, Subtask] = field(factory=dict)
+    inherited: set[StepRun] = field(factory=set)
+    _watched: list[tuple[float, int, Subtask, Run]] = field(factory=list)
+    _numbers: Iterator[int] = field(factory=count)
+    _ratios: dict[str, deque[float]] = field(factory=dict)
+    _races: dict[str, deque[bool]] = field(factory=dict)
+    _probed_at: dict[str, float] = field(factory=dict)
+
+    def add_run(self, subtask: Subtask) -> None:
+        """Add a run that was attached to a subtask."""
+        if subtask.copy is not None:
+            self.copied[subtask.name] = subtask
+        elif may_have_copies(subtask.step):
+            self.watch(subtask, float("-inf"))
+
+    def remove_run(self, subtask: Subtask) -> None:
+        """Remove a run; one that is left may get a copy again."""
+        if self.copied.pop(subtask.name, None) is not None:
+            self.watch(subtask, float("-inf"))
+
+    def watch(self, subtask: Subtask, at: float) -> None:
+        """Look at the only run of a subtask at a time."""
+        if subtask.run is not None:
+            entry = (at, next(self._numbers), subtask, subtask.run)
+            heappush(self._watched, entry)
+
+    def has_due(self, now: float) -> bool:
+        """Return whether there is a run to look at."""
+        return bool(self._watched) and self._watched[0][0] <= now
+
+    def pop_due(self, now: float, limit: int) -> Iterator[Subtask]:
+        """Yield subtasks to look at, which still have the run and no other."""
+        for _ in range(limit):
+            if not self.has_due(now):
+                return
+            _, _, subtask, run = heappop(self._watched)
+            if subtask.run is not run or subtask.copy is not None or subtask.done:
+                continue
+            if not subtask.job.state.final:
+                yield subtask
+
+    def add_inherited(self, step_run: StepRun) -> None:
+        """Add a step that a previous scheduler may have started."""
+        if may_have_copies(step_run.step):
+            self.inherited.add(step_run)
+
+    def forget_inherited(self) -> None:
+        """Forget these steps, since none has runs that nobody sees any more."""
+        self.inherited.clear()
+
+    def count_unseen(self) -> Iterator[tuple[StepRun, int]]:
+        """Yield the copies that nobody may see, by step, beside unseen first runs."""
+        seen: dict[StepRun, int] = {}
+        for subtask in self.copied.values():
+            seen[subtask.step_run] = seen.get(subtask.step_run, 0) + 1
+        for step_run in self.inherited:
+            if step_run.complete or step_run.job.state.final:
+                continue
+            left = step_run.step.count - step_run.done.bit_count()
+            yield step_run, max(0, left - seen.get(step_run, 0))
+
+    def add_finished(self, subtask: Subtask, seconds: float) -> None:
+        """Add the time of a run from its start until it was done."""
+        kept = subtask.step_run.finished_seconds
+        kept.append(seconds)
+        del kept[:-KEPT_RUNS]
+        if subtask.step.estimate_ms:
+            queue = subtask.job.spec.queue
+            ratios = self._ratios.setdefault(queue, deque(maxlen=KEPT_RUNS))
+            ratios.append(seconds * 1000 / subtask.step.estimate_ms)
+
+    def add_race(self, queue: str, won: bool) -> None:
+        """Add whether a copy was done before the first run, or after it."""
+        self._races.setdefault(queue, deque(maxlen=KEPT_RACES)).append(won)
+
+    def is_worthwhile(self, queue: str, now: float) -> bool:
+        """Return whether a queue may have one more copy by what others were worth."""
+        if are_useful(self._races.get(queue, ())):
+            return True
+        return now - self._probed_at.get(queue, float("-inf")) >= PROBE_SECONDS
+
+    def mark_started(self, queue: str, now: float) -> None:
+        """Note that a copy has started."""
+        self._probed_at[queue] = now
+
+    def expect(self, subtask: Subtask) -> ExpectedDuration:
+        """Return what the finished subtasks of the queue suggest.
+
+        Their times by their estimates are those of speculative steps.
+        """
+        ratios = sorted(self._ratios.get(subtask.job.spec.queue, ()))
+        seconds = subtask.step.estimate_ms / 1000
+        if not ratios or not seconds:
+            return ExpectedDuration(seconds, seconds, seconds, 0)
+        values = (seconds * pick_percentile(ratios, part) for part in PERCENTILES)
+        return ExpectedDuration(*values, len(ratios))
--- a/hemlockstand/fleet/crash_record.py
+++ b/hemlockstand/fleet/crash_record.py
@@ -20,11 +20,13 @@
     _lapsed: list[tuple[Subtask, float]] = field(factory=list)
     _reported: set[Subtask] = field(factory=set)
 
-    def add_lapsed(self, subtasks: Iterable[Subtask]) -> None:
+    def add_lapsed(self, executor: str, subtasks: Iterable[Subtask]) -> None:
         """Add subtasks whose runs are lost with an expired lease."""
-        self._lapsed.extend(list_orders(subtasks))
+        self._lapsed.extend(list_orders(executor, subtasks))
 
-    def collect(self, subtasks: Iterable[Subtask]) -> list[tuple[Subtask, float]]:
+    def collect(
+        self, executor: str, subtasks: Iterable[Subtask]
+    ) -> list[tuple[Subtask, float]]:
         """Return the subtasks to report, with the times of their orders.
 
         ``subtasks`` are those that the executor has by now. Each is returned
@@ -32,7 +34,10 @@
         """
         orders = [
             (subtask, ordered_at)
-            for subtask, ordered_at in [*self._lapsed, *list_orders(subtasks)]
+            for subtask, ordered_at in [
+                *self._lapsed,
+                *list_orders(executor, subtasks),
+            ]
             if subtask not in self._reported
         ]
         self._lapsed.clear()
@@ -45,11 +50,13 @@
         self._reported.clear()
 
 
-def list_orders(subtasks: Iterable[Subtask]) -> list[tuple[Subtask, float]]:
+def list_orders(
+    executor: str, subtasks: Iterable[Subtask]
+) -> list[tuple[Subtask, float]]:
     """Return the subtasks whose orders have reached the executor."""
     return [
         (subtask, run.ordered_at)
         for subtask in subtasks
-        if (run := subtask.run) is not None
+        if (run := subtask.find_run(executor)) is not None
         and (run.answered_at is not None or run.connection_lost)
     ]
--- a/hemlockstand/fleet/eviction.py
+++ b/hemlockstand/fleet/eviction.py
@@ -112,7 +112,7 @@
 def find_stalled(executor: Executor, now: float) -> Iterator[Subtask]:
     """Yield the runs of an executor that make no progress."""
     for subtask in list(executor.runs.values()):
-        run = subtask.run
+        run = subtask.find_run(executor.id)
         if run is None or run.state is not RunState.RUNNING or run.pace < 100:
             continue
         step = subtask.step
@@ -134,7 +134,7 @@
     lose no progress by a stop. Other short ones can end where they are.
     """
     for subtask in list(executor.runs.values()):
-        run = subtask.run
+        run = subtask.find_run(executor.id)
         if run is None or run.state is not RunState.RUNNING or subtask.step.gang:
             continue
         movable = subtask.step.lasting or subtask.step.checkpoints
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -161,6 +161,11 @@
         if self.runs.pop(subtask.name, None) is not None:
             self.used = self.used.add(get_reservation(subtask.step), -1)
 
+    def find_run(self, name: str) -> Run | None:
+        """Return the run of a subtask with a name on this executor."""
+        subtask = self.runs.get(name)
+        return None if subtask is None else subtask.find_run(self.id)
+
     def wake(self) -> None:
         """Wake the task so that it polls the executor again."""
         self._wake.set()
@@ -287,7 +292,7 @@
             # The next scheduler may not learn what ran here, so count it now.
             self._report_crash(self.runs.values())
         if now > self.runs_end_at + LEASE_EXPIRY_MARGIN_SECONDS:
-            self._crash_record.add_lapsed(self.runs.values())
+            self._crash_record.add_lapsed(self.id, self.runs.values())
             for subtask in list(self.runs.values()):
                 self._report_lost(subtask, "lease has expired")
         await trio.sleep(RETRY_SECONDS if self.runs else IDLE_RETRY_SECONDS)
@@ -330,8 +335,8 @@
         now = self.clock()
         lost: dict[Subtask, str] = {}
         for subtask in list(self.runs.values()):
-            run = subtask.run
-            if run is None or run.executor != self.id:
+            run = subtask.find_run(self.id)
+            if run is None:
                 self.remove_run(subtask)
                 continue
             entry = listed.get(subtask.name)
@@ -363,9 +368,9 @@
     def _handle_end(self, end: EndEntry) -> None:
         self.last_handled = end.number
         subtask = self.runs.get(end.subtask)
-        if subtask is not None and subtask.run is not None:
-            if subtask.run.number == end.run:
-                self.remove_run(subtask)
+        run = self.find_run(end.subtask)
+        if subtask is not None and run is not None and run.number == end.run:
+            self.remove_run(subtask)
         self.events.handle_end(self, subtask, end)
 
     def _report_lost(self, subtask: Subtask, reason: str) -> None:
@@ -385,7 +390,7 @@
 
     def _report_crash(self, subtasks: Iterable[Subtask]) -> None:
         """Report the runs that the executor had when it stopped answering, once."""
-        orders = self._crash_record.collect(subtasks)
+        orders = self._crash_record.collect(self.id, subtasks)
         if not orders or self.entry.draining or self._left_drained:
             return
         failed_at = self.clock() if self.failing_since is None else self.failing_since
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -23,7 +23,6 @@
 from hemlockstand.fleet.plans import InstancePlans, Plan
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.waves import WavePlanner, WaveProgress
-from hemlockstand.fleet.work import Subtask
 from hemlockstand.platform.machines import InstanceClient, LeaseHolder, OrderOutcome
 
 log = logger.bind(module=__name__)
@@ -49,7 +48,7 @@
     state: SchedulerState
     client: InstanceClient
     fence: int
-    stop_run: Callable[[Subtask], None]
+    stop_run: Callable[..., None]
     plans: InstancePlans = field(init=False)
     waves: WavePlanner = field(init=False)
     _moves: MovePlanner = field(init=False)
@@ -180,7 +179,7 @@
         for subtask in list(executor.runs.values()):
             step = subtask.step
             if step.checkpoints and not step.gang and not step.lasting:
-                self.stop_run(subtask)
+                self.stop_run(subtask, executor)
 
     async def _order(self, plan: Plan, instance: InstanceEntry) -> None:
         """Repeat an order until its outcome is known."""
--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from hemlockstand.fleet.bit_sets import find_bits
+from hemlockstand.fleet.copy_index import CopyIndex
 from hemlockstand.fleet.durations import Durations
 from hemlockstand.fleet.model import (
     FleetConfig,
@@ -47,6 +48,7 @@
     in_use: dict[str, Resources] = field(factory=dict)
     ended: list[tuple[int, str]] = field(factory=list)
     durations: Durations = field(factory=Durations)
+    copies: CopyIndex = field(factory=CopyIndex)
     _due: list[tuple[float, str, int]] = field(factory=list)
 
     def add(
@@ -108,6 +110,7 @@
             job.open_steps += 1
             if step_run.inherited:
                 job.announced |= 1 << step_run.number
+                self.copies.add_inherited(step_run)
         job.stored_announced = job.announced
         self._add_attempts(job, 0, status.failures, status.crashes)
 
@@ -255,16 +258,17 @@
         return step_run.subtasks[index]
 
     def attach(self, subtask: Subtask, run: Run) -> None:
-        """Set the run of a subtask; count it against the tenant's maximum."""
+        """Add a run of a subtask; count it against the tenant's maximum."""
         self.unset_waiting(subtask)
-        subtask.run = run
-        subtask.runs = max(subtask.runs, run.number)
+        subtask.add_run(run)
         self._add_usage(subtask, 1)
+        self.copies.add_run(subtask)
 
-    def detach(self, subtask: Subtask) -> None:
-        """Remove the run of a subtask."""
-        subtask.run = None
+    def detach(self, subtask: Subtask, run: Run) -> None:
+        """Remove a run of a subtask."""
+        subtask.remove_run(run)
         self._add_usage(subtask, -1)
+        self.copies.remove_run(subtask)
 
     def _add_usage(self, subtask: Subtask, times: int) -> None:
         tenant = subtask.job.spec.tenant
@@ -363,10 +367,9 @@
         """Drop jobs that ended before a time; return their ids."""
         expired = []
         while self.ended and self.ended[0][0] < before_ms and len(expired) < limit:
-            _, job_id = self.ended[0]
-            if job_id in self.dirty:
+            if self.ended[0][1] in self.dirty:
                 break
-            heappop(self.ended)
+            _, job_id = heappop(self.ended)
             self.jobs.pop(job_id, None)
             expired.append(job_id)
         return expired
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -11,6 +11,7 @@
 from hemlockstand.fleet.clients import FleetClients
 from hemlockstand.fleet.commits import Commits
 from hemlockstand.fleet.configuration import FleetConfigurationService
+from hemlockstand.fleet.copies import CopyStarter
 from hemlockstand.fleet.durations import estimate_chain_seconds
 from hemlockstand.fleet.executor_directory import ExecutorDirectory
 from hemlockstand.fleet.executors import Executor
@@ -95,6 +96,7 @@
             self._may_run,
             self._executor_directory.is_confirmed,
         )
+        self._copy_starter = CopyStarter(self.state, self._placer, self._orders.start)
         self._idle_reporter = IdleReporter(
             self.state, self._barrier.blocked_pools, self._may_run
         )
@@ -286,6 +288,8 @@
             self._executor_directory.remove_gone()
             self._add_waves()
             self._idle_reporter.check()
+            if not self._leaving.is_set():
+                self._copy_starter.check()
             registry = self.state.registry
             if registry.ready or registry.next_due() is not None:
                 self.state.request_placement()
--- a/hemlockstand/fleet/metrics.py
+++ b/hemlockstand/fleet/metrics.py
@@ -26,6 +26,18 @@
     "Orders to move or maintain instances.",
     ["kind", "outcome"],
 )
+COPIES_STARTED = Counter(
+    "hemlockstand_copies_started_total", "Copies of slow runs, by pool.", ["pool"]
+)
+COPIES_WON = Counter(
+    "hemlockstand_copies_won_total", "Copies that were done before the first run."
+)
+LOST_CORE_SECONDS = Counter(
+    "hemlockstand_copies_lost_core_seconds_total",
+    "Core-seconds of the runs that another run of their subtask has made useless: "
+    "of copies, or of the first runs.",
+    ["run"],
+)
 LEADING = Gauge("hemlockstand_scheduler", "1 while this daemon is the scheduler.")
 WAITING = Gauge("hemlockstand_waiting_subtasks", "Subtasks that wait for a place.")
 
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -5,6 +5,7 @@
 from loguru import logger
 
 from hemlockstand.errors import HemlockstandError
+from hemlockstand.fleet.copies import count_loss
 from hemlockstand.fleet.eviction import may_stop
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.metrics import FIRST_START_SECONDS, STARTS
@@ -35,9 +36,13 @@
     open_starts: int = 0
 
     def start(self, subtask: Subtask, executor: Executor) -> None:
-        """Start a subtask on an executor."""
+        """Start a subtask on an executor, as a copy if it has a run elsewhere."""
         run = Run(subtask.runs + 1, executor.id, executor.fence, self.state.clock())
         run.checkpoint = subtask.checkpoint
+        if subtask.run is not None:
+            run.checkpoint = subtask.run.checkpoint or subtask.checkpoint
+            run.is_copy = True
+        run.partial = bool(run.checkpoint)
         self.state.registry.attach(subtask, run)
         executor.add_run(subtask)
         if is_isolated(subtask):
@@ -48,7 +53,7 @@
         self, subtask: Subtask, run: Run, executor: Executor
     ) -> None:
         due_ms = executor.extend_lease()
-        if due_ms is None or not self.state.may_order():
+        if due_ms is None or not self.state.may_order() or subtask.done:
             self._requeue_unstarted(subtask, run, executor, 0.0)
             return
         job = subtask.job
@@ -79,19 +84,19 @@
         match outcome:
             case Started(clock_ms):
                 executor.update_clock(clock_ms)
-                self._handle_started(subtask, run)
+                self._handle_started(subtask, run, executor)
             case Refused(reason, clock_ms):
                 executor.update_clock(clock_ms)
                 self._handle_refused(subtask, run, executor, reason)
             case Unanswered(_, connection_lost):
                 run.connection_lost = connection_lost
-                if subtask.run is run and run.state is RunState.STARTING:
+                if subtask.has_run(run) and run.state is RunState.STARTING:
                     run.state = RunState.UNSURE
-                if subtask.run is run:
+                if subtask.has_run(run):
                     executor.raise_fence()
 
-    def _handle_started(self, subtask: Subtask, run: Run) -> None:
-        if subtask.run is not run:
+    def _handle_started(self, subtask: Subtask, run: Run, executor: Executor) -> None:
+        if not subtask.has_run(run):
             return
         run.answered_at = self.state.clock()
         run.percent_at = run.answered_at
@@ -102,7 +107,7 @@
             FIRST_START_SECONDS.observe(run.answered_at - job.accepted_at)
         self.state.registry.set_started(job)
         if job.state.final:
-            self.stop_run(subtask)
+            self.stop_run(subtask, executor)
 
     def _handle_refused(
         self, subtask: Subtask, run: Run, executor: Executor, reason: Refusal
@@ -132,19 +137,19 @@
         self, subtask: Subtask, run: Run, executor: Executor, delay: float
     ) -> None:
         """Queue a subtask again whose run has certainly not begun."""
-        if subtask.run is not run:
+        if not subtask.has_run(run):
             return
         executor.remove_run(subtask)
-        self.requeue(subtask, delay)
+        self.requeue(subtask, run, delay)
 
-    def requeue(self, subtask: Subtask, delay: float) -> None:
-        """Detach the run of a subtask; queue it again if still needed."""
-        if subtask.run is not None:
-            subtask.checkpoint = subtask.run.checkpoint or subtask.checkpoint
-            if subtask.step.gang:
-                self._stop_members(subtask, subtask.run.number)
-        self.state.registry.detach(subtask)
-        if subtask.done or subtask.job.state.final:
+    def requeue(self, subtask: Subtask, run: Run, delay: float) -> None:
+        """Detach a run; queue its subtask again if it has no other and needs one."""
+        subtask.checkpoint = run.checkpoint or subtask.checkpoint
+        if subtask.step.gang:
+            self._stop_members(subtask, run.number)
+        self.state.registry.detach(subtask, run)
+        count_loss(subtask, run, self.state.clock())
+        if subtask.done or subtask.job.state.final or subtask.run is not None:
             return
         subtask.not_before = max(subtask.not_before, self.state.clock() + delay)
         self.state.registry.set_waiting(subtask)
@@ -163,14 +168,19 @@
         for subtask in list(job.runs()):
             self.stop_run(subtask)
 
-    def stop_run(self, subtask: Subtask) -> None:
-        """Stop the run of a subtask; the executor then lists its end."""
-        run = subtask.run
-        if run is None or run.state is RunState.STOPPING:
-            return
-        executor = self.state.executors.get(run.executor)
-        if executor is None:
-            return
+    def stop_run(self, subtask: Subtask, on: Executor | None = None) -> None:
+        """Stop the runs of a subtask, or the one on an executor.
+
+        The executors then list their ends.
+        """
+        for run in (subtask.run, subtask.copy):
+            if run is None or run.state is RunState.STOPPING:
+                continue
+            executor = self.state.executors.get(run.executor)
+            if executor is not None and executor is (on or executor):
+                self._stop(subtask, run, executor)
+
+    def _stop(self, subtask: Subtask, run: Run, executor: Executor) -> None:
         if run.state is not RunState.UNSURE:
             run.state = RunState.STOPPING
         self.state.nursery.start_soon(
@@ -195,8 +205,8 @@
             else:
                 delayed = True
             await trio.sleep(STOP_RETRY_SECONDS)
-            subtask = executor.runs.get(name)
-            if subtask is None or subtask.run is None or subtask.run.number != number:
+            run = executor.find_run(name)
+            if run is None or run.number != number:
                 return
 
     def _revoke_stop(self, executor: Executor, name: str, number: int) -> bool:
@@ -205,15 +215,15 @@
         Returns whether the stop was revoked. The budget may have been used
         while the order waited.
         """
-        subtask = executor.runs.get(name)
-        if subtask is None or subtask.run is None or subtask.run.number != number:
+        subtask, run = executor.runs.get(name), executor.find_run(name)
+        if subtask is None or run is None or run.number != number:
             return False
         if subtask.job.state.final or subtask.done or subtask.step.gang:
             return False
         if may_stop(subtask, self.state.executors):
             return False
-        if subtask.run.state is RunState.STOPPING:
-            subtask.run.state = RunState.RUNNING
+        if run.state is RunState.STOPPING:
+            run.state = RunState.RUNNING
         return True
 
     async def _try_stop(self, executor: Executor, name: str, number: int) -> bool:
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -84,20 +84,45 @@
             if step_run.waiting and not room.lacks_cpu(step_run.step):
                 room.discount_step(step_run)
 
+    def find_rooms(self, config: FleetConfig, now: float) -> dict[str, PoolRoom]:
+        """Return the executors by pool that may get runs outside of ``place``."""
+        self._unconfirmed_use = self._measure_unconfirmed_use()
+        return self._group_executors(config, now)
+
+    def list_copy_executors(
+        self, subtask: Subtask, room: PoolRoom
+    ) -> Iterator[Executor]:
+        """Yield the executors that may run a copy of a subtask beside its run."""
+        for executor in self._select_allowed(subtask.step_run, room.executors):
+            if executor.id not in subtask.avoid and not subtask.find_run(executor.id):
+                yield executor
+
+    def may_add_run(self, step_run: StepRun, config: FleetConfig) -> bool:
+        """Return whether the tenant's maximum permits one more run of a step."""
+        tenant = config.tenants.get(step_run.job.spec.tenant)
+        return self._is_within_maximum(tenant, step_run.step.size)
+
     def _measure_unconfirmed_use(self) -> dict[str, Resources]:
         """Return the resources that unknown runs may use, by tenant.
 
-        Each waiting subtask that a previous scheduler may have started counts.
+        Each waiting subtask that a previous scheduler may have started counts,
+        and so does each copy of a subtask that it may have started.
         """
         use_by_tenant: dict[str, Resources] = {}
+        copies = self.registry.copies
         if not self.blocked_pools:
+            copies.forget_inherited()
             return use_by_tenant
-        for step_run in self.registry.ready.values():
+        counts = {
+            step_run: len(step_run.waiting) for step_run in self.registry.ready.values()
+        }
+        for step_run, unseen in copies.count_unseen():
+            counts[step_run] = counts.get(step_run, 0) + unseen
+        for step_run, count in counts.items():
             if not step_run.may_have_unknown_runs(self.blocked_pools):
                 continue
             tenant = step_run.job.spec.tenant
             size = step_run.step.size
-            count = len(step_run.waiting)
             use_by_tenant[tenant] = use_by_tenant.get(tenant, Resources()).add(
                 size, count
             )
@@ -257,8 +282,8 @@
     """Return whether a suspect was started so recently that it may crash yet."""
     return any(
         is_suspect(subtask)
-        and subtask.run is not None
-        and now - subtask.run.ordered_at < ISOLATION_SECONDS
+        and (run := subtask.find_run(executor.id)) is not None
+        and now - run.ordered_at < ISOLATION_SECONDS
         for subtask in executor.runs.values()
     )
 
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -5,6 +5,7 @@
 from attrs import define
 from loguru import logger
 
+from hemlockstand.fleet.copies import has_place_for_run, mark_copy, record_done
 from hemlockstand.fleet.eviction import find_movable, find_stalled
 from hemlockstand.fleet.executors import MIN_CLOCK_RATE, Executor
 from hemlockstand.fleet.job_registry import find_max_attempts
@@ -68,21 +69,21 @@
             subtask = self.state.registry.find(end.subtask)
         if subtask is None:
             return
-        run = subtask.run
-        current = (
-            run is not None and run.executor == executor.id and run.number == end.run
-        )
+        run = subtask.find_run(executor.id)
+        if run is not None and run.number != end.run:
+            run = None
         subtask.runs = max(subtask.runs, end.run)
         now = self.state.clock()
         now_ms = int(time.time() * 1000)
         if end.kind is EndKind.DONE and not subtask.step.lasting:
             executor.failed_in_row = 0
-            if current:
-                self._record_duration(subtask, now)
-                self.state.registry.detach(subtask)
+            if run is not None:
+                self._record_duration(subtask, run, now)
+                self.state.registry.detach(subtask, run)
+                record_done(self.state.registry, subtask, run, now)
             self.state.registry.set_started(subtask.job)
             self.state.registry.set_done(subtask, now, now_ms)
-            # A second run may have been started when this one seemed lost.
+            # A copy, or a run that was started when this one seemed lost.
             self.orders.stop_run(subtask)
             return
         if end.checkpoint:
@@ -90,12 +91,11 @@
         if end.kind is EndKind.FAILED:
             self.state.registry.clear_crashes(subtask)
             self._handle_failed_run(executor, subtask, end.run, now_ms)
-        if current:
-            self.orders.requeue(subtask, RESTART_DELAY_SECONDS)
+        if run is not None:
+            self.orders.requeue(subtask, run, RESTART_DELAY_SECONDS)
 
-    def _record_duration(self, subtask: Subtask, now: float) -> None:
-        run = subtask.run
-        if run is None or run.checkpoint or not subtask.step.estimate_ms:
+    def _record_duration(self, subtask: Subtask, run: Run, now: float) -> None:
+        if run.checkpoint or not subtask.step.estimate_ms:
             return
         estimate = subtask.step.estimate_ms / 1000
         seconds = now - run.ordered_at
@@ -133,8 +133,8 @@
         self, executor: Executor, subtask: Subtask, reason: str
     ) -> None:
         """Handle a run that is over without an end in the executor's list."""
-        run = subtask.run
-        if run is None or run.executor != executor.id:
+        run = subtask.find_run(executor.id)
+        if run is None:
             return
         log.info(
             "run lost",
@@ -146,7 +146,7 @@
         if run.state is RunState.STARTING:
             # The start order is still in flight; its outcome decides.
             run.state = RunState.UNSURE
-        self.orders.requeue(subtask, RESTART_DELAY_SECONDS)
+        self.orders.requeue(subtask, run, RESTART_DELAY_SECONDS)
 
     def handle_crash(
         self, executor: Executor, lost_runs: list[tuple[Subtask, float]]
@@ -160,8 +160,10 @@
             runs.append(CrashedRun(subtask, age, subtask.crashes))
         for verdict in judge_crash(runs):
             self.state.registry.add_crash(verdict.subtask)
-            run = verdict.subtask.run
-            runs_elsewhere = run is not None and run.executor != executor.id
+            runs_elsewhere = any(
+                run is not None and run.executor != executor.id
+                for run in (verdict.subtask.run, verdict.subtask.copy)
+            )
             if verdict.gives_up and not runs_elsewhere:
                 self._give_up(verdict.subtask)
         self.state.request_commit()
@@ -189,7 +191,7 @@
             if entry.subtask in executor.runs:
                 continue
             subtask = self.state.registry.find(entry.subtask)
-            if subtask is None or subtask.run is not None:
+            if subtask is None or not has_place_for_run(subtask, executor):
                 log.info(
                     "run is not needed and gets stopped",
                     subtask=entry.subtask,
@@ -212,11 +214,15 @@
         run.percent = entry.percent
         run.percent_at = now
         run.checkpoint = entry.checkpoint
+        run.partial = True
         self.state.registry.attach(subtask, run)
         executor.add_run(subtask)
-        log.info("run adopted", subtask=subtask.name, executor=executor.id)
+        mark_copy(subtask)
+        log.info(
+            "run adopted", subtask=subtask.name, run=run.number, executor=executor.id
+        )
         if subtask.done or subtask.job.state.final:
-            self.orders.stop_run(subtask)
+            self.orders.stop_run(subtask, executor)
         else:
             self.state.registry.set_started(subtask.job)
 
@@ -235,11 +241,11 @@
             )
             subtask.avoid.add(executor.id)
             self._count_failure(executor)
-            self.orders.stop_run(subtask)
+            self.orders.stop_run(subtask, executor)
         if executor.entry.draining:
             for subtask in find_movable(
                 executor, self.state.executors, now, self.state.config
             ):
-                self.orders.stop_run(subtask)
+                self.orders.stop_run(subtask, executor)
         for change in list(find_pace_changes(executor)):
             self.state.nursery.start_soon(self.orders.order_pace, executor, change)
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -108,6 +108,31 @@
     )
 
 
+@frozen
+class CopySettings:
+    """Copies of slow subtasks of speculative steps."""
+
+    enabled: bool = option("Whether copies are started.")
+    slow_factor: float = option(
+        "Multiple of the usual time of a subtask from which it counts as slow. Lower "
+        "ones copy usual subtasks of uneven size.",
+        1.1,
+        100,
+    )
+    workspace_fraction: float = option(
+        "Part of the cpu of a workspace's runs that its copies may use; one more copy "
+        "may exceed it. Up to a tenth, copies that a new scheduler cannot see keep "
+        "within what a maximum may be exceeded by.",
+        0,
+        1,
+    )
+    pool_fraction: float = option(
+        "Part of the cpu of a pool that copies may use; one more copy may exceed it.",
+        0,
+        1,
+    )
+
+
 @frozen
 class FleetSettings:
     """All sections."""
@@ -118,6 +143,7 @@
     bounds: BoundSettings
     scheduler: SchedulerSettings
     log: LogSettings
+    copies: CopySettings
 
 
 def load_fleet_settings(path: str | Path) -> FleetSettings:
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -27,7 +27,11 @@
 
 @define(eq=False, slots=True)
 class Run:
-    """A run of a subtask; times are on the scheduler's clock."""
+    """A run of a subtask; times are on the scheduler's clock.
+
+    ``is_copy`` tells that it was started while another run was in progress,
+    ``partial`` that it began from a checkpoint, or under a previous scheduler.
+    """
 
     number: int
     executor: str
@@ -42,6 +46,8 @@
     load: int = 0
     pace: int = 100
     checkpoint: str = ""
+    is_copy: bool = False
+    partial: bool = False
 
     @property
     def may_be_unstarted(self) -> bool:
@@ -57,13 +63,19 @@
 
 @define(eq=False, slots=True)
 class Subtask:
-    """One of the alike subtasks of a step."""
+    """One of the alike subtasks of a step.
+
+    ``copy`` is a second run on another executor, of a speculative step.
+    There is one only beside a first: if that goes, the copy takes its place.
+    """
 
     step_run: "StepRun"
     index: int
     name: str
     runs: int = 0
     run: Run | None = None
+    copy: Run | None = None
+    copies: int = 0  # how many were started in this scheduler's term
     done: bool = False
     failures: set[int] = field(factory=set)
     crashes: int = 0  # executors that crashed under it
@@ -92,6 +104,31 @@
         failures = self.failures and not self.step.lasting
         return not self.done and bool(failures or self.crashes)
 
+    def find_run(self, executor: str) -> Run | None:
+        """Return the run on an executor; no two runs are on the same one."""
+        for run in (self.run, self.copy):
+            if run is not None and run.executor == executor:
+                return run
+        return None
+
+    def add_run(self, run: Run) -> None:
+        """Add a run; beside another one it is the copy."""
+        if self.run is None:
+            self.run = run
+        else:
+            self.copy = run
+        self.runs = max(self.runs, run.number)
+
+    def remove_run(self, run: Run) -> None:
+        """Remove a run; the copy takes the place of the first."""
+        if self.run is run:
+            self.run = self.copy
+        self.copy = None
+
+    def has_run(self, run: Run) -> bool:
+        """Return whether a run has not been detached."""
+        return self.run is run or self.copy is run
+
     @property
     def step(self) -> Step:
         """The step that the subtask belongs to."""
@@ -115,6 +152,8 @@
     waiting: dict[int, Subtask] = field(factory=dict)
     done: int = field(default=0, repr=False)  # bit set of the indexes that are done
     unlocked_at: float = 0.0
+    # Times of the last subtasks that are done, if the step may have copies.
+    finished_seconds: list[float] = field(factory=list)
     # Predicted time of the longest chain from this step on.
     remaining_seconds: float = 0.0
     announce_requested: bool = False  # is to be stored as possibly started
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -41,6 +41,7 @@
 )
 from hemlockstand.fleet.settings import (
     BoundSettings,
+    CopySettings,
     FleetDaemonSettings,
     FleetListenSettings,
     FleetPlatformSettings,
@@ -72,6 +73,7 @@
         BoundSettings(10_000, 2000, 6, 120, 3000, 900, 3000),
         SchedulerSettings(1.2, 0.3, 0.25, 0.8),
         LogSettings("INFO", "json"),
+        copies=CopySettings(True, 1.3, 0.1, 0.1),
     )
 
 
@@ -116,6 +118,7 @@
     executors: dict[str, ExecutorModel] = field(factory=dict)
     records: list[RecordedRun] = field(factory=list)
     work: dict[str, SubtaskBehaviour] = field(factory=dict)
+    specs: dict[str, tuple[Step, ...]] = field(factory=dict)
     configuration: FakeFleetConfiguration = field(init=False)
     instances: InstanceModel = field(init=False)
     daemons: dict[str, Daemon] = field(factory=dict)
@@ -201,6 +204,7 @@
         job = f"{next(self._ids):016x}"
         if work is not None:
             self.work[job] = work
+        self.specs[job] = steps
         spec = JobSpec(job, "queue", "pool", tenant, "payload", steps, **values)
         write = job_write(spec)
         self.store.apply(Transaction((write,), (), ()))
@@ -330,6 +334,42 @@
                     f"{subtask} was started again after its acknowledged end"
                 )
 
+    def check_speculative_runs(self, attempts: int = 2) -> None:
+        """Check the runs of subtasks that may run twice at the same time.
+
+        A connected executor starts nothing more than a second after the
+        acknowledged end of the subtask or of its last attempt, and no executor
+        runs the same subtask twice.
+        """
+        for model in self.executors.values():
+            model.advance()
+        by_subtask: dict[str, list[RecordedRun]] = {}
+        for run in self.records:
+            by_subtask.setdefault(run.subtask, []).append(run)
+        for subtask, runs in by_subtask.items():
+            numbers = [run.number for run in runs]
+            assert len(set(numbers)) == len(numbers), f"{subtask} repeats a number"
+            for run in runs:
+                assert run.ended_at is not None, f"{subtask} still runs"
+                before = [
+                    end
+                    for end in runs
+                    if end.acknowledged_at is not None
+                    and end.acknowledged_at < run.began_at - 1
+                ]
+                if run.connected:
+                    check_budget(before, run, subtask, attempts)
+
+
+def check_budget(
+    ends: list[RecordedRun], run: RecordedRun, subtask: str, attempts: int
+) -> None:
+    """Check what had ended and was acknowledged when a run began."""
+    done = [end for end in ends if end.kind is EndKind.DONE]
+    assert not done, f"{subtask} was started long after its acknowledged end"
+    failed = [end for end in ends if end.kind is EndKind.FAILED]
+    assert len(failed) < attempts, f"{subtask} was started after its last attempt"
+
 
 def make_step(count: int = 1, seconds: float = 1.0, **values) -> Step:
     """Return a step of small subtasks."""
