--- a/test/test_fleet_copies.py
+++ b/test/test_fleet_copies.py
@@ -11,6 +11,7 @@
 
 from emulator.fleet_executors import SubtaskBehaviour
 from hemlockstand.fleet.model import EndKind, Resources
+from hemlockstand.fleet.work import RunState
 from test.fleet_world import SMALL, make_config, make_step, open_world
 
 USUAL_SECONDS = 1.0
@@ -118,6 +119,10 @@
         racks = [world.executors[run.executor].rack for run in (first, second)]
         assert racks[0] != racks[1]
         assert second.number > first.number
+        await trio.sleep(0.01)
+        copy = find_subtask(world, "a", name).copy
+        assert copy.state is RunState.RUNNING
+        assert copy.answered_at is not None
         await world.wait_for(lambda: world.state(job) == "completed", 5)
         assert trio.current_time() - submitted_at < 4.5
         await check_end(world, job, 2)
@@ -377,24 +382,3 @@
         job, name = await submit_slow(world)
         await world.wait_for(lambda: world.state(job) == "completed", 15)
         assert count_exact(world, name) == 1
-
-
-async def test_team_has_few_copies_at_once(clock):
-    """Guards against copies without bound where every run is slow."""
-    async with open_world() as world:
-        for position in range(6):
-            world.add_executor(rack=f"r{position % 2}")
-        slow = [f".0.0.{index}" for index in range(4, 24)]
-        set_runs(world, tuple(slow), make_behaviour(SLOW_SECONDS))
-        world.start_daemon("a")
-        await trio.sleep(1)
-        job = submit_now(world, make_step(24, speculative=True))
-        most = 0
-        while world.state(job) != "completed":
-            running = len(world.find_running(job))
-            most = max(most, running - len({r.subtask for r in world.find_running()}))
-            await trio.sleep(0.05)
-        # A tenth of twenty cores, and the one that may exceed it.
-        assert 1 <= most <= 3
-        await trio.sleep(0.5)
-        world.check_speculative_runs()
--- a/test/test_fleet_copy_cost.py
+++ b/test/test_fleet_copy_cost.py
@@ -1,11 +1,11 @@
-"""What the checks for slow runs cost the scheduler."""
+"""What copies, and the checks for slow runs, cost."""
 
 import time
 
 import trio
 
 from test.fleet_world import make_step, open_world
-from test.test_fleet_copies import make_behaviour
+from test.test_fleet_copies import SLOW_SECONDS, make_behaviour, set_runs, submit_now
 
 
 async def test_full_pool_is_searched_once_a_check(autojump_clock, monkeypatch):
@@ -40,3 +40,24 @@
         assert len(set(checks)) == len(checks)
         # The one that finds no room does not keep the others from a search.
         assert len({name for _, name in searches}) > 20
+
+
+async def test_team_has_few_copies_at_once(autojump_clock):
+    """Guards against copies without bound where every run is slow."""
+    async with open_world() as world:
+        for position in range(6):
+            world.add_executor(rack=f"r{position % 2}")
+        slow = [f".0.0.{index}" for index in range(4, 24)]
+        set_runs(world, tuple(slow), make_behaviour(SLOW_SECONDS))
+        world.start_daemon("a")
+        await trio.sleep(1)
+        job = submit_now(world, make_step(24, speculative=True))
+        most = 0
+        while world.state(job) != "completed":
+            running = len(world.find_running(job))
+            most = max(most, running - len({r.subtask for r in world.find_running()}))
+            await trio.sleep(0.05)
+        # A tenth of twenty cores, and the one that may exceed it.
+        assert 1 <= most <= 3
+        await trio.sleep(0.5)
+        world.check_speculative_runs()
--- a/test/test_fleet_copy_policy.py
+++ b/test/test_fleet_copy_policy.py
@@ -4,6 +4,7 @@
 
 from hemlockstand.fleet.copies import predict_remaining
 from hemlockstand.fleet.copy_index import KEPT_RUNS, CopyIndex
+from hemlockstand.fleet.crash_record import list_orders
 from hemlockstand.fleet.durations import ExpectedDuration
 from hemlockstand.fleet.model import JobSpec, Resources, Step
 from hemlockstand.fleet.policy.copies import (
@@ -205,6 +206,17 @@
     assert predict_remaining(run, 12.5) is None
 
 
+def test_crash_counts_by_the_run_on_its_executor():
+    """Guards against a crash that is judged by the age of the other run."""
+    subtask = make_subtask()
+    for number, executor, ordered_at in ((1, "i-1", 0.0), (2, "i-2", 5.0)):
+        run = Run(number, executor, 1, ordered_at, answered_at=ordered_at)
+        subtask.add_run(run)
+    assert list_orders("i-1", [subtask]) == [(subtask, 0.0)]
+    assert list_orders("i-2", [subtask]) == [(subtask, 5.0)]
+    assert list_orders("i-3", [subtask]) == []
+
+
 def test_index_looks_at_a_run_until_it_has_a_copy():
     """Guards against runs that are looked at in vain, or never again."""
     index = CopyIndex()
--- a/test/test_fleet_copy_takeover.py
+++ b/test/test_fleet_copy_takeover.py
@@ -10,6 +10,8 @@
 from test.fleet_world import make_config, make_step, open_world
 from test.test_fleet_copies import (
     SLOW,
+    count_exact,
+    find_subtask,
     make_behaviour,
     set_runs,
     set_slow,
@@ -137,3 +139,23 @@
             accepted_ms=int(time.time() * 1000),
         )
         await world.wait_for(lambda: world.count_runs(other) == 1, 3)
+
+
+async def test_takeover_starts_no_copy_beside_an_unseen_one(autojump_clock):
+    """Guards against a third run while a copy may run where nobody sees it."""
+    async with open_world() as world:
+        daemon = start_world(world)
+        set_runs(world, f".{SLOW}", make_behaviour(60))
+        _, name = await submit_slow(world)
+        _, second = await wait_for_copy(world, name)
+        world.kill(daemon)
+        del world.daemons["a"]
+        world.start_daemon("b").cut_off.add(second.executor)
+        await world.wait_for(lambda: world.lease_holder() == "b", 5)
+        await trio.sleep(0.5)
+        subtask = find_subtask(world, "b", name)
+        subtask.step_run.finished_seconds.extend([0.5] * 3)
+        while second in world.find_running(name):
+            assert count_exact(world, name) == 2
+            await trio.sleep(0.02)
+        await world.wait_for(lambda: count_exact(world, name) == 3, 5)
