Watch no runs where copies are off

Cause: With enabled = no, each run of a speculative step was put into the index of runs to look at, and nothing took it out.

Change: The index keeps no runs where copies are off.

Measured: test_disabled_copies_keep_no_runs fails without the change. It passes with it, as do the other tests of copies (without interleavings and load replay).

--- a/hemlockstand/fleet/copies.py
+++ b/hemlockstand/fleet/copies.py
@@ -57,8 +57,6 @@
         index = self.state.registry.copies
         if now - self._checked_at < CHECK_SECONDS or not index.has_due(now):
             return
-        if not self.state.settings.copies.enabled:
-            return
         if not self.state.may_order() or not self.state.configuration.fresh:
             return
         self._checked_at = now
--- a/hemlockstand/fleet/copy_index.py
+++ b/hemlockstand/fleet/copy_index.py
@@ -41,6 +41,7 @@
     are done and have a run that has not ended yet.
     """
 
+    enabled: bool = True  # whether runs are watched
     copied: dict[str, Subtask] = field(factory=dict)
     unneeded: dict[str, Subtask] = field(factory=dict)
     _watched: list[tuple[float, int, Subtask, Run]] = field(factory=list)
@@ -71,7 +72,7 @@
     def watch(self, subtask: Subtask, at: float) -> None:
         """Look at the only run of a subtask at a time, and at no other time."""
         run = subtask.run
-        if run is not None:
+        if run is not None and self.enabled:
             run.check_number = next(self._numbers)
             heappush(self._watched, (at, run.check_number, subtask, run))
 
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -73,6 +73,7 @@
     ) -> None:
         epoch = lease.record.epoch
         registry = JobRegistry(run_base=(epoch - 1) * RUNS_PER_EPOCH)
+        registry.copies.enabled = settings.copies.enabled
         self.state = SchedulerState(
             settings, rows, configuration, lease, clock, nursery, registry
         )
--- a/test/test_fleet_copy_cost.py
+++ b/test/test_fleet_copy_cost.py
@@ -2,10 +2,20 @@
 
 import time
 
+import attrs
 import trio
 
+from test import fleet_world
 from test.fleet_world import make_step, open_world
-from test.test_fleet_copies import SLOW_SECONDS, make_behaviour, set_runs, submit_now
+from test.test_fleet_copies import (
+    SLOW_SECONDS,
+    count_exact,
+    make_behaviour,
+    set_runs,
+    start_world,
+    submit_now,
+    submit_slow,
+)
 
 
 async def test_full_pool_is_searched_once_a_check(autojump_clock, monkeypatch):
@@ -61,3 +71,21 @@
         assert 1 <= most <= 3
         await trio.sleep(0.5)
         world.check_speculative_runs()
+
+
+async def test_disabled_copies_keep_no_runs(autojump_clock, monkeypatch):
+    """Guards against memory that grows with each run where copies are off."""
+    make_settings = fleet_world.make_settings
+
+    def make_disabled(name):
+        settings = make_settings(name)
+        copies = attrs.evolve(settings.copies, enabled=False)
+        return attrs.evolve(settings, copies=copies)
+
+    monkeypatch.setattr(fleet_world, "make_settings", make_disabled)
+    async with open_world() as world:
+        daemon = start_world(world)
+        job, name = await submit_slow(world)
+        await world.wait_for(lambda: world.state(job) == "completed", 12)
+        assert count_exact(world, name) == 1
+        assert not daemon.leader.state.registry.copies.has_due(float("inf"))
