Count only copies that have started against a subtask's limit

Cause: A refused start of a copy counted, so that two refusals left a slow run without any copy.

Change: A copy that has not begun is not counted, and the run is looked at again after COPY_RETRY_SECONDS. An executor that refused as unhealthy is still avoided by the subtask's further copies, so a subtask whose copy every executor has refused gets none; the review's reproduction, in which all five others refuse, still fails for this reason.

Measured: test_refused_copies_are_not_counted fails without the change.

--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -28,6 +28,9 @@
 BACKOFF_SECONDS = 0.25
 RESTART_DELAY_SECONDS = 0.05
 STOP_RETRY_SECONDS = 0.3
+# Pause before another copy of a subtask after one was refused. Executors that
+# refuse for want of room or health often do so for some tenths of a second.
+COPY_RETRY_SECONDS = 0.5
 # Delay after a start was refused as invalid, which every executor would do.
 INVALID_RETRY_SECONDS = 1.0
 
@@ -155,6 +158,10 @@
             return
         executor.remove_run(subtask)
         self.requeue(subtask, run, delay)
+        if run.is_copy and not subtask.crashes:
+            subtask.copies -= 1
+            retry_at = self.state.clock() + COPY_RETRY_SECONDS
+            self.state.registry.copies.watch(subtask, retry_at)
 
     def requeue(self, subtask: Subtask, run: Run, delay: float) -> None:
         """Detach a run; queue its subtask again if it has no other and needs one."""
--- a/test/test_fleet_copy_cost.py
+++ b/test/test_fleet_copy_cost.py
@@ -89,3 +89,21 @@
         await world.wait_for(lambda: world.state(job) == "completed", 12)
         assert count_exact(world, name) == 1
         assert not daemon.leader.state.registry.copies.has_due(float("inf"))
+
+
+async def test_refused_copies_are_not_counted(autojump_clock):
+    """Guards against a slow run that gets no copy after executors refuse two."""
+    async with open_world() as world:
+        start_world(world, 8)
+        job, name = await submit_slow(world)
+        await world.wait_for(lambda: world.count_runs(job) == 4, 5)
+        (first,) = world.find_running(name)
+        others = [m for m in world.executors.values() if m.id != first.executor]
+        for model in others:
+            model.unhealthy_orders = 1
+        await world.wait_for(
+            lambda: sum(not model.unhealthy_orders for model in others) == 3, 5
+        )
+        for model in others:
+            model.unhealthy_orders = 0
+        await world.wait_for(lambda: len(world.find_running(name)) == 2, 2)
