Count races of copies only between two runs that both began

Cause: A copy keeps its mark when it takes the place of a lost first run, so that its end counted as a race won, and its failure as work done twice.

Change: A race counts if the other run is there and both starts were answered; the run with the higher number is the copy. Work of a copy counts as lost only beside another run or after the end of its subtask.

Measured: test_copy_that_was_left_alone_has_won_no_race fails without the change; test_race_of_two_runs_is_counted passes with and without it. The tests of copies pass (without interleavings and load replay).

--- a/hemlockstand/fleet/copies.py
+++ b/hemlockstand/fleet/copies.py
@@ -274,9 +274,11 @@
         return
     registry.copies.add_unneeded(subtask)
     other = subtask.run
-    if run.is_copy or (other is not None and other.is_copy):
-        registry.copies.add_race(subtask.job.spec.queue, run.is_copy)
-    if run.is_copy:
+    raced = other is not None and other.answered_at is not None
+    won = other is not None and run.number > other.number
+    if raced and run.answered_at is not None:
+        registry.copies.add_race(subtask.job.spec.queue, won)
+    if won:
         COPIES_WON.inc()
         log.info(
             "copy was done first",
@@ -293,7 +295,7 @@
     """Count the work of a run that is over without use beside another one."""
     if run.answered_at is None or not may_have_copies(subtask.step):
         return
-    if run.is_copy or subtask.done:
+    if subtask.done or (run.is_copy and subtask.run is not None):
         kind = "copy" if run.is_copy else "first"
         cores = subtask.step.size.cpu_millis / 1000
         LOST_CORE_SECONDS.labels(kind).inc(cores * (now - run.answered_at))
--- a/test/test_fleet_copy_cost.py
+++ b/test/test_fleet_copy_cost.py
@@ -3,8 +3,10 @@
 import time
 
 import attrs
+import pytest
 import trio
 
+from hemlockstand.fleet.model import EndKind
 from test import fleet_world
 from test.fleet_world import make_step, open_world
 from test.test_fleet_copies import (
@@ -12,9 +14,11 @@
     count_exact,
     make_behaviour,
     set_runs,
+    set_slow,
     start_world,
     submit_now,
     submit_slow,
+    wait_for_copy,
 )
 
 
@@ -107,3 +111,27 @@
         for model in others:
             model.unhealthy_orders = 0
         await world.wait_for(lambda: len(world.find_running(name)) == 2, 2)
+
+
+async def test_copy_that_was_left_alone_has_won_no_race(autojump_clock):
+    """Guards against copies that seem useful because the first run was lost."""
+    async with open_world() as world:
+        daemon = start_world(world)
+        job, name = await submit_slow(world)
+        first, _ = await wait_for_copy(world, name)
+        world.executors[first.executor].end_run(name, EndKind.STOPPED)
+        await world.wait_for(lambda: world.state(job) == "completed", 9)
+        assert not daemon.leader.state.registry.copies._races
+
+
+@pytest.mark.parametrize(("seconds", "won"), [(1, True), (60, False)])
+async def test_race_of_two_runs_is_counted(autojump_clock, seconds, won):
+    """Guards against races that are not counted, or for the wrong run."""
+    async with open_world() as world:
+        daemon = start_world(world)
+        set_slow(world, make_behaviour(seconds))
+        job, name = await submit_slow(world)
+        await wait_for_copy(world, name)
+        await world.wait_for(lambda: world.state(job) == "completed", 9)
+        races = daemon.leader.state.registry.copies._races
+        assert [list(group) for group in races.values()] == [[won]]
