Keep the more advanced of two runs when an executor is emptied

Cause: Draining, and moves of instances, stopped an advanced first run in favour of a copy that had just begun. Of two runs that end early, the checkpoint of the last one was stored, even if the other had done more.

Change: A run whose predicted end is before that of the run beside it is not stopped. Of two runs the checkpoint of the one with the higher percent is kept. A run whose progress does not tell its speed, such as one that began from a checkpoint, is stopped as before.

Measured: test_draining_executor_keeps_the_more_advanced_run and test_checkpoint_of_the_more_advanced_run_is_kept fail without the change.

--- a/hemlockstand/fleet/copies.py
+++ b/hemlockstand/fleet/copies.py
@@ -252,6 +252,15 @@
     return seconds * (100 - run.percent) / run.percent - (now - run.percent_at)
 
 
+def is_ahead(subtask: Subtask, run: Run, now: float) -> bool:
+    """Return whether a run is known to end before the one beside it."""
+    other = subtask.find_other_run(run)
+    if other is None:
+        return False
+    left, other_left = predict_remaining(run, now), predict_remaining(other, now)
+    return left is not None and other_left is not None and left < other_left
+
+
 def has_place_for_run(subtask: Subtask, executor: Executor) -> bool:
     """Return whether a run that an executor lists may be adopted."""
     if subtask.run is None:
--- a/hemlockstand/fleet/eviction.py
+++ b/hemlockstand/fleet/eviction.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterator, Mapping
 
+from hemlockstand.fleet.copies import is_ahead
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import find_pool
 from hemlockstand.fleet.model import FleetConfig
@@ -143,12 +144,15 @@
     """Yield the runs of a draining executor that can move to another one.
 
     Lasting subtasks would end with the executor, and those with checkpoints
-    lose no progress by a stop. Other short ones can end where they are.
+    lose no progress by a stop. Other short ones can end where they are, and so
+    can a run that is nearer its end than its copy.
     """
     for subtask in list(executor.runs.values()):
         run = subtask.find_run(executor.id)
         if run is None or run.state is not RunState.RUNNING or subtask.step.gang:
             continue
+        if is_ahead(subtask, run, now):
+            continue
         movable = subtask.step.lasting or subtask.step.checkpoints
         if movable and has_room_elsewhere(subtask, executors, now, config):
             yield subtask
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from hemlockstand.errors import HemlockstandError, OutcomeUnknown, PlatformUnavailable
+from hemlockstand.fleet.copies import is_ahead
 from hemlockstand.fleet.eviction import find_stoppable
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.lease import InstanceOrders
@@ -177,7 +178,9 @@
         if now - plan.planned_at < SHORT_RUN_WAIT_SECONDS:
             return
         for subtask in list(executor.runs.values()):
-            step = subtask.step
+            step, run = subtask.step, subtask.find_run(executor.id)
+            if run is not None and is_ahead(subtask, run, now):
+                continue
             if step.checkpoints and not step.gang and not step.lasting:
                 self.stop_run(subtask, executor)
 
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -165,7 +165,7 @@
 
     def requeue(self, subtask: Subtask, run: Run, delay: float) -> None:
         """Detach a run; queue its subtask again if it has no other and needs one."""
-        subtask.checkpoint = run.checkpoint or subtask.checkpoint
+        subtask.keep_checkpoint(run.checkpoint, run.percent)
         if subtask.step.gang:
             self._stop_members(subtask, run.number)
         self.state.registry.detach(subtask, run)
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -89,8 +89,8 @@
             # A copy, or a run that was started when this one seemed lost.
             self.orders.stop_run(subtask)
             return
-        if end.checkpoint:
-            subtask.checkpoint = end.checkpoint
+        percent = subtask.checkpoint_percent if run is None else run.percent
+        subtask.keep_checkpoint(end.checkpoint, percent)
         if end.kind is EndKind.FAILED:
             self.state.registry.clear_crashes(subtask)
             self._handle_failed_run(executor, subtask, end.run, now_ms)
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -90,6 +90,7 @@
     failures: set[int] = field(factory=set)
     crashes: int = 0  # executors that crashed under it
     checkpoint: str = ""
+    checkpoint_percent: int = 0  # of its run, while others began beside it
     not_before: float = 0.0
     avoid: set[str] = field(factory=set)
 
@@ -125,6 +126,7 @@
         """Add a run; beside another one it is the copy."""
         if self.run is None:
             self.run = run
+            self.checkpoint_percent = 0
         else:
             assert self.copy is None, f"{self.name} has two runs"
             self.copy = run
@@ -136,6 +138,20 @@
             self.run = self.copy
         self.copy = None
 
+    def find_other_run(self, run: Run) -> Run | None:
+        """Return the run beside another one."""
+        return self.copy if self.run is run else self.run
+
+    def keep_checkpoint(self, checkpoint: str, percent: int) -> None:
+        """Keep the checkpoint of a run; of two runs that of the more advanced."""
+        if not checkpoint:
+            return
+        beside = self.step.speculative and not self.step.gang
+        if beside and percent < self.checkpoint_percent:
+            return
+        self.checkpoint = checkpoint
+        self.checkpoint_percent = percent
+
     def has_run(self, run: Run) -> bool:
         """Return whether a run has not been detached."""
         return self.run is run or self.copy is run
