Let waiting work keep copies from its workspace only by the maximum

Cause: Any waiting subtask of a workspace kept all of its slow runs from getting copies, also one that can never be placed, and also without a maximum.

Change: A copy starts only if the maximum has room for it beside all waiting work of the workspace. Whether that work could use an executor's room is judged as for the work of others.

--- a/hemlockstand/fleet/copies.py
+++ b/hemlockstand/fleet/copies.py
@@ -21,7 +21,6 @@
     SlowBound,
     WaitingWork,
     find_slow_bound,
-    is_waiting,
     judge_run,
     keeps_tolerance,
     may_have_copies,
@@ -125,9 +124,10 @@
             return NO_ROOM_SECONDS
         if not pool_use.is_below(settings.pool_fraction):
             return NO_ROOM_SECONDS
-        if not self.placer.may_add_run(step_run, config):
-            return NO_ROOM_SECONDS
-        if is_waiting(job.spec.tenant, view.waiting.get(pool, ())):
+        tenant, size = job.spec.tenant, step_run.step.size
+        # The tenant's own work that waits comes first.
+        needed = size.add(view.waiting_use.get(tenant, Resources()))
+        if not self.placer.may_add(tenant, needed, config):
             return NO_ROOM_SECONDS
         if pool in view.full_pools:
             return CHECK_SECONDS
@@ -164,6 +164,7 @@
             rooms=self.placer.find_rooms(config, now),
             waiting=self._find_waiting(),
             unseen=registry.copies.measure_unseen(),
+            waiting_use=self._measure_waiting(),
         )
         for tenant, used in registry.in_use.items():
             view.workspaces[tenant] = CopyUse(0, used.cpu_millis)
@@ -191,6 +192,15 @@
             waiting.setdefault(find_pool(job, config), set()).add(work)
         return waiting
 
+    def _measure_waiting(self) -> dict[str, Resources]:
+        """Return what the waiting work of each workspace would use."""
+        use: dict[str, Resources] = {}
+        for step_run in self.state.registry.ready.values():
+            tenant = step_run.job.spec.tenant
+            size, count = step_run.step.size, len(step_run.waiting)
+            use[tenant] = use.get(tenant, Resources()).add(size, count)
+        return use
+
     def _choose_executor(
         self, subtask: Subtask, view: LoadView, pool: str, now: float
     ) -> Executor | None:
--- a/hemlockstand/fleet/copy_load.py
+++ b/hemlockstand/fleet/copy_load.py
@@ -12,13 +12,15 @@
 class LoadView:
     """Use of copies, room by pool and waiting work during one check.
 
-    ``unseen`` holds by workspace what a new scheduler may not see.
+    ``unseen`` holds by workspace what a new scheduler may not see, and
+    ``waiting_use`` what its waiting work would use.
     ``full_pools`` are those in which a copy has found no executor.
     """
 
     rooms: dict[str, PoolRoom]
     waiting: dict[str, set[WaitingWork]]
     unseen: dict[str, Resources]
+    waiting_use: dict[str, Resources] = field(factory=dict)
     workspaces: dict[str, CopyUse] = field(factory=dict)
     pools: dict[str, CopyUse] = field(factory=dict)
     full_pools: set[str] = field(factory=set)
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -133,10 +133,9 @@
             if executor.id not in subtask.avoid and not subtask.find_run(executor.id):
                 yield executor
 
-    def may_add_run(self, step_run: StepRun, config: FleetConfig) -> bool:
-        """Return whether the tenant's maximum permits one more run of a step."""
-        tenant = config.tenants.get(step_run.job.spec.tenant)
-        return self._is_within_maximum(tenant, step_run.step.size)
+    def may_add(self, name: str, size: Resources, config: FleetConfig) -> bool:
+        """Return whether a tenant's maximum permits more to run."""
+        return self._is_within_maximum(config.tenants.get(name), size)
 
     def _measure_unconfirmed_use(self) -> dict[str, Resources]:
         """Return the resources that unknown runs may use, by tenant.
--- a/hemlockstand/fleet/policy/copies.py
+++ b/hemlockstand/fleet/policy/copies.py
@@ -225,11 +225,3 @@
         (not work.label or work.label in labels) and work.size.fits(capacity)
         for work in waiting
     )
-
-
-def is_waiting(tenant: str, waiting: Iterable[WaitingWork]) -> bool:
-    """Return whether work of a tenant waits, of any size and label.
-
-    It may wait for the tenant's maximum, of which a copy would take a part.
-    """
-    return any(work.tenant == tenant for work in waiting)
--- a/test/test_fleet_copy_cost.py
+++ b/test/test_fleet_copy_cost.py
@@ -6,9 +6,9 @@
 import pytest
 import trio
 
-from hemlockstand.fleet.model import EndKind
+from hemlockstand.fleet.model import EndKind, Resources
 from test import fleet_world
-from test.fleet_world import make_step, open_world
+from test.fleet_world import make_config, make_step, open_world
 from test.test_fleet_copies import (
     SLOW_SECONDS,
     count_exact,
@@ -135,3 +135,20 @@
         await world.wait_for(lambda: world.state(job) == "completed", 9)
         races = daemon.leader.state.registry.copies._races
         assert [list(group) for group in races.values()] == [[won]]
+
+
+@pytest.mark.parametrize(
+    ("maximum", "waiting", "copied"), [(0, 1, 1), (20_000, 1, 1), (20_000, 20, 0)]
+)
+async def test_waiting_work_of_the_same_team(autojump_clock, maximum, waiting, copied):
+    """Guards against a subtask that can never run and keeps copies from its team.
+
+    Work for which a copy would take a part of the maximum comes first.
+    """
+    async with open_world() as world:
+        world.configuration.current = make_config(Resources(maximum))
+        start_world(world)
+        job, name = await submit_slow(world)
+        world.submit(make_step(waiting, label="none"), work=make_behaviour())
+        await world.wait_for(lambda: world.state(job) == "completed", 12)
+        assert count_exact(world, name) == 1 + copied
