--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from hemlockstand.errors import HemlockstandError, OutcomeUnknown, PlatformUnavailable
+from hemlockstand.fleet.copies import is_ahead
 from hemlockstand.fleet.eviction import find_stoppable
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.lease import InstanceOrders
@@ -23,7 +24,6 @@
 from hemlockstand.fleet.plans import InstancePlans, Plan
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.waves import WavePlanner, WaveProgress
-from hemlockstand.fleet.work import Subtask
 from hemlockstand.platform.machines import InstanceClient, LeaseHolder, OrderOutcome
 
 log = logger.bind(module=__name__)
@@ -49,7 +49,7 @@
     state: SchedulerState
     client: InstanceClient
     fence: int
-    stop_run: Callable[[Subtask], None]
+    stop_run: Callable[..., None]
     plans: InstancePlans = field(init=False)
     waves: WavePlanner = field(init=False)
     _moves: MovePlanner = field(init=False)
@@ -178,9 +178,11 @@
         if now - plan.planned_at < SHORT_RUN_WAIT_SECONDS:
             return
         for subtask in list(executor.runs.values()):
-            step = subtask.step
+            step, run = subtask.step, subtask.find_run(executor.id)
+            if run is not None and is_ahead(subtask, run, now):
+                continue
             if step.checkpoints and not step.gang and not step.lasting:
-                self.stop_run(subtask)
+                self.stop_run(subtask, executor)
 
     async def _order(self, plan: Plan, instance: InstanceEntry) -> None:
         """Repeat an order until its outcome is known."""
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -11,6 +11,7 @@
 from hemlockstand.fleet.clients import FleetClients
 from hemlockstand.fleet.commits import Commits
 from hemlockstand.fleet.configuration import FleetConfigurationService
+from hemlockstand.fleet.copies import CopyStarter
 from hemlockstand.fleet.durations import estimate_chain_seconds
 from hemlockstand.fleet.durations_row import load_durations
 from hemlockstand.fleet.evacuations import EvacuationManager
@@ -73,6 +74,7 @@
     ) -> None:
         epoch = lease.record.epoch
         registry = JobRegistry(run_base=(epoch - 1) * RUNS_PER_EPOCH)
+        registry.copies.enabled = settings.copies.enabled
         self.state = SchedulerState(
             settings, rows, configuration, lease, clock, nursery, registry
         )
@@ -99,6 +101,7 @@
             self._may_run,
             self._executor_directory.is_confirmed,
         )
+        self._copy_starter = CopyStarter(self.state, self._placer, self._orders.start)
         self.idle_reporter = IdleReporter(
             self.state, self._barrier.blocked_pools, self._may_run
         )
@@ -324,7 +327,9 @@
             self._add_waves()
             self.idle_reporter.check()
             self.evacuations.check()
-            self._preemptor.check()
+            if not self._leaving.is_set():
+                self._preemptor.check()
+                self._copy_starter.check()
             registry = self.state.registry
             if registry.ready or registry.next_due() is not None:
                 self.state.request_placement()
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -121,10 +121,29 @@
             if room.shares is not None:
                 self.shares[pool] = room.shares
 
+    def find_rooms(self, config: FleetConfig, now: float) -> dict[str, PoolRoom]:
+        """Return the executors by pool that may get runs outside of ``place``."""
+        self._unconfirmed_use = self._measure_unconfirmed_use()
+        return self._group_executors(config, now)
+
+    def list_copy_executors(
+        self, subtask: Subtask, executors: Iterable[Executor]
+    ) -> Iterator[Executor]:
+        """Yield the executors that may run a copy of a subtask beside its run."""
+        for executor in self._select_allowed(subtask.step_run, executors):
+            if executor.id not in subtask.avoid and not subtask.find_run(executor.id):
+                yield executor
+
+    def may_add(self, name: str, size: Resources, config: FleetConfig) -> bool:
+        """Return whether a tenant's maximum permits more to run."""
+        return self._is_within_maximum(config.tenants.get(name), size)
+
     def _measure_unconfirmed_use(self) -> dict[str, Resources]:
         """Return the resources that unknown runs may use, by tenant.
 
         Each waiting subtask that a previous scheduler may have started counts.
+        Copies do not: they are so few that the tolerance of the maximum has room
+        for them.
         """
         use_by_tenant: dict[str, Resources] = {}
         if not self.blocked_pools:
@@ -329,8 +348,8 @@
     """Return whether a suspect was started so recently that it may crash yet."""
     return any(
         is_suspect(subtask)
-        and subtask.run is not None
-        and now - subtask.run.ordered_at < ISOLATION_SECONDS
+        and (run := subtask.find_run(executor.id)) is not None
+        and now - run.ordered_at < ISOLATION_SECONDS
         for subtask in executor.runs.values()
     )
 
--- a/hemlockstand/fleet/policy/departures.py
+++ b/hemlockstand/fleet/policy/departures.py
@@ -159,7 +159,9 @@
         run, step = subtask.run, subtask.step
         if run is None or run.state is not RunState.RUNNING:
             return Obstacle.CHANGE
-        if step.gang or not (step.lasting or step.checkpoints):
+        movable = step.lasting or step.checkpoints
+        # A stop would end both runs of a subtask that has a copy.
+        if step.gang or subtask.copy is not None or not movable:
             return Obstacle.OWN_END
         if not step.lasting and self._predict_remaining(subtask) < (
             LONG_REMAINING_SECONDS
--- a/hemlockstand/fleet/preemption.py
+++ b/hemlockstand/fleet/preemption.py
@@ -210,7 +210,10 @@
                 item
                 for item in executor.runs.values()
                 # A subtask that was lost here may already run elsewhere.
-                if item.run is not None and item.run.executor == executor.id
+                if item.run is not None
+                and item.run.executor == executor.id
+                # A stop would end both runs of a subtask that has a copy.
+                and item.copy is None
             )
         # A workspace is brought down to its share by its youngest runs.
         running.sort(key=lambda item: item.run.ordered_at, reverse=True)
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -136,6 +136,31 @@
     )
 
 
+@frozen
+class CopySettings:
+    """Copies of slow subtasks of speculative steps."""
+
+    enabled: bool = option("Whether copies are started.")
+    slow_factor: float = option(
+        "Multiple of the usual time of a subtask from which it counts as slow. Lower "
+        "ones copy usual subtasks of uneven size.",
+        1.1,
+        100,
+    )
+    workspace_fraction: float = option(
+        "Part of the cpu of a workspace's runs that its copies may use; one more copy "
+        "may exceed it, unless the workspace has a maximum: with the new one, copies "
+        "use at most a tenth of that.",
+        0,
+        0.1,
+    )
+    pool_fraction: float = option(
+        "Part of the cpu of a pool that copies may use; one more copy may exceed it.",
+        0,
+        1,
+    )
+
+
 @frozen
 class PreemptionSettings:
     """Stops of running work for more urgent work that would be late."""
@@ -164,6 +189,7 @@
     bounds: BoundSettings
     scheduler: SchedulerSettings
     log: LogSettings
+    copies: CopySettings
     operators: FleetOperatorSettings = FleetOperatorSettings()
     preemption: PreemptionSettings = DEFAULT_PREEMPTION
 
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -27,7 +27,10 @@
 
 @define(eq=False, slots=True)
 class Run:
-    """A run of a subtask; times are on the scheduler's clock."""
+    """A run of a subtask; times are on the scheduler's clock.
+
+    ``is_copy`` tells that it was started while another run was in progress.
+    """
 
     number: int
     executor: str
@@ -48,6 +51,13 @@
     slowed: bool = False  # ran below its full speed at some time
     stopped_at: float | None = None  # time of the first stop order
     pool: str = ""  # pool of the executor at the time of the order
+    is_copy: bool = False
+    check_number: int = 0  # of its valid entry in the index of copies
+
+    @property
+    def partial(self) -> bool:
+        """Whether its time since the start does not tell how long a run takes."""
+        return self.resumed or self.start_unknown
 
     @property
     def may_be_unstarted(self) -> bool:
@@ -63,17 +73,24 @@
 
 @define(eq=False, slots=True)
 class Subtask:
-    """One of the alike subtasks of a step."""
+    """One of the alike subtasks of a step.
+
+    ``copy`` is a second run on another executor, of a speculative step.
+    There is one only beside a first: if that goes, the copy takes its place.
+    """
 
     step_run: "StepRun"
     index: int
     name: str
     runs: int = 0
     run: Run | None = None
+    copy: Run | None = None
+    copies: int = 0  # how many were started in this scheduler's term
     done: bool = False
     failures: set[int] = field(factory=set)
     crashes: int = 0  # executors that crashed under it
     checkpoint: str = ""
+    checkpoint_percent: int = 0  # of its run, while others began beside it
     not_before: float = 0.0
     avoid: set[str] = field(factory=set)
 
@@ -98,6 +115,47 @@
         failures = self.failures and not self.step.lasting
         return not self.done and bool(failures or self.crashes)
 
+    def find_run(self, executor: str) -> Run | None:
+        """Return the run on an executor; no two runs are on the same one."""
+        for run in (self.run, self.copy):
+            if run is not None and run.executor == executor:
+                return run
+        return None
+
+    def add_run(self, run: Run) -> None:
+        """Add a run; beside another one it is the copy."""
+        if self.run is None:
+            self.run = run
+            self.checkpoint_percent = 0
+        else:
+            assert self.copy is None, f"{self.name} has two runs"
+            self.copy = run
+        self.runs = max(self.runs, run.number)
+
+    def remove_run(self, run: Run) -> None:
+        """Remove a run; the copy takes the place of the first."""
+        if self.run is run:
+            self.run = self.copy
+        self.copy = None
+
+    def find_other_run(self, run: Run) -> Run | None:
+        """Return the run beside another one."""
+        return self.copy if self.run is run else self.run
+
+    def keep_checkpoint(self, checkpoint: str, percent: int) -> None:
+        """Keep the checkpoint of a run; of two runs that of the more advanced."""
+        if not checkpoint:
+            return
+        beside = self.step.speculative and not self.step.gang
+        if beside and percent < self.checkpoint_percent:
+            return
+        self.checkpoint = checkpoint
+        self.checkpoint_percent = percent
+
+    def has_run(self, run: Run) -> bool:
+        """Return whether a run has not been detached."""
+        return self.run is run or self.copy is run
+
     @property
     def step(self) -> Step:
         """The step that the subtask belongs to."""
@@ -121,6 +179,8 @@
     waiting: dict[int, Subtask] = field(factory=dict)
     done: int = field(default=0, repr=False)  # bit set of the indexes that are done
     unlocked_at: float = 0.0
+    # Times of the last subtasks that are done, if the step may have copies.
+    finished_seconds: list[float] = field(factory=list)
     # Predicted time of the longest chain from this step on.
     remaining_seconds: float = 0.0
     announce_requested: bool = False  # is to be stored as possibly started
--- a/test/test_fleet_same_decisions.py
+++ b/test/test_fleet_same_decisions.py
@@ -108,7 +108,7 @@
 def finish(registry, subtask, executor, random: Random, now: float) -> None:
     """End a run, mostly as done; a failure may put its executor in quarantine."""
     executor.remove_run(subtask)
-    registry.detach(subtask)
+    registry.detach(subtask, subtask.run)
     if random.random() < 0.1:
         executor.failed_in_row += 1
         subtask.avoid.add(executor.id)
