Show and cancel a job only with a key of its workspace

Cause: A key of another workspace could read and cancel a job, and a submission of another workspace under a taken id was told that it was accepted. Change: A job of another workspace is answered 410 like one that does not exist; a submission under its id 409. A job submitted without a key belongs to nobody.

--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -62,6 +62,9 @@
 # After this time a store outage may be over, or another daemon may answer.
 RETRY_AFTER_SECONDS = 1
 KEEP_ALIVE_SECONDS = 60.0
+# Owner of a job that was submitted without a key, to a public queue. Every caller
+# may follow and cancel it.
+NO_TENANT = ""
 TOO_LARGE_JOB = "the job does not fit into a row of the store"
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -93,6 +96,8 @@
     old = group_rows(row for row in rows if row.key == write.key).get(write.key)
     if old is None or old.spec is None:
         return ""
+    if old.spec.tenant not in (NO_TENANT, new.tenant):
+        return f"another job with the id {write.key} was submitted before"
     same_config = attrs.evolve(
         new,
         queue=old.spec.queue,
@@ -261,14 +266,14 @@
             return await self._answer_pending(queue)
         if JOB_ID.fullmatch(job) is None:
             return refuse(400, f"{job!r} is not a job id of 16 hexadecimal digits")
+        tenant_name = NO_TENANT if tenant is None else tenant.name
         match call.method:
             case "POST":
-                tenant_name = "" if tenant is None else tenant.name
                 return await self._submit(call, body, config, queue, job, tenant_name)
             case "DELETE":
-                return await self._cancel(job, call)
+                return await self._cancel(job, call, tenant_name)
             case _:
-                return await self._answer_state(job)
+                return await self._answer_state(job, tenant_name)
 
     def _refuse_if_stale(self) -> Answer | None:
         if self._configuration.fresh:
@@ -307,8 +312,8 @@
         )
         return answer
 
-    async def _cancel(self, job: str, call: Call) -> Answer:
-        rows = await self._read_job(job)
+    async def _cancel(self, job: str, call: Call, tenant: str) -> Answer:
+        rows = await self._read_job(job, tenant)
         if rows is None:
             return refuse(503, "the store does not answer")
         if rows.spec is None:
@@ -322,20 +327,28 @@
             return Answer(200, encode_state(JobState.CANCELLED))
         return answer
 
-    async def _answer_state(self, job: str) -> Answer:
-        rows = await self._read_job(job)
+    async def _answer_state(self, job: str, tenant: str) -> Answer:
+        rows = await self._read_job(job, tenant)
         if rows is None:
             return refuse(503, "the store does not answer")
         if rows.spec is None:
             return refuse(410, "no such job")
         return Answer(200, encode_state(rows.state))
 
-    async def _read_job(self, job: str) -> JobRows | None:
+    async def _read_job(self, job: str, tenant: str) -> JobRows | None:
+        """Return a job's rows, or None if the store does not answer.
+
+        A job of another workspace is as absent as one that does not exist.
+        """
         try:
-            return await read_job(self._rows, job)
+            rows = await read_job(self._rows, job)
         except PlatformUnavailable as error:
             log.info("job not read from the store", job=job, detail=str(error))
             return None
+        if rows.spec is not None and rows.spec.tenant not in (NO_TENANT, tenant):
+            log.info("job of another workspace was asked for", job=job, tenant=tenant)
+            return JobRows()
+        return rows
 
     async def _answer_pending(self, queue: Queue) -> Answer:
         try:
--- a/test/test_fleet_frontend.py
+++ b/test/test_fleet_frontend.py
@@ -9,7 +9,7 @@
 
 from emulator.row_store import RowStoreAccess, RowStoreModel, Transaction
 from hemlockstand.fleet.frontend import FrontendService
-from hemlockstand.fleet.model import JobState, JobStatus
+from hemlockstand.fleet.model import JobState, JobStatus, Resources, Tenant
 from hemlockstand.fleet.storage import cancel_write, status_write
 from test.fleet_world import make_config, make_settings
 
@@ -193,6 +193,58 @@
     assert (await frontend.call("GET"))[0] == 503
 
 
+@pytest.fixture
+def shared(frontend):
+    """A frontend whose configuration has two workspaces and a public queue."""
+    config = frontend.kernel.configuration.current
+    queue = attrs.evolve(config.queues[0], name="open", prefix="/open/", public=True)
+    other = Tenant("other", frozenset({"other-key"}), 1.0, Resources())
+    frontend.kernel.configuration.current = attrs.evolve(
+        config,
+        queues=(*config.queues, queue),
+        tenants={**config.tenants, "other": other},
+    )
+    return frontend
+
+
+FOREIGN = {"Authorization": "Bearer other-key"}
+
+
+async def test_foreign_key_learns_nothing_of_a_job(shared):
+    """Guards against a workspace that reads or cancels the job of another."""
+    absent = [await shared.call(method) for method in ("GET", "DELETE")]
+    await shared.call("POST", body=BODY)
+    (stored,) = shared.model.rows.values()
+    foreign = [await shared.call(method, **FOREIGN) for method in ("GET", "DELETE")]
+    assert foreign == absent == [(410, {"Error": "no such job"}, None)] * 2
+    for headers in (FOREIGN, {"Authorization": ""}):
+        reply = await shared.client.get(f"/open/{JOB}", headers=HEADERS | headers)
+        assert reply.status_code == 410
+    assert list(shared.model.rows.values()) == [stored]
+    assert await shared.call("GET") == (200, {"State": "queued"}, None)
+
+
+async def test_id_of_another_workspace_is_taken(shared):
+    """Guards against a foreign job that its submitter is told was accepted."""
+    await shared.call("POST", body=BODY)
+    (stored,) = shared.model.rows.values()
+    status, content, _ = await shared.call("POST", body=BODY, **FOREIGN)
+    assert (status, JOB in content["Error"]) == (409, True)
+    assert list(shared.model.rows.values()) == [stored]
+    assert (await shared.call("POST", body=BODY))[0] == 200
+
+
+async def test_job_without_a_workspace_is_shown_to_all(shared):
+    """Guards against a job of a public queue that its caller cannot follow."""
+    path = f"/open/{JOB}"
+    headers = HEADERS | {"Authorization": ""}
+    body = json.dumps(BODY)
+    reply = await shared.client.post(path, headers=headers, data=body)
+    assert reply.status_code == 200
+    assert (await shared.client.get(path, headers=headers)).status_code == 200
+    assert (await shared.client.get(path, headers=HEADERS)).status_code == 200
+
+
 async def test_job_states_shown_to_callers(frontend):
     """Guards against states that contradict an acknowledged cancel or end."""
     await frontend.call("POST", body=BODY)
