Refuse documents of very many short parts before objects are built

Cause: A submission of legal size can hold 87,000 empty objects, which need many times their size in memory.

--- a/hemlockstand/platform/decoding.py
+++ b/hemlockstand/platform/decoding.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from hemlockstand.documents import decode_document
+from hemlockstand.documents import check_counts, decode_document
 from hemlockstand.errors import InvalidInput
 from hemlockstand.fleet.model import (
     Advice,
@@ -278,6 +278,10 @@
     content: bytes, job: str, queue: Queue, tenant: str, now_ms: int
 ) -> JobSpec:
     """Return the job that a caller submits; raises ``InvalidInput``."""
+    try:
+        check_counts(content)
+    except msgspec.DecodeError as error:
+        raise InvalidInput(f"job: has {error}") from error
     fields = Fields(decode_object(content, "job"), "job")
     items = fields.items("Steps")
     if not items:
