Bound what clients of a fleet daemon hold

Cause: 800 to 1,200 connections could run a daemon of 200 MB out of memory; bodies were read before the path, the key or the length was looked at, and nothing limited connections, descriptors or slow clients. Change: Package hemlockstand/serving with a budget by door and source, a stream below Hypercorn that checks heads before they are parsed, reads a body only when the application asks for it, and closes what is slow. Section [clients] of the settings. The tests set memory_mb = 100 and max_descriptors = 150; crowd and bounds as fixed.

--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -10,13 +10,10 @@
 import attrs
 import trio
 from attrs import frozen
-from hypercorn.config import Config as HypercornConfig
-from hypercorn.trio import serve
 from loguru import logger
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from hemlockstand.asgi import shield_sends
 from hemlockstand.errors import InvalidInput, OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.metrics import ANSWERS, REQUEST_SECONDS, render_metrics
@@ -51,6 +48,9 @@
     StoredRow,
     make_stored_row,
 )
+from hemlockstand.serving.bodies import BodyTooLarge, read_body
+from hemlockstand.serving.connection import RefusalFormat
+from hemlockstand.serving.server import Door, bind_address, serve_clients
 
 log = logger.bind(module=__name__)
 
@@ -61,7 +61,9 @@
 BALANCER_NOTICE_SECONDS = 2.2
 # After this time a store outage may be over, or another daemon may answer.
 RETRY_AFTER_SECONDS = 1
-KEEP_ALIVE_SECONDS = 60.0
+# Parts of what clients may use. A crowd of callers leaves the balancer's checks
+# and the metrics their own part.
+DOOR_SHARES = {"callers": 0.75, "readiness": 0.125, "metrics": 0.125}
 # Owner of a job that was submitted without a key, to a public queue. Every caller
 # may follow and cancel it.
 NO_TENANT = ""
@@ -78,6 +80,16 @@
     retry_after: bool = False
 
 
+@frozen
+class Target:
+    """What an admitted request refers to; ``job`` is empty for the whole queue."""
+
+    config: FleetConfig
+    queue: Queue
+    job: str
+    tenant: str
+
+
 def refuse(status: int, detail: str) -> Answer:
     """Return an answer with the reason why a request was not carried out."""
     return Answer(status, encode_error(detail), status in (429, 503))
@@ -178,14 +190,17 @@
             await self._closed.wait()
 
     async def _serve(self, app: QuartTrio, kind: str) -> None:
-        config = HypercornConfig()
-        config.bind = [getattr(self._listen, kind)]
-        config.accesslog = None
-        config.errorlog = None
-        config.keep_alive_timeout = KEEP_ALIVE_SECONDS
-        config.graceful_timeout = self._grace_seconds / 3
-        trigger = self._closing.wait
-        await serve(shield_sends(app), config, shutdown_trigger=trigger, mode="asgi")
+        door = Door(
+            name=kind,
+            share=DOOR_SHARES[kind],
+            has_bodies=kind == "callers",
+            graceful_seconds=self._grace_seconds / 3,
+            refusals=RefusalFormat(encode_error),
+        )
+        listener = bind_address(getattr(self._listen, kind))
+        await serve_clients(
+            app, door, self.settings.clients, [listener], self._closing.wait
+        )
 
     def _make_ready_app(self) -> QuartTrio:
         app = QuartTrio(__name__ + ".readiness")
@@ -205,10 +220,7 @@
         @app.route("/<path:path>", methods=["GET", "POST", "DELETE"])
         async def answer_call(path: str) -> Response:
             started_at = time.monotonic()
-            # An answer before the body has arrived would make the server close
-            # the connection, and the caller's next request on it would fail.
-            body = await request.get_data()
-            answer = await self._answer_request(body)
+            answer = await self._answer_request()
             seconds = time.monotonic() - started_at
             ANSWERS.labels(request.method, answer.status).inc()
             REQUEST_SECONDS.labels(request.method).observe(seconds)
@@ -235,19 +247,36 @@
             config_age=round(self._configuration.age_seconds, 3),
         )
 
-    async def _answer_request(self, body: bytes) -> Answer:
+    async def _answer_request(self) -> Answer:
         """Return the answer to the present request, and log a refusal."""
         try:
             call = read_call(request)
         except InvalidInput as error:
             log.info("request of a caller was not read", detail=error.message)
             return refuse(400, error.message)
-        answer = await self._answer(call, body)
+        answer = await self._answer(call)
         if answer.status != 200:
             self._log_refusal(call, answer)
         return answer
 
-    async def _answer(self, call: Call, body: bytes) -> Answer:
+    async def _answer(self, call: Call) -> Answer:
+        match self._find_target(call):
+            case Answer() as refusal:
+                return refusal
+            case Target(config=config, queue=queue, job=job, tenant=tenant):
+                pass
+        if not job:
+            return await self._answer_pending(queue)
+        match call.method:
+            case "POST":
+                return await self._read_submission(call, config)
+            case "DELETE":
+                return await self._cancel(job, call, tenant)
+            case _:
+                return await self._answer_state(job, tenant)
+
+    def _find_target(self, call: Call) -> Target | Answer:
+        """Return what the head of a request refers to, or the refusal."""
         config = self._configuration.current
         if config is None:
             return refuse(503, "no configuration yet")
@@ -262,18 +291,22 @@
         if stale is not None:
             return stale
         job = call.path[len(queue.prefix) :]
-        if not job and call.method == "GET":
-            return await self._answer_pending(queue)
-        if JOB_ID.fullmatch(job) is None:
-            return refuse(400, f"{job!r} is not a job id of 16 hexadecimal digits")
+        if JOB_ID.fullmatch(job) is None and (job or call.method != "GET"):
+            return refuse(400, f"{job[:40]!r} is not a job id of 16 hexadecimal digits")
         tenant_name = NO_TENANT if tenant is None else tenant.name
-        match call.method:
-            case "POST":
-                return await self._submit(call, body, config, queue, job, tenant_name)
-            case "DELETE":
-                return await self._cancel(job, call, tenant_name)
-            case _:
-                return await self._answer_state(job, tenant_name)
+        return Target(config, queue, job, tenant_name)
+
+    async def _read_submission(self, call: Call, config: FleetConfig) -> Answer:
+        try:
+            body = await read_body(request, config.max_body_bytes)
+        except BodyTooLarge:
+            return refuse(413, f"the body has over {config.max_body_bytes} bytes")
+        # While the body arrived, the key may have been withdrawn.
+        match self._find_target(call):
+            case Answer() as refusal:
+                return refusal
+            case Target(config=config, queue=queue, job=job, tenant=tenant):
+                return await self._submit(call, body, config, queue, job, tenant)
 
     def _refuse_if_stale(self) -> Answer | None:
         if self._configuration.fresh:
@@ -289,8 +322,6 @@
         job: str,
         tenant: str,
     ) -> Answer:
-        if len(body) > config.max_body_bytes:
-            return refuse(413, f"the body has over {config.max_body_bytes} bytes")
         now_ms = int(time.time() * 1000)
         try:
             spec = decode_submission(body, job, queue, tenant, now_ms)
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -10,7 +10,9 @@
 
 from attrs import frozen
 
-from hemlockstand.settings import LogSettings, option, read_settings
+from hemlockstand.serving.settings import ClientSettings
+from hemlockstand.setting_options import option
+from hemlockstand.settings import LogSettings, read_settings
 
 DEFAULTS_FILE = Path(__file__).with_name("defaults.ini")
 
@@ -118,6 +120,7 @@
     bounds: BoundSettings
     scheduler: SchedulerSettings
     log: LogSettings
+    clients: ClientSettings
 
 
 def load_fleet_settings(path: str | Path) -> FleetSettings:
--- /dev/null
+++ b/hemlockstand/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serving of clients within limits on memory, descriptors and time."""
--- /dev/null
+++ b/hemlockstand/serving/connection.py
@@ -0,0 +1,385 @@
+"""A client's connection, as the stream that Hypercorn reads and writes.
+
+It hands over one complete head at a time, then the body only once the
+application has asked for it, and reads nothing ahead while an answer is made or
+not taken.
+"""
+
+import socket
+from collections.abc import Callable
+from enum import Enum, auto
+from math import inf
+
+import trio
+from attrs import define, field, frozen
+
+from hemlockstand.serving.budget import BODY_FACTOR, PROTOCOL_BYTES, REQUEST_BYTES
+from hemlockstand.serving.framing import (
+    ChunkCounter,
+    LengthCounter,
+    Malformed,
+    find_head_end,
+    read_head,
+)
+from hemlockstand.serving.limiter import Limiter
+from hemlockstand.serving.settings import ClientSettings
+
+# Bytes that are read at once. A client's share is counted after a read, so this
+# bounds what all connections together hold beyond the budget.
+RECEIVE_BYTES = 16_384
+# Time in which what a refused client still sends is read and dropped. Closing
+# with unread bytes would reset the connection, and the answer could be lost.
+LINGER_SECONDS = 0.5
+LINGER_BYTES = 1 << 20
+REFUSAL = (
+    b"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n"
+    b"%sConnection: close\r\n\r\n%s"
+)
+BUSY_DETAIL = "the daemon is busy; this was not run"
+RETRY_LINE = b"Retry-After: 1\r\n"  # in a second the crowd may have gone
+REASON_PHRASES = {
+    400: b"Bad Request",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    503: b"Service Unavailable",
+}
+PROTOCOL_UPGRADE = b"PRI "  # starts HTTP/2 without a negotiation
+
+
+class Phase(Enum):
+    """What a connection waits for."""
+
+    IDLE = auto()  # the first byte of a request
+    HEAD = auto()  # the rest of a head
+    BODY = auto()  # the rest of a body
+    ANSWER = auto()  # the application
+
+
+# The first to be closed when others need room.
+RANKS = {Phase.BODY: 0, Phase.HEAD: 0, Phase.IDLE: 1}
+STALLED_RANK = 2
+
+
+@frozen
+class RefusalFormat:
+    """How a door words refusals that its application does not see."""
+
+    encode: Callable[[str], bytes]
+    lines: bytes = b""  # of the head, each with its end
+
+
+def send_refusal(
+    client: socket.socket, refusals: RefusalFormat, status: int, detail: str
+) -> None:
+    """Send an answer without waiting, after which the connection closes."""
+    body = refusals.encode(detail)
+    lines = refusals.lines + (RETRY_LINE if status == 503 else b"")
+    phrase = REASON_PHRASES[status]
+    try:
+        client.send(REFUSAL % (status, phrase, len(body), lines, body))
+        client.shutdown(socket.SHUT_WR)
+    except OSError:
+        pass  # the client has gone, or does not read
+
+
+def drop_received(client: socket.socket) -> bool:
+    """Drop what has arrived, up to a bound; False if no more will."""
+    try:
+        for _ in range(LINGER_BYTES // RECEIVE_BYTES):
+            if not client.recv(RECEIVE_BYTES):
+                return False
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+@define(eq=False)
+class ClientRequest:
+    """The state of a request that the application may see."""
+
+    counter: LengthCounter | ChunkCounter
+    charged: int = REQUEST_BYTES
+    received: int = 0  # bytes of the body
+    wanted: bool = False
+    discarded: bool = False
+    complete: bool = False
+    wanted_event: trio.Event = field(factory=trio.Event)
+    complete_event: trio.Event = field(factory=trio.Event)
+
+    def allow_body(self) -> None:
+        """Let the body be read."""
+        self.wanted = True
+        self.wanted_event.set()
+
+    def mark_complete(self) -> None:
+        """Note that the application has been given the whole body."""
+        self.complete = True
+        self.complete_event.set()
+
+
+@define(eq=False)
+class Connection:
+    """One connection, with its deadline and what it holds."""
+
+    socket: socket.socket
+    source: str
+    limiter: Limiter
+    settings: ClientSettings
+    has_bodies: bool
+    refusals: RefusalFormat
+    since: float = field(factory=trio.current_time)
+    deadline: float = inf
+    request: ClientRequest | None = None
+    closed: bool = False
+    _phase: Phase = Phase.IDLE
+    _buffer: bytes = b""
+    _ready: bytes = b""
+    _in_protocol: bool = False
+    _held: int = 0
+    _answered: bool = False
+    _sending: bool = False
+    _linger_seconds: float | None = None
+
+    @property
+    def rank(self) -> int | None:
+        """Order in which connections are closed for others; None for never."""
+        if self.closed:
+            return None
+        return STALLED_RANK if self._sending else RANKS.get(self._phase)
+
+    @property
+    def idle(self) -> bool:
+        """Whether no complete head has arrived that is not answered."""
+        return self._phase in (Phase.IDLE, Phase.HEAD) and not self._sending
+
+    async def wait_request(self) -> bool:
+        """Wait for the first head; False if the connection ends without one."""
+        try:
+            self._ready = await self._receive_head()
+        except (trio.ClosedResourceError, trio.BrokenResourceError):
+            return False
+        return bool(self._ready)
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Return a complete head or a part of a body; nothing at the end."""
+        if self._ready:
+            data, self._ready = self._ready, b""
+            return data
+        if self.request is not None and not self.request.counter.done:
+            return await self._receive_body(self.request)
+        return await self._receive_head()
+
+    async def _receive_head(self) -> bytes:
+        settings = self.settings
+        now = trio.current_time()
+        self._enter(Phase.IDLE, now, now + settings.idle_seconds)
+        while not (end := find_head_end(self._buffer)):
+            excess = self._find_excess(self._buffer)
+            if excess:
+                return self._refuse(431, "head_too_large", excess)
+            data = await self._receive()
+            if not data:
+                return b""
+            if self._phase is Phase.IDLE:
+                now = trio.current_time()
+                self._enter(Phase.HEAD, now, now + settings.head_seconds)
+            self._buffer += data
+        content, self._buffer = self._buffer[:end], self._buffer[end:]
+        excess = self._find_excess(content)
+        if excess:
+            return self._refuse(431, "head_too_large", excess)
+        if content.startswith(PROTOCOL_UPGRADE):
+            return self._refuse(400, "protocol", "only HTTP/1.1 is served")
+        head = read_head(content)
+        if head.length != 0 and not self.has_bodies:
+            return self._refuse(413, "body_not_expected", "no body is accepted here")
+        await self._charge_request()
+        counter = ChunkCounter() if head.length is None else LengthCounter(head.length)
+        self.request = ClientRequest(counter, complete=counter.done)
+        self._answered = False
+        self._enter(Phase.ANSWER, trio.current_time(), inf)
+        return head.content
+
+    async def _charge_request(self) -> None:
+        if not self._in_protocol:
+            await self._hold(PROTOCOL_BYTES)
+            self._in_protocol = True
+        await self._hold(REQUEST_BYTES)
+
+    async def _hold(self, amount: int) -> None:
+        await self.limiter.obtain(self, amount)
+        self._held += amount
+
+    def drop(self, amount: int) -> None:
+        """Count bytes as free that the connection held."""
+        self._held -= amount
+        self.limiter.release(self, amount)
+
+    def drop_all(self) -> None:
+        """Count all bytes of the connection as free."""
+        self.drop(self._held)
+
+    def _find_excess(self, content: bytes) -> str:
+        if len(content) > self.settings.head_bytes:
+            return f"the head has over {self.settings.head_bytes} bytes"
+        if content.count(b"\n") > self.settings.head_lines:
+            return f"the head has over {self.settings.head_lines} lines"
+        return ""
+
+    async def _receive_body(self, request: ClientRequest) -> bytes:
+        if not request.wanted:
+            await request.wanted_event.wait()
+        if self.closed:
+            raise trio.ClosedResourceError
+        settings = self.settings
+        now = trio.current_time()
+        if self._phase is not Phase.BODY:
+            self._enter(Phase.BODY, now, now + settings.stall_seconds)
+        data, self._buffer = self._buffer, b""
+        if not data:
+            data = await self._receive()
+        if not data:
+            return b""
+        try:
+            size = request.counter.count(data)
+        except Malformed:
+            return self._refuse(400, "malformed_chunks", "the chunks are malformed")
+        data, self._buffer = data[:size], data[size:]
+        request.received += size
+        if not request.discarded:
+            await self._hold(size * BODY_FACTOR)
+            request.charged += size * BODY_FACTOR
+        if request.counter.done:
+            self._enter(Phase.ANSWER, trio.current_time(), inf)
+            return data
+        now = trio.current_time()
+        slowest = self.since + request.received / settings.bytes_per_second
+        self.deadline = min(now, slowest) + settings.stall_seconds
+        return data
+
+    def _enter(self, phase: Phase, since: float, deadline: float) -> None:
+        self._phase = phase
+        self.since = since
+        self.deadline = deadline
+
+    async def _receive(self) -> bytes:
+        waited = False
+        while True:
+            if self.closed:
+                raise trio.ClosedResourceError
+            try:
+                data = self.socket.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                await trio.lowlevel.wait_readable(self.socket)
+                waited = True
+                continue
+            except OSError as error:
+                raise trio.BrokenResourceError(str(error)) from error
+            if not waited:
+                await trio.lowlevel.checkpoint()
+            return data
+
+    async def send_all(self, data: bytes) -> None:
+        """Send bytes; the client has to take them at the lowest rate."""
+        if self.closed:
+            raise trio.ClosedResourceError
+        self._answered = self._answered or not data.startswith(b"HTTP/1.1 100")
+        sent = self._send(data)
+        if sent == len(data):
+            return
+        amount = len(data)
+        self.limiter.budget.count_bytes(self.source, amount)
+        self._sending = True
+        before = (self._phase, self.since, self.deadline)
+        started = trio.current_time()
+        self.since = started
+        try:
+            while sent < len(data):
+                now = trio.current_time()
+                slowest = started + sent / self.settings.bytes_per_second
+                self.deadline = min(now, slowest) + self.settings.stall_seconds
+                await trio.lowlevel.wait_writable(self.socket)
+                if self.closed:
+                    raise trio.ClosedResourceError
+                sent += self._send(memoryview(data)[sent:])
+        finally:
+            self._sending = False
+            self._enter(*before)
+            self.limiter.release(self, amount)
+
+    def _send(self, data: bytes | memoryview) -> int:
+        try:
+            return self.socket.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
+    async def send_eof(self) -> None:
+        """Tell the client that nothing more is sent."""
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
+    async def aclose(self) -> None:
+        """End the connection; its task closes the descriptor."""
+        request = self.request
+        if self._buffer or (request is not None and not request.complete):
+            self._linger_seconds = LINGER_SECONDS
+        self.close()
+
+    def close(self) -> None:
+        """Wake whatever uses the connection; nothing more is read or sent."""
+        if not self.closed:
+            self.closed = True
+            trio.lowlevel.notify_closing(self.socket)
+            self.limiter.wake()
+            if self.request is not None:
+                self.request.wanted_event.set()
+                self.request.complete_event.set()
+
+    def expire(self) -> None:
+        """Close the connection, because its deadline has passed."""
+        reason = "write_too_slow" if self._sending else REASONS[self._phase]
+        self._close_with(408, reason, "the request was sent too slowly and was not run")
+
+    def evict(self) -> None:
+        """Close the connection, because others need its room."""
+        self._close_with(503, "overloaded", BUSY_DETAIL)
+
+    def _close_with(self, status: int, reason: str, detail: str) -> None:
+        if self._phase in (Phase.HEAD, Phase.BODY) and not self._answered:
+            self._refuse(status, reason, detail)
+        else:
+            self.limiter.count(reason, self.source)
+            self.close()
+
+    def _refuse(self, status: int, reason: str, detail: str) -> bytes:
+        """Answer a request that the application does not see, and close."""
+        self.limiter.count(reason, self.source)
+        send_refusal(self.socket, self.refusals, status, detail)
+        # A connection that is closed for others frees its room at once.
+        self._linger_seconds = 0 if status in (408, 503) else LINGER_SECONDS
+        self.close()
+        return b""
+
+    async def linger(self) -> None:
+        """Read and drop what a refused client still sends, up to a bound."""
+        if self._linger_seconds is None:
+            return
+        with trio.CancelScope(shield=True) as scope:
+            scope.deadline = trio.current_time() + self._linger_seconds
+            while drop_received(self.socket):
+                await trio.lowlevel.wait_readable(self.socket)
+
+
+REASONS = {
+    Phase.IDLE: "idle",
+    Phase.HEAD: "head_too_slow",
+    Phase.BODY: "body_too_slow",
+    Phase.ANSWER: "closed",
+}
--- /dev/null
+++ b/hemlockstand/serving/settings.py
@@ -0,0 +1,60 @@
+"""Settings of the limits on clients, for the daemons of both engines."""
+
+from attrs import frozen
+
+from hemlockstand.setting_options import option
+
+MEGABYTE = 1 << 20
+
+
+@frozen
+class ClientSettings:
+    """Limits on what clients may use, and on how slowly they may send and read."""
+
+    memory_mb: int = option("Memory that the process may use, in MB.", 64, 1 << 20)
+    memory_share: float = option(
+        "Part of the memory that clients may use. The rest is for the daemon itself.",
+        0.05,
+        0.8,
+    )
+    max_descriptors: int = option(
+        "Descriptors that the process may have open.", 64, 1 << 20
+    )
+    descriptor_share: float = option(
+        "Part of the descriptors that connections of clients may use.", 0.05, 0.8
+    )
+    source_share: float = option(
+        "Part of an address's memory and connections that clients of one source IP "
+        "address may use.",
+        0.1,
+        1,
+    )
+    head_bytes: int = option("Largest head of a request, in bytes.", 1_024, 1 << 20)
+    head_lines: int = option("Largest number of lines of a head.", 16, 10_000)
+    head_seconds: float = option(
+        "Time in which a head must arrive from its first byte.", 0.1, 600
+    )
+    idle_seconds: float = option(
+        "Time for which a connection without a request stays open.", 0.1, 3_600
+    )
+    stall_seconds: float = option(
+        "Time for which a body or the reading of an answer may make no progress.",
+        0.1,
+        600,
+    )
+    bytes_per_second: float = option(
+        "Lowest mean rate of a body and of the reading of an answer, after "
+        "stall_seconds.",
+        1,
+        1 << 30,
+    )
+
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that all clients together may use."""
+        return int(self.memory_mb * MEGABYTE * self.memory_share)
+
+    @property
+    def connections(self) -> int:
+        """Connections that all clients together may have."""
+        return int(self.max_descriptors * self.descriptor_share)
--- a/hemlockstand/settings.py
+++ b/hemlockstand/settings.py
@@ -14,9 +14,11 @@
 from typing import Any, TypeVar, get_type_hints
 
 import attrs
-from attrs import Attribute, field, frozen
+from attrs import Attribute, frozen
 
 from hemlockstand.errors import SettingsError
+from hemlockstand.serving.settings import ClientSettings
+from hemlockstand.setting_options import option
 
 DEFAULTS_FILE = Path(__file__).with_name("defaults.ini")
 
@@ -28,27 +30,6 @@
 }
 
 
-def option(
-    doc: str,
-    minimum: float | None = None,
-    maximum: float | None = None,
-    choices: tuple[str, ...] = (),
-    secret: bool = False,
-    may_be_empty: bool = False,
-) -> Any:
-    """Declare a setting with its description and its allowed values."""
-    return field(
-        metadata={
-            "doc": doc,
-            "minimum": minimum,
-            "maximum": maximum,
-            "choices": choices,
-            "secret": secret,
-            "may_be_empty": may_be_empty,
-        }
-    )
-
-
 @frozen
 class DaemonSettings:
     """Identity of this daemon."""
@@ -284,6 +265,7 @@
     operators: OperatorSettings
     log: LogSettings
     trace: TraceSettings
+    clients: ClientSettings
 
 
 def load_settings(path: str | Path) -> Settings:
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -56,6 +56,7 @@
     read_lease,
 )
 from hemlockstand.platform.advice import AdviceClient, StepAdvice
+from hemlockstand.serving.settings import ClientSettings
 from hemlockstand.settings import LogSettings
 
 LASTING = float("inf")
@@ -72,6 +73,7 @@
         BoundSettings(10_000, 2000, 6, 120, 3000, 900, 3000),
         SchedulerSettings(1.2, 0.3, 0.25, 0.8),
         LogSettings("INFO", "json"),
+        ClientSettings(200, 0.25, 1024, 0.5, 0.9, 16_384, 128, 5, 60, 20, 1024),
     )
 
 
--- a/test/test_client_limits.py
+++ b/test/test_client_limits.py
@@ -16,7 +16,12 @@
 import trio
 from attrs import frozen
 
-from test.test_fleet_daemon import CONFIG, START_SECONDS, open_fleet
+from test.test_fleet_daemon import (
+    CONFIG,
+    SETTINGS as PLAIN_SETTINGS,
+    START_SECONDS,
+    open_fleet,
+)
 
 CROWD = 240  # a fifth of the connections with which the design page measured
 # A third of 100 MB, half the memory of the smallest machine. The rest is for the
@@ -24,6 +29,11 @@
 GROWTH_KB = 32 * 1024
 MAX_DESCRIPTORS = 150
 BODY_BYTES = 262_144  # the largest that the configuration allows
+SETTINGS = f"""{PLAIN_SETTINGS}
+[clients]
+memory_mb = 100
+max_descriptors = {MAX_DESCRIPTORS}
+"""
 HOLD_SECONDS = 1.2  # time for which a crowd stays
 CONNECT_SECONDS = 0.5  # in this time a crowd has sent what it sends first
 SAMPLE_SECONDS = 0.05
@@ -228,7 +238,7 @@
 @pytest.mark.parametrize("name", CROWDS)
 async def test_crowd_stays_within_the_limits(tmp_path, name):
     """Guards against clients that take all memory or all descriptors."""
-    async with open_fleet(tmp_path) as (fleet, (host,)):
+    async with open_fleet(tmp_path, settings=SETTINGS) as (fleet, (host,)):
         config = {**CONFIG, "ConfigVersion": 4, "Limits": {"MaxBodyBytes": BODY_BYTES}}
         fleet.platform.store.put("op", "config", json.dumps(config).encode())
         assert not await find_faults(CROWDS[name], fleet, host)
--- a/test/test_fleet_daemon.py
+++ b/test/test_fleet_daemon.py
@@ -72,12 +72,13 @@
     directory: Path
     client: httpx.AsyncClient
     processes: dict[str, subprocess.Popen] = field(factory=dict)
+    settings: str = SETTINGS
 
     def start(self, host: str) -> None:
         """Write the settings of a daemon and start its process."""
         path = self.directory / f"{host}.ini"
         path.write_text(
-            SETTINGS.format(name=host, host=host, platform=self.platform.address)
+            self.settings.format(name=host, host=host, platform=self.platform.address)
         )
         command = [sys.executable, "-m", "hemlockstand.daemon", "--fleet"]
         self.processes[host] = subprocess.Popen(
@@ -115,7 +116,7 @@
 
 
 @asynccontextmanager
-async def open_fleet(directory: Path, daemons: int = 1):
+async def open_fleet(directory: Path, daemons: int = 1, settings: str = SETTINGS):
     """Yield a fleet and its hosts once all daemons are ready."""
     network = reserve_network()
     hosts = [network.host(1, position + 2) for position in range(daemons)]
@@ -125,7 +126,7 @@
     async with trio.open_nursery() as nursery:
         await nursery.start(platform.serve)
         async with httpx.AsyncClient(trust_env=False, timeout=10) as client:
-            fleet = Fleet(platform, directory, client)
+            fleet = Fleet(platform, directory, client, settings=settings)
             try:
                 for host in hosts:
                     fleet.start(host)
