Bound what clients of the caller and operator ports hold

Cause: The ports of the older engine had no limits on connections, descriptors or slow clients, and a handled request counted as idle in the new stream, because Hypercorn reads on while a request is handled. Change: Both ports use hemlockstand/serving. The stream waits for the end of a request before it reads the next head, and notices meanwhile that the client has gone.

--- a/hemlockstand/operators/interface.py
+++ b/hemlockstand/operators/interface.py
@@ -16,15 +16,12 @@
 
 import msgspec
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 from loguru import logger
 from prometheus_client import CONTENT_TYPE_LATEST, Counter, generate_latest
 from quart import Response, request
 from quart_trio import QuartTrio
-from werkzeug.exceptions import HTTPException
+from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
 
-from hemlockstand.asgi import shield_sends
 from hemlockstand.documents import decode_document
 from hemlockstand.errors import HemlockstandError, InvalidInput
 from hemlockstand.kernel import Kernel, Service, register
@@ -36,6 +33,9 @@
     Unauthorized,
 )
 from hemlockstand.operators.routes import Answer, Operations
+from hemlockstand.serving.bodies import BodyTooLarge, read_body
+from hemlockstand.serving.connection import RefusalFormat
+from hemlockstand.serving.server import Door, serve_clients
 from hemlockstand.sheet.problems import SheetError
 from hemlockstand.sheet.reader import MAX_SHEET_BYTES
 
@@ -49,6 +49,8 @@
 LISTEN_BACKLOG = 100
 # Time that calls in progress have to finish when the daemon stops.
 GRACE_SECONDS = 5
+# Part of what clients may use; the rest is for callers. It holds one sheet.
+OPERATORS_SHARE = 0.25
 
 _decoder = msgspec.json.Decoder()
 
@@ -95,21 +97,23 @@
 
     async def run(self) -> None:
         """Serve until stopped."""
-        config = Config()
-        config.graceful_timeout = GRACE_SECONDS
-        config.accesslog = None
-        config.errorlog = None
+        door = Door(
+            name="operators",
+            share=OPERATORS_SHARE,
+            has_bodies=True,
+            graceful_seconds=GRACE_SECONDS,
+            refusals=RefusalFormat(encode_refusal),
+        )
         try:
             if self._stopping.is_set():
                 return
-            # Hypercorn closes the descriptor that it is given, so it gets a
-            # duplicate.
-            config.bind = [f"fd://{self._socket.dup().detach()}"]
-            await serve(
-                shield_sends(make_app(self.kernel, self._operations)),
-                config,
-                shutdown_trigger=self._stopping.wait,
-                mode="asgi",
+            # The listener that is served is closed with the last call.
+            await serve_clients(
+                make_app(self.kernel, self._operations),
+                door,
+                self.settings.clients,
+                [self._socket.dup()],
+                self._stopping.wait,
             )
         finally:
             self._finished.set()
@@ -148,7 +152,7 @@
 def make_app(kernel: Kernel, operations: Operations) -> QuartTrio:
     """Return the application of the operator port."""
     app = QuartTrio("hemlockstand.operators")
-    app.config["MAX_CONTENT_LENGTH"] = MAX_SHEET_BYTES + 1
+    app.config["MAX_CONTENT_LENGTH"] = None  # ``read_body`` has the limit
     token = kernel.settings.operators.token.encode()
 
     @app.get("/health")
@@ -194,7 +198,10 @@
 
 async def _read_request() -> OperatorRequest:
     arguments: dict[str, Any] = dict(request.args)
-    body = await request.get_data()
+    try:
+        body = await read_body(request, MAX_SHEET_BYTES + 1)
+    except BodyTooLarge:
+        raise RequestEntityTooLarge() from None
     if request.is_json and body:
         try:
             fields = decode_document(_decoder, body)
@@ -229,6 +236,11 @@
     return value
 
 
+def encode_refusal(detail: str) -> bytes:
+    """Return the body of a refusal that the application does not see."""
+    return json.dumps({"code": "refused", "detail": detail}).encode()
+
+
 def _respond(status: int, body: Answer) -> Response:
     return Response(
         json.dumps(body), status=status, content_type="application/json; charset=utf-8"
--- a/hemlockstand/requests/admission.py
+++ b/hemlockstand/requests/admission.py
@@ -8,13 +8,11 @@
 
 import msgspec
 import trio
-from hypercorn.trio import serve
 from loguru import logger
 from quart import Response, request as http_request
 from quart_trio import QuartTrio
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge, RequestTimeout
 
-from hemlockstand.asgi import shield_sends
 from hemlockstand.coordination.freshness import Scope
 from hemlockstand.documents import decode_document
 from hemlockstand.kernel import Kernel, Service, register
@@ -22,10 +20,12 @@
 from hemlockstand.model import Access, Configuration, Queue
 from hemlockstand.requests.accepting import AcceptingConfig
 from hemlockstand.requests.callers import (
+    REFUSAL_LINES,
     CallerHeaders,
     HttpAnswer,
     Refused,
     check_request_id,
+    encode_refusal,
     present_document,
     present_verdict,
     read_caller_headers,
@@ -41,6 +41,9 @@
 )
 from hemlockstand.requests.keys import KeyIndex
 from hemlockstand.requests.messages import Request
+from hemlockstand.serving.bodies import BodyTooLarge, read_body
+from hemlockstand.serving.connection import RefusalFormat
+from hemlockstand.serving.server import Door, serve_clients
 from hemlockstand.traces import record_span
 from hemlockstand.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
 
@@ -48,10 +51,8 @@
 
 BODY_TIMEOUT_SECONDS = 10
 STOP_MARGIN_SECONDS = 2.0
-BACKLOG = 1024
-# Longer than balancers keep idle connections, so that the balancer closes them
-# first and does not send a request on a connection that is being closed here.
-KEEP_ALIVE_SECONDS = 90
+# Part of what clients may use; the rest is for the operator port.
+CALLERS_SHARE = 0.75
 # Bound on the memory for bodies of waiting requests. A full queue of bodies of
 # the largest size would need a gigabyte, four times what a daemon may use.
 MAX_HELD_BYTES = 64 << 20
@@ -102,10 +103,9 @@
         """Serve callers until ``stop`` is called and requests have ended."""
         try:
             async with trio.open_nursery() as nursery:
-                binds = await nursery.start(self._serve)
-                self.port = int(binds[0].rpartition(":")[2])
+                await nursery.start(self._serve)
                 self.listening.set()
-                log.info("listening for callers on {}", binds[0])
+                log.info("listening for callers on port {}", self.port)
         finally:
             self._closed.set()
 
@@ -123,25 +123,26 @@
         listen = self.settings.listen
         config = AcceptingConfig()
         config.bind = [f"{listen.host}:{listen.caller_port}"]
-        config.accesslog = None
-        config.errorlog = None
-        config.include_server_header = False
-        config.backlog = BACKLOG
-        config.keep_alive_timeout = KEEP_ALIVE_SECONDS
-        config.graceful_timeout = (
-            self.settings.requests.max_deadline_seconds + STOP_MARGIN_SECONDS
+        listeners = config.create_sockets().insecure_sockets
+        self.port = listeners[0].getsockname()[1]
+        door = Door(
+            name="callers",
+            share=CALLERS_SHARE,
+            has_bodies=True,
+            graceful_seconds=(
+                self.settings.requests.max_deadline_seconds + STOP_MARGIN_SECONDS
+            ),
+            refusals=RefusalFormat(encode_refusal, REFUSAL_LINES),
+            server_header=False,
         )
-        await serve(
-            shield_sends(self.app),
-            config,
-            shutdown_trigger=self._closing.wait,
-            task_status=task_status,
+        task_status.started()
+        await serve_clients(
+            self.app, door, self.settings.clients, listeners, self._closing.wait
         )
 
     def _make_app(self) -> QuartTrio:
         app = QuartTrio("hemlockstand", static_folder=None)
         app.config["MAX_CONTENT_LENGTH"] = self.settings.requests.max_body_bytes
-        app.config["BODY_TIMEOUT"] = BODY_TIMEOUT_SECONDS
         app.config["RESPONSE_TIMEOUT"] = None
         app.add_url_rule("/v1/queues/<queue>", view_func=self._submit, methods=["POST"])
         app.add_url_rule("/v1/requests/<request_id>", view_func=self._look_up)
@@ -198,7 +199,7 @@
         if queue.access is not Access.OPEN:
             key = self._check_key(configuration, queue.team, caller_headers)
         self._check_held(http_request.content_length or 0)
-        body = await http_request.get_data()
+        body = await self._read_body(self.settings.requests.max_body_bytes)
         self._check_held(len(body))
         request_id = caller_headers.request_id
         if request_id is None:
@@ -214,6 +215,18 @@
             key=key,
         )
 
+    async def _read_body(self, max_bytes: int) -> bytes:
+        """Return the body of the present request; raises ``Refused``."""
+        try:
+            with trio.fail_after(BODY_TIMEOUT_SECONDS):
+                return await read_body(http_request, max_bytes)
+        except BodyTooLarge:
+            raise refuse(
+                Reason.BODY_TOO_LARGE, f"the body has over {max_bytes} bytes"
+            ) from None
+        except trio.TooSlowError:
+            raise RequestTimeout() from None
+
     def _check_held(self, size: int) -> None:
         """Refuse a body that would exceed the memory for waiting bodies."""
         if self._held_bytes + size > MAX_HELD_BYTES:
@@ -262,12 +275,7 @@
         return await self._respond_to_team(NO_REQUEST_ID, self._issue_checked)
 
     async def _issue_checked(self, team: str) -> HttpAnswer:
-        data = await http_request.get_data()
-        if len(data) > MAX_DOCUMENT_BYTES:
-            raise refuse(
-                Reason.BODY_TOO_LARGE,
-                f"the body has {len(data)} bytes, at most {MAX_DOCUMENT_BYTES}",
-            )
+        data = await self._read_body(MAX_DOCUMENT_BYTES)
         try:
             wanted = decode_document(_issue_decoder, data).count
         except msgspec.DecodeError as error:
--- a/hemlockstand/requests/callers.py
+++ b/hemlockstand/requests/callers.py
@@ -73,6 +73,10 @@
 _MAY_HAVE_RUN_STATUS = 504
 
 
+# Of refusals that the application does not see; see ``present_verdict``.
+REFUSAL_LINES = b"X-Verdict: not-run\r\nX-Request-Id: none\r\n"
+
+
 class Refused(HemlockstandError):
     """Raised for a request that is refused before dispatch."""
 
@@ -247,5 +251,10 @@
     ]
 
 
+def encode_refusal(detail: str) -> bytes:
+    """Return the body of a refusal that the application does not see."""
+    return _refusal_body(Reason.OVERLOADED, detail)
+
+
 def _refusal_body(reason: Reason, detail: str) -> bytes:
     return msgspec.json.encode({"code": reason.value, "detail": detail})
--- a/hemlockstand/serving/application.py
+++ b/hemlockstand/serving/application.py
@@ -60,8 +60,7 @@
         try:
             await self.application(scope, receive_counted, send_shielded)
         finally:
-            connection.drop(request.charged)
-            request.charged = 0
+            connection.finish_request(request)
 
 
 async def finish_body(request: ClientRequest) -> bool:
--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -108,6 +108,8 @@
     complete: bool = False
     wanted_event: trio.Event = field(factory=trio.Event)
     complete_event: trio.Event = field(factory=trio.Event)
+    finished: bool = False
+    finished_event: trio.Event = field(factory=trio.Event)
 
     def allow_body(self) -> None:
         """Let the body be read."""
@@ -170,8 +172,38 @@
             return data
         if self.request is not None and not self.request.counter.done:
             return await self._receive_body(self.request)
+        if self.request is not None and not self.request.finished:
+            if not await self._wait_finished(self.request):
+                return b""
         return await self._receive_head()
 
+    async def _wait_finished(self, request: ClientRequest) -> bool:
+        """Wait until a request is answered; False if its client has gone."""
+        if not self._buffer:
+            await trio.lowlevel.wait_readable(self.socket)
+            if request.finished:
+                return True
+            try:
+                if not self.socket.recv(1, socket.MSG_PEEK):
+                    return False
+            except BlockingIOError:
+                pass
+            except OSError as error:
+                raise trio.BrokenResourceError(str(error)) from error
+        await request.finished_event.wait()
+        if self.closed:
+            raise trio.ClosedResourceError
+        return True
+
+    def finish_request(self, request: ClientRequest) -> None:
+        """Note that a request has been answered or given up."""
+        self.drop(request.charged)
+        request.charged = 0
+        request.finished = True
+        request.finished_event.set()
+        now = trio.current_time()
+        self._enter(Phase.IDLE, now, now + self.settings.idle_seconds)
+
     async def _receive_head(self) -> bytes:
         settings = self.settings
         now = trio.current_time()
@@ -341,6 +373,7 @@
             if self.request is not None:
                 self.request.wanted_event.set()
                 self.request.complete_event.set()
+                self.request.finished_event.set()
 
     def expire(self) -> None:
         """Close the connection, because its deadline has passed."""
