--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -224,7 +224,7 @@
         if excess:
             return self._refuse(431, "head_too_large", excess)
         if content.startswith(PROTOCOL_UPGRADE):
-            return self._refuse(400, "protocol", "only HTTP/1.1 is served")
+            return self._refuse(400, "protocol", "HTTP/2 is not served")
         head = read_head(content)
         if head.length != 0 and not self.has_bodies:
             return self._refuse(413, "body_not_expected", "no body is accepted here")
--- a/hemlockstand/serving/framing.py
+++ b/hemlockstand/serving/framing.py
@@ -126,4 +126,6 @@
         if size < 0:
             raise Malformed
         self._last = size == 0
-        self._in_chunk = size + 2 if size else 0
+        if size:
+            self._in_chunk = size + 2  # with the end of line behind it
+            self.overhead += 2
--- /dev/null
+++ b/test/test_serving.py
@@ -0,0 +1,159 @@
+"""Limits on single connections, over the network and without a crowd."""
+
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+from attrs import evolve
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from hemlockstand.platform.callers import encode_error
+from hemlockstand.serving.bodies import BodyTooLarge, read_body
+from hemlockstand.serving.budget import CONNECTION_BYTES, Budget
+from hemlockstand.serving.connection import RefusalFormat
+from hemlockstand.serving.framing import ChunkCounter, Malformed
+from hemlockstand.serving.server import Door, bind_address, serve_clients
+from test.fleet_world import make_settings
+
+LIMIT = 100_000
+SETTINGS = evolve(make_settings("a").clients, head_seconds=0.3, stall_seconds=0.3)
+TIMEOUT_SECONDS = 10
+
+
+def make_app() -> QuartTrio:
+    """Return an application that answers with the size of a body."""
+    app = QuartTrio(__name__)
+
+    @app.post("/size")
+    async def answer_size() -> Response:
+        try:
+            return Response(str(len(await read_body(request, LIMIT))))
+        except BodyTooLarge:
+            return Response("", 413)
+
+    @app.route("/refused", methods=["GET", "POST"])
+    async def refuse_unread() -> Response:
+        return Response("", 401)
+
+    return app
+
+
+@asynccontextmanager
+async def open_door(settings=SETTINGS, has_bodies=True):
+    """Yield a function that sends bytes and returns all that is answered."""
+    listener = bind_address("127.0.0.1:0")
+    port = listener.getsockname()[1]
+    refusals = RefusalFormat(encode_error)
+    door = Door("callers", 1.0, has_bodies, 0.1, refusals)
+    closing = trio.Event()
+
+    async def exchange(*pieces: bytes, finish: bool = False) -> bytes:
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        answer = b""
+        async with stream:
+            with trio.fail_after(TIMEOUT_SECONDS):
+                for piece in pieces:
+                    await stream.send_all(piece)
+                    await trio.sleep(0.01)
+                while chunk := await stream.receive_some(65_536):
+                    answer += chunk
+        return answer
+
+    async with trio.open_nursery() as nursery:
+        arguments = (make_app(), door, settings, [listener], closing.wait)
+        nursery.start_soon(serve_clients, *arguments)
+        yield exchange
+        closing.set()
+
+
+def make_request(path: str, body: bytes = b"", *lines: str) -> bytes:
+    """Return a request with a body of known length."""
+    length = f"Content-Length: {len(body)}"
+    head = "\r\n".join((f"POST {path} HTTP/1.1", "Host: a", length, *lines, "", ""))
+    return head.encode() + body
+
+
+LAST = make_request("/size", b"four", "Connection: close")
+CHUNKED = b"POST /size HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        make_request("/size", b" " * 70_000),
+        make_request("/refused", b" " * 30_000),
+        make_request("/none", b" " * 30_000),
+        CHUNKED + b"5;x=y\r\nabcde\r\n3\r\nabc\r\n0\r\nTrailer: a\r\n\r\n",
+    ],
+)
+@pytest.mark.parametrize("size", [1 << 20, 1_000])
+async def test_next_request_on_a_connection_is_served(first, size):
+    """Guards against a rest of a body that is taken for the next request."""
+    whole = first + LAST
+    pieces = (whole[at : at + size] for at in range(0, len(whole), size))
+    async with open_door() as exchange:
+        answer = await exchange(*pieces)
+    assert answer.count(b"HTTP/1.1 ") == 2
+    assert answer.endswith(b"\r\n\r\n4")
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (make_request("/refused", b" " * 90_000), b"401"),
+        (b"POST /size HTTP/1.1\r\nHost: a\r\nContent-Length: 100001\r\n\r\n", b"413"),
+        (
+            CHUNKED + b"10000\r\n" + b" " * 65_536 + b"\r\nffff\r\n" + b" " * 65_535,
+            b"413",
+        ),
+        (CHUNKED + b"1\r\na\r\n" * 20_000, b"400"),
+        (make_request("/size", b"", *["a: b"] * 200), b"431"),
+        (b"POST /size HTTP/1.1\r\nHost: a\r\nX: " + b"a" * 17_000, b"431"),
+        (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", b"400"),
+        (b"POST /size HTTP/1.1\r\nHost:", b"408"),
+        (make_request("/size", b"abc")[:-1], b"408"),
+    ],
+)
+async def test_refusal_is_answered_and_closes(sent, status):
+    """Guards against a client over a limit that is read on, or gets no answer."""
+    async with open_door() as exchange:
+        answer = await exchange(sent)
+    assert answer.split(b" ")[1] == status
+    assert answer.count(b"HTTP/1.1 ") == 1
+    assert b"connection: close" in answer.lower()
+
+
+async def test_door_without_bodies_reads_none():
+    """Guards against bodies at addresses that need none."""
+    async with open_door(has_bodies=False) as exchange:
+        answer = await exchange(make_request("/size", b"four"))
+    assert answer.split(b" ")[1] == b"413"
+
+
+async def test_upgrade_is_ignored():
+    """Guards against protocols whose buffers are not bounded."""
+    lines = ("Upgrade: h2c", "HTTP2-Settings: AAMAAABk", "Connection: close")
+    async with open_door() as exchange:
+        answer = await exchange(make_request("/size", b"", *lines))
+    assert answer.startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("lines", [b"zz\r\n", b"-1\r\n", b"1" * 300])
+def test_bad_chunks_are_found(lines):
+    """Guards against a size that moves the end of a body."""
+    with pytest.raises(Malformed):
+        ChunkCounter().count(lines)
+
+
+def test_sources_share_a_budget():
+    """Guards against one source that takes everything, and against a leak."""
+    budget = Budget(10 * CONNECTION_BYTES, 8, 0.5)
+    assert [budget.take_connection("one") for _ in range(5)] == [True] * 4 + [False]
+    assert budget.take_connection("two")
+    assert not budget.take_bytes("one", 2 * CONNECTION_BYTES)
+    assert budget.take_bytes("two", 2 * CONNECTION_BYTES)
+    budget.give_bytes("two", 2 * CONNECTION_BYTES)
+    for source in ("one", "one", "one", "one", "two"):
+        budget.give_connection(source)
+    assert (budget.used_bytes, budget.connections) == (0, 0)
