Survive SIGHUP while the daemon starts

Cause: SIGHUP in the first second ended the process, as nothing handled it yet. Change: The signal is ignored before the imports, until the receiver is installed. A test sends nested bodies to a real daemon as well.

--- a/hemlockstand/daemon.py
+++ b/hemlockstand/daemon.py
@@ -10,6 +10,11 @@
 import sys
 from importlib import import_module
 
+if __name__ == "__main__" and "--fleet" in sys.argv:
+    # The imports below and the start take most of a second. Until ``serve_fleet``
+    # receives signals, SIGHUP would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import trio
 from absl import app, flags
 from loguru import logger
--- a/test/test_fleet_daemon.py
+++ b/test/test_fleet_daemon.py
@@ -186,6 +186,11 @@
             json.dumps({"Steps": [{**step, "After": [1]}, step]}).encode(),
             json.dumps({"TaskSpec": "x" * 4001, "Steps": [step]}).encode(),
             json.dumps({"Steps": [{"Count": 100_000, "Cpu": 1}]}).encode(),
+            *(b"[" * depth + b"]" * depth for depth in (300, 900, 4_000, 9_000)),
+            *(
+                b'{"Steps":[{"Count":' + b"[" * depth + b"]" * depth + b"}]}"
+                for depth in (300, 900, 4_000)
+            ),
         ]
         for body in bodies:
             reply = await call("POST", job, content=body)
@@ -252,6 +257,23 @@
         assert lease["holder"] == ""
 
 
+async def test_reload_signal_during_the_start_is_survived(tmp_path):
+    """Guards against SIGHUP that ends a daemon before it handles signals.
+
+    The interpreter itself has until then 0.3 s to start.
+    """
+    async with open_fleet(tmp_path, daemons=0) as (fleet, _):
+        host = fleet.platform.address.partition(":")[0]
+        fleet.start(host)
+        process = fleet.processes[host]
+        await trio.sleep(0.3)
+        for _ in range(20):
+            process.send_signal(signal.SIGHUP)
+            await trio.sleep(0.05)
+            assert process.poll() is None
+        await fleet.wait_ready(host)
+
+
 @pytest.mark.parametrize("text", ["", "[daemon]\nname = x\n", "nonsense"])
 def test_bad_settings_are_named(tmp_path, text):
     """Guards against a daemon that starts with incomplete or bad settings."""
