Check that the limits on clients leave room for one request

Cause: Small shares of memory would have refused a single request of legal size, and a sheet of 16 MB counted three times did not fit into the operators' part. Change: The settings are checked against the largest body of each door; operators' bodies count once.

--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -49,6 +49,7 @@
     make_stored_row,
 )
 from hemlockstand.serving.bodies import BodyTooLarge, read_body
+from hemlockstand.serving.budget import BODY_FACTOR
 from hemlockstand.serving.connection import RefusalFormat
 from hemlockstand.serving.server import Door, bind_address, serve_clients
 
@@ -193,7 +194,7 @@
         door = Door(
             name=kind,
             share=DOOR_SHARES[kind],
-            has_bodies=kind == "callers",
+            body_factor=BODY_FACTOR if kind == "callers" else 0,
             graceful_seconds=self._grace_seconds / 3,
             refusals=RefusalFormat(encode_error),
         )
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -10,10 +10,12 @@
 
 from attrs import frozen
 
-from hemlockstand.serving.settings import ClientSettings
+from hemlockstand.serving.budget import BODY_FACTOR
+from hemlockstand.serving.settings import CALLERS_SHARE, ClientSettings
 from hemlockstand.setting_options import option
 from hemlockstand.settings import LogSettings, read_settings
 
+USUAL_BODY_BYTES = 262_144  # the platform's limit unless the configuration has another
 DEFAULTS_FILE = Path(__file__).with_name("defaults.ini")
 
 
@@ -135,6 +137,11 @@
             f"{path}: [scheduler] renew_seconds = {scheduler.renew_seconds}: "
             "must be at most a third of lease_seconds"
         )
+    if not sections["clients"].fits(CALLERS_SHARE, BODY_FACTOR * USUAL_BODY_BYTES):
+        yield (
+            f"{path}: [clients] memory_mb: a body of {USUAL_BODY_BYTES} bytes does "
+            "not fit into memory_share and source_share"
+        )
     bounds = sections["bounds"]
     if bounds.longest_hold_ms < 2000 * scheduler.lease_seconds:
         yield (
--- a/hemlockstand/operators/interface.py
+++ b/hemlockstand/operators/interface.py
@@ -36,6 +36,7 @@
 from hemlockstand.serving.bodies import BodyTooLarge, read_body
 from hemlockstand.serving.connection import RefusalFormat
 from hemlockstand.serving.server import Door, serve_clients
+from hemlockstand.serving.settings import OPERATORS_SHARE
 from hemlockstand.sheet.problems import SheetError
 from hemlockstand.sheet.reader import MAX_SHEET_BYTES
 
@@ -49,8 +50,6 @@
 LISTEN_BACKLOG = 100
 # Time that calls in progress have to finish when the daemon stops.
 GRACE_SECONDS = 5
-# Part of what clients may use; the rest is for callers. It holds one sheet.
-OPERATORS_SHARE = 0.25
 
 _decoder = msgspec.json.Decoder()
 
@@ -100,7 +99,7 @@
         door = Door(
             name="operators",
             share=OPERATORS_SHARE,
-            has_bodies=True,
+            body_factor=1,
             graceful_seconds=GRACE_SECONDS,
             refusals=RefusalFormat(encode_refusal),
         )
--- a/hemlockstand/requests/admission.py
+++ b/hemlockstand/requests/admission.py
@@ -42,8 +42,10 @@
 from hemlockstand.requests.keys import KeyIndex
 from hemlockstand.requests.messages import Request
 from hemlockstand.serving.bodies import BodyTooLarge, read_body
+from hemlockstand.serving.budget import BODY_FACTOR
 from hemlockstand.serving.connection import RefusalFormat
 from hemlockstand.serving.server import Door, serve_clients
+from hemlockstand.serving.settings import CALLERS_SHARE
 from hemlockstand.traces import record_span
 from hemlockstand.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
 
@@ -51,8 +53,6 @@
 
 BODY_TIMEOUT_SECONDS = 10
 STOP_MARGIN_SECONDS = 2.0
-# Part of what clients may use; the rest is for the operator port.
-CALLERS_SHARE = 0.75
 # Bound on the memory for bodies of waiting requests. A full queue of bodies of
 # the largest size would need a gigabyte, four times what a daemon may use.
 MAX_HELD_BYTES = 64 << 20
@@ -128,7 +128,7 @@
         door = Door(
             name="callers",
             share=CALLERS_SHARE,
-            has_bodies=True,
+            body_factor=BODY_FACTOR,
             graceful_seconds=(
                 self.settings.requests.max_deadline_seconds + STOP_MARGIN_SECONDS
             ),
--- a/hemlockstand/serving/budget.py
+++ b/hemlockstand/serving/budget.py
@@ -14,7 +14,7 @@
 CONNECTION_BYTES = 16 << 10
 PROTOCOL_BYTES = 96 << 10  # more once a connection has had a request
 REQUEST_BYTES = 64 << 10  # more while a request is handled
-# A body is held as it arrives and again as the decoded document.
+# A job's body is held as it arrives and again as the decoded document.
 BODY_FACTOR = 3
 
 
--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -13,7 +13,7 @@
 import trio
 from attrs import define, field, frozen
 
-from hemlockstand.serving.budget import BODY_FACTOR, PROTOCOL_BYTES, REQUEST_BYTES
+from hemlockstand.serving.budget import PROTOCOL_BYTES, REQUEST_BYTES
 from hemlockstand.serving.framing import (
     ChunkCounter,
     LengthCounter,
@@ -130,7 +130,7 @@
     source: str
     limiter: Limiter
     settings: ClientSettings
-    has_bodies: bool
+    body_factor: int
     refusals: RefusalFormat
     since: float = field(factory=trio.current_time)
     deadline: float = inf
@@ -226,7 +226,7 @@
         if content.startswith(PROTOCOL_UPGRADE):
             return self._refuse(400, "protocol", "HTTP/2 is not served")
         head = read_head(content)
-        if head.length != 0 and not self.has_bodies:
+        if head.length != 0 and not self.body_factor:
             return self._refuse(413, "body_not_expected", "no body is accepted here")
         await self._charge_request()
         counter = ChunkCounter() if head.length is None else LengthCounter(head.length)
@@ -282,8 +282,8 @@
         data, self._buffer = data[:size], data[size:]
         request.received += size
         if not request.discarded:
-            await self._hold(size * BODY_FACTOR)
-            request.charged += size * BODY_FACTOR
+            await self._hold(size * self.body_factor)
+            request.charged += size * self.body_factor
         if request.counter.done:
             self._enter(Phase.ANSWER, trio.current_time(), inf)
             return data
--- a/hemlockstand/serving/server.py
+++ b/hemlockstand/serving/server.py
@@ -40,12 +40,13 @@
     """An address of the daemon.
 
     ``share`` is its part of what all clients may use, so that a crowd at one
-    door does not close another.
+    door does not close another. ``body_factor`` is the memory for a body relative
+    to its size, 0 where no body is accepted.
     """
 
     name: str
     share: float
-    has_bodies: bool
+    body_factor: int
     graceful_seconds: float
     refusals: RefusalFormat
     server_header: bool = True
@@ -160,7 +161,7 @@
                 source,
                 self.limiter,
                 self.settings,
-                self.door.has_bodies,
+                self.door.body_factor,
                 self.door.refusals,
             )
             self.limiter.add(connection)
--- a/hemlockstand/serving/settings.py
+++ b/hemlockstand/serving/settings.py
@@ -2,9 +2,17 @@
 
 from attrs import frozen
 
+from hemlockstand.serving.budget import (
+    CONNECTION_BYTES,
+    PROTOCOL_BYTES,
+    REQUEST_BYTES,
+)
 from hemlockstand.setting_options import option
 
 MEGABYTE = 1 << 20
+# Parts of what clients of the older engine's two ports may use.
+CALLERS_SHARE = 0.75
+OPERATORS_SHARE = 0.25
 
 
 @frozen
@@ -54,6 +62,11 @@
         """Memory that all clients together may use."""
         return int(self.memory_mb * MEGABYTE * self.memory_share)
 
+    def fits(self, share: float, body_bytes: int) -> bool:
+        """Return whether a door with this share can hold a body by itself."""
+        held = body_bytes + CONNECTION_BYTES + PROTOCOL_BYTES + REQUEST_BYTES
+        return held <= self.memory_bytes * share * self.source_share
+
     @property
     def connections(self) -> int:
         """Connections that all clients together may have."""
--- a/hemlockstand/settings.py
+++ b/hemlockstand/settings.py
@@ -17,8 +17,14 @@
 from attrs import Attribute, frozen
 
 from hemlockstand.errors import SettingsError
-from hemlockstand.serving.settings import ClientSettings
+from hemlockstand.serving.budget import BODY_FACTOR
+from hemlockstand.serving.settings import (
+    CALLERS_SHARE,
+    OPERATORS_SHARE,
+    ClientSettings,
+)
 from hemlockstand.setting_options import option
+from hemlockstand.sheet.reader import MAX_SHEET_BYTES
 
 DEFAULTS_FILE = Path(__file__).with_name("defaults.ini")
 
@@ -416,6 +422,12 @@
             f"{path}: [keys] freshness_seconds = {keys.freshness_seconds}: "
             "must be at least twice configuration.poll_seconds"
         )
+    clients = sections["clients"]
+    largest = BODY_FACTOR * sections["requests"].max_body_bytes
+    if not clients.fits(CALLERS_SHARE, largest):
+        yield f"{path}: [clients] memory_mb: [requests] max_body_bytes does not fit"
+    if not clients.fits(OPERATORS_SHARE, MAX_SHEET_BYTES):
+        yield f"{path}: [clients] memory_mb: the largest sheet does not fit"
     trace = sections["trace"]
     if trace.export == "file" and not trace.file:
         yield f"{path}: [trace] file is empty although export is file"
--- a/test/test_serving.py
+++ b/test/test_serving.py
@@ -8,6 +8,8 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
+from hemlockstand.errors import SettingsError
+from hemlockstand.fleet.settings import load_fleet_settings
 from hemlockstand.platform.callers import encode_error
 from hemlockstand.serving.bodies import BodyTooLarge, read_body
 from hemlockstand.serving.budget import CONNECTION_BYTES, Budget
@@ -15,6 +17,7 @@
 from hemlockstand.serving.framing import ChunkCounter, Malformed
 from hemlockstand.serving.server import Door, bind_address, serve_clients
 from test.fleet_world import make_settings
+from test.test_fleet_daemon import SETTINGS as PLAIN_SETTINGS
 
 LIMIT = 100_000
 SETTINGS = evolve(make_settings("a").clients, head_seconds=0.3, stall_seconds=0.3)
@@ -40,12 +43,12 @@
 
 
 @asynccontextmanager
-async def open_door(settings=SETTINGS, has_bodies=True):
+async def open_door(settings=SETTINGS, body_factor=3):
     """Yield a function that sends bytes and returns all that is answered."""
     listener = bind_address("127.0.0.1:0")
     port = listener.getsockname()[1]
     refusals = RefusalFormat(encode_error)
-    door = Door("callers", 1.0, has_bodies, 0.1, refusals)
+    door = Door("callers", 1.0, body_factor, 0.1, refusals)
     closing = trio.Event()
 
     async def exchange(*pieces: bytes, finish: bool = False) -> bytes:
@@ -126,7 +129,7 @@
 
 async def test_door_without_bodies_reads_none():
     """Guards against bodies at addresses that need none."""
-    async with open_door(has_bodies=False) as exchange:
+    async with open_door(body_factor=0) as exchange:
         answer = await exchange(make_request("/size", b"four"))
     assert answer.split(b" ")[1] == b"413"
 
@@ -146,6 +149,18 @@
         ChunkCounter().count(lines)
 
 
+def test_settings_leave_room_for_a_body(tmp_path):
+    """Guards against limits that refuse a single request of legal size."""
+    path = tmp_path / "x.ini"
+    text = PLAIN_SETTINGS.format(name="a", host="127.0.0.1", platform="127.0.0.1:1")
+    path.write_text(f"{text}[clients]\nmemory_mb = 64\n")
+    load_fleet_settings(path)
+    shares = "memory_share = 0.05\nsource_share = 0.1\n"
+    path.write_text(f"{text}[clients]\nmemory_mb = 64\n{shares}")
+    with pytest.raises(SettingsError, match="does not fit"):
+        load_fleet_settings(path)
+
+
 def test_sources_share_a_budget():
     """Guards against one source that takes everything, and against a leak."""
     budget = Budget(10 * CONNECTION_BYTES, 8, 0.5)
