--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -5,22 +5,17 @@
 """
 
 import time
-from collections.abc import Callable, Sequence
 
-import attrs
 import trio
 from attrs import frozen
-from hypercorn.config import Config as HypercornConfig
-from hypercorn.trio import serve
 from loguru import logger
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from hemlockstand.asgi import shield_sends
 from hemlockstand.errors import InvalidInput, OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.metrics import ANSWERS, REQUEST_SECONDS, render_metrics
-from hemlockstand.fleet.model import FleetConfig, JobState, Queue, Step
+from hemlockstand.fleet.model import FleetConfig, JobState, Queue
 from hemlockstand.fleet.services import RowStoreService
 from hemlockstand.fleet.settings import FleetSettings
 from hemlockstand.fleet.storage import (
@@ -29,10 +24,15 @@
     JobRows,
     cancel_write,
     decode_pending,
-    group_rows,
     job_write,
     read_job,
 )
+from hemlockstand.fleet.submissions import (
+    NO_TENANT,
+    FindDifference,
+    describe_step,
+    find_difference,
+)
 from hemlockstand.fleet.view_server import add_views
 from hemlockstand.kernel import Kernel, Service, register
 from hemlockstand.platform.callers import (
@@ -49,9 +49,11 @@
     RowExpectation,
     RowsRefused,
     RowWrite,
-    StoredRow,
-    make_stored_row,
 )
+from hemlockstand.serving.bodies import BodyTooLarge, read_body
+from hemlockstand.serving.budget import BODY_FACTOR
+from hemlockstand.serving.connection import RefusalFormat
+from hemlockstand.serving.server import Door, bind_address, serve_clients
 
 log = logger.bind(module=__name__)
 
@@ -62,7 +64,9 @@
 BALANCER_NOTICE_SECONDS = 2.2
 # After this time a store outage may be over, or another daemon may answer.
 RETRY_AFTER_SECONDS = 1
-KEEP_ALIVE_SECONDS = 60.0
+# Parts of what clients may use. A crowd of callers leaves the balancer's checks
+# and the metrics their own part.
+DOOR_SHARES = {"callers": 0.75, "readiness": 0.125, "metrics": 0.125}
 TOO_LARGE_JOB = "the job does not fit into a row of the store"
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -76,34 +80,19 @@
     retry_after: bool = False
 
 
-def refuse(status: int, detail: str) -> Answer:
-    """Return an answer with the reason why a request was not carried out."""
-    return Answer(status, encode_error(detail), status in (429, 503))
-
-
-FindDifference = Callable[[RowWrite, Sequence[StoredRow]], str]
+@frozen
+class Target:
+    """What an admitted request refers to; ``job`` is empty for the whole queue."""
 
+    config: FleetConfig
+    queue: Queue
+    job: str
+    tenant: str
 
-def _find_difference(write: RowWrite, rows: Sequence[StoredRow]) -> str:
-    """Return how a stored job differs from a submission under its id, if so.
 
-    What the configuration adds to a submission is not compared, because the
-    configuration may have changed between the two.
-    """
-    new = group_rows([make_stored_row(write)])[write.key].spec
-    old = group_rows(row for row in rows if row.key == write.key).get(write.key)
-    if old is None or old.spec is None:
-        return ""
-    same_config = attrs.evolve(
-        new,
-        queue=old.spec.queue,
-        pool=old.spec.pool,
-        tenant=old.spec.tenant,
-        accepted_ms=old.spec.accepted_ms,
-    )
-    if same_config == old.spec:
-        return ""
-    return f"another job with the id {write.key} was submitted before"
+def refuse(status: int, detail: str) -> Answer:
+    """Return an answer with the reason why a request was not carried out."""
+    return Answer(status, encode_error(detail), status in (429, 503))
 
 
 def make_metrics_app() -> QuartTrio:
@@ -117,21 +106,6 @@
     return app
 
 
-def describe_step(step: Step) -> str:
-    """Return the size of a step for the log."""
-    kinds = (
-        ("lasting", step.lasting),
-        ("fills", step.fills),
-        ("gang", step.gang),
-        (f"target {step.target_ms} ms", step.target_ms),
-        (f"cap {step.max_per_executor}", step.max_per_executor),
-        (f"may miss {step.max_unavailable}", step.max_unavailable),
-    )
-    flags = ", ".join(kind for kind, present in kinds if present)
-    size = f"{step.count} x {step.size.cpu_millis}m {step.size.memory_mb}MB"
-    return f"{size} {step.estimate_ms} ms {flags}".strip()
-
-
 @register
 class FrontendService(Service):
     """Serves callers, who submit, cancel and query jobs."""
@@ -180,14 +154,17 @@
             await self._closed.wait()
 
     async def _serve(self, app: QuartTrio, kind: str) -> None:
-        config = HypercornConfig()
-        config.bind = [getattr(self._listen, kind)]
-        config.accesslog = None
-        config.errorlog = None
-        config.keep_alive_timeout = KEEP_ALIVE_SECONDS
-        config.graceful_timeout = self._grace_seconds / 3
-        trigger = self._closing.wait
-        await serve(shield_sends(app), config, shutdown_trigger=trigger, mode="asgi")
+        door = Door(
+            name=kind,
+            share=DOOR_SHARES[kind],
+            body_factor=BODY_FACTOR if kind == "callers" else 0,
+            graceful_seconds=self._grace_seconds / 3,
+            refusals=RefusalFormat(encode_error),
+        )
+        listener = bind_address(getattr(self._listen, kind))
+        await serve_clients(
+            app, door, self.settings.clients, [listener], self._closing.wait
+        )
 
     def _make_ready_app(self) -> QuartTrio:
         app = QuartTrio(__name__ + ".readiness")
@@ -207,10 +184,7 @@
         @app.route("/<path:path>", methods=["GET", "POST", "DELETE"])
         async def answer_call(path: str) -> Response:
             started_at = time.monotonic()
-            # An answer before the body has arrived would make the server close
-            # the connection, and the caller's next request on it would fail.
-            body = await request.get_data()
-            answer = await self._answer_request(body)
+            answer = await self._answer_request()
             seconds = time.monotonic() - started_at
             ANSWERS.labels(request.method, answer.status).inc()
             REQUEST_SECONDS.labels(request.method).observe(seconds)
@@ -238,19 +212,36 @@
             config_age=round(self._configuration.age_seconds, 3),
         )
 
-    async def _answer_request(self, body: bytes) -> Answer:
+    async def _answer_request(self) -> Answer:
         """Return the answer to the present request, and log a refusal."""
         try:
             call = read_call(request)
         except InvalidInput as error:
             log.info("request of a caller was not read", detail=error.message)
             return refuse(400, error.message)
-        answer = await self._answer(call, body)
+        answer = await self._answer(call)
         if answer.status != 200:
             self._log_refusal(call, answer)
         return answer
 
-    async def _answer(self, call: Call, body: bytes) -> Answer:
+    async def _answer(self, call: Call) -> Answer:
+        match self._find_target(call):
+            case Answer() as refusal:
+                return refusal
+            case Target(config=config, queue=queue, job=job, tenant=tenant):
+                pass
+        if not job:
+            return await self._answer_pending(queue)
+        match call.method:
+            case "POST":
+                return await self._read_submission(call, config)
+            case "DELETE":
+                return await self._cancel(job, call, tenant)
+            case _:
+                return await self._answer_state(job, tenant)
+
+    def _find_target(self, call: Call) -> Target | Answer:
+        """Return what the head of a request refers to, or the refusal."""
         config = self._configuration.current
         if config is None:
             return refuse(503, "no configuration yet")
@@ -265,18 +256,22 @@
         if stale is not None:
             return stale
         job = call.path[len(queue.prefix) :]
-        if not job and call.method == "GET":
-            return await self._answer_pending(queue)
-        if JOB_ID.fullmatch(job) is None:
-            return refuse(400, f"{job!r} is not a job id of 16 hexadecimal digits")
-        match call.method:
-            case "POST":
-                tenant_name = "" if tenant is None else tenant.name
-                return await self._submit(call, body, config, queue, job, tenant_name)
-            case "DELETE":
-                return await self._cancel(job, call)
-            case _:
-                return await self._answer_state(job)
+        if JOB_ID.fullmatch(job) is None and (job or call.method != "GET"):
+            return refuse(400, f"{job[:40]!r} is not a job id of 16 hexadecimal digits")
+        tenant_name = NO_TENANT if tenant is None else tenant.name
+        return Target(config, queue, job, tenant_name)
+
+    async def _read_submission(self, call: Call, config: FleetConfig) -> Answer:
+        try:
+            body = await read_body(request, config.max_body_bytes)
+        except BodyTooLarge:
+            return refuse(413, f"the body has over {config.max_body_bytes} bytes")
+        # While the body arrived, the key may have been withdrawn.
+        match self._find_target(call):
+            case Answer() as refusal:
+                return refusal
+            case Target(config=config, queue=queue, job=job, tenant=tenant):
+                return await self._submit(call, body, config, queue, job, tenant)
 
     def _refuse_if_stale(self) -> Answer | None:
         if self._configuration.fresh:
@@ -292,8 +287,6 @@
         job: str,
         tenant: str,
     ) -> Answer:
-        if len(body) > config.max_body_bytes:
-            return refuse(413, f"the body has over {config.max_body_bytes} bytes")
         now_ms = int(time.time() * 1000)
         try:
             spec = decode_submission(body, job, queue, tenant, now_ms)
@@ -303,7 +296,7 @@
         if len(write.value) > LARGEST_ROW_BYTES:
             return refuse(413, TOO_LARGE_JOB)
         expected = (RowExpectation(write.table, write.key, 0, write.part),)
-        answer = await self._store(call, write, expected, _find_difference)
+        answer = await self._store(call, write, expected, find_difference)
         log.info(
             "job submitted",
             job=job,
@@ -315,8 +308,8 @@
         )
         return answer
 
-    async def _cancel(self, job: str, call: Call) -> Answer:
-        rows = await self._read_job(job)
+    async def _cancel(self, job: str, call: Call, tenant: str) -> Answer:
+        rows = await self._read_job(job, tenant)
         if rows is None:
             return refuse(503, "the store does not answer")
         if rows.spec is None:
@@ -330,20 +323,28 @@
             return Answer(200, encode_state(JobState.CANCELLED))
         return answer
 
-    async def _answer_state(self, job: str) -> Answer:
-        rows = await self._read_job(job)
+    async def _answer_state(self, job: str, tenant: str) -> Answer:
+        rows = await self._read_job(job, tenant)
         if rows is None:
             return refuse(503, "the store does not answer")
         if rows.spec is None:
             return refuse(410, "no such job")
         return Answer(200, encode_state(rows.state))
 
-    async def _read_job(self, job: str) -> JobRows | None:
+    async def _read_job(self, job: str, tenant: str) -> JobRows | None:
+        """Return a job's rows, or None if the store does not answer.
+
+        A job of another workspace is as absent as one that does not exist.
+        """
         try:
-            return await read_job(self._rows, job)
+            rows = await read_job(self._rows, job)
         except PlatformUnavailable as error:
             log.info("job not read from the store", job=job, detail=str(error))
             return None
+        if rows.spec is not None and rows.spec.tenant not in (NO_TENANT, tenant):
+            log.info("job of another workspace was asked for", job=job, tenant=tenant)
+            return JobRows()
+        return rows
 
     async def _answer_pending(self, queue: Queue) -> Answer:
         try:
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -10,8 +10,12 @@
 
 from attrs import frozen
 
-from hemlockstand.settings import LogSettings, option, read_settings
+from hemlockstand.serving.budget import BODY_FACTOR
+from hemlockstand.serving.settings import CALLERS_SHARE, ClientSettings
+from hemlockstand.setting_options import option
+from hemlockstand.settings import LogSettings, read_settings
 
+USUAL_BODY_BYTES = 262_144  # the platform's limit unless the configuration has another
 # A copy of the operator's rows is confirmed at best once in a call to the store,
 # so with a shorter bound it would hardly ever be fresh, and nothing would start.
 MIN_EVACUATE_MS = 100
@@ -189,6 +193,7 @@
     bounds: BoundSettings
     scheduler: SchedulerSettings
     log: LogSettings
+    clients: ClientSettings
     copies: CopySettings
     operators: FleetOperatorSettings = FleetOperatorSettings()
     preemption: PreemptionSettings = DEFAULT_PREEMPTION
@@ -206,6 +211,11 @@
             f"{path}: [scheduler] renew_seconds = {scheduler.renew_seconds}: "
             "must be at most a third of lease_seconds"
         )
+    if not sections["clients"].fits(CALLERS_SHARE, BODY_FACTOR * USUAL_BODY_BYTES):
+        yield (
+            f"{path}: [clients] memory_mb: a body of {USUAL_BODY_BYTES} bytes does "
+            "not fit into memory_share and source_share"
+        )
     bounds = sections["bounds"]
     if 0 < (bounds.evacuate_ms or 0) < MIN_EVACUATE_MS:
         yield (
--- a/hemlockstand/settings.py
+++ b/hemlockstand/settings.py
@@ -14,9 +14,17 @@
 from typing import Any, TypeVar, get_type_hints
 
 import attrs
-from attrs import Attribute, field, frozen
+from attrs import Attribute, frozen
 
 from hemlockstand.errors import SettingsError
+from hemlockstand.serving.budget import BODY_FACTOR
+from hemlockstand.serving.settings import (
+    CALLERS_SHARE,
+    OPERATORS_SHARE,
+    ClientSettings,
+)
+from hemlockstand.setting_options import option
+from hemlockstand.sheet.reader import MAX_SHEET_BYTES
 
 DEFAULTS_FILE = Path(__file__).with_name("defaults.ini")
 
@@ -28,33 +36,6 @@
 }
 
 
-def option(
-    doc: str,
-    minimum: float | None = None,
-    maximum: float | None = None,
-    choices: tuple[str, ...] = (),
-    secret: bool = False,
-    may_be_empty: bool = False,
-    default: Any = attrs.NOTHING,
-) -> Any:
-    """Declare a setting with its description and its allowed values.
-
-    An empty number is read as ``None``. ``default`` is that of the class alone;
-    a settings file takes its own from the shipped ``defaults.ini``.
-    """
-    return field(
-        default=default,
-        metadata={
-            "doc": doc,
-            "minimum": minimum,
-            "maximum": maximum,
-            "choices": choices,
-            "secret": secret,
-            "may_be_empty": may_be_empty,
-        },
-    )
-
-
 @frozen
 class DaemonSettings:
     """Identity of this daemon."""
@@ -290,6 +271,7 @@
     operators: OperatorSettings
     log: LogSettings
     trace: TraceSettings
+    clients: ClientSettings
 
 
 def load_settings(path: str | Path) -> Settings:
@@ -444,6 +426,12 @@
             f"{path}: [keys] freshness_seconds = {keys.freshness_seconds}: "
             "must be at least twice configuration.poll_seconds"
         )
+    clients = sections["clients"]
+    largest = BODY_FACTOR * sections["requests"].max_body_bytes
+    if not clients.fits(CALLERS_SHARE, largest):
+        yield f"{path}: [clients] memory_mb: [requests] max_body_bytes does not fit"
+    if not clients.fits(OPERATORS_SHARE, MAX_SHEET_BYTES):
+        yield f"{path}: [clients] memory_mb: the largest sheet does not fit"
     trace = sections["trace"]
     if trace.export == "file" and not trace.file:
         yield f"{path}: [trace] file is empty although export is file"
