Publish the load of pools that lack room

Cause: frontends know nothing of the backlog, so they cannot tell a submission that would be worth nothing once done.

Change: the scheduler builds a view of the pools that lack room (cores, room that standby and idle instances of other pools could add, waiting work by priority and tenant, factor between estimate and expectation by queue, capacities of all instances) and stores it as the row load with transactions that are made anyway: at most twice a second, each second if unchanged, and once when the shortage ends.

--- a/hemlockstand/fleet/changes.py
+++ b/hemlockstand/fleet/changes.py
@@ -9,6 +9,8 @@
 
 from attrs import define, field, frozen
 
+from hemlockstand.fleet.load_row import load_write
+from hemlockstand.fleet.load_view import LoadView
 from hemlockstand.fleet.model import JobAttempts, JobStatus
 from hemlockstand.fleet.split_rows import known_executors_writes, wave_writes
 from hemlockstand.fleet.storage import (
@@ -60,6 +62,13 @@
     counts: Mapping[str, int]
 
 
+@frozen
+class LoadChange:
+    """The load of the pools that lack room."""
+
+    view: LoadView
+
+
 @frozen
 class AttemptsChange:
     """Failures and crashes of a block of subtasks; None removes their row."""
@@ -89,6 +98,7 @@
     KnownExecutorsChange
     | WaveChange
     | PendingChange
+    | LoadChange
     | AttemptsChange
     | StatusChange
     | ExpiryChange
@@ -106,6 +116,8 @@
             return AttemptsChange, job, block
         case StatusChange(job) | ExpiryChange(job):
             return type(change), job
+        case LoadChange():
+            return (LoadChange,)
     return (PendingChange,)
 
 
@@ -118,6 +130,8 @@
             return wave_writes(progress.wave, record, completed)
         case PendingChange(counts):
             return [pending_write(counts)]
+        case LoadChange(view):
+            return [load_write(view)]
         case AttemptsChange(job, block, attempts) if attempts is not None:
             return [attempts_write(job, block, attempts)]
         case StatusChange(job, status):
--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -15,6 +15,7 @@
     Change,
     ExpiryChange,
     KnownExecutorsChange,
+    LoadChange,
     PendingChange,
     StatusChange,
     WaveChange,
@@ -24,6 +25,7 @@
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.lease import Release
+from hemlockstand.fleet.load_publisher import LoadPublisher
 from hemlockstand.fleet.metrics import COMMITS
 from hemlockstand.fleet.model import JobState
 from hemlockstand.fleet.split_rows import count_known_executors_rows
@@ -61,6 +63,7 @@
     state: SchedulerState
     instances: InstanceManager
     stop_runs: Callable[[Job], None]
+    load: LoadPublisher
     _pending: dict[str, int] = field(factory=dict)
     known_executors: dict[str, dict[str, str]] = field(factory=dict)
     removable: set[str] = field(factory=set)
@@ -137,6 +140,9 @@
         pending = registry.count_pending()
         if pending != self._pending:
             yield PendingChange(pending)
+        view = self.load.find_view()
+        if view is not None:
+            yield LoadChange(view)
         for job_id, block in list(registry.dirty_blocks):
             job = registry.jobs.get(job_id)
             ended = job is None or job.state.final
@@ -197,6 +203,8 @@
                 progress.stored = current == (record, completed)
             case PendingChange(counts):
                 self._pending = dict(counts)
+            case LoadChange(view):
+                self.load.mark_stored(view)
             case AttemptsChange(job, block, attempts):
                 registry.mark_block_stored(job, block, attempts is not None)
             case StatusChange(job, status, announced):
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -19,6 +19,7 @@
 from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.job_registry import JobRegistry
 from hemlockstand.fleet.lease import InstanceOrders, Release, SchedulerLease
+from hemlockstand.fleet.load_publisher import LoadPublisher
 from hemlockstand.fleet.metrics import WAITING
 from hemlockstand.fleet.model import JobState
 from hemlockstand.fleet.orders import RUNS_PER_EPOCH, Orders
@@ -88,7 +89,14 @@
         self._instances = InstanceManager(
             self.state, clients.instances, epoch, self._orders.stop_run
         )
-        self._commits = Commits(self.state, self._instances, self._orders.stop_runs)
+        self._commits = Commits(
+            self.state,
+            self._instances,
+            self._orders.stop_runs,
+            LoadPublisher(
+                self.state, self._instances.plans, self._barrier.blocked_pools
+            ),
+        )
         self._placer = Placer(
             registry,
             self.state.executors,
