--- a/hemlockstand/fleet/changes.py
+++ b/hemlockstand/fleet/changes.py
@@ -10,6 +10,8 @@
 from attrs import define, field, frozen
 
 from hemlockstand.fleet.durations_row import durations_write
+from hemlockstand.fleet.load_row import load_write
+from hemlockstand.fleet.load_view import LoadView
 from hemlockstand.fleet.model import JobAttempts, JobStatus
 from hemlockstand.fleet.split_rows import known_executors_writes, wave_writes
 from hemlockstand.fleet.storage import (
@@ -69,6 +71,13 @@
     document: bytes = field(repr=False)
 
 
+@frozen
+class LoadChange:
+    """The load of the pools that lack room."""
+
+    view: LoadView
+
+
 @frozen
 class AttemptsChange:
     """Failures and crashes of a block of subtasks; None removes their row."""
@@ -99,6 +108,7 @@
     | WaveChange
     | PendingChange
     | DurationsChange
+    | LoadChange
     | AttemptsChange
     | StatusChange
     | ExpiryChange
@@ -130,6 +140,8 @@
             return [pending_write(counts)]
         case DurationsChange(_, document):
             return [durations_write(document)]
+        case LoadChange(view):
+            return [load_write(view)]
         case AttemptsChange(job, block, attempts) if attempts is not None:
             return [attempts_write(job, block, attempts)]
         case StatusChange(job, status):
--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -16,6 +16,7 @@
     DurationsChange,
     ExpiryChange,
     KnownExecutorsChange,
+    LoadChange,
     PendingChange,
     StatusChange,
     WaveChange,
@@ -26,6 +27,7 @@
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.lease import Release
+from hemlockstand.fleet.load_publisher import LoadPublisher
 from hemlockstand.fleet.metrics import COMMITS
 from hemlockstand.fleet.model import JobState
 from hemlockstand.fleet.split_rows import count_known_executors_rows
@@ -63,6 +65,7 @@
     state: SchedulerState
     instances: InstanceManager
     stop_runs: Callable[[Job], None]
+    load: LoadPublisher
     _pending: dict[str, int] = field(factory=dict)
     known_executors: dict[str, dict[str, str]] = field(factory=dict)
     removable: set[str] = field(factory=set)
@@ -153,6 +156,9 @@
         pending = registry.count_pending()
         if pending != self._pending:
             yield PendingChange(pending)
+        view = self.load.find_view()
+        if view is not None:
+            yield LoadChange(view)
         for job_id, block in list(registry.dirty_blocks):
             job = registry.jobs.get(job_id)
             ended = job is None or job.state.final
@@ -215,6 +221,8 @@
                 self._pending = dict(counts)
             case DurationsChange(runs):
                 registry.durations.runs_stored = runs
+            case LoadChange(view):
+                self.load.mark_stored(view)
             case AttemptsChange(job, block, attempts):
                 registry.mark_block_stored(job, block, attempts is not None)
             case StatusChange(job, status, announced):
--- a/hemlockstand/fleet/copies.py
+++ b/hemlockstand/fleet/copies.py
@@ -212,8 +212,9 @@
         free = list(self.placer.list_copy_executors(subtask, view.list_unwanted(pool)))
         rack = self._find_rack(subtask)
         others = [executor for executor in free if executor.entry.rack != rack]
-        return choose_executor(subtask, others, now) or choose_executor(
-            subtask, free, now
+        # Copies are few, so cold and returning executors are always told apart.
+        return choose_executor(subtask, others, now, graded=True) or choose_executor(
+            subtask, free, now, graded=True
         )
 
     def _find_rack(self, subtask: Subtask) -> str | None:
