Check the number of runs at once and the usage after the interleavings

Cause: The checks of speculative runs let three runs of a subtask pass, and did not look at the usage that the scheduler counts once all jobs have ended.

Change: check_speculative_runs permits two runs at once, and the interleavings check that no usage, room or copy is left.

The new checks were not seen to fail.

--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -351,8 +351,8 @@
         """Check the runs of subtasks that may run twice at the same time.
 
         A connected executor starts nothing more than a second after the
-        acknowledged end of the subtask or of its last attempt, and no executor
-        runs the same subtask twice.
+        acknowledged end of the subtask or of its last attempt, no run number
+        is used twice, and no more than two runs go on at once.
         """
         for model in self.executors.values():
             model.advance()
@@ -364,6 +364,7 @@
             assert len(set(numbers)) == len(numbers), f"{subtask} repeats a number"
             for run in runs:
                 assert run.ended_at is not None, f"{subtask} still runs"
+            for run in runs:
                 before = [
                     end
                     for end in runs
@@ -372,6 +373,12 @@
                 ]
                 if run.connected:
                     check_budget(before, run, subtask, attempts)
+                beside = [
+                    other
+                    for other in runs
+                    if other.began_at <= run.began_at < other.ended_at
+                ]
+                assert len(beside) <= 2, f"{subtask} runs three times at once"
 
 
 def check_budget(
--- a/test/test_fleet_copy_interleavings.py
+++ b/test/test_fleet_copy_interleavings.py
@@ -128,6 +128,19 @@
     assert max(counts.values()) < 20
 
 
+def check_use(world: FleetWorld) -> None:
+    """Check that the scheduler counts no use of runs that have ended."""
+    leader = world.daemons[world.lease_holder()].leader
+    assert leader is not None
+    copies = leader.state.registry.copies
+    assert not copies.copied
+    assert not copies.unneeded
+    assert all(use == Resources() for use in leader.state.registry.in_use.values())
+    assert all(
+        executor.used == Resources() for executor in leader.state.executors.values()
+    )
+
+
 @pytest.mark.parametrize("seed", range(FIRST_SEED, LAST_SEED))
 async def test_rules_hold_with_two_runs(autojump_clock, seed):
     """Guards against broken rules that only copies beside faults cause."""
@@ -152,3 +165,4 @@
         world.check_capacities()
         check_starts(world)
         check_jobs(world)
+        check_use(world)
