--- a/hemlockstand/fleet/copy_index.py
+++ b/hemlockstand/fleet/copy_index.py
@@ -48,7 +48,7 @@
     _numbers: Iterator[int] = field(factory=lambda: count(1))
     _ratios: dict[str, deque[float]] = field(factory=dict)
     _races: dict[str, deque[bool]] = field(factory=dict)
-    _probed_at: dict[str, float] = field(factory=dict)
+    _started_at: dict[str, float] = field(factory=dict)
 
     def add_run(self, subtask: Subtask) -> None:
         """Add a run that was attached to a subtask."""
@@ -126,11 +126,11 @@
         """Return whether a queue may have one more copy by what others were worth."""
         if are_useful(self._races.get(queue, ())):
             return True
-        return now - self._probed_at.get(queue, float("-inf")) >= PROBE_SECONDS
+        return now - self._started_at.get(queue, float("-inf")) >= PROBE_SECONDS
 
     def mark_started(self, queue: str, now: float) -> None:
         """Note that a copy has started."""
-        self._probed_at[queue] = now
+        self._started_at[queue] = now
 
     def expect(self, subtask: Subtask) -> ExpectedDuration:
         """Return what the finished subtasks of the queue suggest.
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -198,7 +198,7 @@
             if run is None or run.state is RunState.STOPPING:
                 continue
             executor = self.state.executors.get(run.executor)
-            if executor is not None and executor is (on or executor):
+            if executor is not None and (on is None or executor is on):
                 self._stop(subtask, run, executor)
 
     def _stop(self, subtask: Subtask, run: Run, executor: Executor) -> None:
