Refuse submissions that would be worth nothing once done

Cause: each submission was stored regardless of the backlog; 429 was never sent, and Retry-After was always 1.

The job's row is read before a refusal; an existing job is stored again under its condition, which answers as before. Settings [admission], metric hemlockstand_refused_submissions_total, log line with the inputs.

Without the check at the door 18 tests of test_fleet_door.py and all 5 of test_fleet_bursts.py failed. The tests of the age of the copy, jobs that last, by_load, the store away, lost answers (twice) and the bound of the book failed with their condition taken out. test_fleet_*.py, test_pages and test_settings pass in one run.

--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -19,6 +19,7 @@
 from hemlockstand.asgi import shield_sends
 from hemlockstand.errors import InvalidInput, OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.configuration import FleetConfigurationService
+from hemlockstand.fleet.door import Door
 from hemlockstand.fleet.metrics import ANSWERS, REQUEST_SECONDS, render_metrics
 from hemlockstand.fleet.model import FleetConfig, JobState, Queue, Step
 from hemlockstand.fleet.services import RowStoreService
@@ -72,12 +73,12 @@
 
     status: int
     body: bytes = b"{}"
-    retry_after: bool = False
+    retry_after: int = 0  # seconds; 0 for none
 
 
-def refuse(status: int, detail: str) -> Answer:
+def refuse(status: int, detail: str, seconds: int = RETRY_AFTER_SECONDS) -> Answer:
     """Return an answer with the reason why a request was not carried out."""
-    return Answer(status, encode_error(detail), status in (429, 503))
+    return Answer(status, encode_error(detail), seconds if status in (429, 503) else 0)
 
 
 FindDifference = Callable[[RowWrite, Sequence[StoredRow]], str]
@@ -146,6 +147,7 @@
         self._configuration = kernel.find(
             "fleet_configuration", FleetConfigurationService
         )
+        self._door = Door(self._rows, settings.admission)
         self._grace_seconds = settings.bounds.grace_s
         self._leaving = False
         self._closing = trio.Event()
@@ -161,6 +163,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._serve, self._make_ready_app(), "readiness")
             nursery.start_soon(self._serve, make_metrics_app(), "metrics")
+            nursery.start_soon(self._door.run)
             await self._serve(self._make_app(), "callers")
             self._closed.set()
 
@@ -211,7 +214,7 @@
                 answer.body, answer.status, content_type="application/json"
             )
             if answer.retry_after:
-                response.headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
+                response.headers["Retry-After"] = str(answer.retry_after)
             if self._leaving:
                 response.headers["Connection"] = "close"
             return response
@@ -294,8 +297,12 @@
         write = job_write(spec)
         if len(write.value) > LARGEST_ROW_BYTES:
             return refuse(413, TOO_LARGE_JOB)
+        refusal = await self._door.check(spec, queue, config)
+        if refusal is not None:
+            return refuse(refusal.status, refusal.detail, refusal.seconds)
         expected = (RowExpectation(write.table, write.key, 0, write.part),)
         answer = await self._store(call, write, expected, _find_difference)
+        self._door.record(spec, queue, answer.status)
         log.info(
             "job submitted",
             job=job,
--- a/hemlockstand/fleet/metrics.py
+++ b/hemlockstand/fleet/metrics.py
@@ -38,6 +38,11 @@
     "Runs stopped to move them out of evacuated data centres.",
     ["kind"],
 )
+REFUSED = Counter(
+    "hemlockstand_refused_submissions_total",
+    "Submissions that were refused for the load or can never be served.",
+    ["reason", "queue"],
+)
 WAITING = Gauge("hemlockstand_waiting_subtasks", "Subtasks that wait for a place.")
 
 
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -121,6 +121,25 @@
     )
 
 
+@frozen
+class AdmissionSettings:
+    """Which submissions are answered 429."""
+
+    by_load: bool = option(
+        "Whether submissions are refused that would be worth nothing once done.",
+        default=True,
+    )
+    max_jobs: int = option(
+        "Largest number of unfinished jobs.", 1, 1_000_000_000, default=1_000_000
+    )
+    max_tenant_jobs: int = option(
+        "Largest number of unfinished jobs of a workspace.",
+        1,
+        1_000_000_000,
+        default=500_000,
+    )
+
+
 @frozen
 class FleetSettings:
     """All sections."""
@@ -131,6 +150,7 @@
     bounds: BoundSettings
     scheduler: SchedulerSettings
     log: LogSettings
+    admission: AdmissionSettings = AdmissionSettings()
 
 
 def load_fleet_settings(path: str | Path) -> FleetSettings:
@@ -145,6 +165,12 @@
             f"{path}: [scheduler] renew_seconds = {scheduler.renew_seconds}: "
             "must be at most a third of lease_seconds"
         )
+    admission = sections["admission"]
+    if admission.max_tenant_jobs > admission.max_jobs:
+        yield (
+            f"{path}: [admission] max_tenant_jobs = {admission.max_tenant_jobs}: "
+            "must be at most max_jobs"
+        )
     bounds = sections["bounds"]
     if bounds.longest_hold_ms < 2000 * scheduler.lease_seconds:
         yield (
