--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -13,6 +13,7 @@
 from quart_trio import QuartTrio
 
 from hemlockstand.errors import InvalidInput, OutcomeUnknown, PlatformUnavailable
+from hemlockstand.fleet.admission_control import AdmissionControl
 from hemlockstand.fleet.configuration import FleetConfigurationService
 from hemlockstand.fleet.metrics import ANSWERS, REQUEST_SECONDS, render_metrics
 from hemlockstand.fleet.model import FleetConfig, JobState, Queue
@@ -77,7 +78,7 @@
 
     status: int
     body: bytes = b"{}"
-    retry_after: bool = False
+    retry_after: int = 0  # seconds; 0 for none
 
 
 @frozen
@@ -90,9 +91,9 @@
     tenant: str
 
 
-def refuse(status: int, detail: str) -> Answer:
+def refuse(status: int, detail: str, seconds: int = RETRY_AFTER_SECONDS) -> Answer:
     """Return an answer with the reason why a request was not carried out."""
-    return Answer(status, encode_error(detail), status in (429, 503))
+    return Answer(status, encode_error(detail), seconds if status in (429, 503) else 0)
 
 
 def make_metrics_app() -> QuartTrio:
@@ -121,6 +122,7 @@
         self._configuration = kernel.find(
             "fleet_configuration", FleetConfigurationService
         )
+        self._admission = AdmissionControl(self._rows, settings.admission)
         self._grace_seconds = settings.bounds.grace_s
         self._leaving = False
         self._closing = trio.Event()
@@ -142,6 +144,7 @@
             metrics = make_metrics_app()
             add_views(metrics, self.kernel)
             nursery.start_soon(self._serve, metrics, "metrics")
+            nursery.start_soon(self._admission.run)
             await self._serve(self._make_app(), "callers")
             self._closed.set()
 
@@ -192,7 +195,7 @@
                 answer.body, answer.status, content_type="application/json"
             )
             if answer.retry_after:
-                response.headers["Retry-After"] = str(RETRY_AFTER_SECONDS)
+                response.headers["Retry-After"] = str(answer.retry_after)
             if self._leaving or not self.ready:
                 # The caller's next connection reaches another daemon.
                 response.headers["Connection"] = "close"
@@ -295,8 +298,12 @@
         write = job_write(spec)
         if len(write.value) > LARGEST_ROW_BYTES:
             return refuse(413, TOO_LARGE_JOB)
+        refusal = await self._admission.check(spec, queue, config)
+        if refusal is not None:
+            return refuse(refusal.status, refusal.detail, refusal.seconds)
         expected = (RowExpectation(write.table, write.key, 0, write.part),)
         answer = await self._store(call, write, expected, find_difference)
+        self._admission.record(spec, queue, answer.status)
         log.info(
             "job submitted",
             job=job,
--- a/hemlockstand/fleet/metrics.py
+++ b/hemlockstand/fleet/metrics.py
@@ -61,6 +61,11 @@
     "hemlockstand_evacuation_errors_total",
     "Runs in evacuated data centres that stay because of an error.",
 )
+REFUSED = Counter(
+    "hemlockstand_refused_submissions_total",
+    "Submissions that were refused for the load or can never be served.",
+    ["reason", "queue"],
+)
 WAITING = Gauge("hemlockstand_waiting_subtasks", "Subtasks that wait for a place.")
 SHARE_OF_POOL = Gauge(
     "hemlockstand_share_of_pool",
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -165,6 +165,25 @@
     )
 
 
+@frozen
+class AdmissionSettings:
+    """Which submissions are answered 429."""
+
+    by_load: bool = option(
+        "Whether submissions are refused that would be worth nothing once done.",
+        default=True,
+    )
+    max_jobs: int = option(
+        "Largest number of unfinished jobs.", 1, 1_000_000_000, default=1_000_000
+    )
+    max_tenant_jobs: int = option(
+        "Largest number of unfinished jobs of a workspace.",
+        1,
+        1_000_000_000,
+        default=500_000,
+    )
+
+
 @frozen
 class PreemptionSettings:
     """Stops of running work for more urgent work that would be late."""
@@ -197,6 +216,7 @@
     copies: CopySettings
     operators: FleetOperatorSettings = FleetOperatorSettings()
     preemption: PreemptionSettings = DEFAULT_PREEMPTION
+    admission: AdmissionSettings = AdmissionSettings()
 
 
 def load_fleet_settings(path: str | Path) -> FleetSettings:
@@ -216,6 +236,12 @@
             f"{path}: [clients] memory_mb: a body of {USUAL_BODY_BYTES} bytes does "
             "not fit into memory_share and source_share"
         )
+    admission = sections["admission"]
+    if admission.max_tenant_jobs > admission.max_jobs:
+        yield (
+            f"{path}: [admission] max_tenant_jobs = {admission.max_tenant_jobs}: "
+            "must be at most max_jobs"
+        )
     bounds = sections["bounds"]
     if 0 < (bounds.evacuate_ms or 0) < MIN_EVACUATE_MS:
         yield (
