Refuse submissions by load only where the settings ask for it

Those who come back go before newcomers, and are late by their first send.

Measured: the tests of the door, the frontend, settings and pages pass.

--- a/hemlockstand/fleet/admission_control.py
+++ b/hemlockstand/fleet/admission_control.py
@@ -70,7 +70,8 @@
         been accepted without an answer. Such a job is stored again under the
         condition that it does not exist, which tells.
         """
-        self.reader.request()
+        if self.settings.by_load:
+            self.reader.request()
         now = trio.current_time()
         self.book.advance(now)
         view = self.reader.find_view()
--- a/hemlockstand/fleet/load_publisher.py
+++ b/hemlockstand/fleet/load_publisher.py
@@ -121,7 +121,12 @@
     _measures: dict[StepRun, _StepMeasure] = field(factory=dict)
 
     def find_view(self) -> LoadView | None:
-        """Return the view that is to be stored, if any."""
+        """Return the view that is to be stored, if any.
+
+        There is none where submissions are not refused by load.
+        """
+        if not self.state.settings.admission.by_load:
+            return None
         now = self.state.clock()
         if now - self._built_at >= PUBLISH_SECONDS:
             self._built_at = now
