Report not ready only while a daemon refuses everything

Cause: readiness followed the last call to the store.

Change: a daemon is not ready once the last call failed and its copy of the configuration is too old to serve; until then it is.

--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -132,10 +132,14 @@
     def ready(self) -> bool:
         """Whether the balancer should send new connections.
 
-        A daemon that the store does not answer refuses what it gets, while
-        others may serve it. If none is ready, the balancer uses all of them.
+        A daemon that the store has not answered for so long that it refuses what
+        it gets is not, while others may serve it. A single failed call does not
+        count: on a busy machine such calls made daemons unready for an eighth of
+        the time. If none is ready, the balancer uses all of them.
         """
-        return self._configuration.reachable and not self._leaving
+        configuration = self._configuration
+        served = configuration.fresh or configuration.reachable
+        return served and configuration.current is not None and not self._leaving
 
     async def run(self) -> None:
         """Serve callers and the balancer."""
