Name the load that the parts of the duration model answer

Cause: three modules of the policy package did not say which load they are for.

Change: their module texts do.

Measured: formatter and linter pass.

--- a/hemlockstand/fleet/policy/estimates.py
+++ b/hemlockstand/fleet/policy/estimates.py
@@ -1,5 +1,8 @@
 """How far the estimates of a queue's submitters tell times apart.
 
+Load pattern: queues whose submitters know how long their work takes, beside
+queues whose estimates mean nothing, in one pool and in one order.
+
 It is the slope of a least-squares line through the logarithms of estimates
 and times, between 0 and 1. A slope of 1 means that times follow the estimates,
 also where all of them are off by the same factor; 0 means that estimates say
--- a/hemlockstand/fleet/policy/histogram.py
+++ b/hemlockstand/fleet/policy/histogram.py
@@ -1,5 +1,8 @@
 """Histogram over logarithms, whose older weights fade.
 
+Load pattern: queues whose work changes within a day, with thousands of runs a
+minute, of which a scheduler can keep only a summary.
+
 Times of runs differ by factors, so the bins have equal widths on a logarithmic
 scale. A histogram can be merged, shortened and stored, which exact samples and
 quantile sketches cannot within the same few hundred bytes::
--- a/hemlockstand/fleet/policy/observations.py
+++ b/hemlockstand/fleet/policy/observations.py
@@ -1,4 +1,8 @@
-"""What the model of expected durations takes and returns."""
+"""What the model of expected durations takes and returns.
+
+Load pattern: runs of which many are stopped, lost or resumed at a peak, and
+tell only how long their subtask takes at least.
+"""
 
 from attrs import field, frozen
 
