Refuse requests whose body could end elsewhere for the parser

Cause: A repeated or listed Content-Length, one of 19 digits, one on a folded line and a line of spaces after the last chunk were read in another way than by h11. The request was counted as complete while h11 waited, the connection had no deadline, and it was held after its client had gone. 288 of them closed the callers' door until a restart.

Change: Content-Length and Transfer-Encoding are accepted only once and in their plain form, folded lines are refused, lines of chunks end with CRLF and only an empty line ends the trailer. A head ends at its first blank line, also if that is a bare LF. From the last byte of a body until the application has it, stall_seconds apply; then the answer is 400.

Measured: 10 of the 11 new tests were seen to fail before the change (the case with a bare LF after a chunk size passed); test/test_serving.py passes.

--- a/hemlockstand/serving/application.py
+++ b/hemlockstand/serving/application.py
@@ -42,7 +42,7 @@
         async def receive_counted() -> Message:
             message = await receive()
             if message["type"] == "http.request" and not message["more_body"]:
-                request.mark_complete()
+                connection.mark_complete(request)
             return message
 
         async def send_shielded(message: Message) -> None:
--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -225,16 +225,29 @@
             return self._refuse(431, "head_too_large", excess)
         if content.startswith(PROTOCOL_UPGRADE):
             return self._refuse(400, "protocol", "HTTP/2 is not served")
-        head = read_head(content)
+        try:
+            head = read_head(content)
+        except Malformed:
+            detail = "the length or coding of the body is malformed"
+            return self._refuse(400, "malformed_head", detail)
         if head.length != 0 and not self.body_factor:
             return self._refuse(413, "body_not_expected", "no body is accepted here")
         await self._charge_request()
         counter = ChunkCounter() if head.length is None else LengthCounter(head.length)
         self.request = ClientRequest(counter, complete=counter.done)
         self._answered = False
-        self._enter(Phase.ANSWER, trio.current_time(), inf)
+        now = trio.current_time()
+        # A head without a body is complete as soon as it is parsed.
+        deadline = now + settings.stall_seconds if counter.done else inf
+        self._enter(Phase.ANSWER, now, deadline)
         return head.content
 
+    def mark_complete(self, request: ClientRequest) -> None:
+        """Note that the application has been given the whole body."""
+        request.mark_complete()
+        if self._phase is Phase.ANSWER:
+            self.deadline = inf
+
     async def _charge_request(self) -> None:
         if not self._in_protocol:
             await self._hold(PROTOCOL_BYTES)
@@ -285,7 +298,10 @@
             await self._hold(size * self.body_factor)
             request.charged += size * self.body_factor
         if request.counter.done:
-            self._enter(Phase.ANSWER, trio.current_time(), inf)
+            # The parser gives the end of the body to the application. If it sees
+            # the end elsewhere, it waits for bytes that nobody reads.
+            now = trio.current_time()
+            self._enter(Phase.ANSWER, now, now + settings.stall_seconds)
             return data
         now = trio.current_time()
         slowest = self.since + request.received / settings.bytes_per_second
@@ -340,6 +356,8 @@
         finally:
             self._sending = False
             self._enter(*before)
+            if self._phase is Phase.ANSWER:
+                self.deadline = inf  # the body may have become complete meanwhile
             self.limiter.release(self, amount)
 
     def _send(self, data: bytes | memoryview) -> int:
@@ -378,6 +396,9 @@
     def expire(self) -> None:
         """Close the connection, because its deadline has passed."""
         reason = "write_too_slow" if self._sending else REASONS[self._phase]
+        if self._phase is Phase.ANSWER and not self._sending and not self._answered:
+            self._refuse(400, reason, "the end of the body was not found")
+            return
         self._close_with(408, reason, "the request was sent too slowly and was not run")
 
     def evict(self) -> None:
@@ -414,5 +435,5 @@
     Phase.IDLE: "idle",
     Phase.HEAD: "head_too_slow",
     Phase.BODY: "body_too_slow",
-    Phase.ANSWER: "closed",
+    Phase.ANSWER: "malformed_body",
 }
--- a/hemlockstand/serving/framing.py
+++ b/hemlockstand/serving/framing.py
@@ -1,8 +1,9 @@
 """Finds the ends of heads and bodies in the bytes of a connection.
 
 A head is checked by its size and its number of lines before it is parsed, since
-the objects of a parsed head need many times its size. What is malformed is left
-to the parser, which refuses it.
+the objects of a parsed head need many times its size. Framing that the parser
+could read in another way is refused: if the two disagree on the end of a body,
+each waits for the other and the connection never ends.
 """
 
 import re
@@ -10,8 +11,11 @@
 from attrs import define, field, frozen
 
 END_OF_HEAD = re.compile(rb"\n\r?\n")
-LENGTH = re.compile(rb"\ncontent-length:[ \t]*([0-9]{1,18})[ \t]*\r?\n")
-CHUNKED = re.compile(rb"\ntransfer-encoding:")
+FRAMING = re.compile(rb"\n(?:content-length|transfer-encoding)[ \t]*:")
+LENGTH = re.compile(rb"\ncontent-length:[ \t]*([0-9]{1,18})[ \t]*(?=\r?\n)")
+CHUNKED = re.compile(rb"\ntransfer-encoding:[ \t]*chunked[ \t]*(?=\r?\n)")
+FOLDED = re.compile(rb"\n[ \t]")
+CHUNK_LINE = re.compile(rb"([0-9a-fA-F]{1,16})(?:;.*|[ \t]*)\r\n")
 MAX_CHUNK_LINE = 256  # bytes; a size of 16 digits with a short extension
 # Bytes of sizes and ends of lines that chunks may add to a body. A body of the
 # largest usual size, 262,144 bytes, can be in chunks of 32 bytes.
@@ -19,7 +23,7 @@
 
 
 class Malformed(Exception):
-    """The bytes are no chunks; the parser refuses them."""
+    """The framing is wrong, or the parser could read it in another way."""
 
 
 @frozen
@@ -32,20 +36,23 @@
 
 def find_head_end(content: bytes | bytearray) -> int:
     """Return the length of the head at the start, or 0 if it is incomplete."""
-    end = content.find(b"\r\n\r\n")
-    if end >= 0:
-        return end + 4
     match = END_OF_HEAD.search(content)
     return 0 if match is None else match.end()
 
 
 def read_head(content: bytes) -> Head:
-    """Return the framing of a complete head."""
+    """Return the framing of a complete head.
+
+    Raises ``Malformed`` for a length or coding that is not in its plain form,
+    is repeated, or could be continued on a folded line.
+    """
     lower = content.lower()
-    if CHUNKED.search(lower):
-        return Head(_hide_upgrade(content, lower), None)
-    match = LENGTH.search(lower)
-    length = 0 if match is None else int(match[1])
+    lengths = LENGTH.findall(lower)
+    codings = CHUNKED.findall(lower)
+    strict = len(lengths) + len(codings) == len(FRAMING.findall(lower))
+    if not strict or len(lengths) > 1 or len(codings) > 1 or FOLDED.search(lower):
+        raise Malformed
+    length = None if codings else sum(map(int, lengths))
     return Head(_hide_upgrade(content, lower), length)
 
 
@@ -110,21 +117,21 @@
         if len(self._line) > MAX_CHUNK_LINE or self.overhead > MAX_CHUNK_OVERHEAD:
             raise Malformed
         if end >= 0:
-            line = bytes(self._line).strip()
+            line = bytes(self._line)
             self._line.clear()
+            if not line.endswith(b"\r\n"):
+                raise Malformed
             if self._last:
-                self.done = not line
+                self.done = line == b"\r\n"
             else:
                 self._start_chunk(line)
         return stop
 
     def _start_chunk(self, line: bytes) -> None:
-        try:
-            size = int(line.partition(b";")[0], 16)
-        except ValueError:
-            raise Malformed from None
-        if size < 0:
+        match = CHUNK_LINE.fullmatch(line)
+        if match is None:
             raise Malformed
+        size = int(match[1], 16)
         self._last = size == 0
         if size:
             self._in_chunk = size + 2  # with the end of line behind it
--- a/test/test_serving.py
+++ b/test/test_serving.py
@@ -1,9 +1,11 @@
 """Limits on single connections, over the network and without a crowd."""
 
 from contextlib import asynccontextmanager
+from unittest.mock import patch
 
 import pytest
 import trio
+import trio.testing
 from attrs import evolve
 from quart import Response, request
 from quart_trio import QuartTrio
@@ -14,7 +16,8 @@
 from hemlockstand.serving.bodies import BodyTooLarge, read_body
 from hemlockstand.serving.budget import CONNECTION_BYTES, Budget
 from hemlockstand.serving.connection import RefusalFormat
-from hemlockstand.serving.framing import ChunkCounter, Malformed
+from hemlockstand.serving.framing import ChunkCounter, Head, Malformed, find_head_end
+from hemlockstand.serving.limiter import Limiter
 from hemlockstand.serving.server import Door, bind_address, serve_clients
 from test.fleet_world import make_settings
 from test.test_fleet_daemon import SETTINGS as PLAIN_SETTINGS
@@ -172,3 +175,104 @@
     for source in ("one", "one", "one", "one", "two"):
         budget.give_connection(source)
     assert (budget.used_bytes, budget.connections) == (0, 0)
+
+
+@asynccontextmanager
+async def open_observed_door(share=1.0, **limits):
+    """Yield a function that connects, the limiter of the door, and its end."""
+    listener = bind_address("127.0.0.1:0")
+    port = listener.getsockname()[1]
+    door = Door("callers", share, 3, 1.0, RefusalFormat(encode_error))
+    limiters = []
+    closing = trio.Event()
+
+    def make_limiter(*arguments) -> Limiter:
+        limiters.append(Limiter(*arguments))
+        return limiters[0]
+
+    async def connect() -> trio.SocketStream:
+        return await trio.open_tcp_stream("127.0.0.1", port)
+
+    settings = evolve(SETTINGS, **limits)
+    with patch("hemlockstand.serving.server.Limiter", make_limiter):
+        async with trio.open_nursery() as nursery:
+            arguments = (make_app(), door, settings, [listener], closing.wait)
+            nursery.start_soon(serve_clients, *arguments)
+            await trio.testing.wait_all_tasks_blocked()
+            yield connect, limiters[0], closing
+            closing.set()
+
+
+async def read_answer(stream: trio.SocketStream, until: bytes = b"") -> bytes:
+    """Return what is answered up to a text, or up to the end."""
+    answer = b""
+    with trio.fail_after(TIMEOUT_SECONDS):
+        while chunk := await stream.receive_some(65_536):
+            answer += chunk
+            if until and until in answer:
+                break
+    return answer
+
+
+async def wait_released(limiter: Limiter) -> None:
+    """Wait until no connection is left."""
+    with trio.fail_after(TIMEOUT_SECONDS):
+        while limiter.connections:
+            await trio.sleep(0.01)
+
+
+START = b"POST /size HTTP/1.1\r\nHost: a\r\n"
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        START + b"Content-Length: 5, 5\r\n\r\nabcde",
+        START + b"Content-Length: 0000000000000000005\r\n\r\nabcde",
+        START + b"Content-Length:\r\n 5\r\n\r\nabcde",
+        START + b"Content-Length: 5\r\nContent-Length: 5\r\n\r\nabcde",
+        START + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        CHUNKED + b"2\r\nab\r\n0\n\n",
+        CHUNKED + b"2\r\nab\r\n0\r\n\n",
+        CHUNKED + b"2\nab\r\n0\r\n\r\n",
+    ],
+)
+async def test_unclear_end_of_body_is_refused(sent):
+    """Guards against a body whose end the parser sees elsewhere.
+
+    Such a connection was held for ever, also after its client had gone.
+    """
+    async with open_observed_door() as (connect, limiter, _closing):
+        stream = await connect()
+        await stream.send_all(sent)
+        answer = await read_answer(stream)
+        await stream.aclose()
+        assert answer.startswith(b"HTTP/1.1 400")
+        await wait_released(limiter)
+        assert (limiter.budget.connections, limiter.budget.used_bytes) == (0, 0)
+
+
+async def test_line_of_spaces_does_not_end_chunks():
+    """Guards against a trailer that ends here but not for the parser."""
+    async with open_door() as exchange:
+        answer = await exchange(CHUNKED + b"2\r\nab\r\n0\r\n \r\n")
+    assert answer.startswith(b"HTTP/1.1 408")
+
+
+async def test_body_that_the_parser_does_not_end_is_refused(monkeypatch):
+    """Guards against a connection without a deadline while the parser waits."""
+    name = "hemlockstand.serving.connection.read_head"
+    monkeypatch.setattr(name, lambda content: Head(content, 3))
+    async with open_door() as exchange:
+        answer = await exchange(make_request("/size", b"abcde"))
+    assert answer.startswith(b"HTTP/1.1 400")
+    monkeypatch.setattr(name, lambda content: Head(content, 0))
+    async with open_door() as exchange:
+        answer = await exchange(make_request("/size", b"abcde"))
+    assert answer.startswith(b"HTTP/1.1 400")
+
+
+def test_head_ends_at_the_first_blank_line():
+    """Guards against a second head that is given to the parser unchecked."""
+    first = b"GET / HTTP/1.1\nHost: a\n\n"
+    assert find_head_end(first + b"GET / HTTP/1.1\r\n\r\n") == len(first)
