Answer a request that has run although its body is cut off

Cause: A request that does not use its body is handled before the body has been read and dropped. When the connection was then closed for others or for slowness, a cancel that had been carried out was answered "not run".

Change: Closing such a connection ends only the reading of the body; the answer of the application is sent with Connection: close.

--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -303,9 +303,10 @@
             now = trio.current_time()
             self._enter(Phase.ANSWER, now, now + settings.stall_seconds)
             return data
-        now = trio.current_time()
-        slowest = self.since + request.received / settings.bytes_per_second
-        self.deadline = min(now, slowest) + settings.stall_seconds
+        if self._phase is Phase.BODY:
+            now = trio.current_time()
+            slowest = self.since + request.received / settings.bytes_per_second
+            self.deadline = min(now, slowest) + settings.stall_seconds
         return data
 
     def _enter(self, phase: Phase, since: float, deadline: float) -> None:
@@ -406,7 +407,13 @@
         self._close_with(503, "overloaded", BUSY_DETAIL)
 
     def _close_with(self, status: int, reason: str, detail: str) -> None:
-        if self._phase in (Phase.HEAD, Phase.BODY) and not self._answered:
+        request = self.request
+        if self._phase is Phase.BODY and request.discarded and not self._answered:
+            # The request has been handled: its answer waits for the body.
+            self.limiter.count(reason, self.source)
+            self._enter(Phase.ANSWER, trio.current_time(), inf)
+            request.complete_event.set()
+        elif self._phase in (Phase.HEAD, Phase.BODY) and not self._answered:
             self._refuse(status, reason, detail)
         else:
             self.limiter.count(reason, self.source)
--- a/test/test_serving.py
+++ b/test/test_serving.py
@@ -276,3 +276,19 @@
     """Guards against a second head that is given to the parser unchecked."""
     first = b"GET / HTTP/1.1\nHost: a\n\n"
     assert find_head_end(first + b"GET / HTTP/1.1\r\n\r\n") == len(first)
+
+
+@pytest.mark.parametrize("closed_by", ["evict", "expire"])
+async def test_request_that_has_run_gets_its_answer(closed_by):
+    """Guards against "not run" for a request whose unread body is awaited."""
+    head = make_request("/refused", b"a" * 5)[:-5]
+    async with open_observed_door(stall_seconds=5) as (connect, limiter, _closing):
+        stream = await connect()
+        await stream.send_all(head)
+        await trio.sleep(0.2)
+        for connection in tuple(limiter.connections):
+            getattr(connection, closed_by)()
+        answer = await read_answer(stream)
+        await wait_released(limiter)
+    assert answer.startswith(b"HTTP/1.1 401")
+    assert b"connection: close" in answer.lower()
