Wake a reader that waits after its connection was closed

Cause: Closing wakes the tasks that wait for the socket at that moment. A reader that began to wait later was never woken, and the connection was held.

Change: Reading from a closed connection raises ClosedResourceError, also directly before the wait.

--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -167,6 +167,8 @@
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Return a complete head or a part of a body; nothing at the end."""
+        if self.closed:
+            raise trio.ClosedResourceError
         if self._ready:
             data, self._ready = self._ready, b""
             return data
@@ -180,6 +182,9 @@
     async def _wait_finished(self, request: ClientRequest) -> bool:
         """Wait until a request is answered; False if its client has gone."""
         if not self._buffer:
+            if self.closed:
+                # Closing has woken the tasks that waited, and wakes none later.
+                raise trio.ClosedResourceError
             await trio.lowlevel.wait_readable(self.socket)
             if request.finished:
                 return True
--- a/test/test_serving.py
+++ b/test/test_serving.py
@@ -292,3 +292,19 @@
         await wait_released(limiter)
     assert answer.startswith(b"HTTP/1.1 401")
     assert b"connection: close" in answer.lower()
+
+
+async def test_reader_of_a_closed_connection_is_woken():
+    """Guards against a reader that waits after the close that would wake it."""
+    async with open_observed_door() as (connect, limiter, _closing):
+        stream = await connect()
+        await stream.send_all(make_request("/refused"))
+        await read_answer(stream, b"\r\n\r\n")
+        (connection,) = limiter.connections
+        request = connection.request
+        request.finished = False
+        connection.close()
+        with trio.fail_after(1), pytest.raises(trio.ClosedResourceError):
+            await connection.receive_some()
+        request.finished = True
+        await stream.aclose()
