Answer slow heads on connections that have served a request

Cause: A connection stayed marked as answered after its first request, so a later head that was too slow, or was closed for others, got no answer. The start of a head that was sent ahead counted as an idle connection.

Change: A connection has no answer yet from the first byte of each head, also if that byte was read together with the request before it.

--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -217,12 +217,13 @@
             excess = self._find_excess(self._buffer)
             if excess:
                 return self._refuse(431, "head_too_large", excess)
+            if self._buffer and self._phase is Phase.IDLE:
+                self._answered = False  # that was the request before this one
+                now = trio.current_time()
+                self._enter(Phase.HEAD, now, now + settings.head_seconds)
             data = await self._receive()
             if not data:
                 return b""
-            if self._phase is Phase.IDLE:
-                now = trio.current_time()
-                self._enter(Phase.HEAD, now, now + settings.head_seconds)
             self._buffer += data
         content, self._buffer = self._buffer[:end], self._buffer[end:]
         excess = self._find_excess(content)
--- a/test/test_serving.py
+++ b/test/test_serving.py
@@ -308,3 +308,16 @@
             await connection.receive_some()
         request.finished = True
         await stream.aclose()
+
+
+@pytest.mark.parametrize("start", [b"", b"POST /refu"])
+async def test_slow_head_on_a_kept_connection_is_answered(start):
+    """Guards against a later head that is closed without an answer."""
+    async with open_observed_door() as (connect, _limiter, _closing):
+        stream = await connect()
+        await stream.send_all(make_request("/refused") + start)
+        answer = await read_answer(stream, b"\r\n\r\n")
+        await stream.send_all(b"" if start else b"POST /refu")
+        answer += await read_answer(stream)
+    assert answer.count(b"HTTP/1.1 ") == 2
+    assert b"HTTP/1.1 408" in answer
