Give requests that wait for room a phase of their own

Cause: A request waited for room in the phase in which it had arrived. The wait counted as the client's slowness (408), and whole requests that waited were closed to make room for each other.

A request without a body is not closed for others while it waits; an incomplete body that waits comes last, since it holds memory. The wait does not count towards the rate of a body. What a request needs at its start is taken at once.

--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -21,7 +21,7 @@
     find_head_end,
     read_head,
 )
-from hemlockstand.serving.limiter import Limiter
+from hemlockstand.serving.limiter import ADMIT_SECONDS, Limiter
 from hemlockstand.serving.settings import ClientSettings
 
 # Bytes that are read at once. A client's share is counted after a read, so this
@@ -53,12 +53,16 @@
     IDLE = auto()  # the first byte of a request
     HEAD = auto()  # the rest of a head
     BODY = auto()  # the rest of a body
+    WAITING = auto()  # room for what has arrived
     ANSWER = auto()  # the application
 
 
 # The first to be closed when others need room.
 RANKS = {Phase.BODY: 0, Phase.HEAD: 0, Phase.IDLE: 1}
 STALLED_RANK = 2
+# An incomplete body that waits for room holds memory. If all wait, one has to be
+# closed so that the others proceed. A request without a body holds none yet.
+WAITING_BODY_RANK = 3
 
 
 @frozen
@@ -150,7 +154,16 @@
         """Order in which connections are closed for others; None for never."""
         if self.closed:
             return None
-        return STALLED_RANK if self._sending else RANKS.get(self._phase)
+        if self._sending:
+            return STALLED_RANK
+        if self._phase is Phase.WAITING:
+            return WAITING_BODY_RANK if self._in_body else None
+        return RANKS.get(self._phase)
+
+    @property
+    def _in_body(self) -> bool:
+        """Whether a request has been handed over and its body is incomplete."""
+        return self.request is not None and not self.request.finished
 
     @property
     def idle(self) -> bool:
@@ -238,10 +251,11 @@
             return self._refuse(400, "malformed_head", detail)
         if head.length != 0 and not self.body_factor:
             return self._refuse(413, "body_not_expected", "no body is accepted here")
+        # The head may have been sent ahead, with the request before it.
+        self._answered = False
         await self._charge_request()
         counter = ChunkCounter() if head.length is None else LengthCounter(head.length)
         self.request = ClientRequest(counter, complete=counter.done)
-        self._answered = False
         now = trio.current_time()
         # A head without a body is complete as soon as it is parsed.
         deadline = now + settings.stall_seconds if counter.done else inf
@@ -255,14 +269,19 @@
             self.deadline = inf
 
     async def _charge_request(self) -> None:
-        if not self._in_protocol:
-            await self._hold(PROTOCOL_BYTES)
-            self._in_protocol = True
-        await self._hold(REQUEST_BYTES)
+        protocol_bytes = 0 if self._in_protocol else PROTOCOL_BYTES
+        await self._hold(protocol_bytes + REQUEST_BYTES)
+        self._in_protocol = True
 
     async def _hold(self, amount: int) -> None:
+        """Wait for room; the time does not count as the client's slowness."""
+        phase, since = self._phase, self.since
+        started = trio.current_time()
+        self._enter(Phase.WAITING, started, started + ADMIT_SECONDS)
         await self.limiter.obtain(self, amount)
+        waited = trio.current_time() - started
         self._held += amount
+        self._enter(phase, since + waited, inf)  # the caller sets the deadline
 
     def drop(self, amount: int) -> None:
         """Count bytes as free that the connection held."""
@@ -408,6 +427,9 @@
         if self._phase is Phase.ANSWER and not self._sending and not self._answered:
             self._refuse(400, reason, "the end of the body was not found")
             return
+        if self._phase is Phase.WAITING and not self._sending:
+            self._close_with(503, reason, BUSY_DETAIL)
+            return
         self._close_with(408, reason, "the request was sent too slowly and was not run")
 
     def evict(self) -> None:
@@ -421,7 +443,7 @@
             self.limiter.count(reason, self.source)
             self._enter(Phase.ANSWER, trio.current_time(), inf)
             request.complete_event.set()
-        elif self._phase in (Phase.HEAD, Phase.BODY) and not self._answered:
+        elif self._phase in REFUSABLE and not self._answered:
             self._refuse(status, reason, detail)
         else:
             self.limiter.count(reason, self.source)
@@ -446,9 +468,12 @@
                 await trio.lowlevel.wait_readable(self.socket)
 
 
+# Phases in which the application has not run, or has waited for the body only.
+REFUSABLE = (Phase.HEAD, Phase.BODY, Phase.WAITING)
 REASONS = {
     Phase.IDLE: "idle",
     Phase.HEAD: "head_too_slow",
     Phase.BODY: "body_too_slow",
+    Phase.WAITING: "no_room",
     Phase.ANSWER: "malformed_body",
 }
--- a/test/test_serving.py
+++ b/test/test_serving.py
@@ -335,3 +335,43 @@
             while limiter.connections:
                 await trio.sleep(0.01)
         assert (await read_answer(stream)).startswith(b"HTTP/1.1 503")
+
+
+async def test_wait_for_room_is_not_the_fault_of_the_client(monkeypatch):
+    """Guards against 408 for a whole request that waits for memory."""
+    monkeypatch.setattr("hemlockstand.serving.connection.ADMIT_SECONDS", 0.5)
+    async with open_observed_door(source_share=1) as (connect, limiter, _closing):
+        limiter.budget.count_bytes("other", limiter.budget.max_bytes - 20_000)
+        stream = await connect()
+        await stream.send_all(make_request("/refused"))
+        answer = await read_answer(stream)
+        await wait_released(limiter)
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"retry-after: 1" in answer.lower()
+
+
+async def test_body_that_waits_for_room_is_not_too_slow(monkeypatch):
+    """Guards against 408 for a body that is not read for lack of memory."""
+    monkeypatch.setattr("hemlockstand.serving.connection.ADMIT_SECONDS", 0.5)
+    async with open_observed_door(source_share=1) as (connect, limiter, _closing):
+        limiter.budget.count_bytes("other", limiter.budget.max_bytes - 150_000)
+        stream = await connect()
+        await stream.send_all(make_request("/size", b" " * 90_000))
+        answer = await read_answer(stream)
+        await wait_released(limiter)
+    assert answer.startswith(b"HTTP/1.1 503")
+
+
+async def test_waiting_requests_are_not_closed_for_each_other():
+    """Guards against whole requests that evict each other until none is left."""
+    async with open_observed_door(head_seconds=20) as (connect, limiter, _closing):
+        taken = limiter.budget.max_bytes - 100_000
+        limiter.budget.count_bytes("other", taken)
+        streams = [await connect() for _ in range(3)]
+        for stream in streams:
+            await stream.send_all(make_request("/refused", b"", "Connection: close"))
+        await trio.sleep(1.2)
+        limiter.budget.give_bytes("other", taken)
+        limiter.wake()
+        answers = [await read_answer(stream) for stream in streams]
+    assert [answer.split(b" ")[1] for answer in answers] == [b"401"] * 3
