Answer clients that end their side after sending

Cause: The end of a client's bytes during a request was taken for the end of the connection, and the request was dropped without an answer.

Change: The request runs to its end and is answered; then the connection closes. A client that has gone is found when its answer is written.

Measured: the new test was seen to fail before the change; test/test_serving.py passes.

--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -193,7 +193,8 @@
         return await self._receive_head()
 
     async def _wait_finished(self, request: ClientRequest) -> bool:
-        """Wait until a request is answered; False if its client has gone."""
+        """Wait until a request is answered; False if its client sends no more."""
+        ended = False
         if not self._buffer:
             if self.closed:
                 # Closing has woken the tasks that waited, and wakes none later.
@@ -202,8 +203,8 @@
             if request.finished:
                 return True
             try:
-                if not self.socket.recv(1, socket.MSG_PEEK):
-                    return False
+                # A client may end its side and still read the answer.
+                ended = not self.socket.recv(1, socket.MSG_PEEK)
             except BlockingIOError:
                 pass
             except OSError as error:
@@ -211,7 +212,7 @@
         await request.finished_event.wait()
         if self.closed:
             raise trio.ClosedResourceError
-        return True
+        return not ended
 
     def finish_request(self, request: ClientRequest) -> None:
         """Note that a request has been answered or given up."""
--- a/test/test_serving.py
+++ b/test/test_serving.py
@@ -42,6 +42,11 @@
     async def refuse_unread() -> Response:
         return Response("", 401)
 
+    @app.post("/slow")
+    async def answer_late() -> Response:
+        await trio.sleep(0.2)
+        return Response("")
+
     return app
 
 
@@ -375,3 +380,13 @@
         limiter.wake()
         answers = [await read_answer(stream) for stream in streams]
     assert [answer.split(b" ")[1] for answer in answers] == [b"401"] * 3
+
+
+async def test_client_that_ends_its_side_gets_its_answer():
+    """Guards against a request that is dropped when its client sends no more."""
+    async with open_observed_door() as (connect, limiter, _closing):
+        stream = await connect()
+        await stream.send_all(make_request("/slow"))
+        await stream.send_eof()
+        assert (await read_answer(stream)).startswith(b"HTTP/1.1 200")
+        await wait_released(limiter)
