Answer incomplete requests when a door closes

Cause: A head that had not arrived completely when the daemon stopped was closed without an answer, and deadlines were not checked from then on.

Change: Such a head is answered 503, and deadlines are checked until the last connection has ended.

Measured: both new tests were seen to fail before the change; test/test_serving.py passes.

--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -437,6 +437,13 @@
         """Close the connection, because others need its room."""
         self._close_with(503, "overloaded", BUSY_DETAIL)
 
+    def end_idle(self) -> None:
+        """Close the connection if no request is handled, as the door closes."""
+        if self.idle and self._phase is Phase.HEAD:
+            self._refuse(503, "stopping", "the daemon stops; this was not run")
+        elif self.idle:
+            self.close()
+
     def _close_with(self, status: int, reason: str, detail: str) -> None:
         request = self.request
         if self._phase is Phase.BODY and request.discarded and not self._answered:
--- a/hemlockstand/serving/server.py
+++ b/hemlockstand/serving/server.py
@@ -91,19 +91,33 @@
     server = Server(
         application, door, settings, Limiter(door.name, budget), make_config(door)
     )
+    async with trio.open_nursery() as checks:
+        # Deadlines also hold for the requests in progress while the door closes.
+        checks.start_soon(server.limiter.check)
+        await run_door(server, listeners, closing)
+        checks.cancel_scope.cancel()
+
+
+async def run_door(
+    server: "Server",
+    listeners: Sequence[socket.socket],
+    closing: Callable[[], Awaitable[None]],
+) -> None:
+    """Accept connections until ``closing`` returns, and wait for their end."""
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as nursery:
             for listener in listeners:
                 listener.setblocking(False)
                 listener.listen(BACKLOG)
                 nursery.start_soon(server.accept, listener, connections)
-            nursery.start_soon(server.limiter.check)
             await closing()
             nursery.cancel_scope.cancel()
         for listener in listeners:
             listener.close()
         await server.finish()
-        connections.cancel_scope.deadline = trio.current_time() + door.graceful_seconds
+        connections.cancel_scope.deadline = (
+            trio.current_time() + server.door.graceful_seconds
+        )
 
 
 def make_config(door: Door) -> Config:
@@ -196,5 +210,4 @@
         """Close idle connections; the others close after their answer."""
         await self.context.terminated.set()
         for connection in tuple(self.limiter.connections):
-            if connection.idle:
-                connection.close()
+            connection.end_idle()
--- a/test/test_serving.py
+++ b/test/test_serving.py
@@ -390,3 +390,23 @@
         await stream.send_eof()
         assert (await read_answer(stream)).startswith(b"HTTP/1.1 200")
         await wait_released(limiter)
+
+
+async def test_incomplete_head_is_answered_when_the_door_closes():
+    """Guards against a client that cannot tell whether its request has run."""
+    async with open_observed_door(head_seconds=20) as (connect, _limiter, closing):
+        stream = await connect()
+        await stream.send_all(b"POST /size HTTP/1.1\r\nHost:")
+        await trio.sleep(0.05)
+        closing.set()
+        assert (await read_answer(stream)).startswith(b"HTTP/1.1 503")
+
+
+async def test_deadlines_hold_while_the_door_closes():
+    """Guards against a slow body that gets no answer when the daemon stops."""
+    async with open_observed_door(stall_seconds=0.2) as (connect, _limiter, closing):
+        stream = await connect()
+        await stream.send_all(make_request("/size", b"a" * 50)[:-1])
+        await trio.sleep(0.05)
+        closing.set()
+        assert (await read_answer(stream)).startswith(b"HTTP/1.1 408")
