Read what a refused client sends for as long as it sends, up to 2 s

Cause: After a refusal the rest of a legal body was dropped for 0.5 s. On a slow link it took longer, and the connection was reset before the client had read the answer.

Change: The time starts again with each arrival, up to 2 s in all. It stays at none for connections that are closed for others or for slowness.

Measured: the new test was seen to fail before the change; test/test_serving.py passes.

--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -27,9 +27,12 @@
 # Bytes that are read at once. A client's share is counted after a read, so this
 # bounds what all connections together hold beyond the budget.
 RECEIVE_BYTES = 16_384
-# Time in which what a refused client still sends is read and dropped. Closing
-# with unread bytes would reset the connection, and the answer could be lost.
+# What a refused client still sends is read and dropped until it sends nothing for
+# this time. Closing with unread bytes would reset the connection, and the answer
+# could be lost.
 LINGER_SECONDS = 0.5
+# The largest usual body takes 0.4 s on a link of 5 Mbit/s that nobody shares.
+MAX_LINGER_SECONDS = 2.0
 LINGER_BYTES = 1 << 20
 REFUSAL = (
     b"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n"
@@ -470,9 +473,11 @@
         """Read and drop what a refused client still sends, up to a bound."""
         if self._linger_seconds is None:
             return
+        end = trio.current_time() + MAX_LINGER_SECONDS
         with trio.CancelScope(shield=True) as scope:
-            scope.deadline = trio.current_time() + self._linger_seconds
             while drop_received(self.socket):
+                quiet_end = trio.current_time() + self._linger_seconds
+                scope.deadline = min(end, quiet_end)
                 await trio.lowlevel.wait_readable(self.socket)
 
 
--- a/test/test_serving.py
+++ b/test/test_serving.py
@@ -410,3 +410,14 @@
         await trio.sleep(0.05)
         closing.set()
         assert (await read_answer(stream)).startswith(b"HTTP/1.1 408")
+
+
+async def test_refusal_reaches_a_client_on_a_slow_link():
+    """Guards against a reset that destroys the answer to a large body."""
+    async with open_observed_door() as (connect, _limiter, _closing):
+        stream = await connect()
+        await stream.send_all(make_request("/refused", b" " * 200_000)[:-200_000])
+        for _ in range(10):
+            await trio.sleep(0.1)
+            await stream.send_all(b" " * 20_000)
+        assert (await read_answer(stream)).startswith(b"HTTP/1.1 401")
