Name the limit that small chunks exceed

Cause: A legal body in very small chunks was refused as malformed.

Change: It is refused with the limit as its reason. The limit stays as it is: 65,536 bytes, whatever the size of the body.

Measured: the new test was seen to fail before the change; test/test_serving.py passes.

--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -15,7 +15,9 @@
 
 from hemlockstand.serving.budget import PROTOCOL_BYTES, REQUEST_BYTES
 from hemlockstand.serving.framing import (
+    MAX_CHUNK_OVERHEAD,
     ChunkCounter,
+    ChunksTooSmall,
     LengthCounter,
     Malformed,
     find_head_end,
@@ -321,6 +323,9 @@
             size = request.counter.count(data)
         except Malformed:
             return self._refuse(400, "malformed_chunks", "the chunks are malformed")
+        except ChunksTooSmall:
+            detail = f"the sizes of the chunks have over {MAX_CHUNK_OVERHEAD} bytes"
+            return self._refuse(400, "chunks_too_small", detail)
         data, self._buffer = data[:size], data[size:]
         request.received += size
         if not request.discarded:
--- a/hemlockstand/serving/framing.py
+++ b/hemlockstand/serving/framing.py
@@ -26,6 +26,10 @@
     """The framing is wrong, or the parser could read it in another way."""
 
 
+class ChunksTooSmall(Exception):
+    """The sizes of the chunks exceed what they may add to a body."""
+
+
 @frozen
 class Head:
     """The framing of a request; ``length`` is None for a body in chunks."""
@@ -114,8 +118,10 @@
         stop = len(content) if end < 0 else end + 1
         self._line += content[position:stop]
         self.overhead += stop - position
-        if len(self._line) > MAX_CHUNK_LINE or self.overhead > MAX_CHUNK_OVERHEAD:
+        if len(self._line) > MAX_CHUNK_LINE:
             raise Malformed
+        if self.overhead > MAX_CHUNK_OVERHEAD:
+            raise ChunksTooSmall
         if end >= 0:
             line = bytes(self._line)
             self._line.clear()
--- a/test/test_serving.py
+++ b/test/test_serving.py
@@ -421,3 +421,12 @@
             await trio.sleep(0.1)
             await stream.send_all(b" " * 20_000)
         assert (await read_answer(stream)).startswith(b"HTTP/1.1 401")
+
+
+async def test_small_chunks_are_not_called_malformed():
+    """Guards against a refusal that hides which limit was exceeded."""
+    chunks = (b"2\r\n" + b" " * 2 + b"\r\n") * 15_000
+    async with open_door() as exchange:
+        answer = await exchange(CHUNKED + chunks)
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert b"the sizes of the chunks have over 65536 bytes" in answer
