Keep accepting when the options of a connection cannot be set

Cause: An error of setsockopt on an accepted connection ended the accept loop and with it the daemon.

Change: The connection is closed and the next one accepted.

Measured: the new test was seen to fail before the change; test/test_serving.py passes.

--- a/hemlockstand/serving/server.py
+++ b/hemlockstand/serving/server.py
@@ -154,8 +154,12 @@
                     self.limiter.count("accept_failed", error.strerror or "")
                     await trio.sleep(ACCEPT_PAUSE_SECONDS)
                 continue
-            accepted.setblocking(False)
-            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            try:
+                accepted.setblocking(False)
+                accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            except OSError:
+                accepted.close()  # the client has gone
+                continue
             source = address[0]
             admitted = self.limiter.admit(source)
             nursery.start_soon(self._serve, accepted, source, admitted)
--- a/test/test_serving.py
+++ b/test/test_serving.py
@@ -1,5 +1,7 @@
 """Limits on single connections, over the network and without a crowd."""
 
+import errno
+import socket
 from contextlib import asynccontextmanager
 from unittest.mock import patch
 
@@ -430,3 +432,19 @@
         answer = await exchange(CHUNKED + chunks)
     assert answer.startswith(b"HTTP/1.1 400")
     assert b"the sizes of the chunks have over 65536 bytes" in answer
+
+
+async def test_failed_option_of_a_socket_ends_one_connection(monkeypatch):
+    """Guards against a client that ends the accepting of others."""
+    set_option = socket.socket.setsockopt
+
+    def fail(accepted, level, option, *value) -> None:
+        if option == socket.TCP_NODELAY:
+            raise OSError(errno.EINVAL, "the client has gone")
+        set_option(accepted, level, option, *value)
+
+    async with open_door() as exchange:
+        with monkeypatch.context() as patched:
+            patched.setattr(socket.socket, "setsockopt", fail)
+            assert await exchange() == b""
+        assert (await exchange(LAST)).startswith(b"HTTP/1.1 200")
