--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -15,21 +15,26 @@
 
 from hemlockstand.serving.budget import PROTOCOL_BYTES, REQUEST_BYTES
 from hemlockstand.serving.framing import (
+    MAX_CHUNK_OVERHEAD,
     ChunkCounter,
+    ChunksTooSmall,
     LengthCounter,
     Malformed,
     find_head_end,
     read_head,
 )
-from hemlockstand.serving.limiter import Limiter
+from hemlockstand.serving.limiter import ADMIT_SECONDS, Limiter
 from hemlockstand.serving.settings import ClientSettings
 
 # Bytes that are read at once. A client's share is counted after a read, so this
 # bounds what all connections together hold beyond the budget.
 RECEIVE_BYTES = 16_384
-# Time in which what a refused client still sends is read and dropped. Closing
-# with unread bytes would reset the connection, and the answer could be lost.
+# What a refused client still sends is read and dropped until it sends nothing for
+# this time. Closing with unread bytes would reset the connection, and the answer
+# could be lost.
 LINGER_SECONDS = 0.5
+# The largest usual body takes 0.4 s on a link of 5 Mbit/s that nobody shares.
+MAX_LINGER_SECONDS = 2.0
 LINGER_BYTES = 1 << 20
 REFUSAL = (
     b"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n"
@@ -53,12 +58,16 @@
     IDLE = auto()  # the first byte of a request
     HEAD = auto()  # the rest of a head
     BODY = auto()  # the rest of a body
+    WAITING = auto()  # room for what has arrived
     ANSWER = auto()  # the application
 
 
 # The first to be closed when others need room.
 RANKS = {Phase.BODY: 0, Phase.HEAD: 0, Phase.IDLE: 1}
 STALLED_RANK = 2
+# An incomplete body that waits for room holds memory. If all wait, one has to be
+# closed so that the others proceed. A request without a body holds none yet.
+WAITING_BODY_RANK = 3
 
 
 @frozen
@@ -150,7 +159,16 @@
         """Order in which connections are closed for others; None for never."""
         if self.closed:
             return None
-        return STALLED_RANK if self._sending else RANKS.get(self._phase)
+        if self._sending:
+            return STALLED_RANK
+        if self._phase is Phase.WAITING:
+            return WAITING_BODY_RANK if self._in_body else None
+        return RANKS.get(self._phase)
+
+    @property
+    def _in_body(self) -> bool:
+        """Whether a request has been handed over and its body is incomplete."""
+        return self.request is not None and not self.request.finished
 
     @property
     def idle(self) -> bool:
@@ -167,6 +185,8 @@
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Return a complete head or a part of a body; nothing at the end."""
+        if self.closed:
+            raise trio.ClosedResourceError
         if self._ready:
             data, self._ready = self._ready, b""
             return data
@@ -178,14 +198,18 @@
         return await self._receive_head()
 
     async def _wait_finished(self, request: ClientRequest) -> bool:
-        """Wait until a request is answered; False if its client has gone."""
+        """Wait until a request is answered; False if its client sends no more."""
+        ended = False
         if not self._buffer:
+            if self.closed:
+                # Closing has woken the tasks that waited, and wakes none later.
+                raise trio.ClosedResourceError
             await trio.lowlevel.wait_readable(self.socket)
             if request.finished:
                 return True
             try:
-                if not self.socket.recv(1, socket.MSG_PEEK):
-                    return False
+                # A client may end its side and still read the answer.
+                ended = not self.socket.recv(1, socket.MSG_PEEK)
             except BlockingIOError:
                 pass
             except OSError as error:
@@ -193,7 +217,7 @@
         await request.finished_event.wait()
         if self.closed:
             raise trio.ClosedResourceError
-        return True
+        return not ended
 
     def finish_request(self, request: ClientRequest) -> None:
         """Note that a request has been answered or given up."""
@@ -212,12 +236,13 @@
             excess = self._find_excess(self._buffer)
             if excess:
                 return self._refuse(431, "head_too_large", excess)
+            if self._buffer and self._phase is Phase.IDLE:
+                self._answered = False  # that was the request before this one
+                now = trio.current_time()
+                self._enter(Phase.HEAD, now, now + settings.head_seconds)
             data = await self._receive()
             if not data:
                 return b""
-            if self._phase is Phase.IDLE:
-                now = trio.current_time()
-                self._enter(Phase.HEAD, now, now + settings.head_seconds)
             self._buffer += data
         content, self._buffer = self._buffer[:end], self._buffer[end:]
         excess = self._find_excess(content)
@@ -225,25 +250,44 @@
             return self._refuse(431, "head_too_large", excess)
         if content.startswith(PROTOCOL_UPGRADE):
             return self._refuse(400, "protocol", "HTTP/2 is not served")
-        head = read_head(content)
+        try:
+            head = read_head(content)
+        except Malformed:
+            detail = "the length or coding of the body is malformed"
+            return self._refuse(400, "malformed_head", detail)
         if head.length != 0 and not self.body_factor:
             return self._refuse(413, "body_not_expected", "no body is accepted here")
+        # The head may have been sent ahead, with the request before it.
+        self._answered = False
         await self._charge_request()
         counter = ChunkCounter() if head.length is None else LengthCounter(head.length)
         self.request = ClientRequest(counter, complete=counter.done)
-        self._answered = False
-        self._enter(Phase.ANSWER, trio.current_time(), inf)
+        now = trio.current_time()
+        # A head without a body is complete as soon as it is parsed.
+        deadline = now + settings.stall_seconds if counter.done else inf
+        self._enter(Phase.ANSWER, now, deadline)
         return head.content
 
+    def mark_complete(self, request: ClientRequest) -> None:
+        """Note that the application has been given the whole body."""
+        request.mark_complete()
+        if self._phase is Phase.ANSWER:
+            self.deadline = inf
+
     async def _charge_request(self) -> None:
-        if not self._in_protocol:
-            await self._hold(PROTOCOL_BYTES)
-            self._in_protocol = True
-        await self._hold(REQUEST_BYTES)
+        protocol_bytes = 0 if self._in_protocol else PROTOCOL_BYTES
+        await self._hold(protocol_bytes + REQUEST_BYTES)
+        self._in_protocol = True
 
     async def _hold(self, amount: int) -> None:
+        """Wait for room; the time does not count as the client's slowness."""
+        phase, since = self._phase, self.since
+        started = trio.current_time()
+        self._enter(Phase.WAITING, started, started + ADMIT_SECONDS)
         await self.limiter.obtain(self, amount)
+        waited = trio.current_time() - started
         self._held += amount
+        self._enter(phase, since + waited, inf)  # the caller sets the deadline
 
     def drop(self, amount: int) -> None:
         """Count bytes as free that the connection held."""
@@ -279,17 +323,24 @@
             size = request.counter.count(data)
         except Malformed:
             return self._refuse(400, "malformed_chunks", "the chunks are malformed")
+        except ChunksTooSmall:
+            detail = f"the sizes of the chunks have over {MAX_CHUNK_OVERHEAD} bytes"
+            return self._refuse(400, "chunks_too_small", detail)
         data, self._buffer = data[:size], data[size:]
         request.received += size
         if not request.discarded:
             await self._hold(size * self.body_factor)
             request.charged += size * self.body_factor
         if request.counter.done:
-            self._enter(Phase.ANSWER, trio.current_time(), inf)
+            # The parser gives the end of the body to the application. If it sees
+            # the end elsewhere, it waits for bytes that nobody reads.
+            now = trio.current_time()
+            self._enter(Phase.ANSWER, now, now + settings.stall_seconds)
             return data
-        now = trio.current_time()
-        slowest = self.since + request.received / settings.bytes_per_second
-        self.deadline = min(now, slowest) + settings.stall_seconds
+        if self._phase is Phase.BODY:
+            now = trio.current_time()
+            slowest = self.since + request.received / settings.bytes_per_second
+            self.deadline = min(now, slowest) + settings.stall_seconds
         return data
 
     def _enter(self, phase: Phase, since: float, deadline: float) -> None:
@@ -340,6 +391,8 @@
         finally:
             self._sending = False
             self._enter(*before)
+            if self._phase is Phase.ANSWER:
+                self.deadline = inf  # the body may have become complete meanwhile
             self.limiter.release(self, amount)
 
     def _send(self, data: bytes | memoryview) -> int:
@@ -360,7 +413,9 @@
     async def aclose(self) -> None:
         """End the connection; its task closes the descriptor."""
         request = self.request
-        if self._buffer or (request is not None and not request.complete):
+        unread = self._buffer or (request is not None and not request.complete)
+        # A refusal has closed the connection and has set its own time.
+        if unread and not self.closed:
             self._linger_seconds = LINGER_SECONDS
         self.close()
 
@@ -378,14 +433,33 @@
     def expire(self) -> None:
         """Close the connection, because its deadline has passed."""
         reason = "write_too_slow" if self._sending else REASONS[self._phase]
+        if self._phase is Phase.ANSWER and not self._sending and not self._answered:
+            self._refuse(400, reason, "the end of the body was not found")
+            return
+        if self._phase is Phase.WAITING and not self._sending:
+            self._close_with(503, reason, BUSY_DETAIL)
+            return
         self._close_with(408, reason, "the request was sent too slowly and was not run")
 
     def evict(self) -> None:
         """Close the connection, because others need its room."""
         self._close_with(503, "overloaded", BUSY_DETAIL)
 
+    def end_idle(self) -> None:
+        """Close the connection if no request is handled, as the door closes."""
+        if self.idle and self._phase is Phase.HEAD:
+            self._refuse(503, "stopping", "the daemon stops; this was not run")
+        elif self.idle:
+            self.close()
+
     def _close_with(self, status: int, reason: str, detail: str) -> None:
-        if self._phase in (Phase.HEAD, Phase.BODY) and not self._answered:
+        request = self.request
+        if self._phase is Phase.BODY and request.discarded and not self._answered:
+            # The request has been handled: its answer waits for the body.
+            self.limiter.count(reason, self.source)
+            self._enter(Phase.ANSWER, trio.current_time(), inf)
+            request.complete_event.set()
+        elif self._phase in REFUSABLE and not self._answered:
             self._refuse(status, reason, detail)
         else:
             self.limiter.count(reason, self.source)
@@ -404,15 +478,20 @@
         """Read and drop what a refused client still sends, up to a bound."""
         if self._linger_seconds is None:
             return
+        end = trio.current_time() + MAX_LINGER_SECONDS
         with trio.CancelScope(shield=True) as scope:
-            scope.deadline = trio.current_time() + self._linger_seconds
             while drop_received(self.socket):
+                quiet_end = trio.current_time() + self._linger_seconds
+                scope.deadline = min(end, quiet_end)
                 await trio.lowlevel.wait_readable(self.socket)
 
 
+# Phases in which the application has not run, or has waited for the body only.
+REFUSABLE = (Phase.HEAD, Phase.BODY, Phase.WAITING)
 REASONS = {
     Phase.IDLE: "idle",
     Phase.HEAD: "head_too_slow",
     Phase.BODY: "body_too_slow",
-    Phase.ANSWER: "closed",
+    Phase.WAITING: "no_room",
+    Phase.ANSWER: "malformed_body",
 }
