Refuse no job while another request may be storing it

Cause: A job counted as unsure only after an answer 504, and this was checked before its row was read. A second submission of a job was answered 429 while the first one's write was in progress, after a row read that began before the write, or after the first request was cancelled during its write, and the job was then stored.

Change: A frontend follows the requests that submit a job. This is checked again after the row was read.

--- a/hemlockstand/fleet/admission_control.py
+++ b/hemlockstand/fleet/admission_control.py
@@ -6,6 +6,8 @@
 """
 
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from math import ceil
 
 import trio
@@ -17,6 +19,7 @@
 from hemlockstand.fleet.load_view import LoadView, PoolLoad, QueueFactor
 from hemlockstand.fleet.metrics import REFUSED
 from hemlockstand.fleet.model import FleetConfig, JobSpec, Queue
+from hemlockstand.fleet.open_submissions import OpenSubmissions
 from hemlockstand.fleet.policy.admission import (
     Admitted,
     Backlog,
@@ -52,6 +55,7 @@
     rows: RowStore
     settings: AdmissionSettings
     book: ReturnBook = field(factory=ReturnBook)
+    submissions: OpenSubmissions = field(factory=OpenSubmissions)
     reader: LoadReader = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -61,6 +65,19 @@
         """Keep the copy of the load recent while submissions come."""
         await self.reader.run()
 
+    @contextmanager
+    def follow(self, job: str) -> Iterator[None]:
+        """Follow a request that submits a job, from its check to its answer.
+
+        A request that is cancelled during its write leaves the job unsure.
+        """
+        self.submissions.open(job)
+        try:
+            yield
+        finally:
+            if self.submissions.close(job):
+                self.book.add_unsure(job, trio.current_time())
+
     async def check(
         self, spec: JobSpec, queue: Queue, config: FleetConfig
     ) -> Refusal | None:
@@ -70,12 +87,20 @@
         been accepted without an answer. Such a job is stored again under the
         condition that it does not exist, which tells.
         """
+        refusal = await self._find_refusal(spec, queue, config)
+        if refusal is None:
+            self.submissions.begin_write(spec.id)
+        return refusal
+
+    async def _find_refusal(
+        self, spec: JobSpec, queue: Queue, config: FleetConfig
+    ) -> Refusal | None:
         self.reader.request()
         now = trio.current_time()
         self.book.advance(now)
         view = self.reader.find_view()
         decision = self._decide(spec, queue, config, view, now)
-        if isinstance(decision, Admitted) or self.book.is_unsure(spec.id, now):
+        if isinstance(decision, Admitted) or self._may_be_stored(spec.id):
             return None
         # Callers get their times in the order in which they have come, so the
         # time is chosen before the store is asked.
@@ -87,8 +112,11 @@
             if not told_before:
                 self.book.remove(spec.id, now)
             log.info("job not read from the store", job=spec.id, detail=str(error))
+            if self._may_be_stored(spec.id):
+                return None
             return Refusal(503, "the store does not answer")
-        if is_stored:
+        # Another request may have begun to store the job during the read.
+        if is_stored or self._may_be_stored(spec.id):
             self.book.remove(spec.id, now)
             return None
         self._log_refusal(spec, queue, decision, seconds, view)
@@ -101,11 +129,19 @@
         now = trio.current_time()
         if status == 504:
             self.book.add_unsure(spec.id, now)
+        else:
+            self.submissions.end_write(spec.id)
         if status in (200, 504):
             self.book.remove(spec.id, now)
         if status in (200, 504) and not spec.timed:
             self.book.add_admitted(find_line(spec, queue), measure_work(spec), now)
 
+    def _may_be_stored(self, job: str) -> bool:
+        """Return whether a write of a job at this door may be applied."""
+        return self.submissions.may_be_stored(job) or self.book.is_unsure(
+            job, trio.current_time()
+        )
+
     def _decide(
         self,
         spec: JobSpec,
--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -298,12 +298,13 @@
         write = job_write(spec)
         if len(write.value) > LARGEST_ROW_BYTES:
             return refuse(413, TOO_LARGE_JOB)
-        refusal = await self._admission.check(spec, queue, config)
-        if refusal is not None:
-            return refuse(refusal.status, refusal.detail, refusal.seconds)
         expected = (RowExpectation(write.table, write.key, 0, write.part),)
-        answer = await self._store(call, write, expected, find_difference)
-        self._admission.record(spec, queue, answer.status)
+        with self._admission.follow(job):
+            refusal = await self._admission.check(spec, queue, config)
+            if refusal is not None:
+                return refuse(refusal.status, refusal.detail, refusal.seconds)
+            answer = await self._store(call, write, expected, find_difference)
+            self._admission.record(spec, queue, answer.status)
         log.info(
             "job submitted",
             job=job,
