Call capacities complete only if every instance is known

Cause: A view counted its capacities as complete although entries of the machine list could not be read, an instance was listed without memory, an executor outside the list was away during its restart, or the scheduler had just begun and saw reduced capacities. Capacities were noted only during a shortage. A job could be answered 400, "larger than any instance", that an instance has room for.

Change: A module of its own notes the largest capacity of each instance and of executors outside the machine list, also without a shortage.

--- a/emulator/fleet_instances.py
+++ b/emulator/fleet_instances.py
@@ -100,7 +100,8 @@
     ``lost_answers`` is the number of coming orders that are carried out but
     not answered. A list is answered ``list_answer_seconds`` after it was read.
     An order is carried out after ``order_seconds`` and answered
-    ``order_answer_seconds`` later.
+    ``order_answer_seconds`` later. ``unreadable`` is the number of entries that
+    a list has left out.
     """
 
     model: InstanceModel
@@ -111,6 +112,7 @@
     order_seconds: float = 0.0
     order_answer_seconds: float = 0.0
     hidden: set[str] = field(factory=set)
+    unreadable: int = 0
 
     async def _reach(self) -> None:
         await trio.sleep(self.call_seconds)
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -141,6 +141,7 @@
             ),
         )
         recent = self.plans.apply_list(listed, began_at)
+        self.plans.unreadable = self.client.unreadable
         self._listed_at = ended_at if recent else float("-inf")
         self.waves.update_instances()
         return True
--- a/hemlockstand/fleet/load_publisher.py
+++ b/hemlockstand/fleet/load_publisher.py
@@ -13,6 +13,7 @@
 from attrs import define, evolve, field, frozen
 from loguru import logger
 
+from hemlockstand.fleet.instance_sizes import InstanceSizes
 from hemlockstand.fleet.job_registry import find_pool
 from hemlockstand.fleet.load_row import load_write
 from hemlockstand.fleet.load_view import (
@@ -105,21 +106,23 @@
     """Chooses which view is stored with the scheduler's next transaction.
 
     ``blocked_pools`` names the pools in which unknown runs of a previous
-    scheduler may exist. ``_sizes`` holds the largest capacity that each instance
-    has had, since an executor may shrink for a while. ``_measures`` holds what was
-    expected of each waiting step when it was first counted.
+    scheduler may exist. ``_measures`` holds what was expected of each waiting step
+    when it was first counted.
     """
 
     state: SchedulerState
     plans: InstancePlans
     blocked_pools: AbstractSet[str]
+    sizes: InstanceSizes = field(init=False)
     _built_at: float = float("-inf")
     _next: LoadView | None = None
     _stored: LoadView | None = None
     _lacking: frozenset[str] = frozenset()
-    _sizes: dict[str, Resources] = field(factory=dict)
     _measures: dict[StepRun, _StepMeasure] = field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        self.sizes = InstanceSizes(self.state, self.plans)
+
     def find_view(self) -> LoadView | None:
         """Return the view that is to be stored, if any."""
         now = self.state.clock()
@@ -153,6 +156,8 @@
 
     def build(self, now: float, now_ms: int) -> LoadView:
         """Return the load of the pools that lack room."""
+        # Also without a shortage, as an executor may shrink before one.
+        self.sizes.observe(now)
         sums: dict[str, _PoolSums] = {}
         queues: dict[str, _QueueSums] = {}
         self._add_waiting(sums, queues, now)
@@ -171,7 +176,7 @@
         queued = self._add_arrivals(sums, now)
         capped = tuple(sorted(self._find_capped()))
         surplus = sum(pool.idle for name, pool in sums.items() if name not in lacking)
-        kinds, complete = self._list_kinds()
+        kinds, complete = self._list_kinds(now)
         return LoadView(
             LOAD_FORMAT,
             now_ms,
@@ -281,7 +286,7 @@
         for instance in self.plans.instances.values():
             if instance.data_centre in config.evacuated:
                 continue
-            cores = self._find_size(instance.name).cpu_millis / 1000
+            cores = self.sizes.find_size(instance.name).cpu_millis / 1000
             plan = self.plans.current.get(instance.name)
             target = plan.pool if plan is not None and plan.pool else instance.pool
             pool = config.pools.get(target)
@@ -293,27 +298,10 @@
                     sums[target].pending += cores
         return standby
 
-    def _find_size(self, instance: str) -> Resources:
-        """Return the largest capacity that an instance has had in this term."""
-        listed = self.plans.instances[instance].capacity
-        executor = self.plans.find_executor(instance)
-        own = Resources() if executor is None else executor.entry.capacity
-        size = find_largest(self._sizes.get(instance, listed), listed, own)
-        self._sizes[instance] = size
-        return size
-
-    def _list_kinds(self) -> tuple[tuple[InstanceKind, ...], bool]:
+    def _list_kinds(self, now: float) -> tuple[tuple[InstanceKind, ...], bool]:
         """Return the capacities of all instances, and whether all are known."""
-        counts = Counter(self._find_size(name) for name in self.plans.instances)
-        listed = {item.executor for item in self.plans.instances.values()}
-        counts.update(
-            executor.entry.capacity
-            for executor in self.state.executors.values()
-            if executor.id not in listed
-        )
-        complete = bool(self.plans.instances) and len(counts) <= MAX_KINDS
-        complete = complete and all(size.cpu_millis for size in counts)
-        if not complete:
+        counts = self.sizes.count()
+        if len(counts) > MAX_KINDS or not self.sizes.are_known(now):
             return (), False
         kinds = (InstanceKind(size, count) for size, count in counts.items())
         return tuple(kinds), True
@@ -353,15 +341,6 @@
     return size <= MAX_ROW_BYTES
 
 
-def find_largest(*sizes: Resources) -> Resources:
-    """Return the largest amount of each resource."""
-    return Resources(
-        max(size.cpu_millis for size in sizes),
-        max(size.memory_mb for size in sizes),
-        max(size.accelerators for size in sizes),
-    )
-
-
 def list_largest(
     waiting: dict[tuple[int, str], _WaitingSums], limit: int
 ) -> dict[str, dict[str, WaitingWork]]:
--- a/hemlockstand/fleet/plans.py
+++ b/hemlockstand/fleet/plans.py
@@ -41,11 +41,13 @@
 
     An order changes its instance here when it is accepted. A list whose read
     began before that may lack the change, so for this instance it is ignored.
+    ``unreadable`` is the number of entries that the last list left out.
     """
 
     state: SchedulerState
     instances: dict[str, InstanceEntry] = field(factory=dict)
     current: dict[str, Plan] = field(factory=dict)
+    unreadable: int = 0
     _changed_at: dict[str, float] = field(factory=dict)
 
     def change(self, instance: InstanceEntry) -> None:
--- a/hemlockstand/platform/machines.py
+++ b/hemlockstand/platform/machines.py
@@ -49,14 +49,18 @@
     Orders contain the holder's name and fencing token. They raise
     ``PlatformUnavailable`` if nothing was done, and ``OutcomeUnknown`` if the
     order may have been carried out.
+
+    ``unreadable`` is the number of entries that the last list had to leave out.
     """
 
     def __init__(self, address: str) -> None:
+        self.unreadable = 0
         self._connection = Connection(address)
 
     async def list_instances(self) -> list[InstanceEntry]:
         """Return all instances; raises ``PlatformUnavailable``."""
         instances: list[InstanceEntry] = []
+        entries = 0
         page = ""
         while True:
             target = (
@@ -64,11 +68,14 @@
             )
             fields = await self._list(target)
             try:
-                instances.extend(_decode_instances(fields.items("Machines")))
+                items = fields.items("Machines")
+                entries += len(items)
+                instances.extend(_decode_instances(items))
                 page = fields.string("NextToken", "")
             except InvalidInput as error:
                 raise PlatformUnavailable(f"unreadable list: {error}") from error
             if not page:
+                self.unreadable = entries - len(instances)
                 return instances
 
     async def _list(self, target: str) -> Fields:
--- a/test/test_platform_connection.py
+++ b/test/test_platform_connection.py
@@ -345,6 +345,7 @@
     client = InstanceClient(scripted_listener.address)
     instances = await client.list_instances()
     assert [instance.name for instance in instances] == ["m-1"]
+    assert client.unreadable == 4
     await client.close()
 
 
