Scale the turns of callers only by what was measured

Cause: The turns of callers who come back were scaled by the ratio of all accepted work to this frontend's own, also if it rested on too few own jobs. Beside large jobs at other frontends it reached 64 and small jobs were told times of half a minute for a turn of less than a second.

Change: Turns are scaled by the last value that rests on 8 own jobs, and by 1 before the first.

--- a/hemlockstand/fleet/admission_control.py
+++ b/hemlockstand/fleet/admission_control.py
@@ -186,8 +186,8 @@
     ) -> Backlog:
         """Return the work ahead of a job, by tenant.
 
-        What the door has let in counts as much as is measured, while the turns of
-        those who come back are also shared by a factor that is not.
+        What the door has let in is scaled only while that is measured, and the
+        turns of those who come back by what was measured last.
         """
         line = name, priority, own = find_line(spec, queue)
         age = max(0.0, time.time() - view.made_ms / 1000)
@@ -218,7 +218,7 @@
                 for known in (timely, late, told):
                     known.pop(tenant, None)
         is_behind = self.book.is_behind(line, now)
-        return Backlog(timely, late, told, cores, is_behind, factor.value)
+        return Backlog(timely, late, told, cores, is_behind, factor.last_measured)
 
     def _tell(self, spec: JobSpec, queue: Queue, decision: Decision, now: float) -> int:
         """Return the seconds after which a caller is to come back."""
--- a/hemlockstand/fleet/return_book.py
+++ b/hemlockstand/fleet/return_book.py
@@ -63,12 +63,14 @@
 class Factor:
     """The work of all frontends as a multiple of one's, by the view of a time.
 
-    It is ``measured`` if it rests on enough jobs of that one.
+    It is ``measured`` if it rests on enough jobs of that one. ``last_measured`` is
+    the last value that was, or 1 if none has been.
     """
 
     made_ms: int
     value: float
     measured: bool
+    last_measured: float = 1.0
 
 
 @define(eq=False)
@@ -184,7 +186,9 @@
         if known.made_ms:
             part = 1 / known.value + (part - 1 / known.value) * NEW_PART
         value = min(MAX_DOORS, max(1.0, 1 / part))
-        factor = Factor(made_ms, value, len(own) >= MIN_SHARE_JOBS)
+        measured = len(own) >= MIN_SHARE_JOBS
+        last_measured = value if measured else known.last_measured
+        factor = Factor(made_ms, value, measured, last_measured)
         self._factors[pool] = factor
         return factor
 
