Let stored jobs and failed reads take no turns

Cause: A caller got its turn before the row of its job was read. If the job was stored, or the read failed, the turn stayed taken, and the heap of the book kept an entry until the time of the turn. A client that resubmitted one accepted job moved the times of all others.

Change: The turn is taken after the read, in the order in which reads are answered. A job that another request was told of meanwhile gets the same time. The heap is rebuilt once it holds twice as many entries as callers.

--- a/hemlockstand/fleet/admission_control.py
+++ b/hemlockstand/fleet/admission_control.py
@@ -102,23 +102,19 @@
         decision = self._decide(spec, queue, config, view, now)
         if isinstance(decision, Admitted) or self._may_be_stored(spec.id):
             return None
-        # Callers get their times in the order in which they have come, so the
-        # time is chosen before the store is asked.
-        told_before = self.book.find_due(spec.id) is not None
-        seconds = self._tell(spec, queue, decision, now)
         try:
             is_stored = await self._is_stored(spec.id)
         except PlatformUnavailable as error:
-            if not told_before:
-                self.book.remove(spec.id, now)
             log.info("job not read from the store", job=spec.id, detail=str(error))
             if self._may_be_stored(spec.id):
                 return None
             return Refusal(503, "the store does not answer")
         # Another request may have begun to store the job during the read.
         if is_stored or self._may_be_stored(spec.id):
-            self.book.remove(spec.id, now)
+            self.book.remove(spec.id, trio.current_time())
             return None
+        # Stored jobs and failed reads take no turn, so the time is chosen now.
+        seconds = self._tell(spec, queue, decision, trio.current_time())
         self._log_refusal(spec, queue, decision, seconds, view)
         if isinstance(decision, Unservable):
             return Refusal(400, decision.detail)
@@ -221,7 +217,13 @@
         return Backlog(timely, late, told, cores, is_behind, factor.last_measured)
 
     def _tell(self, spec: JobSpec, queue: Queue, decision: Decision, now: float) -> int:
-        """Return the seconds after which a caller is to come back."""
+        """Return the seconds after which a caller is to come back.
+
+        It may have been told by another request meanwhile.
+        """
+        due_at = self.book.find_due(spec.id)
+        if due_at is not None:
+            return max(1, ceil(due_at - now))
         match decision:
             case Postponed(reason="time" | "order"):
                 line, work = find_line(spec, queue), measure_work(spec)
--- a/hemlockstand/fleet/return_book.py
+++ b/hemlockstand/fleet/return_book.py
@@ -6,7 +6,7 @@
 
 from collections import deque
 from collections.abc import Iterator
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import takewhile
 from math import ceil
 
@@ -18,6 +18,9 @@
 # No caller is told a longer time: the load in ten minutes is not known.
 MAX_RETURN_SECONDS = 600
 MAX_TOLD = 10_000  # callers to remember; 2.5 MB
+# Removed callers that the heap may hold, beside as many as the book has left:
+# rebuilding it costs as much as the pushes since the last time.
+MAX_REMOVED = 100
 MAX_ADMITTED = 10_000  # jobs to remember, of the last seconds
 # A caller may be late by this time and is still let in without a new check.
 KEEP_SECONDS = 30.0
@@ -147,6 +150,11 @@
         told = self._told.pop(job, None)
         if told is not None and told.due_at > now:
             self._subtract(told)
+        if len(self._heap) > 2 * len(self._told) + MAX_REMOVED:
+            self._heap = [
+                item for item in self._heap if self._told.get(item[1]) is item[2]
+            ]
+            heapify(self._heap)
 
     def is_behind(self, line: Line, now: float) -> bool:
         """Return whether callers of a line are still to come back."""
--- a/test/test_fleet_return_book.py
+++ b/test/test_fleet_return_book.py
@@ -1,6 +1,10 @@
 """What callers are told who come back, by the book of one frontend."""
 
+import trio
+
 from hemlockstand.fleet.load_view import PoolLoad, WaitingWork
+from hemlockstand.fleet.policy.admission import Postponed
+from hemlockstand.fleet.return_book import ReturnBook
 from test.test_fleet_door import DoorHarness, door, model
 
 __all__ = ["door", "model"]
@@ -20,3 +24,44 @@
         await door.publish(pools={"pool": pool})
         seconds.append(int((await door.submit(f"{number:016x}", Cpu=100))[2]))
     assert seconds[-1] <= seconds[0] + 1
+
+
+async def test_stored_jobs_and_failed_reads_take_no_turns(door: DoorHarness):
+    """Guards against newcomers that wait for the turns of nobody."""
+    assert (await door.submit())[0] == 200
+    await door.publish()
+    first = int((await door.submit(f"{1:016x}"))[2])
+    for _ in range(150):
+        assert (await door.submit())[0] == 200
+    await door.publish()
+    door.kernel.rows.closed = True
+    for number in range(150):
+        assert (await door.submit(f"{100 + number:016x}"))[0] == 503
+    door.kernel.rows.closed = False
+    await door.publish()
+    assert int((await door.submit(f"{2:016x}"))[2]) <= first + 1
+
+
+async def test_same_job_submitted_twice_at_once_takes_one_turn(door: DoorHarness):
+    """Guards against work that is counted twice and taken back once."""
+    await door.publish()
+    answers = []
+
+    async def submit() -> None:
+        answers.append((await door.submit())[::2])
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(submit)
+        nursery.start_soon(submit)
+    assert answers[0] == answers[1] and answers[0][0] == 429
+    assert [work for _, work in door.service._admission.book.list_outstanding()] == [1]
+
+
+def test_heap_is_bounded_by_the_callers_in_the_book():
+    """Guards against memory for callers that were removed from the book."""
+    book = ReturnBook()
+    decision = Postponed("time", "", 1.0, 0.05)
+    for number in range(5_000):
+        book.tell(f"{number % 7}", ("pool", 0, "team"), 1.0, 0.0, decision)
+        book.remove(f"{number % 7}", 0.0)
+    assert len(book._heap) <= 200
