Give entries of callers an order, and bound the capacity in a view

Cause: Entries of the heap of callers with the same time and job were compared by a class without an order. A capacity near 0 in a view made times that cannot be rounded. Both ended in an error 500.

Change: A counter decides between entries of the same time. A view with a pool of less than 0.001 of a core, the smallest that is published, is not used.

--- a/hemlockstand/fleet/load_row.py
+++ b/hemlockstand/fleet/load_row.py
@@ -17,6 +17,8 @@
 log = logger.bind(module=__name__)
 
 LOAD_KEY = "load"
+# The smallest capacity that is published. Times of work on less overflow.
+MIN_CORES = 0.001
 
 _decoder = msgspec.json.Decoder(LoadView)
 _format_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
@@ -41,6 +43,8 @@
         if not all(isfinite(each) and each >= 0 for each in view.list_numbers()):
             raise msgspec.DecodeError("a number is out of range")
         for pool in view.pools.values():
+            if 0 < pool.cores < MIN_CORES:
+                raise msgspec.DecodeError("a pool has less than any executor")
             if not all(priority.isdecimal() for priority in pool.waiting):
                 raise msgspec.DecodeError("a priority is not a number")
     except (msgspec.DecodeError, OverflowError) as error:
--- a/hemlockstand/fleet/return_book.py
+++ b/hemlockstand/fleet/return_book.py
@@ -7,7 +7,7 @@
 from collections import deque
 from collections.abc import Iterator
 from heapq import heapify, heappop, heappush
-from itertools import takewhile
+from itertools import count, takewhile
 from math import ceil
 
 from attrs import define, field, frozen
@@ -90,7 +90,8 @@
     _outstanding: dict[Line, float] = field(factory=dict)
     _latest: dict[Line, float] = field(factory=dict)
     _next_turn: dict[Line, float] = field(factory=dict)
-    _heap: list[tuple[float, str, Told, bool]] = field(factory=list)
+    _heap: list[tuple[float, int, str, Told, bool]] = field(factory=list)
+    _entries: Iterator[int] = field(factory=count)
     _admitted: deque[AdmittedWork] = field(factory=lambda: deque(maxlen=MAX_ADMITTED))
     _unsure: dict[str, float] = field(factory=dict)
     _factors: dict[str, Factor] = field(factory=dict)
@@ -98,20 +99,24 @@
     def advance(self, now: float) -> None:
         """Forget what has passed."""
         while self._heap and self._heap[0][0] <= now:
-            _, job, told, was_due = heappop(self._heap)
+            _, _, job, told, was_due = heappop(self._heap)
             if self._told.get(job) is not told:
                 continue
             if was_due:
                 del self._told[job]
                 continue
             self._subtract(told)
-            heappush(self._heap, (told.due_at + KEEP_SECONDS, job, told, True))
+            self._push(told.due_at + KEEP_SECONDS, job, told, True)
         while self._admitted and self._admitted[0].at < now - ADMITTED_SECONDS:
             self._admitted.popleft()
         for times in (self._latest, self._next_turn):
             for line in [line for line, at in times.items() if at <= now]:
                 del times[line]
 
+    def _push(self, at: float, job: str, told: Told, was_due: bool) -> None:
+        # The counter decides between entries of the same time.
+        heappush(self._heap, (at, next(self._entries), job, told, was_due))
+
     def _subtract(self, told: Told) -> None:
         left = self._outstanding.get(told.line, 0.0) - told.work
         if left > 1e-6:
@@ -142,7 +147,7 @@
             told = Told(line, work, due_at)
             self._told[job] = told
             self._outstanding[line] = self._outstanding.get(line, 0.0) + work
-            heappush(self._heap, (due_at, job, told, False))
+            self._push(due_at, job, told, False)
         return seconds
 
     def remove(self, job: str, now: float) -> None:
@@ -152,7 +157,7 @@
             self._subtract(told)
         if len(self._heap) > 2 * len(self._told) + MAX_REMOVED:
             self._heap = [
-                item for item in self._heap if self._told.get(item[1]) is item[2]
+                item for item in self._heap if self._told.get(item[2]) is item[3]
             ]
             heapify(self._heap)
 
--- a/test/test_fleet_door.py
+++ b/test/test_fleet_door.py
@@ -218,3 +218,20 @@
     assert book.is_behind(line, 1.0)
     book.advance(1000.0)
     assert not (book._told or book._heap or book._outstanding or book._latest)
+
+
+@pytest.mark.parametrize("cores", [1e-320, 1e-305, 1e-3])
+async def test_tiny_capacity_refuses_without_an_error(door, cores):
+    """Guards against an error of the server for a number that has no use."""
+    await door.publish(pools={"pool": attrs.evolve(FULL, cores=cores)})
+    for job in range(3):
+        assert (await door.submit(f"{job:016x}"))[0] in (200, 429)
+
+
+def test_callers_with_the_same_time_and_id():
+    """Guards against a comparison of callers that have no order."""
+    book = ReturnBook()
+    for work in (3.0, 2.0, 1.0):
+        book.tell("a", ("pool", 0, "team"), work, 0.0, Postponed("time", "", 1.0))
+        book.remove("a", 0.0)
+    assert len(book._heap) == 3
