Refuse no job of which the status is still stored

Cause: The check before a refusal read the row of the job alone, which is removed before the status of a job that has ended. A caller whose answer was lost was told that such a job had not been accepted.

Change: The check reads the status as well, one more read for each refusal and none without.

Measured: the new case of test/test_fleet_door.py failed before and passes now, with test_fleet_open_submissions.py, test_fleet_return_book.py and test_fleet_steady_load.py.

--- a/hemlockstand/fleet/admission_control.py
+++ b/hemlockstand/fleet/admission_control.py
@@ -33,7 +33,7 @@
 )
 from hemlockstand.fleet.return_book import EARLY_SECONDS, Line, ReturnBook
 from hemlockstand.fleet.settings import AdmissionSettings
-from hemlockstand.fleet.storage import JOBS_TABLE, job_part
+from hemlockstand.fleet.storage import JobRows, read_job
 from hemlockstand.platform.rows import RowStore
 
 log = logger.bind(module=__name__)
@@ -234,8 +234,8 @@
         return 0
 
     async def _is_stored(self, job: str) -> bool:
-        page = await self.rows.read(JOBS_TABLE, job, job + "\0", job_part(job))
-        return any(not row.dropped for row in page.rows)
+        # The status of an expired job is removed after the job itself.
+        return await read_job(self.rows, job) != JobRows()
 
     def _log_refusal(
         self,
--- a/test/test_fleet_door.py
+++ b/test/test_fleet_door.py
@@ -14,10 +14,11 @@
     PoolLoad,
     WaitingWork,
 )
-from hemlockstand.fleet.model import Resources
+from hemlockstand.fleet.model import JobState, JobStatus, Resources
 from hemlockstand.fleet.policy.admission import Postponed
 from hemlockstand.fleet.return_book import MAX_TOLD, ReturnBook
 from hemlockstand.fleet.settings import AdmissionSettings
+from hemlockstand.fleet.storage import status_write
 from test.fleet_world import USUAL, make_config, make_settings
 from test.test_fleet_frontend import BODY, JOB, FrontendHarness, StubKernel
 
@@ -235,3 +236,12 @@
         book.tell("a", ("pool", 0, "team"), work, 0.0, Postponed("time", "", 1.0))
         book.remove("a", 0.0)
     assert len(book._heap) == 3
+
+
+async def test_job_of_which_only_the_status_is_left(door):
+    """Guards against "not run" for a job that has run and is being removed."""
+    write = status_write(JOB, JobStatus(JobState.COMPLETED))
+    door.model.put(write.table, write.key, write.value)
+    await door.publish()
+    assert (await door.submit(OTHER_JOB))[0] == 429
+    assert (await door.submit())[0] == 200
