--- a/hemlockstand/fleet/admission_control.py
+++ b/hemlockstand/fleet/admission_control.py
@@ -6,6 +6,8 @@
 """
 
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from math import ceil
 
 import trio
@@ -17,6 +19,7 @@
 from hemlockstand.fleet.load_view import LoadView, PoolLoad, QueueFactor
 from hemlockstand.fleet.metrics import REFUSED
 from hemlockstand.fleet.model import FleetConfig, JobSpec, Queue
+from hemlockstand.fleet.open_submissions import OpenSubmissions
 from hemlockstand.fleet.policy.admission import (
     Admitted,
     Backlog,
@@ -30,7 +33,7 @@
 )
 from hemlockstand.fleet.return_book import EARLY_SECONDS, Line, ReturnBook
 from hemlockstand.fleet.settings import AdmissionSettings
-from hemlockstand.fleet.storage import JOBS_TABLE, job_part
+from hemlockstand.fleet.storage import JobRows, read_job
 from hemlockstand.platform.rows import RowStore
 
 log = logger.bind(module=__name__)
@@ -52,6 +55,7 @@
     rows: RowStore
     settings: AdmissionSettings
     book: ReturnBook = field(factory=ReturnBook)
+    submissions: OpenSubmissions = field(factory=OpenSubmissions)
     reader: LoadReader = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -61,6 +65,19 @@
         """Keep the copy of the load recent while submissions come."""
         await self.reader.run()
 
+    @contextmanager
+    def follow(self, job: str) -> Iterator[None]:
+        """Follow a request that submits a job, from its check to its answer.
+
+        A request that is cancelled during its write leaves the job unsure.
+        """
+        self.submissions.open(job)
+        try:
+            yield
+        finally:
+            if self.submissions.close(job):
+                self.book.add_unsure(job, trio.current_time())
+
     async def check(
         self, spec: JobSpec, queue: Queue, config: FleetConfig
     ) -> Refusal | None:
@@ -70,28 +87,35 @@
         been accepted without an answer. Such a job is stored again under the
         condition that it does not exist, which tells.
         """
+        refusal = await self._find_refusal(spec, queue, config)
+        if refusal is None:
+            self.submissions.begin_write(spec.id)
+        return refusal
+
+    async def _find_refusal(
+        self, spec: JobSpec, queue: Queue, config: FleetConfig
+    ) -> Refusal | None:
         if self.settings.by_load:
             self.reader.request()
         now = trio.current_time()
         self.book.advance(now)
         view = self.reader.find_view()
         decision = self._decide(spec, queue, config, view, now)
-        if isinstance(decision, Admitted) or self.book.is_unsure(spec.id, now):
+        if isinstance(decision, Admitted) or self._may_be_stored(spec.id):
             return None
-        # Callers get their times in the order in which they have come, so the
-        # time is chosen before the store is asked.
-        told_before = self.book.find_due(spec.id) is not None
-        seconds = self._tell(spec, queue, decision, now)
         try:
             is_stored = await self._is_stored(spec.id)
         except PlatformUnavailable as error:
-            if not told_before:
-                self.book.remove(spec.id, now)
             log.info("job not read from the store", job=spec.id, detail=str(error))
+            if self._may_be_stored(spec.id):
+                return None
             return Refusal(503, "the store does not answer")
-        if is_stored:
-            self.book.remove(spec.id, now)
+        # Another request may have begun to store the job during the read.
+        if is_stored or self._may_be_stored(spec.id):
+            self.book.remove(spec.id, trio.current_time())
             return None
+        # Stored jobs and failed reads take no turn, so the time is chosen now.
+        seconds = self._tell(spec, queue, decision, trio.current_time())
         self._log_refusal(spec, queue, decision, seconds, view)
         if isinstance(decision, Unservable):
             return Refusal(400, decision.detail)
@@ -102,11 +126,19 @@
         now = trio.current_time()
         if status == 504:
             self.book.add_unsure(spec.id, now)
+        else:
+            self.submissions.end_write(spec.id)
         if status in (200, 504):
             self.book.remove(spec.id, now)
         if status in (200, 504) and not spec.timed:
             self.book.add_admitted(find_line(spec, queue), measure_work(spec), now)
 
+    def _may_be_stored(self, job: str) -> bool:
+        """Return whether a write of a job at this door may be applied."""
+        return self.submissions.may_be_stored(job) or self.book.is_unsure(
+            job, trio.current_time()
+        )
+
     def _decide(
         self,
         spec: JobSpec,
@@ -151,8 +183,8 @@
     ) -> Backlog:
         """Return the work ahead of a job, by tenant.
 
-        What the door has let in counts as much as is measured, while the turns of
-        those who come back are also shared by a factor that is not.
+        What the door has let in is scaled only while that is measured, and the
+        turns of those who come back by what was measured last.
         """
         line = name, priority, own = find_line(spec, queue)
         age = max(0.0, time.time() - view.made_ms / 1000)
@@ -182,11 +214,18 @@
             if tenant != own:
                 for known in (timely, late, told):
                     known.pop(tenant, None)
-        is_behind = self.book.is_behind(line, now)
-        return Backlog(timely, late, told, cores, is_behind, factor.value)
+        # Beside those who come back, a pool without waiting work has room.
+        is_behind = self.book.is_behind(line, now) and bool(pool.waiting)
+        return Backlog(timely, late, told, cores, is_behind, factor.last_measured)
 
     def _tell(self, spec: JobSpec, queue: Queue, decision: Decision, now: float) -> int:
-        """Return the seconds after which a caller is to come back."""
+        """Return the seconds after which a caller is to come back.
+
+        It may have been told by another request meanwhile.
+        """
+        due_at = self.book.find_due(spec.id)
+        if due_at is not None:
+            return max(1, ceil(due_at - now))
         match decision:
             case Postponed(reason="time" | "order"):
                 line, work = find_line(spec, queue), measure_work(spec)
@@ -196,8 +235,8 @@
         return 0
 
     async def _is_stored(self, job: str) -> bool:
-        page = await self.rows.read(JOBS_TABLE, job, job + "\0", job_part(job))
-        return any(not row.dropped for row in page.rows)
+        # The status of an expired job is removed after the job itself.
+        return await read_job(self.rows, job) != JobRows()
 
     def _log_refusal(
         self,
--- a/hemlockstand/fleet/return_book.py
+++ b/hemlockstand/fleet/return_book.py
@@ -6,8 +6,8 @@
 
 from collections import deque
 from collections.abc import Iterator
-from heapq import heappop, heappush
-from itertools import takewhile
+from heapq import heapify, heappop, heappush
+from itertools import count, takewhile
 from math import ceil
 
 from attrs import define, field, frozen
@@ -18,6 +18,9 @@
 # No caller is told a longer time: the load in ten minutes is not known.
 MAX_RETURN_SECONDS = 600
 MAX_TOLD = 10_000  # callers to remember; 2.5 MB
+# Removed callers that the heap may hold, beside as many as the book has left:
+# rebuilding it costs as much as the pushes since the last time.
+MAX_REMOVED = 100
 MAX_ADMITTED = 10_000  # jobs to remember, of the last seconds
 # A caller may be late by this time and is still let in without a new check.
 KEEP_SECONDS = 30.0
@@ -63,12 +66,14 @@
 class Factor:
     """The work of all frontends as a multiple of one's, by the view of a time.
 
-    It is ``measured`` if it rests on enough jobs of that one.
+    It is ``measured`` if it rests on enough jobs of that one. ``last_measured`` is
+    the last value that was, or 1 if none has been.
     """
 
     made_ms: int
     value: float
     measured: bool
+    last_measured: float = 1.0
 
 
 @define(eq=False)
@@ -85,7 +90,8 @@
     _outstanding: dict[Line, float] = field(factory=dict)
     _latest: dict[Line, float] = field(factory=dict)
     _next_turn: dict[Line, float] = field(factory=dict)
-    _heap: list[tuple[float, str, Told, bool]] = field(factory=list)
+    _heap: list[tuple[float, int, str, Told, bool]] = field(factory=list)
+    _entries: Iterator[int] = field(factory=count)
     _admitted: deque[AdmittedWork] = field(factory=lambda: deque(maxlen=MAX_ADMITTED))
     _unsure: dict[str, float] = field(factory=dict)
     _factors: dict[str, Factor] = field(factory=dict)
@@ -93,20 +99,24 @@
     def advance(self, now: float) -> None:
         """Forget what has passed."""
         while self._heap and self._heap[0][0] <= now:
-            _, job, told, was_due = heappop(self._heap)
+            _, _, job, told, was_due = heappop(self._heap)
             if self._told.get(job) is not told:
                 continue
             if was_due:
                 del self._told[job]
                 continue
             self._subtract(told)
-            heappush(self._heap, (told.due_at + KEEP_SECONDS, job, told, True))
+            self._push(told.due_at + KEEP_SECONDS, job, told, True)
         while self._admitted and self._admitted[0].at < now - ADMITTED_SECONDS:
             self._admitted.popleft()
         for times in (self._latest, self._next_turn):
             for line in [line for line, at in times.items() if at <= now]:
                 del times[line]
 
+    def _push(self, at: float, job: str, told: Told, was_due: bool) -> None:
+        # The counter decides between entries of the same time.
+        heappush(self._heap, (at, next(self._entries), job, told, was_due))
+
     def _subtract(self, told: Told) -> None:
         left = self._outstanding.get(told.line, 0.0) - told.work
         if left > 1e-6:
@@ -137,7 +147,7 @@
             told = Told(line, work, due_at)
             self._told[job] = told
             self._outstanding[line] = self._outstanding.get(line, 0.0) + work
-            heappush(self._heap, (due_at, job, told, False))
+            self._push(due_at, job, told, False)
         return seconds
 
     def remove(self, job: str, now: float) -> None:
@@ -145,6 +155,11 @@
         told = self._told.pop(job, None)
         if told is not None and told.due_at > now:
             self._subtract(told)
+        if len(self._heap) > 2 * len(self._told) + MAX_REMOVED:
+            self._heap = [
+                item for item in self._heap if self._told.get(item[2]) is item[3]
+            ]
+            heapify(self._heap)
 
     def is_behind(self, line: Line, now: float) -> bool:
         """Return whether callers of a line are still to come back."""
@@ -184,7 +199,9 @@
         if known.made_ms:
             part = 1 / known.value + (part - 1 / known.value) * NEW_PART
         value = min(MAX_DOORS, max(1.0, 1 / part))
-        factor = Factor(made_ms, value, len(own) >= MIN_SHARE_JOBS)
+        measured = len(own) >= MIN_SHARE_JOBS
+        last_measured = value if measured else known.last_measured
+        factor = Factor(made_ms, value, measured, last_measured)
         self._factors[pool] = factor
         return factor
 
