Call an address of the daemon an endpoint, and who admits submissions a frontend

Cause: door was a private name for two things, the addresses with limits on clients and the frontends that admit submissions.

--- a/hemlockstand/fleet/admission_control.py
+++ b/hemlockstand/fleet/admission_control.py
@@ -134,7 +134,7 @@
             self.book.add_admitted(find_line(spec, queue), measure_work(spec), now)
 
     def _may_be_stored(self, job: str) -> bool:
-        """Return whether a write of a job at this door may be applied."""
+        """Return whether a write of a job at this frontend may be applied."""
         return self.submissions.may_be_stored(job) or self.book.is_unsure(
             job, trio.current_time()
         )
@@ -183,7 +183,7 @@
     ) -> Backlog:
         """Return the work ahead of a job, by tenant.
 
-        What the door has let in is scaled only while that is measured, and the
+        What a frontend has let in is scaled only while that is measured, and the
         turns of those who come back by what was measured last.
         """
         line = name, priority, own = find_line(spec, queue)
--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -54,7 +54,7 @@
 from hemlockstand.serving.bodies import BodyTooLarge, read_body
 from hemlockstand.serving.budget import BODY_FACTOR
 from hemlockstand.serving.connection import RefusalFormat
-from hemlockstand.serving.server import Door, bind_address, serve_clients
+from hemlockstand.serving.server import Endpoint, bind_address, serve_clients
 
 log = logger.bind(module=__name__)
 
@@ -67,7 +67,7 @@
 RETRY_AFTER_SECONDS = 1
 # Parts of what clients may use. A crowd of callers leaves the balancer's checks
 # and the metrics their own part.
-DOOR_SHARES = {"callers": 0.75, "readiness": 0.125, "metrics": 0.125}
+ENDPOINT_SHARES = {"callers": 0.75, "readiness": 0.125, "metrics": 0.125}
 TOO_LARGE_JOB = "the job does not fit into a row of the store"
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -161,16 +161,16 @@
             await self._closed.wait()
 
     async def _serve(self, app: QuartTrio, kind: str) -> None:
-        door = Door(
+        endpoint = Endpoint(
             name=kind,
-            share=DOOR_SHARES[kind],
+            share=ENDPOINT_SHARES[kind],
             body_factor=BODY_FACTOR if kind == "callers" else 0,
             graceful_seconds=self._grace_seconds / 3,
             refusals=RefusalFormat(encode_error),
         )
         listener = bind_address(getattr(self._listen, kind))
         await serve_clients(
-            app, door, self.settings.clients, [listener], self._closing.wait
+            app, endpoint, self.settings.clients, [listener], self._closing.wait
         )
 
     def _make_ready_app(self) -> QuartTrio:
--- a/hemlockstand/fleet/load_publisher.py
+++ b/hemlockstand/fleet/load_publisher.py
@@ -39,7 +39,7 @@
 # A view counts for two seconds; an unchanged one is written again before.
 REPEAT_SECONDS = 1.0
 # A pool lacks room if a step has waited for so long, or if its waiting work
-# fills it for so long. Shorter waits end before a door could read of them.
+# fills it for so long. Shorter waits end before a frontend could read of them.
 SHORTAGE_SECONDS = 1.0
 # After a shortage a pool counts as lacking room until less than this part of it
 # is in use. Those who come back fill 0.7 of it, and if newcomers were
@@ -48,7 +48,7 @@
 # A tenant that uses this part of its maximum may wait for it.
 CAPPED_FRACTION = 0.8
 # The row must fit into the store: about 30 bytes for a tenant, twice, and 80 for
-# a queue or a kind of instances. What is left out only makes doors refuse less.
+# a queue or a kind of instances. What is left out only makes frontends refuse less.
 MAX_TENANTS = 300
 MAX_QUEUES = 100
 MAX_KINDS = 64
--- a/hemlockstand/fleet/policy/admission.py
+++ b/hemlockstand/fleet/policy/admission.py
@@ -1,4 +1,4 @@
-"""Admission of submissions at the door.
+"""Admission of submissions at a frontend.
 
 Load pattern: a burst of a queue beyond what its pool can run, for longer than
 its jobs are worth something. Each job that is stored beyond that takes the
@@ -86,13 +86,13 @@
 
 @frozen
 class Backlog:
-    """Work ahead of a submission in its pool, as a door knows it.
+    """Work ahead of a submission in its pool, as a frontend knows it.
 
     ``timely`` holds the core-seconds that can still be in time by tenant,
-    including what the door has admitted since the view was made; ``late`` holds
+    including what a frontend has admitted since the view was made; ``late`` holds
     those of late jobs, ``told`` those of jobs that were told to come back.
     ``is_behind`` means that there are some of the same tenant. ``scale`` is the
-    work of all doors as a multiple of this one's, and ``own_cores`` the most that
+    work of all frontends as a multiple of this one's, and ``own_cores`` the most that
     the tenant may use.
     """
 
--- a/hemlockstand/fleet/return_book.py
+++ b/hemlockstand/fleet/return_book.py
@@ -38,7 +38,7 @@
 # part. More would add up to too much over many frontends.
 PRIOR_JOBS = 0.25
 NEW_PART = 0.3  # of a new measurement of that part in the average
-MAX_DOORS = 64  # the factor between one frontend's work and that of all
+MAX_FRONTENDS = 64  # the factor between one frontend's work and that of all
 
 # A pool, and the priority and the tenant of jobs there.
 Line = tuple[str, int, str]
@@ -198,7 +198,7 @@
         part = (sum(own) + PRIOR_JOBS * work) / (arrived + PRIOR_JOBS * work)
         if known.made_ms:
             part = 1 / known.value + (part - 1 / known.value) * NEW_PART
-        value = min(MAX_DOORS, max(1.0, 1 / part))
+        value = min(MAX_FRONTENDS, max(1.0, 1 / part))
         measured = len(own) >= MIN_SHARE_JOBS
         last_measured = value if measured else known.last_measured
         factor = Factor(made_ms, value, measured, last_measured)
--- a/hemlockstand/operators/interface.py
+++ b/hemlockstand/operators/interface.py
@@ -35,7 +35,7 @@
 from hemlockstand.operators.routes import Answer, Operations
 from hemlockstand.serving.bodies import BodyTooLarge, read_body
 from hemlockstand.serving.connection import RefusalFormat
-from hemlockstand.serving.server import Door, serve_clients
+from hemlockstand.serving.server import Endpoint, serve_clients
 from hemlockstand.serving.settings import OPERATORS_SHARE
 from hemlockstand.sheet.problems import SheetError
 from hemlockstand.sheet.reader import MAX_SHEET_BYTES
@@ -96,7 +96,7 @@
 
     async def run(self) -> None:
         """Serve until stopped."""
-        door = Door(
+        endpoint = Endpoint(
             name="operators",
             share=OPERATORS_SHARE,
             body_factor=1,
@@ -109,7 +109,7 @@
             # The listener that is served is closed with the last call.
             await serve_clients(
                 make_app(self.kernel, self._operations),
-                door,
+                endpoint,
                 self.settings.clients,
                 [self._socket.dup()],
                 self._stopping.wait,
--- a/hemlockstand/requests/admission.py
+++ b/hemlockstand/requests/admission.py
@@ -44,7 +44,7 @@
 from hemlockstand.serving.bodies import BodyTooLarge, read_body
 from hemlockstand.serving.budget import BODY_FACTOR
 from hemlockstand.serving.connection import RefusalFormat
-from hemlockstand.serving.server import Door, serve_clients
+from hemlockstand.serving.server import Endpoint, serve_clients
 from hemlockstand.serving.settings import CALLERS_SHARE
 from hemlockstand.traces import record_span
 from hemlockstand.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
@@ -125,7 +125,7 @@
         config.bind = [f"{listen.host}:{listen.caller_port}"]
         listeners = config.create_sockets().insecure_sockets
         self.port = listeners[0].getsockname()[1]
-        door = Door(
+        endpoint = Endpoint(
             name="callers",
             share=CALLERS_SHARE,
             body_factor=BODY_FACTOR,
@@ -137,7 +137,7 @@
         )
         task_status.started()
         await serve_clients(
-            self.app, door, self.settings.clients, listeners, self._closing.wait
+            self.app, endpoint, self.settings.clients, listeners, self._closing.wait
         )
 
     def _make_app(self) -> QuartTrio:
--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -72,7 +72,7 @@
 
 @frozen
 class RefusalFormat:
-    """How a door words refusals that its application does not see."""
+    """How an endpoint words refusals that its application does not see."""
 
     encode: Callable[[str], bytes]
     lines: bytes = b""  # of the head, each with its end
@@ -446,7 +446,7 @@
         self._close_with(503, "overloaded", BUSY_DETAIL)
 
     def end_idle(self) -> None:
-        """Close the connection if no request is handled, as the door closes."""
+        """Close the connection if no request is handled, as the endpoint closes."""
         if self.idle and self._phase is Phase.HEAD:
             self._refuse(503, "stopping", "the daemon stops; this was not run")
         elif self.idle:
--- a/hemlockstand/serving/limiter.py
+++ b/hemlockstand/serving/limiter.py
@@ -1,4 +1,4 @@
-"""Shares the budget of a door between its connections.
+"""Shares the budget of an endpoint between its connections.
 
 When a client needs more than is left, one connection at a time is closed to make
 room: the oldest whose request is incomplete, then the one idle for longest, then
@@ -57,9 +57,9 @@
 
 @define(eq=False)
 class Limiter:
-    """The connections of a door, and what is left for them."""
+    """The connections of an endpoint, and what is left for them."""
 
-    door: str
+    endpoint: str
     budget: Budget
     connections: set[Held] = field(factory=set)
     _closing: set[Held] = field(factory=set)
@@ -102,14 +102,14 @@
     def add(self, connection: Held) -> None:
         """Add an admitted connection."""
         self.connections.add(connection)
-        CLIENT_CONNECTIONS.labels(self.door).set(self.budget.connections)
+        CLIENT_CONNECTIONS.labels(self.endpoint).set(self.budget.connections)
 
     def remove(self, connection: Held) -> None:
         """Remove a connection that has ended."""
         self.connections.discard(connection)
         self._closing.discard(connection)
         self.budget.give_connection(connection.source)
-        CLIENT_CONNECTIONS.labels(self.door).set(self.budget.connections)
+        CLIENT_CONNECTIONS.labels(self.endpoint).set(self.budget.connections)
         self.wake()
 
     async def obtain(self, connection: Held, amount: int) -> None:
@@ -180,11 +180,11 @@
             ]:
                 connection.expire()
             self.wake()
-            CLIENT_BYTES.labels(self.door).set(self.budget.used_bytes)
+            CLIENT_BYTES.labels(self.endpoint).set(self.budget.used_bytes)
 
     def count(self, reason: str, source: str) -> None:
         """Count a refusal, and log it unless its reason was logged just now."""
-        CLIENT_REFUSALS.labels(self.door, reason).inc()
+        CLIENT_REFUSALS.labels(self.endpoint, reason).inc()
         self._unlogged[reason] += 1
         now = trio.current_time()
         if now < self._logged_at.get(reason, 0) + LOG_SECONDS:
@@ -192,7 +192,7 @@
         self._logged_at[reason] = now
         log.warning(
             "clients were refused",
-            door=self.door,
+            endpoint=self.endpoint,
             reason=reason,
             count=self._unlogged.pop(reason),
             source=source,
--- a/hemlockstand/serving/server.py
+++ b/hemlockstand/serving/server.py
@@ -1,4 +1,4 @@
-"""Accepts the connections of a door and serves them with Hypercorn."""
+"""Accepts the connections of an endpoint and serves them with Hypercorn."""
 
 import errno
 import socket
@@ -36,11 +36,11 @@
 
 
 @frozen
-class Door:
+class Endpoint:
     """An address of the daemon.
 
     ``share`` is its part of what all clients may use, so that a crowd at one
-    door does not close another. ``body_factor`` is the memory for a body relative
+    endpoint does not close another. ``body_factor`` is the memory for a body relative
     to its size, 0 where no body is accepted.
     """
 
@@ -77,22 +77,26 @@
 
 async def serve_clients(
     application: Application,
-    door: Door,
+    endpoint: Endpoint,
     settings: ClientSettings,
     listeners: Sequence[socket.socket],
     closing: Callable[[], Awaitable[None]],
 ) -> None:
     """Serve until ``closing`` returns, then finish the requests in progress."""
     budget = Budget(
-        int(settings.memory_bytes * door.share),
-        max(1, int(settings.connections * door.share)),
+        int(settings.memory_bytes * endpoint.share),
+        max(1, int(settings.connections * endpoint.share)),
         settings.source_share,
     )
     server = Server(
-        application, door, settings, Limiter(door.name, budget), make_config(door)
+        application,
+        endpoint,
+        settings,
+        Limiter(endpoint.name, budget),
+        make_config(endpoint),
     )
     async with trio.open_nursery() as checks:
-        # Deadlines also hold for the requests in progress while the door closes.
+        # Deadlines also hold for the requests in progress while the endpoint closes.
         checks.start_soon(server.limiter.check)
         await run_door(server, listeners, closing)
         checks.cancel_scope.cancel()
@@ -116,26 +120,26 @@
             listener.close()
         await server.finish()
         connections.cancel_scope.deadline = (
-            trio.current_time() + server.door.graceful_seconds
+            trio.current_time() + server.endpoint.graceful_seconds
         )
 
 
-def make_config(door: Door) -> Config:
+def make_config(endpoint: Endpoint) -> Config:
     """Return Hypercorn's configuration."""
     config = Config()
     config.accesslog = None
     config.errorlog = None
-    config.include_server_header = door.server_header
+    config.include_server_header = endpoint.server_header
     config.keep_alive_max_requests = MAX_KEPT_REQUESTS
     return config
 
 
 @frozen(eq=False)
 class Server:
-    """The connections of a door."""
+    """The connections of an endpoint."""
 
     application: Application
-    door: Door
+    endpoint: Endpoint
     settings: ClientSettings
     limiter: Limiter
     config: Config
@@ -172,15 +176,15 @@
             if not admitted and not await self.limiter.admit_late(source):
                 self.limiter.count("no_room", source)
                 drop_received(accepted)
-                send_refusal(accepted, self.door.refusals, 503, BUSY_DETAIL)
+                send_refusal(accepted, self.endpoint.refusals, 503, BUSY_DETAIL)
                 return
             connection = Connection(
                 accepted,
                 source,
                 self.limiter,
                 self.settings,
-                self.door.body_factor,
-                self.door.refusals,
+                self.endpoint.body_factor,
+                self.endpoint.refusals,
             )
             self.limiter.add(connection)
             await self._serve_connection(connection)
--- a/hemlockstand/serving/settings.py
+++ b/hemlockstand/serving/settings.py
@@ -63,7 +63,7 @@
         return int(self.memory_mb * MEGABYTE * self.memory_share)
 
     def fits(self, share: float, body_bytes: int) -> bool:
-        """Return whether a door with this share can hold a body by itself."""
+        """Return whether an endpoint with this share can hold a body by itself."""
         held = body_bytes + CONNECTION_BYTES + PROTOCOL_BYTES + REQUEST_BYTES
         return held <= self.memory_bytes * share * self.source_share
 
--- a/test/test_fleet_door.py
+++ b/test/test_fleet_admission.py
@@ -1,4 +1,4 @@
-"""Refusals at the door of a frontend, by views of the load that a test sets."""
+"""Refusals at the frontend of a frontend, by views of the load that a test sets."""
 
 import attrs
 import pytest
@@ -28,7 +28,7 @@
 KINDS = (InstanceKind(USUAL, 4),)
 
 
-class DoorHarness(FrontendHarness):
+class AdmissionHarness(FrontendHarness):
     """A frontend whose copy of the load the test refreshes."""
 
     def __init__(self, model: RowStoreModel, **values) -> None:
@@ -61,33 +61,33 @@
 
 
 @pytest.fixture
-def door(model):
-    """A frontend with a door."""
-    return DoorHarness(model)
+def frontend(model):
+    """A frontend with a frontend."""
+    return AdmissionHarness(model)
 
 
-async def test_full_pool_refuses_and_stores_nothing(door):
+async def test_full_pool_refuses_and_stores_nothing(frontend):
     """Guards against a job that is stored though it cannot be done in time."""
-    await door.publish()
-    status, content, retry_after = await door.submit()
+    await frontend.publish()
+    status, content, retry_after = await frontend.submit()
     assert status == 429 and int(retry_after) >= 1 and content["Error"]
-    assert not [name for name in door.model.rows if name[0] == "jobs"]
+    assert not [name for name in frontend.model.rows if name[0] == "jobs"]
     for job in range(3):
-        later = (await door.submit(f"{job:016x}"))[2]
+        later = (await frontend.submit(f"{job:016x}"))[2]
         assert int(later) >= int(retry_after)
-    early = (await door.submit())[2]
+    early = (await frontend.submit())[2]
     await trio.sleep(int(early))
-    await door.publish()
-    assert (await door.submit())[0] == 200
-    assert (await door.submit(OTHER_JOB))[0] == 429
+    await frontend.publish()
+    assert (await frontend.submit())[0] == 200
+    assert (await frontend.submit(OTHER_JOB))[0] == 429
 
 
 @pytest.mark.parametrize("priority", ["0", "1"])
-async def test_work_of_a_lower_priority_is_not_ahead(door, priority):
+async def test_work_of_a_lower_priority_is_not_ahead(frontend, priority):
     """Guards against urgent jobs that are refused for work behind them."""
     pool = attrs.evolve(FULL, waiting={priority: FULL.waiting["0"]})
-    await door.publish(pools={"pool": pool})
-    assert (await door.submit())[0] == (429 if priority == "0" else 200)
+    await frontend.publish(pools={"pool": pool})
+    assert (await frontend.submit())[0] == (429 if priority == "0" else 200)
 
 
 @pytest.mark.parametrize(
@@ -103,42 +103,42 @@
         {"pools": {}},
     ],
 )
-async def test_view_that_cannot_be_used_refuses_nothing(door, values):
+async def test_view_that_cannot_be_used_refuses_nothing(frontend, values):
     """Guards against refusals by a damaged, newer or old document."""
-    await door.publish()
-    assert (await door.submit(OTHER_JOB))[0] == 429
-    await door.publish(**values)
-    assert (await door.submit())[0] == 200
+    await frontend.publish()
+    assert (await frontend.submit(OTHER_JOB))[0] == 429
+    await frontend.publish(**values)
+    assert (await frontend.submit())[0] == 200
 
 
-async def test_view_that_is_not_refreshed_refuses_nothing(door):
-    """Guards against refusals by a copy that the door could not read again.
+async def test_view_that_is_not_refreshed_refuses_nothing(frontend):
+    """Guards against refusals by a copy that the frontend could not read again.
 
-    The clock of the scheduler is ahead of the door's.
+    The clock of the scheduler is ahead of the frontend's.
     """
-    await door.publish(made_ms=int(trio.current_time() * 1000) + 1500)
-    assert (await door.submit(OTHER_JOB))[0] == 429
+    await frontend.publish(made_ms=int(trio.current_time() * 1000) + 1500)
+    assert (await frontend.submit(OTHER_JOB))[0] == 429
     await trio.sleep(2.1)
-    assert (await door.submit())[0] == 200
+    assert (await frontend.submit())[0] == 200
 
 
-async def test_store_is_away_at_the_door(door):
+async def test_store_is_away_at_the_frontend(frontend):
     """Guards against a refusal of a job that may be stored."""
-    await door.publish()
-    door.kernel.rows.closed = True
-    status, _, retry_after = await door.submit()
+    await frontend.publish()
+    frontend.kernel.rows.closed = True
+    status, _, retry_after = await frontend.submit()
     assert (status, retry_after) == (503, "1")
 
 
-async def test_resubmission_after_a_lost_answer(door):
+async def test_resubmission_after_a_lost_answer(frontend):
     """Guards against "not run" for a job that is stored, or may yet be."""
-    door.kernel.rows.late_writes = 1000
-    assert (await door.submit())[0] == 504
-    door.kernel.rows.late_writes = 0
-    await door.publish()
-    assert (await door.submit(OTHER_JOB))[0] == 429
-    assert (await door.submit())[0] == 200
-    other = DoorHarness(door.model)
+    frontend.kernel.rows.late_writes = 1000
+    assert (await frontend.submit())[0] == 504
+    frontend.kernel.rows.late_writes = 0
+    await frontend.publish()
+    assert (await frontend.submit(OTHER_JOB))[0] == 429
+    assert (await frontend.submit())[0] == 200
+    other = AdmissionHarness(frontend.model)
     await other.publish()
     assert (await other.submit())[0] == 200
     assert (await other.submit(EstimatedMs=2000))[0] == 409
@@ -155,31 +155,31 @@
         ({"Cpu": 16_001, "LongRunning": True}, True),
     ],
 )
-async def test_sizes_that_no_instance_can_serve(door, step, refused):
+async def test_sizes_that_no_instance_can_serve(frontend, step, refused):
     """Guards against a job that waits for good, or a wrong "never"."""
-    await door.publish(pools={})
-    status, content, retry_after = await door.submit(**step)
+    await frontend.publish(pools={})
+    status, content, retry_after = await frontend.submit(**step)
     assert (status, retry_after) == ((400, None) if refused else (200, None))
     assert not refused or "Steps[0]" in content["Error"]
-    await door.publish(pools={}, complete=False)
-    assert (await door.submit(OTHER_JOB, **step))[0] == 200
+    await frontend.publish(pools={}, complete=False)
+    assert (await frontend.submit(OTHER_JOB, **step))[0] == 200
 
 
 @pytest.mark.parametrize(("cpu", "status"), [(0, 200), (1000, 200), (999, 400)])
-async def test_maximum_below_one_subtask(door, cpu, status):
+async def test_maximum_below_one_subtask(frontend, cpu, status):
     """Guards against a job that its tenant's maximum holds up for good."""
-    door.kernel.configuration.current = make_config(Resources(cpu))
-    assert (await door.submit())[0] == status
+    frontend.kernel.configuration.current = make_config(Resources(cpu))
+    assert (await frontend.submit())[0] == status
 
 
 @pytest.mark.parametrize(
     "values", [{"Steps": [STEP | {"LongRunning": True}]}, {"RepeatCount": 2}]
 )
-async def test_no_time_limit_for_jobs_that_last_or_have_due_times(door, values):
+async def test_no_time_limit_for_jobs_that_last_or_have_due_times(frontend, values):
     """Guards against refusals for time of jobs that have no end or start later."""
-    await door.publish()
+    await frontend.publish()
     body = BODY | {"Steps": [STEP]} | values
-    assert (await door.call("POST", body=body))[0] == 200
+    assert (await frontend.call("POST", body=body))[0] == 200
 
 
 @pytest.mark.parametrize(
@@ -188,25 +188,25 @@
 async def test_bounds_on_what_is_queued(model, tenant_limit, limit, status):
     """Guards against a backlog without a bound."""
     settings = AdmissionSettings(max_jobs=limit, max_tenant_jobs=tenant_limit)
-    door = DoorHarness(model, admission=settings)
-    await door.publish(pools={}, queued={"team": 9, "other": 1})
-    assert (await door.submit())[0] == status
+    frontend = AdmissionHarness(model, admission=settings)
+    await frontend.publish(pools={}, queued={"team": 9, "other": 1})
+    assert (await frontend.submit())[0] == status
 
 
 @pytest.mark.parametrize(("cpu", "status"), [(0, 200), (4000, 429)])
-async def test_own_maximum_makes_a_tenant_wait(door, cpu, status):
+async def test_own_maximum_makes_a_tenant_wait(frontend, cpu, status):
     """Guards against a backlog behind a maximum while the pool has room."""
-    door.kernel.configuration.current = make_config(Resources(cpu))
+    frontend.kernel.configuration.current = make_config(Resources(cpu))
     pool = attrs.evolve(FULL, cores=1000.0)
-    await door.publish(pools={"pool": pool})
-    assert (await door.submit())[0] == status
+    await frontend.publish(pools={"pool": pool})
+    assert (await frontend.submit())[0] == status
 
 
 async def test_load_that_is_not_to_be_used(model):
     """Guards against refusals where the settings ask for none."""
-    door = DoorHarness(model, admission=AdmissionSettings(by_load=False))
-    await door.publish()
-    assert (await door.submit())[0] == 200
+    frontend = AdmissionHarness(model, admission=AdmissionSettings(by_load=False))
+    await frontend.publish()
+    assert (await frontend.submit())[0] == 200
 
 
 def test_book_is_bounded_and_forgets():
@@ -222,11 +222,11 @@
 
 
 @pytest.mark.parametrize("cores", [1e-320, 1e-305, 1e-3])
-async def test_tiny_capacity_refuses_without_an_error(door, cores):
+async def test_tiny_capacity_refuses_without_an_error(frontend, cores):
     """Guards against an error of the server for a number that has no use."""
-    await door.publish(pools={"pool": attrs.evolve(FULL, cores=cores)})
+    await frontend.publish(pools={"pool": attrs.evolve(FULL, cores=cores)})
     for job in range(3):
-        assert (await door.submit(f"{job:016x}"))[0] in (200, 429)
+        assert (await frontend.submit(f"{job:016x}"))[0] in (200, 429)
 
 
 def test_callers_with_the_same_time_and_id():
@@ -238,10 +238,10 @@
     assert len(book._heap) == 3
 
 
-async def test_job_of_which_only_the_status_is_left(door):
+async def test_job_of_which_only_the_status_is_left(frontend):
     """Guards against "not run" for a job that has run and is being removed."""
     write = status_write(JOB, JobStatus(JobState.COMPLETED))
-    door.model.put(write.table, write.key, write.value)
-    await door.publish()
-    assert (await door.submit(OTHER_JOB))[0] == 429
-    assert (await door.submit())[0] == 200
+    frontend.model.put(write.table, write.key, write.value)
+    await frontend.publish()
+    assert (await frontend.submit(OTHER_JOB))[0] == 429
+    assert (await frontend.submit())[0] == 200
--- a/test/test_fleet_bursts.py
+++ b/test/test_fleet_bursts.py
@@ -1,4 +1,4 @@
-"""Replays of bursts through the doors of several frontends, on virtual time."""
+"""Replays of bursts through the frontends of several frontends, on virtual time."""
 
 from random import Random
 
@@ -54,11 +54,11 @@
     status: int
     retry_after: int
     first: bool
-    door: int
+    frontend: int
 
 
 @define(eq=False)
-class Doors:
+class Frontends:
     """Frontends on the store of a world, and callers that come when told."""
 
     world: object
@@ -79,12 +79,12 @@
             self.rows.append(access)
             self.services.append(service)
 
-    async def call(self, job: str, key: str, door: int, count: int = 1) -> None:
+    async def call(self, job: str, key: str, frontend: int, count: int = 1) -> None:
         """Submit a job until it is accepted, at the times that are told."""
         self.world.work[job] = SubtaskBehaviour(SECONDS, size=SMALL)
         for attempt in range(MAX_ATTEMPTS):
             sent_at = trio.current_time()
-            reply = await self.clients[door].post(
+            reply = await self.clients[frontend].post(
                 f"/queue/{job}",
                 headers=HEADERS | {"Authorization": f"Bearer {key}"},
                 json={"TaskSpec": "t", "Steps": [STEP] * count},
@@ -92,7 +92,7 @@
             seconds = int(reply.headers.get("Retry-After", "0"))
             self.attempts.append(
                 Attempt(
-                    job, key, sent_at, reply.status_code, seconds, not attempt, door
+                    job, key, sent_at, reply.status_code, seconds, not attempt, frontend
                 )
             )
             if reply.status_code not in (429, 503):
@@ -104,8 +104,8 @@
         async with trio.open_nursery() as nursery:
             for number in range(round(factor * JOBS_PER_SECOND * seconds)):
                 job = f"{len(key):04x}{number:012x}"
-                door = self.random.randrange(DOORS)
-                nursery.start_soon(self.call, job, key, door)
+                frontend = self.random.randrange(DOORS)
+                nursery.start_soon(self.call, job, key, frontend)
                 await trio.sleep(self.random.expovariate(factor * JOBS_PER_SECOND))
 
     def find_ends(self) -> dict[str, float]:
@@ -136,7 +136,7 @@
         return sum(
             any(
                 item.sent_at < other.sent_at < item.sent_at + item.retry_after
-                and item.door == other.door
+                and item.frontend == other.frontend
                 for other in let_in
             )
             for item in refused
@@ -144,7 +144,7 @@
 
 
 @pytest.fixture
-async def doors(autojump_clock, monkeypatch):
+async def frontends(autojump_clock, monkeypatch):
     """A fleet with one scheduler and several frontends."""
     monkeypatch.setattr("time.time", trio.current_time)
     async with open_world() as world:
@@ -159,22 +159,24 @@
         )
         world.start_daemon("a")
         await trio.sleep(3)
-        found = Doors(world)
+        found = Frontends(world)
         found.open()
         yield found
 
 
 @pytest.mark.parametrize("factor", [4, 8])
-async def test_those_who_come_when_told_are_served_in_time(doors, factor):
+async def test_those_who_come_when_told_are_served_in_time(frontends, factor):
     """Guards against callers told a time at which there is no room for them.
 
-    Nobody who was told to come back is overtaken by a newcomer at that door.
+    Nobody who was told to come back is overtaken by a newcomer at that frontend.
     """
-    await doors.send(factor, 4.0)
+    await frontends.send(factor, 4.0)
     await trio.sleep(5)
-    refused = doors.list_refused()
-    ends = doors.find_ends()
-    let_in = {item.job: item.sent_at for item in doors.attempts if item.status == 200}
+    refused = frontends.list_refused()
+    ends = frontends.find_ends()
+    let_in = {
+        item.job: item.sent_at for item in frontends.attempts if item.status == 200
+    }
     in_time = [
         item.job in let_in
         and ends.get(item.job, float("inf")) <= let_in[item.job] + OBJECTIVE_SECONDS
@@ -182,45 +184,45 @@
     ]
     assert len(refused) > 20
     assert sum(in_time) >= 0.9 * len(refused)
-    assert not doors.count_overtaken()
-    doors.world.check_runs()
-    row = doors.world.store.find("scheduler", "load")
+    assert not frontends.count_overtaken()
+    frontends.world.check_runs()
+    row = frontends.world.store.find("scheduler", "load")
     assert not decode_load(row).pools
 
 
-async def test_nothing_is_refused_without_contention(doors):
+async def test_nothing_is_refused_without_contention(frontends):
     """Guards against refusals, and writes of the load, while there is room."""
-    await doors.send(0.5, 6.0)
+    await frontends.send(0.5, 6.0)
     await trio.sleep(5)
-    assert {item.status for item in doors.attempts} == {200}
-    assert doors.world.store.find("scheduler", "load") is None
-    assert all(0 < access.reads <= 8 for access in doors.rows)
+    assert {item.status for item in frontends.attempts} == {200}
+    assert frontends.world.store.find("scheduler", "load") is None
+    assert all(0 < access.reads <= 8 for access in frontends.rows)
 
 
-async def test_takeover_in_the_middle_of_a_burst(doors):
+async def test_takeover_in_the_middle_of_a_burst(frontends):
     """Guards against refusals by a view of a scheduler that is gone.
 
     The next one publishes its own, and all that was accepted is run.
     """
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(doors.send, 4.0, 5.0)
+        nursery.start_soon(frontends.send, 4.0, 5.0)
         await trio.sleep(2.5)
-        assert doors.world.store.find("scheduler", "load") is not None
-        doors.world.kill(doors.world.daemons["a"])
+        assert frontends.world.store.find("scheduler", "load") is not None
+        frontends.world.kill(frontends.world.daemons["a"])
         killed_at = trio.current_time()
-        doors.world.start_daemon("b")
+        frontends.world.start_daemon("b")
     await trio.sleep(10)
-    first = [item for item in doors.attempts if item.first]
+    first = [item for item in frontends.attempts if item.first]
     assert any(item.status == 429 and item.sent_at > killed_at + 2 for item in first)
-    let_in = {item.job for item in doors.attempts if item.status == 200}
-    assert let_in == {item.job for item in first} == set(doors.find_ends())
-    doors.world.check_runs()
+    let_in = {item.job for item in frontends.attempts if item.status == 200}
+    assert let_in == {item.job for item in first} == set(frontends.find_ends())
+    frontends.world.check_runs()
 
 
-async def test_flood_of_a_tenant_beside_a_small_one(doors):
+async def test_flood_of_a_tenant_beside_a_small_one(frontends):
     """Guards against a small tenant that is refused for another one's flood."""
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(doors.send, 6.0, 4.0)
-        nursery.start_soon(doors.send, 0.2, 4.0, "small")
-    assert len(doors.list_refused()) > 20
-    assert not doors.list_refused("small")
+        nursery.start_soon(frontends.send, 6.0, 4.0)
+        nursery.start_soon(frontends.send, 0.2, 4.0, "small")
+    assert len(frontends.list_refused()) > 20
+    assert not frontends.list_refused("small")
--- a/test/test_fleet_return_book.py
+++ b/test/test_fleet_return_book.py
@@ -5,12 +5,12 @@
 from hemlockstand.fleet.load_view import PoolLoad, WaitingWork
 from hemlockstand.fleet.policy.admission import Postponed
 from hemlockstand.fleet.return_book import ReturnBook
-from test.test_fleet_door import DoorHarness, door, model
+from test.test_fleet_admission import AdmissionHarness, frontend, model
 
-__all__ = ["door", "model"]
+__all__ = ["frontend", "model"]
 
 
-async def test_turns_of_small_jobs_without_a_measured_scale(door: DoorHarness):
+async def test_turns_of_small_jobs_without_a_measured_scale(frontend: AdmissionHarness):
     """Guards against long times for small jobs beside large ones elsewhere.
 
     Of 32 core-seconds accepted, none are known to be this frontend's. 60 jobs of
@@ -21,40 +21,44 @@
     )
     seconds = []
     for number in range(60):
-        await door.publish(pools={"pool": pool})
-        seconds.append(int((await door.submit(f"{number:016x}", Cpu=100))[2]))
+        await frontend.publish(pools={"pool": pool})
+        seconds.append(int((await frontend.submit(f"{number:016x}", Cpu=100))[2]))
     assert seconds[-1] <= seconds[0] + 1
 
 
-async def test_stored_jobs_and_failed_reads_take_no_turns(door: DoorHarness):
+async def test_stored_jobs_and_failed_reads_take_no_turns(frontend: AdmissionHarness):
     """Guards against newcomers that wait for the turns of nobody."""
-    assert (await door.submit())[0] == 200
-    await door.publish()
-    first = int((await door.submit(f"{1:016x}"))[2])
+    assert (await frontend.submit())[0] == 200
+    await frontend.publish()
+    first = int((await frontend.submit(f"{1:016x}"))[2])
     for _ in range(150):
-        assert (await door.submit())[0] == 200
-    await door.publish()
-    door.kernel.rows.closed = True
+        assert (await frontend.submit())[0] == 200
+    await frontend.publish()
+    frontend.kernel.rows.closed = True
     for number in range(150):
-        assert (await door.submit(f"{100 + number:016x}"))[0] == 503
-    door.kernel.rows.closed = False
-    await door.publish()
-    assert int((await door.submit(f"{2:016x}"))[2]) <= first + 1
+        assert (await frontend.submit(f"{100 + number:016x}"))[0] == 503
+    frontend.kernel.rows.closed = False
+    await frontend.publish()
+    assert int((await frontend.submit(f"{2:016x}"))[2]) <= first + 1
 
 
-async def test_same_job_submitted_twice_at_once_takes_one_turn(door: DoorHarness):
+async def test_same_job_submitted_twice_at_once_takes_one_turn(
+    frontend: AdmissionHarness,
+):
     """Guards against work that is counted twice and taken back once."""
-    await door.publish()
+    await frontend.publish()
     answers = []
 
     async def submit() -> None:
-        answers.append((await door.submit())[::2])
+        answers.append((await frontend.submit())[::2])
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(submit)
         nursery.start_soon(submit)
     assert answers[0] == answers[1] and answers[0][0] == 429
-    assert [work for _, work in door.service._admission.book.list_outstanding()] == [1]
+    assert [
+        work for _, work in frontend.service._admission.book.list_outstanding()
+    ] == [1]
 
 
 def test_heap_is_bounded_by_the_callers_in_the_book():
--- a/test/test_serving.py
+++ b/test/test_serving.py
@@ -20,7 +20,7 @@
 from hemlockstand.serving.connection import LINGER_SECONDS, RefusalFormat
 from hemlockstand.serving.framing import ChunkCounter, Head, Malformed, find_head_end
 from hemlockstand.serving.limiter import Limiter
-from hemlockstand.serving.server import Door, bind_address, serve_clients
+from hemlockstand.serving.server import Endpoint, bind_address, serve_clients
 from test.fleet_world import make_settings
 from test.test_fleet_daemon import SETTINGS as PLAIN_SETTINGS
 
@@ -53,12 +53,12 @@
 
 
 @asynccontextmanager
-async def open_door(settings=SETTINGS, body_factor=3):
+async def open_endpoint(settings=SETTINGS, body_factor=3):
     """Yield a function that sends bytes and returns all that is answered."""
     listener = bind_address("127.0.0.1:0")
     port = listener.getsockname()[1]
     refusals = RefusalFormat(encode_error)
-    door = Door("callers", 1.0, body_factor, 0.1, refusals)
+    endpoint = Endpoint("callers", 1.0, body_factor, 0.1, refusals)
     closing = trio.Event()
 
     async def exchange(*pieces: bytes, finish: bool = False) -> bytes:
@@ -74,7 +74,7 @@
         return answer
 
     async with trio.open_nursery() as nursery:
-        arguments = (make_app(), door, settings, [listener], closing.wait)
+        arguments = (make_app(), endpoint, settings, [listener], closing.wait)
         nursery.start_soon(serve_clients, *arguments)
         yield exchange
         closing.set()
@@ -105,7 +105,7 @@
     """Guards against a rest of a body that is taken for the next request."""
     whole = first + LAST
     pieces = (whole[at : at + size] for at in range(0, len(whole), size))
-    async with open_door() as exchange:
+    async with open_endpoint() as exchange:
         answer = await exchange(*pieces)
     assert answer.count(b"HTTP/1.1 ") == 2
     assert answer.endswith(b"\r\n\r\n4")
@@ -130,16 +130,16 @@
 )
 async def test_refusal_is_answered_and_closes(sent, status):
     """Guards against a client over a limit that is read on, or gets no answer."""
-    async with open_door() as exchange:
+    async with open_endpoint() as exchange:
         answer = await exchange(sent)
     assert answer.split(b" ")[1] == status
     assert answer.count(b"HTTP/1.1 ") == 1
     assert b"connection: close" in answer.lower()
 
 
-async def test_door_without_bodies_reads_none():
+async def test_endpoint_without_bodies_reads_none():
     """Guards against bodies at addresses that need none."""
-    async with open_door(body_factor=0) as exchange:
+    async with open_endpoint(body_factor=0) as exchange:
         answer = await exchange(make_request("/size", b"four"))
     assert answer.split(b" ")[1] == b"413"
 
@@ -147,7 +147,7 @@
 async def test_upgrade_is_ignored():
     """Guards against protocols whose buffers are not bounded."""
     lines = ("Upgrade: h2c", "HTTP2-Settings: AAMAAABk", "Connection: close")
-    async with open_door() as exchange:
+    async with open_endpoint() as exchange:
         answer = await exchange(make_request("/size", b"", *lines))
     assert answer.startswith(b"HTTP/1.1 200")
 
@@ -185,11 +185,11 @@
 
 
 @asynccontextmanager
-async def open_observed_door(share=1.0, **limits):
-    """Yield a function that connects, the limiter of the door, and its end."""
+async def open_observed_endpoint(share=1.0, **limits):
+    """Yield a function that connects, the limiter of the endpoint, and its end."""
     listener = bind_address("127.0.0.1:0")
     port = listener.getsockname()[1]
-    door = Door("callers", share, 3, 1.0, RefusalFormat(encode_error))
+    endpoint = Endpoint("callers", share, 3, 1.0, RefusalFormat(encode_error))
     limiters = []
     closing = trio.Event()
 
@@ -203,7 +203,7 @@
     settings = evolve(SETTINGS, **limits)
     with patch("hemlockstand.serving.server.Limiter", make_limiter):
         async with trio.open_nursery() as nursery:
-            arguments = (make_app(), door, settings, [listener], closing.wait)
+            arguments = (make_app(), endpoint, settings, [listener], closing.wait)
             nursery.start_soon(serve_clients, *arguments)
             await trio.testing.wait_all_tasks_blocked()
             yield connect, limiters[0], closing
@@ -249,7 +249,7 @@
 
     Such a connection was held for ever, also after its client had gone.
     """
-    async with open_observed_door() as (connect, limiter, _closing):
+    async with open_observed_endpoint() as (connect, limiter, _closing):
         stream = await connect()
         await stream.send_all(sent)
         answer = await read_answer(stream)
@@ -261,7 +261,7 @@
 
 async def test_line_of_spaces_does_not_end_chunks():
     """Guards against a trailer that ends here but not for the parser."""
-    async with open_door() as exchange:
+    async with open_endpoint() as exchange:
         answer = await exchange(CHUNKED + b"2\r\nab\r\n0\r\n \r\n")
     assert answer.startswith(b"HTTP/1.1 408")
 
@@ -270,11 +270,11 @@
     """Guards against a connection without a deadline while the parser waits."""
     name = "hemlockstand.serving.connection.read_head"
     monkeypatch.setattr(name, lambda content: Head(content, 3))
-    async with open_door() as exchange:
+    async with open_endpoint() as exchange:
         answer = await exchange(make_request("/size", b"abcde"))
     assert answer.startswith(b"HTTP/1.1 400")
     monkeypatch.setattr(name, lambda content: Head(content, 0))
-    async with open_door() as exchange:
+    async with open_endpoint() as exchange:
         answer = await exchange(make_request("/size", b"abcde"))
     assert answer.startswith(b"HTTP/1.1 400")
 
@@ -289,7 +289,7 @@
 async def test_request_that_has_run_gets_its_answer(closed_by):
     """Guards against "not run" for a request whose unread body is awaited."""
     head = make_request("/refused", b"a" * 5)[:-5]
-    async with open_observed_door(stall_seconds=5) as (connect, limiter, _closing):
+    async with open_observed_endpoint(stall_seconds=5) as (connect, limiter, _closing):
         stream = await connect()
         await stream.send_all(head)
         await trio.sleep(0.2)
@@ -303,7 +303,7 @@
 
 async def test_reader_of_a_closed_connection_is_woken():
     """Guards against a reader that waits after the close that would wake it."""
-    async with open_observed_door() as (connect, limiter, _closing):
+    async with open_observed_endpoint() as (connect, limiter, _closing):
         stream = await connect()
         await stream.send_all(make_request("/refused"))
         await read_answer(stream, b"\r\n\r\n")
@@ -320,7 +320,7 @@
 @pytest.mark.parametrize("start", [b"", b"POST /refu"])
 async def test_slow_head_on_a_kept_connection_is_answered(start):
     """Guards against a later head that is closed without an answer."""
-    async with open_observed_door() as (connect, _limiter, _closing):
+    async with open_observed_endpoint() as (connect, _limiter, _closing):
         stream = await connect()
         await stream.send_all(make_request("/refused") + start)
         answer = await read_answer(stream, b"\r\n\r\n")
@@ -332,7 +332,7 @@
 
 async def test_evicted_connection_frees_its_room_at_once():
     """Guards against a crowd that is closed at two connections a second."""
-    async with open_observed_door(stall_seconds=20) as (connect, limiter, _closing):
+    async with open_observed_endpoint(stall_seconds=20) as (connect, limiter, _closing):
         stream = await connect()
         await stream.send_all(make_request("/size", b"a" * 50)[:-1])
         await trio.sleep(0.1)
@@ -347,7 +347,7 @@
 async def test_wait_for_room_is_not_the_fault_of_the_client(monkeypatch):
     """Guards against 408 for a whole request that waits for memory."""
     monkeypatch.setattr("hemlockstand.serving.connection.ADMIT_SECONDS", 0.5)
-    async with open_observed_door(source_share=1) as (connect, limiter, _closing):
+    async with open_observed_endpoint(source_share=1) as (connect, limiter, _closing):
         limiter.budget.count_bytes("other", limiter.budget.max_bytes - 20_000)
         stream = await connect()
         await stream.send_all(make_request("/refused"))
@@ -360,7 +360,7 @@
 async def test_body_that_waits_for_room_is_not_too_slow(monkeypatch):
     """Guards against 408 for a body that is not read for lack of memory."""
     monkeypatch.setattr("hemlockstand.serving.connection.ADMIT_SECONDS", 0.5)
-    async with open_observed_door(source_share=1) as (connect, limiter, _closing):
+    async with open_observed_endpoint(source_share=1) as (connect, limiter, _closing):
         limiter.budget.count_bytes("other", limiter.budget.max_bytes - 150_000)
         stream = await connect()
         await stream.send_all(make_request("/size", b" " * 90_000))
@@ -371,7 +371,7 @@
 
 async def test_waiting_requests_are_not_closed_for_each_other():
     """Guards against whole requests that evict each other until none is left."""
-    async with open_observed_door(head_seconds=20) as (connect, limiter, _closing):
+    async with open_observed_endpoint(head_seconds=20) as (connect, limiter, _closing):
         taken = limiter.budget.max_bytes - 100_000
         limiter.budget.count_bytes("other", taken)
         streams = [await connect() for _ in range(3)]
@@ -386,7 +386,7 @@
 
 async def test_client_that_ends_its_side_gets_its_answer():
     """Guards against a request that is dropped when its client sends no more."""
-    async with open_observed_door() as (connect, limiter, _closing):
+    async with open_observed_endpoint() as (connect, limiter, _closing):
         stream = await connect()
         await stream.send_all(make_request("/slow"))
         await stream.send_eof()
@@ -394,9 +394,9 @@
         await wait_released(limiter)
 
 
-async def test_incomplete_head_is_answered_when_the_door_closes():
+async def test_incomplete_head_is_answered_when_the_endpoint_closes():
     """Guards against a client that cannot tell whether its request has run."""
-    async with open_observed_door(head_seconds=20) as (connect, _limiter, closing):
+    async with open_observed_endpoint(head_seconds=20) as (connect, _limiter, closing):
         stream = await connect()
         await stream.send_all(b"POST /size HTTP/1.1\r\nHost:")
         await trio.sleep(0.05)
@@ -404,9 +404,13 @@
         assert (await read_answer(stream)).startswith(b"HTTP/1.1 503")
 
 
-async def test_deadlines_hold_while_the_door_closes():
+async def test_deadlines_hold_while_the_endpoint_closes():
     """Guards against a slow body that gets no answer when the daemon stops."""
-    async with open_observed_door(stall_seconds=0.2) as (connect, _limiter, closing):
+    async with open_observed_endpoint(stall_seconds=0.2) as (
+        connect,
+        _limiter,
+        closing,
+    ):
         stream = await connect()
         await stream.send_all(make_request("/size", b"a" * 50)[:-1])
         await trio.sleep(0.05)
@@ -416,7 +420,7 @@
 
 async def test_refusal_reaches_a_client_on_a_slow_link():
     """Guards against a reset that destroys the answer to a large body."""
-    async with open_observed_door() as (connect, _limiter, _closing):
+    async with open_observed_endpoint() as (connect, _limiter, _closing):
         stream = await connect()
         await stream.send_all(make_request("/refused", b" " * 200_000)[:-200_000])
         for _ in range(10):
@@ -428,7 +432,7 @@
 async def test_small_chunks_are_not_called_malformed():
     """Guards against a refusal that hides which limit was exceeded."""
     chunks = (b"2\r\n" + b" " * 2 + b"\r\n") * 15_000
-    async with open_door() as exchange:
+    async with open_endpoint() as exchange:
         answer = await exchange(CHUNKED + chunks)
     assert answer.startswith(b"HTTP/1.1 400")
     assert b"the sizes of the chunks have over 65536 bytes" in answer
@@ -443,7 +447,7 @@
             raise OSError(errno.EINVAL, "the client has gone")
         set_option(accepted, level, option, *value)
 
-    async with open_door() as exchange:
+    async with open_endpoint() as exchange:
         with monkeypatch.context() as patched:
             patched.setattr(socket.socket, "setsockopt", fail)
             assert await exchange() == b""
