Answer an unknown transfer coding with 501 again

Change: one plain line with another coding is answered 501 and counted as unknown_coding; other forms stay 400.

--- a/hemlockstand/serving/connection.py
+++ b/hemlockstand/serving/connection.py
@@ -20,6 +20,7 @@
     ChunksTooSmall,
     LengthCounter,
     Malformed,
+    UnknownCoding,
     find_head_end,
     read_head,
 )
@@ -47,6 +48,7 @@
     408: b"Request Timeout",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
+    501: b"Not Implemented",
     503: b"Service Unavailable",
 }
 PROTOCOL_UPGRADE = b"PRI "  # starts HTTP/2 without a negotiation
@@ -252,6 +254,9 @@
             return self._refuse(400, "protocol", "HTTP/2 is not served")
         try:
             head = read_head(content)
+        except UnknownCoding:
+            detail = "the transfer coding of the body is not known"
+            return self._refuse(501, "unknown_coding", detail)
         except Malformed:
             detail = "the length or coding of the body is malformed"
             return self._refuse(400, "malformed_head", detail)
--- a/hemlockstand/serving/framing.py
+++ b/hemlockstand/serving/framing.py
@@ -14,6 +14,7 @@
 FRAMING = re.compile(rb"\n(?:content-length|transfer-encoding)[ \t]*:")
 LENGTH = re.compile(rb"\ncontent-length:[ \t]*([0-9]{1,18})[ \t]*(?=\r?\n)")
 CHUNKED = re.compile(rb"\ntransfer-encoding:[ \t]*chunked[ \t]*(?=\r?\n)")
+OTHER_CODING = re.compile(rb"\ntransfer-encoding:[ \t]*[a-z-]+[ \t]*(?=\r?\n)")
 FOLDED = re.compile(rb"\n[ \t]")
 CHUNK_LINE = re.compile(rb"([0-9a-fA-F]{1,16})(?:;.*|[ \t]*)\r\n")
 MAX_CHUNK_LINE = 256  # bytes; a size of 16 digits with a short extension
@@ -26,6 +27,10 @@
     """The framing is wrong, or the parser could read it in another way."""
 
 
+class UnknownCoding(Exception):
+    """The body has a transfer coding other than chunks."""
+
+
 class ChunksTooSmall(Exception):
     """The sizes of the chunks exceed what they may add to a body."""
 
@@ -48,13 +53,18 @@
     """Return the framing of a complete head.
 
     Raises ``Malformed`` for a length or coding that is not in its plain form,
-    is repeated, or could be continued on a folded line.
+    is repeated, or could be continued on a folded line, and ``UnknownCoding``
+    for a coding that is not served.
     """
     lower = content.lower()
     lengths = LENGTH.findall(lower)
     codings = CHUNKED.findall(lower)
-    strict = len(lengths) + len(codings) == len(FRAMING.findall(lower))
-    if not strict or len(lengths) > 1 or len(codings) > 1 or FOLDED.search(lower):
+    lines = len(FRAMING.findall(lower))
+    folded = FOLDED.search(lower)
+    if lines == 1 and not codings and not folded and OTHER_CODING.search(lower):
+        raise UnknownCoding
+    strict = len(lengths) + len(codings) == lines
+    if not strict or len(lengths) > 1 or len(codings) > 1 or folded:
         raise Malformed
     length = None if codings else sum(map(int, lengths))
     return Head(_hide_upgrade(content, lower), length)
