Keep the callers' part of what clients may use in one place

Cause: 0.75 stood in the frontend and in the settings, which check bodies against it; one could change without the other.

Change: the frontend takes CALLERS_SHARE. No behaviour changes.

Measured: the tests of the frontend and of settings pass.

--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -55,6 +55,7 @@
 from hemlockstand.serving.budget import BODY_FACTOR
 from hemlockstand.serving.connection import RefusalFormat
 from hemlockstand.serving.server import Endpoint, bind_address, serve_clients
+from hemlockstand.serving.settings import CALLERS_SHARE
 
 log = logger.bind(module=__name__)
 
@@ -67,7 +68,7 @@
 RETRY_AFTER_SECONDS = 1
 # Parts of what clients may use. A crowd of callers leaves the balancer's checks
 # and the metrics their own part.
-ENDPOINT_SHARES = {"callers": 0.75, "readiness": 0.125, "metrics": 0.125}
+ENDPOINT_SHARES = {"callers": CALLERS_SHARE, "readiness": 0.125, "metrics": 0.125}
 TOO_LARGE_JOB = "the job does not fit into a row of the store"
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
