Return nothing from making room for a connection

Cause: _make_room returned whether a connection was closed, which no caller uses.

Change: it returns nothing. No behaviour changes.

Measured: the tests of serving pass.

--- a/hemlockstand/serving/limiter.py
+++ b/hemlockstand/serving/limiter.py
@@ -142,13 +142,13 @@
             self._freed.set()
             self._freed = trio.Event()
 
-    def _make_room(self, source: str, needed_by: Held | None = None) -> bool:
-        """Close one connection; False if none can be closed.
+    def _make_room(self, source: str, needed_by: Held | None = None) -> None:
+        """Close one connection, if one can be closed.
 
         The next one is closed only after this one has ended.
         """
         if self._closing:
-            return True
+            return
         latest = trio.current_time() - MIN_AGE_SECONDS
         candidates = [
             connection
@@ -164,11 +164,9 @@
             wanted = max(sources, key=self.budget.bytes_of, default="")
         victims = (each for each in candidates if each.source == wanted)
         victim = min(victims, key=lambda each: (each.rank, each.since), default=None)
-        if victim is None:
-            return False
-        self._closing.add(victim)
-        victim.evict()
-        return True
+        if victim is not None:
+            self._closing.add(victim)
+            victim.evict()
 
     async def check(self) -> None:
         """Close what is too slow, until cancelled."""
