Say at a takeover what blocks which pools, and at the end of a term what is idle

The report on idle lasting subtasks comes after 2.5 s of a term, and nothing said which pools a takeover had blocked, because of which executors and for how long. In a series of restarts 2 s apart no line was written, so a wait that begins anew, executors that are set aside and a run that is believed in could not be told apart (see the postmortem that was started).

Two lines: the pools that are still blocked 0.5 s after a takeover, with the executors and the seconds left, and the idle steps at the end of each term. No change of logic.

--- a/hemlockstand/fleet/idle_report.py
+++ b/hemlockstand/fleet/idle_report.py
@@ -77,6 +77,16 @@
                 self._reported_at[name] = now
                 self._report(step_run, now - since)
 
+    def report_all(self) -> None:
+        """Log all idle steps, at the end of a term.
+
+        The next scheduler does not know since when they are idle.
+        """
+        now = self.state.clock()
+        for step_run in self._find_idle_steps():
+            since = self._idle_since.get(step_run.name, now)
+            self._report(step_run, now - since, "at the end of the term")
+
     def _find_idle_steps(self) -> Iterator[StepRun]:
         return (
             step_run
@@ -90,7 +100,7 @@
             )
         )
 
-    def _report(self, step_run: StepRun, seconds: float) -> None:
+    def _report(self, step_run: StepRun, seconds: float, occasion: str = "") -> None:
         pool = find_pool(step_run.job, self.state.config)
         found = self.describe(step_run)
         log.warning(
@@ -104,6 +114,7 @@
             given_up=sum(is_given_up(subtask) for subtask in step_run.subtasks),
             blocked=step_run.may_have_unknown_runs(self.blocked_pools),
             executors=found.executors,
+            occasion=occasion,
         )
 
     def describe(self, step_run: StepRun) -> IdleStep:
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -172,6 +172,7 @@
 
     async def _finish(self) -> None:
         """Wait for the start orders in flight, then release the lease."""
+        self.idle_reporter.report_all()
         with trio.move_on_after(ORDERS_WAIT_SECONDS):
             while self._orders.open_starts:
                 await trio.sleep(ORDERS_POLL_SECONDS)
@@ -330,6 +331,7 @@
         while True:
             await trio.sleep(TICK_SECONDS)
             self._barrier.unblock_pools()
+            self._barrier.report_blocked()
             self._executor_directory.add_configured()
             self._executor_directory.remove_gone()
             self._add_waves()
--- a/test/test_fleet_idle_report.py
+++ b/test/test_fleet_idle_report.py
@@ -58,3 +58,42 @@
         world.submit(make_step(2, lasting=True), work=SubtaskBehaviour(LASTING))
         await trio.sleep(8)
         assert not reports
+
+
+async def test_idle_subtask_is_reported_at_the_end_of_a_short_term(clock, reports):
+    """Guards against terms too short for a report that leave no trace of the wait."""
+    async with open_world() as world:
+        world.add_executor()
+        large = Resources(17_000, 512)
+        job = world.submit(
+            make_step(lasting=True, size=large),
+            work=SubtaskBehaviour(LASTING, size=large),
+        )
+        daemon = world.start_daemon("a")
+        await trio.sleep(1.5)
+        assert not reports
+        world.stop(daemon)
+        await trio.sleep(0.5)
+        assert [report["step"] for report in reports] == [f"{job}.0.0"]
+        assert reports[0]["occasion"] == "at the end of the term"
+
+
+async def test_takeover_reports_the_executors_that_block_a_pool(clock):
+    """Guards against a wait after a takeover that leaves nothing to explain it."""
+    found = []
+    handler = logger.add(lambda message: found.append(message.record), level="INFO")
+    async with open_world() as world:
+        world.add_executor()
+        lost = world.add_executor()
+        first = world.start_daemon("a")
+        await trio.sleep(1)
+        lost.unresponsive = True
+        world.stop(first)
+        world.start_daemon("b")
+        await trio.sleep(2.5)
+    logger.remove(handler)
+    message = "pools are blocked after the takeover"
+    blocked = [item["extra"] for item in found if item["message"] == message]
+    assert [item["pools"] for item in blocked] == [["pool"]]
+    assert blocked[0]["executors"] == {"pool": {lost.id: "does not answer"}}
+    assert 3 < blocked[0]["seconds_left"] < 6
