Show with failing tests that takeovers keep lasting work idle

Restarts of the scheduler 2 s or 4 s apart, or kills 2, 4 or 8 s apart, keep a lasting subtask whose executor has left idle for more than 9 s, though another executor has room. An executor that no scheduler has ever reached blocks its pool after the next takeover.

--- /dev/null
+++ b/test/test_fleet_restarts.py
@@ -0,0 +1,85 @@
+"""Work that goes on while schedulers are replaced one after the other."""
+
+import pytest
+import trio
+
+from emulator.fleet_executors import ExecutorModel, SubtaskBehaviour
+from test.fleet_world import LASTING, SMALL, FleetWorld, make_step, open_world
+
+# A lasting subtask with room for it has to run again within this time.
+IDLE_SECONDS = 9.0
+
+
+@pytest.fixture
+def clock(autojump_clock):
+    """Virtual time that jumps to the next event."""
+    return autojump_clock
+
+
+async def replace_schedulers(world: FleetWorld, gap_seconds: float, kill: bool) -> None:
+    """Replace the scheduler every ``gap_seconds``, until cancelled."""
+    while True:
+        holder = world.daemons[world.lease_holder()]
+        world.start_daemon(f"{holder.name}+")
+        if kill or holder.leader is None:
+            world.kill(holder)
+        else:
+            world.stop(holder)
+        await trio.sleep(gap_seconds)
+
+
+async def start_lasting_job(world: FleetWorld) -> tuple[str, ExecutorModel]:
+    """Start a lasting subtask, and add an executor that could take it as well."""
+    lost = world.add_executor()
+    world.start_daemon("a")
+    job = world.submit(
+        make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+    )
+    await world.wait_for(lambda: world.find_running(job), 5)
+    world.add_executor()
+    await trio.sleep(1)
+    return job, lost
+
+
+@pytest.mark.parametrize("kill", [False, True])
+@pytest.mark.parametrize("gap_seconds", [2.0, 4.0, 8.0])
+async def test_takeovers_do_not_prolong_the_wait_for_a_lost_executor(
+    clock, gap_seconds, kill
+):
+    """Guards against a wait after a takeover that begins anew with each takeover.
+
+    The executor leaves with a lasting subtask while schedulers are replaced, and
+    none of them can know when the lease that an earlier one granted has ended.
+    """
+    async with open_world() as world:
+        job, lost = await start_lasting_job(world)
+        world.nursery.start_soon(replace_schedulers, world, gap_seconds, kill)
+        await trio.sleep(gap_seconds / 2)
+        world.store.remove("servers", lost.id)
+        lost.unresponsive = True
+        await world.wait_for(lambda: world.count_runs(job) == 2, IDLE_SECONDS)
+        world.check_runs()
+
+
+async def test_executor_that_never_answered_blocks_no_pool(clock):
+    """Guards against a wait for an executor that cannot have runs.
+
+    Its entry outlives it in the store, so a scheduler that never reached it
+    stored its name for the next one, which then blocked its pool.
+    """
+    async with open_world() as world:
+        world.add_executor()
+        world.start_daemon("a")
+        step = make_step(2, lasting=True, max_per_executor=1)
+        job = world.submit(step, work=SubtaskBehaviour(LASTING, size=SMALL))
+        await world.wait_for(lambda: world.count_runs(job) == 1, 5)
+        gone = world.add_executor()
+        gone.unresponsive = True
+        await trio.sleep(1)
+        world.store.remove("servers", gone.id)
+        world.stop(world.daemons["a"])
+        world.start_daemon("b")
+        await world.wait_for(lambda: world.lease_holder() == "b", 2)
+        world.add_executor()
+        await world.wait_for(lambda: world.count_runs(job) == 2, 2)
+        world.check_runs()
