Let the wait for a silent executor's lease go on over takeovers

Cause: a scheduler that takes over cannot ask an executor that is silent or has left which lease its predecessor granted last, and assumed the longest, from its own takeover on. Its pool was blocked for 5.26 s. A scheduler that is replaced earlier handed on the name alone, and the wait began anew. The class: a wait that protects something is kept as a time of the process that waits, so that each restart of the waiter begins it again.

Change: the lease row carries a time that goes on over holders and never runs ahead of the real one. A scheduler stores at which such time the last lease of each silent executor ends, and grants that executor no other before a row without it is stored. Its successor waits for the rest only. A holder of an earlier version keeps no such time, and the wait is then the full one. An executor that left the store goes once its own leases have ended.

--- a/hemlockstand/fleet/changes.py
+++ b/hemlockstand/fleet/changes.py
@@ -10,6 +10,7 @@
 from attrs import define, field, frozen
 
 from hemlockstand.fleet.durations_row import durations_write
+from hemlockstand.fleet.lapses import LapseRecord, lapses_write
 from hemlockstand.fleet.load_row import load_write
 from hemlockstand.fleet.load_view import LoadView
 from hemlockstand.fleet.model import JobAttempts, JobStatus
@@ -47,6 +48,13 @@
     rows: int
 
 
+@frozen
+class LapseChange:
+    """When the leases of executors that do not answer end."""
+
+    record: LapseRecord
+
+
 @frozen
 class WaveChange:
     """Progress of a wave."""
@@ -105,6 +113,7 @@
 
 Change = (
     KnownExecutorsChange
+    | LapseChange
     | WaveChange
     | PendingChange
     | DurationsChange
@@ -134,6 +143,8 @@
     match change:
         case KnownExecutorsChange(pool, addresses, rows):
             return known_executors_writes(pool, addresses, rows)
+        case LapseChange(record):
+            return [lapses_write(record)]
         case WaveChange(progress, record, completed):
             return wave_writes(progress.wave, record, completed)
         case PendingChange(counts):
--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -16,6 +16,7 @@
     DurationsChange,
     ExpiryChange,
     KnownExecutorsChange,
+    LapseChange,
     LoadChange,
     PendingChange,
     StatusChange,
@@ -26,6 +27,7 @@
 from hemlockstand.fleet.durations_row import encode_durations
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.instances import InstanceManager
+from hemlockstand.fleet.lapses import Lapses
 from hemlockstand.fleet.lease import Release
 from hemlockstand.fleet.load_publisher import LoadPublisher
 from hemlockstand.fleet.metrics import COMMITS
@@ -66,6 +68,7 @@
     instances: InstanceManager
     stop_runs: Callable[[Job], None]
     load: LoadPublisher
+    lapses: Lapses
     _pending: dict[str, int] = field(factory=dict)
     known_executors: dict[str, dict[str, str]] = field(factory=dict)
     removable: set[str] = field(factory=set)
@@ -145,6 +148,9 @@
         Failures come before the status: an earlier version has stored them there.
         """
         registry = self.state.registry
+        record = self.lapses.find_change()
+        if record is not None:
+            yield LapseChange(record)
         for pool, addresses in self._list_executors().items():
             stored = self.known_executors.get(pool)
             if addresses != stored:
@@ -196,6 +202,7 @@
         except BaseException:
             registry.dirty.update(jobs)
             registry.dirty_blocks.update(blocks)
+            self.lapses.mark_unstored()
             raise
         self._max_changes = min(2 * self._max_changes, MAX_TRANSACTION_ENTRIES)
         self.instances.mark_stored(orders)
@@ -214,6 +221,8 @@
         match change:
             case KnownExecutorsChange(pool, addresses):
                 self.known_executors[pool] = dict(addresses)
+            case LapseChange(record):
+                self.lapses.mark_stored(record)
             case WaveChange(progress, record, completed):
                 current = progress.make_record(), progress.completed
                 progress.stored = current == (record, completed)
--- a/hemlockstand/fleet/executor_directory.py
+++ b/hemlockstand/fleet/executor_directory.py
@@ -8,6 +8,7 @@
 
 from hemlockstand.errors import InvalidInput, PlatformUnavailable
 from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.lapses import Lapses
 from hemlockstand.fleet.model import ExecutorEntry, Resources
 from hemlockstand.fleet.reports import ExecutorReportHandler
 from hemlockstand.fleet.state import SchedulerState, read_current
@@ -38,6 +39,7 @@
     connect: Callable[[str, str], ExecutorClient]
     report_handler: ExecutorReportHandler
     fence: int
+    lapses: Lapses
     _versions: dict[str, int] = field(factory=dict)
     _fences: dict[str, int] = field(factory=dict)
     _unused: dict[str, ExecutorEntry] = field(factory=dict)
@@ -174,6 +176,7 @@
             self.report_handler,
             self.state.settings.scheduler.hold_seconds,
         )
+        self.lapses.prepare(executor)
         self.state.executors[entry.id] = executor
         self.state.nursery.start_soon(executor.run)
         self.state.request_commit()
@@ -192,7 +195,7 @@
         for executor in list(self.state.executors.values()):
             if executor.is_in_store or executor.runs:
                 continue
-            if now > max(executor.runs_end_at, self.state.previous_grants_end):
+            if now > executor.runs_end_at:
                 executor.close()
                 del self.state.executors[executor.id]
                 self._versions.pop(executor.id, None)
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -52,6 +52,10 @@
 IDLE_RETRY_SECONDS = 0.7
 UNSTORED_POLL_SECONDS = 0.02
 LEASE_EXPIRY_MARGIN_SECONDS = 0.15
+# An executor that is silent for less time may only have lost a call.
+SILENT_SECONDS = 0.5
+# Executors give their first answer to a scheduler within this time.
+FIRST_ANSWER_SECONDS = 0.25
 _NEVER = float("-inf")
 
 
@@ -68,9 +72,11 @@
     that its instance is about to be moved or maintained; it lasts as long as
     the plan, also over restarts. Until ``cold_until`` it is slow after its own
     start, and until ``returning_until`` the evacuation of its data centre has
-    only just ended. ``unknown_runs`` names the runs in its last
-    list that the scheduler has not started or adopted; they use room of unknown
-    size until they have been stopped.
+    only just ended. ``previous_lease_end`` is the latest end of a lease that a
+    previous scheduler has granted, and while ``lapse_stored`` is set it gets no
+    other lease, as the store has the end of its last one. ``unknown_runs`` names
+    the runs in its last list that the scheduler has not started or adopted; they
+    use room of unknown size until they have been stopped.
     """
 
     entry: ExecutorEntry
@@ -96,9 +102,12 @@
     returning_until: float = _NEVER
     reserved: bool = False
     recorded: bool = False
+    previous_lease_end: float = _NEVER
+    lapse_stored: bool = False
     closed: bool = False
     # It was idle and not polled, so it may have started again unnoticed.
     _unconfirmed: bool = False
+    _added_at: float = field(init=False)
     _longest_expires_at: float = _NEVER
     _forgotten: int = 0  # the last end that the executor has certainly dropped
     _restarted: bool = False  # the lists of the new lifetime were not read yet
@@ -111,6 +120,7 @@
     _poll_scope: trio.CancelScope | None = None
 
     def __attrs_post_init__(self) -> None:
+        self._added_at = self.clock()
         self._set_cold_time()
 
     @property
@@ -126,7 +136,9 @@
     @property
     def runs_end_at(self) -> float:
         """Time by which all runs have ended without further leases."""
-        return max(self.lease_expires_at, self._longest_expires_at)
+        return max(
+            self.lease_expires_at, self._longest_expires_at, self.previous_lease_end
+        )
 
     @property
     def is_entry_current(self) -> bool:
@@ -138,6 +150,25 @@
         born_ms = self.entry.born_ms
         return born_ms is None or self.born_ms is None or born_ms == self.born_ms
 
+    @property
+    def needs_record(self) -> bool:
+        """Whether it has runs, may have unknown ones, or may get some.
+
+        The next scheduler has to know of such an executor.
+        """
+        if self.runs or self.unknown_runs or not self.is_silent:
+            return True
+        return self.clock() <= self.runs_end_at + LEASE_EXPIRY_MARGIN_SECONDS
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether it has not answered for so long that a single call is no reason."""
+        if self._clock_ms is None and not self.reconciled:
+            return self.clock() >= self._added_at + FIRST_ANSWER_SECONDS
+        if self.failing_since is None:
+            return False
+        return self.clock() >= self.failing_since + SILENT_SECONDS
+
     def has_room(self, size: Resources, fills: bool) -> bool:
         """Return whether a subtask fits.
 
@@ -220,6 +251,8 @@
         # runs are started elsewhere once the lease has expired.
         if self._clock_ms is None or self.failing_since is not None:
             return None
+        if self.lapse_stored:
+            return None
         until = self.events.grant_end()
         self.lease_expires_at = max(self.lease_expires_at, until)
         if self._unconfirmed:
--- a/hemlockstand/fleet/idle_report.py
+++ b/hemlockstand/fleet/idle_report.py
@@ -154,6 +154,7 @@
         yield "lists not read", not executor.reconciled
         yield "entry of an earlier lifetime", not executor.is_entry_current
         yield "unknown runs", bool(executor.unknown_runs)
+        yield "end of its lease is stored", executor.lapse_stored
         yield "draining", executor.entry.draining
         yield "evacuated", is_evacuated(executor, config)
         yield "reserved", executor.reserved
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -20,6 +20,7 @@
 from hemlockstand.fleet.idle_report import IdleReporter
 from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.job_registry import JobRegistry
+from hemlockstand.fleet.lapses import Lapses
 from hemlockstand.fleet.lease import InstanceOrders, Release, SchedulerLease
 from hemlockstand.fleet.load_publisher import LoadPublisher
 from hemlockstand.fleet.metrics import WAITING
@@ -81,7 +82,8 @@
         )
         self._ticket_cache = TicketCache(self.state, clients.advice)
         self._orders = Orders(self.state, self._ticket_cache)
-        self._barrier = TakeoverBarrier(self.state)
+        self._lapses = Lapses(self.state)
+        self._barrier = TakeoverBarrier(self.state, self._lapses)
         self._report_handler = ExecutorReportHandler(
             self.state, self._orders, self._barrier
         )
@@ -90,6 +92,7 @@
             clients.connect_executor,
             self._report_handler,
             epoch * FENCES_PER_EPOCH,
+            self._lapses,
         )
         self._instances = InstanceManager(
             self.state, clients.instances, epoch, self._orders.stop_run
@@ -101,6 +104,7 @@
             LoadPublisher(
                 self.state, self._instances.plans, self._barrier.blocked_pools
             ),
+            self._lapses,
         )
         self._placer = Placer(
             registry,
@@ -150,11 +154,7 @@
             await self._load_own_rows()
             loaded.set()
         if not fresh:
-            self._barrier.block_pools(
-                executor
-                for addresses in self._commits.known_executors.values()
-                for executor in addresses
-            )
+            self._barrier.block_pools()
             record = self.state.lease.record
             orders = InstanceOrders(record.ordered, record.turned)
             waited = self.state.clock() - self.state.lease.previous_renewed_at
@@ -196,9 +196,7 @@
         read = partial(self.state.rows.read_all, SCHEDULER_TABLE)
         page = await read_current(self.state, read)
         found = decode_known_executors(page.rows)
-        self._barrier.add_unknown_pools(
-            pool for pool, addresses in found.items() if addresses is None
-        )
+        self._lapses.load(page.rows, found)
         self._commits.known_executors = {
             pool: addresses or {} for pool, addresses in found.items()
         }
@@ -332,6 +330,8 @@
             await trio.sleep(TICK_SECONDS)
             self._barrier.unblock_pools()
             self._barrier.report_blocked()
+            if self._barrier.blocked_pools:
+                self._lapses.check()
             self._executor_directory.add_configured()
             self._executor_directory.remove_gone()
             self._add_waves()
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -76,6 +76,9 @@
     valid_until: float = _NEVER
     # Latest time at which the previous holder may have renewed the lease.
     previous_renewed_at: float = _NEVER
+    # When the lease was acquired, and the lease's time then.
+    acquired_at: float = 0.0
+    acquired_ms: int = 0
 
     @property
     def previous_valid_until(self) -> float:
@@ -87,6 +90,18 @@
         """Whether the holder may give orders; checked before each of them."""
         return self.clock() < self.valid_until
 
+    def find_time_ms(self, at: float) -> int:
+        """Return the lease's time, in milliseconds, at a time of the clock."""
+        return self.acquired_ms + int((at - self.acquired_at) * 1000)
+
+    def find_local_time(self, time_ms: int) -> float:
+        """Return the time of the clock by which the lease's time has come.
+
+        Another holder's clock may have run faster than this one.
+        """
+        left_seconds = (time_ms - self.acquired_ms) / 1000
+        return self.acquired_at + left_seconds * TAKEOVER_FACTOR
+
     async def commit(
         self,
         writes: Sequence[RowWrite] = (),
@@ -107,6 +122,7 @@
             sequence=self.record.sequence + 1,
             ordered=orders.open,
             turned=orders.answered,
+            time_ms=self.find_time_ms(self.clock()),
         )
         batch = [lease_write(record), *writes]
         sent_at = self.clock()
@@ -230,7 +246,7 @@
     ) -> SchedulerLease | None:
         self.previous = record
         epoch = 1 if record is None else record.epoch + 1
-        new = LeaseRecord(self.holder, self.session, epoch, 0)
+        new = LeaseRecord(self.holder, self.session, epoch, 0, time_since=epoch)
         if record is not None:
             new = attrs.evolve(
                 new,
@@ -240,6 +256,10 @@
             )
         expected = (RowExpectation(SCHEDULER_TABLE, LEASE_KEY, version),)
         self._attempted_at = self.clock()
+        if record is not None and record.time_since:
+            passed = self._attempted_at - self._previous_renewed_at
+            time_ms = record.time_ms + int(passed * 1000)
+            new = attrs.evolve(new, time_ms=time_ms, time_since=record.time_since)
         try:
             new_version = await self.rows.write([lease_write(new)], expected)
         except RowConflict:
@@ -262,4 +282,6 @@
         )
         lease.valid_until = sent_at + self.lease_seconds
         lease.previous_renewed_at = self._previous_renewed_at
+        lease.acquired_at = sent_at
+        lease.acquired_ms = record.time_ms
         return lease
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -303,6 +303,7 @@
         and executor.reachable
         and executor.is_entry_current
         and not executor.unknown_runs
+        and not executor.lapse_stored
         and not executor.entry.draining
         and not executor.reserved
     )
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -218,6 +218,8 @@
                 )
                 continue
             self._adopt(executor, subtask, entry)
+        if executor.lapse_stored:
+            self.state.request_commit()
         self._act_on_lists(executor)
         self.barrier.unblock_pools()
 
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -91,7 +91,9 @@
     holder. ``ordered`` holds the instances with an order that may still be in
     flight, and ``turned`` those whose order was answered a short time ago.
     ``holder`` is empty after a release, and ``slow`` is set if it was released
-    by a slow machine; ``follows_slow`` then marks the next holder.
+    by a slow machine; ``follows_slow`` then marks the next holder. ``time_ms``
+    is a time that goes on over holders and never runs ahead of the real one. It
+    began in the epoch ``time_since``; holders of earlier versions do not keep it.
     """
 
     holder: str
@@ -102,6 +104,8 @@
     turned: tuple[str, ...] = ()
     slow: bool = False
     follows_slow: bool = False
+    time_ms: int = 0
+    time_since: int = 0
 
 
 @frozen
