Name only executors that may have runs to the next scheduler

Cause: a scheduler stored the name of each executor that it found in the store. The entry of one that has ended, for example by an accepted order for its instance, stays there for some seconds, so the next scheduler named an executor that none had reached, and the one after waited for it.

Change: an executor is named while it has runs, may have unknown ones or is not silent, so a new one is named as early as before. One that is not named loses its mark and gets no runs before it is named again.

--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -305,13 +305,19 @@
         return list(islice(self.removable, MAX_EXPIRED))
 
     def _list_executors(self) -> dict[str, dict[str, str]]:
-        """Return the executors' addresses by pool, including empty pools."""
+        """Return the addresses of the executors that may have or get runs.
+
+        They are by pool, including empty pools.
+        """
         known_executors: dict[str, dict[str, str]] = {
             pool: {} for pool in self.known_executors
         }
         for executor in self.state.executors.values():
             addresses = known_executors.setdefault(executor.entry.pool, {})
-            addresses[executor.id] = executor.entry.address
+            if executor.needs_record:
+                addresses[executor.id] = executor.entry.address
+            else:
+                executor.recorded = False
         return known_executors
 
     def _expire_jobs(self) -> list[str]:
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -218,7 +218,7 @@
                 )
                 continue
             self._adopt(executor, subtask, entry)
-        if executor.lapse_stored:
+        if executor.lapse_stored or not executor.recorded:
             self.state.request_commit()
         self._act_on_lists(executor)
         self.barrier.unblock_pools()
--- a/test/test_fleet_restarts.py
+++ b/test/test_fleet_restarts.py
@@ -83,3 +83,25 @@
         world.add_executor()
         await world.wait_for(lambda: world.count_runs(job) == 2, 2)
         world.check_runs()
+
+
+async def test_executor_that_is_gone_blocks_no_pool_while_it_is_listed(clock):
+    """Guards against a wait for an executor whose entry outlives it.
+
+    Each scheduler found it in the store and named it to the next one as an
+    executor that may have runs, though none had reached it.
+    """
+    async with open_world() as world:
+        world.add_executor()
+        world.start_daemon("a")
+        step = make_step(2, lasting=True, max_per_executor=1)
+        job = world.submit(step, work=SubtaskBehaviour(LASTING, size=SMALL))
+        await world.wait_for(lambda: world.count_runs(job) == 1, 5)
+        world.add_executor().unresponsive = True
+        await trio.sleep(1)
+        world.stop(world.daemons["a"])
+        world.start_daemon("b")
+        await world.wait_for(lambda: world.lease_holder() == "b", 2)
+        world.add_executor()
+        await world.wait_for(lambda: world.count_runs(job) == 2, 2)
+        world.check_runs()
