Replace an executor from the moment it announces that it leaves

Cause: an executor that drains counted as a member of its pool until its entry was gone, so nothing was moved into the pool, and the subtask found no room to move to.

Change: a draining executor is not in service for the size of its pool.

test_leaving_executor_is_replaced_before_it_has_left fails on (no third run within 4 s) and passes now; 71 tests of instances, waves, pool sizes, moves in evacuations and the scheduler pass.

--- a/hemlockstand/fleet/moves.py
+++ b/hemlockstand/fleet/moves.py
@@ -244,7 +244,9 @@
         if instance.state is InstanceState.DOWN:
             return False
         executor = self.plans.find_executor(instance.name)
-        return executor is None or executor.reachable
+        if executor is None:
+            return True
+        return executor.reachable and not executor.entry.draining
 
     def _rank_surplus(
         self, members: list[InstanceEntry], scale: OfferScale
--- a/test/test_fleet_instances.py
+++ b/test/test_fleet_instances.py
@@ -351,3 +351,24 @@
     for item in lists:
         assert item["read_began"] < item["read_ended"]
         assert item["ordered_meanwhile"] == []
+
+
+async def test_leaving_executor_is_replaced_before_it_has_left(clock):
+    """Guards against lasting work that stays on an executor until it leaves.
+
+    The pool has no other room, and an instance on standby could join in time.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 2)
+        world.add_instances("standby", 2)
+        world.start_daemon("a")
+        step = Step(2, SMALL, lasting=True, max_per_executor=1)
+        job = world.submit(step, work=SubtaskBehaviour(LASTING, size=SMALL))
+        await world.wait_for(lambda: len(world.find_running(job)) == 2, 10)
+        await trio.sleep(1)
+        leaving = world.executors[world.find_running(job)[0].executor]
+        leaving.draining = True
+        world.register_executor(leaving)
+        await world.wait_for(lambda: world.count_runs(job) == 3, 4)
+        assert len(world.find_running(job)) == 2
+        world.check_runs()
