Hold with tests and proofs what the ends of stored leases rest on

An executor that is named with the end of its last lease gets no other, also if the scheduler has lost the store; one that answers again gets leases; a row that is damaged or of another time counts for nothing; after a scheduler of an earlier version the full wait applies.

--- a/bench/fleet_mutations.py
+++ b/bench/fleet_mutations.py
@@ -6,6 +6,7 @@
     "test/test_fleet_scheduler.py",
     "test/test_fleet_takeovers.py",
 )
+RESTART_TESTS = ("test/test_fleet_restarts.py",)
 LEASE_TESTS = ("test/test_fleet_lease.py",)
 INSTANCE_TESTS = ("test/test_fleet_instances.py",)
 WAVE_TESTS = ("test/test_fleet_waves.py",)
@@ -42,6 +43,30 @@
         "set().update(",
         SCHEDULER_TESTS,
     ),
+    Mutation(
+        "Fleet: no subtask runs twice on the word of a stored lease",
+        "an executor gets no lease while the end of its last one is stored",
+        "hemlockstand/fleet/executors.py",
+        "        if self.lapse_stored:\n            return None",
+        "        if False:\n            return None",
+        RESTART_TESTS,
+    ),
+    Mutation(
+        "Fleet: takeovers do not prolong the wait for a lost executor",
+        "the next scheduler waits for what is left of a lease",
+        "hemlockstand/fleet/lapses.py",
+        "        if executor not in self._stored:",
+        "        if True:",
+        RESTART_TESTS,
+    ),
+    Mutation(
+        "Fleet: a takeover waits for no executor that was never reached",
+        "only executors that may have runs are stored",
+        "hemlockstand/fleet/commits.py",
+        "            if executor.needs_record:",
+        "            if True:",
+        RESTART_TESTS,
+    ),
     Mutation(
         "Fleet: no subtask runs twice after a lost answer",
         "the fencing token rises before the next call",
--- a/test/test_fleet_restarts.py
+++ b/test/test_fleet_restarts.py
@@ -1,5 +1,7 @@
 """Work that goes on while schedulers are replaced one after the other."""
 
+import json
+
 import pytest
 import trio
 
@@ -105,3 +107,92 @@
         world.add_executor()
         await world.wait_for(lambda: world.count_runs(job) == 2, 2)
         world.check_runs()
+
+
+async def test_executor_gets_no_lease_while_the_end_of_its_last_one_is_stored(clock):
+    """Guards against a second run on the word of a scheduler that lost the store.
+
+    It has stored when the lease of a silent executor ends. The executor answers
+    again after the store is lost, and another scheduler relies on the row.
+    """
+    async with open_world() as world:
+        job, lost = await start_lasting_job(world)
+        first = world.daemons["a"]
+        first.cut_off.add(lost.id)
+        await world.wait_for(lambda: world.store.find("scheduler", "lapses"), 3)
+        first.rows.closed = True
+        world.start_daemon("b").cut_off.add(lost.id)
+        first.cut_off.discard(lost.id)
+        await world.wait_for(lambda: world.lease_holder() == "b", 4)
+        await world.wait_for(lambda: world.count_runs(job) == 2, 6)
+        await trio.sleep(5)
+        world.check_runs()
+
+
+async def test_executor_that_answers_again_gets_leases(clock):
+    """Guards against an executor whose work ends again and again.
+
+    The end of its lease was stored while it was silent.
+    """
+    async with open_world() as world:
+        lost = world.add_executor()
+        daemon = world.start_daemon("a")
+        job = world.submit(
+            make_step(lasting=True), work=SubtaskBehaviour(LASTING, size=SMALL)
+        )
+        await world.wait_for(lambda: world.find_running(job), 5)
+        daemon.cut_off.add(lost.id)
+        await world.wait_for(lambda: world.store.find("scheduler", "lapses"), 3)
+        daemon.cut_off.discard(lost.id)
+        await trio.sleep(6)
+        (run,) = world.find_running(job)
+        await trio.sleep(12)
+        assert world.find_running(job) == [run]
+        stored = json.loads(world.store.find("scheduler", "lapses").value)
+        assert not stored.get("ends")
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"[",
+        b'{"since": 1, "ends": {"i-1": -5}}',
+        b'{"since": 1, "ends": {"i-1": 1e400}}',
+        b'{"since": 7, "ends": {"i-1": 0}}',
+        b'{"since": 1, "ends": [1]}',
+    ],
+)
+async def test_odd_row_of_ends_of_leases_ends_no_scheduler(clock, value):
+    """Guards against a row that cannot be read, or is of another time."""
+    async with open_world() as world:
+        job, _ = await start_lasting_job(world)
+        world.store.put("scheduler", "lapses", value)
+        world.kill(world.daemons["a"])
+        world.start_daemon("b")
+        await trio.sleep(4)
+        assert world.lease_holder() == "b"
+        assert len(world.find_running(job)) == 1
+        world.check_runs()
+
+
+async def test_scheduler_of_an_earlier_version_keeps_the_full_wait(clock):
+    """Guards against ends of leases that are out of date after a downgrade.
+
+    A scheduler of an earlier version writes the lease without its time, and may
+    grant leases to executors that the row names.
+    """
+    async with open_world() as world:
+        job, lost = await start_lasting_job(world)
+        first = world.daemons["a"]
+        row = world.store.find("scheduler", "lease")
+        since = json.loads(row.value)["time_since"]
+        ends = json.dumps({"since": since, "ends": {lost.id: 1}}).encode()
+        world.store.put("scheduler", "lapses", ends)
+        world.kill(first)
+        lease = json.loads(world.store.find("scheduler", "lease").value)
+        del lease["time_since"], lease["time_ms"]
+        world.store.put("scheduler", "lease", json.dumps(lease).encode())
+        world.start_daemon("b").cut_off.add(lost.id)
+        await world.wait_for(lambda: world.count_runs(job) == 2, 10)
+        world.check_runs()
