Extend leases at once after a takeover and after a short silence

A cut of 1.2 to 1.9 s, or a store that could not be read for 4 s after a takeover, ended lasting work; a row that the store refused to replace kept an executor without leases for good.

Change: the lease row says whether ends are stored at all, and only then do leases wait for the read. An executor that may get no lease yet is polled without a wait. If the store refuses the row, the lease's time ends with the next commit, so that the row no longer counts.

--- a/hemlockstand/fleet/changes.py
+++ b/hemlockstand/fleet/changes.py
@@ -203,6 +203,13 @@
         """Return the jobs whose status is in the batch."""
         return [item.job for item in self.changes if isinstance(item, StatusChange)]
 
+    def find_lapses(self) -> bool | None:
+        """Return whether ends of leases are stored after it; None if as before."""
+        for item in self.changes:
+            if isinstance(item, LapseChange):
+                return bool(item.record.ends)
+        return None
+
     def list_blocks(self) -> list[tuple[str, int]]:
         """Return the blocks of subtasks whose failures are in the batch."""
         return [
--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -198,7 +198,9 @@
         lifetimes = {executor: executor.born_ms for executor in last_handled}
         try:
             orders = self.instances.find_orders()
-            await self.state.lease.commit(batch.writes, batch.removed, orders, release)
+            await self.state.lease.commit(
+                batch.writes, batch.removed, orders, release, batch.find_lapses()
+            )
         except BaseException:
             registry.dirty.update(jobs)
             registry.dirty_blocks.update(blocks)
@@ -206,6 +208,7 @@
             raise
         self._max_changes = min(2 * self._max_changes, MAX_TRANSACTION_ENTRIES)
         self.instances.mark_stored(orders)
+        self.lapses.mark_committed()
         for change in batch.changes:
             self._mark_stored(change)
         if batch.changes:
@@ -274,6 +277,8 @@
                     now_ms = int(time.time() * 1000)
                     registry.finish(job, JobState.FAILED, now_ms, detail)
                     self.stop_runs(job)
+            case LapseChange():
+                self.lapses.give_up()
             case _:
                 self._given_up[identify(change)] = change
 
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -312,16 +312,14 @@
             self._poll_scope = None
 
     async def _hold(self) -> None:
-        unstored = self.last_handled > self.acked
-        # An executor with unacknowledged ends answers at once, so the task
-        # itself waits until the store has them.
+        unstored = self._awaits_store
+        # An executor with unacknowledged ends answers at once, and one that may
+        # get no lease yet needs it soon, so the task itself waits for the store.
         if unstored:
             await trio.sleep(UNSTORED_POLL_SECONDS)
         wait = (
             0.0
-            if self.last_handled > self.acked
-            or not self.reconciled
-            or self._unconfirmed
+            if self._awaits_store or not self.reconciled or self._unconfirmed
             else self.hold_seconds
         )
         sent_at = self.clock()
@@ -332,9 +330,13 @@
         self.update_clock(answer.clock_ms)
         self._forgotten = max(acked, self._forgotten)
         self._reconcile(answer, sent_at, fence)
-        if unstored and self.last_handled > self.acked:
+        if unstored and self._awaits_store:
             await trio.sleep(5 * UNSTORED_POLL_SECONDS)
 
+    @property
+    def _awaits_store(self) -> bool:
+        return self.last_handled > self.acked or self.lapse_stored
+
     async def _handle_poll_failure(self, error: HemlockstandError) -> None:
         now = self.clock()
         if self.failing_since is None:
--- a/hemlockstand/fleet/lapses.py
+++ b/hemlockstand/fleet/lapses.py
@@ -66,6 +66,7 @@
     inherited: set[str] = field(factory=set)
     unknown_pools: set[str] = field(factory=set)
     _loaded: bool = False
+    _given_up: bool = False
     _stored: dict[str, int] = field(factory=dict)
     _suspended: set[str] = field(factory=set)  # their leases are not extended
 
@@ -76,7 +77,7 @@
     ) -> None:
         """Read what the previous scheduler has stored.
 
-        Executors get no leases before that.
+        Executors get no leases before that, if it has stored any ends.
         """
         self._loaded = True
         self._stored = decode_lapses(rows, self.state.lease.record.time_since)
@@ -91,8 +92,10 @@
 
     def prepare(self, executor: Executor) -> None:
         """Set what is known of the leases of an executor."""
-        executor.lapse_stored = not self._loaded or executor.id in self._suspended
-        if executor.id in self.inherited or executor.entry.pool in self.unknown_pools:
+        unknown = not self._loaded and self.state.lease.record.lapses
+        executor.lapse_stored = unknown or executor.id in self._suspended
+        pool = executor.entry.pool
+        if executor.id in self.inherited or pool in self.unknown_pools:
             executor.previous_lease_end = self._find_previous_end(executor.id)
 
     def _find_previous_end(self, executor: str) -> float:
@@ -107,6 +110,8 @@
         None of the earlier changes may be in progress. If this one is stored,
         ``mark_stored`` has to follow, and ``mark_unstored`` if it is not.
         """
+        if self._given_up:
+            return None
         ends = dict(islice(self._find_ends(), MAX_LAPSES))
         self._suspend({*self._stored, *ends})
         if ends == self._stored:
@@ -137,6 +142,21 @@
         """Forget a change that was certainly not stored."""
         self._suspend(set(self._stored))
 
+    def give_up(self) -> None:
+        """Store no more ends in this term, since the store refuses the row.
+
+        The lease's time ends with the next commit, so that the row no longer
+        counts and its executors may get leases.
+        """
+        self._given_up = True
+        self.state.lease.keeps_time = False
+
+    def mark_committed(self) -> None:
+        """Let all executors get leases again once the lease's time has ended."""
+        if self._given_up:
+            self._stored = {}
+            self._suspend(set())
+
     def _suspend(self, executors: set[str]) -> None:
         for name in executors ^ self._suspended:
             executor = self.state.executors.get(name)
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -79,6 +79,7 @@
     # When the lease was acquired, and the lease's time then.
     acquired_at: float = 0.0
     acquired_ms: int = 0
+    keeps_time: bool = True
 
     @property
     def previous_valid_until(self) -> float:
@@ -108,10 +109,12 @@
         removed: Sequence[RowKey] = (),
         orders: InstanceOrders = NO_ORDERS,
         release: Release | None = None,
+        lapses: bool | None = None,
     ) -> None:
         """Apply the writes and extend the lease.
 
-        ``orders`` is stored for the next holder. Raises ``LeaseLost``, or
+        ``orders`` is stored for the next holder, and ``lapses`` unless it is as
+        before. Raises ``LeaseLost``, or
         ``PlatformUnavailable`` if nothing was applied. After a lost answer the
         transaction is repeated until its outcome is known.
         """
@@ -122,7 +125,9 @@
             sequence=self.record.sequence + 1,
             ordered=orders.open,
             turned=orders.answered,
-            time_ms=self.find_time_ms(self.clock()),
+            time_ms=self.find_time_ms(self.clock()) if self.keeps_time else 0,
+            time_since=self.record.time_since if self.keeps_time else 0,
+            lapses=self.record.lapses if lapses is None else lapses,
         )
         batch = [lease_write(record), *writes]
         sent_at = self.clock()
@@ -259,7 +264,12 @@
         if record is not None and record.time_since:
             passed = self._attempted_at - self._previous_renewed_at
             time_ms = record.time_ms + int(passed * 1000)
-            new = attrs.evolve(new, time_ms=time_ms, time_since=record.time_since)
+            new = attrs.evolve(
+                new,
+                time_ms=time_ms,
+                time_since=record.time_since,
+                lapses=record.lapses,
+            )
         try:
             new_version = await self.rows.write([lease_write(new)], expected)
         except RowConflict:
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -94,6 +94,7 @@
     by a slow machine; ``follows_slow`` then marks the next holder. ``time_ms``
     is a time that goes on over holders and never runs ahead of the real one. It
     began in the epoch ``time_since``; holders of earlier versions do not keep it.
+    ``lapses`` is set while the row ``lapses`` names an executor.
     """
 
     holder: str
@@ -106,6 +107,7 @@
     follows_slow: bool = False
     time_ms: int = 0
     time_since: int = 0
+    lapses: bool = False
 
 
 @frozen
