Keep an unreadable row of executors until nothing unknown can run

Found by the review, in the class of: a scheduler that cannot read which executors a pool has blocks the pool for the longest lease, but stored a row that can be read with its first commit. Its successor waited for no unknown executor, and a lasting subtask ran twice.

Change: the row of such a pool is not replaced before the wait is over. A chain of takeovers begins this wait anew, which is safe; the row is written by schedulers only and was never seen damaged.

test_unreadable_row_of_executors_counts_over_takeovers[2] fails on the commit before and passes now.

--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -151,9 +151,10 @@
         record = self.lapses.find_change()
         if record is not None:
             yield LapseChange(record)
+        unknown_pools = self.lapses.find_unknown_pools()
         for pool, addresses in self._list_executors().items():
             stored = self.known_executors.get(pool)
-            if addresses != stored:
+            if addresses != stored and pool not in unknown_pools:
                 rows = count_known_executors_rows(stored or {})
                 yield KnownExecutorsChange(pool, addresses, rows)
         for progress in self.instances.waves.waves.values():
--- a/hemlockstand/fleet/lapses.py
+++ b/hemlockstand/fleet/lapses.py
@@ -22,6 +22,7 @@
 from hemlockstand.platform.rows import RowWrite, StoredRow
 
 LAPSES_KEY = "lapses"
+PREVIOUS_GRANTS_MARGIN_SECONDS = 0.3
 # Of the executors in the row. The next scheduler waits longer for others.
 MAX_LAPSES = 1_000
 
@@ -59,12 +60,12 @@
     """Knows when leases of previous schedulers end, and stores it for the next.
 
     ``inherited`` holds the executors that may have runs of a previous scheduler,
-    and ``unknown_pools`` the pools of which it is not known which ones do.
+    and ``unreadable_pools`` the pools of which it is not known which ones do.
     """
 
     state: SchedulerState
     inherited: set[str] = field(factory=set)
-    unknown_pools: set[str] = field(factory=set)
+    unreadable_pools: set[str] = field(factory=set)
     _loaded: bool = False
     _given_up: bool = False
     _stored: dict[str, int] = field(factory=dict)
@@ -84,7 +85,7 @@
         self._suspended = set(self._stored)
         for pool, addresses in known_executors.items():
             if addresses is None:
-                self.unknown_pools.add(pool)
+                self.unreadable_pools.add(pool)
             else:
                 self.inherited.update(addresses)
         for executor in self.state.executors.values():
@@ -95,7 +96,7 @@
         unknown = not self._loaded and self.state.lease.record.lapses
         executor.lapse_stored = unknown or executor.id in self._suspended
         pool = executor.entry.pool
-        if executor.id in self.inherited or pool in self.unknown_pools:
+        if executor.id in self.inherited or pool in self.unreadable_pools:
             executor.previous_lease_end = self._find_previous_end(executor.id)
 
     def _find_previous_end(self, executor: str) -> float:
@@ -104,6 +105,15 @@
             return longest
         return min(self.state.lease.find_local_time(self._stored[executor]), longest)
 
+    def find_unknown_pools(self) -> set[str]:
+        """Return the pools that may have executors with runs which are not known.
+
+        What is stored of such a pool must not be replaced, as the next scheduler
+        has to wait for them as well.
+        """
+        end = self.state.previous_grants_end + PREVIOUS_GRANTS_MARGIN_SECONDS
+        return self.unreadable_pools if self.state.clock() <= end else set()
+
     def find_change(self) -> LapseRecord | None:
         """Return the row if it has to be written, and suspend leases by it.
 
--- a/hemlockstand/fleet/takeover_barrier.py
+++ b/hemlockstand/fleet/takeover_barrier.py
@@ -7,12 +7,11 @@
 from loguru import logger
 
 from hemlockstand.fleet.executors import Executor
-from hemlockstand.fleet.lapses import Lapses
+from hemlockstand.fleet.lapses import PREVIOUS_GRANTS_MARGIN_SECONDS, Lapses
 from hemlockstand.fleet.state import SchedulerState
 
 log = logger.bind(module=__name__)
 
-PREVIOUS_GRANTS_MARGIN_SECONDS = 0.3
 # Executors that answer do so within this time after a takeover.
 REPORT_SECONDS = 0.5
 
@@ -76,9 +75,7 @@
 
     def _find_pools_with_unknown_runs(self, now: float) -> set[str]:
         pools = {executor.entry.pool for executor in self._find_unreconciled(now)}
-        if now <= self.state.previous_grants_end + PREVIOUS_GRANTS_MARGIN_SECONDS:
-            pools |= self.lapses.unknown_pools
-        return pools
+        return pools | self.lapses.find_unknown_pools()
 
     def unblock_pools(self) -> None:
         """Unblock the pools in which no unknown run can exist any more."""
--- a/test/test_fleet_lapse_faults.py
+++ b/test/test_fleet_lapse_faults.py
@@ -147,6 +147,32 @@
         assert world.find_running(job)
 
 
+@pytest.mark.parametrize("takeovers", [1, 2])
+async def test_unreadable_row_of_executors_counts_over_takeovers(clock, takeovers):
+    """Guards against a second run while an executor that is not known has one.
+
+    The first scheduler that cannot read the row waits, but stores a row that
+    can be read, so that its successor does not wait for the rest.
+    """
+    async with open_world() as world:
+        job, lost = await start_lasting_job(world)
+        world.add_executor()
+        await trio.sleep(1)
+        for number in range(takeovers):
+            if not number:
+                world.store.remove("servers", lost.id)
+                lost.unresponsive = True
+                world.kill(world.daemons["a"])
+                world.store.put("scheduler", "roster/pool", b"{")
+            else:
+                world.stop(world.daemons[world.lease_holder()])
+            world.start_daemon(f"d{number}")
+            await world.wait_for(lambda: world.lease_holder() == f"d{number}", 4)  # noqa: B023
+            await trio.sleep(0.3)
+        await world.wait_for(lambda: world.count_runs(job) == 2, 9)
+        world.check_runs()
+
+
 async def test_executor_that_restarts_gets_runs_soon_after_a_takeover(clock):
     """Guards against an executor that stays without runs after its silence.
 
