Hand on the instances that orders of earlier schedulers block

An instance could get orders of two schedulers within the required interval (order_turn_ms) when several schedulers followed each other.

Cause: a new scheduler blocks the instances that the lease row names, but its first commit replaced them with its own orders. The scheduler after it knew nothing of an order that might still be in flight or was answered a moment ago.

Evidence: on virtual time the third scheduler sent an order 1.96 s and 2.76 s after that of the first one (takeovers 1 and 2 s apart), where 3 s are required.

Change: the lease row holds the blocked instances with the end of each block in the lease's time, which goes on over holders, so that a block is neither forgotten nor begins anew. If a term ends before its first commit, the row also tells when the holder that sent the orders was replaced. The version before reads the blocked instances among the ordered ones, and orders in a row of that version count from the takeover.

--- a/bench/fleet_mutations.py
+++ b/bench/fleet_mutations.py
@@ -130,6 +130,14 @@
         "if False:",
         INSTANCE_TESTS,
     ),
+    Mutation(
+        "Fleet: schedulers keep an interval between orders",
+        "a scheduler hands on the waits that its predecessors' orders caused",
+        "hemlockstand/fleet/instances.py",
+        "return InstanceOrders(in_progress, tuple(self._answered), blocked)",
+        "return InstanceOrders(in_progress, tuple(self._answered))",
+        ("test/test_fleet_order_intervals.py",),
+    ),
     Mutation(
         "Fleet: no subtask runs twice after a restart",
         "the wait for earlier grants starts at the lease's latest renewal",
--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -6,7 +6,7 @@
 The order is sent once nothing runs there.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import trio
@@ -55,6 +55,7 @@
     _moves: MovePlanner = field(init=False)
     _answered: dict[str, float] = field(factory=dict)
     _blocked: dict[str, float] = field(factory=dict)
+    _block_ends_ms: dict[str, int] = field(factory=dict)  # in the lease's time
     _listed_at: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
@@ -84,16 +85,44 @@
                     self._advance(plan, nursery)
 
     def block(self, orders: InstanceOrders, waited_seconds: float) -> None:
-        """Block instances for which a previous scheduler has sent orders.
+        """Block instances for which previous schedulers have sent orders.
 
-        ``waited_seconds`` is the time since the latest renewal of its lease,
-        after which it cannot have stored an answer.
+        ``waited_seconds`` is the time since the latest renewal of the last one's
+        lease, after which it cannot have stored an answer.
         """
-        now = self.state.clock()
-        until = now + self.order_interval_seconds - waited_seconds
-        self._blocked = dict.fromkeys(orders.answered, until)
-        until = now + self.order_interval_seconds + PREVIOUS_ORDER_SECONDS
-        self._blocked.update(dict.fromkeys(orders.open, until))
+        lease = self.state.lease
+        for name, end_ms in orders.blocked.items():
+            self._add_block(name, lease.find_local_time(end_ms), end_ms)
+        interval = self.order_interval_seconds
+        self._block_all(orders.answered, orders, interval, interval - waited_seconds)
+        longest = interval + PREVIOUS_ORDER_SECONDS
+        self._block_all(orders.open, orders, longest, longest)
+
+    def _block_all(
+        self,
+        names: Iterable[str],
+        orders: InstanceOrders,
+        seconds: float,
+        left_seconds: float,
+    ) -> None:
+        """Block instances for a time from when their scheduler was replaced.
+
+        ``left_seconds`` is the rest if it was the last one.
+        """
+        lease = self.state.lease
+        until = self.state.clock() + left_seconds
+        end_ms = lease.find_time_ms(until) + 1
+        if orders.replaced_ms is not None and orders.replaced_ms < lease.acquired_ms:
+            stored_ms = orders.replaced_ms + int(seconds * 1000) + 1
+            if lease.find_local_time(stored_ms) < until:
+                until, end_ms = lease.find_local_time(stored_ms), stored_ms
+        for name in names:
+            self._add_block(name, until, end_ms)
+
+    def _add_block(self, name: str, until: float, end_ms: int) -> None:
+        if name not in self._blocked or self._blocked[name] < until:
+            self._blocked[name] = until
+            self._block_ends_ms[name] = end_ms
 
     def find_orders(self) -> InstanceOrders:
         """Return the instances that the next scheduler has to block.
@@ -106,10 +135,15 @@
         for name, answered_at in list(self._answered.items()):
             if answered_at < oldest:
                 del self._answered[name]
-        in_progress = (
+        in_progress = tuple(
             plan.instance for plan in self.plans.current.values() if plan.ordering
         )
-        return InstanceOrders(tuple(in_progress), tuple(self._answered))
+        blocked = {
+            name: end_ms
+            for name, end_ms in self._block_ends_ms.items()
+            if self._is_blocked(name) and name not in in_progress
+        }
+        return InstanceOrders(in_progress, tuple(self._answered), blocked)
 
     def mark_stored(self, orders: InstanceOrders) -> None:
         """Mark the plans whose orders the next scheduler can read."""
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -21,7 +21,7 @@
 from hemlockstand.fleet.instances import InstanceManager
 from hemlockstand.fleet.job_registry import JobRegistry
 from hemlockstand.fleet.lapses import Lapses
-from hemlockstand.fleet.lease import InstanceOrders, Release, SchedulerLease
+from hemlockstand.fleet.lease import Release, SchedulerLease, find_orders
 from hemlockstand.fleet.load_publisher import LoadPublisher
 from hemlockstand.fleet.metrics import WAITING
 from hemlockstand.fleet.model import JobState
@@ -155,8 +155,7 @@
             loaded.set()
         if not fresh:
             self._barrier.block_pools()
-            record = self.state.lease.record
-            orders = InstanceOrders(record.ordered, record.turned)
+            orders = find_orders(self.state.lease.record)
             waited = self.state.clock() - self.state.lease.previous_renewed_at
             self._instances.block(orders, waited)
         start_soon(self._follow_jobs, version)
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -6,12 +6,12 @@
 be applied after a later one.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from enum import Enum, auto
 
 import attrs
 import trio
-from attrs import define, frozen
+from attrs import define, field, frozen
 from loguru import logger
 
 from hemlockstand.coordination.lease import LeaseLost
@@ -54,16 +54,30 @@
     """Instances for which the next holder must not give orders for a while.
 
     An order for the ``open`` ones may still be in flight; the last order for
-    the ``answered`` ones was answered a short time ago.
+    the ``answered`` ones was answered a short time ago. Orders of earlier holders
+    for the ``blocked`` ones matter until a time of the lease. ``replaced_ms`` is
+    the lease's time at which the holder that sent the orders was replaced.
     """
 
     open: tuple[str, ...] = ()
     answered: tuple[str, ...] = ()
+    blocked: Mapping[str, int] = field(factory=dict)
+    replaced_ms: int | None = None
 
 
 NO_ORDERS = InstanceOrders()
 
 
+def find_orders(record: LeaseRecord) -> InstanceOrders:
+    """Return the orders in a lease row."""
+    return InstanceOrders(
+        tuple(name for name in record.ordered if name not in record.blocked),
+        record.turned,
+        record.blocked,
+        record.replaced_ms,
+    )
+
+
 @define(eq=False)
 class SchedulerLease:
     """The lease as held by one holder."""
@@ -120,8 +134,10 @@
             holder="" if release else self.record.holder,
             slow=release is Release.SLOW,
             sequence=self.record.sequence + 1,
-            ordered=orders.open,
+            ordered=(*orders.open, *orders.blocked),
             turned=orders.answered,
+            blocked=orders.blocked,
+            replaced_ms=orders.replaced_ms,
             time_ms=self.find_time_ms(self.clock()),
         )
         batch = [lease_write(record), *writes]
@@ -153,8 +169,7 @@
 
     async def renew(self) -> None:
         """Extend the lease and change nothing else; raises as ``commit``."""
-        orders = InstanceOrders(self.record.ordered, self.record.turned)
-        await self.commit(orders=orders)
+        await self.commit(orders=find_orders(self.record))
 
     async def _write(self, batch: Sequence[RowWrite], removed: Sequence[RowKey]) -> int:
         expected = (RowExpectation(SCHEDULER_TABLE, LEASE_KEY, self.version),)
@@ -252,6 +267,7 @@
                 new,
                 ordered=record.ordered,
                 turned=record.turned,
+                blocked=record.blocked,
                 follows_slow=record.slow,
             )
         expected = (RowExpectation(SCHEDULER_TABLE, LEASE_KEY, version),)
@@ -260,6 +276,10 @@
             passed = self._attempted_at - self._previous_renewed_at
             time_ms = record.time_ms + int(passed * 1000)
             new = attrs.evolve(new, time_ms=time_ms, time_since=record.time_since)
+        replaced_ms = None if record is None else record.replaced_ms
+        if replaced_ms is None:
+            replaced_ms = new.time_ms
+        new = attrs.evolve(new, replaced_ms=replaced_ms)
         try:
             new_version = await self.rows.write([lease_write(new)], expected)
         except RowConflict:
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -94,6 +94,11 @@
     by a slow machine; ``follows_slow`` then marks the next holder. ``time_ms``
     is a time that goes on over holders and never runs ahead of the real one. It
     began in the epoch ``time_since``; holders of earlier versions do not keep it.
+    ``blocked`` holds the instances for which orders of earlier holders matter,
+    with the end of that in this time. They are also in ``ordered``, as holders of
+    earlier versions read that only. ``replaced_ms`` is the time at which the
+    holder that wrote ``ordered`` and ``turned`` was replaced, and None if it is
+    the present one.
     """
 
     holder: str
@@ -106,6 +111,8 @@
     follows_slow: bool = False
     time_ms: int = 0
     time_since: int = 0
+    blocked: Mapping[str, int] = field(factory=dict)
+    replaced_ms: int | None = None
 
 
 @frozen
