Store with a release when all stopped runs have ended

While schedulers followed each other every 2 s by release, no lasting subtask of a step with max_unavailable was moved off an instance, so waves stood still.

Cause: stops of the previous scheduler may be in progress after a takeover. The next one assumed that stops were sent as long as the lease could have been valid, also if it was released, and waited 2.7 s of its own term.

Evidence: on virtual time a wave over one instance takes 2.4 s with one scheduler, and did not complete within 6.4 s with takeovers 2 s apart.

Change: a scheduler that releases its lease sends no more stops and stores, in the lease's time, when the runs that it and its predecessors stopped have ended: stop_ms after the release, later after a stop without an answer, and nothing if a stop has no outcome yet. Without such a value, after a kill or a pause, or from the version before, the wait is the full one.

Terms of 1.5 s are still too short for such a stop.

--- a/bench/fleet_mutations.py
+++ b/bench/fleet_mutations.py
@@ -413,6 +413,22 @@
         "known = True",
         ("test/test_fleet_budgets.py",),
     ),
+    Mutation(
+        "Fleet: budgets hold over takeovers",
+        "a release tells no end of stops while one has no outcome",
+        "hemlockstand/fleet/orders.py",
+        "if self.open_stops:",
+        "if False:",
+        ("test/test_fleet_budget_takeovers.py",),
+    ),
+    Mutation(
+        "Fleet: budgets hold over takeovers",
+        "a release hands on the wait for stops of earlier schedulers",
+        "hemlockstand/fleet/orders.py",
+        "return max(stops_end, self.state.previous_stops_end)",
+        "return stops_end",
+        ("test/test_fleet_budget_takeovers.py",),
+    ),
     Mutation(
         "Fleet: budgets hold for delayed stops",
         "a stop that was not sent yet is revoked",
--- a/hemlockstand/fleet/commits.py
+++ b/hemlockstand/fleet/commits.py
@@ -102,18 +102,21 @@
             )
             await trio.sleep(RETRY_SECONDS)
 
-    async def release(self, reason: Release) -> None:
-        """Store changes and give up the lease; raises ``PlatformUnavailable``."""
+    async def release(self, reason: Release, stops_end: float | None) -> None:
+        """Store changes and give up the lease; raises ``PlatformUnavailable``.
+
+        ``stops_end`` is the time by which all stopped runs have ended, if known.
+        """
         batch, complete = self._collect()
         try:
-            await self._store(batch, complete, reason)
+            await self._store(batch, complete, reason, stops_end)
         except RowsRefused as error:
             log.error(
                 "the store refuses the last changes of the scheduler",
                 changes=len(batch.changes),
                 detail=str(error),
             )
-            await self._store(Batch(), False, reason)
+            await self._store(Batch(), False, reason, stops_end)
 
     def _collect(self) -> tuple[Batch, bool]:
         """Return the next changes, and whether none is left out."""
@@ -180,11 +183,16 @@
             yield ExpiryChange(job_id)
 
     async def _store(
-        self, batch: Batch, complete: bool, release: Release | None = None
+        self,
+        batch: Batch,
+        complete: bool,
+        release: Release | None = None,
+        stops_end: float | None = None,
     ) -> None:
         """Store changes; executors may then forget the ends in them.
 
-        ``release`` is the reason for which the lease is given up with them.
+        ``release`` is the reason for which the lease is given up with them, and
+        ``stops_end`` is stored with it.
         """
         registry = self.state.registry
         jobs, blocks = batch.list_jobs(), batch.list_blocks()
@@ -198,7 +206,9 @@
         lifetimes = {executor: executor.born_ms for executor in last_handled}
         try:
             orders = self.instances.find_orders()
-            await self.state.lease.commit(batch.writes, batch.removed, orders, release)
+            await self.state.lease.commit(
+                batch.writes, batch.removed, orders, release, stops_end
+            )
         except BaseException:
             registry.dirty.update(jobs)
             registry.dirty_blocks.update(blocks)
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -177,7 +177,7 @@
                 await trio.sleep(ORDERS_POLL_SECONDS)
         try:
             reason = Release.SLOW if self._slow else Release.STOPPED
-            await self._commits.release(reason)
+            await self._commits.release(reason, self._orders.close_stops())
         except PlatformUnavailable as error:
             log.warning("scheduler lease not released", detail=str(error))
 
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -93,6 +93,8 @@
     # When the lease was acquired, and the lease's time then.
     acquired_at: float = 0.0
     acquired_ms: int = 0
+    # The lease's time by which stops of previous holders have ended, if known.
+    previous_stops_ms: int | None = None
 
     @property
     def previous_valid_until(self) -> float:
@@ -122,10 +124,12 @@
         removed: Sequence[RowKey] = (),
         orders: InstanceOrders = NO_ORDERS,
         release: Release | None = None,
+        stops_end: float | None = None,
     ) -> None:
         """Apply the writes and extend the lease.
 
-        ``orders`` is stored for the next holder. Raises ``LeaseLost``, or
+        ``orders`` is stored for the next holder, and with a release the time by
+        which all stopped runs have ended, if it is known. Raises ``LeaseLost``, or
         ``PlatformUnavailable`` if nothing was applied. After a lost answer the
         transaction is repeated until its outcome is known.
         """
@@ -138,6 +142,7 @@
             turned=orders.answered,
             blocked=orders.blocked,
             replaced_ms=orders.replaced_ms,
+            stops_ms=None if stops_end is None else self.find_time_ms(stops_end) + 1,
             time_ms=self.find_time_ms(self.clock()),
         )
         batch = [lease_write(record), *writes]
@@ -276,6 +281,8 @@
             passed = self._attempted_at - self._previous_renewed_at
             time_ms = record.time_ms + int(passed * 1000)
             new = attrs.evolve(new, time_ms=time_ms, time_since=record.time_since)
+            if not record.holder:
+                new = attrs.evolve(new, stops_ms=record.stops_ms)
         replaced_ms = None if record is None else record.replaced_ms
         if replaced_ms is None:
             replaced_ms = new.time_ms
@@ -304,4 +311,5 @@
         lease.previous_renewed_at = self._previous_renewed_at
         lease.acquired_at = sent_at
         lease.acquired_ms = record.time_ms
+        lease.previous_stops_ms = record.stops_ms
         return lease
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -23,6 +23,7 @@
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.tickets import TicketCache
 from hemlockstand.fleet.work import Job, Run, RunState, Subtask
+from hemlockstand.platform.executors import ORDER_TIMEOUT_SECONDS
 
 log = logger.bind(module=__name__)
 
@@ -48,11 +49,17 @@
 
 @define(eq=False)
 class Orders:
-    """Sends orders; ``open_starts`` counts starts without an outcome yet."""
+    """Sends orders.
+
+    ``open_starts`` and ``open_stops`` count orders without an outcome yet.
+    """
 
     state: SchedulerState
     ticket_cache: TicketCache
     open_starts: int = 0
+    open_stops: int = 0
+    _stops_closed: bool = False
+    _unsure_until: float = float("-inf")  # a stop without an answer may arrive
 
     def start(self, subtask: Subtask, executor: Executor) -> None:
         """Start a subtask on an executor, as a copy if it has a run elsewhere."""
@@ -234,6 +241,19 @@
             self.order_stop, executor, subtask.name, run.number
         )
 
+    def close_stops(self) -> float | None:
+        """Send no more stops; return when all stopped runs have ended.
+
+        Returns None if a stop has no outcome yet. An executor may have accepted
+        one just now, and list its run as at work until the run has ended.
+        """
+        self._stops_closed = True
+        if self.open_stops:
+            return None
+        last_arrival = max(self.state.clock(), self._unsure_until)
+        stops_end = last_arrival + self.state.stop_seconds
+        return max(stops_end, self.state.previous_stops_end)
+
     async def order_stop(self, executor: Executor, name: str, number: int) -> None:
         """Repeat a stop order until it is accepted or the run is over.
 
@@ -242,7 +262,7 @@
         """
         delayed = sent = False
         while True:
-            if self.state.may_order():
+            if self.state.may_order() and not self._stops_closed:
                 # Once sent, the executor may have the order.
                 if delayed and not sent and self._revoke_stop(executor, name, number):
                     return
@@ -279,12 +299,17 @@
         self, executor: Executor, name: str, number: int
     ) -> StopAttempt:
         """Send a stop order once; return what became of it."""
+        self.open_stops += 1
         try:
             await executor.client.stop(name, number, executor.fence)
         except HemlockstandError as error:
             log.info("run not stopped", subtask=name, run=number, detail=str(error))
-            unsent = isinstance(error, PlatformUnavailable)
-            return StopAttempt.NOT_APPLIED if unsent else StopAttempt.UNKNOWN
+            if isinstance(error, PlatformUnavailable):
+                return StopAttempt.NOT_APPLIED
+            self._unsure_until = self.state.clock() + ORDER_TIMEOUT_SECONDS
+            return StopAttempt.UNKNOWN
+        finally:
+            self.open_stops -= 1
         log.info(
             "executor accepted the stop of a run",
             subtask=name,
--- a/hemlockstand/fleet/state.py
+++ b/hemlockstand/fleet/state.py
@@ -66,9 +66,23 @@
 
     @property
     def previous_stops_end(self) -> float:
-        """Latest end of the runs that a previous scheduler has stopped."""
-        stop_seconds = self.settings.bounds.stop_ms / 1000
-        return self.lease.previous_valid_until + ORDER_TIMEOUT_SECONDS + stop_seconds
+        """Latest end of the runs that a previous scheduler has stopped.
+
+        A scheduler that released its lease has stored it. One that did not may
+        have sent stops as long as its lease was valid.
+        """
+        longest = (
+            self.lease.previous_valid_until + ORDER_TIMEOUT_SECONDS + self.stop_seconds
+        )
+        stops_ms = self.lease.previous_stops_ms
+        if stops_ms is None:
+            return longest
+        return min(self.lease.find_local_time(stops_ms), longest)
+
+    @property
+    def stop_seconds(self) -> float:
+        """Longest time that an executor takes to stop a run."""
+        return self.settings.bounds.stop_ms / 1000
 
     def may_order(self) -> bool:
         """Return whether the scheduler may give orders."""
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -98,7 +98,8 @@
     with the end of that in this time. They are also in ``ordered``, as holders of
     earlier versions read that only. ``replaced_ms`` is the time at which the
     holder that wrote ``ordered`` and ``turned`` was replaced, and None if it is
-    the present one.
+    the present one. ``stops_ms`` is stored with a release: the runs that this
+    holder and earlier ones have stopped have ended by then.
     """
 
     holder: str
@@ -113,6 +114,7 @@
     time_since: int = 0
     blocked: Mapping[str, int] = field(factory=dict)
     replaced_ms: int | None = None
+    stops_ms: int | None = None
 
 
 @frozen
