Test that evacuations go on while schedulers are replaced

The wait for stops of the previous scheduler, which began with each takeover, also held up evacuations. With takeovers 2 s apart by release, the runs of a step with max_unavailable did not leave the data centre within 60 s before the end of all stops was stored with a release.

--- a/test/test_fleet_budget_takeovers.py
+++ b/test/test_fleet_budget_takeovers.py
@@ -81,6 +81,49 @@
     await measure_wave(alone_seconds + 2 * GAP_SECONDS, phase)
 
 
+async def measure_evacuation(
+    longest_seconds: float, phase: float | None = None
+) -> float:
+    """Return how long it takes to move the runs of a step out of a data centre.
+
+    ``phase`` is as for ``measure_wave``.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 3, data_centre="dc2")
+        job, _ = await start_lasting_step(world)
+        name = world.executors[world.find_running(job)[0].executor].data_centre
+
+        def count_inside() -> int:
+            return sum(
+                world.executors[run.executor].data_centre == name
+                for run in world.find_running(job)
+            )
+
+        assert count_inside() == 3
+        if phase is not None:
+            world.nursery.start_soon(replace_schedulers, world, GAP_SECONDS, False)
+            await trio.sleep((3 + phase) * GAP_SECONDS)
+        began_at = trio.current_time()
+        world.evacuate(name)
+        fewest = 3
+        with trio.fail_after(longest_seconds):
+            while count_inside():
+                fewest = min(fewest, len(world.find_running(job)))
+                await trio.sleep(0.02)
+        assert fewest >= 2
+        seconds = trio.current_time() - began_at
+        world.check_runs()
+        return seconds
+
+
+@pytest.mark.parametrize("phase", [0.0, 0.25, 0.5, 0.75])
+async def test_evacuation_ends_while_schedulers_are_replaced(clock, phase):
+    """Guards against a wait for earlier stops that begins with each takeover."""
+    alone_seconds = await measure_evacuation(20)
+    # A takeover may cut off each of the three moves.
+    await measure_evacuation(alone_seconds + 3 * GAP_SECONDS, phase)
+
+
 def read_record(world: FleetWorld) -> LeaseRecord:
     """Return the lease row."""
     return read_lease(world.store.find("scheduler", "lease"))
