--- a/bench/fleet_mutations.py
+++ b/bench/fleet_mutations.py
@@ -155,6 +155,14 @@
         "if False:",
         INSTANCE_TESTS,
     ),
+    Mutation(
+        "Fleet: schedulers keep an interval between orders",
+        "a scheduler hands on the waits that its predecessors' orders caused",
+        "hemlockstand/fleet/instances.py",
+        "return InstanceOrders(in_progress, tuple(self._answered), blocked)",
+        "return InstanceOrders(in_progress, tuple(self._answered))",
+        ("test/test_fleet_order_intervals.py",),
+    ),
     Mutation(
         "Fleet: no subtask runs twice after a restart",
         "the wait for earlier grants starts at the lease's latest renewal",
@@ -430,6 +438,22 @@
         "known = True",
         ("test/test_fleet_budgets.py",),
     ),
+    Mutation(
+        "Fleet: budgets hold over takeovers",
+        "a release tells no end of stops while one has no outcome",
+        "hemlockstand/fleet/orders.py",
+        "if self.open_stops:",
+        "if False:",
+        ("test/test_fleet_budget_takeovers.py",),
+    ),
+    Mutation(
+        "Fleet: budgets hold over takeovers",
+        "a release hands on the wait for stops of earlier schedulers",
+        "hemlockstand/fleet/orders.py",
+        "return max(stops_end, self.state.previous_stops_end)",
+        "return stops_end",
+        ("test/test_fleet_budget_takeovers.py",),
+    ),
     Mutation(
         "Fleet: budgets hold for delayed stops",
         "a stop that was not sent yet is revoked",
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -6,12 +6,12 @@
 be applied after a later one.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from enum import Enum, auto
 
 import attrs
 import trio
-from attrs import define, frozen
+from attrs import define, field, frozen
 from loguru import logger
 
 from hemlockstand.coordination.lease import LeaseLost
@@ -54,16 +54,30 @@
     """Instances for which the next holder must not give orders for a while.
 
     An order for the ``open`` ones may still be in flight; the last order for
-    the ``answered`` ones was answered a short time ago.
+    the ``answered`` ones was answered a short time ago. Orders of earlier holders
+    for the ``blocked`` ones matter until a time of the lease. ``replaced_ms`` is
+    the lease's time at which the holder that sent the orders was replaced.
     """
 
     open: tuple[str, ...] = ()
     answered: tuple[str, ...] = ()
+    blocked: Mapping[str, int] = field(factory=dict)
+    replaced_ms: int | None = None
 
 
 NO_ORDERS = InstanceOrders()
 
 
+def find_orders(record: LeaseRecord) -> InstanceOrders:
+    """Return the orders in a lease row."""
+    return InstanceOrders(
+        tuple(name for name in record.ordered if name not in record.blocked),
+        record.turned,
+        record.blocked,
+        record.replaced_ms,
+    )
+
+
 @define(eq=False)
 class SchedulerLease:
     """The lease as held by one holder."""
@@ -80,6 +94,8 @@
     acquired_at: float = 0.0
     acquired_ms: int = 0
     keeps_time: bool = True
+    # The lease's time by which stops of previous holders have ended, if known.
+    previous_stops_ms: int | None = None
 
     @property
     def previous_valid_until(self) -> float:
@@ -109,12 +125,14 @@
         removed: Sequence[RowKey] = (),
         orders: InstanceOrders = NO_ORDERS,
         release: Release | None = None,
+        stops_end: float | None = None,
         lapses: bool | None = None,
     ) -> None:
         """Apply the writes and extend the lease.
 
-        ``orders`` is stored for the next holder, and ``lapses`` unless it is as
-        before. Raises ``LeaseLost``, or
+        ``orders`` is stored for the next holder, ``lapses`` unless it is as
+        before, and with a release the time by which all stopped runs have ended,
+        if it is known. Raises ``LeaseLost``, or
         ``PlatformUnavailable`` if nothing was applied. After a lost answer the
         transaction is repeated until its outcome is known.
         """
@@ -123,8 +141,11 @@
             holder="" if release else self.record.holder,
             slow=release is Release.SLOW,
             sequence=self.record.sequence + 1,
-            ordered=orders.open,
+            ordered=(*orders.open, *orders.blocked),
             turned=orders.answered,
+            blocked=orders.blocked,
+            replaced_ms=orders.replaced_ms,
+            stops_ms=None if stops_end is None else self.find_time_ms(stops_end) + 1,
             time_ms=self.find_time_ms(self.clock()) if self.keeps_time else 0,
             time_since=self.record.time_since if self.keeps_time else 0,
             lapses=self.record.lapses if lapses is None else lapses,
@@ -158,8 +179,7 @@
 
     async def renew(self) -> None:
         """Extend the lease and change nothing else; raises as ``commit``."""
-        orders = InstanceOrders(self.record.ordered, self.record.turned)
-        await self.commit(orders=orders)
+        await self.commit(orders=find_orders(self.record))
 
     async def _write(self, batch: Sequence[RowWrite], removed: Sequence[RowKey]) -> int:
         expected = (RowExpectation(SCHEDULER_TABLE, LEASE_KEY, self.version),)
@@ -269,7 +289,12 @@
                 time_ms=time_ms,
                 time_since=record.time_since,
                 lapses=record.lapses,
+                blocked=record.blocked,
+                replaced_ms=record.replaced_ms,
+                stops_ms=None if record.holder else record.stops_ms,
             )
+        if new.replaced_ms is None:
+            new = attrs.evolve(new, replaced_ms=new.time_ms)
         try:
             new_version = await self.rows.write([lease_write(new)], expected)
         except RowConflict:
@@ -294,4 +319,5 @@
         lease.previous_renewed_at = self._previous_renewed_at
         lease.acquired_at = sent_at
         lease.acquired_ms = record.time_ms
+        lease.previous_stops_ms = record.stops_ms
         return lease
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -95,6 +95,12 @@
     is a time that goes on over holders and never runs ahead of the real one. It
     began in the epoch ``time_since``; holders of earlier versions do not keep it.
     ``lapses`` is set while the row ``lapses`` names an executor.
+    ``blocked`` holds the instances for which orders of earlier holders matter,
+    with the end of that in this time. They are also in ``ordered``, as holders of
+    earlier versions read that only. ``replaced_ms`` is the time at which the
+    holder that wrote ``ordered`` and ``turned`` was replaced, and None if it is
+    the present one. ``stops_ms`` is stored with a release: the runs that this
+    holder and earlier ones have stopped have ended by then.
     """
 
     holder: str
@@ -108,6 +114,9 @@
     time_ms: int = 0
     time_since: int = 0
     lapses: bool = False
+    blocked: Mapping[str, int] = field(factory=dict)
+    replaced_ms: int | None = None
+    stops_ms: int | None = None
 
 
 @frozen
