Stop lasting runs for a move only if each has a place of its own

Cause: an executor that is reserved for a move or for maintenance has its lasting runs stopped as soon as another executor has room for one of them. Each run was judged alone. All runs of all reserved executors could count on the same free place, and on one that a waiting subtask needed.

What callers saw: lasting subtasks that were stopped and then waited, because only one of them got the place.

A run is stopped only if it gets a place besides these. Limits per executor count for places that are taken in the round as well. Subtasks that their tenant's maximum or the policy of their queue holds up count on no room, so they hold up no maintenance.

Evidence: test_stopped_runs_count_on_places_of_their_own failed before with "assert 4 >= 6": four runs were stopped for two places.

--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -22,6 +22,7 @@
 from hemlockstand.fleet.model import InstanceEntry, InstanceState
 from hemlockstand.fleet.moves import MovePlanner
 from hemlockstand.fleet.plans import InstancePlans, Plan
+from hemlockstand.fleet.restarts import RestartRooms
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.waves import WavePlanner, WaveProgress
 from hemlockstand.platform.machines import InstanceClient, LeaseHolder, OrderOutcome
@@ -56,6 +57,8 @@
     _answered: dict[str, float] = field(factory=dict)
     _blocked: dict[str, float] = field(factory=dict)
     _listed_at: float = float("-inf")
+    # Rooms for the runs that are stopped in this round, once one may be.
+    _rooms: RestartRooms | None = None
 
     def __attrs_post_init__(self) -> None:
         self.plans = InstancePlans(self.state)
@@ -80,6 +83,7 @@
                 self.plans.drop_gone()
                 self.waves.plan()
                 self._moves.plan()
+                self._rooms = None
                 for plan in list(self.plans.current.values()):
                     self._advance(plan, nursery)
 
@@ -175,7 +179,9 @@
         for subtask in find_stoppable(
             executor, self.state.executors, now, known, self.state.config
         ):
-            self.stop_run(subtask)
+            self._rooms = self._rooms or RestartRooms(self.state)
+            if self._rooms.take(subtask):
+                self.stop_run(subtask)
         if now - plan.planned_at < SHORT_RUN_WAIT_SECONDS:
             return
         for subtask in list(executor.runs.values()):
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -266,12 +266,19 @@
             return True
         used = self.registry.in_use.get(tenant.name, Resources()).add(size)
         used = used.add(self._unconfirmed_use.get(tenant.name, Resources()))
-        maximum = tenant.maximum
-        return (
-            (not maximum.cpu_millis or used.cpu_millis <= maximum.cpu_millis)
-            and (not maximum.memory_mb or used.memory_mb <= maximum.memory_mb)
-            and (not maximum.accelerators or used.accelerators <= maximum.accelerators)
-        )
+        return is_within_maximum(tenant, used)
+
+
+def is_within_maximum(tenant: Tenant | None, used: Resources) -> bool:
+    """Return whether a tenant's maximum permits that it uses as much."""
+    if tenant is None:
+        return True
+    maximum = tenant.maximum
+    return (
+        (not maximum.cpu_millis or used.cpu_millis <= maximum.cpu_millis)
+        and (not maximum.memory_mb or used.memory_mb <= maximum.memory_mb)
+        and (not maximum.accelerators or used.accelerators <= maximum.accelerators)
+    )
 
 
 def is_restricted(step_run: StepRun, config: FleetConfig) -> bool:
--- /dev/null
+++ b/hemlockstand/fleet/restarts.py
@@ -0,0 +1,72 @@
+"""Lasting subtasks that have to start again, and the places that they need."""
+
+from collections.abc import Iterator
+
+from attrs import define, field
+
+from hemlockstand.fleet.job_registry import find_pool
+from hemlockstand.fleet.placement import (
+    accepts_runs,
+    is_restricted,
+    is_within_maximum,
+)
+from hemlockstand.fleet.policy.crashes import is_given_up
+from hemlockstand.fleet.policy.evacuation import is_evacuated
+from hemlockstand.fleet.policy.rooms import Room, find_place, measure_room
+from hemlockstand.fleet.state import SchedulerState
+from hemlockstand.fleet.work import RunState, Subtask
+
+
+def list_restarting(state: SchedulerState) -> Iterator[Subtask]:
+    """Yield the lasting subtasks that wait for room or are being stopped.
+
+    Those that wait for other reasons may do so for long and count on no room:
+    the maximum of their tenant, the policy of their queue.
+    """
+    registry, config = state.registry, state.config
+    for step_run in registry.ready.values():
+        if not step_run.step.lasting or is_restricted(step_run, config):
+            continue
+        tenant = step_run.job.spec.tenant
+        used = registry.in_use.get(tenant)
+        size = step_run.step.size
+        if not is_within_maximum(
+            config.tenants.get(tenant), size if used is None else used.add(size)
+        ):
+            continue
+        for subtask in step_run.waiting.values():
+            if not is_given_up(subtask):
+                yield subtask
+    for executor in state.executors.values():
+        for subtask in executor.runs.values():
+            run, job = subtask.run, subtask.job
+            if not subtask.step.lasting or job.cancelled or job.state.final:
+                continue
+            if run is not None and run.state is RunState.STOPPING:
+                yield subtask
+
+
+@define(eq=False)
+class RestartRooms:
+    """Rooms for runs that are to be stopped, from one view of the executors.
+
+    What waits or is being stopped already has its places taken.
+    """
+
+    state: SchedulerState
+    _rooms: dict[str, list[Room]] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Measure the rooms and take those that are needed already."""
+        now, config = self.state.clock(), self.state.config
+        for executor in self.state.executors.values():
+            if accepts_runs(executor, now) and not is_evacuated(executor, config):
+                rooms = self._rooms.setdefault(executor.entry.pool, [])
+                rooms.append(measure_room(executor))
+        for subtask in list_restarting(self.state):
+            self.take(subtask)
+
+    def take(self, subtask: Subtask) -> bool:
+        """Take a place for a subtask; return whether there is one."""
+        pool = find_pool(subtask.job, self.state.config)
+        return find_place(self._rooms.get(pool, ()), subtask) is not None
--- a/test/test_fleet_instances.py
+++ b/test/test_fleet_instances.py
@@ -85,6 +85,33 @@
         assert sorted(world.instances.maintained[1]) == sorted(names)
 
 
+async def test_stopped_runs_count_on_places_of_their_own(clock):
+    """Guards against stops for upkeep that all count on the same free place.
+
+    Two executors were emptied at once. The one that came from standby had
+    places for two subtasks by the limit per executor, and four were stopped.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 4)
+        names = list(world.instances.instances)
+        world.add_instances("standby", 1)
+        world.start_daemon("a")
+        job = world.submit(
+            Step(8, SMALL, lasting=True, max_per_executor=2),
+            work=SubtaskBehaviour(LASTING, size=SMALL),
+        )
+        await world.wait_for(lambda: len(world.find_running(job)) == 8, 10)
+        await trio.sleep(1)
+        # For so short a wave, two instances of the pool are reserved at once.
+        add_wave(world, names, maximum=2, seconds=6.0)
+        fewest = 8
+        with trio.fail_after(60):
+            while "completed" not in read_status(world):
+                fewest = min(fewest, len(world.find_running(job)))
+                await trio.sleep(0.02)
+        assert fewest >= 6
+
+
 async def test_lost_answer_of_an_order_is_repeated(clock):
     """Guards against upkeep that is skipped after a lost answer."""
     async with open_world() as world:
