Size pools by the places that lasting work has on their members

Cause: a pool is sized by the sum of its lasting work and by the largest quotient of a step's subtasks and its limit per executor. Both assume that each member can take subtasks of each step. Other work that fills some members leaves fewer with a place, so the pool shrank to a size at which the rest of a step had none. Members with lasting runs were reserved for standby and stayed so, because these runs had no room elsewhere. Nothing took the reservation back: the pool had as many members as it needs by the sum.

What callers saw: a lasting subtask that lost its run waited until a member got free by chance, while executors with room were reserved. Upkeep waited in the same way for runs without another place.

Change: lasting subtasks that wait, are being stopped or must leave for maintenance take places on the members, one each, with limits per executor. If some find none for a second, the pool lacks the members that they need: its moves to standby are dropped, and instances come from standby. Work that fits on no instance does not count, nor what a tenant's maximum or the policy of a queue holds up. A member is spared only if what lasts on it has places on the members that stay, and none is while a displaced subtask has no place.

Evidence: on the previous commit, these tests failed with TooSlowError: test_pool_keeps_the_places_of_lasting_work (23 of 24 subtasks ran for over 6 s), test_pool_grows_for_lasting_work_without_a_place (over 10 s) and test_pool_grows_for_upkeep_of_members_with_lasting_work (over 90 s). All pass now, as do the other tests of instances, waves and evacuations.

--- a/hemlockstand/fleet/moves.py
+++ b/hemlockstand/fleet/moves.py
@@ -6,9 +6,11 @@
 from loguru import logger
 
 from hemlockstand.fleet.capacity import Demand, PoolNeed, measure_demand
+from hemlockstand.fleet.lasting_places import LastingPlaces
 from hemlockstand.fleet.model import InstanceEntry, InstanceState, Resources
 from hemlockstand.fleet.plans import InstancePlans, Plan
 from hemlockstand.fleet.policy.sizing import OfferScale, PoolSize, find_usual_capacity
+from hemlockstand.fleet.policy.spares import Spares
 
 log = logger.bind(module=__name__)
 
@@ -46,6 +48,10 @@
     _demand_seen: bool = False
     _pools_with_demand: set[str] = field(factory=set)
     _usual: Resources = field(factory=Resources)
+    _places: LastingPlaces = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._places = LastingPlaces(self.plans)
 
     def plan(self) -> None:
         """Reserve instances for moves to the pools that need them."""
@@ -59,6 +65,7 @@
         self._usual = self._find_usual_capacity()
         if not self._usual.cpu_millis:
             return
+        self._places.update(self._usual)
         surplus: list[InstanceEntry] = []
         shortages: list[Shortage] = []
         for pool in config.pools.values():
@@ -98,14 +105,26 @@
         lack = needed
         for item in members:
             lack = lack.subtract(self._offer(item, scale))
+        unplaced = self._places.find_unplaced(pool, members)
+        missing = self._places.count_missing(pool, members, unplaced)
         self._log_need(pool, len(members), lack, needed, demand)
+        for label in missing.keys() - {""}:
+            count = missing[label]
+            more = PoolSize(count, count, count)
+            shortages.append(Shortage(more, pool, scale, label))
+        lack = lack.raise_to(missing.get("", 0))
         if not lack.is_met:
             shortages.append(Shortage(lack, pool, scale))
         elif self._has_demand():
-            free = [item for item in members if item not in kept]
+            # A member that has just come may not have been offered work yet.
+            free = [] if unplaced else [item for item in members if item not in kept]
+            spares: Spares | None = None
             for item in self._rank_surplus(free, scale):
                 rest = lack.add(self._offer(item, scale))
-                if rest.is_met:
+                if not rest.is_met:
+                    continue
+                spares = spares or self._places.make_spares(pool, members)
+                if spares.spare(item.name):
                     lack = rest
                     surplus.append(item)
 
--- a/hemlockstand/fleet/policy/sizing.py
+++ b/hemlockstand/fleet/policy/sizing.py
@@ -66,6 +66,16 @@
             self.instances - other.instances,
         )
 
+    def raise_to(self, count: int) -> "PoolSize":
+        """Return this size, or that of ``count`` usual instances if it is larger."""
+        if count <= 0:
+            return self
+        return PoolSize(
+            max(self.work, count),
+            max(self.unsplit, count),
+            max(self.instances, count),
+        )
+
     def is_reduced_by(self, offer: "PoolSize") -> bool:
         """Return whether an offer meets a part of this lack."""
         return (
--- a/hemlockstand/fleet/restarts.py
+++ b/hemlockstand/fleet/restarts.py
@@ -12,9 +12,14 @@
 )
 from hemlockstand.fleet.policy.crashes import is_given_up
 from hemlockstand.fleet.policy.evacuation import is_evacuated
-from hemlockstand.fleet.policy.rooms import Room, find_place, measure_room
+from hemlockstand.fleet.policy.rooms import (
+    Room,
+    find_place,
+    is_stopping,
+    measure_room,
+)
 from hemlockstand.fleet.state import SchedulerState
-from hemlockstand.fleet.work import RunState, Subtask
+from hemlockstand.fleet.work import StepRun, Subtask
 
 
 def list_restarting(state: SchedulerState) -> Iterator[Subtask]:
@@ -39,13 +44,16 @@
                 yield subtask
     for executor in state.executors.values():
         for subtask in executor.runs.values():
-            run, job = subtask.run, subtask.job
-            if not subtask.step.lasting or job.cancelled or job.state.final:
-                continue
-            if run is not None and run.state is RunState.STOPPING:
+            if is_to_last(subtask) and is_stopping(subtask):
                 yield subtask
 
 
+def is_to_last(subtask: Subtask) -> bool:
+    """Return whether a subtask starts again after its run has ended."""
+    job = subtask.job
+    return subtask.step.lasting and not job.cancelled and not job.state.final
+
+
 @define(eq=False)
 class RestartRooms:
     """Rooms for runs that are to be stopped, from one view of the executors.
@@ -55,6 +63,7 @@
 
     state: SchedulerState
     _rooms: dict[str, list[Room]] = field(factory=dict)
+    _without_place: set[StepRun] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Measure the rooms and take those that are needed already."""
@@ -68,5 +77,10 @@
 
     def take(self, subtask: Subtask) -> bool:
         """Take a place for a subtask; return whether there is one."""
+        if subtask.step_run in self._without_place:
+            return False
         pool = find_pool(subtask.job, self.state.config)
-        return find_place(self._rooms.get(pool, ()), subtask) is not None
+        if find_place(self._rooms.get(pool, ()), subtask) is None:
+            self._without_place.add(subtask.step_run)
+            return False
+        return True
--- a/test/test_fleet_pool_sizes.py
+++ b/test/test_fleet_pool_sizes.py
@@ -4,11 +4,21 @@
 import trio
 
 from emulator.fleet_executors import SubtaskBehaviour
-from test.fleet_world import LASTING, SMALL, make_step, open_world
+from hemlockstand.fleet.model import EndKind, Resources
+from test.fleet_world import (
+    LASTING,
+    SMALL,
+    add_wave,
+    make_step,
+    open_world,
+    read_status,
+)
 
 INSTANCES = 10
 # An order that is planned at once is accepted within this time.
 WATCHED_SECONDS = 1.2
+# Lasting work must run again within this time.
+LASTING_SECONDS = 6
 
 
 @pytest.fixture
@@ -84,3 +94,115 @@
         await world.wait_for(lambda: world.lease_holder() == "b", 5)
         smallest = await find_smallest_size(world, WATCHED_SECONDS)
         assert smallest >= size
+
+
+async def fill_executors(world, number: int) -> None:
+    """Fill executors with lasting subtasks of other jobs, four on each."""
+    large = Resources(4000, 512)
+    job = world.submit(
+        make_step(4 * number, lasting=True, size=large),
+        work=SubtaskBehaviour(LASTING, size=large),
+    )
+    await world.wait_for(lambda: len(world.find_running(job)) == 4 * number, 3)
+
+
+def submit_spread(world) -> str:
+    """Submit a lasting step whose limit per executor asks for 12 instances."""
+    return world.submit(
+        make_step(24, lasting=True, max_per_executor=2),
+        work=SubtaskBehaviour(LASTING, size=SMALL),
+    )
+
+
+async def test_pool_keeps_the_places_of_lasting_work(clock):
+    """Guards against a pool that spares members whose lasting work has no other place.
+
+    By its limit per executor the step needs 12 instances, and other work filled
+    four of these. Subtasks ran on instances that were reserved for standby for
+    ever, and waited as long once they had failed.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 20)
+        world.add_instances("standby", 4)
+        world.start_daemon("a")
+        await trio.sleep(1)
+        await fill_executors(world, 4)
+        job = submit_spread(world)
+        await world.wait_for(lambda: len(world.find_running(job)) == 24, 3)
+        world.submit(make_step())
+        await world.wait_for(lambda: count_members(world) < 20, 10)
+        await trio.sleep(5)
+        for run in world.find_running(job):
+            executor = world.executors[run.executor]
+            executor.end_run(run.subtask, EndKind.FAILED)
+            await trio.sleep(0.5)
+            await world.wait_for(
+                lambda: len(world.find_running(job)) == 24, LASTING_SECONDS
+            )
+
+
+async def test_pool_grows_for_lasting_work_without_a_place(clock):
+    """Guards against a pool that counts full members as places for lasting work.
+
+    It had as many members as the step's limit per executor asks for. A third of
+    the subtasks found no place, with instances on standby.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 12)
+        world.add_instances("standby", 6)
+        world.start_daemon("a")
+        await trio.sleep(1)
+        await fill_executors(world, 4)
+        world.submit(make_step())
+        job = submit_spread(world)
+        await world.wait_for(lambda: len(world.find_running(job)) == 24, 10)
+        # It neither shrinks again nor grows further.
+        assert await find_smallest_size(world, 10) == 16
+        assert count_members(world) == 16
+        assert len(world.find_running(job)) == 24
+
+
+async def test_pool_does_not_grow_for_work_that_fits_on_no_instance(clock):
+    """Guards against a pool that takes all instances for hopeless work."""
+    async with open_world() as world:
+        world.add_instances("pool", 3)
+        world.add_instances("standby", 6)
+        world.start_daemon("a")
+        await trio.sleep(1)
+        world.submit(make_step(2, lasting=True, label="absent"))
+        world.submit(make_step())
+        await trio.sleep(10)
+        assert count_members(world) <= 3
+
+
+async def test_pool_grows_for_upkeep_of_members_with_lasting_work(clock):
+    """Guards against upkeep that waits for ever for places of lasting work.
+
+    The pool had more members than it needs by the step's limit per executor, but
+    none with a place for what ran on the reserved ones.
+    """
+    async with open_world() as world:
+        world.add_instances("pool", 16)
+        world.add_instances("standby", 4)
+        world.start_daemon("a")
+        await trio.sleep(1)
+        await fill_executors(world, 4)
+        job = submit_spread(world)
+        await world.wait_for(lambda: len(world.find_running(job)) == 24, 3)
+        # The size that a new scheduler finds counts as needed for two seconds.
+        await trio.sleep(3)
+        executors = {run.executor for run in world.find_running(job)}
+        names = [
+            instance.name
+            for instance in world.instances.instances.values()
+            if instance.executor in executors
+        ]
+        add_wave(world, names, maximum=2, seconds=60.0)
+        fewest = 24
+        with trio.fail_after(90):
+            while "completed" not in read_status(world):
+                fewest = min(fewest, len(world.find_running(job)))
+                await trio.sleep(0.02)
+        # What runs on two executors at a time may be stopped.
+        assert fewest >= 20
+        assert sorted(world.instances.maintained[1]) == sorted(names)
