Count promised places against the limit per executor in evacuations

Cause: room that one run is to leave for was taken by its cpu and memory, but not as a run of its step. Several runs of a step with a limit per executor could leave an evacuated data centre for the only place of the step.

What callers saw: nothing reported. Runs with checkpoints would be stopped and wait. Lasting steps move one subtask at a time, so they are not affected.

Evidence: test_promised_places_count_for_the_limit_per_executor failed before: the second run was judged NONE, where ROOM is right. It passes now.

--- a/hemlockstand/fleet/eviction.py
+++ b/hemlockstand/fleet/eviction.py
@@ -120,15 +120,21 @@
 
 
 def may_take(
-    executor: Executor, subtask: Subtask, promised: Resources = NOTHING
+    executor: Executor,
+    subtask: Subtask,
+    promised: Resources = NOTHING,
+    promised_runs: int = 0,
 ) -> bool:
-    """Return whether an executor has room for a subtask, and for ``promised``."""
+    """Return whether an executor has room for a subtask, and for ``promised``.
+
+    ``promised_runs`` of the subtask's step are among what is promised.
+    """
     step = subtask.step
     if step.label and step.label not in executor.entry.labels:
         return False
     if not executor.has_room(step.size.add(promised), step.fills):
         return False
-    return is_below_cap(subtask.step_run, executor)
+    return is_below_cap(subtask.step_run, executor, promised_runs)
 
 
 def find_stalled(executor: Executor, now: float) -> Iterator[Subtask]:
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -362,13 +362,16 @@
     )
 
 
-def is_below_cap(step_run: StepRun, executor: Executor) -> bool:
-    """Return whether another subtask of the step may run on the executor."""
+def is_below_cap(step_run: StepRun, executor: Executor, promised: int = 0) -> bool:
+    """Return whether another subtask of the step may run on the executor.
+
+    Places that are ``promised`` to others of the step count as taken.
+    """
     cap = step_run.step.max_per_executor
     if not cap:
         return True
     count = sum(1 for other in executor.runs.values() if other.step_run is step_run)
-    return count < cap
+    return count + promised < cap
 
 
 def find_racks(step_run: StepRun, executors: Iterable[Executor]) -> frozenset[str]:
--- a/hemlockstand/fleet/policy/departures.py
+++ b/hemlockstand/fleet/policy/departures.py
@@ -8,6 +8,7 @@
 to room that no other subtask counts on.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterator, Mapping, Set as AbstractSet
 from enum import StrEnum
 
@@ -59,6 +60,7 @@
     free_cpu: int
     takes_one: bool = False
     promised: Resources = NOTHING
+    promised_runs: Counter[StepRun] = field(factory=Counter)
 
     def take(self, subtask: Subtask) -> bool:
         """Take room for a subtask; return whether there is enough."""
@@ -68,8 +70,10 @@
             return False
         if self.takes_one and self.promised != NOTHING:
             return False
-        if not may_take(self.executor, subtask, self.promised):
+        promised_runs = self.promised_runs[subtask.step_run]
+        if not may_take(self.executor, subtask, self.promised, promised_runs):
             return False
+        self.promised_runs[subtask.step_run] += 1
         self.promised = self.promised.add(get_reservation(step))
         self.free_cpu -= get_reservation(step).cpu_millis
         return True
--- a/test/test_fleet_departures.py
+++ b/test/test_fleet_departures.py
@@ -104,6 +104,17 @@
     assert scene.judge(subtask) is Obstacle.BUDGET
 
 
+def test_promised_places_count_for_the_limit_per_executor():
+    """Guards against two runs that leave for the only place of their step."""
+    scene = Scene()
+    step = Step(2, Resources(1000), 60_000, checkpoints=True, max_per_executor=1)
+    first, second = scene.add_step(step, "i-0", "i-1")
+    assert scene.judge(second) is Obstacle.NONE
+    assert scene.judge(first, second) is Obstacle.ROOM
+    scene.executors["i-3"] = make_executor("i-3", "dc2")
+    assert scene.judge(first, second) is Obstacle.NONE
+
+
 def test_second_subtask_of_a_step_waits_in_the_same_view():
     """Guards against a view that shows moves which the round will not make."""
     scene = Scene()
