Log places that a pool lacks only when their number changes

Cause: the line is written in each round of planning, five times a second, for as long as a pool without instances on standby lacks places.

Change: it is written again once the number of missing members has changed. The tests of pool sizes pass.

--- a/hemlockstand/fleet/lasting_places.py
+++ b/hemlockstand/fleet/lasting_places.py
@@ -33,6 +33,7 @@
     plans: InstancePlans
     _usual: Resources = field(factory=Resources)
     _lacks: dict[str, LackTimer] = field(factory=dict)
+    _logged: dict[str, dict[str, int]] = field(factory=dict)
     _displaced: dict[str, list[Subtask]] = field(factory=dict)
     _moving: dict[str, list[Subtask]] = field(factory=dict)
 
@@ -123,6 +124,7 @@
         left = find_unplaced(expected, unplaced)
         now = self.plans.state.clock()
         if not self._lacks.setdefault(pool, LackTimer()).update(now, bool(left)):
+            self._logged.pop(pool, None)
             return {}
         by_label: dict[str, list[Subtask]] = {}
         for subtask in left:
@@ -131,13 +133,15 @@
             label: count_members(subtasks, self._usual, (label,))
             for label, subtasks in by_label.items()
         }
-        log.info(
-            "pool has no places for lasting subtasks",
-            pool=pool,
-            members=len(members),
-            subtasks=len(left),
-            missing=missing,
-        )
+        if self._logged.get(pool) != missing:
+            self._logged[pool] = missing
+            log.info(
+                "pool has no places for lasting subtasks",
+                pool=pool,
+                members=len(members),
+                subtasks=len(left),
+                missing=missing,
+            )
         return missing
 
     def make_spares(self, pool: str, members: list[InstanceEntry]) -> Spares:
