--- a/test/test_fleet_pool_sizes.py
+++ b/test/test_fleet_pool_sizes.py
@@ -96,12 +96,13 @@
         assert smallest >= size
 
 
-async def fill_executors(world, number: int) -> None:
-    """Fill executors with lasting subtasks of other jobs, four on each."""
+async def fill_executors(world, number: int, seconds: float = LASTING) -> None:
+    """Fill executors with subtasks of another job, four on each."""
     large = Resources(4000, 512)
+    lasting = seconds == LASTING
     job = world.submit(
-        make_step(4 * number, lasting=True, size=large),
-        work=SubtaskBehaviour(LASTING, size=large),
+        make_step(4 * number, 1 if lasting else seconds, size=large, lasting=lasting),
+        work=SubtaskBehaviour(seconds, size=large),
     )
     await world.wait_for(lambda: len(world.find_running(job)) == 4 * number, 3)
 
@@ -141,7 +142,8 @@
             )
 
 
-async def test_pool_grows_for_lasting_work_without_a_place(clock):
+@pytest.mark.parametrize("seconds", [LASTING, 60])
+async def test_pool_grows_for_lasting_work_without_a_place(clock, seconds):
     """Guards against a pool that counts full members as places for lasting work.
 
     It had as many members as the step's limit per executor asks for. A third of
@@ -152,7 +154,7 @@
         world.add_instances("standby", 6)
         world.start_daemon("a")
         await trio.sleep(1)
-        await fill_executors(world, 4)
+        await fill_executors(world, 4, seconds)
         world.submit(make_step())
         job = submit_spread(world)
         await world.wait_for(lambda: len(world.find_running(job)) == 24, 10)
