--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -266,12 +266,19 @@
             return True
         used = self.registry.in_use.get(tenant.name, Resources()).add(size)
         used = used.add(self._unconfirmed_use.get(tenant.name, Resources()))
-        maximum = tenant.maximum
-        return (
-            (not maximum.cpu_millis or used.cpu_millis <= maximum.cpu_millis)
-            and (not maximum.memory_mb or used.memory_mb <= maximum.memory_mb)
-            and (not maximum.accelerators or used.accelerators <= maximum.accelerators)
-        )
+        return is_within_maximum(tenant, used)
+
+
+def is_within_maximum(tenant: Tenant | None, used: Resources) -> bool:
+    """Return whether a tenant's maximum permits that it uses as much."""
+    if tenant is None:
+        return True
+    maximum = tenant.maximum
+    return (
+        (not maximum.cpu_millis or used.cpu_millis <= maximum.cpu_millis)
+        and (not maximum.memory_mb or used.memory_mb <= maximum.memory_mb)
+        and (not maximum.accelerators or used.accelerators <= maximum.accelerators)
+    )
 
 
 def is_restricted(step_run: StepRun, config: FleetConfig) -> bool:
@@ -355,13 +362,16 @@
     )
 
 
-def is_below_cap(step_run: StepRun, executor: Executor) -> bool:
-    """Return whether another subtask of the step may run on the executor."""
+def is_below_cap(step_run: StepRun, executor: Executor, promised: int = 0) -> bool:
+    """Return whether another subtask of the step may run on the executor.
+
+    Places that are ``promised`` to others of the step count as taken.
+    """
     cap = step_run.step.max_per_executor
     if not cap:
         return True
     count = sum(1 for other in executor.runs.values() if other.step_run is step_run)
-    return count < cap
+    return count + promised < cap
 
 
 def find_racks(step_run: StepRun, executors: Iterable[Executor]) -> frozenset[str]:
