Let the lease's time go on while nobody holds the lease

Cause: a released row, or one of an earlier process of the daemon, was taken for renewed at the moment of the takeover. It cannot have been renewed since this version of it was first seen, as for a holder that was killed.

test_time_of_the_lease_goes_on_while_nobody_holds_it fails without the change and passes with it; so do the other tests of the lease.

--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -247,12 +247,11 @@
     def _has_ended(self, record: LeaseRecord | None) -> bool:
         """Return whether the holder has gone, and store its latest renewal.
 
-        A holder that released the lease, or was an earlier process of this
-        daemon, may have renewed it a moment ago.
+        Since this version of the row was first seen, nobody has renewed it.
         """
         now = self.clock()
         unchanged = now - self._seen_at
-        self._previous_renewed_at = now
+        self._previous_renewed_at = self._seen_at
         if record is None:
             return unchanged >= self.first_wait_seconds + self.delay_seconds
         if not record.holder:
@@ -260,7 +259,6 @@
         if record.session and record.holder == self.holder:
             # It was an earlier process of this daemon, which has ended.
             return True
-        self._previous_renewed_at = self._seen_at
         wait = self.lease_seconds * TAKEOVER_FACTOR + self.delay_seconds
         if not record.session and record.holder == UNKNOWN_HOLDER:
             wait += self.unknown_orders_seconds
--- a/test/test_fleet_lease.py
+++ b/test/test_fleet_lease.py
@@ -191,3 +191,22 @@
     await second.commit()
     third = await acquire(make_watch(model, "c"))
     assert third.record.epoch == second.record.epoch + 1
+
+
+async def test_time_of_the_lease_goes_on_while_nobody_holds_it(autojump_clock):
+    """Guards against waits that stand still between two holders.
+
+    A holder that has released the lease cannot have renewed it since.
+    """
+    model = RowStoreModel()
+    first = await acquire(make_watch(model, "a"))
+    second = make_watch(model, "b")
+    assert await second.try_acquire() is None
+    await first.commit(release=Release.STOPPED)
+    released_at = trio.current_time()
+    released_ms = read_record(model).time_ms
+    second.delay_seconds = 1.0
+    lease = await acquire(second)
+    assert lease.acquired_ms - released_ms >= 900
+    assert lease.acquired_ms - released_ms <= (lease.acquired_at - released_at) * 1000
+    assert lease.previous_renewed_at <= released_at + 0.1
