Wait for stored ends of leases that are longer than the usual ones

Its scheduler stores that end, but the next one waited for the usual longest lease at most, 5.3 s, and started the subtask elsewhere.

Change: a stored end counts up to the longest time for which an executor holds any lease. One that never had a lease is not stored, and one that left the store is dropped with the margin that holds elsewhere.

--- a/hemlockstand/fleet/executor_directory.py
+++ b/hemlockstand/fleet/executor_directory.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from hemlockstand.errors import InvalidInput, PlatformUnavailable
-from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.executors import LEASE_EXPIRY_MARGIN_SECONDS, Executor
 from hemlockstand.fleet.lapses import Lapses
 from hemlockstand.fleet.model import ExecutorEntry, Resources
 from hemlockstand.fleet.reports import ExecutorReportHandler
@@ -195,7 +195,7 @@
         for executor in list(self.state.executors.values()):
             if executor.is_in_store or executor.runs:
                 continue
-            if now > executor.runs_end_at:
+            if now > executor.runs_end_at + LEASE_EXPIRY_MARGIN_SECONDS:
                 executor.close()
                 del self.state.executors[executor.id]
                 self._versions.pop(executor.id, None)
--- a/hemlockstand/fleet/lapses.py
+++ b/hemlockstand/fleet/lapses.py
@@ -12,11 +12,12 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 from itertools import islice
+from math import isfinite
 
 import msgspec
 from attrs import define, field, frozen
 
-from hemlockstand.fleet.executors import Executor
+from hemlockstand.fleet.executors import MIN_CLOCK_RATE, Executor
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.storage import SCHEDULER_TABLE, decode_rows, encode_compact
 from hemlockstand.platform.rows import RowWrite, StoredRow
@@ -100,10 +101,11 @@
             executor.previous_lease_end = self._find_previous_end(executor.id)
 
     def _find_previous_end(self, executor: str) -> float:
-        longest = self.state.previous_grants_end
         if executor not in self._stored:
-            return longest
-        return min(self.state.lease.find_local_time(self._stored[executor]), longest)
+            return self.state.previous_grants_end
+        end = self.state.lease.find_local_time(self._stored[executor])
+        longest = self.state.settings.bounds.longest_hold_ms / 1000 / MIN_CLOCK_RATE
+        return min(end, self.state.clock() + longest)
 
     def find_unknown_pools(self) -> set[str]:
         """Return the pools that may have executors with runs which are not known.
@@ -132,6 +134,8 @@
         for executor in self.state.executors.values():
             if not (executor.is_silent and executor.needs_record):
                 continue
+            if not isfinite(executor.runs_end_at):
+                continue  # it has never had a lease
             if executor.id in self._stored:
                 yield executor.id, self._stored[executor.id]
             elif not self.state.store_failing:
