Poll an executor that does not answer without a wait

Found by the review: a poll of an executor that was silent asked it to wait for an end, up to 0.8 s, though its lease could not be extended before it answered. A cut of 1.2 to 1.9 s ended lasting work, and a lost run was noticed up to 0.8 s late.

Change: such a poll asks for an answer at once.

--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -317,11 +317,13 @@
         # get no lease yet needs it soon, so the task itself waits for the store.
         if unstored:
             await trio.sleep(UNSTORED_POLL_SECONDS)
-        wait = (
-            0.0
-            if self._awaits_store or not self.reconciled or self._unconfirmed
-            else self.hold_seconds
+        answers_at_once = (
+            self._awaits_store
+            or not self.reconciled
+            or not self.reachable
+            or self._unconfirmed
         )
+        wait = 0.0 if answers_at_once else self.hold_seconds
         sent_at = self.clock()
         fence = self.fence
         # A new lifetime numbers its ends anew.
