--- a/test/test_fleet_restarts.py
+++ b/test/test_fleet_restarts.py
@@ -196,3 +196,21 @@
         world.start_daemon("b").cut_off.add(lost.id)
         await world.wait_for(lambda: world.count_runs(job) == 2, 10)
         world.check_runs()
+
+
+@pytest.mark.parametrize("gap_seconds", [2.0, 4.0])
+async def test_takeovers_do_not_prolong_the_wait_for_a_stalled_run(clock, gap_seconds):
+    """Guards against a run without progress that no scheduler stops.
+
+    Each scheduler counts the time without progress from its own takeover on.
+    """
+    async with open_world() as world:
+        stalled = world.add_executor()
+        world.start_daemon("a")
+        job = world.submit(make_step(), work=SubtaskBehaviour(stalls=True, size=SMALL))
+        await world.wait_for(lambda: stalled.running, 5)
+        world.work[job] = SubtaskBehaviour(1.0, size=SMALL)
+        world.add_executor()
+        world.nursery.start_soon(replace_schedulers, world, gap_seconds, False)
+        await world.wait_for(lambda: world.count_runs(job) == 2, IDLE_SECONDS)
+        world.check_runs()
