Let a deployment leave out the limits and the evacuation bound

Cause: what a feature would like became what a deployment must give. The template of the settings asked for Bounds.EvacuateMs, Limits.MemoryMb and Limits.MaxFds, so whoever fills in the fields of the first deployments alone could not fill it in, and an empty memory_mb or max_descriptors was refused.

What callers saw: nothing where all fields are given.

With the code of before, 12 of the tests of test_fleet_optional_settings.py failed: the template has three more fields, an empty value "must be a whole number", variables are not read, sources are not logged, and the limits of the process are not used.

An optional setting is taken from the file, else from its variable, else derived: memory from the least limit of the process, its control group and the machine; descriptors from the sockets that can be opened; no bound of evacuations. Empty means not given. Each value and its source are logged at start. A wrong value is refused as before, with the variable if it came from there.

Measured: test_fleet_optional_settings, test_settings and test_pages pass.

--- a/hemlockstand/ctl/settings_page.py
+++ b/hemlockstand/ctl/settings_page.py
@@ -12,7 +12,12 @@
 import attrs
 
 from hemlockstand.fleet import settings as fleet
-from hemlockstand.settings import DEFAULTS_FILE, Settings
+from hemlockstand.settings import (
+    DEFAULTS_FILE,
+    Settings,
+    list_sections,
+    name_variable,
+)
 
 TYPE_NAMES = {
     bool: "yes or no",
@@ -30,6 +35,12 @@
 `hemlockd --settings FILE.ini` reads an INI file that overrides the shipped defaults.
 Keys without a default must be in the file. All problems are reported together, with
 file, section, key and value, before anything starts; the exit code is then 2.
+
+A key with "optional" in the last column need not be given. If it is empty, it counts as
+not given, since a template is filled in with nothing where a deployment lacks a field.
+Then the environment variable in that column is read, and if that is absent or empty
+too, what the column describes stands in. At the start the daemon logs each of these
+values and where it came from. A value that is given but wrong is refused.
 """
 
 FLEET_INTRODUCTION = """# Settings with --fleet
@@ -37,7 +48,8 @@
 `hemlockd --fleet --settings FILE.ini` schedules jobs on the fleet platform. Its
 sections are in `hemlockstand/fleet/settings.py`, the defaults in
 `hemlockstand/fleet/defaults.ini`. The platform fills in `deploy/settings.ini` at each
-start.
+start. That template asks only for fields that every deployment gives; the variables of
+optional keys are in `deploy/system.toml`.
 """
 
 
@@ -55,7 +67,7 @@
 def _write_sections(settings: type, defaults_file: Path) -> Iterator[str]:
     defaults = ConfigParser(interpolation=None)
     defaults.read_string(defaults_file.read_text(encoding="utf-8"))
-    for section, kind in get_type_hints(settings).items():
+    for section, kind in list_sections(settings).items():
         yield "\n".join(_write_section(section, kind, defaults))
 
 
@@ -73,7 +85,7 @@
             f"`{attribute.name}`",
             attribute.metadata["doc"],
             _describe_values(attribute, hints[attribute.name]),
-            _describe_default(default),
+            _describe_default(default, section, attribute),
         )
         yield f"| {' | '.join(cell.replace('|', '/') for cell in cells)} |"
     yield ""
@@ -93,9 +105,16 @@
     return name
 
 
-def _describe_default(default: str | None) -> str:
+def _describe_default(
+    default: str | None, section: str, attribute: attrs.Attribute
+) -> str:
     if default is None:
         return "none, required"
+    stand_in = attribute.metadata["stand_in"]
+    if stand_in is not None:
+        variable = name_variable(section, attribute.name)
+        shipped = f"`{default}`; if empty, " if default else ""
+        return f"{shipped}optional: `{variable}`, else {stand_in.doc}"
     return f"`{default}`" if default else "empty"
 
 
--- a/hemlockstand/daemon.py
+++ b/hemlockstand/daemon.py
@@ -144,6 +144,7 @@
     from hemlockstand.traces import configure_traces
 
     configure_logs(settings.log, settings.daemon.name)
+    log_sources(settings)
     configure_traces(settings.trace, settings.daemon.name)
     load_services()
     trio.run(serve, settings)
@@ -153,11 +154,23 @@
 def run_fleet(settings: FleetSettings) -> int:
     """Run a daemon on the fleet platform and return its exit code."""
     configure_fleet_logs(settings.log, settings.daemon.name)
+    log_sources(settings)
     load_services(FLEET_SERVICE_MODULES)
     trio.run(serve_fleet, settings)
     return 0
 
 
+def log_sources(settings: FleetSettings | Settings) -> None:
+    """Log the values of optional settings and where they come from."""
+    for each in settings.sources:
+        log.info(
+            "optional setting",
+            setting=f"[{each.section}] {each.key}",
+            value=each.value,
+            source=each.source,
+        )
+
+
 def main() -> None:
     """Entry point of ``hemlockd``."""
     app.run(run_daemon)
--- a/hemlockstand/fleet/settings.py
+++ b/hemlockstand/fleet/settings.py
@@ -8,18 +8,19 @@
 from pathlib import Path
 from typing import Any
 
-from attrs import frozen
+from attrs import field, frozen
 
 from hemlockstand.serving.budget import BODY_FACTOR
 from hemlockstand.serving.settings import CALLERS_SHARE, ClientSettings
-from hemlockstand.setting_options import option
-from hemlockstand.settings import LogSettings, read_settings
+from hemlockstand.setting_options import StandIn, option
+from hemlockstand.settings import LogSettings, ValueSource, read_settings
 
 USUAL_BODY_BYTES = 262_144  # the platform's limit unless the configuration has another
 # A copy of the operator's rows is confirmed at best once in a call to the store,
 # so with a shorter bound it would hardly ever be fresh, and nothing would start.
 MIN_EVACUATE_MS = 100
 DEFAULTS_FILE = Path(__file__).with_name("defaults.ini")
+NO_EVACUATION_BOUND = StandIn("no bound; config_apply_ms alone applies", lambda: None)
 
 
 @frozen
@@ -103,6 +104,7 @@
         600_000,
         may_be_empty=True,
         default=None,
+        stand_in=NO_EVACUATION_BOUND,
     )
 
     @property
@@ -204,7 +206,7 @@
 
 @frozen
 class FleetSettings:
-    """All sections."""
+    """All sections, and where the values of optional settings come from."""
 
     daemon: FleetDaemonSettings
     listen: FleetListenSettings
@@ -217,6 +219,7 @@
     operators: FleetOperatorSettings = FleetOperatorSettings()
     preemption: PreemptionSettings = DEFAULT_PREEMPTION
     admission: AdmissionSettings = AdmissionSettings()
+    sources: tuple[ValueSource, ...] = field(default=(), eq=False)
 
 
 def load_fleet_settings(path: str | Path) -> FleetSettings:
--- a/hemlockstand/serving/settings.py
+++ b/hemlockstand/serving/settings.py
@@ -2,31 +2,54 @@
 
 from attrs import frozen
 
+from hemlockstand.process_limits import (
+    MAX_DESCRIPTORS,
+    MAX_MEMORY_MB,
+    MEGABYTE,
+    measure_descriptors,
+    measure_memory_mb,
+)
 from hemlockstand.serving.budget import (
     CONNECTION_BYTES,
     PROTOCOL_BYTES,
     REQUEST_BYTES,
 )
-from hemlockstand.setting_options import option
+from hemlockstand.setting_options import StandIn, option
 
-MEGABYTE = 1 << 20
 # Parts of what clients of the older engine's two ports may use.
 CALLERS_SHARE = 0.75
 OPERATORS_SHARE = 0.25
+MEMORY_STAND_IN = StandIn(
+    "the least of the limits of the process, its control group and the machine's "
+    f"memory, at most {MAX_MEMORY_MB}",
+    measure_memory_mb,
+)
+DESCRIPTORS_STAND_IN = StandIn(
+    f"the number of sockets that can be opened at the start, at most {MAX_DESCRIPTORS}",
+    measure_descriptors,
+)
 
 
 @frozen
 class ClientSettings:
     """Limits on what clients may use, and on how slowly they may send and read."""
 
-    memory_mb: int = option("Memory that the process may use, in MB.", 64, 1 << 20)
+    memory_mb: int = option(
+        "Memory that the process may use, in MB.",
+        64,
+        1 << 20,
+        stand_in=MEMORY_STAND_IN,
+    )
     memory_share: float = option(
         "Part of the memory that clients may use. The rest is for the daemon itself.",
         0.05,
         0.8,
     )
     max_descriptors: int = option(
-        "Descriptors that the process may have open.", 64, 1 << 20
+        "Descriptors that the process may have open.",
+        64,
+        1 << 20,
+        stand_in=DESCRIPTORS_STAND_IN,
     )
     descriptor_share: float = option(
         "Part of the descriptors that connections of clients may use.", 0.05, 0.8
--- a/hemlockstand/settings.py
+++ b/hemlockstand/settings.py
@@ -8,13 +8,14 @@
     settings.keys.freshness_seconds
 """
 
+import os
 from collections.abc import Callable, Iterator
 from configparser import ConfigParser, Error as ConfigParserError
 from pathlib import Path
 from typing import Any, TypeVar, get_type_hints
 
 import attrs
-from attrs import Attribute, frozen
+from attrs import Attribute, field, frozen
 
 from hemlockstand.errors import SettingsError
 from hemlockstand.serving.budget import BODY_FACTOR
@@ -254,9 +255,19 @@
     sample_fraction: float = option("Part of new traces that is recorded.", 0, 1)
 
 
+@frozen
+class ValueSource:
+    """Where the value of an optional setting comes from."""
+
+    section: str
+    key: str
+    value: Any
+    source: str
+
+
 @frozen
 class Settings:
-    """All sections."""
+    """All sections, and where the values of optional settings come from."""
 
     daemon: DaemonSettings
     listen: ListenSettings
@@ -272,6 +283,21 @@
     log: LogSettings
     trace: TraceSettings
     clients: ClientSettings
+    sources: tuple[ValueSource, ...] = field(default=(), eq=False)
+
+
+def list_sections(kind: type) -> dict[str, type]:
+    """Return the classes of the sections of a settings class, by name."""
+    hints = get_type_hints(kind)
+    return {name: hint for name, hint in hints.items() if attrs.has(hint)}
+
+
+def name_variable(section: str, key: str) -> str:
+    """Return the environment variable that gives an optional setting.
+
+    It is read where the settings file does not give the setting.
+    """
+    return f"HEMLOCKD_{section}_{key}".upper()
 
 
 def load_settings(path: str | Path) -> Settings:
@@ -307,8 +333,11 @@
         raise SettingsError(problems)
     problems.extend(_find_unknown(parser, kind, Path(path)))
     sections: dict[str, Any] = {}
-    for section, section_kind in get_type_hints(kind).items():
-        values, found = _read_section(parser, section, section_kind, Path(path))
+    sources: list[ValueSource] = []
+    for section, section_kind in list_sections(kind).items():
+        values, found = _read_section(
+            parser, section, section_kind, Path(path), sources
+        )
         problems.extend(found)
         if not found:
             sections[section] = section_kind(**values)
@@ -316,7 +345,7 @@
         problems.extend(check_relations(sections, Path(path)))
     if problems:
         raise SettingsError(problems)
-    return kind(**sections)
+    return kind(**sections, sources=tuple(sources))
 
 
 def _read_file(parser: ConfigParser, path: Path) -> Iterator[str]:
@@ -330,7 +359,7 @@
 
 
 def _find_unknown(parser: ConfigParser, kind: type, path: Path) -> Iterator[str]:
-    kinds = get_type_hints(kind)
+    kinds = list_sections(kind)
     for section in parser.sections():
         if section not in kinds:
             yield f"{path}: unknown section [{section}]"
@@ -342,24 +371,59 @@
 
 
 def _read_section(
-    parser: ConfigParser, section: str, kind: type, path: Path
+    parser: ConfigParser,
+    section: str,
+    kind: type,
+    path: Path,
+    sources: list[ValueSource],
 ) -> tuple[dict[str, Any], list[str]]:
+    """Return the values of a section and its problems.
+
+    Adds where the values of optional settings come from to ``sources``.
+    """
     values: dict[str, Any] = {}
     problems: list[str] = []
     hints = get_type_hints(kind)
     for attribute in attrs.fields(kind):
-        text = parser.get(section, attribute.name, fallback=None)
+        name = attribute.name
+        text = parser.get(section, name, fallback=None)
         if text is None:
-            problems.append(f"{path}: [{section}] {attribute.name} is missing")
+            problems.append(f"{path}: [{section}] {name} is missing")
             continue
+        source = ""
+        if attribute.metadata["stand_in"] is not None:
+            text, source = _find_optional(text, section, attribute)
         try:
-            values[attribute.name] = _convert(text, hints[attribute.name], attribute)
+            values[name] = _convert(text, hints[name], attribute)
         except ValueError as error:
             shown = "(hidden)" if attribute.metadata["secret"] else repr(text)
-            problems.append(f"{path}: [{section}] {attribute.name} = {shown}: {error}")
+            shown += f" ({source})" if source else ""
+            problems.append(f"{path}: [{section}] {name} = {shown}: {error}")
+            continue
+        if attribute.metadata["stand_in"] is not None:
+            value = values[name]
+            sources.append(ValueSource(section, name, value, source or "settings"))
     return values, problems
 
 
+def _find_optional(text: str, section: str, attribute: Attribute) -> tuple[str, str]:
+    """Return the text of an optional setting and where it comes from.
+
+    The source is empty for a text from the settings file or the defaults.
+    """
+    if text:
+        return text, ""
+    variable = name_variable(section, attribute.name)
+    text = os.environ.get(variable, "").strip()
+    if text:
+        return text, variable
+    stand_in = attribute.metadata["stand_in"]
+    derived = stand_in.derive()
+    if derived is None:
+        return "", stand_in.doc
+    return str(derived.value), derived.source
+
+
 def _convert(text: str, kind: Any, attribute: Attribute) -> Any:
     if kind == float | None:
         return _convert_number(text, float, attribute) if text else None
