Let the refusals of a test of serving not depend on the speed of the machine

test_refusal_is_answered_and_closes[sent3-400] failed once beside other work and, in a run beside ten busy processes, in 5 of 16 runs: 408 where 400 is expected. The 20,000 small chunks were not read within the 0.3 s that the test's settings allow, so the limit on time came before the one on chunks.

Only the cases that are about that limit keep the short times; the others run with the usual settings, and each still expects its one status. Beside ten busy processes, 12 of 12 runs pass.

--- a/test/test_serving.py
+++ b/test/test_serving.py
@@ -25,7 +25,8 @@
 from test.test_fleet_daemon import SETTINGS as PLAIN_SETTINGS
 
 LIMIT = 100_000
-SETTINGS = evolve(make_settings("a").clients, head_seconds=0.3, stall_seconds=0.3)
+USUAL_SETTINGS = make_settings("a").clients
+SETTINGS = evolve(USUAL_SETTINGS, head_seconds=0.3, stall_seconds=0.3)
 TIMEOUT_SECONDS = 10
 
 
@@ -130,7 +131,9 @@
 )
 async def test_refusal_is_answered_and_closes(sent, status):
     """Guards against a client over a limit that is read on, or gets no answer."""
-    async with open_endpoint() as exchange:
+    # On a busy machine, the other limits are not reached within short times.
+    settings = SETTINGS if status == b"408" else USUAL_SETTINGS
+    async with open_endpoint(settings) as exchange:
         answer = await exchange(sent)
     assert answer.split(b" ")[1] == status
     assert answer.count(b"HTTP/1.1 ") == 1
