Let waiting gangs count on places only if all members have one

Cause: the lasting subtasks that wait take places before a run is stopped for a move or maintenance, one by one. A lasting gang without room for all members took what there was, although it cannot use it. Its tenant's maximum was compared with the size of one member.

What callers saw: nothing reported. A wave would wait for as long as the gang.

Change: places are taken for all members of a gang or for none, and the maximum is compared with the size of the whole gang.

--- a/hemlockstand/fleet/restarts.py
+++ b/hemlockstand/fleet/restarts.py
@@ -16,6 +16,7 @@
     Room,
     find_place,
     is_stopping,
+    may_place_all,
     measure_room,
 )
 from hemlockstand.fleet.state import SchedulerState
@@ -35,6 +36,8 @@
         tenant = step_run.job.spec.tenant
         used = registry.in_use.get(tenant)
         size = step_run.step.size
+        if step_run.step.gang:
+            size = size.scale(len(step_run.subtasks))
         if not is_within_maximum(
             config.tenants.get(tenant), size if used is None else used.add(size)
         ):
@@ -72,8 +75,16 @@
             if accepts_runs(executor, now) and not is_evacuated(executor, config):
                 rooms = self._rooms.setdefault(executor.entry.pool, [])
                 rooms.append(measure_room(executor))
+        gangs: dict[StepRun, list[Subtask]] = {}
         for subtask in list_restarting(self.state):
-            self.take(subtask)
+            if subtask.step.gang:
+                gangs.setdefault(subtask.step_run, []).append(subtask)
+            else:
+                self.take(subtask)
+        # Places for some members of a gang are of no use to it.
+        for step_run, members in gangs.items():
+            pool = find_pool(step_run.job, config)
+            may_place_all(self._rooms.get(pool, ()), members)
 
     def take(self, subtask: Subtask) -> bool:
         """Take a place for a subtask; return whether there is one."""
