Look for stopped lasting runs without a call for each run

Cause: each round of planning looks at all runs of the fleet for lasting ones that are being stopped. For each it first read the state of its job.

Change: the state of the run is looked at first, in place.

--- a/hemlockstand/fleet/restarts.py
+++ b/hemlockstand/fleet/restarts.py
@@ -15,12 +15,11 @@
 from hemlockstand.fleet.policy.rooms import (
     Room,
     find_place,
-    is_stopping,
     may_place_all,
     measure_room,
 )
 from hemlockstand.fleet.state import SchedulerState
-from hemlockstand.fleet.work import StepRun, Subtask
+from hemlockstand.fleet.work import RunState, StepRun, Subtask
 
 
 def list_restarting(state: SchedulerState) -> Iterator[Subtask]:
@@ -47,7 +46,11 @@
                 yield subtask
     for executor in state.executors.values():
         for subtask in executor.runs.values():
-            if is_to_last(subtask) and is_stopping(subtask):
+            # Few runs are being stopped, so this is checked first, without a call.
+            run = subtask.run
+            if run is None or run.state is not RunState.STOPPING:
+                continue
+            if is_to_last(subtask):
                 yield subtask
 
 
