Hold and move only instances that lasting work without a place fits on

Cause: a pool kept all its members while a displaced lasting subtask had no place on them, also one that fits on no instance or only on others. It grew for a subtask that fits on any instance of the fleet, also if none on standby has room for it.

What callers saw: nothing reported. A pool would keep the size of its peak for as long as hopeless work waits, or take all instances from standby.

Change: a subtask without a place keeps only the members that it fits on when they are empty, and members are missing only if an instance that may come has room for it. With a mix of sizes on standby, others may still come first.

Evidence: test_pool_shrinks_beside_work_that_fits_on_no_instance and test_pool_shrinks_beside_work_that_standby_cannot_take failed before with TooSlowError (20 s), test_pool_does_not_grow_by_instances_without_a_place by the size of the pool.

--- a/hemlockstand/fleet/lasting_places.py
+++ b/hemlockstand/fleet/lasting_places.py
@@ -1,11 +1,13 @@
 """Places of lasting subtasks on the members of pools."""
 
+from collections.abc import Iterable
+
 from attrs import define, field
 from loguru import logger
 
 from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.job_registry import find_pool
-from hemlockstand.fleet.model import InstanceEntry, Resources
+from hemlockstand.fleet.model import InstanceEntry, InstanceState, Resources
 from hemlockstand.fleet.placement import is_recorded, is_sound
 from hemlockstand.fleet.plans import InstancePlans
 from hemlockstand.fleet.policy.rooms import Room, is_stopping, measure_room
@@ -85,6 +87,33 @@
             for instance in self.plans.instances.values()
         )
 
+    def may_host(self, instance: InstanceEntry, subtasks: Iterable[Subtask]) -> bool:
+        """Return whether one of the subtasks fits on a member when it is empty."""
+        steps = {subtask.step_run: subtask for subtask in subtasks}
+        return any(
+            self._make_empty_room(instance).take(subtask) for subtask in steps.values()
+        )
+
+    def _may_come(self, subtask: Subtask, pool: str) -> bool:
+        """Return whether an instance that may join a pool has room for a subtask.
+
+        Those on standby may, and members that are reserved for standby.
+        """
+        config = self.plans.state.config
+        for instance in self.plans.instances.values():
+            if instance.state is InstanceState.DOWN:
+                continue
+            if instance.data_centre in config.evacuated:
+                continue
+            known = config.pools.get(instance.pool)
+            if instance.pool == pool:
+                may_come = instance.name in self.plans.current
+            else:
+                may_come = known is not None and known.standby
+            if may_come and self._make_empty_room(instance).take(subtask):
+                return True
+        return False
+
     def _make_empty_room(self, instance: InstanceEntry) -> Room:
         capacity = instance.capacity
         if not capacity.cpu_millis:
@@ -122,6 +151,13 @@
             if unplaced and self._is_expected(instance, pool)
         ]
         left = find_unplaced(expected, unplaced)
+        steps = {subtask.step_run: subtask for subtask in left}
+        coming = {
+            step_run
+            for step_run, subtask in steps.items()
+            if self._may_come(subtask, pool)
+        }
+        left = [subtask for subtask in left if subtask.step_run in coming]
         now = self.plans.state.clock()
         if not self._lacks.setdefault(pool, LackTimer()).update(now, bool(left)):
             self._logged.pop(pool, None)
@@ -153,5 +189,6 @@
                 rooms[instance.name] = measure_room(executor, lasting_only=True)
             elif self._is_expected(instance, pool):
                 rooms[instance.name] = self._make_empty_room(instance)
-        displaced = [*self._displaced.get(pool, ()), *self._moving.get(pool, ())]
-        return Spares(rooms, displaced)
+        # What waits without a place holds only the members that it fits on.
+        find_unplaced(rooms.values(), self._displaced.get(pool, ()))
+        return Spares(rooms, self._moving.get(pool, ()))
--- a/hemlockstand/fleet/moves.py
+++ b/hemlockstand/fleet/moves.py
@@ -117,7 +117,11 @@
             shortages.append(Shortage(lack, pool, scale))
         elif self._has_demand():
             # A member that has just come may not have been offered work yet.
-            free = [] if unplaced else [item for item in members if item not in kept]
+            free = [
+                item
+                for item in members
+                if item not in kept and not self._places.may_host(item, unplaced)
+            ]
             spares: Spares | None = None
             for item in self._rank_surplus(free, scale):
                 rest = lack.add(self._offer(item, scale))
