Count lasting runs that leave an evacuated data centre as displaced

Cause: a pool grows for lasting work without a place if it waits or has to leave for maintenance. Runs that an evacuation is to move did not count.

What callers saw: nothing reported. An evacuation would wait for room as long as other lasting work fills members that the sum and the limits per executor count.

--- a/hemlockstand/fleet/lasting_places.py
+++ b/hemlockstand/fleet/lasting_places.py
@@ -1,6 +1,6 @@
 """Places of lasting subtasks on the members of pools."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from attrs import define, field
 from loguru import logger
@@ -10,6 +10,7 @@
 from hemlockstand.fleet.model import InstanceEntry, InstanceState, Resources
 from hemlockstand.fleet.placement import is_recorded, is_sound
 from hemlockstand.fleet.plans import InstancePlans
+from hemlockstand.fleet.policy.evacuation import is_evacuated
 from hemlockstand.fleet.policy.rooms import Room, is_stopping, measure_room
 from hemlockstand.fleet.policy.spares import (
     LackTimer,
@@ -28,8 +29,8 @@
     """Measures which places lasting subtasks need, in each round of planning.
 
     ``_displaced`` holds by pool those that wait, are being stopped or have to
-    leave for maintenance, ``_moving`` those that run on executors which are
-    reserved for a move.
+    leave for maintenance or an evacuation, ``_moving`` those that run on executors
+    which are reserved for a move.
     """
 
     plans: InstancePlans
@@ -51,8 +52,11 @@
         for subtask in list_restarting(state):
             pool = find_pool(subtask.job, config)
             self._displaced.setdefault(pool, []).append(subtask)
+        for subtask in self._list_evacuated():
+            pool = find_pool(subtask.job, config)
+            self._displaced.setdefault(pool, []).append(subtask)
         for plan in self.plans.current.values():
-            if plan.executor is None:
+            if plan.executor is None or is_evacuated(plan.executor, config):
                 continue
             found = self._displaced if plan.wave else self._moving
             for subtask in plan.executor.runs.values():
@@ -60,6 +64,18 @@
                     pool = find_pool(subtask.job, config)
                     found.setdefault(pool, []).append(subtask)
 
+    def _list_evacuated(self) -> Iterator[Subtask]:
+        """Yield the lasting subtasks that are to leave evacuated data centres."""
+        state = self.plans.state
+        if not state.config.evacuated:
+            return
+        for executor in state.executors.values():
+            if is_evacuated(executor, state.config):
+                for subtask in executor.runs.values():
+                    movable = is_to_last(subtask) and not subtask.step.gang
+                    if movable and not is_stopping(subtask):
+                        yield subtask
+
     def find_unplaced(self, pool: str, members: list[InstanceEntry]) -> list[Subtask]:
         """Return the displaced subtasks that no member can take now.
 
