Test that a pool shrinks beside large lasting runs

The test fails, for a fault that is not fixed here. Members are asked for in the order of the number of their lasting runs. Those with one large run, which has no other place, come before those with two small ones. After four refusals (MAX_REFUSED) no other member is spared in the round, and each round begins with the same four.

--- a/test/test_fleet_lasting_places.py
+++ b/test/test_fleet_lasting_places.py
@@ -158,3 +158,28 @@
         with trio.fail_after(90):
             while "completed" not in read_status(world):
                 await trio.sleep(0.1)
+
+
+async def test_pool_shrinks_beside_large_lasting_runs(clock):
+    """Guards against a pool that keeps all members behind a few large runs.
+
+    A member with one large run counts as the one with the least lasting work,
+    so it is asked for before those with two small ones, which can be spared.
+    """
+    large, medium, small = (Resources(cpu, 512) for cpu in (15_000, 12_000, 2000))
+    async with open_world() as world:
+        world.add_instances("pool", 16)
+        world.add_instances("standby", 2)
+        world.start_daemon("a")
+        await trio.sleep(1)
+        work = (
+            (make_step(5, lasting=True, size=large), LASTING),
+            (make_step(11, 10, size=medium), 10),
+            (make_step(22, lasting=True, size=small), LASTING),
+        )
+        for step, seconds in work:
+            job = world.submit(step, work=SubtaskBehaviour(seconds, size=step.size))
+            await world.wait_for(
+                lambda job=job, step=step: len(world.find_running(job)) == step.count, 5
+            )
+        await world.wait_for(lambda: count_members(world) < 13, 40)
