Send no orders for instances once the release may be stored

A scheduler sent orders until its nursery was cancelled, which happens once the release is answered. If the store applied the release and its answer was lost, an order that had failed was repeated for as long as the lease would have been valid, up to 1.2 s. The next scheduler had taken the lease by then and counted its wait from its takeover, so that with an order in flight for 1.9 s the orders of the two holders were 2.5 to 2.9 s apart instead of 3 s.

Change: the lease permits no more orders from the moment at which its release is first sent. Executors still get their leases while the release is repeated.

--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -88,6 +88,8 @@
     lease_seconds: float
     clock: Callable[[], float]
     valid_until: float = _NEVER
+    # Set before a release is first sent, as the next holder may read it at once.
+    releasing: bool = False
     # Latest time at which the previous holder may have renewed the lease.
     previous_renewed_at: float = _NEVER
     # When the lease was acquired, and the lease's time then.
@@ -105,7 +107,7 @@
     @property
     def valid(self) -> bool:
         """Whether the holder may give orders; checked before each of them."""
-        return self.clock() < self.valid_until
+        return not self.releasing and self.clock() < self.valid_until
 
     def find_time_ms(self, at: float) -> int:
         """Return the lease's time, in milliseconds, at a time of the clock."""
@@ -132,7 +134,8 @@
 
         ``orders`` is stored for the next holder, ``lapses`` unless it is as
         before, and with a release the time by which all stopped runs have ended,
-        if it is known. Raises ``LeaseLost``, or
+        if it is known. From a release on, no more orders may be given.
+        Raises ``LeaseLost``, or
         ``PlatformUnavailable`` if nothing was applied. After a lost answer the
         transaction is repeated until its outcome is known.
         """
@@ -150,6 +153,7 @@
             time_since=self.record.time_since if self.keeps_time else 0,
             lapses=self.record.lapses if lapses is None else lapses,
         )
+        self.releasing = self.releasing or release is not None
         batch = [lease_write(record), *writes]
         sent_at = self.clock()
         unsure = False
