Take runs for available once their lists show the stops of predecessors

A scheduler took each run that it last saw at work for available as soon as the runs stopped by its predecessors had ended.

Change: a run counts as available only if its executor's last list was asked for after that time. Polls before it end at this time at the latest, so that the next list follows at once and nothing waits longer while connections work.

test_end_of_a_stopped_run_that_is_not_listed_counts failed in 2 of 6 cases before and passes now, as do the tests of budgets, takeovers, evacuations, waves, restarts, lapses, order intervals and of equal decisions.

--- a/hemlockstand/fleet/eviction.py
+++ b/hemlockstand/fleet/eviction.py
@@ -88,7 +88,8 @@
 def is_available(subtask: Subtask, executors: Mapping[str, Executor]) -> bool:
     """Return whether a subtask is known to run at full speed.
 
-    Its executor has to answer and must not be draining.
+    Its executor has to answer and must not be draining, and its last list has to
+    show the stops of previous schedulers.
     """
     run = subtask.run
     if run is None or run.state is not RunState.RUNNING:
@@ -96,6 +97,8 @@
     executor = executors.get(run.executor)
     if executor is None or not executor.reachable or executor.entry.draining:
         return False
+    if not executor.shows_stops:
+        return False
     return run.percent >= AVAILABLE_PERCENT and run.pace == AVAILABLE_PERCENT
 
 
--- a/hemlockstand/fleet/executor_events.py
+++ b/hemlockstand/fleet/executor_events.py
@@ -44,3 +44,6 @@
 
     def last_grant_end(self) -> float:
         """Return the latest end that a lease may have."""
+
+    def previous_stops_end(self) -> float:
+        """Return the latest end of the runs that a previous scheduler stopped."""
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -74,7 +74,9 @@
     start, and until ``returning_until`` the evacuation of its data centre has
     only just ended. ``previous_lease_end`` is the latest end of a lease that a
     previous scheduler has granted, and while ``lapse_stored`` is set it gets no
-    other lease, as the store has the end of its last one. ``unknown_runs`` names
+    other lease, as the store has the end of its last one. ``shows_stops`` is
+    unset while its last list may name runs as at work that have ended since, as
+    a previous scheduler had stopped them. ``unknown_runs`` names
     the runs in its last list that the scheduler has not started or adopted; they
     use room of unknown size until they have been stopped.
     """
@@ -104,6 +106,7 @@
     recorded: bool = False
     previous_lease_end: float = _NEVER
     lapse_stored: bool = False
+    shows_stops: bool = True
     closed: bool = False
     # It was idle and not polled, so it may have started again unnoticed.
     _unconfirmed: bool = False
@@ -325,6 +328,10 @@
         )
         wait = 0.0 if answers_at_once else self.hold_seconds
         sent_at = self.clock()
+        if not self.shows_stops:
+            # A list that is asked for later than this shows all of these stops.
+            stops_end = self.events.previous_stops_end()
+            wait = min(wait, max(0.0, stops_end - sent_at))
         fence = self.fence
         # A new lifetime numbers its ends anew.
         acked = 0 if self._unconfirmed else self.acked
@@ -361,6 +368,7 @@
             self.born_ms = answer.born_ms
         elif self._unconfirmed:
             self._longest_expires_at = _NEVER
+        self.shows_stops = sent_at > self.events.previous_stops_end()
         listed = {entry.subtask: entry for entry in answer.running}
         for end in answer.ended:
             if end.number > self.last_handled:
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -52,6 +52,10 @@
         """Return the latest end that a lease may have."""
         return self.state.last_grant_end()
 
+    def previous_stops_end(self) -> float:
+        """Return the latest end of the runs that a previous scheduler stopped."""
+        return self.state.previous_stops_end
+
     def handle_end(
         self, executor: Executor, subtask: Subtask | None, end: EndEntry
     ) -> None:
