Let the waits for earlier orders allow for clocks that run fast

The time for which a scheduler blocks an instance whose order was answered was the required interval by its own clock. With a clock that is 1% fast, and a predecessor that was killed right after it had stored the answer, the block ended 13 ms before the interval of 3 s was over.

Change: the interval, and the time for which an order may be in flight, are multiplied by 1.02. That also covers the time that went by in terms of other schedulers, on which the factor on the rest of a stored wait does not act.

test_fast_clock_does_not_shorten_the_interval[1] failed before and passes now, as do the tests of order intervals, instance orders, budgets over takeovers and waves.

--- a/hemlockstand/fleet/instances.py
+++ b/hemlockstand/fleet/instances.py
@@ -41,6 +41,9 @@
 STORED_POLL_SECONDS = 0.01
 # Clocks of two holders may differ by a few percent.
 ORDER_INTERVAL_FACTOR = 1.1
+# Factor on the waits for orders of previous schedulers: this holder's clock, and
+# those by which the lease's time went on, may run 1% faster than the platform's.
+BLOCK_FACTOR = 1.02
 
 
 @define(eq=False)
@@ -97,9 +100,9 @@
         lease = self.state.lease
         for name, end_ms in orders.blocked.items():
             self._add_block(name, lease.find_local_time(end_ms), end_ms)
-        interval = self.order_interval_seconds
+        interval = self.order_interval_seconds * BLOCK_FACTOR
         self._block_all(orders.answered, orders, interval, interval - waited_seconds)
-        longest = interval + PREVIOUS_ORDER_SECONDS
+        longest = interval + PREVIOUS_ORDER_SECONDS * BLOCK_FACTOR
         self._block_all(orders.open, orders, longest, longest)
 
     def _block_all(
