Show that a job runs after its cancel was answered 410

Cause: a cancel of a job without a row stores nothing. A write of the job that a partition holds up is applied afterwards, and the job runs.

--- /dev/null
+++ b/review/10/case.py
@@ -0,0 +1,75 @@
+"""A cancel that is answered "no such job", and the job that runs after it.
+
+A daemon is cut off from the store while it stores a job. Its caller gets no
+success and cancels the job at another daemon.
+"""
+
+import asyncio
+import sys
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent))
+
+from standin_2 import TENANTS, make_route, run_case  # noqa: E402
+
+POOL = "pool-a"
+FIRST, JOB = "c0c0c0c0c0c0c0c0", "c3c3c3c3c3c3c3c3"
+CUT_S = 5.5  # core_cut, for_s
+CLIENT_S = 1.0  # the client's time limit
+CANCEL_MS = 3000
+WATCH_S = 10.0
+
+
+async def play(world, trouble):
+    """Submit at a daemon that is cut off, and cancel at another."""
+    world.write_config(7, [make_route("quotes", POOL)], [POOL], TENANTS)
+    for number in range(2):
+        await world.add_executor(f"i-{number}", POOL, f"r{number}")
+    for name in ("entry-1", "entry-2", "entry-3"):
+        await world.add_daemon(name)
+    leader = await world.wait_ready()
+    cut_off, other = (each for each in world.daemons.values() if each is not leader)
+    for job in (FIRST, JOB):
+        world.work[job, 0] = 2000, 2.0, lambda run: "done"
+    body = {
+        "TaskSpec": "quote",
+        "Steps": [{"Count": 1, "Cpu": 2000, "MemMb": 512, "EstimatedMs": 2000}],
+    }
+    # An earlier job, so that the daemon has a connection to the store.
+    status, _ = await world.call(cut_off, "POST", f"/quotes/{FIRST}", body)
+    assert status == 200, status
+    if trouble:
+        cut_off.store_link.begin_cut()
+        cut_at = world.record.now
+        world.record.add(f"{cut_off.name} is cut off from the store for {CUT_S} s")
+    status, _ = await world.call(
+        cut_off, "POST", f"/quotes/{JOB}", body, seconds=CLIENT_S
+    )
+    if trouble and status in (200, 429):
+        return f"the first attempt was answered {status}"
+    cancel, _ = await world.call(other, "DELETE", f"/quotes/{JOB}")
+    acknowledged_at = world.record.now
+    if trouble:
+        await asyncio.sleep(max(0.0, cut_at + CUT_S - world.record.now))
+        cut_off.store_link.end_cut()
+        world.record.add(f"the cut of {cut_off.name} ends")
+    await asyncio.sleep(WATCH_S)
+    await world.call(other, "GET", f"/quotes/{JOB}")
+    late = [
+        run
+        for run in world.list_runs(JOB)
+        if run["began"] > acknowledged_at + CANCEL_MS / 1000
+    ]
+    for run in world.list_runs(JOB):
+        world.record.add(f"run: {run}")
+    if cancel in (200, 410) and late:
+        seconds = late[0]["began"] - acknowledged_at
+        return (
+            f"UNASKED: the cancel of {JOB} was answered {cancel}, and a run began "
+            f"{seconds:.1f} s later, {late[0]['how']}"
+        )
+    return ""
+
+
+sys.exit(run_case(play, FOLDER))
