--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -740,11 +740,16 @@
         return self._spawn(words.split(), environment)
 
     async def _spawn(self, words, environment):
+        if self.world.closing:
+            return
         log = open(self.world.folder / f"{self.name}.log", "ab")  # noqa: SIM115
         self.process = await asyncio.create_subprocess_exec(
             *words, cwd=ROOT, env=environment, stdout=log, stderr=log
         )
         log.close()
+        if self.world.closing:
+            await self.kill()
+            return
         self.world.record.add(f"daemon {self.name} starts")
 
     @property
@@ -804,6 +809,7 @@
         self.machines.executors = {}
         self.machines.join = self._join
         self.daemons = {}
+        self.closing = False
         self.work = {}  # (job, step): (cpu, seconds, function of the run to the end)
         self._joined = 0
 
@@ -912,6 +918,7 @@
 
     async def close(self):
         """End all processes and close the record."""
+        self.closing = True
         for daemon in self.daemons.values():
             await daemon.kill()
         self.record.close()
