Let the review's stand-ins take any error of a case for one

Cause: an error in a case, such as an answer that it did not expect, ended the script with 1, as if the rule had been broken. TROUBLE was read in the shared stand-ins alone.

Change: every error ends a case with 2; the cases say whether there is trouble.

--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -943,7 +943,7 @@
     }
 
 
-def run_case(play, folder):
+def run_case(play, folder, trouble=True):
     """Play a case and return its exit code.
 
     ``play`` takes a world and whether there is trouble, and returns what broke
@@ -951,7 +951,6 @@
     """
     import tempfile
 
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def main(temporary):
@@ -960,7 +959,8 @@
         try:
             async with asyncio.timeout(110):
                 broken = await play(world, trouble)
-        except (CaseError, TimeoutError) as error:
+        except Exception as error:
+            # Whatever went wrong in the case itself is no breach of a rule.
             world.record.add(f"the case could not run: {error!r}")
             print(f"could not run: {error!r}")
             return 2
@@ -969,10 +969,14 @@
         print(f"broken: {broken}" if broken else "held")
         return 1 if broken else 0
 
-    with tempfile.TemporaryDirectory() as temporary:
-        code = asyncio.run(main(temporary))
-        keep = os.environ.get("KEEP_LOGS")
-        if keep:
-            for log in Path(temporary).glob("*.log"):
-                (Path(keep) / log.name).write_bytes(log.read_bytes())
+    try:
+        with tempfile.TemporaryDirectory() as temporary:
+            code = asyncio.run(main(temporary))
+            keep = os.environ.get("KEEP_LOGS")
+            if keep:
+                for log in Path(temporary).glob("*.log"):
+                    (Path(keep) / log.name).write_bytes(log.read_bytes())
+    except Exception as error:
+        print(f"could not run: {error!r}")
+        return 2
     return code
