--- a/review/9/case.py
+++ b/review/9/case.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -58,4 +59,7 @@
     return ""
 
 
-sys.exit(run_case(play, FOLDER))
+# With TROUBLE=0 the case does the same without what breaks the rule.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+sys.exit(run_case(play, FOLDER, TROUBLE))
