--- a/review/10/case.py
+++ b/review/10/case.py
@@ -5,13 +5,14 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standin_2 import TENANTS, make_route, run_case  # noqa: E402
+from standin_2 import TENANTS, CaseError, make_route, run_case  # noqa: E402
 
 POOL = "pool-a"
 FIRST, JOB = "c0c0c0c0c0c0c0c0", "c3c3c3c3c3c3c3c3"
@@ -46,8 +47,8 @@
     status, _ = await world.call(
         cut_off, "POST", f"/quotes/{JOB}", body, seconds=CLIENT_S
     )
-    if trouble and status in (200, 429):
-        return f"the first attempt was answered {status}"
+    if trouble and status in (200, 429, 503):
+        raise CaseError(f"the first attempt was answered {status}")
     cancel, _ = await world.call(other, "DELETE", f"/quotes/{JOB}")
     acknowledged_at = world.record.now
     if trouble:
@@ -72,4 +73,7 @@
     return ""
 
 
-sys.exit(run_case(play, FOLDER))
+# With TROUBLE=0 the case does the same without what breaks the rule.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+sys.exit(run_case(play, FOLDER, TROUBLE))
