Exit with 2 when a case of the review is ended from outside

Cause: a case that got SIGINT exited with 1, which means a broken rule, and SIGHUP was not handled.

Change: SIGTERM, SIGINT and SIGHUP end the case's processes and exit with 2.

--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -951,7 +951,9 @@
     """
     import tempfile
 
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    # A case that is ended from outside ends its processes, and shows no breach.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(2))
 
     async def main(temporary):
         world = World(temporary, Path(folder) / "record.txt")
