Give 37 tests that were written for virtual time their clock

Cause: pytest-trio looks for a clock among a test's own arguments only, and `autojump_clock` was an argument of fixtures in test_fleet_admission.py, test_fleet_bursts.py and test_fleet_frontend.py, whose tests (and those of test_fleet_open_submissions.py, which use the same fixture) therefore ran on the real clock.

Change: each of these tests takes `autojump_clock` itself. Nothing else changes in what they check, except one case: a view made at 0 ms was "old" on the real clock of a machine, but virtual time begins at 0, so that test first moves the clock on by 60 s.

--- a/test/test_fleet_admission.py
+++ b/test/test_fleet_admission.py
@@ -66,7 +66,7 @@
     return AdmissionHarness(model)
 
 
-async def test_full_pool_refuses_and_stores_nothing(frontend):
+async def test_full_pool_refuses_and_stores_nothing(frontend, autojump_clock):
     """Guards against a job that is stored though it cannot be done in time."""
     await frontend.publish()
     status, content, retry_after = await frontend.submit()
@@ -83,7 +83,9 @@
 
 
 @pytest.mark.parametrize("priority", ["0", "1"])
-async def test_work_of_a_lower_priority_is_not_ahead(frontend, priority):
+async def test_work_of_a_lower_priority_is_not_ahead(
+    frontend, priority, autojump_clock
+):
     """Guards against urgent jobs that are refused for work behind them."""
     pool = attrs.evolve(FULL, waiting={priority: FULL.waiting["0"]})
     await frontend.publish(pools={"pool": pool})
@@ -103,15 +105,19 @@
         {"pools": {}},
     ],
 )
-async def test_view_that_cannot_be_used_refuses_nothing(frontend, values):
+async def test_view_that_cannot_be_used_refuses_nothing(
+    frontend, values, autojump_clock
+):
     """Guards against refusals by a damaged, newer or old document."""
+    # Virtual time begins at 0, which would be a recent time of a view.
+    autojump_clock.jump(60)
     await frontend.publish()
     assert (await frontend.submit(OTHER_JOB))[0] == 429
     await frontend.publish(**values)
     assert (await frontend.submit())[0] == 200
 
 
-async def test_view_that_is_not_refreshed_refuses_nothing(frontend):
+async def test_view_that_is_not_refreshed_refuses_nothing(frontend, autojump_clock):
     """Guards against refusals by a copy that the frontend could not read again.
 
     The clock of the scheduler is ahead of the frontend's.
@@ -122,7 +128,7 @@
     assert (await frontend.submit())[0] == 200
 
 
-async def test_store_is_away_at_the_frontend(frontend):
+async def test_store_is_away_at_the_frontend(frontend, autojump_clock):
     """Guards against a refusal of a job that may be stored."""
     await frontend.publish()
     frontend.kernel.rows.closed = True
@@ -130,7 +136,7 @@
     assert (status, retry_after) == (503, "1")
 
 
-async def test_resubmission_after_a_lost_answer(frontend):
+async def test_resubmission_after_a_lost_answer(frontend, autojump_clock):
     """Guards against "not run" for a job that is stored, or may yet be."""
     frontend.kernel.rows.late_writes = 1000
     assert (await frontend.submit())[0] == 504
@@ -155,7 +161,9 @@
         ({"Cpu": 16_001, "LongRunning": True}, True),
     ],
 )
-async def test_sizes_that_no_instance_can_serve(frontend, step, refused):
+async def test_sizes_that_no_instance_can_serve(
+    frontend, step, refused, autojump_clock
+):
     """Guards against a job that waits for good, or a wrong "never"."""
     await frontend.publish(pools={})
     status, content, retry_after = await frontend.submit(**step)
@@ -166,7 +174,7 @@
 
 
 @pytest.mark.parametrize(("cpu", "status"), [(0, 200), (1000, 200), (999, 400)])
-async def test_maximum_below_one_subtask(frontend, cpu, status):
+async def test_maximum_below_one_subtask(frontend, cpu, status, autojump_clock):
     """Guards against a job that its tenant's maximum holds up for good."""
     frontend.kernel.configuration.current = make_config(Resources(cpu))
     assert (await frontend.submit())[0] == status
@@ -175,7 +183,9 @@
 @pytest.mark.parametrize(
     "values", [{"Steps": [STEP | {"LongRunning": True}]}, {"RepeatCount": 2}]
 )
-async def test_no_time_limit_for_jobs_that_last_or_have_due_times(frontend, values):
+async def test_no_time_limit_for_jobs_that_last_or_have_due_times(
+    frontend, values, autojump_clock
+):
     """Guards against refusals for time of jobs that have no end or start later."""
     await frontend.publish()
     body = BODY | {"Steps": [STEP]} | values
@@ -185,7 +195,9 @@
 @pytest.mark.parametrize(
     ("tenant_limit", "limit", "status"), [(9, 99, 429), (99, 10, 429), (10, 99, 200)]
 )
-async def test_bounds_on_what_is_queued(model, tenant_limit, limit, status):
+async def test_bounds_on_what_is_queued(
+    model, tenant_limit, limit, status, autojump_clock
+):
     """Guards against a backlog without a bound."""
     settings = AdmissionSettings(max_jobs=limit, max_tenant_jobs=tenant_limit)
     frontend = AdmissionHarness(model, admission=settings)
@@ -194,7 +206,7 @@
 
 
 @pytest.mark.parametrize(("cpu", "status"), [(0, 200), (4000, 429)])
-async def test_own_maximum_makes_a_tenant_wait(frontend, cpu, status):
+async def test_own_maximum_makes_a_tenant_wait(frontend, cpu, status, autojump_clock):
     """Guards against a backlog behind a maximum while the pool has room."""
     frontend.kernel.configuration.current = make_config(Resources(cpu))
     pool = attrs.evolve(FULL, cores=1000.0)
@@ -202,7 +214,7 @@
     assert (await frontend.submit())[0] == status
 
 
-async def test_load_that_is_not_to_be_used(model):
+async def test_load_that_is_not_to_be_used(model, autojump_clock):
     """Guards against refusals where the settings ask for none."""
     frontend = AdmissionHarness(model, admission=AdmissionSettings(by_load=False))
     await frontend.publish()
@@ -222,7 +234,7 @@
 
 
 @pytest.mark.parametrize("cores", [1e-320, 1e-305, 1e-3])
-async def test_tiny_capacity_refuses_without_an_error(frontend, cores):
+async def test_tiny_capacity_refuses_without_an_error(frontend, cores, autojump_clock):
     """Guards against an error of the server for a number that has no use."""
     await frontend.publish(pools={"pool": attrs.evolve(FULL, cores=cores)})
     for job in range(3):
@@ -238,7 +250,7 @@
     assert len(book._heap) == 3
 
 
-async def test_job_of_which_only_the_status_is_left(frontend):
+async def test_job_of_which_only_the_status_is_left(frontend, autojump_clock):
     """Guards against "not run" for a job that has run and is being removed."""
     write = status_write(JOB, JobStatus(JobState.COMPLETED))
     frontend.model.put(write.table, write.key, write.value)
--- a/test/test_fleet_bursts.py
+++ b/test/test_fleet_bursts.py
@@ -165,7 +165,9 @@
 
 
 @pytest.mark.parametrize("factor", [4, 8])
-async def test_those_who_come_when_told_are_served_in_time(frontends, factor):
+async def test_those_who_come_when_told_are_served_in_time(
+    frontends, factor, autojump_clock
+):
     """Guards against callers told a time at which there is no room for them.
 
     Nobody who was told to come back is overtaken by a newcomer at that frontend.
@@ -190,7 +192,7 @@
     assert not decode_load(row).pools
 
 
-async def test_nothing_is_refused_without_contention(frontends):
+async def test_nothing_is_refused_without_contention(frontends, autojump_clock):
     """Guards against refusals, and writes of the load, while there is room."""
     await frontends.send(0.5, 6.0)
     await trio.sleep(5)
@@ -199,7 +201,7 @@
     assert all(0 < access.reads <= 8 for access in frontends.rows)
 
 
-async def test_takeover_in_the_middle_of_a_burst(frontends):
+async def test_takeover_in_the_middle_of_a_burst(frontends, autojump_clock):
     """Guards against refusals by a view of a scheduler that is gone.
 
     The next one publishes its own, and all that was accepted is run.
@@ -219,7 +221,7 @@
     frontends.world.check_runs()
 
 
-async def test_flood_of_a_tenant_beside_a_small_one(frontends):
+async def test_flood_of_a_tenant_beside_a_small_one(frontends, autojump_clock):
     """Guards against a small tenant that is refused for another one's flood."""
     async with trio.open_nursery() as nursery:
         nursery.start_soon(frontends.send, 6.0, 4.0)
--- a/test/test_fleet_frontend.py
+++ b/test/test_fleet_frontend.py
@@ -74,7 +74,9 @@
     return FrontendHarness()
 
 
-async def test_refusal_while_the_store_is_closed_stores_nothing(frontend):
+async def test_refusal_while_the_store_is_closed_stores_nothing(
+    frontend, autojump_clock
+):
     """Guards against a refused job that is stored and runs."""
     frontend.kernel.rows.closed = True
     status, _, retry_after = await frontend.call("POST", body=BODY)
@@ -83,7 +85,7 @@
 
 
 @pytest.mark.parametrize("part", [b"[", b'{"Steps":'])
-async def test_nested_body_is_a_bad_request(frontend, part):
+async def test_nested_body_is_a_bad_request(frontend, part, autojump_clock):
     """Guards against an internal error for a body that cannot be decoded."""
     reply = await frontend.client.open(
         f"/queue/{JOB}", method="POST", headers=HEADERS, data=part * 4_000
@@ -93,7 +95,9 @@
 
 
 @pytest.mark.parametrize("steps", [1_300, 3_000])
-async def test_job_that_fits_into_no_row_is_refused_for_good(frontend, steps):
+async def test_job_that_fits_into_no_row_is_refused_for_good(
+    frontend, steps, autojump_clock
+):
     """Guards against a caller who is told to come back with such a job.
 
     The store's limit may be lower than the largest that is known.
@@ -106,7 +110,7 @@
     assert not frontend.model.rows
 
 
-async def test_open_write_is_not_called_refused(frontend):
+async def test_open_write_is_not_called_refused(frontend, autojump_clock):
     """Guards against "not accepted" for a write that is applied later."""
     frontend.kernel.rows.late_writes = 1000
     status, _, _ = await frontend.call("POST", body=BODY)
@@ -115,7 +119,7 @@
     assert (await frontend.call("GET"))[0] == 200
 
 
-async def test_store_that_closes_after_an_open_write(frontend):
+async def test_store_that_closes_after_an_open_write(frontend, autojump_clock):
     """Guards against "not accepted" while an earlier write may be applied.
 
     The first write gets no answer, and the store is closed for the retry.
@@ -133,14 +137,14 @@
     assert status == 504
 
 
-async def test_lost_answer_is_resolved_by_a_second_try(frontend):
+async def test_lost_answer_is_resolved_by_a_second_try(frontend, autojump_clock):
     """Guards against an accepted job whose caller gets no clear answer."""
     frontend.kernel.rows.lost_answers = 1
     assert (await frontend.call("POST", body=BODY))[0] == 200
     assert len(frontend.model.rows) == 1
 
 
-async def test_same_job_twice_is_one_job(frontend):
+async def test_same_job_twice_is_one_job(frontend, autojump_clock):
     """Guards against a repeated submission that adds a job or is refused.
 
     The configuration may change the queue's pool between the two.
@@ -156,7 +160,7 @@
 @pytest.mark.parametrize(
     "change", [{"TaskSpec": "other"}, {"Steps": [{"Count": 2, "Cpu": 100}]}]
 )
-async def test_other_job_under_a_known_id_is_refused(frontend, change):
+async def test_other_job_under_a_known_id_is_refused(frontend, change, autojump_clock):
     """Guards against a second job that its caller is told was accepted."""
     assert (await frontend.call("POST", body=BODY))[0] == 200
     (stored,) = frontend.model.rows.values()
@@ -167,7 +171,7 @@
 
 
 @pytest.mark.parametrize("text", ["\u00b2", "9" * 5000, "-1", "soon", "nan", "inf"])
-async def test_bad_deadline_is_named(frontend, text):
+async def test_bad_deadline_is_named(frontend, text, autojump_clock):
     """Guards against a header that ends the request with an internal error."""
     status, content, _ = await frontend.call(
         "GET", **{"Deadline-Ms": text.encode().decode("latin-1")}
@@ -176,7 +180,7 @@
     assert "Deadline-Ms" in content["Error"]
 
 
-async def test_old_configuration_serves_nothing(frontend):
+async def test_old_configuration_serves_nothing(frontend, autojump_clock):
     """Guards against a withdrawn key that works with an old configuration."""
     await frontend.call("POST", body=BODY)
     frontend.kernel.configuration.fresh = False
@@ -188,7 +192,7 @@
     assert status == 503
 
 
-async def test_no_configuration_yet(frontend):
+async def test_no_configuration_yet(frontend, autojump_clock):
     """Guards against "no such queue" before a configuration is loaded."""
     frontend.kernel.configuration.current = None
     assert (await frontend.call("GET"))[0] == 503
@@ -211,7 +215,7 @@
 FOREIGN = {"Authorization": "Bearer other-key"}
 
 
-async def test_foreign_key_learns_nothing_of_a_job(shared):
+async def test_foreign_key_learns_nothing_of_a_job(shared, autojump_clock):
     """Guards against a workspace that reads or cancels the job of another."""
     absent = [await shared.call(method) for method in ("GET", "DELETE")]
     await shared.call("POST", body=BODY)
@@ -225,7 +229,7 @@
     assert await shared.call("GET") == (200, {"State": "queued"}, None)
 
 
-async def test_id_of_another_workspace_is_taken(shared):
+async def test_id_of_another_workspace_is_taken(shared, autojump_clock):
     """Guards against a foreign job that its submitter is told was accepted."""
     await shared.call("POST", body=BODY)
     (stored,) = shared.model.rows.values()
@@ -235,7 +239,7 @@
     assert (await shared.call("POST", body=BODY))[0] == 200
 
 
-async def test_job_without_a_workspace_is_shown_to_all(shared):
+async def test_job_without_a_workspace_is_shown_to_all(shared, autojump_clock):
     """Guards against a job of a public queue that its caller cannot follow."""
     path = f"/open/{JOB}"
     headers = HEADERS | {"Authorization": ""}
@@ -246,7 +250,7 @@
     assert (await shared.client.get(path, headers=HEADERS)).status_code == 200
 
 
-async def test_job_states_shown_to_callers(frontend):
+async def test_job_states_shown_to_callers(frontend, autojump_clock):
     """Guards against states that contradict an acknowledged cancel or end."""
     await frontend.call("POST", body=BODY)
     assert (await frontend.call("GET"))[1] == {"State": "queued"}
--- a/test/test_fleet_open_submissions.py
+++ b/test/test_fleet_open_submissions.py
@@ -14,7 +14,9 @@
 __all__ = ["frontend", "model"]
 
 
-async def test_no_refusal_while_a_write_of_the_job_is_open(frontend: AdmissionHarness):
+async def test_no_refusal_while_a_write_of_the_job_is_open(
+    frontend: AdmissionHarness, autojump_clock
+):
     """Guards against "not run" for a job whose first write is applied later."""
     frontend.kernel.rows.late_writes = 2
     statuses = []
@@ -32,7 +34,7 @@
 
 
 async def test_no_refusal_if_the_job_is_stored_while_its_row_is_read(
-    frontend: AdmissionHarness, monkeypatch
+    frontend: AdmissionHarness, monkeypatch, autojump_clock
 ):
     """Guards against a row that is read before a write and answered after it."""
     rows = frontend.kernel.rows
@@ -62,7 +64,9 @@
 
 
 @pytest.mark.parametrize("late_writes", [0, 1])
-async def test_no_refusal_after_a_request_was_cancelled(frontend, late_writes):
+async def test_no_refusal_after_a_request_was_cancelled(
+    frontend, late_writes, autojump_clock
+):
     """Guards against "not run" after a caller has left during the write."""
     frontend.kernel.rows.late_writes = late_writes
     with trio.move_on_after(0.002):
@@ -73,7 +77,7 @@
     assert (await frontend.submit())[0] == 200
 
 
-async def test_refusal_after_a_write_that_was_not_made(frontend):
+async def test_refusal_after_a_write_that_was_not_made(frontend, autojump_clock):
     """Guards against jobs that are let in for good after one failed write."""
     frontend.kernel.rows.closed = True
     assert (await frontend.submit())[0] == 503
