Keep the terms of its queue with an accepted job

Cause: `find_max_attempts` looked the queue up in the present configuration, and its default of 1 attempt held while the queue was missing. Other terms had defaults of their own in the same case: no ticket needed, the first priority, no objective.

Ruled out: that the return of the queue ends the job.

Change: the row of a job keeps the attempts, priority, slack factor, objective and advice of its queue at acceptance. `find_terms` returns the terms in force, or else those, and replaces each lookup of a queue's terms. A job that an earlier version stored has no attempts; it does not fail while its queue is gone, as that could not be undone. Without any queue, preemption by share no longer fails on an empty maximum.

Why it works: the stored terms do not depend on which configuration a scheduler sees, nor on which scheduler it is.

`test_same_job_twice_is_one_job` now changes the attempts between the two submissions as well, so that the stored terms are not taken for a difference.

--- a/hemlockstand/fleet/copies.py
+++ b/hemlockstand/fleet/copies.py
@@ -7,7 +7,7 @@
 
 from hemlockstand.fleet.copy_load import LoadView
 from hemlockstand.fleet.executors import Executor
-from hemlockstand.fleet.job_registry import JobRegistry, find_max_attempts, find_pool
+from hemlockstand.fleet.job_registry import JobRegistry, find_pool
 from hemlockstand.fleet.metrics import COPIES_STARTED, COPIES_WON, LOST_CORE_SECONDS
 from hemlockstand.fleet.model import Resources
 from hemlockstand.fleet.placement import Placer, choose_executor
@@ -26,6 +26,7 @@
     may_have_copies,
 )
 from hemlockstand.fleet.policy.crashes import is_given_up
+from hemlockstand.fleet.queue_terms import find_terms
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.work import Run, RunState, Subtask
 
@@ -83,7 +84,7 @@
         run, job = subtask.run, subtask.job
         assert run is not None
         age = 0.0 if run.answered_at is None else now - run.answered_at
-        attempts = find_max_attempts(job, self.state.config)
+        attempts = find_terms(job.spec, self.state.config).attempts
         # The occurrences of a timed job have no deadline of their own.
         left = float("inf") if job.spec.timed else job.deadline - now
         return RunView(
--- a/hemlockstand/fleet/job_registry.py
+++ b/hemlockstand/fleet/job_registry.py
@@ -28,8 +28,6 @@
 
 log = logger.bind(module=__name__)
 
-DEFAULT_ATTEMPTS = 1  # for a queue that is no longer in the configuration
-
 
 @define(eq=False)
 class JobRegistry:
@@ -315,12 +313,16 @@
     def add_failure(
         self, subtask: Subtask, run: int, attempts: int, now_ms: int
     ) -> None:
-        """Count a failed run once; the job fails after its last attempt."""
+        """Count a failed run once; the job fails after its last attempt.
+
+        While the number of attempts is not known, 0, the job does not fail: that
+        could not be undone.
+        """
         subtask.failures.add(run)
         if subtask.step.lasting or subtask.job.state.final:
             return
         self._update_attempts(subtask)
-        if len(subtask.failures) >= attempts and not subtask.done:
+        if 0 < attempts <= len(subtask.failures) and not subtask.done:
             detail = f"{subtask.name} has failed {attempts} times"
             self.finish(subtask.job, JobState.FAILED, now_ms, detail)
 
@@ -392,9 +394,3 @@
     """Return the pool of a job's queue, or the stored one if that is gone."""
     queue = config.queues_by_name.get(job.spec.queue)
     return job.spec.pool if queue is None else queue.pool
-
-
-def find_max_attempts(job: Job, config: FleetConfig) -> int:
-    """Return how often a subtask of the job may fail."""
-    queue = config.queues_by_name.get(job.spec.queue)
-    return DEFAULT_ATTEMPTS if queue is None else queue.attempts
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -29,6 +29,7 @@
 from hemlockstand.fleet.placement import Placer
 from hemlockstand.fleet.policy.waiting import LATE_FACTOR
 from hemlockstand.fleet.preemption import Preemptor
+from hemlockstand.fleet.queue_terms import find_terms
 from hemlockstand.fleet.reports import ExecutorReportHandler
 from hemlockstand.fleet.settings import FleetSettings
 from hemlockstand.fleet.share_report import ShareReporter
@@ -274,11 +275,9 @@
         return job_id in self._unreadable_jobs and job_id not in known
 
     def _set_deadline(self, job: Job) -> None:
-        queue = self.state.config.queues_by_name.get(job.spec.queue)
-        factor = 1.0 if queue is None else queue.slack_factor
-        objective = 0.0 if queue is None else queue.objective_ms / 1000
+        terms = find_terms(job.spec, self.state.config)
         chain = estimate_chain_seconds(job.spec, self.state.registry.durations)
-        job.objective_seconds = factor * chain + objective
+        job.objective_seconds = terms.slack_factor * chain + terms.objective_ms / 1000
         job.deadline = job.accepted_at + LATE_FACTOR * job.objective_seconds
 
     def _cancel(self, job_id: str, now_ms: int) -> None:
--- a/hemlockstand/fleet/load_publisher.py
+++ b/hemlockstand/fleet/load_publisher.py
@@ -29,6 +29,7 @@
 from hemlockstand.fleet.plans import InstancePlans
 from hemlockstand.fleet.policy.admission import MIN_RUNS, get_seconds, measure_work
 from hemlockstand.fleet.policy.waiting import Timeliness, judge_timeliness
+from hemlockstand.fleet.queue_terms import find_terms
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.work import StepRun
 from hemlockstand.platform.rows import MAX_ROW_BYTES
@@ -240,8 +241,7 @@
                 queue_sums.expected += count * measure.expected
                 queue_sums.estimated += count * measure.estimated
                 queue_sums.runs = min(queue_sums.runs, measure.runs)
-            queue = config.queues_by_name.get(job.spec.queue)
-            key = 0 if queue is None else queue.priority, job.spec.tenant
+            key = find_terms(job.spec, config).priority, job.spec.tenant
             known = pool.waiting.setdefault(key, _WaitingSums())
             if timeliness is Timeliness.LATE:
                 known.late += work
--- a/hemlockstand/fleet/model.py
+++ b/hemlockstand/fleet/model.py
@@ -73,6 +73,32 @@
     objective_ms: int
     advice: Advice | None = None
 
+    @property
+    def terms(self) -> "QueueTerms":
+        """What the queue says of how its jobs run."""
+        return QueueTerms(
+            self.attempts,
+            self.priority,
+            self.slack_factor,
+            self.objective_ms,
+            self.advice,
+        )
+
+
+@frozen
+class QueueTerms:
+    """What a queue says of how its jobs run, beside the pool.
+
+    A job keeps the terms that held when it was accepted, since its queue may
+    leave the configuration. ``attempts`` is 0 if it is not known.
+    """
+
+    attempts: int = 0
+    priority: int = 0
+    slack_factor: float = 1.0
+    objective_ms: int = 0
+    advice: Advice | None = None
+
 
 @frozen
 class Pool:
@@ -119,6 +145,11 @@
         """The queues by name."""
         return {queue.name: queue for queue in self.queues}
 
+    @cached_property
+    def terms_by_queue(self) -> Mapping[str, QueueTerms]:
+        """The terms of the queues by name."""
+        return {queue.name: queue.terms for queue in self.queues}
+
     @cached_property
     def tenants_by_key(self) -> Mapping[str, Tenant]:
         """The tenants by each of their keys."""
@@ -244,7 +275,8 @@
     """A job as it was accepted.
 
     ``repeats`` greater than 0 makes occurrence K due at ``start_at_ms`` plus
-    K times ``interval_ms``, Unix time.
+    K times ``interval_ms``, Unix time. ``terms`` are those of the queue at that
+    time; jobs that an earlier version stored have none.
     """
 
     id: str
@@ -257,6 +289,7 @@
     start_at_ms: int = 0
     interval_ms: int = 0
     accepted_ms: int = 0
+    terms: QueueTerms = field(factory=QueueTerms)
 
     @property
     def occurrences(self) -> int:
--- a/hemlockstand/fleet/placement.py
+++ b/hemlockstand/fleet/placement.py
@@ -28,6 +28,7 @@
 from hemlockstand.fleet.policy.placing import PoolRoom, order_by_shares
 from hemlockstand.fleet.policy.shares import PoolShares, measure_shares
 from hemlockstand.fleet.policy.waiting import StepRank, rank_step
+from hemlockstand.fleet.queue_terms import find_terms
 from hemlockstand.fleet.work import StepRun, Subtask
 
 # A subtask that failed or made no progress on an executor avoids it if at
@@ -283,8 +284,7 @@
 
 def is_restricted(step_run: StepRun, config: FleetConfig) -> bool:
     """Return whether the policy of a step's queue has to allow each executor."""
-    queue = config.queues_by_name.get(step_run.job.spec.queue)
-    return queue is not None and queue.advice is not None
+    return find_terms(step_run.job.spec, config).advice is not None
 
 
 def is_usable(executor: Executor, now: float) -> bool:
--- a/hemlockstand/fleet/policy/waiting.py
+++ b/hemlockstand/fleet/policy/waiting.py
@@ -10,7 +10,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from hemlockstand.fleet.model import FleetConfig, JobSpec, Queue
+from hemlockstand.fleet.model import FleetConfig, JobSpec
+from hemlockstand.fleet.queue_terms import find_terms
 from hemlockstand.fleet.work import StepRun
 
 LATE_FACTOR = 3.0  # a job is worth nothing after three times its objective
@@ -69,14 +70,13 @@
 
 def rank_step(step_run: StepRun, config: FleetConfig, now: float) -> StepRank:
     """Return the sort key of a waiting step at a time of the scheduler."""
-    queue: Queue | None = config.queues_by_name.get(step_run.job.spec.queue)
     job = step_run.job
     lasting = step_run.step.lasting
     timeliness = Timeliness.IN_TIME if lasting else judge_timeliness(step_run, now)
     return StepRank(
         short_lived=not lasting,
         worthless=timeliness is Timeliness.WORTHLESS,
-        priority=0 if queue is None else queue.priority,
+        priority=find_terms(job.spec, config).priority,
         standing=Standing.BELOW,
         timeliness=timeliness,
         not_begun=not (step_run.position or step_run.has_begun),
--- a/hemlockstand/fleet/preemption.py
+++ b/hemlockstand/fleet/preemption.py
@@ -31,6 +31,7 @@
     plan_preemptions,
 )
 from hemlockstand.fleet.policy.usage import limit_need
+from hemlockstand.fleet.queue_terms import find_terms
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.work import Run, RunState, StepRun, Subtask
 
@@ -163,12 +164,11 @@
         """
         held = {hold.step_run for holds in self.holds.values() for hold in holds}
         count = 0
-        last = max(queue.priority for queue in config.queues)
+        last = max((queue.priority for queue in config.queues), default=0)
         by_share = self.state.settings.preemption.basis == "share"
         for step_run in list(self.state.registry.ready.values()):
             job = step_run.job
-            queue = config.queues_by_name.get(job.spec.queue)
-            if queue is None or (queue.priority == last and not by_share):
+            if find_terms(job.spec, config).priority >= last and not by_share:
                 continue
             if not is_eligible(step_run) or step_run in held:
                 continue
@@ -325,13 +325,11 @@
         key = (other.job.id, other.name)
         if run.percent <= self._stopped_at_percent.get(key, -1):
             return None
-        own = config.queues_by_name.get(waiting.job.spec.queue)
-        queue = config.queues_by_name.get(other.job.spec.queue)
-        if own is None or queue is None:
-            return None
-        if own.priority < queue.priority:
+        own = find_terms(waiting.job.spec, config).priority
+        others = find_terms(other.job.spec, config).priority
+        if own < others:
             return Reason.PRIORITY
-        if own.priority > queue.priority:
+        if own > others:
             return None
         if self.state.settings.preemption.basis != "share":
             return None
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -8,13 +8,13 @@
 from hemlockstand.fleet.copies import has_place_for_run, mark_copy, record_done
 from hemlockstand.fleet.eviction import find_movable, find_stalled
 from hemlockstand.fleet.executors import MIN_CLOCK_RATE, Executor
-from hemlockstand.fleet.job_registry import find_max_attempts
 from hemlockstand.fleet.metrics import CRASHES, ENDS
 from hemlockstand.fleet.model import EndEntry, EndKind, HoldAnswer, JobState, RunEntry
 from hemlockstand.fleet.orders import RESTART_DELAY_SECONDS, Orders
 from hemlockstand.fleet.pacing import find_pace_changes
 from hemlockstand.fleet.policy.copies import MAX_COPIES
 from hemlockstand.fleet.policy.crashes import CrashedRun, is_cleared, judge_crash
+from hemlockstand.fleet.queue_terms import find_terms
 from hemlockstand.fleet.run_times import measure_run
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.takeover_barrier import TakeoverBarrier
@@ -125,7 +125,7 @@
         subtask.avoid.add(executor.id)
         self._count_failure(executor)
         job = subtask.job
-        attempts = find_max_attempts(job, self.state.config)
+        attempts = find_terms(job.spec, self.state.config).attempts
         self.state.registry.add_failure(subtask, run, attempts, now_ms)
         if job.state.final:
             self.orders.stop_runs(job)
--- a/hemlockstand/fleet/submissions.py
+++ b/hemlockstand/fleet/submissions.py
@@ -33,6 +33,7 @@
         pool=old.spec.pool,
         tenant=old.spec.tenant,
         accepted_ms=old.spec.accepted_ms,
+        terms=old.spec.terms,
     )
     if same_config == old.spec:
         return ""
--- a/hemlockstand/platform/decoding.py
+++ b/hemlockstand/platform/decoding.py
@@ -315,6 +315,7 @@
         start_at_ms=fields.integer("StartAtMs", 0),
         interval_ms=fields.integer("IntervalMs", 0),
         accepted_ms=now_ms,
+        terms=queue.terms,
     )
     _check_size(spec)
     return spec
@@ -335,6 +336,10 @@
     times = (spec.repeats, spec.start_at_ms, spec.interval_ms, spec.accepted_ms)
     if not spec.steps or not all(0 <= time <= MAX_INTEGER for time in times):
         raise InvalidInput("job: has no steps, or a time out of range")
+    terms = spec.terms
+    numbers = (terms.attempts, terms.priority, terms.slack_factor, terms.objective_ms)
+    if not all(0 <= number <= MAX_INTEGER for number in numbers):
+        raise InvalidInput("job: the terms of its queue have a number out of range")
     for position, step in enumerate(spec.steps):
         what = f"job: step {position}"
         numbers = (
--- a/test/fleet_world.py
+++ b/test/fleet_world.py
@@ -216,7 +216,10 @@
         if work is not None:
             self.work[job] = work
         self.specs[job] = steps
-        spec = JobSpec(job, "queue", "pool", tenant, "payload", steps, **values)
+        queue = self.configuration.current.queues_by_name["queue"]
+        spec = JobSpec(
+            job, "queue", "pool", tenant, "payload", steps, terms=queue.terms, **values
+        )
         write = job_write(spec)
         self.store.apply(Transaction((write,), (), ()))
         return job
--- a/test/test_fleet_frontend.py
+++ b/test/test_fleet_frontend.py
@@ -147,11 +147,11 @@
 async def test_same_job_twice_is_one_job(frontend, autojump_clock):
     """Guards against a repeated submission that adds a job or is refused.
 
-    The configuration may change the queue's pool between the two.
+    The configuration may change the queue's pool and terms between the two.
     """
     assert (await frontend.call("POST", body=BODY))[0] == 200
     config = frontend.kernel.configuration.current
-    queue = attrs.evolve(config.queues[0], pool="standby")
+    queue = attrs.evolve(config.queues[0], pool="standby", attempts=7)
     frontend.kernel.configuration.current = attrs.evolve(config, queues=(queue,))
     assert (await frontend.call("POST", body=BODY))[0] == 200
     assert len(frontend.model.rows) == 1
