Store the cancel of a job whose own write may still arrive

Cause: the cancel of a job without a row stored nothing, so a write that was on its way still found its condition true.

Ruled out: a cancel that was stored and overlooked; the store had no row of it. It needs no cut either: a store that applies a write late has the same effect (the new test).

Change: such a cancel is stored, under the condition that the job still has no row and that the cancel's row is as it was read; 410 follows once it is. The scheduler keeps cancels of unknown jobs and applies them when the row comes, in the same term or a later one. The row names the workspaces that asked, as a cancel that comes first must not apply to another workspace's job.

Why it works: whichever of the two rows comes first, both are there in the end, and a job with a cancel never starts.

--- a/hemlockstand/fleet/frontend.py
+++ b/hemlockstand/fleet/frontend.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from collections.abc import Sequence
 
 import trio
 from attrs import frozen
@@ -15,13 +16,16 @@
 from hemlockstand.errors import InvalidInput, OutcomeUnknown, PlatformUnavailable
 from hemlockstand.fleet.admission_control import AdmissionControl
 from hemlockstand.fleet.configuration import FleetConfigurationService
+from hemlockstand.fleet.early_cancels import KEEP_SECONDS
 from hemlockstand.fleet.metrics import ANSWERS, REQUEST_SECONDS, render_metrics
-from hemlockstand.fleet.model import FleetConfig, JobState, Queue
+from hemlockstand.fleet.model import NO_TENANT, FleetConfig, JobState, Queue
 from hemlockstand.fleet.services import RowStoreService
 from hemlockstand.fleet.settings import FleetSettings
 from hemlockstand.fleet.storage import (
+    JOBS_TABLE,
     PENDING_KEY,
     SCHEDULER_TABLE,
+    CancelRecord,
     JobRows,
     cancel_write,
     decode_pending,
@@ -29,7 +33,6 @@
     read_job,
 )
 from hemlockstand.fleet.submissions import (
-    NO_TENANT,
     FindDifference,
     describe_step,
     find_difference,
@@ -50,6 +53,7 @@
     RowExpectation,
     RowsRefused,
     RowWrite,
+    StoredRow,
 )
 from hemlockstand.serving.bodies import BodyTooLarge, read_body
 from hemlockstand.serving.budget import BODY_FACTOR
@@ -69,6 +73,8 @@
 # Parts of what clients may use. A crowd of callers leaves the balancer's checks
 # and the metrics their own part.
 ENDPOINT_SHARES = {"callers": CALLERS_SHARE, "readiness": 0.125, "metrics": 0.125}
+# Each attempt after the first follows a change of the job's rows.
+CANCEL_ATTEMPTS = 3
 TOO_LARGE_JOB = "the job does not fit into a row of the store"
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -97,6 +103,27 @@
     return Answer(status, encode_error(detail), seconds if status in (429, 503) else 0)
 
 
+def _is_foreign(rows: JobRows, job: str, tenant: str) -> bool:
+    """Return whether a job is of another workspace, which is not told of it."""
+    if rows.spec is None or rows.spec.tenant in (NO_TENANT, tenant):
+        return False
+    log.info("job of another workspace was asked for", job=job, tenant=tenant)
+    return True
+
+
+def _has_recent_cancel(rows: JobRows, tenant: str, now_ms: int) -> bool:
+    """Return whether a stored cancel of a tenant is kept for long enough."""
+    cancel = rows.cancel
+    if cancel is None or tenant not in cancel.tenants:
+        return False
+    return now_ms - cancel.at_ms < KEEP_SECONDS * 1000 / 2
+
+
+def _describe_conflict(write: RowWrite, rows: Sequence[StoredRow]) -> str:
+    """Return why a cancel that expects no job was not stored."""
+    return f"the rows of {write.key} have changed"
+
+
 def make_metrics_app() -> QuartTrio:
     """Return the application that serves the metrics."""
     app = QuartTrio(__name__ + ".metrics")
@@ -322,42 +349,65 @@
         return answer
 
     async def _cancel(self, job: str, call: Call, tenant: str) -> Answer:
-        rows = await self._read_job(job, tenant)
-        if rows is None:
-            return refuse(503, "the store does not answer")
-        if rows.spec is None:
-            return refuse(410, "no such job")
+        """Store a cancel, also of a job that is not stored.
+
+        The write of the job may still arrive, which the answer 410 rules out: the
+        stored cancel then applies to it.
+        """
+        for _ in range(CANCEL_ATTEMPTS):
+            rows = await self._read_job(job)
+            if rows is None:
+                return refuse(503, "the store does not answer")
+            if _is_foreign(rows, job, tenant):
+                return refuse(410, "no such job")
+            if rows.spec is not None:
+                return await self._cancel_stored(job, call, tenant, rows)
+            now_ms = int(time.time() * 1000)
+            if _has_recent_cancel(rows, tenant, now_ms):
+                return refuse(410, "no such job")
+            earlier = () if rows.cancel is None else rows.cancel.tenants
+            record = CancelRecord(now_ms, tuple(sorted({tenant, *earlier})))
+            write = cancel_write(job, record)
+            expected = (
+                RowExpectation(JOBS_TABLE, job, 0, write.part),
+                RowExpectation(write.table, write.key, rows.cancel_version, write.part),
+            )
+            # After a lost answer, a conflict may be with the write itself.
+            answer = await self._store(call, write, expected, _describe_conflict)
+            log.info("cancel of an absent job stored", job=job, outcome=answer.status)
+            if answer.status == 200:
+                return refuse(410, "no such job")
+            if answer.status != 409:
+                return answer
+        return refuse(503, "the job is being changed")
+
+    async def _cancel_stored(
+        self, job: str, call: Call, tenant: str, rows: JobRows
+    ) -> Answer:
         if rows.state.final:
             return Answer(200, encode_state(rows.state))
-        write = cancel_write(job, int(time.time() * 1000))
-        answer = await self._store(call, write)
+        record = CancelRecord(int(time.time() * 1000), (tenant,))
+        answer = await self._store(call, cancel_write(job, record))
         log.info("cancel requested", job=job, outcome=answer.status)
         if answer.status == 200:
             return Answer(200, encode_state(JobState.CANCELLED))
         return answer
 
     async def _answer_state(self, job: str, tenant: str) -> Answer:
-        rows = await self._read_job(job, tenant)
+        rows = await self._read_job(job)
         if rows is None:
             return refuse(503, "the store does not answer")
-        if rows.spec is None:
+        if rows.spec is None or _is_foreign(rows, job, tenant):
             return refuse(410, "no such job")
         return Answer(200, encode_state(rows.state))
 
-    async def _read_job(self, job: str, tenant: str) -> JobRows | None:
-        """Return a job's rows, or None if the store does not answer.
-
-        A job of another workspace is as absent as one that does not exist.
-        """
+    async def _read_job(self, job: str) -> JobRows | None:
+        """Return a job's rows, or None if the store does not answer."""
         try:
-            rows = await read_job(self._rows, job)
+            return await read_job(self._rows, job)
         except PlatformUnavailable as error:
             log.info("job not read from the store", job=job, detail=str(error))
             return None
-        if rows.spec is not None and rows.spec.tenant not in (NO_TENANT, tenant):
-            log.info("job of another workspace was asked for", job=job, tenant=tenant)
-            return JobRows()
-        return rows
 
     async def _answer_pending(self, queue: Queue) -> Answer:
         try:
--- a/hemlockstand/fleet/leader.py
+++ b/hemlockstand/fleet/leader.py
@@ -14,6 +14,7 @@
 from hemlockstand.fleet.copies import CopyStarter
 from hemlockstand.fleet.durations import estimate_chain_seconds
 from hemlockstand.fleet.durations_row import load_durations
+from hemlockstand.fleet.early_cancels import EarlyCancels
 from hemlockstand.fleet.evacuations import EvacuationManager
 from hemlockstand.fleet.executor_directory import ExecutorDirectory
 from hemlockstand.fleet.executors import Executor
@@ -38,6 +39,7 @@
 from hemlockstand.fleet.storage import (
     JOBS_TABLE,
     SCHEDULER_TABLE,
+    CancelRecord,
     WaveRecord,
     group_job_rows,
     read_jobs,
@@ -129,6 +131,7 @@
         )
         self._preemptor = Preemptor(self.state, self._orders, self._placer)
         self._share_reporter = ShareReporter(self._placer.shares)
+        self._early_cancels = EarlyCancels(rows)
         self._wave_records: dict[int, WaveRecord | None] = {}
         self._unreadable_jobs: set[str] = set()
         self._leaving = trio.Event()
@@ -165,6 +168,7 @@
         start_soon(self._tick_forever)
         start_soon(self._share_reporter.run, self.state.clock)
         start_soon(self._instances.run)
+        start_soon(self._early_cancels.run)
         start_soon(self._ticket_cache.run)
         await self._commits.run(self._leaving)
         await self._finish()
@@ -265,8 +269,9 @@
                 self.state.registry.dirty_blocks.update(
                     (job_id, block) for block in found.attempts
                 )
-            if found.cancelled:
-                self._cancel(job_id, now_ms)
+            cancel = found.cancel or self._early_cancels.find(job_id)
+            if cancel is not None:
+                self._cancel(job_id, cancel, now_ms)
         if self.state.registry.dirty or self.state.registry.dirty_blocks:
             self.state.request_commit()
 
@@ -280,9 +285,13 @@
         job.objective_seconds = terms.slack_factor * chain + terms.objective_ms / 1000
         job.deadline = job.accepted_at + LATE_FACTOR * job.objective_seconds
 
-    def _cancel(self, job_id: str, now_ms: int) -> None:
+    def _cancel(self, job_id: str, cancel: CancelRecord, now_ms: int) -> None:
         job = self.state.registry.jobs.get(job_id)
-        if job is None or job.state.final:
+        if job is None:
+            self._early_cancels.add(job_id, cancel)
+            return
+        self._early_cancels.discard(job_id)
+        if job.state.final or not cancel.applies_to(job.spec.tenant):
             return
         job.cancelled = True
         self.state.registry.finish(job, JobState.CANCELLED, now_ms)
--- a/hemlockstand/fleet/model.py
+++ b/hemlockstand/fleet/model.py
@@ -11,6 +11,10 @@
 
 from attrs import field, frozen
 
+# Owner of a job that was submitted without a key, to a public queue. Every caller
+# may follow and cancel it.
+NO_TENANT = ""
+
 
 @frozen
 class Resources:
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -23,7 +23,13 @@
 from hemlockstand.documents import decode_document
 from hemlockstand.errors import InvalidInput, PlatformUnavailable
 from hemlockstand.fleet.bit_sets import decode_bits
-from hemlockstand.fleet.model import JobAttempts, JobSpec, JobState, JobStatus
+from hemlockstand.fleet.model import (
+    NO_TENANT,
+    JobAttempts,
+    JobSpec,
+    JobState,
+    JobStatus,
+)
 from hemlockstand.platform.decoding import check_job
 from hemlockstand.platform.rows import (
     RowKey,
@@ -60,19 +66,44 @@
 _attempts_decoder = msgspec.json.Decoder(JobAttempts)
 
 
+@frozen
+class CancelRecord:
+    """A cancel that callers of some tenants have requested, last at ``at_ms``.
+
+    It may be stored before the job, whose submission then has no effect. In a
+    row of an earlier version, ``tenants`` is empty and the cancel applies to any
+    job, as the job was there.
+    """
+
+    at_ms: int = 0
+    tenants: tuple[str, ...] = ()
+
+    def applies_to(self, tenant: str) -> bool:
+        """Return whether it cancels a job of a tenant."""
+        return not self.tenants or tenant in (NO_TENANT, *self.tenants)
+
+
 @frozen
 class JobRows:
-    """The rows of one job as read; ``version`` is that of the job's row.
+    """The rows of one job as read, with the versions of the job and its cancel.
 
     ``attempts`` holds the rows of failures and crashes by block of subtasks.
     """
 
     spec: JobSpec | None = None
     status: JobStatus | None = None
-    cancelled: bool = False
+    cancel: CancelRecord | None = None
     version: int = 0
+    cancel_version: int = 0
     attempts: Mapping[int, JobAttempts] = field(factory=dict)
 
+    @property
+    def cancelled(self) -> bool:
+        """Whether the job is there and cancelled."""
+        if self.spec is None or self.cancel is None:
+            return False
+        return self.cancel.applies_to(self.spec.tenant)
+
     @property
     def state(self) -> JobState:
         """State that is shown to callers."""
@@ -169,15 +200,23 @@
     return job[-1]
 
 
+_cancel_decoder = msgspec.json.Decoder(CancelRecord)
+
+
 def job_write(spec: JobSpec) -> RowWrite:
     """Return the row of an accepted job."""
     return RowWrite(JOBS_TABLE, spec.id, encode_compact(spec), job_part(spec.id))
 
 
-def cancel_write(job: str, now_ms: int) -> RowWrite:
+def cancel_write(job: str, record: CancelRecord) -> RowWrite:
     """Return the row that cancels a job."""
-    value = str(now_ms).encode()
-    return RowWrite(JOBS_TABLE, job + _CANCEL, value, job_part(job))
+    key = cancel_key(job)
+    return RowWrite(key.table, key.key, encode_compact(record), key.part)
+
+
+def cancel_key(job: str) -> RowKey:
+    """Return the key of the row that cancels a job."""
+    return RowKey(JOBS_TABLE, job + _CANCEL, job_part(job))
 
 
 def status_write(job: str, status: JobStatus) -> RowWrite:
@@ -198,11 +237,7 @@
 
 def expired_keys(job: str) -> tuple[RowKey, RowKey]:
     """Return the keys of the rows that a job has in its own part."""
-    part = job_part(job)
-    return (
-        RowKey(JOBS_TABLE, job, part),
-        RowKey(JOBS_TABLE, job + _CANCEL, part),
-    )
+    return RowKey(JOBS_TABLE, job, job_part(job)), cancel_key(job)
 
 
 def group_rows(rows: Iterable[StoredRow]) -> dict[str, JobRows]:
@@ -248,8 +283,8 @@
     if row.table == ATTEMPTS_TABLE:
         return _add_attempts(known, kind, row)
     if row.table != STATES_TABLE and kind == "cancel":
-        # The key tells everything; the value is only for people.
-        return attrs.evolve(known, cancelled=True)
+        cancel = _decode_cancel(row)
+        return attrs.evolve(known, cancel=cancel, cancel_version=row.version)
     if row.table != STATES_TABLE and "/" in row.key:
         return known
     if row.value is None:
@@ -264,6 +299,18 @@
     return attrs.evolve(known, spec=spec, version=row.version)
 
 
+def _decode_cancel(row: StoredRow) -> CancelRecord:
+    """Return a cancel; one that cannot be decoded applies to any job.
+
+    Earlier versions stored only the time.
+    """
+    try:
+        return decode_document(_cancel_decoder, row.value or b"")
+    except msgspec.DecodeError as error:
+        log.debug("row {}/{} has no tenants: {}", row.table, row.key, error)
+        return CancelRecord()
+
+
 def _add_attempts(known: JobRows, block: str, row: StoredRow) -> JobRows:
     if not block.isdecimal():
         raise InvalidInput(f"{block!r} is no number of a block of subtasks")
--- a/hemlockstand/fleet/submissions.py
+++ b/hemlockstand/fleet/submissions.py
@@ -4,14 +4,10 @@
 
 import attrs
 
-from hemlockstand.fleet.model import Step
+from hemlockstand.fleet.model import NO_TENANT, Step
 from hemlockstand.fleet.storage import group_rows
 from hemlockstand.platform.rows import RowWrite, StoredRow, make_stored_row
 
-# Owner of a job that was submitted without a key, to a public queue. Every caller
-# may follow and cancel it.
-NO_TENANT = ""
-
 FindDifference = Callable[[RowWrite, Sequence[StoredRow]], str]
 
 
