Count the leases that a later lifetime of an executor may have taken

Cause: no call names the lifetime that it is meant for, and the clock of a new one starts anew. A start or a poll with an end by the earlier clock gave the new lifetime a lease as long as any (10 s), while the scheduler counted with the 3.7 s that it had granted, took the new clock from the answer without noticing, and started the run elsewhere once the shorter time was over.

Ruled out: runs of the former lifetime, which end with it; a wrong order of lists. The idle executor was covered (`_unconfirmed`), the busy one was not, since a poll that was open when the executor fell silent hides the restart for up to 1.4 s.

Change: `ExecutorLeases` keeps three ends: of leases by the clock of the lifetime that took them, of those that the present lifetime may have taken by an earlier clock, and of those that an unknown lifetime may have taken. A run counts as confirmed once a list names it or the clock in the answer to its start shows the same lifetime; the others wait for the longest lease. A clock that has gone back shows a restart at once. A scheduler expects such leases of its predecessor from lifetimes that began shortly before its term.

Why it works: each lease that the executor may hold is in one of the three, whichever lifetime has taken the call.

A restart that has neither been reported nor noticed, a kill of the scheduler and a cut of that executor, all before any answer, are not covered: the next scheduler cannot tell it from a cut.

The soak has longer jobs, and a flag for the kinds of its faults. A call that a lifetime of a stand-in had in progress gets no answer from the next one.

--- a/bench/fleet_mutations.py
+++ b/bench/fleet_mutations.py
@@ -24,8 +24,8 @@
         "Fleet: work of a lost executor runs elsewhere",
         "an executor that does not answer gets no new lease",
         "hemlockstand/fleet/executors.py",
-        "if self._clock_ms is None or self.failing_since is not None:",
-        "if self._clock_ms is None:",
+        "if not self._leases.can_grant or self.failing_since is not None:",
+        "if not self._leases.can_grant:",
         SCHEDULER_TESTS,
     ),
     Mutation(
@@ -80,8 +80,8 @@
         "Fleet: no subtask runs twice while its executor is cut off",
         "runs are given up only when their lease has certainly expired",
         "hemlockstand/fleet/executors.py",
-        "if now > self.runs_end_at + LEASE_EXPIRY_MARGIN_SECONDS:",
-        "if True:",
+        "if now > self._find_run_end(subtask) + LEASE_EXPIRY_MARGIN_SECONDS",
+        "if True",
         SCHEDULER_TESTS,
     ),
     Mutation(
@@ -431,6 +431,14 @@
         "return self.acked",
         SILENT_RESTART_TESTS,
     ),
+    Mutation(
+        "Fleet: no subtask runs twice beside a run of an unnoticed lifetime",
+        "a run without an answer counts for as long as any lease may last",
+        "hemlockstand/fleet/executor_leases.py",
+        "return end if confirmed else max(end, self.later_end)",
+        "return end",
+        SILENT_RESTART_TESTS,
+    ),
     Mutation(
         "Fleet: budgets hold over takeovers",
         "nothing with a budget is stopped beside stops of the previous scheduler",
--- a/emulator/fleet_platform.py
+++ b/emulator/fleet_platform.py
@@ -197,10 +197,14 @@
             model.handle_hold(body.get("DueMs"), body["FencingToken"], body["Acked"])
         except OrderRefused:
             return jsonify({"Reason": "fence", "ClockMs": model.clock_ms}), 409
+        lifetime = model.born_ms
         give_up_at = trio.current_time() + body.get("WaitMs", 0) / 1000
         while not model.ends and trio.current_time() < give_up_at:
             await trio.sleep(0.02)
             model.advance()
+            if model.born_ms != lifetime:
+                # The process that had the call has ended.
+                await trio.sleep_forever()
         return jsonify(show_lists(model.make_hold_answer())), 200
 
     async def _list_machines(self) -> Response:
--- a/emulator/soak.py
+++ b/emulator/soak.py
@@ -17,7 +17,7 @@
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 from random import Random
 
@@ -29,7 +29,7 @@
 from emulator.network import Network, reserve_network
 from emulator.processes import Child, ChildGroup
 from emulator.soak_checks import POLL_SECONDS, RECOVERY_SECONDS, Checks
-from emulator.soak_faults import Fault, apply_fault, draw_rounds
+from emulator.soak_faults import FAULTS, Fault, apply_fault, draw_rounds
 from emulator.soak_jobs import CALL_SECONDS, Callers
 from emulator.soak_platform import PLATFORM_PORT, QUEUES, SETTINGS, SoakPlatform
 
@@ -261,11 +261,21 @@
         yield f"logs: {self.group.directory}"
 
 
-async def run_soak(seed: int, minutes: float, daemons: int, directory: Path) -> Soak:
-    """Play the schedule of a seed, and return the soak with its findings."""
+async def run_soak(
+    seed: int,
+    minutes: float,
+    daemons: int,
+    directory: Path,
+    kinds: Sequence[str] = (),
+) -> Soak:
+    """Play the schedule of a seed, and return the soak with its findings.
+
+    The faults are of some ``kinds``, or of all.
+    """
     network = reserve_network()
     group = ChildGroup(directory)
-    rounds = draw_rounds(Random(seed), max(1, round(minutes * ROUNDS_PER_MINUTE)))
+    number = max(1, round(minutes * ROUNDS_PER_MINUTE))
+    rounds = draw_rounds(Random(seed), number, kinds)
     soak = Soak(seed, rounds, network, group, Checks())
     limits = httpx.Limits(max_connections=None)
     try:
@@ -291,7 +301,9 @@
     logging.getLogger("httpx").setLevel(logging.WARNING)
     directory.mkdir(parents=True, exist_ok=True)
     print(f"seed {seed}, logs in {directory}", flush=True)
-    soak = trio.run(run_soak, seed, values.minutes, values.daemons, directory)
+    soak = trio.run(
+        run_soak, seed, values.minutes, values.daemons, directory, values.kinds
+    )
     print("\n".join(soak.report()))
     if soak.checks.violations:
         sys.exit(1)
@@ -303,5 +315,11 @@
     flags.DEFINE_integer("replay", None, "Seed whose schedule is played again.")
     flags.DEFINE_float("minutes", 1.0, "Length; there are two rounds a minute.")
     flags.DEFINE_integer("daemons", 4, "Number of daemons.", 1, 100)
+    flags.DEFINE_list("kinds", [], "Kinds of faults, separated by commas; or all.")
+    flags.register_validator(
+        "kinds",
+        lambda kinds: set(kinds) <= FAULTS.keys(),
+        f"must be among {', '.join(FAULTS)}",
+    )
     flags.DEFINE_string("directory", None, "Directory of logs; a new one by default.")
     app.run(main)
--- a/emulator/soak_faults.py
+++ b/emulator/soak_faults.py
@@ -4,7 +4,7 @@
 its target is away through another fault.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -55,22 +55,25 @@
 ExecutorAction = Callable[["Soak", Fault, ExecutorModel], Awaitable[None]]
 
 
-def draw_rounds(random: Random, rounds: int) -> list[list[Fault]]:
-    """Return the faults of each round.
+def draw_rounds(
+    random: Random, rounds: int, kinds: Sequence[str] = ()
+) -> list[list[Fault]]:
+    """Return the faults of each round, of some kinds or of all.
 
     Some faults begin during the recovery from the one before, with the same
     target.
     """
-    return [list(_draw_round(random)) for _ in range(rounds)]
+    kinds = kinds or list(FAULTS)
+    return [list(_draw_round(random, kinds)) for _ in range(rounds)]
 
 
-def _draw_round(random: Random):
+def _draw_round(random: Random, kinds: Sequence[str]) -> Iterator[Fault]:
     at = random.uniform(0.5, 2.0)
     previous = None
     while at < STORM_SECONDS:
         fault = Fault(
             at,
-            random.choice(list(FAULTS)),
+            random.choice(kinds),
             random.uniform(0.3, 8.0),
             random.randrange(100),
             random.randint(1, 4),
@@ -266,6 +269,39 @@
     soak.platform.register(model)
 
 
+async def restart_before_cut(soak: "Soak", fault: Fault) -> None:
+    """Restart two executors unnoticed, and cut them off soon after."""
+    models = find_present(soak)
+    random = Random(fault.seconds)
+    async with trio.open_nursery() as nursery:
+        for model in random.sample(models, min(2, len(models))):
+            nursery.start_soon(_restart_before_cut, soak, model, random)
+
+
+async def _restart_before_cut(
+    soak: "Soak", model: ExecutorModel, random: Random
+) -> None:
+    """Restart an executor under its id, and cut it off after its report.
+
+    Connections stay open meanwhile, and what is sent on them is held up.
+    """
+    soak.checks.note(f"restart {model.id} silently")
+    model.unresponsive = True
+    soak.platform.set_executor_links(model.id, "drop")
+    model.crash()
+    await trio.sleep(random.uniform(0.3, 1.0))
+    model.restart()
+    soak.platform.set_executor_links(model.id, "up")
+    await trio.sleep(random.uniform(0.0, 1.4))
+    soak.platform.register(model)
+    await trio.sleep(random.uniform(0.2, 2.0))
+    soak.checks.note(f"cut off {model.id}")
+    soak.platform.set_executor_links(model.id, "drop")
+    await trio.sleep(random.uniform(3.0, 9.0))
+    soak.checks.note(f"{model.id} is back")
+    _return(soak, model)
+
+
 def _disconnect(soak: "Soak", model: ExecutorModel) -> None:
     model.unresponsive = True
     soak.platform.set_executor_links(model.id, "cut")
@@ -326,15 +362,20 @@
     return disturb_orders
 
 
+def find_present(soak: "Soak") -> list[ExecutorModel]:
+    """Return the executors that no fault concerns."""
+    return [
+        model
+        for model in soak.platform.executors.values()
+        if not model.unresponsive and not model.draining
+    ]
+
+
 def on_executor(action: ExecutorAction) -> Action:
     """Return a fault that acts on one executor, unless all are away."""
 
     async def act(soak: "Soak", fault: Fault) -> None:
-        models = [
-            model
-            for model in soak.platform.executors.values()
-            if not model.unresponsive and not model.draining
-        ]
+        models = find_present(soak)
         if models:
             await action(soak, fault, models[fault.position % len(models)])
 
@@ -360,6 +401,7 @@
     "silence": make_link_fault("silence"),
     "crash_executor": on_executor(crash_executor),
     "restart_executor": on_executor(restart_executor),
+    "restart_before_cut": restart_before_cut,
     "silence_executor": on_executor(silence_executor),
     "drain_executor": on_executor(drain_executor),
     "lose_start_answers": on_executor(make_order_fault("lost_answers")),
--- a/emulator/soak_jobs.py
+++ b/emulator/soak_jobs.py
@@ -16,6 +16,7 @@
 ATTEMPTS = 5
 JOBS_PER_SECOND = 1.5
 LASTING_SHARE = 0.2  # of the jobs that are submitted beside those that stay
+LONG_SHARE = 0.3  # of the jobs that end by themselves
 FINAL_STATES = ("completed", "failed", "cancelled")
 LASTING = float("inf")
 
@@ -88,6 +89,8 @@
         return Job(name, queue, "hinge", [step], [SubtaskBehaviour(LASTING, size=size)])
     size = Resources(random.choice((500, 1000, 2000)), 256)
     seconds = random.uniform(0.1, 1.5)
+    if random.random() < LONG_SHARE:
+        seconds = random.uniform(1.0, 12.0)
     fails = random.random() < 0.04
     steps, behaviours = [], []
     for position in range(random.choice((1, 1, 2, 3))):
--- a/hemlockstand/fleet/executor_events.py
+++ b/hemlockstand/fleet/executor_events.py
@@ -42,6 +42,14 @@
     def longest_lease_seconds(self) -> float:
         """Return the longest time for which an executor keeps any lease."""
 
+    def earlier_grants_end(self, born_ms: int) -> float:
+        """Return the latest end of leases granted to the lifetime before.
+
+        A lifetime that began at ``born_ms`` may have taken them from a previous
+        scheduler, by the clock of the lifetime before. The result is in the past
+        if there are none.
+        """
+
     def last_grant_end(self) -> float:
         """Return the latest end that a lease may have."""
 
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -10,7 +10,8 @@
   it has certainly expired.
 * After a restart (a new lifetime) the executor has none of its earlier runs. It
   may have runs that were ordered before the restart was known, so its lists in
-  the new lifetime decide.
+  the new lifetime decide. Such runs may have a longer lease than was granted, and
+  the executor may restart unnoticed and be cut off (``executor_leases``).
 * An answer lists a limited number of ends. Until the rest is read, a run that is
   in neither list may have ended, and does not count as lost.
 """
@@ -29,6 +30,7 @@
 )
 from hemlockstand.fleet.crash_record import CrashRecord
 from hemlockstand.fleet.executor_events import ExecutorEvents
+from hemlockstand.fleet.executor_leases import ExecutorLeases, Lifetime
 from hemlockstand.fleet.model import (
     EndEntry,
     ExecutorEntry,
@@ -39,6 +41,7 @@
 )
 from hemlockstand.fleet.work import Run, RunState, Subtask
 from hemlockstand.platform.executors import (
+    ORDER_TIMEOUT_SECONDS,
     ExecutorClient,
     ExecutorReplaced,
     OrderRefused,
@@ -46,7 +49,6 @@
 
 log = logger.bind(module=__name__)
 
-MIN_CLOCK_RATE = 0.98  # an executor's clock may run up to 2% slow
 RETRY_SECONDS = 0.3
 # Pause between polls of an executor that does not answer and has no runs.
 IDLE_RETRY_SECONDS = 0.7
@@ -98,7 +100,6 @@
     runs: dict[str, Subtask] = field(factory=dict)
     unknown_runs: frozenset[str] = frozenset()
     used: Resources = field(factory=Resources)
-    lease_expires_at: float = _NEVER
     failing_since: float | None = None
     failed_in_row: int = 0
     quarantined_until: float = _NEVER
@@ -114,20 +115,19 @@
     # It was idle and not polled, so it may have started again unnoticed.
     _unconfirmed: bool = False
     _added_at: float = field(init=False)
-    _longest_expires_at: float = _NEVER
+    _leases: ExecutorLeases = field(init=False)
     _listed_at: float = _NEVER  # time of its last answer with lists
     _forgotten: int = 0  # the last end that the executor has certainly dropped
     _restarted: bool = False  # the lists of the new lifetime were not read yet
     _left_drained: bool = False  # the earlier lifetime ended as it was meant to
     _logged_unread_ends_at: int = 0  # ``last_handled`` at that time
     _crash_record: CrashRecord = field(factory=CrashRecord)
-    _clock_ms: int | None = None
-    _clock_at: float = 0.0
     _wake: trio.Event = field(factory=trio.Event)
     _poll_scope: trio.CancelScope | None = None
 
     def __attrs_post_init__(self) -> None:
         self._added_at = self.clock()
+        self._leases = ExecutorLeases(self.clock)
         self._set_cold_time()
 
     @property
@@ -144,9 +144,17 @@
     def runs_end_at(self) -> float:
         """Time by which all runs have ended without further leases."""
         return max(
-            self.lease_expires_at, self._longest_expires_at, self.previous_lease_end
+            self.previous_lease_end,
+            self._leases.find_end(confirmed=True),
+            *(self._find_run_end(subtask) for subtask in self.runs.values()),
         )
 
+    def _find_run_end(self, subtask: Subtask) -> float:
+        """Return when a run has ended without further leases."""
+        run = subtask.find_run(self.id)
+        end = self._leases.find_end(run is not None and run.confirmed)
+        return max(self.previous_lease_end, end)
+
     @property
     def is_entry_current(self) -> bool:
         """Whether the entry in the store belongs to the present lifetime.
@@ -170,7 +178,7 @@
     @property
     def is_silent(self) -> bool:
         """Whether it has not answered for so long that a single call is no reason."""
-        if self._clock_ms is None and not self.reconciled:
+        if not self._leases.can_grant and not self.reconciled:
             return self.clock() >= self._added_at + FIRST_ANSWER_SECONDS
         if self.failing_since is None:
             return False
@@ -232,6 +240,8 @@
             if entry.born_ms > self.born_ms:
                 self._start_lifetime(entry.born_ms, "new entry")
         known, self.entry = self.entry, entry
+        if known.born_ms != entry.born_ms:
+            self.expect_earlier_leases(entry.born_ms)
         # An entry that is read again tells how long it was cold when written.
         if (known.born_ms, known.cold_remaining_ms) != (
             entry.born_ms,
@@ -241,39 +251,45 @@
         self.is_in_store = True
         self.wake()
 
+    def expect_earlier_leases(self, born_ms: int | None) -> None:
+        """Expect the leases that a lifetime may have of a previous scheduler."""
+        if born_ms is not None:
+            self._leases.expect_earlier(self.events.earlier_grants_end(born_ms))
+
     def _set_cold_time(self) -> None:
         """Set until when the executor is cold, from an entry just read."""
         self.cold_until = _NEVER
         if self.entry.cold_remaining_ms:
             self.cold_until = self.clock() + self.entry.cold_remaining_ms / 1000
 
-    def extend_lease(self) -> int | None:
+    def extend_lease(self, call_seconds: float = ORDER_TIMEOUT_SECONDS) -> int | None:
         """Extend the lease and return its end on the executor's clock.
 
-        Returns None if no lease may be granted. The executor's clock is
-        assumed to run as slow as it may, so that the lease has certainly
-        expired at ``lease_expires_at``.
+        Returns None if no lease may be granted. The call that grants it may be
+        under way for ``call_seconds``.
         """
         # The lease of an executor that does not answer is not extended: its
         # runs are started elsewhere once the lease has expired.
-        if self._clock_ms is None or self.failing_since is not None:
+        if not self._leases.can_grant or self.failing_since is not None:
             return None
         if self.lapse_stored:
             return None
         until = self.events.grant_end()
-        self.lease_expires_at = max(self.lease_expires_at, until)
-        if self._unconfirmed:
-            # By the clock of a new lifetime this may be as long as any lease.
-            longest = self.events.longest_lease_seconds()
-            self._longest_expires_at = self.clock() + longest
-        ahead = (until - self._clock_at) * 1000 * MIN_CLOCK_RATE
-        return self._clock_ms + int(ahead)
-
-    def update_clock(self, clock_ms: int | None) -> None:
-        """Store the executor's clock from a response that just arrived."""
-        if clock_ms is not None:
-            self._clock_ms = clock_ms
-            self._clock_at = self.clock()
+        longest = self.events.longest_lease_seconds()
+        return self._leases.grant(until, call_seconds, longest)
+
+    def check_lifetime(self, clock_ms: int | None, sent_at: float) -> bool:
+        """Return whether the known lifetime has answered an order.
+
+        If a later one has, the executor is asked for its lists at once.
+        """
+        lifetime = self._leases.check_clock(clock_ms, sent_at)
+        if lifetime is Lifetime.LATER:
+            log.info("executor {} has started again, by its clock", self.id)
+            self._leases.forget_clock()
+            self.reconciled = False
+            self.poll_now()
+        return lifetime is Lifetime.SAME
 
     def _needs_poll(self) -> bool:
         """Return whether there is something to learn from the executor.
@@ -339,8 +355,9 @@
             stops_end = self.events.previous_stops_end()
             wait = min(wait, max(0.0, stops_end - sent_at))
         fence = self.fence
-        answer = await self.client.hold(self.extend_lease(), fence, acked, wait)
-        self.update_clock(answer.clock_ms)
+        due_ms = self.extend_lease(ORDER_TIMEOUT_SECONDS + wait)
+        answer = await self.client.hold(due_ms, fence, acked, wait)
+        self._leases.set_clock(answer.clock_ms, sent_at)
         self._listed_at = self.clock()
         self._forgotten = max(acked, self._forgotten)
         self._reconcile(answer, sent_at, fence)
@@ -370,10 +387,14 @@
         if isinstance(error, ConnectionRefused):
             # The next scheduler may not learn what ran here, so count it now.
             self._report_crash(self.runs.values())
-        if now > self.runs_end_at + LEASE_EXPIRY_MARGIN_SECONDS:
-            self._crash_record.add_lapsed(self.id, self.runs.values())
-            for subtask in list(self.runs.values()):
-                self._report_lost(subtask, "lease has expired")
+        lapsed = [
+            subtask
+            for subtask in self.runs.values()
+            if now > self._find_run_end(subtask) + LEASE_EXPIRY_MARGIN_SECONDS
+        ]
+        self._crash_record.add_lapsed(self.id, lapsed)
+        for subtask in lapsed:
+            self._report_lost(subtask, "lease has expired")
         await trio.sleep(RETRY_SECONDS if self.runs else IDLE_RETRY_SECONDS)
 
     def _reconcile(self, answer: HoldAnswer, sent_at: float, fence: int) -> None:
@@ -382,8 +403,7 @@
             if self.born_ms is not None:
                 self._start_lifetime(answer.born_ms, "lists of runs")
             self.born_ms = answer.born_ms
-        elif self._unconfirmed:
-            self._longest_expires_at = _NEVER
+            self.expect_earlier_leases(answer.born_ms)
         self.shows_stops = sent_at > self.events.previous_stops_end()
         listed = {entry.subtask: entry for entry in answer.running}
         for end in answer.ended:
@@ -462,7 +482,7 @@
         log.info("executor {} starts a new lifetime", self.id, detail=reason)
         self._forget_ends()
         self.born_ms = born_ms
-        self._clock_ms = None
+        self._leases.start_lifetime()
         self.reconciled = False
         self._restarted = True
         self._left_drained = self.entry.draining
@@ -501,6 +521,7 @@
         # Without an answer it may have begun long before it is listed.
         run.start_unknown = run.state is RunState.UNSURE
         run.state = RunState.RUNNING
+    run.confirmed = True
     if run.answered_at is None:
         run.answered_at = now
     if percent != run.percent:
--- a/hemlockstand/fleet/lapses.py
+++ b/hemlockstand/fleet/lapses.py
@@ -17,7 +17,7 @@
 import msgspec
 from attrs import define, field, frozen
 
-from hemlockstand.fleet.executors import MIN_CLOCK_RATE, Executor
+from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.state import SchedulerState
 from hemlockstand.fleet.storage import SCHEDULER_TABLE, decode_rows, encode_compact
 from hemlockstand.platform.rows import RowWrite, StoredRow
@@ -96,6 +96,7 @@
         """Set what is known of the leases of an executor."""
         unknown = not self._loaded and self.state.lease.record.lapses
         executor.lapse_stored = unknown or executor.id in self._suspended
+        executor.expect_earlier_leases(executor.entry.born_ms)
         pool = executor.entry.pool
         if executor.id in self.inherited or pool in self.unreadable_pools:
             executor.previous_lease_end = self._find_previous_end(executor.id)
@@ -104,8 +105,7 @@
         if executor not in self._stored:
             return self.state.previous_grants_end
         end = self.state.lease.find_local_time(self._stored[executor])
-        longest = self.state.settings.bounds.longest_hold_ms / 1000 / MIN_CLOCK_RATE
-        return min(end, self.state.clock() + longest)
+        return min(end, self.state.clock() + self.state.longest_lease_seconds)
 
     def find_unknown_pools(self) -> set[str]:
         """Return the pools that may have executors with runs which are not known.
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -103,6 +103,7 @@
             self.ticket_cache.find_ticket(subtask.step_run, executor) or "",
         )
         self.open_starts += 1
+        sent_at = self.state.clock()
         try:
             outcome = await executor.client.start(
                 order, partial(self._may_start, executor)
@@ -121,10 +122,10 @@
         )
         match outcome:
             case Started(clock_ms):
-                executor.update_clock(clock_ms)
+                run.confirmed = executor.check_lifetime(clock_ms, sent_at)
                 self._handle_started(subtask, run, executor)
             case Refused(reason, clock_ms):
-                executor.update_clock(clock_ms)
+                executor.check_lifetime(clock_ms, sent_at)
                 self._handle_refused(subtask, run, executor, reason)
             case Unanswered(_, connection_lost):
                 run.connection_lost = connection_lost
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -7,7 +7,7 @@
 
 from hemlockstand.fleet.copies import has_place_for_run, mark_copy, record_done
 from hemlockstand.fleet.eviction import find_movable, find_stalled
-from hemlockstand.fleet.executors import MIN_CLOCK_RATE, Executor
+from hemlockstand.fleet.executors import Executor
 from hemlockstand.fleet.metrics import CRASHES, ENDS
 from hemlockstand.fleet.model import EndEntry, EndKind, HoldAnswer, JobState, RunEntry
 from hemlockstand.fleet.orders import RESTART_DELAY_SECONDS, Orders
@@ -45,8 +45,11 @@
 
     def longest_lease_seconds(self) -> float:
         """Return the longest time for which an executor keeps any lease."""
-        longest = self.state.settings.bounds.longest_hold_ms / 1000
-        return longest / MIN_CLOCK_RATE
+        return self.state.longest_lease_seconds
+
+    def earlier_grants_end(self, born_ms: int) -> float:
+        """Return the latest end of leases granted to the lifetime before."""
+        return self.state.find_earlier_grants_end(born_ms, int(time.time() * 1000))
 
     def last_grant_end(self) -> float:
         """Return the latest end that a lease may have."""
@@ -233,6 +236,7 @@
         run = Run(entry.run, executor.id, executor.fence, now)
         run.state = RunState.RUNNING
         run.answered_at = now
+        run.confirmed = True
         run.start_unknown = True
         run.percent = entry.percent
         run.percent_at = now
--- a/hemlockstand/fleet/work.py
+++ b/hemlockstand/fleet/work.py
@@ -38,6 +38,7 @@
     ordered_at: float
     state: RunState = RunState.STARTING
     answered_at: float | None = None
+    confirmed: bool = False  # it is in the executor's lifetime that is known
     connection_lost: bool = False  # while the executor had the start order
     percent: int = 0
     percent_at: float = 0.0
