Reset the connection of a call that is given up

Cause: a call that timed out or was cancelled closed its connection in the usual way, and the kernel went on sending its bytes.

Change: such a connection is reset, which drops what it has not delivered. A call that was answered closes as before.

A receiver that has the call already may still carry it out: this narrows the window, and the other mechanisms stay.

The listener of another test in the file ended with the error of the reset connection; it takes that for the end of the connection now.

--- a/hemlockstand/platform/connection.py
+++ b/hemlockstand/platform/connection.py
@@ -5,8 +5,11 @@
 ``httpcore``, the transport of ``httpx``, takes over three times the processor time.
 """
 
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from typing import Any
 
 import httptools
@@ -30,6 +33,7 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 KEEPALIVE_SECONDS = 30.0
 RECEIVE_BYTES = 65_536
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # lingers for no time
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 
 _decoder = msgspec.json.Decoder()
@@ -205,13 +209,14 @@
             self._replace(generation)
             kind = ConnectionRefused if _is_refused(error) else PlatformUnavailable
             raise kind(f"{name}: {error!r}") from error
-        reusable = False
+        reusable = complete = False
         try:
             if may_send is not None and not may_send():
-                reusable = True
+                reusable = complete = True
                 raise NotSent(f"{name} was not sent")
             with trio.fail_after(seconds):
                 reader = await _exchange(stream, request)
+            complete = True
             reusable = reader.reusable and generation == self._generation
         except (trio.BrokenResourceError, _ConnectionEnded) as error:
             self._replace(generation)
@@ -223,8 +228,10 @@
             # A call that was cancelled must not leave its response to the next.
             if reusable:
                 self._idle.append(_IdleStream(stream, trio.current_time()))
-            else:
+            elif complete:
                 stream.socket.close()
+            else:
+                _reset(stream)
         reply = reader.make_reply()
         self.bytes_received += len(reply.content)
         return reply
@@ -254,6 +261,17 @@
         self._close_idle()
 
 
+def _reset(stream: trio.SocketStream) -> None:
+    """Close a connection so that what it has not delivered is dropped.
+
+    After a usual close the kernel goes on sending a call that was given up, which
+    a partition may hold up for seconds.
+    """
+    with suppress(OSError):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+    stream.socket.close()
+
+
 def _is_refused(error: BaseException) -> bool:
     """Return whether every attempt to connect was refused."""
     match error.__cause__:
--- a/test/test_platform_connection.py
+++ b/test/test_platform_connection.py
@@ -1,5 +1,7 @@
 """Connections to the platform, against a listener on the loopback address."""
 
+from contextlib import suppress
+
 import pytest
 import trio
 
@@ -85,6 +87,42 @@
         yield listener
 
 
+class ClosingListener(Listener):
+    """Does not answer, and notes how its connections end."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ends: list[str] = []
+        self.ended = trio.Event()
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        try:
+            async for data in stream:
+                self.read += data
+            self.ends.append("closed")
+        except trio.BrokenResourceError:
+            self.ends.append("reset")
+        self.ended.set()
+
+
+@pytest.mark.parametrize("cancelled", [False, True])
+async def test_abandoned_call_is_not_delivered_later(nursery, cancelled):
+    """Guards against a call that arrives seconds after it was given up.
+
+    A reset drops what a partition holds up, a usual close does not.
+    """
+    async for listener in serve(nursery, ClosingListener()):
+        connection = Connection(listener.address)
+        with trio.move_on_after(0.1 if cancelled else 5) as scope:
+            with pytest.raises(OutcomeUnknown):
+                await connection.call("POST", "/a", 5 if cancelled else 0.1, {})
+        assert scope.cancelled_caught == cancelled
+        with trio.fail_after(5):
+            await listener.ended.wait()
+        assert listener.ends == ["reset"]
+
+
 async def test_read_is_repeated_on_a_new_connection(silent_listener):
     """Guards against a call that fails because one connection is silent."""
     store = RowStore(silent_listener.address)
@@ -118,7 +156,11 @@
     closes = False
 
     async def serve(self, stream: trio.SocketStream) -> None:
-        """Serve one connection."""
+        """Serve one connection, which the caller may reset."""
+        with suppress(trio.BrokenResourceError):
+            await self._serve(stream)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
         self.accepted += 1
         async for data in stream:
             self.read += data
