Tell a successor which executors have started again

Cause: a new scheduler told by `born` and the time of day which lifetimes may have leases of its predecessor by an earlier clock. Every executor younger than 21 s counted, so a takeover could wait 10.8 s for a silent one in place of 4 s.

Change: the lease row names the executors that have started again, with the end of the leases that their lifetime may have taken. A new scheduler takes these over. It expects the same of an executor whose entry has changed since its predecessor's last commit, and of one that answers as another lifetime than its entry says. No time of day is used.

--- a/hemlockstand/fleet/executor_directory.py
+++ b/hemlockstand/fleet/executor_directory.py
@@ -177,6 +177,12 @@
             self.state.settings.scheduler.hold_seconds,
         )
         self.lapses.prepare(executor)
+        lease = self.state.lease
+        executor.expect_leases(lease.restarted.get(entry.id, _NEVER))
+        changed = self._versions.get(entry.id, 0) > lease.previous_version
+        if changed and not entry.draining:
+            # The previous scheduler may not have known of this lifetime.
+            executor.expect_previous_leases()
         self.state.executors[entry.id] = executor
         self.state.nursery.start_soon(executor.run)
         self.state.request_commit()
--- a/hemlockstand/fleet/executor_events.py
+++ b/hemlockstand/fleet/executor_events.py
@@ -42,13 +42,11 @@
     def longest_lease_seconds(self) -> float:
         """Return the longest time for which an executor keeps any lease."""
 
-    def earlier_grants_end(self, born_ms: int) -> float:
-        """Return the latest end of leases granted to the lifetime before.
+    def previous_longest_end(self) -> float:
+        """Return the latest end of any leases given by a previous scheduler."""
 
-        A lifetime that began at ``born_ms`` may have taken them from a previous
-        scheduler, by the clock of the lifetime before. The result is in the past
-        if there are none.
-        """
+    def handle_restart(self, executor: "Executor", leases_end: float) -> None:
+        """Handle a new lifetime, which may have leases of earlier ones until then."""
 
     def last_grant_end(self) -> float:
         """Return the latest end that a lease may have."""
--- a/hemlockstand/fleet/executors.py
+++ b/hemlockstand/fleet/executors.py
@@ -241,7 +241,7 @@
                 self._start_lifetime(entry.born_ms, "new entry")
         known, self.entry = self.entry, entry
         if known.born_ms != entry.born_ms:
-            self.expect_earlier_leases(entry.born_ms)
+            self.expect_previous_leases()
         # An entry that is read again tells how long it was cold when written.
         if (known.born_ms, known.cold_remaining_ms) != (
             entry.born_ms,
@@ -251,10 +251,13 @@
         self.is_in_store = True
         self.wake()
 
-    def expect_earlier_leases(self, born_ms: int | None) -> None:
-        """Expect the leases that a lifetime may have of a previous scheduler."""
-        if born_ms is not None:
-            self._leases.expect_earlier(self.events.earlier_grants_end(born_ms))
+    def expect_previous_leases(self) -> None:
+        """Expect that it has started again unnoticed by a previous scheduler."""
+        self.expect_leases(self.events.previous_longest_end())
+
+    def expect_leases(self, end: float) -> None:
+        """Expect leases by the clock of an earlier lifetime up to a time."""
+        self._leases.expect_earlier(end)
 
     def _set_cold_time(self) -> None:
         """Set until when the executor is cold, from an entry just read."""
@@ -402,8 +405,9 @@
         if answer.born_ms is not None and answer.born_ms != self.born_ms:
             if self.born_ms is not None:
                 self._start_lifetime(answer.born_ms, "lists of runs")
+            elif answer.born_ms != self.entry.born_ms:
+                self.expect_previous_leases()
             self.born_ms = answer.born_ms
-            self.expect_earlier_leases(answer.born_ms)
         self.shows_stops = sent_at > self.events.previous_stops_end()
         listed = {entry.subtask: entry for entry in answer.running}
         for end in answer.ended:
@@ -483,6 +487,8 @@
         self._forget_ends()
         self.born_ms = born_ms
         self._leases.start_lifetime()
+        self.expect_previous_leases()
+        self.events.handle_restart(self, self._leases.earlier_end)
         self.reconciled = False
         self._restarted = True
         self._left_drained = self.entry.draining
--- a/hemlockstand/fleet/lapses.py
+++ b/hemlockstand/fleet/lapses.py
@@ -96,7 +96,6 @@
         """Set what is known of the leases of an executor."""
         unknown = not self._loaded and self.state.lease.record.lapses
         executor.lapse_stored = unknown or executor.id in self._suspended
-        executor.expect_earlier_leases(executor.entry.born_ms)
         pool = executor.entry.pool
         if executor.id in self.inherited or pool in self.unreadable_pools:
             executor.previous_lease_end = self._find_previous_end(executor.id)
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -99,6 +99,10 @@
     keeps_time: bool = True
     # The lease's time by which stops of previous holders have ended, if known.
     previous_stops_ms: int | None = None
+    # Version of the row that the previous holder wrote last.
+    previous_version: int = 0
+    # When leases end that executors may have by the clock of an earlier lifetime.
+    restarted: dict[str, float] = field(factory=dict)
 
     @property
     def previous_valid_until(self) -> float:
@@ -153,6 +157,7 @@
             time_ms=self.find_time_ms(self.clock()) if self.keeps_time else 0,
             time_since=self.record.time_since if self.keeps_time else 0,
             lapses=self.record.lapses if lapses is None else lapses,
+            restarted=self._list_restarted(),
         )
         self.releasing = self.releasing or release is not None
         lease_row = lease_write(record)
@@ -187,6 +192,18 @@
         self.version = version
         self.valid_until = sent_at + self.lease_seconds
 
+    def _list_restarted(self) -> dict[str, int]:
+        """Return what is stored of restarted executors; drop what is over."""
+        now = self.clock()
+        self.restarted = {
+            name: end for name, end in self.restarted.items() if end > now
+        }
+        if not self.keeps_time:
+            return {}
+        return {
+            name: self.find_time_ms(end) + 1 for name, end in self.restarted.items()
+        }
+
     async def renew(self) -> None:
         """Extend the lease and change nothing else; raises as ``commit``."""
         await self.commit(orders=find_orders(self.record))
@@ -229,6 +246,7 @@
     _seen_version: int | None = None
     _seen_at: float = _NEVER
     _attempted_at: float = _NEVER
+    _attempted_version: int = 0  # of the row that the attempt replaces
     _previous_renewed_at: float = _NEVER
 
     async def try_acquire(self) -> SchedulerLease | None:
@@ -289,6 +307,7 @@
             )
         expected = (RowExpectation(SCHEDULER_TABLE, LEASE_KEY, version),)
         self._attempted_at = self.clock()
+        self._attempted_version = version
         if record is not None and record.time_since:
             passed = self._attempted_at - self._previous_renewed_at
             time_ms = record.time_ms + int(passed * 1000)
@@ -300,6 +319,7 @@
                 blocked=record.blocked,
                 replaced_ms=record.replaced_ms,
                 stops_ms=None if record.holder else record.stops_ms,
+                restarted=record.restarted,
             )
         if new.replaced_ms is None:
             new = attrs.evolve(new, replaced_ms=new.time_ms)
@@ -325,7 +345,12 @@
         )
         lease.valid_until = sent_at + self.lease_seconds
         lease.previous_renewed_at = self._previous_renewed_at
+        lease.previous_version = self._attempted_version
         lease.acquired_at = sent_at
         lease.acquired_ms = record.time_ms
         lease.previous_stops_ms = record.stops_ms
+        lease.restarted = {
+            name: lease.find_local_time(end_ms)
+            for name, end_ms in record.restarted.items()
+        }
         return lease
--- a/hemlockstand/fleet/reports.py
+++ b/hemlockstand/fleet/reports.py
@@ -47,9 +47,14 @@
         """Return the longest time for which an executor keeps any lease."""
         return self.state.longest_lease_seconds
 
-    def earlier_grants_end(self, born_ms: int) -> float:
-        """Return the latest end of leases granted to the lifetime before."""
-        return self.state.find_earlier_grants_end(born_ms, int(time.time() * 1000))
+    def previous_longest_end(self) -> float:
+        """Return the latest end of any leases given by a previous scheduler."""
+        return self.state.previous_longest_end
+
+    def handle_restart(self, executor: Executor, leases_end: float) -> None:
+        """Store until when a new lifetime may have leases of earlier ones."""
+        self.state.lease.restarted[executor.id] = leases_end
+        self.state.request_commit()
 
     def last_grant_end(self) -> float:
         """Return the latest end that a lease may have."""
--- a/hemlockstand/fleet/state.py
+++ b/hemlockstand/fleet/state.py
@@ -25,10 +25,6 @@
 # Usual lease of an executor. A takeover after a kill takes up to two seconds,
 # more on a slow machine, and the last renewal may be one second old.
 EXECUTOR_LEASE_SECONDS = 3.7
-# A scheduler knows of a restart within this time, by a poll or a new entry.
-RESTART_NOTICE_SECONDS = 5.0
-# Bound of the platform on the difference of two machines' times of day.
-CLOCK_SKEW_SECONDS = 5.0
 # Delay before rows are read again that were too old or could not be read.
 RETRY_SECONDS = 0.2
 # Part of the longest permitted lease that is used, since clocks differ.
@@ -74,17 +70,17 @@
         """The longest time for which an executor keeps any lease."""
         return self.settings.bounds.longest_hold_ms / 1000 / MIN_CLOCK_RATE
 
-    def find_earlier_grants_end(self, born_ms: int, now_ms: int) -> float:
-        """Return until when a lifetime may have leases of a previous scheduler.
+    @property
+    def previous_longest_end(self) -> float:
+        """Latest end of any leases that calls of a previous scheduler have given.
 
-        If it began shortly before this scheduler's term, it may have taken calls
-        that were meant for the lifetime before. By its own clock their leases last
-        as long as any.
+        An executor that has started again takes them by another clock than they
+        were meant for, so that they last as long as any. The first scheduler has
+        no predecessor.
         """
-        seconds = ORDER_TIMEOUT_SECONDS + self.longest_lease_seconds
-        age_seconds = (now_ms - born_ms) / 1000
-        if age_seconds > seconds + RESTART_NOTICE_SECONDS + CLOCK_SKEW_SECONDS:
+        if self.lease.record.epoch == 1:
             return float("-inf")
+        seconds = ORDER_TIMEOUT_SECONDS + self.longest_lease_seconds
         return self.lease.previous_valid_until + seconds
 
     @property
--- a/hemlockstand/fleet/storage.py
+++ b/hemlockstand/fleet/storage.py
@@ -131,7 +131,9 @@
     earlier versions read that only. ``replaced_ms`` is the time at which the
     holder that wrote ``ordered`` and ``turned`` was replaced, and None if it is
     the present one. ``stops_ms`` is stored with a release: the runs that this
-    holder and earlier ones have stopped have ended by then.
+    holder and earlier ones have stopped have ended by then. ``restarted`` holds the
+    executors that have started again under their id, with the end, in this time,
+    of the leases that they may have taken by the clock of an earlier lifetime.
     """
 
     holder: str
@@ -148,6 +150,7 @@
     blocked: Mapping[str, int] = field(factory=dict)
     replaced_ms: int | None = None
     stops_ms: int | None = None
+    restarted: Mapping[str, int] = field(factory=dict)
 
 
 @frozen
