Hold that a successor knows of restarts, and keep the soak's pools free

The stored restarts get a test of their own: a scheduler that knows of a restart is killed as the executor is cut off. Without what it stores, the next one starts a second run ("runs twice"); with it the test passes.

The soak's longer jobs took 7.7 cores of a tenant's maximum of 8 on average, by computation, so that recoveries took longer than their bound for want of room. They are jobs of one subtask now, as in the users' trial, of 3.1 cores.

--- a/emulator/soak_jobs.py
+++ b/emulator/soak_jobs.py
@@ -88,9 +88,9 @@
         step = make_step(size, random.randint(1, 3), LongRunning=True)
         return Job(name, queue, "hinge", [step], [SubtaskBehaviour(LASTING, size=size)])
     size = Resources(random.choice((500, 1000, 2000)), 256)
-    seconds = random.uniform(0.1, 1.5)
     if random.random() < LONG_SHARE:
-        seconds = random.uniform(1.0, 12.0)
+        return _draw_long_job(random, name, queue, size)
+    seconds = random.uniform(0.1, 1.5)
     fails = random.random() < 0.04
     steps, behaviours = [], []
     for position in range(random.choice((1, 1, 2, 3))):
@@ -102,6 +102,14 @@
     return Job(name, queue, random.choice(list(TENANTS)), steps, behaviours)
 
 
+def _draw_long_job(random: Random, name: str, queue: str, size: Resources) -> Job:
+    """Return a job of one subtask, so that the tenants' maximum has room for it."""
+    seconds = random.uniform(1.0, 12.0)
+    step = make_step(size, 1, EstimatedMs=int(seconds * 1000))
+    behaviour = SubtaskBehaviour(seconds, size=size)
+    return Job(name, queue, random.choice(list(TENANTS)), [step], [behaviour])
+
+
 def make_step(size: Resources, count: int, **values: Any) -> dict[str, Any]:
     """Return a step as callers submit it."""
     return {"Count": count, "Cpu": size.cpu_millis, "MemMb": size.memory_mb, **values}
--- a/test/test_fleet_silent_restarts.py
+++ b/test/test_fleet_silent_restarts.py
@@ -123,6 +123,32 @@
         assert executor.born_ms == model.born_ms
 
 
+async def test_successor_knows_of_a_restart(autojump_clock):
+    """Guards against a second run after a takeover that follows a restart.
+
+    The executor has taken a start by its earlier clock, and its scheduler, which
+    knows that it has started again, is killed as it is cut off.
+    """
+    async with open_world() as world:
+        model = world.add_executor()
+        daemon = world.start_daemon("a")
+        await trio.sleep(2)
+        long = SubtaskBehaviour(60.0, size=SMALL)
+        world.submit(make_step(seconds=60.0), work=long)
+        await world.wait_for(lambda: model.running, 5)
+        await start_again(model)
+        job = world.submit(make_step(seconds=60.0), work=long)
+        await world.wait_for(lambda: world.count_runs(job) == 1, 1)
+        lease = daemon.leader.state.lease
+        await world.wait_for(lambda: model.id in lease.record.restarted, 1)
+        model.fall_silent()
+        world.kill(daemon)
+        world.start_daemon("b")
+        world.add_executor()
+        await world.wait_for(lambda: world.count_runs(job) == 2, 20)
+        world.check_runs()
+
+
 async def test_ends_of_a_new_lifetime_are_not_acknowledged_unread(
     autojump_clock, monkeypatch
 ):
