Let a job come while its old cancel is removed

Cause: the removal of a cancel from the store found the job there, and looked up the cancel that the job's arrival had dropped from memory during the call. The KeyError ended the scheduler's term. Found by reading.

Change: the record is looked up once more. A start's answer no longer takes back that a list has confirmed its run. A lease row that is too large without the blocked instances leaves out the restarted executors, with an error in the log, as no commit could be stored otherwise.

Measured: test_job_that_comes_as_its_cancel_is_removed failed with KeyError before and passes now.

--- a/hemlockstand/fleet/early_cancels.py
+++ b/hemlockstand/fleet/early_cancels.py
@@ -75,8 +75,10 @@
         try:
             await self.rows.write(expected=[absent], removed=[cancel_key(job)])
         except RowConflict:
-            kept = evolve(self._records[job], at_ms=int(time.time() * 1000))
-            self.add(job, kept)
+            # The row may have been read during the call.
+            record = self._records.get(job)
+            if record is not None:
+                self.add(job, evolve(record, at_ms=int(time.time() * 1000)))
             return
         except (PlatformUnavailable, OutcomeUnknown) as error:
             log.info("old cancel not removed", job=job, detail=str(error))
--- a/hemlockstand/fleet/lease.py
+++ b/hemlockstand/fleet/lease.py
@@ -165,6 +165,10 @@
             # Without the ends of their waits these instances count as open.
             record = attrs.evolve(record, blocked={})
             lease_row = lease_write(record)
+        if len(lease_row.value) > MAX_ROW_BYTES:
+            log.error("too many executors have started again to be stored")
+            record = attrs.evolve(record, restarted={})
+            lease_row = lease_write(record)
         batch = [lease_row, *writes]
         sent_at = self.clock()
         unsure = False
--- a/hemlockstand/fleet/orders.py
+++ b/hemlockstand/fleet/orders.py
@@ -122,7 +122,8 @@
         )
         match outcome:
             case Started(clock_ms):
-                run.confirmed = executor.check_lifetime(clock_ms, sent_at)
+                if executor.check_lifetime(clock_ms, sent_at):
+                    run.confirmed = True
                 self._handle_started(subtask, run, executor)
             case Refused(reason, clock_ms):
                 executor.check_lifetime(clock_ms, sent_at)
--- a/test/test_fleet_early_cancels.py
+++ b/test/test_fleet_early_cancels.py
@@ -4,8 +4,8 @@
 import pytest
 import trio
 
-from emulator.row_store import Transaction
-from hemlockstand.fleet.early_cancels import KEEP_SECONDS
+from emulator.row_store import RowStoreAccess, RowStoreModel, Transaction
+from hemlockstand.fleet.early_cancels import KEEP_SECONDS, EarlyCancels
 from hemlockstand.fleet.model import Resources, Tenant
 from hemlockstand.fleet.storage import CancelRecord, cancel_write
 from hemlockstand.platform.rows import RowWrite
@@ -142,6 +142,20 @@
         await world.wait_for(lambda: world.count_runs(JOB) == 1, 3)
 
 
+async def test_job_that_comes_as_its_cancel_is_removed(clock):
+    """Guards against an error that ends the scheduler's term."""
+    rows = RowStoreAccess(RowStoreModel())
+    cancels = EarlyCancels(rows)
+    cancels.add(JOB, CancelRecord(0))
+    rows.call_seconds = 0.5
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(cancels._remove, JOB)
+        await trio.sleep(0.2)
+        rows.model.apply(Transaction((RowWrite("jobs", JOB, b"", JOB[-1]),), (), ()))
+        cancels.discard(JOB)
+    assert cancels.find(JOB) is None
+
+
 @pytest.mark.parametrize("value", [b"1796601064629", b"", b"[" * 4000])
 async def test_cancel_of_an_earlier_version_applies(clock, value):
     """Guards against a cancel without tenants that no longer counts."""
