review: end the daemons of a case before its event loop closes

Cause: a wait for changes in the stand-in of the store lost its cancellation as the event loop closed, so a case hung at its end while a daemon was connected.

Change: the daemons are ended first, the wait is cancelled by itself, and a case ends with 2 after 115 s.

--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import base64
-import contextlib
 import json
 import os
 import signal
@@ -23,6 +22,7 @@
 HOST = "desk.example"
 ZONE = "zone-a"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+LONGEST_SECONDS = 115  # of a case, which then ends with 2
 
 
 class Unanswered(Exception):
@@ -236,8 +236,11 @@
                     "RowVersion": self.version,
                     "NowMs": now_ms(),
                 }
-            with contextlib.suppress(asyncio.TimeoutError):
-                await asyncio.wait_for(self.changed.wait(), left)
+            changed = asyncio.ensure_future(self.changed.wait())
+            try:
+                await asyncio.wait({changed}, timeout=left)
+            finally:
+                changed.cancel()
 
 
 def now_ms():
@@ -703,12 +706,19 @@
     world = World(case, daemons)
 
     async def run():
-        return await main(world)
+        try:
+            return await main(world)
+        finally:
+            # Their connections would keep the event loop from closing.
+            for daemon in world.daemons:
+                daemon.kill()
 
     def end(*_):
         raise SystemExit(2)
 
     signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGALRM, end)
+    signal.alarm(LONGEST_SECONDS)
     code = 2
     try:
         code = asyncio.run(run())
